--- /dev/null
+++ b/core/envdoc/parse.go
@@ -0,0 +1,318 @@
+package envdoc
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/inidoc"
+)
+
+// Problem is one fault of a document.
+type Problem = inidoc.Problem
+
+// ProblemsError holds all faults of a document.
+type ProblemsError = inidoc.ProblemsError
+
+// EndSection is the last section of every document. A text without it was truncated.
+const EndSection = "end"
+
+// Parse reads and validates a document. It returns a *ProblemsError that lists
+// all problems. The package example shows the format.
+func Parse(body []byte) (*Document, error) {
+	if len(body) > MaxBytes {
+		return nil, failed(Problem{Fault: fmt.Sprintf("the document has %d bytes", len(body)), Allowed: fmt.Sprintf("at most %d bytes", MaxBytes)})
+	}
+	sections, ps := inidoc.Parse(body)
+	if len(ps) > 0 {
+		return nil, failed(ps...)
+	}
+	p := newParser(body)
+	for i := range sections {
+		p.section(&sections[i], i == len(sections)-1)
+	}
+	p.whole()
+	if len(p.problems) > 0 {
+		return nil, failed(p.problems...)
+	}
+	return p.doc, nil
+}
+
+func failed(ps ...Problem) error {
+	return inidoc.NewProblemsError("document", ps)
+}
+
+type parser struct {
+	doc      *Document
+	problems []Problem
+	// lines holds the line of each section, by name, and of each key, by "section\x00key".
+	lines map[string]int
+	ended bool
+	named bool
+}
+
+func newParser(body []byte) *parser {
+	return &parser{
+		doc: &Document{
+			Digest:   DigestOf(body),
+			Raw:      slices.Clone(body),
+			Accounts: map[ident.AccountID]*Account{},
+			Models:   map[ident.ModelID]*Model{},
+			Versions: map[ident.VersionRef]*Version{},
+			Rollouts: map[ident.RolloutID]*Rollout{},
+			Services: map[ident.ServiceID]*Service{},
+			Kinds:    map[ident.KindID]*UpstreamKind{},
+			byKey:    map[KeyDigest]*Account{},
+		},
+		lines: map[string]int{},
+	}
+}
+
+func (p *parser) reject(section, key, value, fault, allowed string) {
+	l, ok := p.lines[section+"\x00"+key]
+	if !ok {
+		l = p.lines[section]
+	}
+	p.problems = append(p.problems, Problem{Section: section, Key: key, Value: value, Line: l, Fault: fault, Allowed: allowed})
+}
+
+// sectionKinds lists the kinds of sections for messages.
+const sectionKinds = "environment, account ID, model ID, version MODEL@VERSION, rollout ID, service ID, upstream-kind ID, end"
+
+func (p *parser) section(s *inidoc.Section, last bool) {
+	p.lines[s.Name] = s.Line
+	for _, e := range s.Entries {
+		p.lines[s.Name+"\x00"+e.Key] = e.Line
+	}
+	r := &reader{parser: p, section: s, asked: map[string]bool{}}
+	kind, id, hasID := strings.Cut(s.Name, " ")
+	plain := kind == "environment" || kind == EndSection
+	switch {
+	case hasID == plain:
+		p.reject(s.Name, "", "", "unknown section", sectionKinds)
+		return
+	case hasID && kind == "version":
+		p.version(r, id)
+	case hasID && !validID(id):
+		p.reject(s.Name, "", id, "not an id", idAllowed)
+		return
+	default:
+		if !p.byKind(r, kind, id, last) {
+			p.reject(s.Name, "", "", "unknown section", sectionKinds)
+			return
+		}
+	}
+	r.unknown()
+}
+
+func (p *parser) byKind(r *reader, kind, id string, last bool) bool {
+	switch kind {
+	case "environment":
+		p.named = true
+		p.doc.Name = r.id("name")
+	case EndSection:
+		p.ended = true
+		if !last {
+			p.reject(EndSection, "", "", "not the last section", "[end] after all other sections")
+		}
+	case "account":
+		p.account(r, ident.AccountID(id))
+	case "model":
+		p.model(r, ident.ModelID(id))
+	case "rollout":
+		p.rollout(r, ident.RolloutID(id))
+	case "service":
+		p.service(r, ident.ServiceID(id))
+	case "upstream-kind":
+		p.doc.Kinds[ident.KindID(id)] = &UpstreamKind{ID: ident.KindID(id), ChecksFencing: r.yesNo("checks-fencing", false)}
+	default:
+		return false
+	}
+	return true
+}
+
+func (p *parser) account(r *reader, id ident.AccountID) {
+	a := &Account{
+		ID:                id,
+		Allowed:           map[ident.VersionRef]bool{},
+		Services:          map[ident.ServiceID]bool{},
+		RequestsPerSecond: r.number("requests-per-second", 0, 0, 1e9),
+		TokensPerSecond:   r.number("tokens-per-second", 0, 0, 1e12),
+		Weight:            r.whole("weight", 1, 1, 1000),
+		Priority:          r.whole("priority", 0, -100, 100),
+		Objective:         Objective(r.choice("objective", string(ObjectiveCost), string(ObjectiveCost), string(ObjectiveLatency))),
+		QualityTarget:     r.number("quality-target", 0, 0, 1),
+		OnWithdrawn:       OnWithdrawn(r.choice("on-withdrawn", string(WithdrawnMove), string(WithdrawnMove), string(WithdrawnRefuse))),
+	}
+	for _, t := range r.list("allowed", false) {
+		v, err := ident.ParseRef(t)
+		if err != nil {
+			r.reject("allowed", t, "not a version", "MODEL@VERSION")
+			continue
+		}
+		a.Allowed[v] = true
+	}
+	for _, t := range r.list("services", false) {
+		a.Services[ident.ServiceID(t)] = true
+	}
+	for _, t := range r.list("key-digests", true) {
+		p.keyDigest(r, a, t)
+	}
+	p.doc.Accounts[id] = a
+}
+
+func (p *parser) keyDigest(r *reader, a *Account, text string) {
+	if !validDigest(text) {
+		r.reject("key-digests", "", "not a digest of a key", "64 lower-case hex digits (SHA-256 of the key)")
+		return
+	}
+	k := KeyDigest(text)
+	if o, ok := p.doc.byKey[k]; ok {
+		r.reject("key-digests", "", fmt.Sprintf("the same key digest as account %s", o.ID), "each key digest once")
+		return
+	}
+	a.KeyDigests = append(a.KeyDigests, k)
+	p.doc.byKey[k] = a
+}
+
+func (p *parser) model(r *reader, id ident.ModelID) {
+	m := &Model{ID: id, Shares: map[ident.VersionID]ident.Share{}, Escalate: ident.ModelID(r.text("escalate", ""))}
+	var sum ident.Share
+	whole := true
+	for _, t := range r.list("shares", true) {
+		v, s, ok := strings.Cut(t, ":")
+		share, err := parseShare(strings.TrimSpace(s))
+		v = strings.TrimSpace(v)
+		if !ok || err != nil || v == "" {
+			r.reject("shares", t, "not a share", "VERSION:PERCENT with at most two decimals, above 0 and at most 100")
+			whole = false
+			continue
+		}
+		if _, dup := m.Shares[ident.VersionID(v)]; dup {
+			r.reject("shares", t, "a version with two shares", "each version once")
+			whole = false
+			continue
+		}
+		m.Shares[ident.VersionID(v)] = share
+		sum += share
+	}
+	if whole && len(m.Shares) > 0 && sum != ident.FullShare {
+		r.reject("shares", r.raw("shares"), "the shares sum to "+FormatShare(sum), "shares that sum to 100")
+	}
+	p.doc.Models[id] = m
+}
+
+func (p *parser) version(r *reader, id string) {
+	ref, err := ident.ParseRef(id)
+	if err != nil || !validID(string(ref.Model)) || !validID(string(ref.Version)) {
+		p.reject(r.section.Name, "", id, "not a version", "MODEL@VERSION with ids of "+idAllowed)
+		return
+	}
+	v := &Version{
+		Ref:            ref,
+		State:          VersionState(r.choice("state", string(StateLive), string(StateLive), string(StateWithdrawn))),
+		InputPrice:     r.money("input-price-micro-cents", true),
+		OutputPrice:    r.money("output-price-micro-cents", true),
+		QualityPrior:   r.number("quality-prior", 0.5, 0, 1),
+		HaltsClearedAt: ident.Generation(r.whole("halts-cleared-at", 0, 0, math.MaxInt32)),
+		CancelRunning:  r.yesNo("cancel-running", false),
+	}
+	if t := r.text("fallback", ""); t != "" {
+		f, err := ident.ParseRef(t)
+		if err != nil {
+			r.reject("fallback", t, "not a version", "MODEL@VERSION")
+		}
+		v.Fallback = f
+	}
+	p.doc.Versions[ref] = v
+}
+
+func (p *parser) rollout(r *reader, id ident.RolloutID) {
+	o := &Rollout{
+		ID:             id,
+		Model:          ident.ModelID(r.required("model")),
+		From:           ident.VersionID(r.required("from")),
+		To:             ident.VersionID(r.required("to")),
+		StepTime:       r.duration("step-time"),
+		ExposureBound:  r.whole("exposure-bound", 100, 1, math.MaxInt32),
+		MinSamples:     r.whole("min-samples", 50, 1, math.MaxInt32),
+		FalseAlarmRate: r.number("false-alarm-rate", 0.01, 1e-9, 0.5),
+	}
+	for _, t := range r.list("steps", true) {
+		s, err := parseShare(t)
+		if err != nil {
+			r.reject("steps", t, "not a share", "percent with at most two decimals, above 0 and at most 100")
+			continue
+		}
+		if n := len(o.Steps); n > 0 && s <= o.Steps[n-1] {
+			r.reject("steps", t, "the steps do not rise", "rising shares")
+		}
+		o.Steps = append(o.Steps, s)
+	}
+	p.doc.Rollouts[id] = o
+}
+
+// parseShare reads percent with at most two decimals.
+func parseShare(t string) (ident.Share, error) {
+	a, b, dot := strings.Cut(t, ".")
+	if dot && (len(b) == 0 || len(b) > 2) || len(a) == 0 || len(a) > 3 || !digits(a+b) {
+		return 0, fmt.Errorf("parse share %q: want percent with at most two decimals", t)
+	}
+	n, err := strconv.Atoi(a + (b + "00")[:2])
+	if err != nil || n == 0 || n > int(ident.FullShare) {
+		return 0, fmt.Errorf("parse share %q: want above 0 and at most 100", t)
+	}
+	return ident.Share(n), nil
+}
+
+func digits(s string) bool {
+	for _, r := range s {
+		if r < '0' || r > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// FormatShare returns a share in percent with as few decimals as needed, without a sign.
+func FormatShare(s ident.Share) string {
+	t := fmt.Sprintf("%d.%02d", s/100, s%100)
+	return strings.TrimSuffix(strings.TrimRight(t, "0"), ".")
+}
+
+func validDigest(s string) bool {
+	if len(s) != 64 {
+		return false
+	}
+	for _, r := range s {
+		if (r < '0' || r > '9') && (r < 'a' || r > 'f') {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	idAllowed = "letters, digits, dots, hyphens and underscores, at most 64, starting with a letter or digit"
+	idMax     = 64
+)
+
+func validID(s string) bool {
+	if s == "" || len(s) > idMax {
+		return false
+	}
+	for i, r := range s {
+		alnum := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !alnum && (i == 0 || !strings.ContainsRune("._-", r)) {
+			return false
+		}
+	}
+	return true
+}
+
+// minStepTime keeps a roll-out from taking all its steps within one poll of the table.
+const minStepTime = time.Second
