--- /dev/null
+++ b/core/table/dynamo.go
@@ -0,0 +1,272 @@
+package table
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/aws/aws-sdk-go-v2/aws"
+	"github.com/aws/aws-sdk-go-v2/credentials"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
+	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
+	"github.com/samber/oops"
+
+	"tarragonvalve.example/core/ident"
+)
+
+// DefaultTimeout bounds one call when Options names no timeout. Consistent reads
+// and single-row writes of the table take tens of milliseconds.
+const DefaultTimeout = time.Second
+
+const (
+	attrPartition = "pk"
+	attrSort      = "sk"
+	attrRevision  = "rev"
+	attrToken     = "tok"
+	attrBody      = "body"
+)
+
+// Options configures a Dynamo client.
+type Options struct {
+	// Endpoint is the base URL of the table service.
+	Endpoint  string
+	Table     string
+	Region    string
+	AccessKey string
+	SecretKey string
+	// Timeout bounds one HTTP call, so that a silent connection delays nothing for longer.
+	Timeout time.Duration
+}
+
+// Dynamo is a Client over the DynamoDB HTTP API. It is safe for concurrent use.
+type Dynamo struct {
+	api     *dynamodb.Client
+	table   string
+	timeout time.Duration
+}
+
+var _ Client = (*Dynamo)(nil)
+
+// NewToken returns a token for one write. It is unique over all processes.
+func NewToken() WriteToken {
+	return WriteToken(rand.Text())
+}
+
+// NewDynamo returns a client of the table service at o.Endpoint.
+func NewDynamo(o Options) *Dynamo {
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	api := dynamodb.New(dynamodb.Options{
+		BaseEndpoint: aws.String(o.Endpoint),
+		Region:       o.Region,
+		Credentials:  credentials.NewStaticCredentialsProvider(o.AccessKey, o.SecretKey, ""),
+		HTTPClient:   &http.Client{Transport: transport(o.Timeout)},
+		// Settle repeats writes itself: a hidden repeat would report a conflict with the write's own effect.
+		Retryer: aws.NopRetryer{},
+		// The endpoint comes from settings and never from the service.
+		EndpointDiscovery: dynamodb.EndpointDiscoveryOptions{EnableEndpointDiscovery: aws.EndpointDiscoveryDisabled},
+	})
+	return &Dynamo{api: api, table: o.Table, timeout: o.Timeout}
+}
+
+// transport returns an HTTP/1.1 transport. A call that times out closes its own
+// connection there, so a silent connection isn't used again; an HTTP/2 connection
+// would be kept and shared by the next calls.
+func transport(timeout time.Duration) *http.Transport {
+	d := net.Dialer{Timeout: timeout}
+	return &http.Transport{
+		Proxy:                 nil,
+		DialContext:           d.DialContext,
+		TLSNextProto:          map[string]func(string, *tls.Conn) http.RoundTripper{},
+		TLSHandshakeTimeout:   timeout,
+		ResponseHeaderTimeout: timeout,
+		MaxIdleConnsPerHost:   16,
+		MaxConnsPerHost:       64,
+		IdleConnTimeout:       30 * time.Second,
+	}
+}
+
+// Get implements Client.
+func (d *Dynamo) Get(ctx context.Context, k Key) (Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	out, err := d.api.GetItem(ctx, &dynamodb.GetItemInput{
+		TableName:      aws.String(d.table),
+		ConsistentRead: aws.Bool(true),
+		Key: map[string]types.AttributeValue{
+			attrPartition: text(k.Partition),
+			attrSort:      text(k.Sort),
+		},
+	})
+	if err != nil {
+		return Row{}, unavailable("read", k, err)
+	}
+	if len(out.Item) == 0 {
+		return Row{}, &MissingError{Key: k}
+	}
+	r, err := decode(out.Item)
+	if err != nil {
+		return Row{}, unavailable("read", k, err)
+	}
+	return r, nil
+}
+
+// Put implements Client.
+func (d *Dynamo) Put(ctx context.Context, w Write) error {
+	c, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	in := &dynamodb.PutItemInput{
+		TableName:                           aws.String(d.table),
+		Item:                                encode(w),
+		ConditionExpression:                 aws.String("attribute_not_exists(pk)"),
+		ReturnValuesOnConditionCheckFailure: types.ReturnValuesOnConditionCheckFailureAllOld,
+	}
+	if w.Expect > 0 {
+		in.ConditionExpression = aws.String("rev = :rev")
+		in.ExpressionAttributeValues = map[string]types.AttributeValue{":rev": number(w.Expect)}
+	}
+	_, err := d.api.PutItem(c, in)
+	if err == nil {
+		return nil
+	}
+	var failed *types.ConditionalCheckFailedException
+	if !errors.As(err, &failed) {
+		return unavailable("write", w.Key, err)
+	}
+	e := &ConflictError{Key: w.Key}
+	if len(failed.Item) > 0 {
+		if r, err := decode(failed.Item); err == nil {
+			e.Current = &r
+			return e
+		}
+	}
+	if r, err := d.Get(ctx, w.Key); err == nil {
+		e.Current = &r
+	}
+	return e
+}
+
+// Settle implements Client.
+func (d *Dynamo) Settle(ctx context.Context, w Write) error {
+	return Settle(ctx, d, w)
+}
+
+// List implements Client. A query with both After and Prefix is filtered by prefix
+// after the read, since the service takes one condition on the sort key.
+func (d *Dynamo) List(ctx context.Context, q Query) ([]Row, error) {
+	in := d.query(q)
+	var rows []Row
+	for {
+		out, err := d.page(ctx, in)
+		if err != nil {
+			return nil, unavailable("list", Key{Partition: q.Partition, Sort: q.After + q.Prefix}, err)
+		}
+		for _, item := range out.Items {
+			r, err := decode(item)
+			if err != nil {
+				return nil, unavailable("list", Key{Partition: q.Partition, Sort: q.After + q.Prefix}, err)
+			}
+			if !q.Match(r.Key) {
+				continue
+			}
+			rows = append(rows, r)
+			if q.Limit > 0 && len(rows) == q.Limit {
+				return rows, nil
+			}
+		}
+		if len(out.LastEvaluatedKey) == 0 {
+			return rows, nil
+		}
+		in.ExclusiveStartKey = out.LastEvaluatedKey
+	}
+}
+
+func (d *Dynamo) page(ctx context.Context, in *dynamodb.QueryInput) (*dynamodb.QueryOutput, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.timeout)
+	defer cancel()
+	return d.api.Query(ctx, in)
+}
+
+func (d *Dynamo) query(q Query) *dynamodb.QueryInput {
+	in := &dynamodb.QueryInput{
+		TableName:                 aws.String(d.table),
+		ConsistentRead:            aws.Bool(true),
+		ScanIndexForward:          aws.Bool(!q.Descending),
+		KeyConditionExpression:    aws.String("pk = :pk"),
+		ExpressionAttributeValues: map[string]types.AttributeValue{":pk": text(q.Partition)},
+	}
+	switch {
+	case q.After != "":
+		in.KeyConditionExpression = aws.String("pk = :pk AND sk > :after")
+		in.ExpressionAttributeValues[":after"] = text(q.After)
+	case q.Prefix != "":
+		in.KeyConditionExpression = aws.String("pk = :pk AND begins_with(sk, :prefix)")
+		in.ExpressionAttributeValues[":prefix"] = text(q.Prefix)
+	}
+	if q.Limit > 0 {
+		in.Limit = aws.Int32(int32(min(q.Limit, maxPage)))
+	}
+	return in
+}
+
+// maxPage bounds the rows asked for in one page; the service also ends pages at 1 MB.
+const maxPage = 1000
+
+func encode(w Write) map[string]types.AttributeValue {
+	return map[string]types.AttributeValue{
+		attrPartition: text(w.Key.Partition),
+		attrSort:      text(w.Key.Sort),
+		attrRevision:  number(w.Expect + 1),
+		attrToken:     text(string(w.Token)),
+		attrBody:      &types.AttributeValueMemberB{Value: w.Body},
+	}
+}
+
+func decode(item map[string]types.AttributeValue) (Row, error) {
+	p, okP := item[attrPartition].(*types.AttributeValueMemberS)
+	s, okS := item[attrSort].(*types.AttributeValueMemberS)
+	n, okN := item[attrRevision].(*types.AttributeValueMemberN)
+	t, okT := item[attrToken].(*types.AttributeValueMemberS)
+	b, okB := item[attrBody].(*types.AttributeValueMemberB)
+	if !okP || !okS || !okN || !okT || !okB {
+		return Row{}, oops.In("table").Errorf("decode row: want attributes pk, sk, rev, tok and body")
+	}
+	v, err := strconv.ParseUint(n.Value, 10, 64)
+	if err != nil {
+		return Row{}, oops.In("table").Wrapf(err, "decode revision of row %s/%s", p.Value, s.Value)
+	}
+	return Row{
+		Key:      Key{Partition: p.Value, Sort: s.Value},
+		Revision: ident.Revision(v),
+		Token:    WriteToken(t.Value),
+		Body:     b.Value,
+	}, nil
+}
+
+func text(s string) types.AttributeValue {
+	return &types.AttributeValueMemberS{Value: s}
+}
+
+func number(r ident.Revision) types.AttributeValue {
+	return &types.AttributeValueMemberN{Value: strconv.FormatUint(uint64(r), 10)}
+}
+
+// unavailable wraps a failed call. Calls that never reached the service or that it
+// throttled are marked as not applied.
+func unavailable(op string, k Key, err error) error {
+	var (
+		dial      *net.OpError
+		throttled *types.ProvisionedThroughputExceededException
+		limited   *types.RequestLimitExceeded
+	)
+	if (errors.As(err, &dial) && dial.Op == "dial") || errors.As(err, &throttled) || errors.As(err, &limited) {
+		err = &NotAppliedError{Err: err}
+	}
+	return &UnavailableError{Op: op, Key: k, Err: err}
+}
