--- /dev/null
+++ b/core/accept/steps.go
@@ -0,0 +1,102 @@
+package accept
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/samber/oops"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/table"
+)
+
+// StepConflictError reports an advance of a roll-out that is not at the expected step.
+type StepConflictError struct {
+	Rollout ident.RolloutID
+	// From is the step that the writer expected, Current the one in the table.
+	From, Current int
+}
+
+func (e *StepConflictError) Error() string {
+	return fmt.Sprintf("advance rollout %s: expected step %d, found step %d", e.Rollout, e.From, e.Current)
+}
+
+type stepBody struct {
+	Step int `json:"step"`
+}
+
+func (s *Store) stepPrefix(g ident.Generation) string {
+	return fmt.Sprintf("%s%020d/", rolloutPrefix, g)
+}
+
+// Steps returns the step that each roll-out of a generation has reached. A roll-out
+// at its first step, 0, has no entry.
+func (s *Store) Steps(ctx context.Context, g ident.Generation) (map[ident.RolloutID]int, error) {
+	prefix := s.stepPrefix(g)
+	rows, err := s.client.List(ctx, table.Query{Partition: s.rollouts(), Prefix: prefix})
+	if err != nil {
+		return nil, oops.In("accept").Wrapf(err, "read steps of generation %d", g)
+	}
+	out := make(map[ident.RolloutID]int, len(rows))
+	for _, r := range rows {
+		n, err := decodeStep(r)
+		if err != nil {
+			return nil, err
+		}
+		out[ident.RolloutID(r.Key.Sort[len(prefix):])] = n
+	}
+	return out, nil
+}
+
+// AdvanceStep moves a roll-out from one step to the next. The write is conditional
+// on the step, so of several writers one advances; the others, and a holder that
+// was paused meanwhile, get a *StepConflictError.
+func (s *Store) AdvanceStep(ctx context.Context, g ident.Generation, r ident.RolloutID, from, to int, token table.WriteToken) error {
+	if to <= from {
+		return oops.In("accept").Errorf("advance rollout %s: step %d is not above step %d", r, to, from)
+	}
+	k := table.Key{Partition: s.rollouts(), Sort: s.stepPrefix(g) + string(r)}
+	row, err := s.client.Get(ctx, k)
+	if err != nil && !table.IsMissing(err) {
+		return oops.In("accept").Wrapf(err, "read step of rollout %s", r)
+	}
+	current := 0
+	if err == nil {
+		if row.Token == token {
+			return nil
+		}
+		if current, err = decodeStep(row); err != nil {
+			return err
+		}
+	}
+	if current != from {
+		return &StepConflictError{Rollout: r, From: from, Current: current}
+	}
+	b, err := json.Marshal(stepBody{Step: to})
+	if err != nil {
+		return oops.In("accept").Wrapf(err, "encode step of rollout %s", r)
+	}
+	err = s.client.Settle(ctx, table.Write{Key: k, Expect: row.Revision, Token: token, Body: b})
+	if err == nil {
+		return nil
+	}
+	c, ok := table.AsConflict(err)
+	if !ok {
+		return oops.In("accept").Wrapf(err, "advance rollout %s to step %d", r, to)
+	}
+	if c.Current != nil {
+		if current, err = decodeStep(*c.Current); err != nil {
+			return err
+		}
+	}
+	return &StepConflictError{Rollout: r, From: from, Current: current}
+}
+
+func decodeStep(r table.Row) (int, error) {
+	var b stepBody
+	if err := json.Unmarshal(r.Body, &b); err != nil {
+		return 0, oops.In("accept").Wrapf(err, "decode step row %s", r.Key.Sort)
+	}
+	return b.Step, nil
+}
--- /dev/null
+++ b/core/event/merge.go
@@ -0,0 +1,60 @@
+package event
+
+import (
+	"cmp"
+	"errors"
+	"io"
+	"slices"
+
+	"tarragonvalve.example/core/wire"
+)
+
+// Select returns the events that a filter matches, the newest f.Limit of them when
+// the limit is above 0, in their order.
+func Select(events []Event, f Filter) []Event {
+	var out []Event
+	for _, e := range events {
+		if f.Match(e) {
+			out = append(out, e)
+		}
+	}
+	if f.Limit > 0 && len(out) > f.Limit {
+		out = out[len(out)-f.Limit:]
+	}
+	return out
+}
+
+// Merge returns one time line of the events of several processes, ordered by
+// stamp and then by instance. An event that was read twice appears once.
+func Merge(lists ...[]Event) []Event {
+	out := slices.Concat(lists...)
+	slices.SortStableFunc(out, func(a, b Event) int {
+		return cmp.Or(cmp.Compare(a.Clock, b.Clock), cmp.Compare(a.Instance, b.Instance))
+	})
+	// A ring never gives two events the same stamp, so stamp and instance name an event.
+	return slices.CompactFunc(out, func(a, b Event) bool {
+		return a.Clock == b.Clock && a.Instance == b.Instance
+	})
+}
+
+// Receive reads the messages of one Peer.Events call until it ends and returns the
+// events and how many the ring overwrote. recv is the call's Recv method.
+func Receive(recv func() (*wire.Event, error)) ([]Event, uint64, error) {
+	var (
+		out         []Event
+		overwritten uint64
+	)
+	for {
+		m, err := recv()
+		if errors.Is(err, io.EOF) {
+			return out, overwritten, nil
+		}
+		if err != nil {
+			return out, overwritten, err
+		}
+		overwritten = max(overwritten, m.GetOverwritten())
+		if m.GetKind() != "" {
+			out = append(out, FromWire(m))
+		}
+	}
+}
--- /dev/null
+++ b/core/spread/merge_test.go
@@ -0,0 +1,158 @@
+package spread
+
+import (
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/wire"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1201")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var epoch = time.UnixMilli(1_800_000_000_000)
+
+func acceptedOf(g int) *Accepted {
+	return &Accepted{Generation: ident.Generation(g), Document: &envdoc.Document{Digest: envdoc.DigestOf([]byte{byte(g)})}}
+}
+
+func drawInput(r *rapid.T) input {
+	g := ident.Generation(rapid.IntRange(1, 5).Draw(r, "generation"))
+	switch rapid.IntRange(0, 4).Draw(r, "kind") {
+	case 0:
+		e := tableRead{after: g - 1, accepted: acceptedOf(int(g)), at: epoch.Add(time.Duration(g) * time.Second)}
+		if rapid.Bool().Draw(r, "empty") {
+			e = tableRead{after: g, at: e.at}
+		}
+		return e
+	case 1:
+		return offered{accepted: acceptedOf(int(g))}
+	case 2:
+		age := time.Duration(rapid.IntRange(0, 9).Draw(r, "age")) * time.Second
+		return confirmed{generation: g, digest: acceptedOf(int(g)).Document.Digest, at: epoch.Add(age)}
+	case 3:
+		return halted{halts: []Halt{{
+			Version:    ident.VersionRef{Model: "m", Version: rapid.SampledFrom([]ident.VersionID{"a", "b"}).Draw(r, "version")},
+			Generation: g,
+			Instance:   rapid.SampledFrom([]ident.InstanceID{"i", "j"}).Draw(r, "instance"),
+			At:         epoch.Add(time.Duration(rapid.IntRange(0, 2).Draw(r, "at")) * time.Second),
+		}}}
+	default:
+		k := stepKey{generation: g, rollout: rapid.SampledFrom([]ident.RolloutID{"r", "s"}).Draw(r, "rollout")}
+		return stepped{steps: map[stepKey]int{k: rapid.IntRange(0, 4).Draw(r, "step")}}
+	}
+}
+
+// shared is the part of the state that all instances agree on in the end.
+func shared(s state) any {
+	m := s.toWire(epoch.Add(time.Hour))
+	m.ConfirmedAgeMs = 0
+	return m.String()
+}
+
+// Guards against a generation, halt or step that goes back, and against a state
+// that depends on the order or number of times in which updates arrive.
+func TestApplyIsMonotone(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		es := rapid.SliceOfN(rapid.Custom(drawInput), 1, 30).Draw(r, "inputs")
+		again := rapid.SliceOf(rapid.SampledFrom(es)).Draw(r, "repeats")
+		other := rapid.Permutation(append(append([]input{}, es...), again...)).Draw(r, "order")
+		var a, b state
+		for _, e := range es {
+			next, _ := apply(a, e)
+			checkForward(r, a, next)
+			a = next
+		}
+		for _, e := range other {
+			b, _ = apply(b, e)
+		}
+		if !reflect.DeepEqual(shared(a), shared(b)) {
+			r.Errorf("states differ:\n%s\n%s", shared(a), shared(b))
+		}
+	})
+}
+
+func checkForward(r *rapid.T, before, after state) {
+	if after.generation() < before.generation() {
+		r.Fatalf("generation went from %d to %d", before.generation(), after.generation())
+	}
+	for v, h := range before.halts {
+		if after.halts[v].Generation < h.Generation {
+			r.Fatalf("halt of %s went from generation %d to %d", v, h.Generation, after.halts[v].Generation)
+		}
+	}
+	for k, n := range before.steps {
+		if k.generation >= after.generation() && after.steps[k] < n {
+			r.Fatalf("rollout %s went from step %d to %d", k.rollout, n, after.steps[k])
+		}
+	}
+	if after.generation() == before.generation() && after.confirmedAt.Before(before.confirmedAt) {
+		r.Fatalf("confirmation went from %s to %s", before.confirmedAt, after.confirmedAt)
+	}
+}
+
+// Guards against two peers that differ after a crossed exchange of their states.
+func TestExchangeConverges(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var nodes [3]state
+		for i := range nodes {
+			for _, e := range rapid.SliceOfN(rapid.Custom(drawInput), 0, 10).Draw(r, "inputs") {
+				nodes[i], _ = apply(nodes[i], e)
+			}
+		}
+		for range len(nodes) {
+			for i := range nodes {
+				from := nodes[(i+1)%len(nodes)]
+				nodes[i] = receive(nodes[i], from.toWire(epoch))
+				if from.accepted != nil {
+					nodes[i], _ = apply(nodes[i], offered{accepted: from.accepted})
+				}
+			}
+		}
+		for i := range nodes[1:] {
+			if shared(nodes[i]) != shared(nodes[i+1]) {
+				r.Errorf("nodes %d and %d differ:\n%s\n%s", i, i+1, shared(nodes[i]), shared(nodes[i+1]))
+			}
+		}
+	})
+}
+
+func receive(s state, m *wire.State) state {
+	for _, e := range inputsFromWire(m, epoch) {
+		s, _ = apply(s, e)
+	}
+	return s
+}
+
+// Guards against a table read that confirms a document which arrived from a peer
+// while the read was running.
+func TestReadDoesNotConfirmLaterOffer(t *testing.T) {
+	s, _ := apply(state{}, offered{accepted: acceptedOf(6)})
+	s, _ = apply(s, tableRead{after: 5, at: epoch})
+	if s.confirmed != ConfirmedPeers || !s.confirmedAt.IsZero() {
+		t.Errorf("confirmed by %s at %s, want by peers only", s.confirmed, s.confirmedAt)
+	}
+}
+
+// Guards against peers that fill the memory with halts or steps.
+func TestBounds(t *testing.T) {
+	var s state
+	for i := range maxHalts + 5 {
+		v := ident.VersionRef{Model: "m", Version: ident.VersionID(time.Duration(i).String())}
+		s, _ = apply(s, halted{halts: []Halt{{Version: v}}})
+		s, _ = apply(s, stepped{steps: map[stepKey]int{{rollout: ident.RolloutID(v.Version)}: 1}})
+	}
+	if len(s.halts) != maxHalts || len(s.steps) != maxSteps || s.rejected != 10 {
+		t.Errorf("%d halts, %d steps, %d rejected", len(s.halts), len(s.steps), s.rejected)
+	}
+}
--- /dev/null
+++ b/core/spread/server.go
@@ -0,0 +1,135 @@
+package spread
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"tarragonvalve.example/core/event"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/core/wire"
+)
+
+// maxEvents bounds the events of one answer.
+const maxEvents = 10_000
+
+// Server answers peers. It implements wire.PeerServer for entries and agents.
+type Server struct {
+	wire.UnimplementedPeerServer
+
+	node     *Node
+	ring     *event.Ring
+	draining func() bool
+	seen     atomic.Pointer[func(*wire.State)]
+	fill     atomic.Pointer[func(*wire.State)]
+}
+
+var _ wire.PeerServer = (*Server)(nil)
+
+// NewServer returns a server over a node and its event ring.
+func NewServer(n *Node, r *event.Ring, draining func() bool) *Server {
+	return &Server{node: n, ring: r, draining: draining}
+}
+
+// OnExchange calls f with the state of every peer that exchanges.
+func (s *Server) OnExchange(f func(*wire.State)) {
+	s.seen.Store(&f)
+}
+
+// Fill calls f on every state before it is sent, to add the use of client accounts.
+func (s *Server) Fill(f func(*wire.State)) {
+	s.fill.Store(&f)
+}
+
+// Exchange implements wire.PeerServer.
+func (s *Server) Exchange(ctx context.Context, m *wire.State) (*wire.State, error) {
+	if f := s.seen.Load(); f != nil {
+		(*f)(m)
+	}
+	if err := s.node.Merge(ctx, m); err != nil {
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+	return s.state(), nil
+}
+
+// FetchDocument implements wire.PeerServer.
+func (s *Server) FetchDocument(_ context.Context, m *wire.FetchDocumentRequest) (*wire.Document, error) {
+	s.node.observe(m.GetClock())
+	d := s.node.Document()
+	if d == nil {
+		return nil, status.Error(codes.FailedPrecondition, string(refuse.NoDocument))
+	}
+	return d, nil
+}
+
+// OfferDocument implements wire.PeerServer.
+func (s *Server) OfferDocument(ctx context.Context, m *wire.Document) (*wire.State, error) {
+	if err := s.node.Offer(ctx, m); err != nil {
+		if ctx.Err() != nil {
+			return nil, status.FromContextError(ctx.Err()).Err()
+		}
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return s.state(), nil
+}
+
+// Events implements wire.PeerServer. The last message carries the number of
+// overwritten events; it has no kind when no event matched.
+func (s *Server) Events(m *wire.EventsRequest, out grpc.ServerStreamingServer[wire.Event]) error {
+	events, overwritten := s.ring.Snapshot()
+	events = event.Select(events, filterOf(m))
+	for i, e := range events {
+		w := event.ToWire(e)
+		if i == len(events)-1 {
+			w.Overwritten = overwritten
+		}
+		if err := out.Send(w); err != nil {
+			return err
+		}
+	}
+	if len(events) == 0 && overwritten > 0 {
+		return out.Send(&wire.Event{Instance: string(s.node.o.Instance), Overwritten: overwritten})
+	}
+	return nil
+}
+
+// Ping implements wire.PeerServer.
+func (s *Server) Ping(_ context.Context, m *wire.PingRequest) (*wire.PingReply, error) {
+	s.node.observe(m.GetClock())
+	return &wire.PingReply{
+		Instance:   string(s.node.o.Instance),
+		Clock:      s.node.clock(),
+		Generation: uint64(s.node.View().Generation()),
+	}, nil
+}
+
+func (s *Server) state() *wire.State {
+	m := s.node.State()
+	m.Draining = s.draining()
+	if f := s.fill.Load(); f != nil {
+		(*f)(m)
+	}
+	return m
+}
+
+func filterOf(m *wire.EventsRequest) event.Filter {
+	f := event.Filter{
+		Request: ident.RequestID(m.GetRequestId()),
+		Session: ident.SessionID(m.GetSession()),
+		Account: ident.AccountID(m.GetAccount()),
+		Version: m.GetVersion(),
+		Limit:   maxEvents,
+	}
+	if ms := m.GetSinceUnixMs(); ms > 0 {
+		f.Since = time.UnixMilli(ms)
+	}
+	if l := int(m.GetLimit()); l > 0 {
+		f.Limit = min(l, maxEvents)
+	}
+	return f
+}
