--- a/core/table/settle.go
+++ b/core/table/settle.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
+	"hash/fnv"
 	"strings"
 	"time"
 )
@@ -61,7 +61,7 @@
 		} else if !NotApplied(err) {
 			applied = true
 		}
-		if e := sleep(ctx, pause); e != nil {
+		if e := sleep(ctx, pause+jitter(w.Token, pause)); e != nil {
 			return unsettled(w.Key, err, applied)
 		}
 	}
@@ -97,10 +97,16 @@
 	return &UnavailableError{Op: "settle", Key: k, Err: errors.New(last.Error())}
 }
 
-// sleep waits for d with a jitter of a quarter, so that processes that saw the
-// same outage do not return to the table in step.
+// jitter returns up to a quarter of a pause, so that processes that saw the same
+// outage do not return to the table in step. It depends on the token alone, so that
+// a failed test run can be repeated.
+func jitter(t WriteToken, pause time.Duration) time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(t))
+	return time.Duration(h.Sum32()%256) * pause / 1024
+}
+
 func sleep(ctx context.Context, d time.Duration) error {
-	d += time.Duration(rand.Int64N(int64(d)/4 + 1))
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
