feat: add claims of keyed non-idempotent calls

A dispatch and a not-run mark are conditional writes that expect the same revision, so only one of them takes effect. A write that follows an older claim first checks that the claim allows it. A dispatch with an unknown outcome is not sent and is marked not-run in the background.

--- /dev/null
+++ b/core/claim/book_test.go
@@ -0,0 +1,298 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"testing/cryptotest"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragonvalve.example/core/claim"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/core/table"
+	"tarragonvalve.example/core/table/memory"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1301")
+	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var key = claim.Key{Account: "a", Service: "orders", Idempotency: "k"}
+
+// Guards against a claim that goes back, a dispatch on top of a claim that forbids
+// it, and a result that is lost or recorded for another call.
+func TestStates(t *testing.T) {
+	b := claim.New(memory.New())
+	ctx := t.Context()
+	if c, err := b.Read(ctx, key); c != nil || err != nil {
+		t.Fatalf("unclaimed key: %v, %v", c, err)
+	}
+	n, err := b.MarkNotRun(ctx, key, claim.NotRunMark{Digest: "d"})
+	if err != nil || n.Revision != 1 || n.State != claim.StateNotRun {
+		t.Fatalf("mark: %v, %v", n, err)
+	}
+	if again, err := b.MarkNotRun(ctx, key, claim.NotRunMark{Digest: "d"}); err != nil || again.Revision != 1 {
+		t.Errorf("mark by a second entry: %v, %v", again, err)
+	}
+	c, err := b.Dispatch(ctx, key, claim.Dispatch{Expect: 1, Digest: "d", Upstream: "u"})
+	if err != nil || c.Revision != 2 || c.State != claim.StateDispatched {
+		t.Fatalf("dispatch: %v, %v", c, err)
+	}
+	for name, f := range map[string]func() error{
+		"fenced dispatch":        func() error { _, err := b.Dispatch(ctx, key, claim.Dispatch{Digest: "d"}); return err },
+		"dispatch of dispatched": func() error { _, err := b.Dispatch(ctx, key, claim.Dispatch{Expect: 2, Digest: "d"}); return err },
+		"mark of dispatched":     func() error { _, err := b.MarkNotRun(ctx, key, claim.NotRunMark{Expect: 2, Digest: "d"}); return err },
+	} {
+		var taken *claim.TakenError
+		if err := f(); !errors.As(err, &taken) || taken.Claim.State != claim.StateDispatched {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if err := b.Finish(ctx, c, claim.Result{StatusCode: 201, Body: make([]byte, claim.MaxResultBytes+1)}); err != nil {
+		t.Fatal(err)
+	}
+	done, err := b.Read(ctx, key)
+	if err != nil || done.State != claim.StateDone || done.Result.StatusCode != 201 || !done.Result.Truncated || done.Result.Body != nil {
+		t.Errorf("done: %+v, %v", done, err)
+	}
+}
+
+// Guards against a key that runs with two bodies.
+func TestKeyReused(t *testing.T) {
+	b := claim.New(memory.New())
+	if _, err := b.MarkNotRun(t.Context(), key, claim.NotRunMark{Digest: "d"}); err != nil {
+		t.Fatal(err)
+	}
+	for name, expect := range map[string]ident.Revision{"stale": 0, "current": 1} {
+		_, err := b.Dispatch(t.Context(), key, claim.Dispatch{Expect: expect, Digest: "other"})
+		if e, ok := refuse.As(err); !ok || e.Code != refuse.KeyReused || e.Ran != refuse.NotRun {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Guards against a dispatch whose outcome is unknown and that blocks its key for
+// ever, and against two calls that share one claim.
+func TestUnknownDispatch(t *testing.T) {
+	for name, f := range map[string]memory.Fault{"took effect": memory.LostAnswer, "had no effect": memory.Unanswered, "takes effect later": memory.Delayed} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := memory.New()
+				b := claim.New(m)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go func() { _ = b.Run(ctx) }()
+				m.SetFault(f)
+				short, stop := context.WithTimeout(ctx, time.Second)
+				defer stop()
+				d := claim.Dispatch{Digest: "d", Token: "attempt-1"}
+				_, err := b.Dispatch(short, key, d)
+				if e, ok := refuse.As(err); !ok || e.Code != refuse.ClaimUnknown || e.Ran != refuse.Unknown {
+					t.Fatalf("got %v, want claim-unknown", err)
+				}
+				time.Sleep(time.Minute)
+				m.SetFault(memory.None)
+				m.Release()
+				time.Sleep(time.Minute)
+				c, err := b.Read(ctx, key)
+				if err != nil || c == nil || c.State != claim.StateNotRun {
+					t.Fatalf("after the outage: %v, %v", c, err)
+				}
+				d.Expect = c.Revision
+				if _, err := b.Dispatch(ctx, key, d); err != nil {
+					t.Errorf("next dispatch: %v", err)
+				}
+				if _, err := b.Dispatch(ctx, key, d); err == nil {
+					t.Error("the same attempt was dispatched twice")
+				}
+			})
+		})
+	}
+}
+
+// plan is a script of faults and delays, drawn before the run.
+type plan struct {
+	faults []memory.Fault
+	delays []time.Duration
+	cursor int
+}
+
+func drawPlan(r *rapid.T) *plan {
+	kinds := []memory.Fault{memory.Refused, memory.Unanswered, memory.LostAnswer, memory.Delayed}
+	for range rapid.IntRange(1, 30).Draw(r, "calls without fault") {
+		kinds = append(kinds, memory.None)
+	}
+	f := rapid.SampledFrom(kinds)
+	d := rapid.SampledFrom([]time.Duration{
+		0, 0, 0, 0, time.Millisecond, 10 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second, 20 * time.Second,
+	})
+	return &plan{
+		faults: rapid.SliceOfN(f, 60, 60).Draw(r, "faults"),
+		delays: rapid.SliceOfN(d, 61, 61).Draw(r, "delays"),
+	}
+}
+
+// world runs entries and agents against one table and counts dispatches.
+type world struct {
+	table *memory.Table
+	plan  *plan
+
+	mu         sync.Mutex
+	dispatched map[string]int
+}
+
+func (w *world) delay() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.plan.cursor++
+	return w.plan.delays[w.plan.cursor%len(w.plan.delays)]
+}
+
+// agent answers with "ran" or the refusal of its dispatch, after pauses between all steps.
+func (w *world) agent(ctx context.Context, id string, expect ident.Revision) <-chan error {
+	out := make(chan error, 1)
+	b := claim.New(w.table)
+	go func() { _ = b.Run(ctx) }()
+	go func() {
+		time.Sleep(w.delay())
+		c, cancel := context.WithTimeout(ctx, 3*time.Second)
+		defer cancel()
+		made, err := b.Dispatch(c, key, claim.Dispatch{Expect: expect, Digest: "d", Token: "t"})
+		if err != nil {
+			out <- err
+			return
+		}
+		time.Sleep(w.delay())
+		w.mu.Lock()
+		w.dispatched[id]++
+		w.mu.Unlock()
+		f, stop := context.WithTimeout(ctx, 3*time.Second)
+		defer stop()
+		_ = b.Finish(f, made, claim.Result{StatusCode: 200})
+		out <- nil
+	}()
+	return out
+}
+
+// entry makes up to two attempts, each on another agent, and returns what it tells
+// its caller together with the ids of its attempts.
+func (w *world) entry(ctx context.Context, name string) (refuse.Ran, []string) {
+	b := claim.New(w.table)
+	c, err := b.Read(ctx, key)
+	if err != nil {
+		return refuse.From(err, refuse.Unknown).Ran, nil
+	}
+	var expect ident.Revision
+	if c != nil && c.State != claim.StateNotRun {
+		return refuse.Unknown, nil
+	}
+	if c != nil {
+		expect = c.Revision
+	}
+	var ids []string
+	for i := range 2 {
+		id := fmt.Sprintf("%s/%d", name, i)
+		ids = append(ids, id)
+		select {
+		case err := <-w.agent(ctx, id, expect):
+			if err == nil {
+				return refuse.DidRun, ids
+			}
+			if e, ok := refuse.As(err); ok && e.Ran == refuse.NotRun {
+				continue
+			}
+		case <-time.After(time.Second + w.delay()):
+		}
+		short, cancel := context.WithTimeout(ctx, 3*time.Second)
+		n, err := b.MarkNotRun(short, key, claim.NotRunMark{Expect: expect, Digest: "d"})
+		cancel()
+		if err != nil {
+			return refuse.Unknown, ids
+		}
+		expect = n.Revision
+	}
+	return refuse.NotRun, ids
+}
+
+type answer struct {
+	ran refuse.Ran
+	ids []string
+}
+
+func (w *world) play(ctx context.Context, entries int) []answer {
+	out := make(chan answer, entries)
+	for i := range entries {
+		go func() {
+			// Entries start one after another, so that a seed gives the same run each time.
+			time.Sleep(time.Duration(i) * time.Microsecond)
+			time.Sleep(w.delay())
+			ran, ids := w.entry(ctx, fmt.Sprintf("entry-%d", i))
+			out <- answer{ran: ran, ids: ids}
+		}()
+	}
+	var as []answer
+	for range entries {
+		as = append(as, <-out)
+	}
+	// Paused agents and background writes go on long after the last answer.
+	time.Sleep(10 * time.Minute)
+	w.table.Release()
+	time.Sleep(10 * time.Minute)
+	return as
+}
+
+// Guards against a second dispatch of a key and against a not-run answer for a call
+// that was sent before or after it, under lost and late answers, late effects,
+// outages, and pauses of entries and agents between all steps.
+func TestAtMostOnce(t *testing.T) {
+	answers := map[refuse.Ran]int{}
+	rapid.Check(t, func(r *rapid.T) {
+		p := drawPlan(r)
+		entries := rapid.IntRange(1, 4).Draw(r, "entries")
+		synctest.Test(t, func(t *testing.T) {
+			cryptotest.SetGlobalRandom(t, 1301)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			w := &world{table: memory.New(), plan: p, dispatched: map[string]int{}}
+			calls := 0
+			w.table.SetChooser(func(memory.Op, table.Key) memory.Fault {
+				calls++
+				return p.faults[calls%len(p.faults)]
+			})
+			w.table.SetDelay(func(memory.Op, table.Key) (time.Duration, time.Duration) { return w.delay(), w.delay() })
+			as := w.play(ctx, entries)
+			total := 0
+			for _, n := range w.dispatched {
+				total += n
+			}
+			if total > 1 {
+				r.Errorf("the key was dispatched %d times: %v", total, w.dispatched)
+			}
+			for _, a := range as {
+				answers[a.ran]++
+				for _, id := range a.ids {
+					if a.ran == refuse.NotRun && w.dispatched[id] > 0 {
+						r.Errorf("%s was dispatched and its caller was told not-run", id)
+					}
+				}
+			}
+		})
+	})
+	t.Logf("seed 1301, answers: %v", answers)
+	for _, ran := range []refuse.Ran{refuse.NotRun, refuse.DidRun, refuse.Unknown} {
+		if answers[ran] == 0 {
+			t.Errorf("the runs never led to %s", ran)
+		}
+	}
+}
--- /dev/null
+++ b/core/claim/decide.go
@@ -0,0 +1,112 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/samber/oops"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/core/table"
+)
+
+// Dispatch asks for a claim just before the call is sent.
+type Dispatch struct {
+	// Expect is the revision that the row must have, 0 for a key without a claim.
+	Expect   ident.Revision
+	Digest   BodyDigest
+	Request  ident.RequestID
+	Upstream ident.UpstreamID
+	// Token identifies the attempt. Two calls never share a claim, even with the same token.
+	Token table.WriteToken
+}
+
+// NotRunMark asks to prevent the dispatch that expects the same revision.
+type NotRunMark struct {
+	Expect  ident.Revision
+	Digest  BodyDigest
+	Request ident.RequestID
+}
+
+// TakenError reports that another write changed the claim first.
+type TakenError struct {
+	Claim *Claim
+}
+
+func (e *TakenError) Error() string {
+	return fmt.Sprintf("write claim of service %s for account %s: claim is %s at revision %d",
+		e.Claim.Key.Service, e.Claim.Key.Account, e.Claim.State, e.Claim.Revision)
+}
+
+// Hash returns the SHA-256 of the key's parts in lower-case hex. Row keys and
+// request ids use it, since a caller's key may have any length and content.
+func (k Key) Hash() string {
+	h := sha256.New()
+	for _, s := range []string{string(k.Account), string(k.Service), k.Idempotency} {
+		fmt.Fprintf(h, "%d:%s", len(s), s)
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// Request returns the request id of every call with this key, so that repeats of
+// the call are billed once.
+func (k Key) Request() ident.RequestID {
+	return ident.RequestID("key-" + k.Hash()[:32])
+}
+
+func (k Key) row() table.Key {
+	return table.Key{Partition: fmt.Sprintf("claim/%s/%s/%s", k.Account, k.Service, k.Hash()), Sort: "claim"}
+}
+
+// decide checks that the claim at the revision that a write expects is one that
+// the write may follow. A row with a given revision never changes, so the check
+// still holds when the conditional write takes effect.
+func decide(c *Claim, k Key, expect ident.Revision, digest BodyDigest) error {
+	switch {
+	case c == nil && expect == 0:
+		return nil
+	case c == nil:
+		return refuse.New(refuse.ClaimFenced, refuse.NotRun,
+			"write claim of service %s: no claim, expected revision %d", k.Service, expect)
+	case c.Digest != digest:
+		return reused(k)
+	case c.Revision != expect || c.State != StateNotRun:
+		return &TakenError{Claim: c}
+	}
+	return nil
+}
+
+func reused(k Key) error {
+	return refuse.New(refuse.KeyReused, refuse.NotRun,
+		"claim call of service %s: the key was used with another body", k.Service)
+}
+
+func encode(c *Claim) ([]byte, error) {
+	b, err := json.Marshal(c)
+	if err != nil {
+		return nil, oops.In("claim").Wrapf(err, "encode claim of service %s", c.Key.Service)
+	}
+	return b, nil
+}
+
+func decode(k Key, r table.Row) (*Claim, error) {
+	var c Claim
+	if err := json.Unmarshal(r.Body, &c); err != nil {
+		return nil, oops.In("claim").Wrapf(err, "decode claim of service %s", k.Service)
+	}
+	c.Key = k
+	c.Revision = r.Revision
+	return &c, nil
+}
+
+// bounded returns a result that fits into a claim.
+func bounded(r Result) Result {
+	if len(r.Body) > MaxResultBytes {
+		r.Body = nil
+		r.Truncated = true
+	}
+	return r
+}
