feat: add the ledger of receipts and the fold into a bill

Batches are create-only rows filed by the times of their receipts. A batch with an unknown outcome is written again under the same key. Load keeps the requests whose deciding receipt is in the asked time, so adjoining bills never share a request.

--- /dev/null
+++ b/core/ledger/store.go
@@ -0,0 +1,123 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/samber/oops"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/table"
+)
+
+// period is the time that one partition of batches covers. Batches are filed by
+// the times of their receipts, so that a batch stored after an outage is found
+// with the time that it bills.
+const period = time.Hour
+
+// spreadOfReceipts is at least the time between the receipts of one request. The
+// entry's and the agent's receipt may lie on both sides of a bill's limit.
+const spreadOfReceipts = time.Hour
+
+// maxBatchBytes keeps a row below the table's limit of 400 KB.
+const maxBatchBytes = 256 << 10
+
+func partition(t time.Time) string {
+	return "bill/" + t.UTC().Truncate(period).Format("2006-01-02T15")
+}
+
+// batch is a row that is created once. A batch whose write has an unknown outcome
+// is written again with the same key and token.
+type batch struct {
+	write table.Write
+	ids   []ID
+}
+
+// newBatch takes receipts of the period of the first one, up to the limits, and
+// returns the batch and the receipts that it takes.
+func newBatch(instance ident.InstanceID, sequence uint64, rs []Receipt, limit int) (*batch, error) {
+	b := &batch{}
+	var body bytes.Buffer
+	var p string
+	for i := range rs {
+		if len(b.ids) == limit {
+			break
+		}
+		at := partition(rs[i].At)
+		if p == "" {
+			p = at
+		}
+		if at != p {
+			continue
+		}
+		line, err := json.Marshal(&rs[i])
+		if err != nil {
+			return nil, oops.In("ledger").Wrapf(err, "encode receipt of %s", rs[i].Request)
+		}
+		if body.Len() > 0 && body.Len()+len(line) > maxBatchBytes {
+			break
+		}
+		body.Write(line)
+		body.WriteByte('\n')
+		b.ids = append(b.ids, rs[i].ID())
+	}
+	b.write = table.Write{
+		Key:   table.Key{Partition: p, Sort: fmt.Sprintf("%s/%020d", instance, sequence)},
+		Token: table.NewToken(),
+		Body:  body.Bytes(),
+	}
+	return b, nil
+}
+
+// Load returns the receipts of the requests whose deciding receipt is from a time
+// in [from, to). Bills of adjoining times therefore never share a request.
+func Load(ctx context.Context, c table.Client, from, to time.Time) ([]Receipt, error) {
+	var all []Receipt
+	end := to.Add(spreadOfReceipts)
+	for t := from.Add(-spreadOfReceipts).UTC().Truncate(period); t.Before(end); t = t.Add(period) {
+		rows, err := c.List(ctx, table.Query{Partition: partition(t)})
+		if err != nil {
+			return nil, oops.In("ledger").Wrapf(err, "read receipts of %s", partition(t))
+		}
+		for _, r := range rows {
+			rs, err := decode(r)
+			if err != nil {
+				return nil, err
+			}
+			all = append(all, rs...)
+		}
+	}
+	return within(all, from, to), nil
+}
+
+// within keeps the receipts of requests that are decided in [from, to). Receipts of
+// a request that no receipt bills count by their own times.
+func within(all []Receipt, from, to time.Time) []Receipt {
+	decided := decisive(all)
+	var out []Receipt
+	for _, r := range all {
+		at := r.At
+		if d, ok := decided[r.Request]; ok {
+			at = d.At
+		}
+		if !at.Before(from) && at.Before(to) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func decode(row table.Row) ([]Receipt, error) {
+	var out []Receipt
+	for line := range bytes.Lines(row.Body) {
+		var r Receipt
+		if err := json.Unmarshal(line, &r); err != nil {
+			return nil, oops.In("ledger").Wrapf(err, "decode batch %s/%s", row.Key.Partition, row.Key.Sort)
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
