--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -164,8 +164,8 @@
 func TestOneHolder(t *testing.T) {
 	moments, holders := 0, 0
 	rapid.Check(t, func(r *rapid.T) {
-		steady := make([]memory.Fault, rapid.SampledFrom([]int{2, 8, 100}).Draw(r, "calls without fault"))
-		kinds := append(steady, memory.Refused, memory.Unanswered, memory.LostAnswer, memory.Delayed)
+		kinds := make([]memory.Fault, rapid.SampledFrom([]int{2, 8, 100}).Draw(r, "calls without fault"))
+		kinds = append(kinds, memory.Refused, memory.Unanswered, memory.LostAnswer, memory.Delayed)
 		faults := rapid.SliceOfN(rapid.SampledFrom(kinds), 60, 60).Draw(r, "faults")
 		scripts := rapid.SliceOfN(rapid.Custom(drawScript), 3, 3).Draw(r, "contenders")
 		release := time.Duration(rapid.IntRange(1, 30).Draw(r, "late effects")) * time.Second
