feat: add the routing decisions as pure packages

Cause: model choice, upstream choice, limits, retries, roll-out steps and halts decide cost, latency and exposure, and must be testable without I/O.

--- /dev/null
+++ b/entry/guard/guard_test.go
@@ -0,0 +1,118 @@
+package guard_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/entry/guard"
+)
+
+// source draws observations of a version with given rates.
+type source struct {
+	errors float64
+	bad    float64
+	slow   float64
+}
+
+func (s source) draw(r *rand.Rand) []guard.Observation {
+	l := time.Duration(500+r.IntN(1000)) * time.Millisecond
+	if r.Float64() < s.slow {
+		l *= 3
+	}
+	good := r.Float64() >= s.bad
+	out := []guard.Observation{{Failed: r.Float64() < s.errors, Latency: l}}
+	if r.Float64() < 0.3 {
+		out = append(out, guard.Observation{Rating: &good})
+	}
+	return out
+}
+
+func reference(r *rand.Rand, s source, n int) *guard.Reference {
+	f := guard.NewReference()
+	for range n {
+		for _, o := range s.draw(r) {
+			f.Observe(o)
+		}
+	}
+	return f
+}
+
+// answersUntilBad returns after how many answers the guard calls the version bad, or n+1.
+func answersUntilBad(r *rand.Rand, g *guard.Guard, f *guard.Reference, s source, n int) int {
+	for i := range n {
+		for _, o := range s.draw(r) {
+			if _, ok := g.Observe(f, o).(guard.Bad); ok {
+				return i + 1
+			}
+		}
+	}
+	return n + 1
+}
+
+// Guards against a guard that halts sound versions more often than it states.
+func TestGuardKeepsFalseAlarmRate(t *testing.T) {
+	const seed, runs, alpha = 7, 400, 0.05
+	t.Logf("seed %d", seed)
+	r := rand.New(rand.NewPCG(seed, 1))
+	sound := source{errors: 0.01, bad: 0.12, slow: 0.05}
+	alarms := 0
+	for range runs {
+		f := reference(r, sound, 300)
+		if answersUntilBad(r, guard.New(alpha), f, sound, 2000) <= 2000 {
+			alarms++
+		}
+	}
+	if alarms > alpha*runs {
+		t.Errorf("%d false alarms in %d runs, want at most %v", alarms, runs, alpha*runs)
+	}
+}
+
+// Guards against a guard that misses a version bad in one signal only.
+func TestGuardHaltsBadVersions(t *testing.T) {
+	tests := map[string]source{
+		"errors":  {errors: 0.2, bad: 0.1, slow: 0.05},
+		"ratings": {errors: 0.01, bad: 0.6, slow: 0.05},
+		"latency": {errors: 0.01, bad: 0.1, slow: 0.6},
+	}
+	for name, bad := range tests {
+		t.Run(name, func(t *testing.T) {
+			const seed = 11
+			t.Logf("seed %d", seed)
+			r := rand.New(rand.NewPCG(seed, 2))
+			f := reference(r, source{errors: 0.01, bad: 0.1, slow: 0.05}, 500)
+			n := answersUntilBad(r, guard.New(0.01), f, bad, 400)
+			if n > 400 {
+				t.Fatal("not halted within 400 answers")
+			}
+			t.Logf("halted after %d answers", n)
+		})
+	}
+}
+
+// Guards against a fully deployed version that turns bad and is never halted,
+// because its own good past hides the change.
+func TestWatchHaltsVersionThatTurnsBad(t *testing.T) {
+	const seed = 13
+	t.Logf("seed %d", seed)
+	r := rand.New(rand.NewPCG(seed, 3))
+	v := ident.VersionRef{Model: "plan", Version: "v1"}
+	w := guard.NewWatch(0.0001)
+	feed := func(s source, n int) bool {
+		for range n {
+			for _, o := range s.draw(r) {
+				if _, ok := w.Observe(v, guard.Rollout{}, o).(guard.Bad); ok {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	if feed(source{errors: 0.01, bad: 0.1, slow: 0.05}, 3000) {
+		t.Fatal("sound version halted")
+	}
+	if !feed(source{errors: 0.3, bad: 0.1, slow: 0.05}, 300) {
+		t.Fatal("version that turned bad not halted within 300 answers")
+	}
+}
--- /dev/null
+++ b/entry/guard/watch.go
@@ -0,0 +1,101 @@
+package guard
+
+import (
+	"tarragonvalve.example/core/ident"
+)
+
+// lag is how many of a version's own answers are held back before they enter
+// its reference, so that a change is tested against answers from before it.
+const lag = 200
+
+// maxVersions bounds the versions that one Watch follows; documents hold a few dozen.
+const maxVersions = 1000
+
+// Watch follows all versions: a roll-out's new version against its old one, and
+// every other version against its own past. The owner serializes its use.
+type Watch struct {
+	alpha      float64
+	references map[ident.VersionRef]*Reference
+	held       map[ident.VersionRef][]Observation
+	rollouts   map[ident.VersionRef]*Guard
+	detectors  map[ident.VersionRef]*Guard
+}
+
+// NewWatch returns a watch whose detectors have an average of 1/alpha answers between false alarms.
+func NewWatch(alpha float64) *Watch {
+	return &Watch{
+		alpha:      alpha,
+		references: map[ident.VersionRef]*Reference{},
+		held:       map[ident.VersionRef][]Observation{},
+		rollouts:   map[ident.VersionRef]*Guard{},
+		detectors:  map[ident.VersionRef]*Guard{},
+	}
+}
+
+// Rollout names the version that a version in roll-out is compared with, and the
+// false-alarm rate of the roll-out for this process. A zero From means no roll-out.
+type Rollout struct {
+	From           ident.VersionRef
+	FalseAlarmRate float64
+}
+
+// Observe adds an answer of a version and returns the verdict on that version.
+func (w *Watch) Observe(v ident.VersionRef, r Rollout, o Observation) Verdict {
+	if r.From != (ident.VersionRef{}) {
+		return w.rollout(v, r).Observe(w.reference(r.From), o)
+	}
+	if len(w.detectors) >= maxVersions && w.detectors[v] == nil {
+		return Sound{}
+	}
+	d, ok := w.detectors[v]
+	if !ok {
+		d = NewDetector(w.alpha)
+		w.detectors[v] = d
+	}
+	out := d.Observe(w.reference(v), o)
+	w.hold(v, o)
+	return out
+}
+
+// Samples returns the number of answers of a version in roll-out.
+func (w *Watch) Samples(v ident.VersionRef) int {
+	g, ok := w.rollouts[v]
+	if !ok {
+		return 0
+	}
+	return g.Count()
+}
+
+// Forget drops what is known of a version, for one whose halt was cleared.
+func (w *Watch) Forget(v ident.VersionRef) {
+	delete(w.references, v)
+	delete(w.held, v)
+	delete(w.rollouts, v)
+	delete(w.detectors, v)
+}
+
+func (w *Watch) rollout(v ident.VersionRef, r Rollout) *Guard {
+	g, ok := w.rollouts[v]
+	if !ok {
+		g = New(r.FalseAlarmRate)
+		w.rollouts[v] = g
+	}
+	return g
+}
+
+func (w *Watch) reference(v ident.VersionRef) *Reference {
+	r, ok := w.references[v]
+	if !ok {
+		r = NewReference()
+		w.references[v] = r
+	}
+	return r
+}
+
+func (w *Watch) hold(v ident.VersionRef, o Observation) {
+	w.held[v] = append(w.held[v], o)
+	if h := w.held[v]; len(h) > lag {
+		w.reference(v).Observe(h[0])
+		w.held[v] = h[1:]
+	}
+}
--- /dev/null
+++ b/entry/plan/choose.go
@@ -0,0 +1,189 @@
+// Package plan chooses how a request is answered: by one version, or by a cheap
+// one first with escalation to a better one when the answer looks weak.
+//
+// Ratings give each version's quality per client account and task as a posterior
+// with its uncertainty (quality.go). Among the plans whose lower bound meets the
+// account's quality target the one with the least weighted cost and time is
+// taken; when none does, the one with the best lower bound (choose.go). The
+// version of a model follows from shares, roll-outs and fallbacks (resolve.go).
+package plan
+
+import (
+	"math"
+	"time"
+
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/ident"
+)
+
+// Plan says which versions answer a request; the sealed cases are Single and Cascade.
+type Plan interface{ plan() }
+
+// Single asks one version and streams its answer.
+type Single struct {
+	Version ident.VersionRef
+}
+
+// Cascade asks First, holds its answer back, and asks Then instead when the
+// answer's mean token log-probability is below Below.
+type Cascade struct {
+	First ident.VersionRef
+	Then  ident.VersionRef
+	Below float64
+}
+
+func (Single) plan()  {}
+func (Cascade) plan() {}
+
+// Candidate is a version that may answer the request.
+type Candidate struct {
+	Version ident.VersionRef
+	// Cost is the operator's cost of one answer.
+	Cost ident.MicroCents
+	// Time is the predicted time to the end of one answer.
+	Time    time.Duration
+	Quality Estimate
+}
+
+// Goal is what the account asks for.
+type Goal struct {
+	Objective envdoc.Objective
+	// Target is the part of answers that should be rated good.
+	Target float64
+	// Explore judges plans by their mean instead of the lower bound, so that
+	// versions with few ratings get some. Set it for a small part of requests.
+	Explore bool
+	// Deadline is the time left; plans predicted to take longer are avoided. 0 means none.
+	Deadline time.Duration
+	// CascadeOff leaves out cascades, for requests whose plan must stay on one version.
+	CascadeOff bool
+}
+
+// Choice is a plan with what it is expected to yield.
+type Choice struct {
+	Plan    Plan
+	Cost    ident.MicroCents
+	Time    time.Duration
+	Quality float64
+	// Lower is the bound that was compared with the target.
+	Lower float64
+	// Meets is false when no plan met the target and the best one was taken.
+	Meets bool
+}
+
+// Weights of money against time in a plan's score. Both are taken relative to
+// the cheapest and the fastest candidate, so that no unit matters.
+const (
+	majorWeight = 0.9
+	minorWeight = 0.1
+)
+
+// Choose returns the best plan; false when there is no candidate.
+func Choose(cs []Candidate, g Goal) (Choice, bool) {
+	if len(cs) == 0 {
+		return Choice{}, false
+	}
+	s := scale(cs)
+	var best Choice
+	found := false
+	consider := func(c Choice) {
+		c.Meets = c.Lower >= g.Target && (g.Deadline == 0 || c.Time <= g.Deadline)
+		if !found || better(c, best, g, s) {
+			best = c
+			found = true
+		}
+	}
+	for _, c := range cs {
+		consider(single(c, g))
+	}
+	if g.CascadeOff {
+		return best, true
+	}
+	for _, a := range cs {
+		if !a.Quality.binned {
+			continue
+		}
+		for _, b := range cs {
+			if a.Version.Model == b.Version.Model || a.Cost >= b.Cost {
+				continue
+			}
+			for cut := 1; cut < bins; cut++ {
+				consider(cascade(a, b, cut, g))
+			}
+		}
+	}
+	return best, true
+}
+
+func single(c Candidate, g Goal) Choice {
+	l := c.Quality.Lower()
+	if g.Explore {
+		l = c.Quality.Mean
+	}
+	return Choice{
+		Plan:    Single{Version: c.Version},
+		Cost:    c.Cost,
+		Time:    c.Time,
+		Quality: c.Quality.Mean,
+		Lower:   l,
+	}
+}
+
+// cascade evaluates a plan that escalates answers in the bins below cut.
+func cascade(a, b Candidate, cut int, g Goal) Choice {
+	weak, good, variance := 0.0, 0.0, 0.0
+	for i := range bins {
+		p := a.Quality.parts[i]
+		if i < cut {
+			weak += p
+			continue
+		}
+		good += p * a.Quality.bin[i]
+		variance += p * p * a.Quality.variance[i]
+	}
+	mean := good + weak*b.Quality.Mean
+	variance += weak * weak * b.Quality.Deviation * b.Quality.Deviation
+	l := mean
+	if !g.Explore {
+		l -= math.Sqrt(variance)
+	}
+	return Choice{
+		Plan:    Cascade{First: a.Version, Then: b.Version, Below: edges[cut-1]},
+		Cost:    a.Cost + ident.MicroCents(weak*float64(b.Cost)),
+		Time:    a.Time + time.Duration(weak*float64(b.Time)),
+		Quality: mean,
+		Lower:   l,
+	}
+}
+
+type scales struct {
+	cost float64
+	time float64
+}
+
+func scale(cs []Candidate) scales {
+	s := scales{cost: math.Inf(1), time: math.Inf(1)}
+	for _, c := range cs {
+		s.cost = min(s.cost, float64(c.Cost))
+		s.time = min(s.time, float64(c.Time))
+	}
+	return scales{cost: max(s.cost, 1), time: max(s.time, 1)}
+}
+
+func better(a, b Choice, g Goal, s scales) bool {
+	if a.Meets != b.Meets {
+		return a.Meets
+	}
+	if !a.Meets && a.Lower != b.Lower {
+		return a.Lower > b.Lower
+	}
+	return weigh(a, g, s) < weigh(b, g, s)
+}
+
+func weigh(c Choice, g Goal, s scales) float64 {
+	m, t := majorWeight, minorWeight
+	if g.Objective == envdoc.ObjectiveLatency {
+		m, t = minorWeight, majorWeight
+	}
+	return m*float64(c.Cost)/s.cost + t*float64(c.Time)/s.time
+}
--- /dev/null
+++ b/entry/plan/resolve.go
@@ -0,0 +1,140 @@
+package plan
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/core/spread"
+)
+
+// Point is a place in the traffic from 0 to ident.FullShare-1, by a hash of what must stay together.
+type Point struct {
+	// Base places the session among the versions of a model.
+	Base ident.Share
+	// Rollout places it, independently of Base, within a roll-out.
+	Rollout ident.Share
+}
+
+// PointOf returns the point of a session, or of a single request by its id. It
+// depends on nothing else, so two entries agree on it.
+func PointOf(a ident.AccountID, key string) Point {
+	h := xxhash.New()
+	_, _ = h.WriteString(string(a))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(key)
+	base := h.Sum64()
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], base)
+	step := xxhash.Sum64(b[:])
+	return Point{
+		Base:    ident.Share(base % uint64(ident.FullShare)),
+		Rollout: ident.Share(step % uint64(ident.FullShare)),
+	}
+}
+
+// Exposed reports whether a roll-out may take another session; see package steps.
+type Exposed func(r *envdoc.Rollout) bool
+
+// Version picks the version of a model for new work at a point: by shares, then
+// by the roll-out's step, then by fallbacks until one is allowed and usable. A
+// roll-out whose share rises only moves points from its old to its new version.
+func Version(v *spread.View, a ident.AccountID, m ident.ModelID, p Point, may Exposed) (ident.VersionRef, error) {
+	d := v.Document()
+	if d == nil {
+		return ident.VersionRef{}, refuse.New(refuse.NoDocument, refuse.NotRun, "no document is in force")
+	}
+	c, ok := d.Models[m]
+	if !ok {
+		return ident.VersionRef{}, refuse.New(refuse.ModelUnknown, refuse.NotRun, "model %q does not exist", m)
+	}
+	r := ident.VersionRef{Model: m, Version: byShare(c.Shares, p.Base)}
+	if x := inRollout(v, r, p); x != nil {
+		to := ident.VersionRef{Model: m, Version: x.To}
+		if d.Allows(a, to) && v.Usable(to) && (may == nil || may(x)) {
+			return to, nil
+		}
+	}
+	return Usable(v, a, r)
+}
+
+// Usable returns r, or the first of its fallbacks that the account is allowed
+// and that is neither withdrawn nor halted.
+func Usable(v *spread.View, a ident.AccountID, r ident.VersionRef) (ident.VersionRef, error) {
+	d := v.Document()
+	if d == nil {
+		return r, refuse.New(refuse.NoDocument, refuse.NotRun, "no document is in force")
+	}
+	code := refuse.ModelNotAllowed
+	seen := map[ident.VersionRef]bool{}
+	for x := r; !seen[x]; {
+		if d.Allows(a, x) {
+			if v.Usable(x) {
+				return x, nil
+			}
+			code = refuse.VersionWithdrawn
+			if v.Halted(x) {
+				code = refuse.VersionHalted
+			}
+		}
+		seen[x] = true
+		c, ok := d.Versions[x]
+		if !ok {
+			break
+		}
+		x = next(d, c)
+	}
+	return r, refuse.New(code, refuse.NotRun, "version %s can't take new work and has no usable fallback", r)
+}
+
+// next returns a version's fallback; the new version of a roll-out falls back to the old one.
+func next(d *envdoc.Document, c *envdoc.Version) ident.VersionRef {
+	if c.Fallback != (ident.VersionRef{}) {
+		return c.Fallback
+	}
+	for _, r := range d.Rollouts {
+		if r.Model == c.Ref.Model && r.To == c.Ref.Version {
+			return ident.VersionRef{Model: r.Model, Version: r.From}
+		}
+	}
+	return c.Ref
+}
+
+func inRollout(v *spread.View, r ident.VersionRef, p Point) *envdoc.Rollout {
+	for id, x := range v.Document().Rollouts {
+		if x.Model != r.Model || x.From != r.Version {
+			continue
+		}
+		s, ok := v.Steps[id]
+		if !ok || s < 0 || s >= len(x.Steps) {
+			continue
+		}
+		if p.Rollout < x.Steps[s] {
+			return x
+		}
+	}
+	return nil
+}
+
+func byShare(shares map[ident.VersionID]ident.Share, p ident.Share) ident.VersionID {
+	ids := make([]ident.VersionID, 0, len(shares))
+	for id := range shares {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	sum := ident.Share(0)
+	for _, id := range ids {
+		sum += shares[id]
+		if p < sum {
+			return id
+		}
+	}
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[len(ids)-1]
+}
