feat: add the control goroutine for routing decisions

Cause: the pure decisions need one owner of their state per entry. Change: package policy steps plan, limit, retry and guard on one goroutine and answers queries over channels; it halts versions on this entry's own evidence. A version is now also compared with its own past while it is in roll-out, since it may turn bad after it was found sound. Run: go test -race ./policy ./guard in entry; both pass. Latency and load of the channel are not measured yet.

--- a/entry/guard/watch.go
+++ b/entry/guard/watch.go
@@ -14,11 +14,14 @@
 // Watch follows all versions: a roll-out's new version against its old one, and
 // every other version against its own past. The owner serializes its use.
 type Watch struct {
-	alpha      float64
+	alpha float64
+	// references hold all answers of a version, for comparison with the version that replaces it.
 	references map[ident.VersionRef]*Reference
-	held       map[ident.VersionRef][]Observation
-	rollouts   map[ident.VersionRef]*Guard
-	detectors  map[ident.VersionRef]*Guard
+	// past holds a version's answers but for the latest, which are in held.
+	past      map[ident.VersionRef]*Reference
+	held      map[ident.VersionRef][]Observation
+	rollouts  map[ident.VersionRef]*Guard
+	detectors map[ident.VersionRef]*Guard
 }
 
 // NewWatch returns a watch whose detectors have an average of 1/alpha answers between false alarms.
@@ -26,6 +29,7 @@
 	return &Watch{
 		alpha:      alpha,
 		references: map[ident.VersionRef]*Reference{},
+		past:       map[ident.VersionRef]*Reference{},
 		held:       map[ident.VersionRef][]Observation{},
 		rollouts:   map[ident.VersionRef]*Guard{},
 		detectors:  map[ident.VersionRef]*Guard{},
@@ -40,9 +44,13 @@
 }
 
 // Observe adds an answer of a version and returns the verdict on that version.
+// A version in roll-out is also compared with its own past: it may turn bad long
+// after it was found sound.
 func (w *Watch) Observe(v ident.VersionRef, r Rollout, o Observation) Verdict {
 	if r.From != (ident.VersionRef{}) {
-		return w.rollout(v, r).Observe(w.reference(r.From), o)
+		if b, ok := w.rollout(v, r).Observe(reference(w.references, r.From), o).(Bad); ok {
+			return b
+		}
 	}
 	if len(w.detectors) >= maxVersions && w.detectors[v] == nil {
 		return Sound{}
@@ -52,7 +60,8 @@
 		d = NewDetector(w.alpha)
 		w.detectors[v] = d
 	}
-	out := d.Observe(w.reference(v), o)
+	out := d.Observe(reference(w.past, v), o)
+	reference(w.references, v).Observe(o)
 	w.hold(v, o)
 	return out
 }
@@ -69,6 +78,7 @@
 // Forget drops what is known of a version, for one whose halt was cleared.
 func (w *Watch) Forget(v ident.VersionRef) {
 	delete(w.references, v)
+	delete(w.past, v)
 	delete(w.held, v)
 	delete(w.rollouts, v)
 	delete(w.detectors, v)
@@ -83,11 +93,11 @@
 	return g
 }
 
-func (w *Watch) reference(v ident.VersionRef) *Reference {
-	r, ok := w.references[v]
+func reference(m map[ident.VersionRef]*Reference, v ident.VersionRef) *Reference {
+	r, ok := m[v]
 	if !ok {
 		r = NewReference()
-		w.references[v] = r
+		m[v] = r
 	}
 	return r
 }
@@ -95,7 +105,7 @@
 func (w *Watch) hold(v ident.VersionRef, o Observation) {
 	w.held[v] = append(w.held[v], o)
 	if h := w.held[v]; len(h) > lag {
-		w.reference(v).Observe(h[0])
+		reference(w.past, v).Observe(h[0])
 		w.held[v] = h[1:]
 	}
 }
--- a/entry/plan/choose.go
+++ b/entry/plan/choose.go
@@ -43,6 +43,8 @@
 	// Time is the predicted time to the end of one answer.
 	Time    time.Duration
 	Quality Estimate
+	// Escalate is the only model that a weak answer may escalate to; empty for any.
+	Escalate ident.ModelID
 }
 
 // Goal is what the account asks for.
@@ -104,7 +106,7 @@
 			continue
 		}
 		for _, b := range cs {
-			if a.Version.Model == b.Version.Model || a.Cost >= b.Cost {
+			if !mayEscalate(a, b) {
 				continue
 			}
 			for cut := 1; cut < bins; cut++ {
@@ -115,6 +117,13 @@
 	return best, true
 }
 
+func mayEscalate(a, b Candidate) bool {
+	if a.Version.Model == b.Version.Model || a.Cost >= b.Cost {
+		return false
+	}
+	return a.Escalate == "" || a.Escalate == b.Version.Model
+}
+
 func single(c Candidate, g Goal) Choice {
 	l := c.Quality.Lower()
 	if g.Explore {
--- /dev/null
+++ b/entry/policy/decide.go
@@ -0,0 +1,306 @@
+package policy
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/core/spread"
+	"tarragonvalve.example/entry/guard"
+	"tarragonvalve.example/entry/plan"
+	"tarragonvalve.example/entry/steps"
+)
+
+const (
+	// speedStep is the weight of a new observation in a version's speed.
+	speedStep = 0.05
+	// defaultFirst and defaultPerToken stand in until a version was observed.
+	defaultFirst    = 300 * time.Millisecond
+	defaultPerToken = 30 * time.Millisecond
+	// maxExposed bounds the sessions remembered per roll-out without a bound of its own.
+	maxExposed = 100_000
+)
+
+// speed is what a version's answers took lately.
+type speed struct {
+	first    time.Duration
+	perToken time.Duration
+}
+
+func (s speed) observe(o Outcome) speed {
+	per := (o.Total - o.FirstToken) / time.Duration(max(o.Output, 1))
+	if s.first == 0 {
+		return speed{first: o.FirstToken, perToken: per}
+	}
+	s.first += time.Duration(speedStep * float64(o.FirstToken-s.first))
+	s.perToken += time.Duration(speedStep * float64(per-s.perToken))
+	return s
+}
+
+func (s speed) predict(out ident.Tokens) time.Duration {
+	if s.first == 0 {
+		s = speed{first: defaultFirst, perToken: defaultPerToken}
+	}
+	return s.first + time.Duration(out)*s.perToken
+}
+
+func (c *Control) plan(q Query) (Decision, error) {
+	d := q.View.Document()
+	if d == nil {
+		return Decision{}, refuse.New(refuse.NoDocument, refuse.NotRun, "no document is in force")
+	}
+	c.count.Plans.Add(1)
+	c.newGeneration(q.View)
+	if q.Pin != (ident.VersionRef{}) {
+		return c.pinned(q)
+	}
+	if q.Model == Auto || q.Model == "" {
+		return c.auto(q)
+	}
+	if r, err := ident.ParseRef(q.Model); err == nil {
+		return c.exact(q, r)
+	}
+	v, err := c.version(q, ident.ModelID(q.Model))
+	if err != nil {
+		return Decision{}, err
+	}
+	return c.single(q, v), nil
+}
+
+// exact serves a caller who names a version; it has no fallback.
+func (c *Control) exact(q Query, r ident.VersionRef) (Decision, error) {
+	d := q.View.Document()
+	switch {
+	case d.Models[r.Model] == nil || d.Versions[r] == nil:
+		return Decision{}, refuse.New(refuse.ModelUnknown, refuse.NotRun, "version %s does not exist", r)
+	case !d.Allows(q.Account.ID, r):
+		return Decision{}, refuse.New(refuse.ModelNotAllowed, refuse.NotRun, "account may not use %s", r)
+	case d.Withdrawn(r):
+		return Decision{}, refuse.New(refuse.VersionWithdrawn, refuse.NotRun, "version %s is withdrawn", r)
+	case q.View.Halted(r):
+		return Decision{}, refuse.New(refuse.VersionHalted, refuse.NotRun, "version %s is halted", r)
+	}
+	return c.single(q, r), nil
+}
+
+// pinned serves a session that has a version.
+func (c *Control) pinned(q Query) (Decision, error) {
+	d := q.View.Document()
+	if !d.Allows(q.Account.ID, q.Pin) {
+		return Decision{}, refuse.New(refuse.ModelNotAllowed, refuse.NotRun, "account may no longer use %s", q.Pin)
+	}
+	if q.View.Usable(q.Pin) {
+		return c.single(q, q.Pin), nil
+	}
+	if q.Account.OnWithdrawn == envdoc.WithdrawnRefuse {
+		return Decision{}, refuse.New(refuse.SessionVersionWithdrawn, refuse.NotRun,
+			"the session's version %s is withdrawn or halted", q.Pin)
+	}
+	v, err := plan.Usable(q.View, q.Account.ID, q.Pin)
+	if err != nil {
+		return Decision{}, err
+	}
+	out := c.single(q, v)
+	out.Moved = true
+	return out, nil
+}
+
+// auto chooses among all models that the account may use.
+func (c *Control) auto(q Query) (Decision, error) {
+	d := q.View.Document()
+	var cs []plan.Candidate
+	var last error = refuse.New(refuse.ModelNotAllowed, refuse.NotRun, "account may use no model")
+	for _, id := range slices.Sorted(maps.Keys(d.Models)) {
+		if !allowsModel(q.Account, id) {
+			continue
+		}
+		v, err := c.version(q, id)
+		if err != nil {
+			last = err
+			continue
+		}
+		cs = append(cs, c.candidate(q, v))
+	}
+	g := plan.Goal{
+		Objective: q.Account.Objective,
+		Target:    q.Account.QualityTarget,
+		Deadline:  q.Left,
+		Explore:   c.o.ExploreEvery > 0 && xxhash.Sum64String(string(q.Request))%c.o.ExploreEvery == 0,
+	}
+	choice, ok := plan.Choose(cs, g)
+	if !ok {
+		return Decision{}, last
+	}
+	c.countChoice(choice, g)
+	out := Decision{Choice: choice}
+	switch p := choice.Plan.(type) {
+	case plan.Single:
+		out.Pin = p.Version
+	case plan.Cascade:
+		// Later turns run without a cascade, so the session keeps the version that meets the target alone.
+		out.Pin = p.Then
+	}
+	c.expose(q, choice)
+	return out, nil
+}
+
+func (c *Control) countChoice(x plan.Choice, g plan.Goal) {
+	if _, ok := x.Plan.(plan.Cascade); ok {
+		c.count.Cascades.Add(1)
+	}
+	if g.Explore {
+		c.count.Explored.Add(1)
+	}
+	if !x.Meets {
+		c.count.BelowGoal.Add(1)
+	}
+}
+
+func (c *Control) single(q Query, v ident.VersionRef) Decision {
+	x, _ := plan.Choose([]plan.Candidate{c.candidate(q, v)}, plan.Goal{CascadeOff: true})
+	c.expose(q, x)
+	return Decision{Choice: x, Pin: v}
+}
+
+func (c *Control) version(q Query, m ident.ModelID) (ident.VersionRef, error) {
+	key := string(q.Session)
+	if key == "" {
+		key = string(q.Request)
+	}
+	return plan.Version(q.View, q.Account.ID, m, plan.PointOf(q.Account.ID, key), func(r *envdoc.Rollout) bool {
+		if q.Isolated {
+			return false
+		}
+		s, ok := q.View.Steps[r.ID]
+		if !ok {
+			s = -1
+		}
+		return steps.Exposure(r, steps.Progress{Step: s, Sessions: len(c.exposed[r.ID]), Usable: true}, c.o.Fleet())
+	})
+}
+
+func (c *Control) candidate(q Query, r ident.VersionRef) plan.Candidate {
+	d := q.View.Document()
+	v := d.Versions[r]
+	p := plan.Prior{Mean: v.QualityPrior}
+	if x := rolloutTo(d, r); x != nil {
+		p.Predecessor = ident.VersionRef{Model: x.Model, Version: x.From}
+	}
+	return plan.Candidate{
+		Version:  r,
+		Cost:     ident.MicroCents(q.Input)*v.InputPrice + ident.MicroCents(q.Output)*v.OutputPrice,
+		Time:     c.speeds[r].predict(q.Output),
+		Quality:  c.quality.Estimate(q.Account.ID, q.Task, r, p),
+		Escalate: d.Models[r.Model].Escalate,
+	}
+}
+
+// expose remembers the sessions that a roll-out's new version serves.
+func (c *Control) expose(q Query, x plan.Choice) {
+	switch p := x.Plan.(type) {
+	case plan.Single:
+		c.exposeVersion(q, p.Version)
+	case plan.Cascade:
+		c.exposeVersion(q, p.First)
+		c.exposeVersion(q, p.Then)
+	}
+}
+
+func (c *Control) exposeVersion(q Query, v ident.VersionRef) {
+	r := rolloutTo(q.View.Document(), v)
+	if r == nil {
+		return
+	}
+	set := c.exposed[r.ID]
+	if set == nil {
+		set = map[ident.SessionID]struct{}{}
+		c.exposed[r.ID] = set
+	}
+	if len(set) < maxExposed {
+		set[q.Session] = struct{}{}
+	}
+}
+
+// newGeneration forgets what a new document makes void.
+func (c *Control) newGeneration(v *spread.View) {
+	if v.Generation() == c.current {
+		return
+	}
+	c.current = v.Generation()
+	d := v.Document()
+	for id := range c.exposed {
+		if d.Rollouts[id] == nil {
+			delete(c.exposed, id)
+		}
+	}
+	for r, g := range c.halted {
+		if x, ok := d.Versions[r]; ok && x.HaltsClearedAt >= g {
+			delete(c.halted, r)
+			c.watch.Forget(r)
+		}
+	}
+}
+
+func (c *Control) observe(o Outcome) {
+	if !o.Failed {
+		c.speeds[o.Version] = c.speeds[o.Version].observe(o)
+		c.quality.Observe(plan.Answer{Account: o.Account, Task: o.Task, Version: o.Version, Logprob: o.Logprob})
+	}
+	// The time per token compares answers of unlike lengths.
+	l := time.Duration(0)
+	if !o.Failed {
+		l = o.Total / time.Duration(max(o.Output, 1))
+	}
+	c.check(o.Version, guard.Observation{Failed: o.Failed, Latency: l})
+}
+
+func (c *Control) rate(r Rating) {
+	c.quality.Observe(plan.Answer{Account: r.Account, Task: r.Task, Version: r.Version, Logprob: r.Logprob, Good: &r.Good})
+	c.check(r.Version, guard.Observation{Rating: &r.Good})
+}
+
+func (c *Control) check(v ident.VersionRef, o guard.Observation) {
+	if b, ok := c.watch.Observe(v, c.comparison(v), o).(guard.Bad); ok {
+		c.halt(v, b)
+	}
+}
+
+// comparison names what a version is compared with; each entry takes its part of the false-alarm rate.
+func (c *Control) comparison(v ident.VersionRef) guard.Rollout {
+	w := c.o.View()
+	d := w.Document()
+	if d == nil {
+		return guard.Rollout{}
+	}
+	r := rolloutTo(d, v)
+	if r == nil {
+		return guard.Rollout{}
+	}
+	return guard.Rollout{
+		From:           ident.VersionRef{Model: r.Model, Version: r.From},
+		FalseAlarmRate: r.FalseAlarmRate / float64(max(c.o.Fleet().Entries, 1)),
+	}
+}
+
+func rolloutTo(d *envdoc.Document, v ident.VersionRef) *envdoc.Rollout {
+	for _, r := range d.Rollouts {
+		if r.Model == v.Model && r.To == v.Version {
+			return r
+		}
+	}
+	return nil
+}
+
+func allowsModel(a *envdoc.Account, m ident.ModelID) bool {
+	for r, ok := range a.Allowed {
+		if ok && r.Model == m {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entry/policy/types.go
@@ -0,0 +1,104 @@
+// Package policy owns the state of an entry's routing decisions. One control
+// goroutine steps the pure packages plan, limit, retry and guard; traffic
+// goroutines send it queries and observations over channels.
+package policy
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/event"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/spread"
+	"tarragonvalve.example/entry/plan"
+	"tarragonvalve.example/entry/steps"
+)
+
+// Auto is the model name with which a caller leaves the choice of models to the router.
+const Auto = "auto"
+
+// Query is what a plan depends on.
+type Query struct {
+	View    *spread.View
+	Account *envdoc.Account
+	Task    ident.TaskID
+	// Model is a model, MODEL@VERSION or Auto.
+	Model   string
+	Request ident.RequestID
+	Session ident.SessionID
+	// Pin is the version of the session; zero for a new session.
+	Pin ident.VersionRef
+	// Isolated keeps new sessions off versions in roll-out.
+	Isolated bool
+	Input    ident.Tokens
+	Output   ident.Tokens
+	// Left is the time until the caller's deadline; 0 means none.
+	Left time.Duration
+}
+
+// Decision is a plan for a request.
+type Decision struct {
+	plan.Choice
+	// Pin is the version that the session keeps.
+	Pin ident.VersionRef
+	// Moved is true when the session left a withdrawn or halted version.
+	Moved bool
+}
+
+// Outcome is what is known of one attempt that ended.
+type Outcome struct {
+	Request ident.RequestID
+	Account ident.AccountID
+	Task    ident.TaskID
+	Session ident.SessionID
+	Version ident.VersionRef
+	Failed  bool
+	// FirstToken and Total are measured from the start of the attempt.
+	FirstToken time.Duration
+	Total      time.Duration
+	Output     ident.Tokens
+	Logprob    float64
+}
+
+// Rating is a late rating of an answer.
+type Rating struct {
+	Account ident.AccountID
+	Task    ident.TaskID
+	Version ident.VersionRef
+	Logprob float64
+	Good    bool
+}
+
+// Halter halts a version everywhere; spread.Node implements it.
+type Halter interface {
+	Halt(ctx context.Context, r ident.VersionRef, reason string) error
+}
+
+// Options are the parts that a Control works with.
+type Options struct {
+	Halter Halter
+	Ring   *event.Ring
+	Log    zerolog.Logger
+	Now    func() time.Time
+	// View returns the view in force.
+	View func() *spread.View
+	// Fleet returns this entry's place among the live entries.
+	Fleet func() steps.Fleet
+	// ExploreEvery is the number of requests of which one explores; 0 means none does.
+	ExploreEvery uint64
+	// DetectorAlpha is one by the average number of answers between false alarms on deployed versions.
+	DetectorAlpha float64
+}
+
+// Default returns the options that don't depend on the process.
+func Default() Options {
+	return Options{
+		Now:           time.Now,
+		Fleet:         func() steps.Fleet { return steps.Fleet{Entries: 1} },
+		ExploreEvery:  50,
+		DetectorAlpha: 1e-5,
+	}
+}
