--- /dev/null
+++ b/standin/answer/answer.go
@@ -0,0 +1,155 @@
+// Package answer computes the answers of the stand-in model engines, so that a
+// test can compute the expected bytes of any request.
+//
+// With H(label, parts...) the first 8 bytes of SHA-256 over the parts joined by
+// zero bytes, and U the same as a number in [0, 1):
+//
+//   - content is "role:text\n" of all messages in order
+//   - the answer has n = mean/2 + H("length", content, ref) mod (mean+1) tokens,
+//     cut to max-tokens with the finish reason "length"; otherwise it is "stop"
+//   - token i is a space (except for i = 0) and the word H("token", content, ref, i) mod len(words)
+//   - a request's difficulty is U("difficulty", content), the same for all versions;
+//     with U("mix", content, ref) < 0.8 it decides, otherwise U("luck", content, ref) does.
+//     The answer is good when that number is below the version's quality, so the
+//     part of good answers is the quality, and better versions mostly answer
+//     well what weaker ones do
+//   - the mean log-probability is -0.3 for a good and -0.9 for a weak answer,
+//     plus 0.5 * (U("noise", content, ref) + U("noise2", content, ref) - 1);
+//     token i adds 0.2 * (U("jitter", content, ref, i) - 0.5)
+//   - input tokens are the words of the content, at least 1
+package answer
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"tarragonvalve.example/core/ident"
+)
+
+// The part of requests whose difficulty is common to all versions, and the
+// log-probabilities of good and weak answers.
+const (
+	commonPart  = 0.8
+	goodLogprob = -0.3
+	weakLogprob = -0.9
+	noiseWidth  = 0.5
+	jitterWidth = 0.2
+)
+
+// The finish reasons of the chat completions API in use.
+const (
+	FinishStop   = "stop"
+	FinishLength = "length"
+)
+
+var words = strings.Fields(`thread needle hoop satin stitch fill back plate
+	spindle chuck feed turn bevel carbide insert coolant slot shift cap brim
+	panel logo digit density pull tension bobbin frame pass depth rough finish
+	tool offset swap hold batch order sample proof trim edge color spool`)
+
+// Message is one message of a request.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Token is one token of an answer.
+type Token struct {
+	Text    string
+	Logprob float64
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Tokens []Token
+	Finish string
+	Good   bool
+	Input  int
+}
+
+// Settings are what an answer depends on besides the request.
+type Settings struct {
+	Ref ident.VersionRef
+	// Quality is the part of good answers.
+	Quality float64
+	// MeanTokens is the mean length of an answer.
+	MeanTokens int
+}
+
+// Content returns the text of a request that its answer depends on.
+func Content(ms []Message) string {
+	var b strings.Builder
+	for _, m := range ms {
+		b.WriteString(m.Role)
+		b.WriteByte(':')
+		b.WriteString(m.Content)
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+// Of returns the answer to messages. A maxTokens of 0 means no limit.
+func Of(s Settings, ms []Message, maxTokens int) *Answer {
+	c := Content(ms)
+	ref := s.Ref.String()
+	n := s.MeanTokens/2 + int(hash("length", c, ref)%uint64(s.MeanTokens+1))
+	n = max(1, n)
+	a := &Answer{Finish: FinishStop, Good: good(s, c), Input: InputTokens(ms)}
+	if maxTokens > 0 && n > maxTokens {
+		n = maxTokens
+		a.Finish = FinishLength
+	}
+	mean := weakLogprob
+	if a.Good {
+		mean = goodLogprob
+	}
+	mean += noiseWidth * (unit("noise", c, ref) + unit("noise2", c, ref) - 1)
+	for i := range n {
+		k := strconv.Itoa(i)
+		t := Token{Text: words[hash("token", c, ref, k)%uint64(len(words))]}
+		if i > 0 {
+			t.Text = " " + t.Text
+		}
+		t.Logprob = min(-0.001, mean+jitterWidth*(unit("jitter", c, ref, k)-0.5))
+		a.Tokens = append(a.Tokens, t)
+	}
+	return a
+}
+
+// Text returns the answer's whole text.
+func (a *Answer) Text() string {
+	var b strings.Builder
+	for _, t := range a.Tokens {
+		b.WriteString(t.Text)
+	}
+	return b.String()
+}
+
+// InputTokens counts the input tokens of messages.
+func InputTokens(ms []Message) int {
+	n := 0
+	for _, m := range ms {
+		n += len(strings.Fields(m.Content))
+	}
+	return max(1, n)
+}
+
+func good(s Settings, content string) bool {
+	ref := s.Ref.String()
+	u := unit("difficulty", content)
+	if unit("mix", content, ref) >= commonPart {
+		u = unit("luck", content, ref)
+	}
+	return u < s.Quality
+}
+
+func hash(parts ...string) uint64 {
+	s := sha256.Sum256([]byte(strings.Join(parts, "\x00")))
+	return binary.BigEndian.Uint64(s[:8])
+}
+
+func unit(parts ...string) float64 {
+	return float64(hash(parts...)>>11) / (1 << 53)
+}
--- /dev/null
+++ b/standin/boot/boot.go
@@ -0,0 +1,167 @@
+// Package boot starts the stand-ins on their listeners and holds the program's commands.
+package boot
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/standin/answer"
+	"tarragonvalve.example/standin/ctrl"
+	"tarragonvalve.example/standin/dynamo"
+	"tarragonvalve.example/standin/engine"
+	"tarragonvalve.example/standin/fault"
+	"tarragonvalve.example/standin/listed"
+	"tarragonvalve.example/standin/plain"
+	"tarragonvalve.example/standin/rating"
+	"tarragonvalve.example/standin/setup"
+	"tarragonvalve.example/standin/weight"
+)
+
+// headerTimeout bounds how long a client may take to send a request header.
+const headerTimeout = 10 * time.Second
+
+type arguments struct {
+	Config string `arg:"-c,--config,required" help:"settings file (INI)"`
+}
+
+func (arguments) Description() string {
+	return "Stand-ins for the platform: table service, instance list, rating service, weight store, model engines and plain services."
+}
+
+// Main runs the program and returns its exit code.
+func Main(args []string, out, errs io.Writer) int {
+	var a arguments
+	p, err := arg.NewParser(arg.Config{Program: "standin"}, &a)
+	if err != nil {
+		fmt.Fprintln(errs, err)
+		return 2
+	}
+	if err := p.Parse(args); err != nil {
+		return usage(p, err, errs)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, &a, out); err != nil {
+		fmt.Fprintln(errs, "standin:", err)
+		return 1
+	}
+	return 0
+}
+
+func usage(p *arg.Parser, err error, errs io.Writer) int {
+	if errors.Is(err, arg.ErrHelp) {
+		p.WriteHelp(errs)
+		return 0
+	}
+	p.WriteUsage(errs)
+	fmt.Fprintln(errs, "standin:", err)
+	return 2
+}
+
+func run(ctx context.Context, a *arguments, out io.Writer) error {
+	s, err := setup.Read(a.Config, os.Environ())
+	if err != nil {
+		return err
+	}
+	r, err := Start(ctx, s)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(out).Encode(r.Addresses); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	r.Stop()
+	return nil
+}
+
+// Running are stand-ins that serve.
+type Running struct {
+	ctrl.Parts
+	servers []*http.Server
+	// failed is the first listener that could not be opened.
+	failed error
+}
+
+// Start opens all listeners and serves until ctx ends or Stop is called.
+func Start(ctx context.Context, s *setup.Settings) (*Running, error) {
+	m := engine.NewModels(s.Versions)
+	w := weight.New(s.Weights)
+	r := &Running{Parts: ctrl.Parts{
+		Switches: map[string]*fault.Switch{},
+		Models:   m,
+		Engines:  map[ident.UpstreamID]*engine.Engine{},
+		Runs:     plain.NewRuns(),
+		Table:    dynamo.NewStore(s.Table.Writes, s.Table.Reads),
+		List:     listed.New(s.Instances.Lag),
+		Rating: rating.New(s.Rating, func(v ident.VersionRef, ms []answer.Message) bool {
+			return m.Answer(v, ms, 0).Good
+		}),
+	}}
+	a := &r.Addresses
+	a.Engines, a.Plains = map[ident.UpstreamID]string{}, map[ident.UpstreamID]string{}
+	t := fault.New("table", fault.Options{Effect: dynamo.Effect, Fail: dynamo.Fail})
+	a.Table = r.serve("table", s.Table.Addr, t, t.Wrap(r.Table))
+	a.Instances = r.serve("instances", s.Instances.Addr, r.List.Switch(), r.List.Handler())
+	a.Rating = r.serve("rating", s.Rating.Addr, r.Rating.Switch(), r.Rating.Handler())
+	a.Weights = r.serve("weights", s.Weights.Addr, w.Switch(), w.Handler())
+	for _, o := range s.Engines {
+		e := engine.New(o, m, w.Fetch)
+		r.Engines[o.ID] = e
+		a.Engines[o.ID] = r.serve(string(o.ID), o.Addr, e.Switch(), e.Handler())
+		go e.Run(ctx)
+	}
+	for _, o := range s.Plains {
+		p := plain.New(o, r.Runs)
+		a.Plains[o.ID] = r.serve(string(o.ID), o.Addr, p.Switch(), p.Handler())
+	}
+	a.Control = r.serve("control", s.Control, nil, r.Handler())
+	if r.failed != nil {
+		r.Stop()
+		return nil, r.failed
+	}
+	return r, nil
+}
+
+// serve opens a listener and serves h on it; it returns the address. The
+// control API has no switch, so that faults can always be cleared.
+func (r *Running) serve(name, addr string, sw *fault.Switch, h http.Handler) string {
+	if r.failed != nil {
+		return ""
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		r.failed = fmt.Errorf("listen for %s: %w", name, err)
+		return ""
+	}
+	at := l.Addr().String()
+	if sw != nil {
+		r.Switches[name] = sw
+		l = sw.Listen(l)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	r.servers = append(r.servers, s)
+	go func() {
+		_ = s.Serve(l)
+	}()
+	return at
+}
+
+// Stop closes all listeners and connections.
+func (r *Running) Stop() {
+	for _, s := range r.servers {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/standin/ctrl/ctrl.go
@@ -0,0 +1,240 @@
+// Package ctrl is the control API of the stand-ins. Tests and the load program
+// switch faults and read the counters that judge a run through it.
+//
+//   - GET /addresses: the addresses of all parts
+//   - GET /faults; PUT and DELETE /faults/{part} with a fault.Faults;
+//     POST /silence/{part} silences the connections that are open now;
+//     POST /reset/{part} resets them; POST /crash/{engine}
+//   - PUT and DELETE /versions/{model@version} with an engine.Change: turns a version bad or good
+//   - PUT and DELETE /instances/{id} with a listed.Instance; PUT /lag {"lag-ms":N}
+//   - GET /counters: everything of Counters, starts since the Unix time in ms ?since=N
+//   - GET /runs: all runs of plain services; GET /rows?prefix=P: rows of the table;
+//     GET /orders: orders to the engines
+//
+// The parts are table, instances, rating, weights and the ids of engines and plain services.
+package ctrl
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/standin/dynamo"
+	"tarragonvalve.example/standin/engine"
+	"tarragonvalve.example/standin/fault"
+	"tarragonvalve.example/standin/listed"
+	"tarragonvalve.example/standin/plain"
+	"tarragonvalve.example/standin/rating"
+)
+
+const maxBodyBytes = 1 << 20
+
+// Addresses are the addresses of all parts, printed on standard output at the start.
+type Addresses struct {
+	Control   string                      `json:"control"`
+	Table     string                      `json:"table"`
+	Instances string                      `json:"instances"`
+	Rating    string                      `json:"rating"`
+	Weights   string                      `json:"weights"`
+	Engines   map[ident.UpstreamID]string `json:"engines"`
+	Plains    map[ident.UpstreamID]string `json:"plains"`
+}
+
+// Counters are the counters of all parts.
+type Counters struct {
+	// Runs counts the runs per plain.KeyID.
+	Runs    map[string]int                     `json:"runs"`
+	Engines map[ident.UpstreamID]engine.Counts `json:"engines"`
+	Starts  map[string][]engine.Start          `json:"starts"`
+	Table   dynamo.Counts                      `json:"table"`
+	Rating  rating.Counts                      `json:"rating"`
+}
+
+// Parts are the parts that the control API acts on.
+type Parts struct {
+	Addresses Addresses
+	Switches  map[string]*fault.Switch
+	Models    *engine.Models
+	Engines   map[ident.UpstreamID]*engine.Engine
+	Runs      *plain.Runs
+	Table     *dynamo.Store
+	List      *listed.List
+	Rating    *rating.Service
+}
+
+// Handler returns the control API.
+func (p *Parts) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/addresses", p.addresses)
+	r.Get("/faults", p.faults)
+	r.Put("/faults/{part}", p.withSwitch(setFaults))
+	r.Delete("/faults/{part}", p.withSwitch(clearFaults))
+	r.Post("/silence/{part}", p.withSwitch(silence))
+	r.Post("/reset/{part}", p.withSwitch(reset))
+	r.Post("/crash/{engine}", p.crash)
+	r.Put("/versions/{ref}", p.turn)
+	r.Delete("/versions/{ref}", p.turnBack)
+	r.Put("/instances/{id}", p.putInstance)
+	r.Delete("/instances/{id}", p.removeInstance)
+	r.Put("/lag", p.setLag)
+	r.Get("/counters", p.counters)
+	r.Get("/runs", p.allRuns)
+	r.Get("/rows", p.rows)
+	r.Get("/orders", p.orders)
+	return r
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (p *Parts) addresses(w http.ResponseWriter, _ *http.Request) {
+	reply(w, p.Addresses)
+}
+
+func (p *Parts) faults(w http.ResponseWriter, _ *http.Request) {
+	out := map[string]fault.Faults{}
+	for n, s := range p.Switches {
+		out[n] = s.Get()
+	}
+	reply(w, out)
+}
+
+func (p *Parts) withSwitch(do func(http.ResponseWriter, *http.Request, *fault.Switch)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s, ok := p.Switches[chi.URLParam(r, "part")]
+		if !ok {
+			http.Error(w, "unknown part", http.StatusNotFound)
+			return
+		}
+		do(w, r, s)
+	}
+}
+
+func setFaults(w http.ResponseWriter, r *http.Request, s *fault.Switch) {
+	var f fault.Faults
+	if readBody(w, r, &f) {
+		s.Set(f)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func clearFaults(w http.ResponseWriter, _ *http.Request, s *fault.Switch) {
+	s.Set(fault.Faults{})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func silence(w http.ResponseWriter, _ *http.Request, s *fault.Switch) {
+	reply(w, map[string]int{"connections": s.SilenceOpen()})
+}
+
+func reset(w http.ResponseWriter, _ *http.Request, s *fault.Switch) {
+	s.Reset()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Parts) crash(w http.ResponseWriter, r *http.Request) {
+	e, ok := p.Engines[ident.UpstreamID(chi.URLParam(r, "engine"))]
+	if !ok {
+		http.Error(w, "unknown engine", http.StatusNotFound)
+		return
+	}
+	e.Crash()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Parts) turn(w http.ResponseWriter, r *http.Request) {
+	var c engine.Change
+	if readBody(w, r, &c) {
+		p.change(w, r, c)
+	}
+}
+
+func (p *Parts) turnBack(w http.ResponseWriter, r *http.Request) {
+	p.change(w, r, engine.Change{})
+}
+
+func (p *Parts) change(w http.ResponseWriter, r *http.Request, c engine.Change) {
+	ref, err := ident.ParseRef(chi.URLParam(r, "ref"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.Models.Turn(ref, c)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Parts) putInstance(w http.ResponseWriter, r *http.Request) {
+	var i listed.Instance
+	if readBody(w, r, &i) {
+		i.Instance = chi.URLParam(r, "id")
+		p.List.Put(i)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (p *Parts) removeInstance(w http.ResponseWriter, r *http.Request) {
+	p.List.Remove(chi.URLParam(r, "id"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Parts) setLag(w http.ResponseWriter, r *http.Request) {
+	var b struct {
+		LagMs int `json:"lag-ms"`
+	}
+	if readBody(w, r, &b) {
+		p.List.SetLag(time.Duration(b.LagMs) * time.Millisecond)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+func (p *Parts) counters(w http.ResponseWriter, r *http.Request) {
+	ms, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	c := Counters{
+		Runs:    p.Runs.PerKey(),
+		Engines: map[ident.UpstreamID]engine.Counts{},
+		Starts:  map[string][]engine.Start{},
+		Table:   p.Table.Counts(),
+		Rating:  p.Rating.Counts(),
+	}
+	for id, e := range p.Engines {
+		n, starts := e.Counts(time.UnixMilli(ms))
+		c.Engines[id] = n
+		for _, s := range starts {
+			ref := ident.VersionRef{Model: s.Model, Version: s.Version}.String()
+			c.Starts[ref] = append(c.Starts[ref], s)
+		}
+	}
+	reply(w, c)
+}
+
+func (p *Parts) allRuns(w http.ResponseWriter, _ *http.Request) {
+	reply(w, p.Runs.All())
+}
+
+func (p *Parts) rows(w http.ResponseWriter, r *http.Request) {
+	reply(w, p.Table.Rows(r.URL.Query().Get("prefix")))
+}
+
+func (p *Parts) orders(w http.ResponseWriter, _ *http.Request) {
+	out := []engine.OrderRecord{}
+	for _, e := range p.Engines {
+		out = append(out, e.Orders()...)
+	}
+	reply(w, out)
+}
--- /dev/null
+++ b/standin/dynamo/expr.go
@@ -0,0 +1,102 @@
+package dynamo
+
+import (
+	"regexp"
+	"strings"
+)
+
+var (
+	spaces     = regexp.MustCompile(`\s+`)
+	notExists  = regexp.MustCompile(`^attribute_not_exists ?\( ?(\w+) ?\)$`)
+	equals     = regexp.MustCompile(`^(\w+) ?= ?(:\w+)$`)
+	above      = regexp.MustCompile(`^(\w+) ?> ?(:\w+)$`)
+	beginsWith = regexp.MustCompile(`^begins_with ?\( ?(\w+) ?, ?(:\w+) ?\)$`)
+	andWord    = regexp.MustCompile(`(?i) and `)
+)
+
+// clauses resolves attribute names and splits an expression at AND.
+func clauses(q *request, expr string) []string {
+	for name, attr := range q.ExpressionAttributeNames {
+		expr = strings.ReplaceAll(expr, name, attr)
+	}
+	expr = strings.TrimSpace(spaces.ReplaceAllString(expr, " "))
+	var out []string
+	for _, c := range andWord.Split(expr, -1) {
+		c = strings.TrimSpace(c)
+		if strings.HasPrefix(c, "(") && strings.HasSuffix(c, ")") {
+			c = strings.TrimSpace(c[1 : len(c)-1])
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// condition returns the check of a PutItem on the item that is there, nil when there is none.
+func condition(q *request) (func(Item) bool, *Error) {
+	if q.ConditionExpression == "" {
+		return func(Item) bool { return true }, nil
+	}
+	cs := clauses(q, q.ConditionExpression)
+	if len(cs) != 1 {
+		return nil, invalid("ValidationException", "condition %q is not supported", q.ConditionExpression)
+	}
+	if m := notExists.FindStringSubmatch(cs[0]); m != nil {
+		return func(i Item) bool {
+			_, ok := i[m[1]]
+			return !ok
+		}, nil
+	}
+	m := equals.FindStringSubmatch(cs[0])
+	if m == nil {
+		return nil, invalid("ValidationException", "condition %q is not supported", q.ConditionExpression)
+	}
+	want, ok := q.ExpressionAttributeValues[m[2]]
+	if !ok {
+		return nil, invalid("ValidationException", "no value for %s", m[2])
+	}
+	return func(i Item) bool { return same(i[m[1]], want) }, nil
+}
+
+func same(a, b Value) bool {
+	switch {
+	case a.N != nil && b.N != nil:
+		return *a.N == *b.N
+	case a.S != nil && b.S != nil:
+		return *a.S == *b.S
+	default:
+		return false
+	}
+}
+
+func keyCondition(q *request) (selection, *Error) {
+	s := selection{
+		table:   q.TableName,
+		start:   q.ExclusiveStartKey.text("sk"),
+		limit:   q.Limit,
+		forward: q.ScanIndexForward == nil || *q.ScanIndexForward,
+	}
+	for _, c := range clauses(q, q.KeyConditionExpression) {
+		switch {
+		case equals.MatchString(c):
+			m := equals.FindStringSubmatch(c)
+			if m[1] != "pk" {
+				return s, unsupported(q)
+			}
+			s.pk = q.ExpressionAttributeValues.text(m[2])
+		case above.MatchString(c):
+			s.after = q.ExpressionAttributeValues.text(above.FindStringSubmatch(c)[2])
+		case beginsWith.MatchString(c):
+			s.prefix = q.ExpressionAttributeValues.text(beginsWith.FindStringSubmatch(c)[2])
+		default:
+			return s, unsupported(q)
+		}
+	}
+	if s.pk == "" {
+		return s, unsupported(q)
+	}
+	return s, nil
+}
+
+func unsupported(q *request) *Error {
+	return invalid("ValidationException", "key condition %q is not supported", q.KeyConditionExpression)
+}
--- /dev/null
+++ b/standin/engine/batch.go
@@ -0,0 +1,132 @@
+package engine
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"tarragonvalve.example/standin/answer"
+)
+
+// Run generates until the context ends.
+func (e *Engine) Run(ctx context.Context) {
+	for {
+		d, busy := e.begin()
+		if !busy {
+			select {
+			case <-ctx.Done():
+				return
+			case <-e.wake:
+				continue
+			}
+		}
+		t := time.NewTimer(d)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+		e.emit()
+	}
+}
+
+// poke wakes the batch loop after a change.
+func (e *Engine) poke() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// begin admits queued sequences and returns how long the next step takes.
+func (e *Engine) begin() (time.Duration, bool) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire(now)
+	slices.SortStableFunc(e.queue, func(a, b *stream) int { return a.priority - b.priority })
+	var prefill float64
+	for len(e.running) < e.o.Slots && len(e.queue) > 0 {
+		s := e.queue[0]
+		e.queue = e.queue[1:]
+		prefill += e.admit(s, now)
+	}
+	e.snapshot(now)
+	if len(e.running) == 0 {
+		return 0, false
+	}
+	slow := 0.0
+	for _, s := range e.running {
+		slow = max(slow, e.models.Of(s.ref).Slowness)
+	}
+	step := e.o.TokenTime.Seconds() * slow * (1 + e.o.BatchSlope*float64(len(e.running)-1))
+	return time.Duration((step + prefill) * float64(time.Second)), true
+}
+
+// admit starts to generate and returns the time of the prefill in seconds.
+func (e *Engine) admit(s *stream, now time.Time) float64 {
+	s.cached = e.cache.hit(s.messages, now)
+	s.state = stateRunning
+	e.running = append(e.running, s)
+	e.counts.Started++
+	e.counts.Cached += s.cached
+	if len(e.starts) < maxStarts {
+		e.starts = append(e.starts, Start{At: now, ID: s.id, Model: s.ref.Model, Version: s.ref.Version, Engine: e.o.ID})
+	}
+	e.cache.store(s.messages, now)
+	return float64(s.answer.Input-s.cached) * e.models.Of(s.ref).Slowness / e.o.PrefillRate
+}
+
+// emit gives every running sequence its next token.
+func (e *Engine) emit() {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	left := e.running[:0]
+	for _, s := range e.running {
+		if s.state != stateRunning {
+			continue
+		}
+		s.emitted++
+		e.counts.Tokens++
+		if s.emitted < len(s.answer.Tokens) {
+			s.notify()
+			left = append(left, s)
+			continue
+		}
+		s.end(stateDone)
+		s.ended = now
+		e.counts.Finished++
+		e.cache.store(append(slices.Clone(s.messages), answer.Message{Role: "assistant", Content: s.answer.Text()}), now)
+	}
+	clear(e.running[len(left):])
+	e.running = left
+}
+
+// expire cancels streams without a reader after the grace time and forgets ended ones.
+func (e *Engine) expire(now time.Time) {
+	for id, s := range e.streams {
+		switch {
+		case s.state == stateDone || s.state == stateCancelled:
+			if now.Sub(s.ended) > e.o.Keep {
+				delete(e.streams, id)
+			}
+		case s.readers == 0 && now.Sub(s.left) > e.o.Grace:
+			e.drop(s, now)
+		}
+	}
+}
+
+// drop cancels a stream.
+func (e *Engine) drop(s *stream, now time.Time) {
+	if s.state == stateDone || s.state == stateCancelled {
+		return
+	}
+	s.end(stateCancelled)
+	s.ended = now
+	e.counts.Cancelled++
+	same := func(o *stream) bool { return o == s }
+	e.queue = slices.DeleteFunc(e.queue, same)
+	e.running = slices.DeleteFunc(e.running, same)
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,162 @@
+// Package engine is a stand-in for a model engine with continuous batching.
+//
+// It serves OpenAI chat completions with the model named MODEL@VERSION and these
+// additions:
+//
+//   - the header X-Request-Id names the stream; every token event has its
+//     position from 0 as its SSE id
+//   - priority orders the queue, lower first, as in vLLM
+//   - GET /v1/streams/{id}?from=N reads a stream from position N; DELETE cancels it
+//   - a stream that nobody reads is cancelled after the grace time
+//   - GET /load reports the load as it was a lag ago
+//   - GET /kv-events is an SSE stream of cache events, late and with gaps in seq
+//   - GET and POST /v1/kv/{hash} export and import a cached prefix block
+//   - POST /v1/orders takes {kind, model, version, adapter, role, lease, token};
+//     an engine that checks fencing tokens answers 409 to one below the highest
+//     seen, another engine ignores the token
+//
+// Time: a step of a batch of n sequences takes
+// token-time * slowness * (1 + batch-slope * (n-1)), with the largest slowness in the
+// batch, plus the uncached input tokens of the sequences it admits * slowness /
+// prefill-rate. Each sequence of the batch gets one token per step. Texts and
+// log-probabilities are those of package answer.
+package engine
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/standin/fault"
+	"tarragonvalve.example/standin/setup"
+)
+
+// maxStarts and maxSnaps bound what is kept for the control API and the lagging load report.
+const (
+	maxStarts = 100_000
+	maxSnaps  = 1024
+)
+
+// Start records that an engine started to generate.
+type Start struct {
+	At      time.Time        `json:"at"`
+	ID      string           `json:"id"`
+	Model   ident.ModelID    `json:"model"`
+	Version ident.VersionID  `json:"version"`
+	Engine  ident.UpstreamID `json:"engine"`
+}
+
+// Counts are an engine's counters.
+type Counts struct {
+	Received  int `json:"received"`
+	Started   int `json:"started"`
+	Finished  int `json:"finished"`
+	Cancelled int `json:"cancelled"`
+	Failed    int `json:"failed"`
+	Refused   int `json:"refused"`
+	Resumed   int `json:"resumed"`
+	Tokens    int `json:"tokens"`
+	Cached    int `json:"cached-tokens"`
+	// StaleOrders are orders with an old fencing token that were followed.
+	StaleOrders int `json:"stale-orders"`
+	OldTokens   int `json:"old-tokens-refused"`
+}
+
+// Engine is one model engine. It is safe for concurrent use.
+type Engine struct {
+	o      setup.Engine
+	models *Models
+	// fetch waits until the weights of a version are there.
+	fetch func(ctx context.Context, r ident.VersionRef) error
+	sw    *fault.Switch
+
+	mu      sync.Mutex
+	wake    chan struct{}
+	loaded  map[ident.VersionRef]bool
+	role    string
+	queue   []*stream
+	running []*stream
+	streams map[string]*stream
+	cache   *cache
+	highest map[string]uint64
+	snaps   []snap
+	counts  Counts
+	starts  []Start
+	orders  []OrderRecord
+	next    uint64
+}
+
+// New returns an engine that is not running yet.
+func New(o setup.Engine, m *Models, fetch func(context.Context, ident.VersionRef) error) *Engine {
+	e := &Engine{o: o, models: m, fetch: fetch, wake: make(chan struct{}, 1)}
+	e.sw = fault.New(string(o.ID), fault.Options{Effect: generates, Fail: failBody})
+	e.clear()
+	return e
+}
+
+// Switch returns the engine's faults.
+func (e *Engine) Switch() *fault.Switch {
+	return e.sw
+}
+
+func generates(r *http.Request) bool {
+	return r.Method == http.MethodPost && r.URL.Path == "/v1/chat/completions"
+}
+
+// clear puts the engine in its state after a start. The caller holds the lock or is the constructor.
+func (e *Engine) clear() {
+	e.loaded = map[ident.VersionRef]bool{}
+	for _, v := range e.o.Loaded {
+		e.loaded[v] = true
+	}
+	e.role = "mixed"
+	e.queue, e.running = nil, nil
+	e.streams = map[string]*stream{}
+	e.cache = newCache(e.o.CacheTokens)
+	e.highest = map[string]uint64{}
+	e.snaps = nil
+}
+
+// Crash drops all streams, the cache and the fencing tokens and resets all connections.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	for _, s := range e.streams {
+		s.crashed = true
+		s.end(stateCancelled)
+	}
+	e.clear()
+	e.mu.Unlock()
+	e.sw.Reset()
+}
+
+// Counts returns the counters and the starts since a time.
+func (e *Engine) Counts(since time.Time) (Counts, []Start) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []Start
+	for _, s := range e.starts {
+		if !s.At.Before(since) {
+			out = append(out, s)
+		}
+	}
+	return e.counts, out
+}
+
+// Handler returns the engine's HTTP API with its faults.
+func (e *Engine) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/v1/chat/completions", e.complete)
+	r.Get("/v1/models", e.listModels)
+	r.Get("/v1/streams/{id}", e.resume)
+	r.Delete("/v1/streams/{id}", e.cancel)
+	r.Get("/load", e.load)
+	r.Get("/kv-events", e.kvEvents)
+	r.Get("/v1/kv/{hash}", e.exportBlock)
+	r.Post("/v1/kv/{hash}", e.importBlock)
+	r.Post("/v1/orders", e.order)
+	return e.sw.Wrap(r)
+}
--- /dev/null
+++ b/standin/engine/stream.go
@@ -0,0 +1,105 @@
+package engine
+
+import (
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/standin/answer"
+)
+
+type state int
+
+const (
+	stateQueued state = iota
+	stateRunning
+	stateDone
+	stateCancelled
+)
+
+// stream is one sequence and its output. The engine's lock guards it.
+type stream struct {
+	id       string
+	ref      ident.VersionRef
+	messages []answer.Message
+	answer   *answer.Answer
+	priority int
+	cached   int
+
+	state   state
+	crashed bool
+	emitted int
+	readers int
+	// left is when the last reader went away, ended when the stream ended.
+	left, ended time.Time
+	changed     chan struct{}
+}
+
+// notify wakes the readers.
+func (s *stream) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *stream) end(st state) {
+	s.state = st
+	s.notify()
+}
+
+// snap is the load at one time.
+type snap struct {
+	at   time.Time
+	load Load
+}
+
+// Load is the load report.
+type Load struct {
+	Queued             int    `json:"queued"`
+	Running            int    `json:"running"`
+	Slots              int    `json:"slots"`
+	PendingInputTokens int    `json:"pending_input_tokens"`
+	FreeCacheTokens    int    `json:"free_cache_tokens"`
+	Role               string `json:"role"`
+	// InputRate and OutputRate are in tokens per second.
+	InputRate  float64 `json:"input_tokens_per_second"`
+	OutputRate float64 `json:"output_tokens_per_second"`
+	AtUnixMs   int64   `json:"at_unix_ms"`
+}
+
+// snapshot records the load; the caller holds the lock.
+func (e *Engine) snapshot(now time.Time) {
+	l := Load{
+		Queued:          len(e.queue),
+		Running:         len(e.running),
+		Slots:           e.o.Slots,
+		FreeCacheTokens: e.cache.capacity - e.cache.used,
+		Role:            e.role,
+		InputRate:       e.o.PrefillRate,
+		AtUnixMs:        now.UnixMilli(),
+	}
+	for _, s := range e.queue {
+		l.PendingInputTokens += s.answer.Input
+	}
+	n := float64(max(1, l.Running))
+	l.OutputRate = n / (e.o.TokenTime.Seconds() * (1 + e.o.BatchSlope*(n-1)))
+	e.snaps = append(e.snaps, snap{at: now, load: l})
+	if len(e.snaps) > maxSnaps {
+		e.snaps = e.snaps[len(e.snaps)-maxSnaps:]
+	}
+}
+
+// lagged returns the load as it was a lag ago.
+func (e *Engine) lagged(now time.Time) Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.snaps) == 0 {
+		e.snapshot(now)
+	}
+	l := e.snaps[0].load
+	for _, s := range e.snaps {
+		if s.at.After(now.Add(-e.o.LoadLag)) {
+			break
+		}
+		l = s.load
+	}
+	return l
+}
--- /dev/null
+++ b/standin/engine/view.go
@@ -0,0 +1,151 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"tarragonvalve.example/standin/answer"
+)
+
+// view writes one reader's answer in the format of chat completions.
+type view struct {
+	e        *Engine
+	s        *stream
+	logprobs bool
+	usage    bool
+}
+
+// Usage is the usage part of an answer.
+type Usage struct {
+	Prompt     int `json:"prompt_tokens"`
+	Completion int `json:"completion_tokens"`
+	Total      int `json:"total_tokens"`
+	Details    struct {
+		Cached int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+func (v *view) usageOf() *Usage {
+	n := len(v.s.answer.Tokens)
+	u := &Usage{Prompt: v.s.answer.Input, Completion: n, Total: v.s.answer.Input + n}
+	u.Details.Cached = v.s.cached
+	return u
+}
+
+func (v *view) envelope(object string, choices []any) map[string]any {
+	return map[string]any{
+		"id":      v.s.id,
+		"object":  object,
+		"created": time.Now().Unix(),
+		"model":   v.s.ref.String(),
+		"choices": choices,
+	}
+}
+
+func probs(ts []answer.Token) map[string]any {
+	var out []any
+	for _, t := range ts {
+		out = append(out, map[string]any{"token": t.Text, "logprob": t.Logprob, "bytes": nil, "top_logprobs": []any{}})
+	}
+	return map[string]any{"content": out}
+}
+
+// await waits until the stream has more than n tokens or ended, and returns its
+// tokens and whether it is done; ok is false when it was cancelled or the reader left.
+func (v *view) await(r *http.Request, n int) (tokens []answer.Token, done, ok bool) {
+	for {
+		v.e.mu.Lock()
+		st, emitted, changed := v.s.state, v.s.emitted, v.s.changed
+		v.e.mu.Unlock()
+		switch {
+		case st == stateCancelled:
+			return nil, false, false
+		case st == stateDone || emitted > n:
+			return v.s.answer.Tokens[:emitted], st == stateDone, true
+		}
+		select {
+		case <-r.Context().Done():
+			return nil, false, false
+		case <-changed:
+		}
+	}
+}
+
+func (v *view) whole(w http.ResponseWriter, r *http.Request) {
+	defer v.e.leave(v.s)
+	n := 0
+	for {
+		ts, done, ok := v.await(r, n)
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
+		n = len(ts)
+		if done {
+			break
+		}
+	}
+	c := map[string]any{
+		"index":         0,
+		"message":       answer.Message{Role: "assistant", Content: v.s.answer.Text()},
+		"finish_reason": v.s.answer.Finish,
+	}
+	if v.logprobs {
+		c["logprobs"] = probs(v.s.answer.Tokens)
+	}
+	m := v.envelope("chat.completion", []any{c})
+	m["usage"] = v.usageOf()
+	writeJSON(w, http.StatusOK, m)
+}
+
+// stream writes the events from a position on. A stream that is cancelled is
+// cut without an end marker.
+func (v *view) stream(w http.ResponseWriter, r *http.Request, from int) {
+	defer v.e.leave(v.s)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Request-Id", v.s.id)
+	f := http.NewResponseController(w)
+	_ = f.Flush()
+	for n := from; ; {
+		ts, done, ok := v.await(r, n)
+		if !ok {
+			panic(http.ErrAbortHandler)
+		}
+		for ; n < len(ts); n++ {
+			v.token(w, n, ts[n])
+		}
+		if done {
+			break
+		}
+		_ = f.Flush()
+	}
+	v.event(w, v.envelope("chat.completion.chunk", []any{map[string]any{
+		"index": 0, "delta": map[string]any{}, "finish_reason": v.s.answer.Finish,
+	}}))
+	if v.usage {
+		m := v.envelope("chat.completion.chunk", []any{})
+		m["usage"] = v.usageOf()
+		v.event(w, m)
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+	_ = f.Flush()
+}
+
+func (v *view) token(w http.ResponseWriter, n int, t answer.Token) {
+	d := map[string]any{"content": t.Text}
+	if n == 0 {
+		d["role"] = "assistant"
+	}
+	c := map[string]any{"index": 0, "delta": d, "finish_reason": nil}
+	if v.logprobs {
+		c["logprobs"] = probs([]answer.Token{t})
+	}
+	fmt.Fprintf(w, "id: %d\n", n)
+	v.event(w, v.envelope("chat.completion.chunk", []any{c}))
+}
+
+func (v *view) event(w http.ResponseWriter, m any) {
+	b, _ := json.Marshal(m)
+	fmt.Fprintf(w, "data: %s\n\n", b)
+}
--- /dev/null
+++ b/standin/listed/listed.go
@@ -0,0 +1,133 @@
+// Package listed is a stand-in for the platform's instance list. It serves the
+// JSON of Prometheus HTTP service discovery: target groups of one address with
+// the labels instance, role (entry, agent), upstream, domain and state (live,
+// leaving). Each change shows after the lag.
+package listed
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"tarragonvalve.example/standin/fault"
+)
+
+// Instance is one registered instance.
+type Instance struct {
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	// Role is entry or agent.
+	Role     string `json:"role"`
+	Upstream string `json:"upstream"`
+	Domain   string `json:"domain"`
+	// State is live or leaving.
+	State string `json:"state"`
+	// Labels are further labels.
+	Labels map[string]string `json:"labels,omitempty"`
+}
+
+type change struct {
+	at       time.Time
+	instance Instance
+	removed  bool
+}
+
+// List is the instance list. It is safe for concurrent use.
+type List struct {
+	sw *fault.Switch
+
+	mu      sync.Mutex
+	lag     time.Duration
+	pending []change
+	shown   map[string]Instance
+}
+
+// New returns an empty list.
+func New(lag time.Duration) *List {
+	return &List{sw: fault.New("instances", fault.Options{}), lag: lag, shown: map[string]Instance{}}
+}
+
+// Switch returns the list's faults.
+func (l *List) Switch() *fault.Switch {
+	return l.sw
+}
+
+// SetLag changes the lag of later changes.
+func (l *List) SetLag(d time.Duration) {
+	l.mu.Lock()
+	l.lag = d
+	l.mu.Unlock()
+}
+
+// Put registers or changes an instance.
+func (l *List) Put(i Instance) {
+	if i.State == "" {
+		i.State = "live"
+	}
+	l.change(change{instance: i})
+}
+
+// Remove takes an instance off the list.
+func (l *List) Remove(id string) {
+	l.change(change{instance: Instance{Instance: id}, removed: true})
+}
+
+func (l *List) change(c change) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.at = time.Now().Add(l.lag)
+	l.pending = append(l.pending, c)
+}
+
+// apply shows the changes that are due; the caller holds the lock.
+func (l *List) apply(now time.Time) {
+	left := l.pending[:0]
+	for _, c := range l.pending {
+		switch {
+		case c.at.After(now):
+			left = append(left, c)
+		case c.removed:
+			delete(l.shown, c.instance.Instance)
+		default:
+			l.shown[c.instance.Instance] = c.instance
+		}
+	}
+	l.pending = left
+}
+
+type group struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+func (l *List) groups() []group {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.apply(time.Now())
+	out := []group{}
+	for _, i := range l.shown {
+		g := group{Targets: []string{i.Address}, Labels: map[string]string{
+			"instance": i.Instance,
+			"role":     i.Role,
+			"upstream": i.Upstream,
+			"domain":   i.Domain,
+			"state":    i.State,
+		}}
+		for k, v := range i.Labels {
+			g.Labels[k] = v
+		}
+		out = append(out, g)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Labels["instance"] < out[b].Labels["instance"] })
+	return out
+}
+
+// Handler returns the list's HTTP API with its faults.
+func (l *List) Handler() http.Handler {
+	return l.sw.Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(l.groups())
+	}))
+}
--- /dev/null
+++ b/standin/plain/plain.go
@@ -0,0 +1,170 @@
+// Package plain is a stand-in for one instance of a plain service.
+//
+// It answers any method and path, and counts every run: it never deduplicates,
+// so the counters show a call that was run twice. A call takes from half to three
+// halves of the configured time, times load: with n calls running on s slots, the
+// time is multiplied by max(1, n/s). The answer to a call is the JSON
+//
+//	{"service":S,"method":M,"path":P,"key":K,"body-sha256":H,"run":N}
+//
+// with K the Idempotency-Key, H the lower-case hex SHA-256 of the request body and N the number of
+// runs of this key so far, counted over all instances of the service. Calls other than GET and HEAD have an effect.
+package plain
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/standin/fault"
+	"tarragonvalve.example/standin/setup"
+)
+
+const (
+	maxBodyBytes = 1 << 20
+	maxRuns      = 100_000
+)
+
+// Run is one run of a call.
+type Run struct {
+	At       time.Time        `json:"at"`
+	Service  ident.ServiceID  `json:"service"`
+	Upstream ident.UpstreamID `json:"upstream"`
+	Method   string           `json:"method"`
+	Path     string           `json:"path"`
+	Key      string           `json:"key"`
+	Digest   string           `json:"body-sha256"`
+}
+
+// Runs records the runs on all instances of all services. It is safe for concurrent use.
+type Runs struct {
+	mu   sync.Mutex
+	runs []Run
+	keys map[string]int
+}
+
+// NewRuns returns an empty record.
+func NewRuns() *Runs {
+	return &Runs{keys: map[string]int{}}
+}
+
+// KeyID names a key of one service in the counters.
+func KeyID(s ident.ServiceID, key string) string {
+	return string(s) + "/" + key
+}
+
+func (r *Runs) add(v Run) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.runs) < maxRuns {
+		r.runs = append(r.runs, v)
+	}
+	if v.Key == "" {
+		return 1
+	}
+	id := KeyID(v.Service, v.Key)
+	r.keys[id]++
+	return r.keys[id]
+}
+
+// PerKey returns how often each key of each service ran, by KeyID.
+func (r *Runs) PerKey() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]int, len(r.keys))
+	for k, n := range r.keys {
+		out[k] = n
+	}
+	return out
+}
+
+// All returns all runs.
+func (r *Runs) All() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.runs...)
+}
+
+// Plain is one instance.
+type Plain struct {
+	o    setup.Plain
+	runs *Runs
+	sw   *fault.Switch
+
+	mu      sync.Mutex
+	running int
+}
+
+// New returns an instance that records its runs.
+func New(o setup.Plain, r *Runs) *Plain {
+	return &Plain{o: o, runs: r, sw: fault.New(string(o.ID), fault.Options{Effect: acts})}
+}
+
+// Switch returns the instance's faults.
+func (p *Plain) Switch() *fault.Switch {
+	return p.sw
+}
+
+// Handler returns the instance's HTTP API with its faults.
+func (p *Plain) Handler() http.Handler {
+	return p.sw.Wrap(http.HandlerFunc(p.serve))
+}
+
+func acts(r *http.Request) bool {
+	return r.Method != http.MethodGet && r.Method != http.MethodHead
+}
+
+// Answer is the answer to a call.
+type Answer struct {
+	Service ident.ServiceID `json:"service"`
+	Method  string          `json:"method"`
+	Path    string          `json:"path"`
+	Key     string          `json:"key"`
+	Digest  string          `json:"body-sha256"`
+	Run     int             `json:"run"`
+}
+
+// serve runs a call. The run counts at its start: a service does not stop when its client goes away.
+func (p *Plain) serve(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	sum := sha256.Sum256(b)
+	v := Run{
+		At:       time.Now(),
+		Service:  p.o.Service,
+		Upstream: p.o.ID,
+		Method:   r.Method,
+		Path:     r.URL.Path,
+		Key:      r.Header.Get("Idempotency-Key"),
+		Digest:   hex.EncodeToString(sum[:]),
+	}
+	n := p.runs.add(v)
+	time.Sleep(p.begin())
+	p.end()
+	a := Answer{Service: v.Service, Method: v.Method, Path: v.Path, Key: v.Key, Digest: v.Digest, Run: n}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(a)
+}
+
+func (p *Plain) begin() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running++
+	load := max(1, float64(p.running)/float64(p.o.Slots))
+	return time.Duration(float64(p.o.Time) * (0.5 + rand.Float64()) * load)
+}
+
+func (p *Plain) end() {
+	p.mu.Lock()
+	p.running--
+	p.mu.Unlock()
+}
--- /dev/null
+++ b/standin/rating/rating.go
@@ -0,0 +1,208 @@
+// Package rating is a stand-in for the rating service.
+//
+//   - POST /v1/answers reports an answer that a caller got: {request-id, account,
+//     task, model, version, messages}. Whether the rating is good follows package
+//     answer with the version's quality at that time.
+//   - GET /v1/ratings?after=SEQ&limit=N returns {ratings, next}: the ratings with a
+//     higher sequence number, at most 1,000, in the order in which they became
+//     visible. next is the after of the following call.
+//
+// The part `missing` of the answers, chosen by a hash of the request id, never gets a
+// rating; the others become visible after half to three halves of the delay.
+// Above the limit of requests per second the answer is 429 with Retry-After.
+package rating
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/standin/answer"
+	"tarragonvalve.example/standin/fault"
+	"tarragonvalve.example/standin/setup"
+)
+
+const (
+	maxBodyBytes = 4 << 20
+	maxPage      = 1000
+	maxRatings   = 1_000_000
+)
+
+// Judge says whether a version's answer to messages is good.
+type Judge func(r ident.VersionRef, ms []answer.Message) bool
+
+// Rating is one rating as readers get it.
+type Rating struct {
+	Sequence uint64          `json:"seq"`
+	Request  ident.RequestID `json:"request-id"`
+	Account  ident.AccountID `json:"account"`
+	Task     ident.TaskID    `json:"task"`
+	Model    ident.ModelID   `json:"model"`
+	Version  ident.VersionID `json:"version"`
+	Good     bool            `json:"good"`
+	AtUnixMs int64           `json:"at-unix-ms"`
+	due      time.Time
+}
+
+// Page is the answer to a read.
+type Page struct {
+	Ratings []Rating `json:"ratings"`
+	Next    uint64   `json:"next"`
+}
+
+// Answered is a reported answer.
+type Answered struct {
+	Request  ident.RequestID  `json:"request-id"`
+	Account  ident.AccountID  `json:"account"`
+	Task     ident.TaskID     `json:"task"`
+	Model    ident.ModelID    `json:"model"`
+	Version  ident.VersionID  `json:"version"`
+	Messages []answer.Message `json:"messages"`
+}
+
+// Counts are the service's counters.
+type Counts struct {
+	Reported int `json:"reported"`
+	Good     int `json:"good"`
+	Visible  int `json:"visible"`
+	Limited  int `json:"limited"`
+}
+
+// Service is the rating service. It is safe for concurrent use.
+type Service struct {
+	o     setup.Rating
+	judge Judge
+	sw    *fault.Switch
+	limit *rate.Limiter
+
+	mu      sync.Mutex
+	pending []Rating
+	visible []Rating
+	counts  Counts
+}
+
+// New returns a service without ratings.
+func New(o setup.Rating, j Judge) *Service {
+	return &Service{
+		o:     o,
+		judge: j,
+		sw:    fault.New("rating", fault.Options{}),
+		limit: rate.NewLimiter(rate.Limit(o.Rate), max(1, int(o.Rate))),
+	}
+}
+
+// Switch returns the service's faults.
+func (s *Service) Switch() *fault.Switch {
+	return s.sw
+}
+
+// Counts returns the counters.
+func (s *Service) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publish(time.Now())
+	c := s.counts
+	c.Visible = len(s.visible)
+	return c
+}
+
+// Handler returns the service's HTTP API with its faults. Reports come from
+// callers and are outside the limit, which binds the readers.
+func (s *Service) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/v1/ratings", s.read)
+	r.Post("/v1/answers", s.report)
+	return s.sw.Wrap(r)
+}
+
+func (s *Service) report(w http.ResponseWriter, r *http.Request) {
+	var a Answered
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&a); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.add(a, time.Now())
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Service) add(a Answered, now time.Time) {
+	good := s.judge(ident.VersionRef{Model: a.Model, Version: a.Version}, a.Messages)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Reported++
+	if good {
+		s.counts.Good++
+	}
+	if unit("missing", a.Request) < s.o.Missing || len(s.visible)+len(s.pending) >= maxRatings {
+		return
+	}
+	late := time.Duration(float64(s.o.Delay) * (0.5 + unit("late", a.Request)))
+	s.pending = append(s.pending, Rating{
+		Request:  a.Request,
+		Account:  a.Account,
+		Task:     a.Task,
+		Model:    a.Model,
+		Version:  a.Version,
+		Good:     good,
+		AtUnixMs: now.UnixMilli(),
+		due:      now.Add(late),
+	})
+}
+
+// publish numbers the ratings that are due; the caller holds the lock.
+func (s *Service) publish(now time.Time) {
+	left := s.pending[:0]
+	for _, p := range s.pending {
+		if p.due.After(now) {
+			left = append(left, p)
+			continue
+		}
+		p.Sequence = uint64(len(s.visible)) + 1
+		s.visible = append(s.visible, p)
+	}
+	s.pending = left
+}
+
+func (s *Service) read(w http.ResponseWriter, r *http.Request) {
+	if !s.limit.Allow() {
+		s.mu.Lock()
+		s.counts.Limited++
+		s.mu.Unlock()
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "rate limit exceeded", http.StatusTooManyRequests)
+		return
+	}
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
+	if limit <= 0 || limit > maxPage {
+		limit = maxPage
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.page(after, limit, time.Now()))
+}
+
+func (s *Service) page(after uint64, limit int, now time.Time) Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publish(now)
+	first := min(after, uint64(len(s.visible)))
+	last := min(first+uint64(limit), uint64(len(s.visible)))
+	return Page{Ratings: append([]Rating{}, s.visible[first:last]...), Next: last}
+}
+
+func unit(label string, r ident.RequestID) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(label + "\x00" + string(r)))
+	// FNV leaves the high bits of similar inputs alike, so they are mixed once more.
+	v := h.Sum64() * 0x9e3779b97f4a7c15
+	v ^= v >> 29
+	v *= 0xbf58476d1ce4e5b9
+	return float64(v>>11) / (1 << 53)
+}
