--- a/entry/policy/decide.go
+++ b/entry/policy/decide.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -132,10 +133,10 @@
 		Deadline:  q.Left,
 		Explore:   c.o.ExploreEvery > 0 && xxhash.Sum64String(string(q.Request))%c.o.ExploreEvery == 0,
 	}
-	choice, ok := plan.Choose(cs, g)
-	if !ok {
+	if len(cs) == 0 {
 		return Decision{}, last
 	}
+	choice := c.choose(cs, g, d)
 	c.countChoice(choice, g)
 	out := Decision{Choice: choice}
 	switch p := choice.Plan.(type) {
@@ -149,6 +150,26 @@
 	return out, nil
 }
 
+// choose applies the strategy to at least one candidate.
+func (c *Control) choose(cs []plan.Candidate, g plan.Goal, d *envdoc.Document) plan.Choice {
+	prior := func(x plan.Candidate) float64 { return d.Versions[x.Version].QualityPrior }
+	best := slices.MaxFunc(cs, func(a, b plan.Candidate) int { return cmp.Compare(prior(a), prior(b)) })
+	cheap := slices.MinFunc(cs, func(a, b plan.Candidate) int { return cmp.Compare(a.Cost, b.Cost) })
+	switch s := c.o.Strategy.(type) {
+	case BestModel:
+		return plan.Choice{Plan: plan.Single{Version: best.Version}, Cost: best.Cost, Time: best.Time}
+	case FixedCascade:
+		if cheap.Version == best.Version {
+			return plan.Choice{Plan: plan.Single{Version: best.Version}, Cost: best.Cost, Time: best.Time}
+		}
+		p := plan.Cascade{First: cheap.Version, Then: best.Version, Below: s.Below}
+		return plan.Choice{Plan: p, Cost: cheap.Cost, Time: cheap.Time}
+	default:
+		x, _ := plan.Choose(cs, g)
+		return x
+	}
+}
+
 func (c *Control) countChoice(x plan.Choice, g plan.Goal) {
 	if _, ok := x.Plan.(plan.Cascade); ok {
 		c.count.Cascades.Add(1)
@@ -265,7 +286,7 @@
 }
 
 func (c *Control) check(v ident.VersionRef, o guard.Observation) {
-	if b, ok := c.watch.Observe(v, c.comparison(v), o).(guard.Bad); ok {
+	if b, ok := c.watch.Observe(v, c.comparison(v), o).(guard.Bad); ok && !c.o.GuardOff {
 		c.halt(v, b)
 	}
 }
--- a/entry/policy/types.go
+++ b/entry/policy/types.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -77,6 +78,51 @@
 	Halt(ctx context.Context, r ident.VersionRef, reason string) error
 }
 
+// Strategy chooses plans for requests that leave the model to the router; the
+// sealed cases are Adaptive and the baselines that it is measured against.
+type Strategy interface{ strategy() }
+
+// Adaptive takes the best plan by ratings, cost and time.
+type Adaptive struct{}
+
+// BestModel always takes the model with the highest quality prior.
+type BestModel struct{}
+
+// FixedCascade always tries the cheapest model first and escalates to the one
+// with the highest quality prior below a fixed log-probability.
+type FixedCascade struct{ Below float64 }
+
+func (Adaptive) strategy()     {}
+func (BestModel) strategy()    {}
+func (FixedCascade) strategy() {}
+
+// fixedBelow is the threshold of the fixed cascade, the middle of the bins that Adaptive chooses from.
+const fixedBelow = -0.7
+
+// NameError reports an unknown name in the settings.
+type NameError struct {
+	Name string
+	Want string
+}
+
+func (e *NameError) Error() string {
+	return fmt.Sprintf("choose strategy %q: want %s", e.Name, e.Want)
+}
+
+// ParseStrategy returns the strategy of a name in the settings.
+func ParseStrategy(s string) (Strategy, error) {
+	switch s {
+	case "adaptive":
+		return Adaptive{}, nil
+	case "best-model":
+		return BestModel{}, nil
+	case "fixed-cascade":
+		return FixedCascade{Below: fixedBelow}, nil
+	default:
+		return nil, &NameError{Name: s, Want: "adaptive, best-model or fixed-cascade"}
+	}
+}
+
 // Options are the parts that a Control works with.
 type Options struct {
 	Halter Halter
@@ -87,6 +133,9 @@
 	View func() *spread.View
 	// Fleet returns this entry's place among the live entries.
 	Fleet func() steps.Fleet
+	Strategy Strategy
+	// GuardOff leaves halting to operators, as a baseline for measurements.
+	GuardOff bool
 	// ExploreEvery is the number of requests of which one explores; 0 means none does.
 	ExploreEvery uint64
 	// DetectorAlpha is one by the average number of answers between false alarms on deployed versions.
@@ -98,6 +147,7 @@
 	return Options{
 		Now:           time.Now,
 		Fleet:         func() steps.Fleet { return steps.Fleet{Entries: 1} },
+		Strategy:      Adaptive{},
 		ExploreEvery:  50,
 		DetectorAlpha: 1e-5,
 	}
