--- a/entry/policy/types.go
+++ b/entry/policy/types.go
@@ -132,7 +132,7 @@
 	// View returns the view in force.
 	View func() *spread.View
 	// Fleet returns this entry's place among the live entries.
-	Fleet func() steps.Fleet
+	Fleet    func() steps.Fleet
 	Strategy Strategy
 	// GuardOff leaves halting to operators, as a baseline for measurements.
 	GuardOff bool
