fix: keep a roll-out's step over unrelated promotions

Change: a roll-out that both documents define alike carries its step into the newer generation. A fresh process that has not heard of it starts at the first step, which exposes fewer callers, until an exchange tells it.

--- a/core/envdoc/model.go
+++ b/core/envdoc/model.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"tarragonvalve.example/core/ident"
@@ -136,6 +137,12 @@
 	FalseAlarmRate float64
 }
 
+// SameCourse reports whether two definitions move the same sessions in the same
+// steps, so that progress in one holds in the other.
+func (r *Rollout) SameCourse(o *Rollout) bool {
+	return r.ID == o.ID && r.Model == o.Model && r.From == o.From && r.To == o.To && slices.Equal(r.Steps, o.Steps)
+}
+
 // Service is a plain service: section "[service ID]".
 type Service struct {
 	ID ident.ServiceID
--- a/core/spread/merge.go
+++ b/core/spread/merge.go
@@ -142,14 +142,36 @@
 	if a.Generation <= s.generation() {
 		return s, nil
 	}
+	s.steps = carrySteps(s, a)
 	s.accepted = a
 	s.confirmed = by
 	s.confirmedAt = time.Time{}
-	s.steps = maps.Clone(s.steps)
-	maps.DeleteFunc(s.steps, func(k stepKey, _ int) bool { return k.generation < a.Generation })
 	return s, []action{generationChanged{accepted: a}}
 }
 
+// carrySteps returns the steps that hold for a newer document. A roll-out that both
+// documents define alike keeps its step: most promotions don't concern it, and
+// with hundreds a day it would never finish if each one started it again.
+func carrySteps(s state, a *Accepted) map[stepKey]int {
+	steps := cloneMap(s.steps)
+	for k, n := range s.steps {
+		if k.generation >= a.Generation {
+			continue
+		}
+		delete(steps, k)
+		if s.accepted == nil || k.generation != s.generation() {
+			continue
+		}
+		before, now := s.accepted.Document.Rollouts[k.rollout], a.Document.Rollouts[k.rollout]
+		if before == nil || now == nil || !before.SameCourse(now) {
+			continue
+		}
+		c := stepKey{generation: a.Generation, rollout: k.rollout}
+		steps[c] = max(steps[c], n)
+	}
+	return steps
+}
+
 func applyConfirmed(s state, e confirmed) (state, []action) {
 	if s.accepted == nil || e.generation != s.generation() {
 		return s, nil
--- a/entry/plan/resolve.go
+++ b/entry/plan/resolve.go
@@ -109,11 +109,9 @@
 		if x.Model != r.Model || x.From != r.Version {
 			continue
 		}
-		s, ok := v.Steps[id]
-		if !ok || s < 0 || s >= len(x.Steps) {
-			continue
-		}
-		if p.Rollout < x.Steps[s] {
+		// A roll-out at its first step has no entry.
+		s := min(v.Steps[id], len(x.Steps)-1)
+		if s >= 0 && p.Rollout < x.Steps[s] {
 			return x
 		}
 	}
--- a/entry/policy/decide.go
+++ b/entry/policy/decide.go
@@ -197,11 +197,7 @@
 		if q.Isolated {
 			return false
 		}
-		s, ok := q.View.Steps[r.ID]
-		if !ok {
-			s = -1
-		}
-		return steps.Exposure(r, steps.Progress{Step: s, Sessions: len(c.exposed[r.ID]), Usable: true}, c.o.Fleet())
+		return steps.Exposure(r, steps.Progress{Step: q.View.Steps[r.ID], Sessions: len(c.exposed[r.ID]), Usable: true}, c.o.Fleet())
 	})
 }
 
--- a/entry/steps/steps.go
+++ b/entry/steps/steps.go
@@ -9,7 +9,7 @@
 
 // Progress is what the holder of the roll-out's lease knows of the present step.
 type Progress struct {
-	// Step is the index of the present step; -1 before the first.
+	// Step is the index of the present step.
 	Step int
 	// Since is when the holder saw the step begin.
 	Since time.Time
@@ -47,9 +47,6 @@
 	if !p.Usable {
 		return Hold{Reason: "version is halted or withdrawn"}
 	}
-	if p.Step < 0 {
-		return Advance{To: 0}
-	}
 	if now.Sub(p.Since) < r.StepTime {
 		return Hold{Reason: "step time is not over"}
 	}
@@ -71,7 +68,7 @@
 // of it, so that entries that can't reach each other stay within it. The last
 // step has no bound.
 func Exposure(r *envdoc.Rollout, p Progress, f Fleet) bool {
-	if p.Step < 0 || !p.Usable {
+	if !p.Usable {
 		return false
 	}
 	if r.ExposureBound == 0 || p.Step >= len(r.Steps)-1 {
