--- a/core/envdoc/model.go
+++ b/core/envdoc/model.go
@@ -93,7 +93,8 @@
 }
 
 // Model is a model: section "[model ID]". Shares hold the part of new sessions
-// of each version without roll-outs and sum up to ident.FullShare.
+// of each version without roll-outs and sum up to ident.FullShare. They are
+// empty ("shares = none") for a model that takes no new sessions by itself.
 type Model struct {
 	ID     ident.ModelID
 	Shares map[ident.VersionID]ident.Share
--- a/core/envdoc/parse.go
+++ b/core/envdoc/parse.go
@@ -183,12 +183,16 @@
 	m := &Model{ID: id, Shares: map[ident.VersionID]ident.Share{}, Escalate: ident.ModelID(r.text("escalate", ""))}
 	var sum ident.Share
 	whole := true
-	for _, t := range r.list("shares", true) {
+	parts := r.list("shares", true)
+	if len(parts) == 1 && parts[0] == sharesNone {
+		parts = nil
+	}
+	for _, t := range parts {
 		v, s, ok := strings.Cut(t, ":")
 		share, err := parseShare(strings.TrimSpace(s))
 		v = strings.TrimSpace(v)
 		if !ok || err != nil || v == "" {
-			r.reject("shares", t, "not a share", "VERSION:PERCENT with at most two decimals, above 0 and at most 100")
+			r.reject("shares", t, "not a share", "VERSION:PERCENT with at most two decimals, above 0 and at most 100, or none")
 			whole = false
 			continue
 		}
--- a/core/inidoc/problem.go
+++ b/core/inidoc/problem.go
@@ -39,8 +39,11 @@
 	if p.Key != "" {
 		fmt.Fprintf(&b, "%s", p.Key)
 	}
-	if p.Value != "" {
+	switch {
+	case p.Value != "" && p.Key != "":
 		fmt.Fprintf(&b, " = %q", shorten(p.Value))
+	case p.Value != "":
+		fmt.Fprintf(&b, "%q", shorten(p.Value))
 	}
 	if p.Key != "" || p.Value != "" {
 		b.WriteString(": ")
