feat: name a fallback for a model without shares

After the withdrawal of a model's only version, new sessions of the model need a version to go to; shares may only name versions of the model itself. Run: go test ./envdoc.

--- a/core/envdoc/check.go
+++ b/core/envdoc/check.go
@@ -67,6 +67,9 @@
 			p.reject(n, "shares", string(v), "a withdrawn version has a share", "shares of versions that are not withdrawn")
 		}
 	}
+	if _, ok := p.doc.Versions[m.Fallback]; m.Fallback != (ident.VersionRef{}) && !ok {
+		p.reject(n, "fallback", m.Fallback.String(), "no such version", p.versionNames())
+	}
 	if _, ok := p.doc.Models[m.Escalate]; m.Escalate != "" && !ok {
 		p.reject(n, "escalate", string(m.Escalate), "no such model", names("models", sorted(p.doc.Models)))
 	}
--- a/core/envdoc/diff.go
+++ b/core/envdoc/diff.go
@@ -123,6 +123,7 @@
 	for _, m := range d.Models {
 		n := "model " + string(m.ID)
 		f.set(n, "escalate", orNone(string(m.Escalate)))
+		f.set(n, "fallback", refOrNone(m.Fallback))
 		for v, s := range m.Shares {
 			f.set(n, "share of "+string(v), FormatShare(s)+"%")
 		}
@@ -168,15 +169,11 @@
 
 func (f flat) version(v *Version) {
 	n := "version " + v.Ref.String()
-	fallback := ""
-	if v.Fallback != (ident.VersionRef{}) {
-		fallback = v.Fallback.String()
-	}
 	f.set(n, "state", string(v.State))
 	f.set(n, "input-price", money(v.InputPrice))
 	f.set(n, "output-price", money(v.OutputPrice))
 	f.set(n, "quality-prior", number(v.QualityPrior))
-	f.set(n, "fallback", orNone(fallback))
+	f.set(n, "fallback", refOrNone(v.Fallback))
 	f.set(n, "halts-cleared-at", strconv.FormatUint(uint64(v.HaltsClearedAt), 10))
 	f.set(n, "cancel-running", yesNo(v.CancelRunning))
 }
@@ -215,6 +212,13 @@
 	return s
 }
 
+func refOrNone(r ident.VersionRef) string {
+	if r == (ident.VersionRef{}) {
+		return "none"
+	}
+	return r.String()
+}
+
 func limit(f float64) string {
 	if f == 0 {
 		return "no limit"
--- a/core/envdoc/edit.go
+++ b/core/envdoc/edit.go
@@ -16,7 +16,8 @@
 // Withdraw returns the text of a document with a version withdrawn, and what
 // was done in words. The version's share goes to the other versions with a
 // share in proportion, otherwise to its fallback if that is a live version of
-// the same model, otherwise to none. Roll-outs of the version are removed. The
+// the same model. Otherwise the model has no shares any more, and the fallback
+// serves its new sessions. Roll-outs of the version are removed. The
 // text is not validated: an account may be left with no usable version.
 func Withdraw(d *Document, r ident.VersionRef) ([]byte, []string, error) {
 	v, ok := d.Versions[r]
@@ -40,6 +41,10 @@
 		s := sharesWithout(d, m, r)
 		e.set("model "+string(r.Model), "shares", s)
 		did = append(did, fmt.Sprintf("shares of model %s now %s", r.Model, s))
+		if s == sharesNone && v.Fallback != (ident.VersionRef{}) {
+			e.set("model "+string(r.Model), "fallback", v.Fallback.String())
+			did = append(did, fmt.Sprintf("new sessions of model %s go to %s", r.Model, v.Fallback))
+		}
 	}
 	return e.bytes(), did, nil
 }
--- a/core/envdoc/model.go
+++ b/core/envdoc/model.go
@@ -98,6 +98,8 @@
 type Model struct {
 	ID     ident.ModelID
 	Shares map[ident.VersionID]ident.Share
+	// Fallback serves new sessions of a model without shares; zero for none.
+	Fallback ident.VersionRef
 	// Escalate names the model that a weak answer of this one escalates to; empty for none.
 	Escalate ident.ModelID
 }
--- a/core/envdoc/parse.go
+++ b/core/envdoc/parse.go
@@ -207,6 +207,10 @@
 	if whole && len(m.Shares) > 0 && sum != ident.FullShare {
 		r.reject("shares", r.raw("shares"), "the shares sum to "+FormatShare(sum), "shares that sum to 100")
 	}
+	m.Fallback = r.ref("fallback")
+	if m.Fallback != (ident.VersionRef{}) && len(m.Shares) > 0 {
+		r.reject("fallback", m.Fallback.String(), "a fallback of a model with shares", "a fallback only with shares = none")
+	}
 	p.doc.Models[id] = m
 }
 
@@ -224,13 +228,7 @@
 		QualityPrior:   r.number("quality-prior", 0.5, 0, 1),
 		HaltsClearedAt: ident.Generation(r.whole("halts-cleared-at", 0, 0, math.MaxInt32)),
 		CancelRunning:  r.yesNo("cancel-running", false),
-	}
-	if t := r.text("fallback", ""); t != "" {
-		f, err := ident.ParseRef(t)
-		if err != nil {
-			r.reject("fallback", t, "not a version", "MODEL@VERSION")
-		}
-		v.Fallback = f
+		Fallback:       r.ref("fallback"),
 	}
 	p.doc.Versions[ref] = v
 }
--- a/core/envdoc/reader.go
+++ b/core/envdoc/reader.go
@@ -79,6 +79,19 @@
 	return v
 }
 
+// ref reads an optional version.
+func (r *reader) ref(key string) ident.VersionRef {
+	t := r.text(key, "")
+	if t == "" {
+		return ident.VersionRef{}
+	}
+	v, err := ident.ParseRef(t)
+	if err != nil {
+		r.reject(key, t, "not a version", "MODEL@VERSION")
+	}
+	return v
+}
+
 func (r *reader) choice(key, fallback string, options ...string) string {
 	v, ok := r.find(key)
 	if !ok {
