--- /dev/null
+++ b/entry/admin/document.go
@@ -0,0 +1,157 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"tarragonvalve.example/core/accept"
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/inidoc"
+	"tarragonvalve.example/core/opsapi"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/core/spread"
+)
+
+// document returns the document in force here, or that of ?generation=N.
+func (a *API) document(ctx context.Context, c *call) (any, error) {
+	t := c.URL.Query().Get("generation")
+	if t == "" {
+		v := a.o.State.View()
+		if v.Accepted == nil {
+			return nil, refuse.New(refuse.NoDocument, refuse.NotRun, "no document is in force")
+		}
+		return opsapi.DocumentReply{
+			Generation:  generation(v.Accepted),
+			ConfirmedBy: string(v.ConfirmedBy),
+			Body:        string(v.Accepted.Document.Raw),
+		}, nil
+	}
+	n, err := strconv.ParseUint(t, 10, 64)
+	if err != nil {
+		return nil, refuse.New(refuse.BadRequest, refuse.NotRun, "generation must be a number")
+	}
+	g, err := a.at(ctx, ident.Generation(n))
+	if err != nil {
+		return nil, err
+	}
+	return opsapi.DocumentReply{Generation: generation(g), Body: string(g.Document.Raw)}, nil
+}
+
+// at reads a generation from the table.
+func (a *API) at(ctx context.Context, g ident.Generation) (*spread.Accepted, error) {
+	d, err := a.o.Store.At(ctx, g)
+	if isMissing(err) || err == nil && d == nil {
+		return nil, refuse.New(refuse.NotFound, refuse.NotRun, "generation %d does not exist", g)
+	}
+	return d, err
+}
+
+func (a *API) validate(_ context.Context, c *call) (any, error) {
+	q, err := read[opsapi.DocumentRequest](c)
+	if err != nil {
+		return nil, err
+	}
+	out := opsapi.ValidateReply{Digest: envdoc.DigestOf([]byte(q.Body)), Problems: []inidoc.Problem{}}
+	d, err := a.parse(q.Body)
+	var p *envdoc.ProblemsError
+	switch {
+	case errors.As(err, &p):
+		out.Problems = p.Problems
+	case err != nil:
+		return nil, err
+	default:
+		out.Valid = true
+		out.Name = d.Name
+	}
+	return out, nil
+}
+
+// parse reads a document of this environment. A document of another one is
+// refused since a mix-up would replace all accounts and models.
+func (a *API) parse(body string) (*envdoc.Document, error) {
+	d, err := envdoc.Parse([]byte(body))
+	if err != nil {
+		return nil, err
+	}
+	if d.Name != a.o.Environment {
+		return nil, invalid(inidoc.Problem{Section: "environment", Key: "name", Value: d.Name, Fault: "the document of another environment", Allowed: a.o.Environment})
+	}
+	return d, nil
+}
+
+func (a *API) diff(ctx context.Context, c *call) (any, error) {
+	q, err := read[opsapi.DocumentRequest](c)
+	if err != nil {
+		return nil, err
+	}
+	d, err := a.parse(q.Body)
+	if err != nil {
+		return nil, err
+	}
+	before, g := a.current(ctx)
+	return opsapi.DiffReply{Generation: g, Digest: d.Digest, Changes: changes(before, d)}, nil
+}
+
+// current returns the latest accepted document that this instance can learn of:
+// the table's, or the one in force here while the table is down.
+func (a *API) current(ctx context.Context) (*envdoc.Document, ident.Generation) {
+	v := a.o.State.View()
+	n, err := a.o.Store.Latest(ctx, v.Generation())
+	if err != nil || n == nil {
+		return v.Document(), v.Generation()
+	}
+	return n.Document, n.Generation
+}
+
+func changes(before, after *envdoc.Document) []envdoc.Change {
+	c := envdoc.Diff(before, after)
+	if c == nil {
+		return []envdoc.Change{}
+	}
+	return c
+}
+
+// trial validates a document, takes recorded decisions again under it, and
+// stores its digest as tried.
+func (a *API) trial(ctx context.Context, c *call) (any, error) {
+	q, err := read[opsapi.DocumentRequest](c)
+	if err != nil {
+		return nil, err
+	}
+	d, err := a.parse(q.Body)
+	if err != nil {
+		return nil, err
+	}
+	before, g := a.current(ctx)
+	if err := checkCleared(d, g); err != nil {
+		return nil, err
+	}
+	out := opsapi.TrialReply{Digest: d.Digest, Generation: g, Changes: changes(before, d)}
+	a.shadow(ctx, d, &out)
+	err = a.o.Store.SaveTrial(ctx, accept.Trial{Digest: d.Digest, Operator: c.operator, At: a.o.Now()})
+	a.record(c, "trial", "", d.Digest, 0, err)
+	if err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// checkCleared refuses a document that would void halts which are not made yet.
+func checkCleared(d *envdoc.Document, latest ident.Generation) error {
+	var ps []inidoc.Problem
+	for _, r := range d.VersionRefs() {
+		if n := d.Versions[r].HaltsClearedAt; n > latest {
+			ps = append(ps, inidoc.Problem{
+				Section: "version " + r.String(),
+				Key:     "halts-cleared-at",
+				Value:   strconv.FormatUint(uint64(n), 10),
+				Fault:   "would void halts that are not made yet",
+				Allowed: fmt.Sprintf("at most %d, the latest generation", latest),
+			})
+		}
+	}
+	return invalid(ps...)
+}
