--- a/core/envdoc/parse.go
+++ b/core/envdoc/parse.go
@@ -183,12 +183,16 @@
 	m := &Model{ID: id, Shares: map[ident.VersionID]ident.Share{}, Escalate: ident.ModelID(r.text("escalate", ""))}
 	var sum ident.Share
 	whole := true
-	for _, t := range r.list("shares", true) {
+	parts := r.list("shares", true)
+	if len(parts) == 1 && parts[0] == sharesNone {
+		parts = nil
+	}
+	for _, t := range parts {
 		v, s, ok := strings.Cut(t, ":")
 		share, err := parseShare(strings.TrimSpace(s))
 		v = strings.TrimSpace(v)
 		if !ok || err != nil || v == "" {
-			r.reject("shares", t, "not a share", "VERSION:PERCENT with at most two decimals, above 0 and at most 100")
+			r.reject("shares", t, "not a share", "VERSION:PERCENT with at most two decimals, above 0 and at most 100, or none")
 			whole = false
 			continue
 		}
@@ -203,6 +207,10 @@
 	if whole && len(m.Shares) > 0 && sum != ident.FullShare {
 		r.reject("shares", r.raw("shares"), "the shares sum to "+FormatShare(sum), "shares that sum to 100")
 	}
+	m.Fallback = r.ref("fallback")
+	if m.Fallback != (ident.VersionRef{}) && len(m.Shares) > 0 {
+		r.reject("fallback", m.Fallback.String(), "a fallback of a model with shares", "a fallback only with shares = none")
+	}
 	p.doc.Models[id] = m
 }
 
@@ -220,13 +228,7 @@
 		QualityPrior:   r.number("quality-prior", 0.5, 0, 1),
 		HaltsClearedAt: ident.Generation(r.whole("halts-cleared-at", 0, 0, math.MaxInt32)),
 		CancelRunning:  r.yesNo("cancel-running", false),
-	}
-	if t := r.text("fallback", ""); t != "" {
-		f, err := ident.ParseRef(t)
-		if err != nil {
-			r.reject("fallback", t, "not a version", "MODEL@VERSION")
-		}
-		v.Fallback = f
+		Fallback:       r.ref("fallback"),
 	}
 	p.doc.Versions[ref] = v
 }
