--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -24,6 +24,8 @@
 	Stream        bool             `json:"stream"`
 	StreamOptions struct {
 		IncludeUsage bool `json:"include_usage"`
+		// ContinuousUsage is vLLM's: every event carries the usage so far.
+		ContinuousUsage bool `json:"continuous_usage_stats"`
 	} `json:"stream_options"`
 	Logprobs  bool   `json:"logprobs"`
 	Priority  int    `json:"priority"`
@@ -63,7 +65,7 @@
 		writeError(w, status, code, "request was not started")
 		return
 	}
-	v := &view{e: e, s: s, logprobs: q.Logprobs, usage: q.StreamOptions.IncludeUsage}
+	v := &view{e: e, s: s, logprobs: q.Logprobs, usage: q.StreamOptions.IncludeUsage, continuous: q.StreamOptions.ContinuousUsage}
 	if q.Stream {
 		v.stream(w, r, 0)
 		return
@@ -153,7 +155,7 @@
 		writeError(w, http.StatusNotFound, "stream_not_found", "no such stream")
 		return
 	}
-	v := &view{e: e, s: s, logprobs: true, usage: true}
+	v := &view{e: e, s: s, logprobs: true, usage: true, continuous: true}
 	v.stream(w, r, from)
 }
 
--- a/standin/engine/view.go
+++ b/standin/engine/view.go
@@ -11,10 +11,11 @@
 
 // view writes one reader's answer in the format of chat completions.
 type view struct {
-	e        *Engine
-	s        *stream
-	logprobs bool
-	usage    bool
+	e          *Engine
+	s          *stream
+	logprobs   bool
+	usage      bool
+	continuous bool
 }
 
 // Usage is the usage part of an answer.
@@ -27,8 +28,7 @@
 	} `json:"prompt_tokens_details"`
 }
 
-func (v *view) usageOf() *Usage {
-	n := len(v.s.answer.Tokens)
+func (v *view) usageOf(n int) *Usage {
 	u := &Usage{Prompt: v.s.answer.Input, Completion: n, Total: v.s.answer.Input + n}
 	u.Details.Cached = v.s.cached
 	return u
@@ -95,7 +95,7 @@
 		c["logprobs"] = probs(v.s.answer.Tokens)
 	}
 	m := v.envelope("chat.completion", []any{c})
-	m["usage"] = v.usageOf()
+	m["usage"] = v.usageOf(len(v.s.answer.Tokens))
 	writeJSON(w, http.StatusOK, m)
 }
 
@@ -125,7 +125,7 @@
 	}}))
 	if v.usage {
 		m := v.envelope("chat.completion.chunk", []any{})
-		m["usage"] = v.usageOf()
+		m["usage"] = v.usageOf(len(v.s.answer.Tokens))
 		v.event(w, m)
 	}
 	fmt.Fprint(w, "data: [DONE]\n\n")
@@ -141,8 +141,12 @@
 	if v.logprobs {
 		c["logprobs"] = probs([]answer.Token{t})
 	}
+	m := v.envelope("chat.completion.chunk", []any{c})
+	if v.continuous {
+		m["usage"] = v.usageOf(n + 1)
+	}
 	fmt.Fprintf(w, "id: %d\n", n)
-	v.event(w, v.envelope("chat.completion.chunk", []any{c}))
+	v.event(w, m)
 }
 
 func (v *view) event(w http.ResponseWriter, m any) {
