--- a/standin/boot/boot.go
+++ b/standin/boot/boot.go
@@ -3,19 +3,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/alexflint/go-arg"
-
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/standin/answer"
 	"tarragonvalve.example/standin/ctrl"
@@ -32,61 +24,6 @@
 // headerTimeout bounds how long a client may take to send a request header.
 const headerTimeout = 10 * time.Second
 
-type arguments struct {
-	Config string `arg:"-c,--config,required" help:"settings file (INI)"`
-}
-
-func (arguments) Description() string {
-	return "Stand-ins for the platform: table service, instance list, rating service, weight store, model engines and plain services."
-}
-
-// Main runs the program and returns its exit code.
-func Main(args []string, out, errs io.Writer) int {
-	var a arguments
-	p, err := arg.NewParser(arg.Config{Program: "standin"}, &a)
-	if err != nil {
-		fmt.Fprintln(errs, err)
-		return 2
-	}
-	if err := p.Parse(args); err != nil {
-		return usage(p, err, errs)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	if err := run(ctx, &a, out); err != nil {
-		fmt.Fprintln(errs, "standin:", err)
-		return 1
-	}
-	return 0
-}
-
-func usage(p *arg.Parser, err error, errs io.Writer) int {
-	if errors.Is(err, arg.ErrHelp) {
-		p.WriteHelp(errs)
-		return 0
-	}
-	p.WriteUsage(errs)
-	fmt.Fprintln(errs, "standin:", err)
-	return 2
-}
-
-func run(ctx context.Context, a *arguments, out io.Writer) error {
-	s, err := setup.Read(a.Config, os.Environ())
-	if err != nil {
-		return err
-	}
-	r, err := Start(ctx, s)
-	if err != nil {
-		return err
-	}
-	if err := json.NewEncoder(out).Encode(r.Addresses); err != nil {
-		return err
-	}
-	<-ctx.Done()
-	r.Stop()
-	return nil
-}
-
 // Running are stand-ins that serve.
 type Running struct {
 	ctrl.Parts
--- /dev/null
+++ b/standin/load/load.go
@@ -0,0 +1,261 @@
+// Package load sends a mixed load to the entries and sums up the answers.
+//
+// Requests are sent at a fixed rate without waiting for answers. Of 20 requests,
+// 14 are chat completions (half of them streamed, half with a session of the
+// account), 3 are repeatable plain-service calls and 3 are calls that may run only
+// once. Accounts are drawn with their weight; texts, sessions and choices follow
+// the seed. Every whole answer is compared with the text that package answer computes
+// for the version that the answer names, and is reported to the rating service.
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/standin/answer"
+	"tarragonvalve.example/standin/client"
+	"tarragonvalve.example/standin/rating"
+	"tarragonvalve.example/standin/setup"
+)
+
+const (
+	maxInFlight     = 2000
+	requestTimeout  = 30 * time.Second
+	sessionsPerUser = 20
+)
+
+// Options describe a load.
+type Options struct {
+	Entries  []string
+	Document *envdoc.Document
+	Versions map[ident.VersionRef]setup.Version
+	// Rating is the address of the rating service; empty reports no answers.
+	Rating   string
+	Rate     float64
+	Duration time.Duration
+	Seed     uint64
+}
+
+// Kind is a kind of request.
+type Kind string
+
+// The kinds of requests.
+const (
+	KindStream Kind = "chat-stream"
+	KindWhole  Kind = "chat"
+	KindRepeat Kind = "call-repeatable"
+	KindOnce   Kind = "call-once"
+)
+
+type job struct {
+	kind    Kind
+	account *envdoc.Account
+	entry   string
+	chat    client.Chat
+	call    client.Call
+	session string
+}
+
+type runner struct {
+	o        Options
+	http     *http.Client
+	accounts []*envdoc.Account
+	rng      *rand.Rand
+
+	mu       sync.Mutex
+	sessions map[string]string
+	sum      *Summary
+}
+
+// Run sends the load and waits for all answers.
+func Run(ctx context.Context, o Options) (*Summary, error) {
+	if len(o.Entries) == 0 || o.Rate <= 0 {
+		return nil, fmt.Errorf("send load: want entries and a rate above 0, got %d entries and %g/s", len(o.Entries), o.Rate)
+	}
+	r := &runner{
+		o:        o,
+		http:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxInFlight}},
+		rng:      rand.New(rand.NewPCG(o.Seed, 0)),
+		sessions: map[string]string{},
+		sum:      newSummary(),
+	}
+	defer r.http.CloseIdleConnections()
+	for _, a := range o.Document.Accounts {
+		r.accounts = append(r.accounts, a)
+	}
+	slices.SortFunc(r.accounts, func(a, b *envdoc.Account) int { return bytes.Compare([]byte(a.ID), []byte(b.ID)) })
+	r.send(ctx)
+	return r.sum, nil
+}
+
+func (r *runner) send(ctx context.Context) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	slots := make(chan struct{}, maxInFlight)
+	t := time.NewTicker(time.Duration(float64(time.Second) / r.o.Rate))
+	defer t.Stop()
+	for n := range int(r.o.Rate * r.o.Duration.Seconds()) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		j := r.draw(n)
+		select {
+		case slots <- struct{}{}:
+			wait.Go(func() {
+				defer func() { <-slots }()
+				r.do(ctx, j)
+			})
+		default:
+			r.sum.skip()
+		}
+	}
+}
+
+// draw chooses the nth request.
+func (r *runner) draw(n int) job {
+	a := r.account()
+	j := job{account: a, entry: r.o.Entries[r.rng.IntN(len(r.o.Entries))]}
+	k := r.rng.IntN(20)
+	once, repeat := r.calls(a)
+	switch {
+	case k >= 17 && len(once) > 0:
+		j.kind = KindOnce
+		j.call = once[r.rng.IntN(len(once))]
+		j.call.Key = fmt.Sprintf("load-%d-%d", r.o.Seed, n)
+		j.call.Body = fmt.Sprintf(`{"order":%d}`, n)
+	case k >= 14 && len(repeat) > 0:
+		j.kind = KindRepeat
+		j.call = repeat[r.rng.IntN(len(repeat))]
+	default:
+		r.drawChat(&j, n)
+	}
+	j.call.Timeout = requestTimeout
+	return j
+}
+
+func (r *runner) drawChat(j *job, n int) {
+	j.kind = KindWhole
+	if r.rng.IntN(2) == 0 {
+		j.kind = KindStream
+	}
+	j.chat = client.Chat{
+		Model:   "auto",
+		Stream:  j.kind == KindStream,
+		Task:    "review",
+		Timeout: requestTimeout,
+		Messages: []answer.Message{
+			{Role: "system", Content: fmt.Sprintf("you advise the customers of account %s on their designs and slots", j.account.ID)},
+			{Role: "user", Content: fmt.Sprintf("question %d of run %d: is this plan sound?", n, r.o.Seed)},
+		},
+	}
+	if r.rng.IntN(2) == 0 {
+		j.session = fmt.Sprintf("%s-%d", j.account.ID, r.rng.IntN(sessionsPerUser))
+	}
+}
+
+func (r *runner) account() *envdoc.Account {
+	total := 0
+	for _, a := range r.accounts {
+		total += a.Weight
+	}
+	n := r.rng.IntN(total)
+	for _, a := range r.accounts {
+		n -= a.Weight
+		if n < 0 {
+			return a
+		}
+	}
+	return r.accounts[0]
+}
+
+// calls returns the account's calls that may run once and those that may be repeated.
+func (r *runner) calls(a *envdoc.Account) (once, repeat []client.Call) {
+	var ids []ident.ServiceID
+	for s := range a.Services {
+		ids = append(ids, s)
+	}
+	slices.Sort(ids)
+	for _, s := range ids {
+		for _, c := range r.o.Document.Services[s].Calls {
+			k := client.Call{Service: string(s), Method: c.Method, Path: c.PathPrefix}
+			if c.Repeatable {
+				repeat = append(repeat, k)
+			} else {
+				once = append(once, k)
+			}
+		}
+	}
+	return once, repeat
+}
+
+func (r *runner) do(ctx context.Context, j job) {
+	// The keys of the example documents are documented as key-ACCOUNT.
+	c := &client.Client{HTTP: r.http, Entry: j.entry, Key: "key-" + string(j.account.ID)}
+	var p client.Reply
+	if j.kind == KindOnce || j.kind == KindRepeat {
+		p = c.Call(ctx, j.call)
+	} else {
+		r.mu.Lock()
+		j.chat.Session = r.sessions[j.session]
+		r.mu.Unlock()
+		p = c.Chat(ctx, j.chat)
+	}
+	wrong := false
+	if p.OK() && p.Version.Model != "" {
+		r.keep(j.session, p.Session)
+		wrong = p.Text != r.expected(p.Version, j.chat)
+		r.rate(ctx, j, &p)
+	}
+	r.sum.add(j.kind, &p, wrong)
+}
+
+func (r *runner) keep(session, token string) {
+	if session == "" {
+		return
+	}
+	r.mu.Lock()
+	r.sessions[session] = token
+	r.mu.Unlock()
+}
+
+func (r *runner) expected(v ident.VersionRef, c client.Chat) string {
+	s := r.o.Versions[v]
+	return answer.Of(answer.Settings{Ref: v, Quality: s.Quality, MeanTokens: s.MeanTokens}, c.Messages, c.MaxTokens).Text()
+}
+
+// rate reports an answer to the rating service. Ratings are incomplete by
+// nature, so a failed report is not an error.
+func (r *runner) rate(ctx context.Context, j job, p *client.Reply) {
+	if r.o.Rating == "" {
+		return
+	}
+	b, err := json.Marshal(rating.Answered{
+		Request:  p.Request,
+		Account:  j.account.ID,
+		Task:     ident.TaskID(j.chat.Task),
+		Model:    p.Version.Model,
+		Version:  p.Version.Version,
+		Messages: j.chat.Messages,
+	})
+	if err != nil {
+		return
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.o.Rating+"/v1/answers", bytes.NewReader(b))
+	if err != nil {
+		return
+	}
+	if res, err := r.http.Do(q); err == nil {
+		_ = res.Body.Close()
+	}
+}
--- /dev/null
+++ b/standin/load/load_test.go
@@ -0,0 +1,89 @@
+package load_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/standin/answer"
+	"tarragonvalve.example/standin/load"
+	"tarragonvalve.example/standin/setup"
+)
+
+const document = `[environment]
+name = test
+
+[account a]
+key-digests = %s
+allowed = m@1
+requests-per-second = 0
+tokens-per-second = 0
+weight = 1
+priority = 0
+objective = cost
+quality-target = 0.5
+on-withdrawn = move
+
+[model m]
+shares = 1:100
+
+[version m@1]
+input-price-micro-cents = 1
+output-price-micro-cents = 1
+quality-prior = 0.9
+
+[end]
+`
+
+// A load that does not notice a wrong or cut answer would report a broken system as working.
+func TestSummaryNoticesWrongAndCutAnswers(t *testing.T) {
+	d, err := envdoc.Parse(fmt.Appendf(nil, document, envdoc.KeyDigestOf("key-a")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ref := ident.VersionRef{Model: "m", Version: "1"}
+	n := 0
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var q struct {
+			Stream   bool
+			Messages []answer.Message
+		}
+		_ = json.NewDecoder(r.Body).Decode(&q)
+		text := answer.Of(answer.Settings{Ref: ref, Quality: 0.9, MeanTokens: 10}, q.Messages, 0).Text()
+		w.Header().Set("Tarragonvalve-Model", "m@1")
+		if q.Stream {
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", text)
+			return
+		}
+		n++
+		if n == 1 {
+			text += " more"
+		}
+		fmt.Fprintf(w, `{"choices":[{"message":{"content":%q},"finish_reason":"stop"}]}`, text)
+	}))
+	defer entry.Close()
+	s, err := load.Run(t.Context(), load.Options{
+		Entries:  []string{strings.TrimPrefix(entry.URL, "http://")},
+		Document: d,
+		Versions: map[ident.VersionRef]setup.Version{ref: {Quality: 0.9, MeanTokens: 10}},
+		Rate:     1000,
+		Duration: 50 * time.Millisecond,
+		Seed:     1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Wrong() != 1 {
+		t.Errorf("%d wrong texts noticed, want 1", s.Wrong())
+	}
+	if s.OK(load.KindStream) != 0 || s.OK(load.KindWhole) == 0 {
+		t.Errorf("whole answers: %d streamed, %d not", s.OK(load.KindStream), s.OK(load.KindWhole))
+	}
+}
