--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,7 +49,7 @@
 		t.Fatal(err)
 	}
 	ref := ident.VersionRef{Model: "m", Version: "1"}
-	n := 0
+	var n atomic.Int32
 	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var q struct {
 			Stream   bool
@@ -62,8 +63,7 @@
 			fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", text)
 			return
 		}
-		n++
-		if n == 1 {
+		if n.Add(1) == 1 {
 			text += " more"
 		}
 		fmt.Fprintf(w, `{"choices":[{"message":{"content":%q},"finish_reason":"stop"}]}`, text)
