--- /dev/null
+++ b/agent/health/health.go
@@ -0,0 +1,103 @@
+// Package health serves the agent's health, readiness, build information and metrics.
+package health
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Options are the parts of a Server.
+type Options struct {
+	Listener net.Listener
+	Registry *prometheus.Registry
+	// Ready returns the reasons why the agent is not ready, none when it is.
+	Ready func() []string
+}
+
+const (
+	headerLimit = 5 * time.Second
+	stopLimit   = time.Second
+)
+
+// Server is the administration port of an agent.
+type Server struct {
+	options Options
+}
+
+// New returns a server.
+func New(o Options) *Server {
+	return &Server{options: o}
+}
+
+// Name is the step's name.
+func (s *Server) Name() string {
+	return "health"
+}
+
+// Run serves until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	h := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerLimit}
+	stop := context.AfterFunc(ctx, func() {
+		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
+		defer cancel()
+		if h.Shutdown(c) != nil {
+			_ = h.Close() // the process ends next
+		}
+	})
+	defer stop()
+	if err := h.Serve(s.options.Listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Handler returns the HTTP API.
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		write(w, http.StatusOK, map[string]string{"status": "ok"})
+	})
+	r.Get("/readyz", s.ready)
+	r.Get("/buildz", build)
+	r.Handle("/metrics", promhttp.HandlerFor(s.options.Registry, promhttp.HandlerOpts{}))
+	return r
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	why := s.options.Ready()
+	if len(why) > 0 {
+		write(w, http.StatusServiceUnavailable, map[string]any{"status": "not-ready", "reasons": why})
+		return
+	}
+	write(w, http.StatusOK, map[string]string{"status": "ready"})
+}
+
+func build(w http.ResponseWriter, _ *http.Request) {
+	out := map[string]string{}
+	if b, ok := debug.ReadBuildInfo(); ok {
+		out["go"] = b.GoVersion
+		out["module"] = b.Main.Path
+		for _, s := range b.Settings {
+			switch s.Key {
+			case "vcs.revision", "vcs.time", "vcs.modified":
+				out[s.Key] = s.Value
+			}
+		}
+	}
+	write(w, http.StatusOK, out)
+}
+
+func write(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the client is gone if this fails
+}
