--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -44,8 +44,6 @@
 	Body        []byte
 	// Key is sent as Idempotency-Key unless it is empty.
 	Key string
-	// Repeatable is true for calls that may run more than once.
-	Repeatable bool
 	// Request is sent as X-Request-Id.
 	Request string
 }
@@ -105,65 +103,47 @@
 // Client talks to one plain service. It is safe for concurrent use.
 type Client struct {
 	options Options
-	pooled  *http.Client
-	single  *http.Client
+	http    *http.Client
+	dialer  *net.Dialer
 }
 
 // maxIdleConns covers the parallel calls of one service.
 const maxIdleConns = 64
 
 // New returns a client.
-//
-// Calls that may run only once get a connection of their own: net/http repeats
-// a request that carries Idempotency-Key when a reused connection breaks, and a
-// reused connection can hide whether the service has read the request.
 func New(o Options) *Client {
-	return &Client{options: o, pooled: newHTTP(o, false), single: newHTTP(o, true)}
-}
-
-func newHTTP(o Options, single bool) *http.Client {
 	d := &net.Dialer{Timeout: o.DialLimit}
-	return &http.Client{
+	return &Client{options: o, dialer: d, http: &http.Client{
 		Transport: &http.Transport{
 			DialContext:         d.DialContext,
-			DisableKeepAlives:   single,
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     30 * time.Second,
 			DisableCompression:  true,
 		},
 		// A redirect would send the call a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+	}}
 }
 
 // Close drops idle connections.
 func (c *Client) Close() {
-	c.pooled.CloseIdleConnections()
-	c.single.CloseIdleConnections()
+	c.http.CloseIdleConnections()
 }
 
-// Do makes a call once. It returns a *NotRunError with proof that the call was
-// not sent, a *TooLargeError for an answer that can't be passed on, and an
+// Do makes a call that may run more than once: net/http repeats it when a
+// reused connection breaks. It returns a *NotRunError with proof that the call
+// was not sent, a *TooLargeError for an answer that can't be passed on, and an
 // *UnknownError for every other failure.
 func (c *Client) Do(ctx context.Context, k Call) (*Result, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, &NotRunError{Err: err}
-	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := time.AfterFunc(c.options.SilenceLimit, func() {
-		cancel(&SilentError{Limit: c.options.SilenceLimit})
-	})
+	timer := c.silence(cancel)
 	defer timer.Stop()
 	req, err := c.request(ctx, k)
 	if err != nil {
 		return nil, &NotRunError{Err: err}
 	}
-	h := c.single
-	if k.Repeatable {
-		h = c.pooled
-	}
-	res, err := h.Do(req)
+	res, err := c.http.Do(req)
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
@@ -171,6 +151,11 @@
 	return c.read(ctx, res, timer)
 }
 
+func (c *Client) silence(cancel context.CancelCauseFunc) *time.Timer {
+	e := &SilentError{Limit: c.options.SilenceLimit}
+	return time.AfterFunc(c.options.SilenceLimit, func() { cancel(e) })
+}
+
 func (c *Client) request(ctx context.Context, k Call) (*http.Request, error) {
 	if !strings.HasPrefix(k.Path, "/") {
 		return nil, fmt.Errorf("make request: path %q does not start with a slash", k.Path)
@@ -208,6 +193,10 @@
 	if errors.As(err, &n) && n.Op == "dial" {
 		return &NotRunError{Err: err}
 	}
+	return unknown(ctx, err)
+}
+
+func unknown(ctx context.Context, err error) error {
 	if c := context.Cause(ctx); c != nil {
 		err = c
 	}
--- a/agent/setup/setup.go
+++ b/agent/setup/setup.go
@@ -71,8 +71,8 @@
 
 // Claims is section [claims].
 type Claims struct {
-	RecordWait  time.Duration
-	RecordLimit time.Duration
+	// RecordWait is how long an answer waits for its result to be recorded.
+	RecordWait time.Duration
 }
 
 // TLS is section [tls]. Without files, connections are not encrypted, which
@@ -109,7 +109,7 @@
 		Queue:    queue.Default(),
 		Stream:   stream.Default(),
 		Receipts: Receipts{Interval: 2 * time.Second, Hold: 15 * time.Second, Capacity: 100_000, MaxBatch: 500},
-		Claims:   Claims{RecordWait: 250 * time.Millisecond, RecordLimit: 10 * time.Minute},
+		Claims:   Claims{RecordWait: 250 * time.Millisecond},
 	}
 }
 
@@ -221,7 +221,6 @@
 	s.Receipts.MaxBatch = r.IntIn("max-batch", s.Receipts.MaxBatch, 1, 1000)
 	c := f.Section("claims")
 	s.Claims.RecordWait = c.Duration("record-wait", s.Claims.RecordWait)
-	s.Claims.RecordLimit = c.Duration("record-limit", s.Claims.RecordLimit)
 }
 
 func (s *Settings) readTLS(f *config.File) {
