--- /dev/null
+++ b/agent/entries/fake_test.go
@@ -0,0 +1,277 @@
+package entries_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+
+	"tarragonvalve.example/agent/engine"
+	"tarragonvalve.example/agent/entries"
+	"tarragonvalve.example/agent/queue"
+	"tarragonvalve.example/agent/runner"
+	"tarragonvalve.example/agent/sched"
+	"tarragonvalve.example/agent/stream"
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/event"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/ledger"
+	"tarragonvalve.example/core/spread"
+	"tarragonvalve.example/core/wire"
+)
+
+var ref = ident.VersionRef{Model: "ipek", Version: "2.1"}
+
+// fake is a model engine whose tokens the test releases one by one.
+type fake struct {
+	mu       sync.Mutex
+	known    map[string]bool
+	starts   int
+	resumes  int
+	canceled []string
+	// release lets one token out per receive; closed, it lets out all.
+	release chan struct{}
+	// breakAfter resets the first connection after that many tokens; 0 never does.
+	breakAfter int
+	tokens     []string
+}
+
+func newFake() *fake {
+	f := &fake{known: map[string]bool{}, release: make(chan struct{}), tokens: []string{"one ", "two ", "three ", "four"}}
+	return f
+}
+
+func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodPost:
+		_, _ = io.Copy(io.Discard, r.Body)
+		f.mu.Lock()
+		f.known[r.Header.Get("X-Request-Id")] = true
+		f.starts++
+		f.mu.Unlock()
+		f.stream(w, r, 0, f.breakAfter)
+	case http.MethodDelete:
+		f.mu.Lock()
+		f.canceled = append(f.canceled, strings.TrimPrefix(r.URL.Path, "/v1/streams/"))
+		f.mu.Unlock()
+	default:
+		f.mu.Lock()
+		ok := f.known[strings.TrimPrefix(r.URL.Path, "/v1/streams/")]
+		f.resumes++
+		f.mu.Unlock()
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		n, _ := strconv.Atoi(r.URL.Query().Get("from"))
+		f.stream(w, r, n, 0)
+	}
+}
+
+func (f *fake) stream(w http.ResponseWriter, r *http.Request, from, breakAfter int) {
+	c := http.NewResponseController(w)
+	_ = c.Flush()
+	for i := from; i < len(f.tokens); i++ {
+		if breakAfter > 0 && i == breakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-f.release:
+		case <-r.Context().Done():
+			return
+		}
+		fmt.Fprintf(w, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":%q},\"logprobs\":{\"content\":[{\"logprob\":-1}]}}]}\n\n", i, f.tokens[i])
+		_ = c.Flush()
+	}
+	fmt.Fprint(w, "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n")
+	fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":5,\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", len(f.tokens))
+}
+
+func (f *fake) counts() (starts, resumes, canceled int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts, f.resumes, len(f.canceled)
+}
+
+// node is the monotone state of an agent without peers or table.
+type node struct {
+	mu      sync.Mutex
+	view    *spread.View
+	changed chan struct{}
+}
+
+func (n *node) View() *spread.View {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.view
+}
+
+func (n *node) Changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+func (n *node) State() *wire.State {
+	return &wire.State{Generation: uint64(n.View().Generation())}
+}
+
+func (n *node) Merge(context.Context, *wire.State) error { return nil }
+
+func (n *node) set(g ident.Generation, s envdoc.VersionState) {
+	d := &envdoc.Document{
+		Accounts: map[ident.AccountID]*envdoc.Account{"a": {ID: "a", Weight: 1, Allowed: map[ident.VersionRef]bool{ref: true}}},
+		Models:   map[ident.ModelID]*envdoc.Model{"ipek": {}},
+		Versions: map[ident.VersionRef]*envdoc.Version{ref: {Ref: ref, State: s, InputPrice: 2, OutputPrice: 10, CancelRunning: true}},
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.view = &spread.View{Accepted: &spread.Accepted{Generation: g, Document: d}}
+	if n.changed != nil {
+		close(n.changed)
+	}
+	n.changed = make(chan struct{})
+}
+
+// receipts keeps receipts for the test.
+type receipts struct {
+	mu   sync.Mutex
+	kept []ledger.Receipt
+}
+
+func (r *receipts) Add(c ledger.Receipt) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kept = append(r.kept, c)
+	return nil
+}
+
+func (r *receipts) Ack([]ledger.ID) {}
+
+func (r *receipts) all() []ledger.Receipt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]ledger.Receipt(nil), r.kept...)
+}
+
+// rig is an agent of a fake engine, reached over an in-memory connection.
+type rig struct {
+	engine   *fake
+	node     *node
+	receipts *receipts
+	streams  *stream.Store
+	client   wire.AgentClient
+	// stop makes the agent drain; stopped is closed after it.
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+func start(t *testing.T, f *fake) *rig {
+	t.Helper()
+	h := httptest.NewServer(f)
+	t.Cleanup(h.Close)
+	r := &rig{engine: f, node: &node{}, receipts: &receipts{}, stopped: make(chan struct{})}
+	r.node.set(1, envdoc.StateLive)
+	ring := event.NewRing(event.NewClock(time.Now), "agent-1", 64)
+	s := sched.New(sched.Options{Views: r.node, Slots: 2, Limits: queue.Default(), LedgerFull: func(int) bool { return false }, Now: time.Now})
+	r.streams = stream.NewStore(stream.Default())
+	st := entries.NewStatus(entries.StatusOptions{Upstream: "e1", Sched: s, Node: r.node})
+	c := engine.New(engine.Default(h.URL))
+	u := runner.New(runner.Options{
+		Engine: c, Sched: s, Streams: r.streams, Views: r.node, Receipts: r.receipts, Ring: ring,
+		Instance: "agent-1", Upstream: "e1", Log: zerolog.Nop(), Status: st.Now, Now: time.Now,
+	})
+	l := bufconn.Listen(1 << 20)
+	g := entries.NewListener(entries.ListenerOptions{
+		Listener: l,
+		Server:   entries.NewServer(entries.Options{Status: st, Runner: u, Streams: r.streams, Node: r.node, Receipts: r.receipts, Ring: ring}),
+		Peer:     wire.UnimplementedPeerServer{},
+		Sched:    s, DrainLimit: 30 * time.Second, Ring: ring, Log: zerolog.Nop(), Now: time.Now,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	serving, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	var others sync.WaitGroup
+	others.Go(func() { _ = s.Run(ctx) })
+	others.Go(func() { _ = u.Run(ctx) })
+	others.Go(func() { _ = r.streams.Run(ctx) })
+	go func() {
+		defer close(r.stopped)
+		_ = g.Run(serving)
+	}()
+	conn, err := grpc.NewClient("passthrough:agent",
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return l.DialContext(ctx) }),
+		grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.client = wire.NewAgentClient(conn)
+	t.Cleanup(func() {
+		conn.Close()
+		cancel()
+		stop()
+		others.Wait()
+		<-r.stopped
+		c.Close()
+	})
+	return r
+}
+
+func runRequest(id string) *wire.RunRequest {
+	return &wire.RunRequest{
+		RequestId: id, Attempt: 1, Account: "a", Model: "ipek", Version: "2.1", Generation: 1,
+		Messages: []*wire.Message{{Role: "user", Content: "hello"}}, TimeoutMs: 60_000, Direct: true,
+	}
+}
+
+func resumeRequest(id string, from uint64) *wire.ResumeRequest {
+	return &wire.ResumeRequest{RequestId: id, Attempt: 1, Account: "a", Model: "ipek", Version: "2.1", Position: from, TimeoutMs: 60_000}
+}
+
+type receiver interface {
+	Recv() (*wire.Frame, error)
+}
+
+// next returns the next frame that is not a heartbeat.
+func next(t *testing.T, r receiver) *wire.Frame {
+	t.Helper()
+	for {
+		f, err := r.Recv()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.GetHeartbeat() == nil {
+			return f
+		}
+	}
+}
+
+// rest reads data frames until the last one and checks their positions.
+func rest(t *testing.T, r receiver, from uint64) (string, *wire.Frame) {
+	t.Helper()
+	var text strings.Builder
+	for {
+		f := next(t, r)
+		if f.GetPosition() != from {
+			t.Fatalf("position %d, want %d", f.GetPosition(), from)
+		}
+		d := f.GetData()
+		if d == nil {
+			return text.String(), f
+		}
+		text.WriteString(d.GetText())
+		from++
+	}
+}
