--- a/agent/setup/setup.go
+++ b/agent/setup/setup.go
@@ -71,6 +71,8 @@
 
 // Claims is section [claims].
 type Claims struct {
+	// Limit bounds the write of a claim, after which the call is refused.
+	Limit time.Duration
 	// RecordWait is how long an answer waits for its result to be recorded.
 	RecordWait time.Duration
 }
@@ -109,7 +111,7 @@
 		Queue:    queue.Default(),
 		Stream:   stream.Default(),
 		Receipts: Receipts{Interval: 2 * time.Second, Hold: 15 * time.Second, Capacity: 100_000, MaxBatch: 500},
-		Claims:   Claims{RecordWait: 250 * time.Millisecond},
+		Claims:   Claims{Limit: 2 * time.Second, RecordWait: 250 * time.Millisecond},
 	}
 }
 
@@ -220,6 +222,7 @@
 	s.Receipts.Capacity = r.IntIn("capacity", s.Receipts.Capacity, 1, 1<<24)
 	s.Receipts.MaxBatch = r.IntIn("max-batch", s.Receipts.MaxBatch, 1, 1000)
 	c := f.Section("claims")
+	s.Claims.Limit = c.Duration("limit", s.Claims.Limit)
 	s.Claims.RecordWait = c.Duration("record-wait", s.Claims.RecordWait)
 }
 
