--- a/entry/admin/admin.go
+++ b/entry/admin/admin.go
@@ -101,6 +101,8 @@
 	// maxFanOuts bounds the requests that ask all processes at the same time: each
 	// may hold the events of the whole fleet in memory.
 	maxFanOuts = 8
+	// maxWaits is apart from maxFanOuts, since a wait lasts up to maxTimeout.
+	maxWaits = 32
 	// maxBody fits the largest document with every byte escaped in JSON.
 	maxBody = 6*envdoc.MaxBytes + 4096
 )
@@ -110,6 +112,7 @@
 	o       Options
 	keys    map[envdoc.KeyDigest]Key
 	fanOuts chan struct{}
+	waits   chan struct{}
 }
 
 // New returns an API.
@@ -123,7 +126,7 @@
 	if o.Metrics == nil {
 		o.Metrics = prometheus.NewRegistry()
 	}
-	a := &API{o: o, keys: map[envdoc.KeyDigest]Key{}, fanOuts: make(chan struct{}, maxFanOuts)}
+	a := &API{o: o, keys: map[envdoc.KeyDigest]Key{}, fanOuts: make(chan struct{}, maxFanOuts), waits: make(chan struct{}, maxWaits)}
 	for _, k := range o.Keys {
 		a.keys[k.Digest] = k
 	}
@@ -144,15 +147,15 @@
 			r.Post("/document/validate", a.handle(a.validate))
 			r.Post("/document/diff", a.handle(a.diff))
 			r.Get("/history", a.handle(a.history))
-			r.Get("/status", a.handle(a.fanOut(a.status)))
-			r.Get("/wait", a.handle(a.fanOut(a.wait)))
-			r.Get("/events", a.handle(a.fanOut(a.events)))
-			r.Get("/explain/{request}", a.handle(a.fanOut(a.explain)))
+			r.Get("/status", a.handle(bounded(a.fanOuts, a.status)))
+			r.Get("/wait", a.handle(bounded(a.waits, a.wait)))
+			r.Get("/events", a.handle(bounded(a.fanOuts, a.events)))
+			r.Get("/explain/{request}", a.handle(bounded(a.fanOuts, a.explain)))
 			r.Get("/bill", a.handle(a.bill))
 		})
 		r.Group(func(r chi.Router) {
 			r.Use(a.authenticate(opsapi.RoleOperate))
-			r.Post("/document/trial", a.handle(a.fanOut(a.trial)))
+			r.Post("/document/trial", a.handle(bounded(a.fanOuts, a.trial)))
 			r.Post("/document/promote", a.handle(a.promote))
 			r.Post("/rollback", a.handle(a.rollback))
 			r.Post("/withdraw", a.handle(a.withdraw))
--- a/entry/admin/change.go
+++ b/entry/admin/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -75,12 +74,14 @@
 	if q.Generation == 0 || q.Generation >= q.Seen {
 		return nil, refuse.New(refuse.BadRequest, refuse.NotRun, "the generation to go back to must be from 1 to %d", max(q.Seen, 1)-1)
 	}
-	g, err := a.at(ctx, q.Generation)
+	g, err := a.o.Store.At(ctx, q.Generation)
 	if err != nil {
 		return nil, err
 	}
-	return a.accept(ctx, c, change{verb: "rollback", body: g.Document.Raw, seen: q.Seen, reason: q.Reason, token: q.Token,
-		did: []string{fmt.Sprintf("document of generation %d accepted again", q.Generation)}})
+	return a.accept(ctx, c, change{
+		verb: "rollback", body: g.Document.Raw, seen: q.Seen, reason: q.Reason, token: q.Token,
+		did: []string{fmt.Sprintf("document of generation %d accepted again", q.Generation)},
+	})
 }
 
 // withdraw edits the document of the latest generation. It needs no trial, since
@@ -94,7 +95,7 @@
 	if err != nil {
 		return nil, refuse.New(refuse.BadRequest, refuse.NotRun, "%v", err)
 	}
-	g, err := a.at(ctx, q.Seen)
+	g, err := a.o.Store.At(ctx, q.Seen)
 	if err != nil {
 		return nil, err
 	}
@@ -281,10 +282,3 @@
 	}
 	return string(toError(err).Code)
 }
-
-func isMissing(err error) bool {
-	return err != nil && (table.IsMissing(err) || errors.Is(err, errNoGeneration))
-}
-
-// errNoGeneration stands for stores that have their own way to say that a row is absent.
-var errNoGeneration = errors.New("no such generation")
--- a/entry/admin/document.go
+++ b/entry/admin/document.go
@@ -12,7 +12,6 @@
 	"tarragonvalve.example/core/inidoc"
 	"tarragonvalve.example/core/opsapi"
 	"tarragonvalve.example/core/refuse"
-	"tarragonvalve.example/core/spread"
 )
 
 // document returns the document in force here, or that of ?generation=N.
@@ -33,22 +32,13 @@
 	if err != nil {
 		return nil, refuse.New(refuse.BadRequest, refuse.NotRun, "generation must be a number")
 	}
-	g, err := a.at(ctx, ident.Generation(n))
+	g, err := a.o.Store.At(ctx, ident.Generation(n))
 	if err != nil {
 		return nil, err
 	}
 	return opsapi.DocumentReply{Generation: generation(g), Body: string(g.Document.Raw)}, nil
 }
 
-// at reads a generation from the table.
-func (a *API) at(ctx context.Context, g ident.Generation) (*spread.Accepted, error) {
-	d, err := a.o.Store.At(ctx, g)
-	if isMissing(err) || err == nil && d == nil {
-		return nil, refuse.New(refuse.NotFound, refuse.NotRun, "generation %d does not exist", g)
-	}
-	return d, err
-}
-
 func (a *API) validate(_ context.Context, c *call) (any, error) {
 	q, err := read[opsapi.DocumentRequest](c)
 	if err != nil {
--- a/entry/admin/reply.go
+++ b/entry/admin/reply.go
@@ -95,15 +95,15 @@
 	}
 }
 
-// fanOut bounds the calls that ask every process.
-func (a *API) fanOut(f answer) answer {
+// bounded refuses calls beyond the room in slots.
+func bounded(slots chan struct{}, f answer) answer {
 	return func(ctx context.Context, c *call) (any, error) {
 		select {
-		case a.fanOuts <- struct{}{}:
+		case slots <- struct{}{}:
 		default:
-			return nil, refuse.New(refuse.Overloaded, refuse.NotRun, "%d requests to all processes are running", maxFanOuts).After(fanOutRetry)
+			return nil, refuse.New(refuse.Overloaded, refuse.NotRun, "%d requests of this kind are running", cap(slots)).After(fanOutRetry)
 		}
-		defer func() { <-a.fanOuts }()
+		defer func() { <-slots }()
 		return f(ctx, c)
 	}
 }
--- /dev/null
+++ b/entry/admin/shadow.go
@@ -0,0 +1,102 @@
+package admin
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/event"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/opsapi"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/core/spread"
+	"tarragonvalve.example/entry/plan"
+)
+
+// maxShadowed bounds the recorded decisions of each process that a trial takes again.
+const maxShadowed = 20_000
+
+// shadow takes the recorded decisions of all processes again under the document
+// in force and under the tried one, and counts by account what would differ. It
+// sends no work anywhere.
+func (a *API) shadow(ctx context.Context, d *envdoc.Document, out *opsapi.TrialReply) {
+	before := a.o.State.View()
+	after := &spread.View{
+		Accepted: &spread.Accepted{Generation: before.Generation() + 1, Document: d},
+		Halts:    before.Halts,
+		Steps:    firstSteps(d),
+	}
+	lists := a.o.Fleet.Events(ctx, event.Filter{Limit: maxShadowed})
+	counts := map[opsapi.Move]int{}
+	for _, p := range lists {
+		n := 0
+		for _, e := range p.Events {
+			if e.Kind != event.PlanChosen {
+				continue
+			}
+			r, err := ident.ParseRef(e.Fields["first"])
+			if err != nil {
+				continue
+			}
+			n++
+			count(counts, before, after, e, r)
+		}
+		out.Decisions += n
+		out.Sources = append(out.Sources, source(p, n))
+	}
+	out.Moves = moves(counts)
+}
+
+// firstSteps holds the step that every roll-out has when the document is accepted.
+func firstSteps(d *envdoc.Document) map[ident.RolloutID]int {
+	out := map[ident.RolloutID]int{}
+	for id := range d.Rollouts {
+		out[id] = 0
+	}
+	return out
+}
+
+func count(counts map[opsapi.Move]int, before, after *spread.View, e event.Event, r ident.VersionRef) {
+	p := plan.PointOf(e.Account, string(e.Session))
+	for kind, choose := range map[string]func(v *spread.View) (ident.VersionRef, error){
+		opsapi.MoveSession:    func(v *spread.View) (ident.VersionRef, error) { return plan.Usable(v, e.Account, r) },
+		opsapi.MoveNewSession: func(v *spread.View) (ident.VersionRef, error) { return plan.Version(v, e.Account, r.Model, p, nil) },
+	} {
+		m := opsapi.Move{Account: e.Account, Kind: kind, From: chosen(choose(before)), To: chosen(choose(after))}
+		if m.From != m.To {
+			counts[m]++
+		}
+	}
+}
+
+func chosen(r ident.VersionRef, err error) string {
+	if err != nil {
+		return "refused: " + string(refuse.From(err, refuse.NotRun).Code)
+	}
+	return r.String()
+}
+
+func moves(counts map[opsapi.Move]int) []opsapi.Move {
+	out := []opsapi.Move{}
+	for m, n := range maps.All(counts) {
+		m.Count = n
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b opsapi.Move) int {
+		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(b.Kind, a.Kind), cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To))
+	})
+	return out
+}
+
+func source(p ProcessEvents, n int) opsapi.Source {
+	return opsapi.Source{
+		Instance:    p.Instance,
+		Role:        p.Role,
+		Domain:      p.Domain,
+		Events:      n,
+		Overwritten: p.Overwritten,
+		Problem:     p.Problem,
+	}
+}
