--- /dev/null
+++ b/tarragonvalve/main.go
@@ -0,0 +1,19 @@
+// Command tarragonvalve is the operators' command. It uses only the
+// administration API of an entry.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"tarragonvalve.example/tarragonvalve/verbs"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := verbs.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/tarragonvalve/text/text.go
@@ -0,0 +1,269 @@
+// Package text prints replies of the administration API for people.
+package text
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/inidoc"
+	"tarragonvalve.example/core/opsapi"
+)
+
+const (
+	minuteTime = "2006-01-02 15:04:05Z"
+	milliTime  = "2006-01-02 15:04:05.000Z"
+	// shortDigest is the length of digests in tables; promote needs the whole one.
+	shortDigest = 12
+)
+
+func table(w io.Writer, head string, rows [][]string) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, head)
+	for _, r := range rows {
+		fmt.Fprintln(t, strings.Join(r, "\t"))
+	}
+	_ = t.Flush()
+}
+
+func digest(d envdoc.Digest) string {
+	if len(d) > shortDigest {
+		return string(d[:shortDigest])
+	}
+	return orDash(string(d))
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func stamp(t time.Time) string {
+	return t.UTC().Format(minuteTime)
+}
+
+// Refusal prints a refusal with all that the operator needs to go on.
+func Refusal(w io.Writer, e opsapi.Error) {
+	fmt.Fprintf(w, "refused: %s (%s): %s\n", e.Code, e.Ran, e.Message)
+	problems(w, e.Problems)
+	if g := e.Winner; g != nil {
+		fmt.Fprintf(w, "accepted instead: generation %d by %s at %s, digest %s, reason: %s\n", g.Generation, g.Operator, stamp(g.At), g.Digest, g.Reason)
+	}
+	if e.Latest > 0 {
+		fmt.Fprintf(w, "latest generation: %d\n", e.Latest)
+	}
+	if e.RetryAfterMS > 0 {
+		fmt.Fprintf(w, "try again in %s\n", time.Duration(e.RetryAfterMS)*time.Millisecond)
+	}
+}
+
+func problems(w io.Writer, ps []inidoc.Problem) {
+	for _, p := range ps {
+		fmt.Fprintf(w, "  %s\n", p)
+	}
+}
+
+// Validate prints whether a document is valid.
+func Validate(w io.Writer, r opsapi.ValidateReply) {
+	if r.Valid {
+		fmt.Fprintf(w, "valid document of environment %s\ndigest %s\n", r.Name, r.Digest)
+		return
+	}
+	fmt.Fprintf(w, "not valid, %d problem(s):\n", len(r.Problems))
+	problems(w, r.Problems)
+}
+
+// Diff prints differences.
+func Diff(w io.Writer, r opsapi.DiffReply) {
+	changes(w, r.Generation, r.Changes)
+	fmt.Fprintf(w, "digest %s\n", r.Digest)
+}
+
+func changes(w io.Writer, g ident.Generation, cs []envdoc.Change) {
+	if len(cs) == 0 {
+		fmt.Fprintf(w, "same meaning as generation %d\n", g)
+		return
+	}
+	fmt.Fprintf(w, "%d change(s) from generation %d:\n", len(cs), g)
+	for _, c := range cs {
+		fmt.Fprintf(w, "  %s\n", c)
+	}
+}
+
+// Trial prints the result of a trial.
+func Trial(w io.Writer, r opsapi.TrialReply) {
+	changes(w, r.Generation, r.Changes)
+	fmt.Fprintf(w, "%d recorded decision(s) taken again:\n", r.Decisions)
+	if len(r.Moves) == 0 {
+		fmt.Fprintln(w, "  none would differ")
+	}
+	var rows [][]string
+	for _, m := range r.Moves {
+		rows = append(rows, []string{"  " + string(m.Account), m.Kind, m.From, m.To, fmt.Sprint(m.Count)})
+	}
+	if len(rows) > 0 {
+		table(w, "  ACCOUNT\tDECISION\tNOW\tTRIED\tCOUNT", rows)
+	}
+	sources(w, r.Sources)
+	fmt.Fprintf(w, "tried digest %s\n", r.Digest)
+}
+
+// Accepted prints a new generation.
+func Accepted(w io.Writer, r opsapi.AcceptedReply) {
+	fmt.Fprintf(w, "accepted generation %d by %s at %s\ndigest %s\n", r.Generation.Generation, r.Operator, stamp(r.At), r.Digest)
+	for _, d := range r.Did {
+		fmt.Fprintf(w, "  %s\n", d)
+	}
+	for _, d := range r.Warnings {
+		fmt.Fprintf(w, "warning: %s\n", d)
+	}
+}
+
+// Halt prints a halt.
+func Halt(w io.Writer, r opsapi.HaltReply) {
+	fmt.Fprintf(w, "version %s halted in generation %d\n", r.Version, r.Generation)
+	fmt.Fprintf(w, "it stays halted until a document sets halts-cleared-at = %d or above for it\n", r.Generation)
+}
+
+// Wait prints which instances lack a generation.
+func Wait(w io.Writer, r opsapi.WaitReply) {
+	if r.Done {
+		fmt.Fprintf(w, "generation %d is in force at all %d live instances\n", r.Generation, r.Instances)
+		return
+	}
+	fmt.Fprintf(w, "generation %d is not known to be in force everywhere\n", r.Generation)
+	list(w, "behind", r.Behind)
+	list(w, "not reached", r.Unreached)
+}
+
+func list(w io.Writer, what string, ids []ident.InstanceID) {
+	for _, i := range ids {
+		fmt.Fprintf(w, "  %s: %s\n", what, i)
+	}
+}
+
+// History prints accepted generations.
+func History(w io.Writer, r opsapi.HistoryReply) {
+	var rows [][]string
+	for _, g := range r.Generations {
+		rows = append(rows, []string{fmt.Sprint(g.Generation), stamp(g.At), string(g.Operator), digest(g.Digest), g.Reason})
+	}
+	table(w, "GENERATION\tACCEPTED\tOPERATOR\tDIGEST\tREASON", rows)
+}
+
+// Status prints the state of the system.
+func Status(w io.Writer, r opsapi.StatusReply) {
+	fmt.Fprintf(w, "environment %s, seen by %s\n", r.Environment, r.Instance)
+	fmt.Fprintf(w, "generation %d in force here, confirmed by %s, digest %s\n", r.Generation, r.ConfirmedBy, digest(r.Digest))
+	if r.Problem != "" {
+		fmt.Fprintf(w, "latest generation unknown: %s\n", r.Problem)
+	} else {
+		fmt.Fprintf(w, "latest generation %d\n", r.Latest)
+	}
+	for _, h := range r.Halts {
+		fmt.Fprintf(w, "halted: version %s in generation %d at %s by %s: %s\n", h.Version, h.Generation, stamp(h.At), h.Instance, h.Reason)
+	}
+	for _, s := range r.Rollouts {
+		fmt.Fprintf(w, "roll-out %s: version %s at step %d of %d, %s%%\n", s.Rollout, s.Version, s.Step, s.Steps, s.Share)
+	}
+	var rows [][]string
+	for _, i := range r.Instances {
+		rows = append(rows, []string{string(i.ID), i.Role, orDash(string(i.Domain)), orDash(string(i.Upstream)), fmt.Sprint(i.Generation), age(i.ConfirmedMS), fmt.Sprint(i.Queued), fmt.Sprint(i.Running), state(i)})
+	}
+	table(w, "INSTANCE\tROLE\tFAILURE DOMAIN\tUPSTREAM\tGENERATION\tCONFIRMED\tQUEUED\tRUNNING\tSTATE", rows)
+}
+
+func age(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return (time.Duration(ms) * time.Millisecond).Round(100*time.Millisecond).String() + " ago"
+}
+
+func state(i opsapi.Instance) string {
+	switch {
+	case i.Problem != "":
+		return "not reached: " + i.Problem
+	case i.Draining:
+		return "draining"
+	default:
+		return "live"
+	}
+}
+
+// Events prints a time line.
+func Events(w io.Writer, r opsapi.EventsReply) {
+	var rows [][]string
+	for _, e := range r.Events {
+		rows = append(rows, []string{e.At.UTC().Format(milliTime), string(e.Instance), e.Kind, orDash(string(e.Request)), orDash(string(e.Account)), orDash(e.Version), Fields(e.Fields)})
+	}
+	table(w, "TIME\tINSTANCE\tEVENT\tREQUEST\tACCOUNT\tVERSION\tDETAILS", rows)
+	if r.Cut {
+		fmt.Fprintln(w, "older events were left out; raise --limit or set --since")
+	}
+	sources(w, r.Sources)
+}
+
+// Fields returns the fields of an event on one line.
+func Fields(m map[string]string) string {
+	var out []string
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		if m[k] != "" {
+			out = append(out, k+"="+m[k])
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// sources names the processes whose events are missing.
+func sources(w io.Writer, ss []opsapi.Source) {
+	for _, s := range ss {
+		if s.Problem != "" {
+			fmt.Fprintf(w, "not reached: %s %s: %s\n", s.Role, s.Instance, s.Problem)
+		}
+		if s.Overwritten > 0 {
+			fmt.Fprintf(w, "event ring overflowed: %s %s lost %d events\n", s.Role, s.Instance, s.Overwritten)
+		}
+	}
+}
+
+// Explain prints what happened to a request.
+func Explain(w io.Writer, r opsapi.ExplainReply) {
+	fmt.Fprintf(w, "request %s, account %s, session %s\noutcome: %s\n", r.Request, orDash(string(r.Account)), orDash(string(r.Session)), r.Outcome)
+	for _, l := range r.Lines {
+		fmt.Fprintf(w, "  %s %s: %s\n", l.At.UTC().Format(milliTime), l.Instance, l.Text)
+	}
+	sources(w, r.Sources)
+}
+
+// microCents is the number of millionths of a cent in one unit of money.
+const microCents = 100_000_000
+
+func money(m ident.MicroCents) string {
+	s := ""
+	if m < 0 {
+		s = "-"
+		m = -m
+	}
+	return fmt.Sprintf("%s%d.%08d", s, m/microCents, m%microCents)
+}
+
+// Bill prints a bill. Money has eight decimals, so that no amount is rounded.
+func Bill(w io.Writer, r opsapi.BillReply) {
+	fmt.Fprintf(w, "bill from %s to %s\n", stamp(r.From), stamp(r.To))
+	var rows [][]string
+	for _, l := range r.Lines {
+		rows = append(rows, []string{string(l.Account), l.Item, fmt.Sprint(l.Requests), fmt.Sprint(l.Input), fmt.Sprint(l.Output), money(l.Price)})
+	}
+	table(w, "ACCOUNT\tITEM\tREQUESTS\tINPUT TOKENS\tOUTPUT TOKENS\tPRICE", rows)
+	fmt.Fprintf(w, "total %s; attempts cost the operator %s\n", money(r.Total), money(r.AttemptCost))
+	fmt.Fprintf(w, "%d receipts read, %d of them doubled\n", r.Receipts, r.Doubled)
+}
