--- a/tarragonvalve/text/text.go
+++ b/tarragonvalve/text/text.go
@@ -176,7 +176,12 @@
 	}
 	var rows [][]string
 	for _, i := range r.Instances {
-		rows = append(rows, []string{string(i.ID), i.Role, orDash(string(i.Domain)), orDash(string(i.Upstream)), fmt.Sprint(i.Generation), age(i.ConfirmedMS), fmt.Sprint(i.Queued), fmt.Sprint(i.Running), state(i)})
+		row := []string{string(i.ID), i.Role, orDash(string(i.Domain)), orDash(string(i.Upstream))}
+		if i.Problem != "" {
+			rows = append(rows, append(row, "-", "-", "-", "-", "not reached: "+i.Problem))
+			continue
+		}
+		rows = append(rows, append(row, fmt.Sprint(i.Generation), age(i.ConfirmedMS), fmt.Sprint(i.Queued), fmt.Sprint(i.Running), state(i)))
 	}
 	table(w, "INSTANCE\tROLE\tFAILURE DOMAIN\tUPSTREAM\tGENERATION\tCONFIRMED\tQUEUED\tRUNNING\tSTATE", rows)
 }
@@ -189,14 +194,10 @@
 }
 
 func state(i opsapi.Instance) string {
-	switch {
-	case i.Problem != "":
-		return "not reached: " + i.Problem
-	case i.Draining:
+	if i.Draining {
 		return "draining"
-	default:
-		return "live"
 	}
+	return "live"
 }
 
 // Events prints a time line.
