fix: report unreachable when no byte of a change was sent

A failed TLS handshake was counted as a lost answer, so the operator was told unknown although nothing was sent. The client now traces whether the request was written. Run: go test -race ./verbs.

--- a/tarragonvalve/client/client.go
+++ b/tarragonvalve/client/client.go
@@ -14,10 +14,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"tarragonvalve.example/core/opsapi"
@@ -162,8 +164,8 @@
 	return do[T](ctx, c, http.MethodPost, path, b, changes)
 }
 
-// do tries the addresses in order. A dial that failed had no effect, so the next
-// address is safe; a lost answer of a change is followed up with the same token.
+// do tries the addresses in order. A request that was not written had no effect;
+// a lost answer of a change is followed up with the same token.
 func do[T any](ctx context.Context, c *Client, method, path string, body []byte, changes bool) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.o.Timeout+replyMargin)
 	defer cancel()
@@ -175,13 +177,13 @@
 			break
 		}
 		for _, a := range c.o.Addresses {
-			out, err := once[T](ctx, c, method, a+opsapi.Base+path, body)
+			out, wrote, err := once[T](ctx, c, method, a+opsapi.Base+path, body)
 			var refused *RefusedError
 			if err == nil || errors.As(err, &refused) {
 				return out, err
 			}
 			last = err
-			sent = sent || !isDial(err)
+			sent = sent || wrote
 		}
 		if !changes && method == http.MethodPost {
 			break
@@ -205,39 +207,37 @@
 	}
 }
 
-func isDial(err error) bool {
-	var e *net.OpError
-	return errors.As(err, &e) && e.Op == "dial"
-}
-
-func once[T any](ctx context.Context, c *Client, method, address string, body []byte) (T, error) {
+// once sends one request and reports whether any of it was written.
+func once[T any](ctx context.Context, c *Client, method, address string, body []byte) (T, bool, error) {
 	var out T
-	r, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	var wrote atomic.Bool
+	t := &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { wrote.Store(true) }}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, t), method, address, bytes.NewReader(body))
 	if err != nil {
-		return out, err
+		return out, false, err
 	}
 	r.Header.Set("Authorization", "Bearer "+c.o.Key)
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Tarragonvalve-Timeout-Ms", strconv.FormatInt(c.o.Timeout.Milliseconds(), 10))
 	p, err := c.http.Do(r)
 	if err != nil {
-		return out, err
+		return out, wrote.Load(), err
 	}
 	defer p.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(p.Body, maxReply+1))
 	if err != nil {
-		return out, fmt.Errorf("read reply: %w", err)
+		return out, true, fmt.Errorf("read reply: %w", err)
 	}
 	if len(b) > maxReply {
-		return out, fmt.Errorf("read reply: more than %d bytes", maxReply)
+		return out, true, fmt.Errorf("read reply: more than %d bytes", maxReply)
 	}
 	if p.StatusCode != http.StatusOK {
-		return out, refusal(p.StatusCode, b)
+		return out, true, refusal(p.StatusCode, b)
 	}
 	if err := json.Unmarshal(b, &out); err != nil {
-		return out, fmt.Errorf("decode reply: %w", err)
+		return out, true, fmt.Errorf("decode reply: %w", err)
 	}
-	return out, nil
+	return out, true, nil
 }
 
 // refusal reads an error body. A body of another form comes from something
--- a/tarragonvalve/verbs/verbs_test.go
+++ b/tarragonvalve/verbs/verbs_test.go
@@ -281,7 +281,7 @@
 	if r := run(t, s.URL, "--ca", f, "history"); r.code != exitOK {
 		t.Errorf("exit code %d: %s", r.code, r.errs)
 	}
-	if r := run(t, s.URL, "history"); r.code != exitUnreachable {
+	if r := run(t, s.URL, commands["promote"]...); r.code != exitUnreachable {
 		t.Errorf("exit code %d: %s", r.code, r.errs)
 	}
 }
