--- a/tarragonvalve/lanes/lanes.go
+++ b/tarragonvalve/lanes/lanes.go
@@ -21,7 +21,7 @@
 
 // Sizes in pixels.
 const (
-	left       = 220
+	left       = 280
 	width      = 960
 	right      = 20
 	laneHeight = 34
