--- a/entry/admin/system_test.go
+++ b/entry/admin/system_test.go
@@ -78,6 +78,12 @@
 	return f.processes
 }
 
+type bills []ledger.Receipt
+
+func (b bills) Receipts(context.Context, time.Time, time.Time) ([]ledger.Receipt, error) {
+	return b, nil
+}
+
 type system struct {
 	t       testing.TB
 	table   *memory.Table
