--- a/core/opsapi/opsapi.go
+++ b/core/opsapi/opsapi.go
@@ -180,7 +180,7 @@
 	Draining    bool  `json:"draining"`
 	Queued      int   `json:"queued"`
 	Running     int   `json:"running"`
-	// Problem says why the instance could not be reached; empty when it was.
+	// Problem says that and why the instance was not reached; empty when it was.
 	Problem string `json:"problem,omitempty"`
 }
 
@@ -249,7 +249,7 @@
 	Events   int              `json:"events"`
 	// Overwritten counts events that the process lost because its ring overflowed.
 	Overwritten uint64 `json:"overwritten"`
-	// Problem says why the process could not be reached; empty when it was.
+	// Problem says that and why the process was not reached; empty when it was.
 	Problem string `json:"problem,omitempty"`
 }
 
--- a/entry/admin/admin.go
+++ b/entry/admin/admin.go
@@ -59,7 +59,7 @@
 	Events   []event.Event
 	// Overwritten counts events lost because the ring overflowed.
 	Overwritten uint64
-	// Problem says why the process could not be reached; empty when it was.
+	// Problem says that and why the process was not reached; empty when it was.
 	Problem string
 }
 
--- a/tarragonvalve/lanes/lanes.go
+++ b/tarragonvalve/lanes/lanes.go
@@ -97,10 +97,10 @@
 func notes(s opsapi.Source) []string {
 	var out []string
 	if s.Problem != "" {
-		out = append(out, fmt.Sprintf("Not reached: %s %s: %s", s.Role, s.Instance, s.Problem))
+		out = append(out, fmt.Sprintf("%s %s: %s", s.Role, s.Instance, s.Problem))
 	}
 	if s.Overwritten > 0 {
-		out = append(out, fmt.Sprintf("Event ring overflowed: %s %s lost %d events", s.Role, s.Instance, s.Overwritten))
+		out = append(out, fmt.Sprintf("%s %s: event ring overflowed, %d events lost", s.Role, s.Instance, s.Overwritten))
 	}
 	return out
 }
--- a/tarragonvalve/text/text.go
+++ b/tarragonvalve/text/text.go
@@ -178,7 +178,7 @@
 	for _, i := range r.Instances {
 		row := []string{string(i.ID), i.Role, orDash(string(i.Domain)), orDash(string(i.Upstream))}
 		if i.Problem != "" {
-			rows = append(rows, append(row, "-", "-", "-", "-", "not reached: "+i.Problem))
+			rows = append(rows, append(row, "-", "-", "-", "-", i.Problem))
 			continue
 		}
 		rows = append(rows, append(row, fmt.Sprint(i.Generation), age(i.ConfirmedMS), fmt.Sprint(i.Queued), fmt.Sprint(i.Running), state(i)))
@@ -228,10 +228,10 @@
 func sources(w io.Writer, ss []opsapi.Source) {
 	for _, s := range ss {
 		if s.Problem != "" {
-			fmt.Fprintf(w, "not reached: %s %s: %s\n", s.Role, s.Instance, s.Problem)
+			fmt.Fprintf(w, "%s %s: %s\n", s.Role, s.Instance, s.Problem)
 		}
 		if s.Overwritten > 0 {
-			fmt.Fprintf(w, "event ring overflowed: %s %s lost %d events\n", s.Role, s.Instance, s.Overwritten)
+			fmt.Fprintf(w, "%s %s: event ring overflowed, %d events lost\n", s.Role, s.Instance, s.Overwritten)
 		}
 	}
 }
--- a/tarragonvalve/verbs/verbs_test.go
+++ b/tarragonvalve/verbs/verbs_test.go
@@ -43,7 +43,7 @@
 var sources = []opsapi.Source{
 	{Instance: "entry-1", Role: "entry", Domain: "ege-a", Events: 2},
 	{Instance: "agent-1", Role: "agent", Domain: "ege-b", Events: 1, Overwritten: 12},
-	{Instance: "agent-2", Role: "agent", Domain: "ege-c", Problem: "connection refused"},
+	{Instance: "agent-2", Role: "agent", Domain: "ege-c", Problem: "not reached: connection refused"},
 }
 
 // replies holds what the stand-in for the API answers, by method and path.
@@ -71,7 +71,7 @@
 		Instances: []opsapi.Instance{
 			{ID: "entry-1", Role: "entry", Domain: "ege-a", Generation: 7, Digest: digest, ConfirmedMS: 1234},
 			{ID: "agent-1", Role: "agent", Domain: "ege-b", Upstream: "engine-1", Generation: 6, ConfirmedMS: -1, Draining: true, Queued: 2, Running: 4},
-			{ID: "agent-2", Role: "agent", Domain: "ege-c", Problem: "connection refused"},
+			{ID: "agent-2", Role: "agent", Domain: "ege-c", Problem: "not reached: connection refused"},
 		},
 	},
 	"GET /events": opsapi.EventsReply{Cut: true, Sources: sources, Events: []opsapi.Event{
