--- a/standin/boot/main.go
+++ b/standin/boot/main.go
@@ -129,15 +129,10 @@
 	if err != nil {
 		return err
 	}
-	var at ctrl.Addresses
-	if err := fetch(ctx, a.Control+"/addresses", &at); err != nil {
-		return err
-	}
 	sum, err := load.Run(ctx, load.Options{
 		Entries:  strings.Split(a.Entries, ","),
 		Document: d,
 		Versions: s.Versions,
-		Rating:   at.Rating,
 		Rate:     a.Rate,
 		Duration: a.Duration,
 		Seed:     a.Seed,
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -5,13 +5,12 @@
 // account), 3 are repeatable plain-service calls and 3 are calls that may run only
 // once. Accounts are drawn with their weight; texts, sessions and choices follow
 // the seed. Every whole answer is compared with the text that package answer computes
-// for the version that the answer names, and is reported to the rating service.
+// for the version that the answer names.
 package load
 
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -23,7 +22,6 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/standin/answer"
 	"tarragonvalve.example/standin/client"
-	"tarragonvalve.example/standin/rating"
 	"tarragonvalve.example/standin/setup"
 )
 
@@ -38,8 +36,6 @@
 	Entries  []string
 	Document *envdoc.Document
 	Versions map[ident.VersionRef]setup.Version
-	// Rating is the address of the rating service; empty reports no answers.
-	Rating   string
 	Rate     float64
 	Duration time.Duration
 	Seed     uint64
@@ -215,7 +211,6 @@
 	if p.OK() && p.Version.Model != "" {
 		r.keep(j.session, p.Session)
 		wrong = p.Text != r.expected(p.Version, j.chat)
-		r.rate(ctx, j, &p)
 	}
 	r.sum.add(j.kind, &p, wrong)
 }
@@ -233,29 +228,3 @@
 	s := r.o.Versions[v]
 	return answer.Of(answer.Settings{Ref: v, Quality: s.Quality, MeanTokens: s.MeanTokens}, c.Messages, c.MaxTokens).Text()
 }
-
-// rate reports an answer to the rating service. Ratings are incomplete by
-// nature, so a failed report is not an error.
-func (r *runner) rate(ctx context.Context, j job, p *client.Reply) {
-	if r.o.Rating == "" {
-		return
-	}
-	b, err := json.Marshal(rating.Answered{
-		Request:  p.Request,
-		Account:  j.account.ID,
-		Task:     ident.TaskID(j.chat.Task),
-		Model:    p.Version.Model,
-		Version:  p.Version.Version,
-		Messages: j.chat.Messages,
-	})
-	if err != nil {
-		return
-	}
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.o.Rating+"/v1/answers", bytes.NewReader(b))
-	if err != nil {
-		return
-	}
-	if res, err := r.http.Do(q); err == nil {
-		_ = res.Body.Close()
-	}
-}
--- a/standin/rating/rating.go
+++ b/standin/rating/rating.go
@@ -2,7 +2,8 @@
 //
 //   - POST /v1/answers reports an answer that a caller got: {request-id, account,
 //     task, model, version, messages}. Whether the rating is good follows package
-//     answer with the version's quality at that time.
+//     answer with the version's quality at that time. A second report of a request
+//     has no effect.
 //   - GET /v1/ratings?after=SEQ&limit=N returns {ratings, next}: the ratings with a
 //     higher sequence number, at most 1,000, in the order in which they became
 //     visible. next is the after of the following call.
@@ -83,6 +84,7 @@
 	limit *rate.Limiter
 
 	mu      sync.Mutex
+	known   map[ident.RequestID]bool
 	pending []Rating
 	visible []Rating
 	counts  Counts
@@ -93,6 +95,7 @@
 	return &Service{
 		o:     o,
 		judge: j,
+		known: map[ident.RequestID]bool{},
 		sw:    fault.New("rating", fault.Options{}),
 		limit: rate.NewLimiter(rate.Limit(o.Rate), max(1, int(o.Rate))),
 	}
@@ -113,8 +116,8 @@
 	return c
 }
 
-// Handler returns the service's HTTP API with its faults. Reports come from
-// callers and are outside the limit, which binds the readers.
+// Handler returns the service's HTTP API with its faults. The limit binds reads
+// and reports.
 func (s *Service) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/v1/ratings", s.read)
@@ -123,6 +126,9 @@
 }
 
 func (s *Service) report(w http.ResponseWriter, r *http.Request) {
+	if !s.allow(w) {
+		return
+	}
 	var a Answered
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&a); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -132,15 +138,32 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// allow takes one request from the limit; above it the answer is 429.
+func (s *Service) allow(w http.ResponseWriter) bool {
+	if s.limit.Allow() {
+		return true
+	}
+	s.mu.Lock()
+	s.counts.Limited++
+	s.mu.Unlock()
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, "rate limit exceeded", http.StatusTooManyRequests)
+	return false
+}
+
 func (s *Service) add(a Answered, now time.Time) {
 	good := s.judge(ident.VersionRef{Model: a.Model, Version: a.Version}, a.Messages)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.known[a.Request] || len(s.known) >= maxRatings {
+		return
+	}
+	s.known[a.Request] = true
 	s.counts.Reported++
 	if good {
 		s.counts.Good++
 	}
-	if unit("missing", a.Request) < s.o.Missing || len(s.visible)+len(s.pending) >= maxRatings {
+	if unit("missing", a.Request) < s.o.Missing {
 		return
 	}
 	late := time.Duration(float64(s.o.Delay) * (0.5 + unit("late", a.Request)))
@@ -171,12 +194,7 @@
 }
 
 func (s *Service) read(w http.ResponseWriter, r *http.Request) {
-	if !s.limit.Allow() {
-		s.mu.Lock()
-		s.counts.Limited++
-		s.mu.Unlock()
-		w.Header().Set("Retry-After", "1")
-		http.Error(w, "rate limit exceeded", http.StatusTooManyRequests)
+	if !s.allow(w) {
 		return
 	}
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
