--- /dev/null
+++ b/proof/links/links.go
@@ -0,0 +1,121 @@
+// Package links puts proxies between processes under test, so that a connection
+// can go silent, be cut or be slow. The proxies are those of toxiproxy, run inside the
+// test program.
+package links
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/Shopify/toxiproxy/v2/toxics"
+	"github.com/rs/zerolog"
+)
+
+// Link is a proxy in front of one address.
+type Link struct {
+	proxy *toxiproxy.Proxy
+}
+
+// New starts a proxy on a port that the kernel chooses.
+func New(t *testing.T, name, target string) *Link {
+	t.Helper()
+	s := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	l := &Link{proxy: toxiproxy.NewProxy(s, name, "127.0.0.1:0", target)}
+	if err := l.proxy.Start(); err != nil {
+		t.Fatalf("start proxy %s: %v", name, err)
+	}
+	t.Cleanup(l.proxy.Stop)
+	return l
+}
+
+// Addr is the proxy's address.
+func (l *Link) Addr() string {
+	return l.proxy.Listen
+}
+
+func (l *Link) add(t *testing.T, name, kind, stream string, attributes any) {
+	t.Helper()
+	b, err := json.Marshal(map[string]any{"name": name, "type": kind, "stream": stream, "attributes": attributes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(string(b))); err != nil {
+		t.Fatalf("add toxic %s to %s: %v", name, l.proxy.Name, err)
+	}
+}
+
+// Silence makes all connections silent in both directions, present and future,
+// until Restore, which closes them.
+func (l *Link) Silence(t *testing.T) {
+	t.Helper()
+	l.add(t, "silent-up", "timeout", "upstream", map[string]int{"timeout": 0})
+	l.add(t, "silent-down", "timeout", "downstream", map[string]int{"timeout": 0})
+}
+
+// Restore ends Silence.
+func (l *Link) Restore(t *testing.T) {
+	t.Helper()
+	for _, n := range []string{"silent-up", "silent-down"} {
+		if err := l.proxy.Toxics.RemoveToxic(context.Background(), n); err != nil {
+			t.Fatalf("remove toxic %s of %s: %v", n, l.proxy.Name, err)
+		}
+	}
+}
+
+// SilenceOpen makes the connections that are open now silent for good, while new ones work.
+func (l *Link) SilenceOpen(t *testing.T) {
+	t.Helper()
+	m := &Mute{ID: l.proxy.Name + " " + l.Addr()}
+	armed.Store(m.ID, true)
+	l.add(t, "mute-up", "mute", "upstream", m)
+	l.add(t, "mute-down", "mute", "downstream", m)
+	armed.Delete(m.ID)
+}
+
+// Cut closes the proxy's connections and refuses new ones until Mend.
+func (l *Link) Cut() {
+	l.proxy.Stop()
+}
+
+// Mend ends Cut.
+func (l *Link) Mend(t *testing.T) {
+	t.Helper()
+	if err := l.proxy.Start(); err != nil {
+		t.Fatalf("restart proxy %s: %v", l.proxy.Name, err)
+	}
+}
+
+// armed holds the ids of the mutes that are being added.
+var armed sync.Map
+
+// Mute is a toxic that drops the data of the connections that are open when it is added.
+type Mute struct {
+	ID string `json:"id"`
+}
+
+// Pipe implements toxics.Toxic.
+func (m *Mute) Pipe(s *toxics.ToxicStub) {
+	_, drop := armed.Load(m.ID)
+	for {
+		select {
+		case <-s.Interrupt:
+			return
+		case c := <-s.Input:
+			if c == nil {
+				s.Close()
+				return
+			}
+			if !drop {
+				s.Output <- c
+			}
+		}
+	}
+}
+
+func init() {
+	toxics.Register("mute", new(Mute))
+}
