test: run a small deployment of real processes

A fleet starts stand-ins, entries and agents with a proxy on every link and registers them on the instance list, so that each guarantee can be tested while its failure is brought about.

--- /dev/null
+++ b/proof/fleet/fleet.go
@@ -0,0 +1,164 @@
+// Package fleet runs a whole small deployment of real processes for a test:
+// the stand-ins, entries, and an agent beside each engine and plain service, with a
+// proxy on every link. The stand-ins' counters judge what happened.
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/proof/links"
+	"tarragonvalve.example/proof/proc"
+	"tarragonvalve.example/standin/ctrl"
+	"tarragonvalve.example/standin/listed"
+)
+
+// Options are the size of a fleet.
+type Options struct {
+	Entries int
+	Engines int
+	// Slots is the largest batch of each engine, also known to its agent.
+	Slots int
+	// NoDocument leaves the environment without a first generation.
+	NoDocument bool
+}
+
+// Default is the size that most tests need.
+func Default() Options {
+	return Options{Entries: 2, Engines: 2, Slots: 4}
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	t       *testing.T
+	o       Options
+	dir     string
+	Standin *proc.Process
+	Addr    ctrl.Addresses
+	Entries []*Entry
+	Agents  map[ident.UpstreamID]*Agent
+}
+
+// Entry is a running entry.
+type Entry struct {
+	*proc.Process
+	Addr entryAddresses
+	// Table is the link from the entry to the table.
+	Table *links.Link
+}
+
+type entryAddresses struct {
+	Instance string `json:"instance"`
+	Callers  string `json:"callers"`
+	Peers    string `json:"peers"`
+	Admin    string `json:"admin"`
+}
+
+// Agent is a running agent.
+type Agent struct {
+	*proc.Process
+	f    *Fleet
+	ID   ident.UpstreamID
+	Addr agentAddresses
+	// Front is the link from the entries, Back the one to the upstream, Table the one to the table.
+	Front *links.Link
+	Back  *links.Link
+	Table *links.Link
+	file  string
+}
+
+type agentAddresses struct {
+	Instance string `json:"instance"`
+	Listen   string `json:"listen"`
+	Admin    string `json:"admin"`
+}
+
+// Start starts a fleet and waits until every entry answers requests.
+func Start(t *testing.T, o Options) *Fleet {
+	t.Helper()
+	f := &Fleet{t: t, o: o, dir: t.TempDir(), Agents: map[ident.UpstreamID]*Agent{}}
+	f.Standin = proc.Start(t, "standin", "standin", &f.Addr, "run", "--config", f.write("standin.ini", o.standinText()))
+	for id, at := range f.Addr.Engines {
+		f.startAgent(id, "", at)
+	}
+	for id, at := range f.Addr.Plains {
+		service := ident.ServiceID(id[:len(id)-len("-1")])
+		f.startAgent(id, service, at)
+	}
+	for i := range o.Entries {
+		f.StartEntry(i)
+	}
+	if o.NoDocument {
+		return f
+	}
+	f.Promote(0, Document("first"), 0)
+	f.WaitInForce(1)
+	for _, e := range f.Entries {
+		f.waitServing(e)
+	}
+	return f
+}
+
+func (f *Fleet) write(name, text string) string {
+	p := filepath.Join(f.dir, name)
+	if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return p
+}
+
+// StartEntry starts the entry of an index and registers it.
+func (f *Fleet) StartEntry(i int) *Entry {
+	f.t.Helper()
+	name := fmt.Sprintf("entry-%d", i+1)
+	e := &Entry{Table: links.New(f.t, name+"-table", f.Addr.Table)}
+	e.Process = proc.Start(f.t, name, "entry", &e.Addr, "--config", f.write(name+".ini", f.entryText(i, e.Table.Addr())))
+	f.Register(listed.Instance{Instance: e.Addr.Instance, Address: e.Addr.Peers, Role: "entry", Domain: "d1"})
+	f.Entries = append(f.Entries, e)
+	return e
+}
+
+func (f *Fleet) startAgent(id ident.UpstreamID, service ident.ServiceID, target string) {
+	f.t.Helper()
+	name := "agent-" + string(id)
+	a := &Agent{
+		f:     f,
+		ID:    id,
+		Back:  links.New(f.t, name+"-back", target),
+		Table: links.New(f.t, name+"-table", f.Addr.Table),
+	}
+	a.file = f.write(name+".ini", f.agentText(id, service, a.Back.Addr(), a.Table.Addr()))
+	a.Process = proc.Start(f.t, name, "agent", &a.Addr, "--config", a.file)
+	a.Front = links.New(f.t, name+"-front", a.Addr.Listen)
+	f.Agents[id] = a
+	a.register("live")
+}
+
+func (a *Agent) register(state string) {
+	a.f.Register(listed.Instance{
+		Instance: a.Addr.Instance,
+		Address:  a.Front.Addr(),
+		Role:     "agent",
+		Upstream: string(a.ID),
+		Domain:   "d1",
+		State:    state,
+		Labels:   map[string]string{"kind": "engine"},
+	})
+}
+
+// Restart starts the agent again on its old address after it ended.
+func (a *Agent) Restart() {
+	a.f.t.Helper()
+	old := a.Addr
+	a.Process = proc.Start(a.f.t, a.Name, "agent", &a.Addr, "--config", a.file, "--set", "agent.listen="+old.Listen)
+	a.f.Unregister(old.Instance)
+	a.register("live")
+}
+
+// Engine returns the agent of an engine by index.
+func (f *Fleet) Engine(i int) *Agent {
+	return f.Agents[engineID(i)]
+}
--- /dev/null
+++ b/proof/fleet/judge.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/proof/proc"
+	"tarragonvalve.example/standin/answer"
+	"tarragonvalve.example/standin/client"
+	"tarragonvalve.example/standin/ctrl"
+	"tarragonvalve.example/standin/dynamo"
+	"tarragonvalve.example/standin/engine"
+	"tarragonvalve.example/standin/fault"
+	"tarragonvalve.example/standin/listed"
+	"tarragonvalve.example/standin/plain"
+)
+
+// controlLimit bounds one call of the stand-ins' control API.
+const controlLimit = 20 * time.Second
+
+func (f *Fleet) control(method, path string, in, out any) {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), controlLimit)
+	defer cancel()
+	b, err := json.Marshal(in)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+f.Addr.Control+path, bytes.NewReader(b))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	res, err := http.DefaultClient.Do(q)
+	if err != nil {
+		f.t.Fatalf("%s %s of the stand-ins: %v", method, path, err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode/100 != 2 {
+		f.t.Fatalf("%s %s of the stand-ins: status %d, %v: %s", method, path, res.StatusCode, err, body)
+	}
+	if out == nil {
+		return
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		f.t.Fatalf("%s %s of the stand-ins: %v", method, path, err)
+	}
+}
+
+// Fault sets the faults of a part; the zero value clears them.
+func (f *Fleet) Fault(part string, v fault.Faults) {
+	f.t.Helper()
+	f.control(http.MethodPut, "/faults/"+part, v, nil)
+}
+
+// Faults returns the faults of a part.
+func (f *Fleet) Faults(part string) fault.Faults {
+	f.t.Helper()
+	var m map[string]fault.Faults
+	f.control(http.MethodGet, "/faults", nil, &m)
+	return m[part]
+}
+
+// SilencePart makes the connections to a part that are open now silent for good.
+func (f *Fleet) SilencePart(part string) {
+	f.t.Helper()
+	f.control(http.MethodPost, "/silence/"+part, nil, nil)
+}
+
+// Crash makes an engine lose all that it holds.
+func (f *Fleet) Crash(id ident.UpstreamID) {
+	f.t.Helper()
+	f.control(http.MethodPost, "/crash/"+string(id), nil, nil)
+}
+
+// Turn changes how a version behaves.
+func (f *Fleet) Turn(r ident.VersionRef, c engine.Change) {
+	f.t.Helper()
+	f.control(http.MethodPut, "/versions/"+r.String(), c, nil)
+}
+
+// Register puts an instance on the instance list.
+func (f *Fleet) Register(i listed.Instance) {
+	f.t.Helper()
+	f.control(http.MethodPut, "/instances/"+i.Instance, i, nil)
+}
+
+// Unregister takes an instance off the instance list.
+func (f *Fleet) Unregister(instance string) {
+	f.t.Helper()
+	f.control(http.MethodDelete, "/instances/"+instance, nil, nil)
+}
+
+// Counters returns the counters with the starts since a time.
+func (f *Fleet) Counters(since time.Time) ctrl.Counters {
+	f.t.Helper()
+	var c ctrl.Counters
+	ms := int64(0)
+	if !since.IsZero() {
+		ms = since.UnixMilli()
+	}
+	f.control(http.MethodGet, "/counters?since="+strconv.FormatInt(ms, 10), nil, &c)
+	return c
+}
+
+// Starts returns all starts of a version.
+func (f *Fleet) Starts(r ident.VersionRef) []engine.Start {
+	f.t.Helper()
+	return f.Counters(time.Time{}).Starts[r.String()]
+}
+
+// Runs returns how often a key of the orders service ran.
+func (f *Fleet) Runs(key string) int {
+	f.t.Helper()
+	return f.Counters(time.Time{}).Runs[plain.KeyID("orders", key)]
+}
+
+// Rows returns the rows of the partitions with a prefix.
+func (f *Fleet) Rows(prefix string) []dynamo.Row {
+	f.t.Helper()
+	var out []dynamo.Row
+	f.control(http.MethodGet, "/rows?prefix="+prefix, nil, &out)
+	return out
+}
+
+// Caller returns a client of an entry with an account's key. Its connections are its own.
+func (f *Fleet) Caller(e *Entry, account string) *client.Client {
+	return &client.Client{HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Entry: e.Addr.Callers, Key: "key-" + account}
+}
+
+// Ask returns a chat request with a text of its own.
+func Ask(model, text string) client.Chat {
+	return client.Chat{
+		Model:    model,
+		Messages: []answer.Message{{Role: "user", Content: text}},
+		Timeout:  time.Minute,
+		Stream:   true,
+	}
+}
+
+// Expected returns the text that a version gives to a request.
+func Expected(r ident.VersionRef, q client.Chat) string {
+	return expected(r, q).Text()
+}
+
+func expected(r ident.VersionRef, q client.Chat) *answer.Answer {
+	v := Versions[r]
+	return answer.Of(answer.Settings{Ref: r, Quality: v.Quality, MeanTokens: v.MeanTokens}, q.Messages, q.MaxTokens)
+}
+
+// CheckWhole fails the test unless a reply is whole and has the text of the version that it names.
+func (f *Fleet) CheckWhole(q client.Chat, r *client.Reply) {
+	f.t.Helper()
+	if !r.OK() {
+		f.t.Fatalf("request %s has no whole answer: %s", r.Request, r.Problem())
+	}
+	f.CheckText(q, r)
+}
+
+// CheckText fails the test unless the text of a reply is a prefix of what the
+// version gives, and all of it for a reply that claims to be whole.
+func (f *Fleet) CheckText(q client.Chat, r *client.Reply) {
+	f.t.Helper()
+	if r.Text == "" && !r.OK() {
+		return
+	}
+	want := Expected(r.Version, q)
+	whole := r.OK() && r.Text != want
+	if whole || len(r.Text) > len(want) || want[:len(r.Text)] != r.Text {
+		f.t.Fatalf("request %s answered by %s has the text\n%q\nand not\n%q", r.Request, r.Version, r.Text, want)
+	}
+}
+
+func (f *Fleet) waitServing(e *Entry) {
+	f.t.Helper()
+	c := f.Caller(e, Alpha)
+	proc.Eventually(f.t, e.Name+" serves models and services", func() bool {
+		q := c.Chat(f.t.Context(), Ask("quick", "warm-up"))
+		s := c.Call(f.t.Context(), client.Call{Service: "stock", Method: http.MethodGet, Path: "/caps"})
+		o := c.Call(f.t.Context(), client.Call{Service: "orders", Method: http.MethodGet, Path: "/runs"})
+		return q.OK() && s.OK() && o.OK()
+	})
+}
