--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,17 @@
-.PHONY: build demo test lint generate
+.PHONY: build demo proof test lint generate
 
 build:
 	@mkdir -p bin
 	go build -o bin/ ./entry ./agent ./tarragonvalve ./standin ./bench
 
+DEPLOYMENT ?= ilmek
+
+demo:
+	./scripts/demo $(DEPLOYMENT)
+
+proof:
+	cd proof && go test -race -count=1 -timeout 30m ./...
+
 test:
 	./.ci/test
 
--- a/standin/boot/boot.go
+++ b/standin/boot/boot.go
@@ -58,11 +58,13 @@
 		e := engine.New(o, m, w.Fetch)
 		r.Engines[o.ID] = e
 		a.Engines[o.ID] = r.serve(string(o.ID), o.Addr, e.Switch(), e.Handler())
+		a.Upstreams = append(a.Upstreams, ctrl.Upstream{ID: o.ID, Address: a.Engines[o.ID], Domain: o.Domain, Kind: o.Kind, Slots: o.Slots})
 		go e.Run(ctx)
 	}
 	for _, o := range s.Plains {
 		p := plain.New(o, r.Runs)
 		a.Plains[o.ID] = r.serve(string(o.ID), o.Addr, p.Switch(), p.Handler())
+		a.Upstreams = append(a.Upstreams, ctrl.Upstream{ID: o.ID, Address: a.Plains[o.ID], Domain: o.Domain, Service: o.Service, Slots: o.Slots})
 	}
 	a.Control = r.serve("control", s.Control, nil, r.Handler())
 	if r.failed != nil {
--- a/standin/ctrl/ctrl.go
+++ b/standin/ctrl/ctrl.go
@@ -42,6 +42,18 @@
 	Weights   string                      `json:"weights"`
 	Engines   map[ident.UpstreamID]string `json:"engines"`
 	Plains    map[ident.UpstreamID]string `json:"plains"`
+	// Upstreams describes the engines and plain services, in the order of the settings.
+	Upstreams []Upstream `json:"upstreams"`
+}
+
+// Upstream is what the settings of an agent need to know about its upstream.
+type Upstream struct {
+	ID      ident.UpstreamID `json:"id"`
+	Address string           `json:"address"`
+	Domain  ident.DomainID   `json:"domain"`
+	Kind    ident.KindID     `json:"kind,omitempty"`
+	Service ident.ServiceID  `json:"service,omitempty"`
+	Slots   int              `json:"slots"`
 }
 
 // Counters are the counters of all parts.
