--- /dev/null
+++ b/entry/agents/agents_test.go
@@ -0,0 +1,148 @@
+package agents
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/ledger"
+	"tarragonvalve.example/core/wire"
+)
+
+// Guards against an entry that waits on a connection that went silent for good
+// while new connections work: no status arrives and no new work is placed.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, s, stop := start(t, &wire.Status{Upstream: "engine-1"})
+		defer stop()
+		time.Sleep(2 * time.Second)
+		l := s.Link("engine-1")
+		if l == nil || !l.Usable(time.Now()) {
+			t.Fatal("the link is not usable at the start")
+		}
+		a.muteOpen()
+		time.Sleep(silenceLimit + pingEvery + pingLimit)
+		if l.Replaced() == 0 {
+			t.Fatal("the silent connection was not replaced")
+		}
+		time.Sleep(2 * time.Second)
+		if !l.Usable(time.Now()) {
+			t.Fatal("the link is not usable over the new connection")
+		}
+	})
+}
+
+// Guards against new work for an upstream whose agent drains while the lagging
+// instance list still says live.
+func TestDrainingOverridesList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, s, stop := start(t, &wire.Status{Upstream: "engine-1"})
+		defer stop()
+		time.Sleep(time.Second)
+		a.set(&wire.Status{Upstream: "engine-1", Draining: true, Sequence: 1})
+		time.Sleep(time.Second)
+		s.Update([]Target{{Upstream: "engine-1", Domain: "d1", Addr: "127.0.0.1:1"}})
+		if l := s.Link("engine-1"); l.Usable(time.Now()) || !l.Leaving() {
+			t.Fatal("a draining agent counts as usable")
+		}
+	})
+}
+
+// Guards against a late status, which crossed a newer one, bringing back old load or an old draining flag.
+func TestLateStatusIsIgnored(t *testing.T) {
+	l := newLink(Options{}, Target{Upstream: "engine-1"}, func() {})
+	now := time.Unix(0, 0)
+	l.Observe(&wire.Status{Upstream: "engine-1", Sequence: 5, Draining: true}, now)
+	l.Observe(&wire.Status{Upstream: "engine-1", Sequence: 4}, now)
+	l.Observe(&wire.Status{Upstream: "engine-2", Sequence: 9}, now)
+	if !l.Seen().Status.GetDraining() {
+		t.Fatal("a late or crossed status replaced a newer one")
+	}
+}
+
+// Guards against agents that keep receipts, and output, that are stored already,
+// and against acknowledging receipts to agents that don't hold them.
+func TestStoredReceiptsAreAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, s, stop := start(t, &wire.Status{Upstream: "engine-1"})
+		defer stop()
+		time.Sleep(time.Second)
+		k := NewAcks(s)
+		k.Bind(ledger.New(ledger.Options{}))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			k.Run(ctx)
+		}()
+		here := ledger.Receipt{Request: "r1", Role: ledger.RoleBill, Attempt: 2, Upstream: "engine-1"}
+		gone := ledger.Receipt{Request: "r2", Role: ledger.RoleBill, Attempt: 1, Upstream: "engine-9"}
+		k.Add(here)
+		k.Add(gone)
+		k.Stored([]ledger.ID{here.ID(), gone.ID()})
+		synctest.Wait()
+		cancel()
+		<-done
+		if len(a.acked) != 1 || a.acked[0].GetRequestId() != "r1" || a.acked[0].GetAttempt() != 2 {
+			t.Fatalf("acknowledged %v", a.acked)
+		}
+		if len(k.origin) != 0 {
+			t.Fatalf("%d receipts are remembered after their batch was stored", len(k.origin))
+		}
+	})
+}
+
+// Guards against a subset that moves many links when one agent joins, that
+// exceeds its bound, or that leaves out a kind.
+func TestSubsetProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(t, "agents")
+		size := rapid.IntRange(1, 20).Draw(t, "size")
+		var ts []Target
+		for i := range n {
+			ts = append(ts, Target{Upstream: ident.UpstreamID(fmt.Sprint("u", i)), Kind: fmt.Sprint("k", i%3)})
+		}
+		entry := ident.InstanceID(rapid.String().Draw(t, "entry"))
+		before := Subset(entry, ts, size)
+		after := Subset(entry, append(ts, Target{Upstream: "new", Kind: "k0"}), size)
+		kinds := map[string]int{}
+		kept := map[ident.UpstreamID]bool{}
+		for _, x := range after {
+			kinds[x.Kind]++
+			kept[x.Upstream] = true
+		}
+		moved := 0
+		for _, x := range before {
+			if !kept[x.Upstream] {
+				moved++
+			}
+		}
+		if moved > 1 {
+			t.Fatalf("one new agent moved %d links", moved)
+		}
+		for k, c := range kinds {
+			if c > size {
+				t.Fatalf("kind %s has %d links of at most %d", k, c, size)
+			}
+		}
+		if len(kinds) != min(max(n, 1), 3) && n >= 3 {
+			t.Fatalf("%d kinds are covered", len(kinds))
+		}
+	})
+}
+
+// Guards against the old address of a replaced agent winning over its live replacement.
+func TestReplacementGoesBeforeLeaving(t *testing.T) {
+	old := Target{Upstream: "u1", Addr: "127.0.0.1:1", Leaving: true}
+	live := Target{Upstream: "u1", Addr: "127.0.0.1:2"}
+	for name, ts := range map[string][]Target{"old first": {old, live}, "live first": {live, old}} {
+		if out := unique(ts, nil, time.Now()); len(out) != 1 || out[0] != live {
+			t.Errorf("%s: got %v", name, out)
+		}
+	}
+}
