--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -162,3 +163,8 @@
 func (f *Fleet) Engine(i int) *Agent {
 	return f.Agents[engineID(i)]
 }
+
+// Context ends with the test.
+func (f *Fleet) Context() context.Context {
+	return f.t.Context()
+}
--- /dev/null
+++ b/proof/helpers_test.go
@@ -0,0 +1,181 @@
+package proof_test
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/proof/fleet"
+	"tarragonvalve.example/proof/proc"
+	"tarragonvalve.example/standin/client"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(proc.Main(m, "standin", "entry", "agent"))
+}
+
+// scenario brings about one failure and checks a guarantee.
+type scenario struct {
+	options fleet.Options
+	run     func(t *testing.T, f *fleet.Fleet)
+}
+
+func prove(t *testing.T, cases map[string]scenario) {
+	t.Helper()
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			o := c.options
+			if o.Engines == 0 {
+				o = fleet.Default()
+			}
+			c.run(t, fleet.Start(t, o))
+		})
+	}
+}
+
+// outcome is a model request with its reply.
+type outcome struct {
+	ask   client.Chat
+	reply client.Reply
+}
+
+// chats sends n chats at once through an entry and calls each when its number of pieces arrived.
+func chats(f *fleet.Fleet, e *fleet.Entry, account, model, label string, n int) <-chan []outcome {
+	done := make(chan []outcome, 1)
+	out := make([]outcome, n)
+	var w sync.WaitGroup
+	for i := range n {
+		w.Go(func() {
+			q := fleet.Ask(model, fmt.Sprintf("%s %d", label, i))
+			out[i] = outcome{ask: q, reply: f.Caller(e, account).Chat(f.Context(), q)}
+		})
+	}
+	go func() {
+		w.Wait()
+		done <- out
+	}()
+	return done
+}
+
+// midStream sends a long streamed chat, calls act once after the given number
+// of pieces, and returns the reply.
+func midStream(t *testing.T, f *fleet.Fleet, e *fleet.Entry, pieces int, act func()) outcome {
+	t.Helper()
+	q := fleet.Ask("deep@1", "mid-stream "+t.Name())
+	acted := make(chan struct{})
+	var once sync.Once
+	q.OnText = func(n int) {
+		if n >= pieces {
+			once.Do(func() { close(acted) })
+		}
+	}
+	done := make(chan client.Reply, 1)
+	go func() { done <- f.Caller(e, fleet.Alpha).Chat(f.Context(), q) }()
+	select {
+	case <-acted:
+	case r := <-done:
+		t.Fatalf("the stream ended before the fault: %s", r.Problem())
+	case <-time.After(proc.Limit):
+		t.Fatal("no text arrived")
+	}
+	act()
+	select {
+	case r := <-done:
+		return outcome{ask: q, reply: r}
+	case <-time.After(proc.Limit):
+		t.Fatal("the stream neither went on nor ended after the fault")
+		return outcome{}
+	}
+}
+
+// running returns the agent whose engine generates for a request that started since a time.
+func running(t *testing.T, f *fleet.Fleet, since time.Time, version ident.VersionRef) *fleet.Agent {
+	t.Helper()
+	s := f.Counters(since).Starts[version.String()]
+	if len(s) == 0 {
+		t.Fatalf("nothing of %s started", version)
+	}
+	return f.Agents[s[len(s)-1].Engine]
+}
+
+// checkTruth fails the test if a request that was refused as not-run started on an engine.
+func checkTruth(t *testing.T, f *fleet.Fleet, os []outcome) {
+	t.Helper()
+	starts := f.Counters(time.Time{}).Starts
+	for _, o := range os {
+		if o.reply.Ran != refuse.NotRun || o.reply.Request == "" {
+			continue
+		}
+		for _, ss := range starts {
+			for _, s := range ss {
+				if strings.HasPrefix(s.ID, string(o.reply.Request)+"-") {
+					t.Errorf("request %s was refused with %s as not-run, but %s started on %s", o.reply.Request, o.reply.Code, s.ID, s.Engine)
+				}
+			}
+		}
+	}
+}
+
+// checkEnds fails the test unless each reply is whole or says explicitly why not,
+// and every text is that of the version that the reply names.
+func checkEnds(t *testing.T, f *fleet.Fleet, os []outcome) (whole int) {
+	t.Helper()
+	for _, o := range os {
+		f.CheckText(o.ask, &o.reply)
+		switch {
+		case o.reply.OK():
+			whole++
+		case o.reply.Code == "" && o.reply.Err == nil:
+			t.Errorf("request %s ended without [DONE] and without an error: %s", o.reply.Request, o.reply.Problem())
+		}
+	}
+	return whole
+}
+
+// noStartsAfter fails the test if a version started after a time.
+func noStartsAfter(t *testing.T, f *fleet.Fleet, r ident.VersionRef, at time.Time) {
+	t.Helper()
+	for _, s := range f.Starts(r) {
+		if s.At.After(at) {
+			t.Errorf("%s started as %s on %s, %s after the withdrawal was in force there", r, s.ID, s.Engine, s.At.Sub(at))
+		}
+	}
+}
+
+// waitAgents waits until all agents report a generation.
+func waitAgents(t *testing.T, f *fleet.Fleet, e *fleet.Entry, g ident.Generation) {
+	t.Helper()
+	proc.Eventually(t, fmt.Sprintf("generation %d is in force at all agents", g), func() bool {
+		s, err := f.Status(e)
+		n := 0
+		for _, i := range s.Instances {
+			if i.Role == "agent" && i.Problem == "" && i.Generation >= g {
+				n++
+			}
+		}
+		return err == nil && n == len(f.Agents)
+	})
+}
+
+// order is a call that may run only once.
+func order(key, body string) client.Call {
+	return client.Call{Service: "orders", Method: http.MethodPost, Path: "/runs", Key: key, Body: body, Timeout: 20 * time.Second}
+}
+
+// final repeats a call with its key through an entry until the answer is a
+// result or says that the outcome is unknown for good.
+func final(t *testing.T, f *fleet.Fleet, e *fleet.Entry, c client.Call) client.Reply {
+	t.Helper()
+	var r client.Reply
+	proc.Eventually(t, "a repeat of "+c.Key+" gets a final answer", func() bool {
+		r = f.Caller(e, fleet.Alpha).Call(f.Context(), c)
+		return r.OK() || r.Code == refuse.ClaimUnknown || r.Code == refuse.UpstreamFailed && r.Ran != refuse.NotRun
+	})
+	return r
+}
--- /dev/null
+++ b/proof/records_test.go
@@ -0,0 +1,374 @@
+package proof_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/proof/fleet"
+	"tarragonvalve.example/proof/proc"
+	"tarragonvalve.example/standin/client"
+	"tarragonvalve.example/standin/fault"
+)
+
+// once checks the runs of a key against what the callers were told.
+func once(t *testing.T, f *fleet.Fleet, key string, replies ...client.Reply) {
+	t.Helper()
+	n := f.Runs(key)
+	if n > 1 {
+		t.Errorf("the call with key %s ran %d times", key, n)
+	}
+	for _, r := range replies {
+		if r.OK() && n != 1 {
+			t.Errorf("the call with key %s was answered with a result and ran %d times", key, n)
+		}
+	}
+	if last := replies[len(replies)-1]; last.Ran == refuse.NotRun && n != 0 {
+		t.Errorf("the last answer to the call with key %s says not-run (%s) and it ran", key, last.Code)
+	}
+}
+
+// callDuring sends a call through the first entry and brings a fault about as
+// soon as its claim is in the table.
+func callDuring(t *testing.T, f *fleet.Fleet, key string, act func(claimed *fleet.Agent)) client.Reply {
+	t.Helper()
+	done := make(chan client.Reply, 1)
+	go func() { done <- f.Caller(f.Entries[0], fleet.Alpha).Call(f.Context(), order(key, "{}")) }()
+	var upstream ident.UpstreamID
+	proc.Eventually(t, "the claim is dispatched", func() bool {
+		for _, r := range f.Rows("claim/") {
+			var c struct {
+				Upstream ident.UpstreamID `json:"upstream"`
+			}
+			if json.Unmarshal([]byte(r.Body), &c) == nil && c.Upstream != "" {
+				upstream = c.Upstream
+			}
+		}
+		return upstream != ""
+	})
+	act(f.Agents[upstream])
+	select {
+	case r := <-done:
+		return r
+	case <-time.After(proc.Limit):
+		t.Fatal("the call got no answer")
+		return client.Reply{}
+	}
+}
+
+// Guards against a call that may run only once running twice.
+func TestAtMostOnce(t *testing.T) {
+	during := func(act func(t *testing.T, f *fleet.Fleet, a *fleet.Agent)) scenario {
+		return scenario{run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("orders-1", fault.Faults{SlowMs: 1000})
+			f.Fault("orders-2", fault.Faults{SlowMs: 1000})
+			r := callDuring(t, f, "k", func(a *fleet.Agent) { act(t, f, a) })
+			f.Fault("orders-1", fault.Faults{})
+			f.Fault("orders-2", fault.Faults{})
+			again := final(t, f, f.Entries[1], order("k", "{}"))
+			once(t, f, "k", r, again)
+		}}
+	}
+	prove(t, map[string]scenario{
+		"repeated at once through both entries": {run: func(t *testing.T, f *fleet.Fleet) {
+			replies := make([]client.Reply, 12)
+			var w sync.WaitGroup
+			for i := range replies {
+				w.Go(func() { replies[i] = f.Caller(f.Entries[i%2], fleet.Alpha).Call(f.Context(), order("k", "{}")) })
+			}
+			w.Wait()
+			last := final(t, f, f.Entries[0], order("k", "{}"))
+			if !last.OK() {
+				t.Errorf("no result although nothing failed: %s", last.Problem())
+			}
+			once(t, f, "k", append(replies, last)...)
+		}},
+		"another body with the same key": {run: func(t *testing.T, f *fleet.Fleet) {
+			c := f.Caller(f.Entries[0], fleet.Alpha)
+			first := c.Call(f.Context(), order("k", "{}"))
+			second := f.Caller(f.Entries[1], fleet.Alpha).Call(f.Context(), order("k", `{"other":1}`))
+			if !first.OK() || second.Code != refuse.KeyReused {
+				t.Errorf("first: %s, second: %s", first.Problem(), second.Problem())
+			}
+			once(t, f, "k", first)
+		}},
+		"service's answer lost": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("orders-1", fault.Faults{Lost: 1})
+			f.Fault("orders-2", fault.Faults{Lost: 1})
+			r := f.Caller(f.Entries[0], fleet.Alpha).Call(f.Context(), order("k", "{}"))
+			if r.OK() || r.Ran == refuse.NotRun {
+				t.Errorf("an answer that was lost after the run: %s", r.Problem())
+			}
+			again := final(t, f, f.Entries[1], order("k", "{}"))
+			once(t, f, "k", r, again)
+		}},
+		"service silent": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("orders-1", fault.Faults{Silent: true})
+			f.Fault("orders-2", fault.Faults{Silent: true})
+			r := f.Caller(f.Entries[0], fleet.Alpha).Call(f.Context(), order("k", "{}"))
+			f.Fault("orders-1", fault.Faults{})
+			f.Fault("orders-2", fault.Faults{})
+			again := final(t, f, f.Entries[1], order("k", "{}"))
+			once(t, f, "k", r, again)
+		}},
+		"table's answer to the claim lost": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("table", fault.Faults{Lost: 4})
+			r := f.Caller(f.Entries[0], fleet.Alpha).Call(f.Context(), order("k", "{}"))
+			f.Fault("table", fault.Faults{})
+			again := final(t, f, f.Entries[1], order("k", "{}"))
+			once(t, f, "k", r, again)
+		}},
+		"table slow": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("table", fault.Faults{SlowMs: 1500})
+			r := f.Caller(f.Entries[0], fleet.Alpha).Call(f.Context(), order("k", "{}"))
+			f.Fault("table", fault.Faults{})
+			again := final(t, f, f.Entries[1], order("k", "{}"))
+			once(t, f, "k", r, again)
+		}},
+		"agent paused before its claim": {run: func(t *testing.T, f *fleet.Fleet) {
+			// Both agents stop; the entry gives up on them, and their late claims must fail.
+			f.Agents["orders-1"].Pause()
+			f.Agents["orders-2"].Pause()
+			r := f.Caller(f.Entries[0], fleet.Alpha).Call(f.Context(), order("k", "{}"))
+			f.Agents["orders-1"].Resume()
+			f.Agents["orders-2"].Resume()
+			time.Sleep(3 * time.Second) // a late dispatch would show by now
+			once(t, f, "k", r)
+		}},
+		"agent paused during the call": during(func(_ *testing.T, _ *fleet.Fleet, a *fleet.Agent) {
+			a.Pause()
+			time.Sleep(4 * time.Second)
+			a.Resume()
+		}),
+		"agent killed during the call": during(func(_ *testing.T, _ *fleet.Fleet, a *fleet.Agent) {
+			a.Kill()
+			a.Restart()
+		}),
+		"entry killed during the call": during(func(_ *testing.T, f *fleet.Fleet, _ *fleet.Agent) {
+			f.Entries[0].Kill()
+		}),
+		"link to the agent goes silent during the call": during(func(t *testing.T, _ *fleet.Fleet, a *fleet.Agent) {
+			a.Front.SilenceOpen(t)
+		}),
+		"table down during the call": during(func(_ *testing.T, f *fleet.Fleet, _ *fleet.Agent) {
+			f.Fault("table", fault.Faults{Down: true})
+			time.Sleep(3 * time.Second)
+			f.Fault("table", fault.Faults{})
+		}),
+	})
+}
+
+// receipt is what the test reads of a stored receipt.
+type receipt struct {
+	Request ident.RequestID `json:"request-id"`
+	Role    string          `json:"role"`
+	Direct  bool            `json:"direct"`
+}
+
+// stored returns the ids of the requests that the stored receipts bill.
+func stored(t *testing.T, f *fleet.Fleet) map[ident.RequestID]bool {
+	t.Helper()
+	out := map[ident.RequestID]bool{}
+	for _, row := range f.Rows("bill/") {
+		for line := range bytes.Lines([]byte(row.Body)) {
+			var r receipt
+			if err := json.Unmarshal(line, &r); err != nil {
+				t.Fatalf("batch %s/%s: %v", row.Partition, row.Sort, err)
+			}
+			if r.Role == "bill" || r.Direct {
+				out[r.Request] = true
+			}
+		}
+	}
+	return out
+}
+
+// checkBill waits until each of the requests is in a stored receipt and checks
+// that the bill counts each once: the requests that Start's warm-up sent are
+// in both figures.
+func checkBill(t *testing.T, f *fleet.Fleet, e *fleet.Entry, ids ...ident.RequestID) {
+	t.Helper()
+	proc.Eventually(t, fmt.Sprintf("receipts of %d requests are stored", len(ids)), func() bool {
+		s := stored(t, f)
+		for _, id := range ids {
+			if !s[id] {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(5 * time.Second) // the agents' receipts come after a hold of 3 s and would double the lines
+	want := len(stored(t, f))
+	b, err := f.Bill(e)
+	if err != nil {
+		t.Fatalf("read the bill: %v", err)
+	}
+	n := 0
+	for _, l := range b.Lines {
+		n += l.Requests
+	}
+	if n != want {
+		t.Errorf("the bill counts %d requests, and receipts of %d requests are stored", n, want)
+	}
+}
+
+func requests(os []outcome) []ident.RequestID {
+	var ids []ident.RequestID
+	for _, o := range os {
+		if o.reply.OK() {
+			ids = append(ids, o.reply.Request)
+		}
+	}
+	return ids
+}
+
+// Guards against requests that are billed twice or not at all.
+func TestBilledOnce(t *testing.T) {
+	prove(t, map[string]scenario{
+		"entry killed in mid-stream": {run: func(t *testing.T, f *fleet.Fleet) {
+			at := time.Now()
+			o := midStream(t, f, f.Entries[0], 20, f.Entries[0].Kill)
+			s := f.Counters(at).Starts[fleet.Deep1.String()]
+			if o.reply.OK() || len(s) == 0 {
+				t.Fatalf("the killed entry's stream: %s, %d starts", o.reply.Problem(), len(s))
+			}
+			checkBill(t, f, f.Entries[1], o.reply.Request)
+		}},
+		"agent killed after the answer": {run: func(t *testing.T, f *fleet.Fleet) {
+			os := <-chats(f, f.Entries[0], fleet.Alpha, "quick", "answered", 6)
+			f.Engine(0).Kill()
+			f.Engine(1).Kill()
+			checkBill(t, f, f.Entries[0], requests(os)...)
+		}},
+		"table's answers to batches lost": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("table", fault.Faults{Lost: 6})
+			os := <-chats(f, f.Entries[0], fleet.Alpha, "quick", "batch", 10)
+			proc.Eventually(t, "the answers are lost", func() bool { return f.Faults("table").Lost == 0 })
+			checkBill(t, f, f.Entries[1], requests(os)...)
+		}},
+		"table down while serving": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("table", fault.Faults{Down: true})
+			os := <-chats(f, f.Entries[0], fleet.Alpha, "quick", "outage", 10)
+			if whole := checkEnds(t, f, os); whole != len(os) {
+				t.Errorf("%d of %d model requests were answered while the table was down", whole, len(os))
+			}
+			time.Sleep(2 * time.Second) // several batches are due
+			f.Fault("table", fault.Faults{})
+			checkBill(t, f, f.Entries[1], requests(os)...)
+		}},
+		"entry paused past the agents' hold": {run: func(t *testing.T, f *fleet.Fleet) {
+			os := <-chats(f, f.Entries[0], fleet.Alpha, "quick", "paused", 6)
+			f.Entries[0].Pause()
+			time.Sleep(5 * time.Second) // longer than the hold of 3 s, so that the agents store theirs
+			f.Entries[0].Resume()
+			checkBill(t, f, f.Entries[1], requests(os)...)
+		}},
+		"keyed call repeated": {run: func(t *testing.T, f *fleet.Fleet) {
+			a := f.Caller(f.Entries[0], fleet.Alpha).Call(f.Context(), order("k", "{}"))
+			b := f.Caller(f.Entries[1], fleet.Alpha).Call(f.Context(), order("k", "{}"))
+			if !a.OK() || !b.OK() || a.Request != b.Request {
+				t.Fatalf("first %s as %s, second %s as %s", a.Problem(), a.Request, b.Problem(), b.Request)
+			}
+			checkBill(t, f, f.Entries[0], a.Request)
+		}},
+	})
+}
+
+// generations returns the numbers of the accepted documents in the table.
+func generations(f *fleet.Fleet) int {
+	n := 0
+	for _, r := range f.Rows("") {
+		if len(r.Sort) > len("generation/") && r.Sort[:len("generation/")] == "generation/" {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against an accepted document that is lost, doubled or reverted.
+func TestNoRevert(t *testing.T) {
+	prove(t, map[string]scenario{
+		"operators race": {run: func(t *testing.T, f *fleet.Fleet) {
+			const n = 6
+			errs := make([]error, n)
+			var w sync.WaitGroup
+			for i := range n {
+				w.Go(func() { _, errs[i] = f.TryPromote(f.Entries[i%2], fleet.Document(fmt.Sprint("racer ", i)), 1) })
+			}
+			w.Wait()
+			won := 0
+			for _, err := range errs {
+				if err == nil {
+					won++
+					continue
+				}
+				r := fleet.AsRefused(err)
+				if r == nil || r.Reply.Code != refuse.GenerationConflict || r.Reply.Winner == nil || r.Reply.Winner.Generation != 2 {
+					t.Errorf("a losing promotion got: %v", err)
+				}
+			}
+			if won != 1 || generations(f) != 2 {
+				t.Errorf("%d promotions won, %d generations are stored", won, generations(f))
+			}
+			f.WaitInForce(2)
+		}},
+		"table's answer to the promotion lost": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("table", fault.Faults{Lost: 3})
+			_, err := f.TryPromote(f.Entries[0], fleet.Document("second"), 1)
+			f.Fault("table", fault.Faults{})
+			if err != nil {
+				t.Errorf("the promotion that took effect: %v", err)
+			}
+			if n := generations(f); n != 2 {
+				t.Errorf("%d generations are stored", n)
+			}
+			f.WaitInForce(2)
+		}},
+		"table down": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("table", fault.Faults{Down: true})
+			_, err := f.TryPromote(f.Entries[0], fleet.Document("second"), 1)
+			var r *fleet.RefusedError
+			if err == nil || errors.As(err, &r) && r.Reply.Code != refuse.OutcomeUnknown && r.Reply.Code != refuse.TableUnavailable {
+				t.Errorf("a promotion with the table down: %v", err)
+			}
+			e := f.StartEntry(2)
+			proc.Eventually(t, "a fresh entry has the generation of its peers", func() bool {
+				s, err := f.Status(e)
+				return err == nil && s.Generation == 1 && s.ConfirmedBy == "peers"
+			})
+			f.Fault("table", fault.Faults{})
+			proc.Eventually(t, "the table confirms the generation", func() bool {
+				s, err := f.Status(e)
+				return err == nil && s.ConfirmedBy == "table"
+			})
+		}},
+		"entry paused over two generations": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Entries[1].Pause()
+			f.Promote(0, fleet.Document("second"), 1)
+			f.Promote(0, fleet.Document("third"), 2)
+			f.Entries[1].Resume()
+			var last ident.Generation
+			proc.Eventually(t, "the resumed entry has the latest generation", func() bool {
+				s, err := f.Status(f.Entries[1])
+				if err == nil && s.Generation < last {
+					t.Fatalf("generation %d after %d", s.Generation, last)
+				}
+				last = max(last, s.Generation)
+				return last == 3
+			})
+			f.WaitInForce(3)
+		}},
+		"cut off from the table": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Entries[1].Table.Silence(t)
+			f.Engine(0).Table.Silence(t)
+			f.Promote(0, fleet.Document("second"), 1)
+			f.WaitInForce(2)
+		}},
+	})
+}
