--- a/core/envdoc/model.go
+++ b/core/envdoc/model.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"tarragonvalve.example/core/ident"
@@ -93,10 +94,13 @@
 }
 
 // Model is a model: section "[model ID]". Shares hold the part of new sessions
-// of each version without roll-outs and sum up to ident.FullShare.
+// of each version without roll-outs and sum up to ident.FullShare. They are
+// empty ("shares = none") for a model that takes no new sessions by itself.
 type Model struct {
 	ID     ident.ModelID
 	Shares map[ident.VersionID]ident.Share
+	// Fallback serves new sessions of a model without shares; zero for none.
+	Fallback ident.VersionRef
 	// Escalate names the model that a weak answer of this one escalates to; empty for none.
 	Escalate ident.ModelID
 }
@@ -136,6 +140,12 @@
 	FalseAlarmRate float64
 }
 
+// SameCourse reports whether two definitions move the same sessions in the same
+// steps, so that progress in one holds in the other.
+func (r *Rollout) SameCourse(o *Rollout) bool {
+	return r.ID == o.ID && r.Model == o.Model && r.From == o.From && r.To == o.To && slices.Equal(r.Steps, o.Steps)
+}
+
 // Service is a plain service: section "[service ID]".
 type Service struct {
 	ID ident.ServiceID
