feat: bill unfinished answers for the part that was relayed

A receipt is made once it is known how much of an attempt reached an entry, so that a lost entry leaves no bill for output that no caller saw.

--- /dev/null
+++ b/agent/certs/certs_test.go
@@ -0,0 +1,97 @@
+package certs_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tarragonvalve.example/agent/certs"
+)
+
+// write makes a self-signed certificate with a serial number.
+func write(t *testing.T, f certs.Files, serial int64) {
+	t.Helper()
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(serial),
+		Subject:      pkix.Name{CommonName: "agent"},
+		NotAfter:     time.Now().Add(time.Hour),
+	}
+	d, err := x509.CreateCertificate(rand.Reader, c, c, &k.PublicKey, k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := x509.MarshalECPrivateKey(k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stamp := time.Unix(1_800_000_000+serial, 0)
+	for name, p := range map[string]*pem.Block{f.Cert: {Type: "CERTIFICATE", Bytes: d}, f.Key: {Type: "EC PRIVATE KEY", Bytes: b}} {
+		if err := os.WriteFile(name, pem.EncodeToMemory(p), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(name, stamp, stamp); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func serial(t *testing.T, c *tls.Config) int64 {
+	t.Helper()
+	n, err := c.GetConfigForClient(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, err := x509.ParseCertificate(n.Certificates[0].Certificate[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x.SerialNumber.Int64()
+}
+
+// Guards against a renewed certificate that needs a restart, and against a
+// half-written one that breaks all connections.
+func TestReload(t *testing.T) {
+	d := t.TempDir()
+	f := certs.Files{Cert: filepath.Join(d, "cert.pem"), Key: filepath.Join(d, "key.pem")}
+	synctest.Test(t, func(t *testing.T) {
+		write(t, f, 1)
+		s, err := certs.New(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := s.Server()
+		for _, n := range []int64{1, 2} {
+			write(t, f, n)
+			time.Sleep(2 * time.Second)
+			if got := serial(t, c); got != n {
+				t.Fatalf("serial %d, want %d", got, n)
+			}
+		}
+		if err := os.WriteFile(f.Cert, []byte("half"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if got := serial(t, c); got != 2 {
+			t.Fatalf("serial %d, want the old certificate", got)
+		}
+		var e *certs.LoadError
+		if _, err := certs.New(f); !errors.As(err, &e) {
+			t.Fatalf("got %v, want a load error", err)
+		}
+	})
+}
--- a/agent/entries/entries_test.go
+++ b/agent/entries/entries_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 
@@ -55,9 +56,9 @@
 	if text != whole || e.GetFinishReason() != "stop" || e.GetInputTokens() != 5 || e.GetOutputTokens() != 4 || e.GetMeanLogprob() != -1 {
 		t.Fatalf("got %q and %v", text, f)
 	}
-	kept := r.receipts.all()
-	if len(kept) != 1 || kept[0].Price != 5*2+4*10 || kept[0].Outcome != ledger.OutcomeComplete || !kept[0].Direct || kept[0].Role != ledger.RoleAttempt {
-		t.Fatalf("receipts %+v", kept)
+	c := r.receipts.only(t)
+	if c.Price != 5*2+4*10 || c.Outcome != ledger.OutcomeComplete || !c.Direct || c.Role != ledger.RoleAttempt {
+		t.Fatalf("receipt %+v", c)
 	}
 }
 
@@ -97,8 +98,8 @@
 		t.Errorf("second run got %q and %v", text, f)
 	}
 	g.Wait()
-	if n, _, _ := r.engine.counts(); n != 1 || len(r.receipts.all()) != 1 {
-		t.Fatalf("engine started %d times with %d receipts", n, len(r.receipts.all()))
+	if n, _, _ := r.engine.counts(); n != 1 || r.receipts.only(t).Output != 4 {
+		t.Fatalf("engine started %d times, receipt %+v", n, r.receipts.only(t))
 	}
 }
 
@@ -155,9 +156,8 @@
 		}
 	}
 	wantRefusal(t, next(t, s), refuse.Cancelled, refuse.DidRun)
-	kept := r.receipts.all()
-	if len(kept) != 1 || kept[0].Outcome != ledger.OutcomeCancelled || kept[0].Output != 1 {
-		t.Fatalf("receipts %+v", kept)
+	if c := r.receipts.only(t); c.Outcome != ledger.OutcomeCancelled || c.Output != 1 {
+		t.Fatalf("receipt %+v", c)
 	}
 }
 
@@ -180,6 +180,27 @@
 	wantRefusal(t, next(t, run(t, r, "r3")), refuse.StaleGeneration, refuse.NotRun)
 }
 
+// Guards against a caller who is billed for output that no entry relayed.
+func TestEntryNeverComesBack(t *testing.T) {
+	r := start(t, newFake())
+	ctx, lose := context.WithCancel(t.Context())
+	s, err := r.client.Run(ctx, runRequest("r1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	next(t, s)
+	r.engine.release <- struct{}{}
+	next(t, s)
+	lose()
+	for len(r.receipts.all()) == 0 {
+		r.ahead.Add(int64(time.Hour))
+		time.Sleep(time.Millisecond)
+	}
+	if c := r.receipts.only(t); c.Outcome != ledger.OutcomeCancelled || c.Output != 1 {
+		t.Fatalf("receipt %+v", c)
+	}
+}
+
 // Guards against a drain that interrupts a request, accepts new work, or is not
 // pushed to the entries at once.
 func TestDrain(t *testing.T) {
--- a/agent/entries/fake_test.go
+++ b/agent/entries/fake_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -166,6 +167,18 @@
 	return append([]ledger.Receipt(nil), r.kept...)
 }
 
+// only returns the one receipt that the agent makes once its stream is settled.
+func (r *receipts) only(t *testing.T) ledger.Receipt {
+	t.Helper()
+	for len(r.all()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if n := len(r.all()); n != 1 {
+		t.Fatalf("%d receipts, want 1", n)
+	}
+	return r.all()[0]
+}
+
 // rig is an agent of a fake engine, reached over an in-memory connection.
 type rig struct {
 	engine   *fake
@@ -173,6 +186,8 @@
 	receipts *receipts
 	streams  *stream.Store
 	client   wire.AgentClient
+	// ahead moves the clock of the streams, in nanoseconds.
+	ahead atomic.Int64
 	// stop makes the agent drain; stopped is closed after it.
 	stop    context.CancelFunc
 	stopped chan struct{}
@@ -186,7 +201,9 @@
 	r.node.set(1, envdoc.StateLive)
 	ring := event.NewRing(event.NewClock(time.Now), "agent-1", 64)
 	s := sched.New(sched.Options{Views: r.node, Slots: 2, Limits: queue.Default(), LedgerFull: func(int) bool { return false }, Now: time.Now})
-	r.streams = stream.NewStore(stream.Default())
+	so := stream.Default()
+	so.Now = func() time.Time { return time.Now().Add(time.Duration(r.ahead.Load())) }
+	r.streams = stream.NewStore(so)
 	st := entries.NewStatus(entries.StatusOptions{Upstream: "e1", Sched: s, Node: r.node})
 	c := engine.New(engine.Default(h.URL))
 	u := runner.New(runner.Options{
@@ -220,10 +237,10 @@
 	r.client = wire.NewAgentClient(conn)
 	t.Cleanup(func() {
 		conn.Close()
-		cancel()
 		stop()
-		others.Wait()
 		<-r.stopped
+		cancel()
+		others.Wait()
 		c.Close()
 	})
 	return r
--- a/agent/entries/serve.go
+++ b/agent/entries/serve.go
@@ -32,11 +32,6 @@
 	drainPoll = 20 * time.Millisecond
 )
 
-// Work is what a drain waits for, beside the streams.
-type Work interface {
-	Open() int
-}
-
 // ListenerOptions are the parts of a Listener.
 type ListenerOptions struct {
 	Listener net.Listener
@@ -45,8 +40,8 @@
 	Server *Server
 	Peer   wire.PeerServer
 	Sched  *sched.Scheduler
-	// Calls is nil for a model engine.
-	Calls Work
+	// Unsettled returns the number of claims that wait for the table; nil for a model engine.
+	Unsettled func() int
 	// DrainLimit bounds a drain, DrainNotice is the least time of one: entries
 	// learn in it that the agent leaves.
 	DrainLimit  time.Duration
@@ -137,5 +132,5 @@
 	if n.Queued+n.Running > 0 || !l.options.Server.options.Streams.Idle() {
 		return false
 	}
-	return l.options.Calls == nil || l.options.Calls.Open() == 0
+	return l.options.Unsettled == nil || l.options.Unsettled() == 0
 }
--- a/agent/entries/server.go
+++ b/agent/entries/server.go
@@ -193,8 +193,8 @@
 				return err
 			}
 		}
+		r.Sent(last)
 		if last {
-			r.Sent()
 			return nil
 		}
 		select {
--- a/agent/queue/queue.go
+++ b/agent/queue/queue.go
@@ -212,8 +212,7 @@
 	return time.Duration(math.Min(s, math.MaxInt32) * float64(time.Second))
 }
 
-// Pop removes and returns the next item. Items whose deadline can no longer be
-// met stay for Expire, which the caller runs first.
+// Pop removes and returns the next item. It does not look at deadlines; Expire does.
 func (q *Queue) Pop() (Item, bool) {
 	var best *account
 	for _, a := range q.accounts {
--- a/agent/runner/relay.go
+++ b/agent/runner/relay.go
@@ -42,24 +42,28 @@
 		r.end(a, ref)
 		return
 	}
-	var served *queue.Served
-	defer func() { t.Done(served) }()
 	if ref := t.Check(); ref != nil {
+		t.Done(nil)
 		r.end(a, ref)
 		return
 	}
 	p := r.begin(a)
 	s, err := r.options.Engine.Start(a.ctx, a.request)
 	if err != nil && engine.ProvenNotRun(err) {
+		t.Done(nil)
 		r.end(a, notStarted(err))
 		return
 	}
 	if engine.Known(err) {
 		s, err = r.options.Engine.Resume(a.ctx, engine.StreamID(a.key.Request, a.key.Attempt), 0)
 	}
-	if r.relay(a, p, s, err) {
+	o := r.relay(a, p, s, err)
+	var served *queue.Served
+	if o == ledger.OutcomeComplete {
 		served = p.served(a, r.options.Now())
 	}
+	t.Done(served)
+	r.settle(a, p, o)
 }
 
 func (r *Runner) adopt(a *attempt) {
@@ -70,7 +74,7 @@
 		return
 	}
 	r.record(a, event.StreamResumed, map[string]string{"at": "engine"})
-	r.relay(a, p, s, err)
+	r.settle(a, p, r.relay(a, p, s, err))
 }
 
 func (r *Runner) begin(a *attempt) *progress {
@@ -95,9 +99,8 @@
 	return refuse.New(refuse.UpstreamFailed, refuse.NotRun, "%v", err)
 }
 
-// relay copies the engine's stream into the buffer and ends the attempt. It
-// reports whether the attempt is complete.
-func (r *Runner) relay(a *attempt, p *progress, s *engine.Stream, err error) bool {
+// relay copies the engine's stream into the buffer and ends the attempt.
+func (r *Runner) relay(a *attempt, p *progress, s *engine.Stream, err error) ledger.Outcome {
 	var position uint64
 	for n := 0; ; n++ {
 		if err == nil {
@@ -107,11 +110,10 @@
 		}
 		if errors.Is(err, io.EOF) {
 			r.complete(a, p)
-			return true
+			return ledger.OutcomeComplete
 		}
 		if n == maxResumes || !resumable(err) || !pause(a.ctx, resumePause<<n) {
-			r.fail(a, p, err)
-			return false
+			return r.fail(a, p, err)
 		}
 		r.options.Log.Warn().Err(err).Str("request", string(a.key.Request)).Msg("resume stream at the engine")
 		s, err = r.options.Engine.Resume(a.ctx, engine.StreamID(a.key.Request, a.key.Attempt), position)
@@ -178,7 +180,6 @@
 func (r *Runner) complete(a *attempt, p *progress) {
 	now := r.options.Now()
 	in, cached, out := p.counts(a)
-	r.receipt(a, p, ledger.OutcomeComplete)
 	e := &wire.End{
 		FinishReason: p.finish,
 		InputTokens:  in,
@@ -196,9 +197,8 @@
 }
 
 // fail ends an attempt that the engine may have worked on.
-func (r *Runner) fail(a *attempt, p *progress, err error) {
+func (r *Runner) fail(a *attempt, p *progress, err error) ledger.Outcome {
 	ref, o := failure(a, p, err)
-	r.receipt(a, p, o)
 	r.record(a, event.AttemptEnded, map[string]string{"outcome": string(o), "code": string(ref.Code)})
 	ref.Generation = r.options.Views.View().Generation()
 	a.buffer.Refuse(refuse.ToWire(ref))
@@ -206,6 +206,7 @@
 	if o == ledger.OutcomeCancelled {
 		r.cancelAtEngine(a)
 	}
+	return o
 }
 
 func failure(a *attempt, p *progress, err error) (*refuse.Error, ledger.Outcome) {
@@ -233,12 +234,23 @@
 	}
 }
 
-// receipt notes the use of an attempt before its end becomes visible, so that
-// an acknowledgement can't arrive before the receipt.
-func (r *Runner) receipt(a *attempt, p *progress, o ledger.Outcome) {
+// settle notes the use of an attempt once it is known how much of it was
+// relayed. An answer that was not relayed whole is billed for the part that was.
+func (r *Runner) settle(a *attempt, p *progress, o ledger.Outcome) {
+	select {
+	case <-a.buffer.Settled():
+	case <-r.base.Done():
+	}
 	in, _, out := p.counts(a)
+	relayed, whole := a.buffer.Relayed()
+	if o == ledger.OutcomeComplete && !whole {
+		o = ledger.OutcomeBroken
+	}
+	if o != ledger.OutcomeComplete {
+		out = relayed
+	}
 	if o == ledger.OutcomeFailed {
-		in, out = 0, 0
+		in = 0
 	}
 	c := ledger.Receipt{
 		Request:  a.key.Request,
--- a/agent/sched/control.go
+++ b/agent/sched/control.go
@@ -43,7 +43,7 @@
 	defer t.Stop()
 	for {
 		changed := s.options.Views.Changed()
-		c.step()
+		c.fill()
 		s.publish(c)
 		select {
 		case <-ctx.Done():
@@ -53,6 +53,7 @@
 		case <-changed:
 			c.sweep()
 		case <-t.C:
+			c.expire()
 		}
 	}
 }
@@ -176,14 +177,18 @@
 	e.ticket.grant <- r
 }
 
-// step refuses expired work and fills the free slots.
-func (c *control) step() {
+// expire refuses waiting work whose deadline can no longer be met.
+func (c *control) expire() {
 	st := c.state()
 	for _, it := range c.queue.Expire(st.Now) {
 		r := refuse.New(refuse.DeadlineExceeded, refuse.NotRun, "wait for a slot: the deadline can no longer be met")
 		r.Generation = st.View.Generation()
 		c.reject(c.waiting[it.ID], r)
 	}
+}
+
+// fill gives the free slots to waiting work that still passes the last check.
+func (c *control) fill() {
 	for len(c.running) < c.options.Slots {
 		it, ok := c.queue.Pop()
 		if !ok {
--- a/agent/sched/sched.go
+++ b/agent/sched/sched.go
@@ -119,6 +119,9 @@
 func (s *Scheduler) Submit(ctx context.Context, w gate.Work, z Size) (*Ticket, *refuse.Error) {
 	m := submit{work: w, size: z, reply: make(chan submitted, 1)}
 	if !s.post(ctx, m) {
+		if ctx.Err() != nil {
+			return nil, refuse.New(refuse.Cancelled, refuse.NotRun, "accept work: the caller is gone")
+		}
 		return nil, refuse.New(refuse.Draining, refuse.NotRun, "accept work: this agent has stopped")
 	}
 	r := <-m.reply
--- a/agent/stream/store.go
+++ b/agent/stream/store.go
@@ -94,6 +94,7 @@
 		now:     s.options.Now,
 		total:   &s.total,
 		changed: make(chan struct{}),
+		settled: make(chan struct{}),
 	}
 	b.lonelyAt = s.options.Now()
 	s.buffers[k] = b
@@ -121,7 +122,7 @@
 func (s *Store) oldest(now time.Time) *Buffer {
 	var out *Buffer
 	for _, b := range s.buffers {
-		if !b.settled(now, s.options.LinkGrace) {
+		if !b.done(now, s.options.LinkGrace) {
 			continue
 		}
 		if out == nil || b.endedAt.Before(out.endedAt) {
@@ -169,7 +170,7 @@
 	defer s.mu.Unlock()
 	now := s.options.Now()
 	for _, b := range s.buffers {
-		if !b.settled(now, s.options.LinkGrace) {
+		if !b.done(now, s.options.LinkGrace) {
 			return false
 		}
 	}
@@ -203,6 +204,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, b := range s.buffers {
+		_ = b.done(now, s.options.LinkGrace) // settles what no entry came back for
 		switch b.phase(now, s.options) {
 		case phaseForget:
 			s.forget(b)
--- a/agent/stream/stream.go
+++ b/agent/stream/stream.go
@@ -50,6 +50,9 @@
 	readers  int
 	lonelyAt time.Time // when the last reader left; zero while one is attached
 	sent     bool      // a reader has sent the last frame
+	passed   uint64    // data frames that were handed to a connection
+	settled  chan struct{}
+	over     bool // settled is closed
 }
 
 // Key returns the attempt's key.
@@ -122,6 +125,30 @@
 	return b.end != nil
 }
 
+// Settled returns a channel that is closed when it is known how much of an ended
+// attempt was relayed: its end was sent, or no entry came back for it in time.
+func (b *Buffer) Settled() <-chan struct{} {
+	return b.settled
+}
+
+// Relayed returns the number of tokens that were handed to a connection and
+// whether the end was.
+func (b *Buffer) Relayed() (tokens uint32, whole bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, d := range b.data[:min(b.passed, uint64(len(b.data)))] {
+		tokens += d.GetTokens()
+	}
+	return tokens, b.sent
+}
+
+func (b *Buffer) settle() {
+	if !b.over {
+		b.over = true
+		close(b.settled)
+	}
+}
+
 // Reader follows a buffer from a position.
 type Reader struct {
 	buffer *Buffer
@@ -135,6 +162,7 @@
 	defer b.mu.Unlock()
 	b.readers++
 	b.lonelyAt = time.Time{}
+	b.passed = max(b.passed, from)
 	return &Reader{buffer: b, next: from}
 }
 
@@ -165,11 +193,17 @@
 	return r.next
 }
 
-// Sent notes that the last frame was handed to the connection.
-func (r *Reader) Sent() {
-	r.buffer.mu.Lock()
-	defer r.buffer.mu.Unlock()
-	r.buffer.sent = true
+// Sent notes that all frames that Next returned were handed to a connection,
+// the last one of the attempt included if last is true.
+func (r *Reader) Sent(last bool) {
+	b := r.buffer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.passed = max(b.passed, r.next)
+	if last {
+		b.sent = true
+		b.settle()
+	}
 }
 
 // Close detaches the reader.
@@ -211,18 +245,19 @@
 	return phaseKeep
 }
 
-// settled reports whether a drain need not wait for this buffer: it has ended,
+// done reports whether nothing waits for this buffer any more: it has ended,
 // and either its end was sent or no entry has come back for it in time.
-func (b *Buffer) settled(now time.Time, grace time.Duration) bool {
+func (b *Buffer) done(now time.Time, grace time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.end == nil {
+	if b.end == nil || b.readers > 0 {
 		return false
 	}
-	if b.readers > 0 {
+	if !b.sent && now.Sub(b.endedAt) < grace {
 		return false
 	}
-	return b.sent || now.Sub(b.endedAt) >= grace
+	b.settle()
+	return true
 }
 
 // release gives the buffer's bytes back to the store's total.
@@ -230,4 +265,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.total.Add(-int64(b.bytes))
+	b.settle()
 }
