--- a/entry/admin/admin_test.go
+++ b/entry/admin/admin_test.go
@@ -138,8 +138,12 @@
 					}
 					return memory.None
 				})
+				r := s.call("ada", "POST", "/admin/v1/document/trial", opsapi.DocumentRequest{Body: b + "# other\n"})
+				if r.error.Code != c.code || r.error.Ran != c.ran {
+					t.Errorf("trial: %s", r.body)
+				}
 				if r := s.promote("ada", b, 0); r.error.Code != c.code || r.error.Ran != c.ran {
-					t.Errorf("%s", r.body)
+					t.Errorf("promote: %s", r.body)
 				}
 			})
 			s.table.SetChooser(nil)
--- a/entry/admin/document.go
+++ b/entry/admin/document.go
@@ -12,6 +12,7 @@
 	"tarragonvalve.example/core/inidoc"
 	"tarragonvalve.example/core/opsapi"
 	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/core/table"
 )
 
 // document returns the document in force here, or that of ?generation=N.
@@ -121,7 +122,7 @@
 	}
 	out := opsapi.TrialReply{Digest: d.Digest, Generation: g, Changes: changes(before, d)}
 	a.shadow(ctx, d, &out)
-	err = a.o.Store.SaveTrial(ctx, accept.Trial{Digest: d.Digest, Operator: c.operator, At: a.o.Now()})
+	err = trialError(a.o.Store.SaveTrial(ctx, accept.Trial{Digest: d.Digest, Operator: c.operator, At: a.o.Now()}))
 	a.record(c, "trial", "", d.Digest, 0, err)
 	if err != nil {
 		return nil, err
@@ -129,6 +130,14 @@
 	return out, nil
 }
 
+// trialError tells a trial that was not recorded from one that may have been.
+func trialError(err error) error {
+	if err == nil || table.NotApplied(err) {
+		return err
+	}
+	return refuse.New(refuse.OutcomeUnknown, refuse.Unknown, "record the trial: %v", err)
+}
+
 // checkCleared refuses a document that would void halts which are not made yet.
 func checkCleared(d *envdoc.Document, latest ident.Generation) error {
 	var ps []inidoc.Problem
