feat: add the agent program

Wires the parts with dig; the steps stop in reverse order, so that the drain comes first and the receipts are stored last.

--- /dev/null
+++ b/agent/boot/build.go
@@ -0,0 +1,368 @@
+package boot
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+
+	"tarragonvalve.example/agent/calls"
+	"tarragonvalve.example/agent/certs"
+	"tarragonvalve.example/agent/engine"
+	"tarragonvalve.example/agent/entries"
+	"tarragonvalve.example/agent/fence"
+	"tarragonvalve.example/agent/health"
+	"tarragonvalve.example/agent/plain"
+	"tarragonvalve.example/agent/runner"
+	"tarragonvalve.example/agent/sched"
+	"tarragonvalve.example/agent/setup"
+	"tarragonvalve.example/agent/stream"
+	"tarragonvalve.example/core/accept"
+	"tarragonvalve.example/core/claim"
+	"tarragonvalve.example/core/event"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/lease"
+	"tarragonvalve.example/core/ledger"
+	"tarragonvalve.example/core/logger"
+	"tarragonvalve.example/core/serve"
+	"tarragonvalve.example/core/spread"
+	"tarragonvalve.example/core/table"
+	"tarragonvalve.example/core/wire"
+)
+
+// build wires all parts and returns the steps in the order of their start.
+// They stop in reverse order: the listener drains while all others still work,
+// and receipts are stored after the last attempt has ended.
+func build(s *setup.Settings, out, logs io.Writer) ([]serve.Step, error) {
+	c := dig.New()
+	l := logger.New(logs, s.Agent.LogLevel, "agent")
+	provide := []any{
+		func() *setup.Settings { return s },
+		func() zerolog.Logger { return l },
+		newListeners,
+		newRing,
+		newTable,
+		newNode,
+		newLedger,
+		newClaims,
+		newScheduler,
+		newStreams,
+		newEngine,
+		newRunner,
+		newCaller,
+		newStatus,
+		newServer,
+		newListener,
+		newHealth,
+	}
+	for _, p := range provide {
+		if err := c.Provide(p); err != nil {
+			return nil, err
+		}
+	}
+	var steps []serve.Step
+	err := c.Invoke(func(p parts) error {
+		steps = p.steps()
+		return p.Listeners.announce(out, s.Agent.Instance)
+	})
+	if err != nil {
+		return nil, dig.RootCause(err)
+	}
+	return steps, nil
+}
+
+type parts struct {
+	dig.In
+
+	Listeners *listeners
+	Node      *spread.Node
+	Ledger    *ledger.Book
+	Claims    *claim.Book
+	Log       zerolog.Logger
+	Streams   *stream.Store
+	Engine    *engineParts
+	Sched     *sched.Scheduler
+	Runner    *runner.Runner
+	Caller    *calls.Caller
+	Health    *health.Server
+	Entries   *entries.Listener
+}
+
+func (p parts) steps() []serve.Step {
+	out := []serve.Step{p.Node, p.Ledger, &flush{book: p.Ledger, log: logger.Part(p.Log, "receipts")}, p.Streams}
+	if p.Engine != nil {
+		out = append(out, p.Engine.monitor, p.Engine.cache)
+	}
+	out = append(out, p.Sched)
+	if p.Runner != nil {
+		out = append(out, p.Runner)
+	}
+	if p.Caller != nil {
+		out = append(out, p.Claims)
+	}
+	return append(out, p.Health, p.Entries)
+}
+
+// flush stores the receipts that are left when the agent stops.
+type flush struct {
+	book *ledger.Book
+	log  zerolog.Logger
+}
+
+// flushLimit bounds the last writes. An entry holds the same receipts.
+const flushLimit = 10 * time.Second
+
+// Name is the step's name.
+func (f *flush) Name() string {
+	return "receipts"
+}
+
+// Run waits for the end of the context and stores what is left.
+func (f *flush) Run(ctx context.Context) error {
+	<-ctx.Done()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushLimit)
+	defer cancel()
+	if err := f.book.Flush(ctx); err != nil {
+		f.log.Error().Err(err).Int("left", f.book.Pending()).Msg("store receipts at the end")
+	}
+	return nil
+}
+
+// listeners are the ports of the process.
+type listeners struct {
+	entries net.Listener
+	admin   net.Listener
+}
+
+func newListeners(s *setup.Settings) (*listeners, error) {
+	e, err := net.Listen("tcp", s.Agent.Listen)
+	if err != nil {
+		return nil, err
+	}
+	a, err := net.Listen("tcp", s.Agent.Admin)
+	if err != nil {
+		e.Close()
+		return nil, err
+	}
+	return &listeners{entries: e, admin: a}, nil
+}
+
+func (l *listeners) announce(out io.Writer, i ident.InstanceID) error {
+	return json.NewEncoder(out).Encode(map[string]string{
+		"instance": string(i),
+		"listen":   l.entries.Addr().String(),
+		"admin":    l.admin.Addr().String(),
+	})
+}
+
+func newRing(s *setup.Settings) *event.Ring {
+	return event.NewRing(event.NewClock(time.Now), s.Agent.Instance, s.Agent.EventRing)
+}
+
+func newTable(s *setup.Settings) table.Client {
+	return table.NewDynamo(s.Table)
+}
+
+func newNode(s *setup.Settings, t table.Client, r *event.Ring) *spread.Node {
+	return spread.New(spread.Options{
+		Instance:     s.Agent.Instance,
+		Role:         "agent",
+		Source:       accept.New(t, s.Control.Environment),
+		Ring:         r,
+		PollInterval: s.Control.PollInterval,
+		Now:          time.Now,
+	})
+}
+
+func newLedger(s *setup.Settings, t table.Client) *ledger.Book {
+	return ledger.New(ledger.Options{
+		Instance: s.Agent.Instance,
+		Client:   t,
+		Interval: s.Receipts.Interval,
+		Hold:     s.Receipts.Hold,
+		Capacity: s.Receipts.Capacity,
+		MaxBatch: s.Receipts.MaxBatch,
+		Now:      time.Now,
+	})
+}
+
+func newClaims(t table.Client) *claim.Book {
+	return claim.New(t)
+}
+
+func newScheduler(s *setup.Settings, n *spread.Node, b *ledger.Book) *sched.Scheduler {
+	return sched.New(sched.Options{
+		Views:  n,
+		Slots:  s.Upstream.Slots,
+		Limits: s.Queue,
+		LedgerFull: func(running int) bool {
+			return b.Full() || b.Pending()+running >= s.Receipts.Capacity
+		},
+		Now: time.Now,
+	})
+}
+
+func newStreams(s *setup.Settings) *stream.Store {
+	return stream.NewStore(s.Stream)
+}
+
+// engineParts are the parts of a model engine's agent; nil for a plain service.
+type engineParts struct {
+	client  *engine.Client
+	monitor *engine.Monitor
+	cache   *engine.Cache
+	guard   *fence.Guard
+}
+
+func newEngine(s *setup.Settings, l zerolog.Logger, n *spread.Node, t table.Client, r *event.Ring) *engineParts {
+	u := s.Upstream
+	if u.Engine.Base == "" {
+		return nil
+	}
+	l = logger.Part(l, "engine")
+	c := engine.New(u.Engine)
+	e := &engineParts{
+		client:  c,
+		monitor: engine.NewMonitor(c, u.ReportInterval, l),
+		cache:   engine.NewCache(c, u.Prefixes, l),
+	}
+	e.guard = fence.New(fence.Options{
+		Engine: c,
+		Tokens: func(ctx context.Context, name string) (ident.FencingToken, error) {
+			return lease.Highest(ctx, t, name)
+		},
+		ChecksFencing: func() bool {
+			d := n.View().Document()
+			if d == nil {
+				return false
+			}
+			k, ok := d.Kinds[u.Kind]
+			return ok && k.ChecksFencing
+		},
+		Ring:      r,
+		ReadLimit: s.Table.Timeout,
+	})
+	return e
+}
+
+func newRunner(s *setup.Settings, e *engineParts, h *sched.Scheduler, t *stream.Store, n *spread.Node, b *ledger.Book, r *event.Ring, l zerolog.Logger, st *entries.Status) *runner.Runner {
+	if e == nil {
+		return nil
+	}
+	return runner.New(runner.Options{
+		Engine:   e.client,
+		Sched:    h,
+		Streams:  t,
+		Views:    n,
+		Receipts: b,
+		Ring:     r,
+		Instance: s.Agent.Instance,
+		Upstream: s.Upstream.ID,
+		Log:      logger.Part(l, "runner"),
+		Status:   st.Now,
+		Now:      time.Now,
+	})
+}
+
+func newCaller(s *setup.Settings, h *sched.Scheduler, n *spread.Node, k *claim.Book, b *ledger.Book, r *event.Ring, l zerolog.Logger) *calls.Caller {
+	if s.Upstream.Service == "" {
+		return nil
+	}
+	return calls.New(calls.Options{
+		Service:    s.Upstream.Service,
+		Upstream:   s.Upstream.ID,
+		Instance:   s.Agent.Instance,
+		Plain:      plain.New(s.Upstream.Plain),
+		Sched:      h,
+		Views:      n,
+		Claims:     k,
+		Receipts:   b,
+		Ring:       r,
+		Log:        logger.Part(l, "calls"),
+		Now:        time.Now,
+		NewToken:   table.NewToken,
+		ClaimLimit: s.Claims.Limit,
+		RecordWait: s.Claims.RecordWait,
+	})
+}
+
+func newStatus(s *setup.Settings, h *sched.Scheduler, n *spread.Node, e *engineParts) *entries.Status {
+	o := entries.StatusOptions{
+		Upstream: s.Upstream.ID,
+		Domain:   s.Upstream.Domain,
+		Service:  s.Upstream.Service,
+		Sched:    h,
+		Node:     n,
+	}
+	if e != nil {
+		o.Reports = e.monitor
+		o.Prefixes = e.cache
+	}
+	return entries.NewStatus(o)
+}
+
+func newServer(st *entries.Status, u *runner.Runner, c *calls.Caller, e *engineParts, t *stream.Store, n *spread.Node, b *ledger.Book, r *event.Ring) *entries.Server {
+	o := entries.Options{Status: st, Runner: u, Streams: t, Node: n, Receipts: b, Ring: r}
+	// A nil pointer in an interface would not compare as nil.
+	if c != nil {
+		o.Caller = c
+	}
+	if e != nil {
+		o.Orderer = e.guard
+	}
+	return entries.NewServer(o)
+}
+
+func newListener(s *setup.Settings, p *listeners, v *entries.Server, st *entries.Status, n *spread.Node, h *sched.Scheduler, c *calls.Caller, k *claim.Book, r *event.Ring, l zerolog.Logger) (*entries.Listener, error) {
+	o := entries.ListenerOptions{
+		Listener:    p.entries,
+		Server:      v,
+		Peer:        spread.NewServer(n, r, st.Draining),
+		Sched:       h,
+		DrainLimit:  s.Agent.DrainLimit,
+		DrainNotice: s.Agent.DrainNotice,
+		Ring:        r,
+		Log:         logger.Part(l, "entries"),
+		Now:         time.Now,
+	}
+	if c != nil {
+		o.Unsettled = func() int { return k.Stats().Waiting }
+	}
+	if s.TLS.Cert != "" {
+		f, err := certs.New(certs.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, ClientCA: s.TLS.ClientCA})
+		if err != nil {
+			return nil, err
+		}
+		o.TLS = f.Server()
+	}
+	return entries.NewListener(o), nil
+}
+
+func newHealth(p *listeners, st *entries.Status, n *spread.Node, h *sched.Scheduler, t *stream.Store, b *ledger.Book, e *engineParts) *health.Server {
+	r := prometheus.NewRegistry()
+	register(r, h, t, b, e)
+	return health.New(health.Options{
+		Listener: p.admin,
+		Registry: r,
+		Ready: func() []string {
+			var why []string
+			if n.View().Document() == nil {
+				why = append(why, "no-document")
+			}
+			if st.Draining() {
+				why = append(why, "draining")
+			}
+			if e != nil && !e.monitor.Report().Reachable {
+				why = append(why, "engine-unreachable")
+			}
+			return why
+		},
+	})
+}
+
+var _ wire.AgentServer = (*entries.Server)(nil)
