--- a/entry/admin/admin.go
+++ b/entry/admin/admin.go
@@ -63,7 +63,8 @@
 	Problem string
 }
 
-// Bills loads stored receipts of a time span [from, to).
+// Bills loads the stored receipts of the requests that are billed in a time span
+// [from, to), as ledger.Load does: adjoining spans share no request.
 type Bills interface {
 	Receipts(ctx context.Context, from, to time.Time) ([]ledger.Receipt, error)
 }
@@ -103,6 +104,8 @@
 	maxFanOuts = 8
 	// maxWaits is apart from maxFanOuts, since a wait lasts up to maxTimeout.
 	maxWaits = 32
+	// maxBills keeps the receipts of one bill in memory at a time.
+	maxBills = 1
 	// maxBody fits the largest document with every byte escaped in JSON.
 	maxBody = 6*envdoc.MaxBytes + 4096
 )
@@ -113,6 +116,7 @@
 	keys    map[envdoc.KeyDigest]Key
 	fanOuts chan struct{}
 	waits   chan struct{}
+	bills   chan struct{}
 }
 
 // New returns an API.
@@ -126,7 +130,7 @@
 	if o.Metrics == nil {
 		o.Metrics = prometheus.NewRegistry()
 	}
-	a := &API{o: o, keys: map[envdoc.KeyDigest]Key{}, fanOuts: make(chan struct{}, maxFanOuts), waits: make(chan struct{}, maxWaits)}
+	a := &API{o: o, keys: map[envdoc.KeyDigest]Key{}, fanOuts: make(chan struct{}, maxFanOuts), waits: make(chan struct{}, maxWaits), bills: make(chan struct{}, maxBills)}
 	for _, k := range o.Keys {
 		a.keys[k.Digest] = k
 	}
@@ -151,7 +155,7 @@
 			r.Get("/wait", a.handle(bounded(a.waits, a.wait)))
 			r.Get("/events", a.handle(bounded(a.fanOuts, a.events)))
 			r.Get("/explain/{request}", a.handle(bounded(a.fanOuts, a.explain)))
-			r.Get("/bill", a.handle(a.bill))
+			r.Get("/bill", a.handle(bounded(a.bills, a.bill)))
 		})
 		r.Group(func(r chi.Router) {
 			r.Use(a.authenticate(opsapi.RoleOperate))
--- a/entry/admin/system_test.go
+++ b/entry/admin/system_test.go
@@ -20,7 +20,6 @@
 	"tarragonvalve.example/core/envdoc"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
-	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/opsapi"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/core/table/memory"
@@ -78,12 +77,6 @@
 	return f.processes
 }
 
-type bills []ledger.Receipt
-
-func (b bills) Receipts(context.Context, time.Time, time.Time) ([]ledger.Receipt, error) {
-	return b, nil
-}
-
 type system struct {
 	t       testing.TB
 	table   *memory.Table
@@ -93,7 +86,7 @@
 	handler http.Handler
 }
 
-func start(t testing.TB, receipts ...ledger.Receipt) *system {
+func start(t testing.TB) *system {
 	s := &system{t: t, table: memory.New(), state: &state{}, fleet: &fleet{}}
 	s.ring = event.NewRing(event.NewClock(time.Now), "entry-1", 100)
 	s.handler = admin.New(admin.Options{
@@ -108,7 +101,7 @@
 		Store: accept.New(s.table, "ilmek"),
 		State: s.state,
 		Fleet: s.fleet,
-		Bills: bills(receipts),
+		Bills: bills{table: s.table},
 		Ring:  s.ring,
 		Log:   zerolog.Nop(),
 	}).Handler()
