--- a/tarragonvalve/lanes/lanes.go
+++ b/tarragonvalve/lanes/lanes.go
@@ -21,7 +21,7 @@
 
 // Sizes in pixels.
 const (
-	left       = 220
+	left       = 280
 	width      = 960
 	right      = 20
 	laneHeight = 34
@@ -97,10 +97,10 @@
 func notes(s opsapi.Source) []string {
 	var out []string
 	if s.Problem != "" {
-		out = append(out, fmt.Sprintf("Not reached: %s %s: %s", s.Role, s.Instance, s.Problem))
+		out = append(out, fmt.Sprintf("%s %s: %s", s.Role, s.Instance, s.Problem))
 	}
 	if s.Overwritten > 0 {
-		out = append(out, fmt.Sprintf("Event ring overflowed: %s %s lost %d events", s.Role, s.Instance, s.Overwritten))
+		out = append(out, fmt.Sprintf("%s %s: event ring overflowed, %d events lost", s.Role, s.Instance, s.Overwritten))
 	}
 	return out
 }
