--- a/entry/plan/plan_test.go
+++ b/entry/plan/plan_test.go
@@ -10,6 +10,7 @@
 
 	"tarragonvalve.example/core/envdoc"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/entry/plan"
 )
@@ -68,6 +69,19 @@
 	})
 }
 
+// Guards against a fallback serving an account that may use no version of the requested model.
+func TestFallbackNeedsAnAllowedModel(t *testing.T) {
+	v := view(0)
+	d := v.Document()
+	other := ref("other", "v1")
+	d.Models["other"] = &envdoc.Model{ID: "other", Shares: map[ident.VersionID]ident.Share{"v1": ident.FullShare}}
+	d.Versions[other] = &envdoc.Version{Ref: other, State: envdoc.StateLive, Fallback: ref("m", "v1")}
+	_, err := plan.Version(v, account, "other", plan.PointOf(account, "s"), nil)
+	if e, ok := refuse.As(err); !ok || e.Code != refuse.ModelNotAllowed {
+		t.Fatalf("got %v, want %s", err, refuse.ModelNotAllowed)
+	}
+}
+
 // shared returns the version that a point has by shares alone.
 func shared(p plan.Point) ident.VersionRef {
 	v := view(0)
--- a/entry/plan/resolve.go
+++ b/entry/plan/resolve.go
@@ -52,6 +52,10 @@
 	if !ok {
 		return ident.VersionRef{}, refuse.New(refuse.ModelUnknown, refuse.NotRun, "model %q does not exist", m)
 	}
+	// Fallbacks lead to other models, but never for a model that the account may not use at all.
+	if !allowsModel(d, a, m) {
+		return ident.VersionRef{}, refuse.New(refuse.ModelNotAllowed, refuse.NotRun, "account %s may use no version of model %s", a, m)
+	}
 	r := ident.VersionRef{Model: m, Version: byShare(c.Shares, p.Base)}
 	if x := inRollout(v, r, p); x != nil {
 		to := ident.VersionRef{Model: m, Version: x.To}
@@ -62,6 +66,19 @@
 	return Usable(v, a, r)
 }
 
+func allowsModel(d *envdoc.Document, a ident.AccountID, m ident.ModelID) bool {
+	c, ok := d.Accounts[a]
+	if !ok {
+		return false
+	}
+	for r, allowed := range c.Allowed {
+		if allowed && r.Model == m {
+			return true
+		}
+	}
+	return false
+}
+
 // Usable returns r, or the first of its fallbacks that the account is allowed
 // and that is neither withdrawn nor halted.
 func Usable(v *spread.View, a ident.AccountID, r ident.VersionRef) (ident.VersionRef, error) {
