fix: complete an attempt only at the end of a stream that was read

When the engine closed the connection without an answer, the send error wrapped io.EOF and the agent ended the attempt as complete without any text, which the caller got as a whole answer. Seen with TestTruthful/engine_answers_are_lost_after_the_start on a scratch copy with the agent program. Run: go test -race ./engine ./runner, lint.

--- a/agent/runner/relay.go
+++ b/agent/runner/relay.go
@@ -99,7 +99,9 @@
 	return refuse.New(refuse.UpstreamFailed, refuse.NotRun, "%v", err)
 }
 
-// relay copies the engine's stream into the buffer and ends the attempt.
+// relay copies the engine's stream into the buffer and ends the attempt. Only the
+// end of a stream that was read completes it: an error of Start or Resume may wrap
+// io.EOF too, when the engine closes the connection without an answer.
 func (r *Runner) relay(a *attempt, p *progress, s *engine.Stream, err error) ledger.Outcome {
 	var position uint64
 	for n := 0; ; n++ {
@@ -107,10 +109,10 @@
 			err = r.copy(a, p, s)
 			position = s.Position()
 			s.Close()
-		}
-		if errors.Is(err, io.EOF) {
-			r.complete(a, p)
-			return ledger.OutcomeComplete
+			if errors.Is(err, io.EOF) {
+				r.complete(a, p)
+				return ledger.OutcomeComplete
+			}
 		}
 		if n == maxResumes || !resumable(err) || !pause(a.ctx, resumePause<<n) {
 			return r.fail(a, p, err)
