--- a/core/event/event.go
+++ b/core/event/event.go
@@ -85,11 +85,20 @@
 	return c.last
 }
 
-// Observe moves the clock past a stamp received from another process.
-func (c *Clock) Observe(s Stamp) {
+// maxDrift bounds how far a received stamp may be ahead of the wall clock. Without
+// it, one process with a wrong clock would move the clocks of all others for good.
+const maxDrift = time.Minute
+
+// Observe moves the clock past a stamp received from another process. It ignores
+// stamps more than a minute ahead of the wall clock and reports whether it took s.
+func (c *Clock) Observe(s Stamp) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s.Time().After(c.now().Add(maxDrift)) {
+		return false
+	}
 	c.last = max(c.last, s)
+	return true
 }
 
 // Ring keeps the latest events of a process. It is safe for concurrent use.
