feat: let an agent abandon a claim whose call it did not send

A call that the document or the deadline ruled out after its claim was written left the claim dispatched for good. Its holder can now mark it not-run.

--- a/core/claim/book.go
+++ b/core/claim/book.go
@@ -44,21 +44,16 @@
 	if err := b.check(ctx, k, d.Expect, d.Digest); err != nil {
 		return nil, err
 	}
-	c := &Claim{
+	// The suffix keeps a repeat of the attempt from taking this write for its own.
+	token := d.Token + "/" + table.NewToken()
+	c, err := b.put(ctx, Claim{
 		Key:      k,
-		Revision: d.Expect + 1,
+		Revision: d.Expect,
 		State:    StateDispatched,
 		Digest:   d.Digest,
 		Request:  d.Request,
 		Upstream: d.Upstream,
-	}
-	body, err := encode(c)
-	if err != nil {
-		return nil, err
-	}
-	// The suffix keeps a repeat of the attempt from taking this write for its own.
-	token := d.Token + "/" + table.NewToken()
-	err = b.client.Settle(ctx, table.Write{Key: k.row(), Expect: d.Expect, Token: token, Body: body})
+	}, token)
 	if err == nil {
 		return c, nil
 	}
@@ -83,6 +78,18 @@
 	return err
 }
 
+// Abandon marks a claim not-run that Dispatch returned and whose call was not sent.
+// Only its holder may do so, and it must not send the call afterwards. When the
+// table gives no answer, it returns the error and Run marks the claim later.
+func (b *Book) Abandon(ctx context.Context, c *Claim) error {
+	j := &release{claim: *c, token: table.NewToken()}
+	err := j.run(ctx, b)
+	if table.IsUnavailable(err) {
+		b.queue(j)
+	}
+	return err
+}
+
 // MarkNotRun makes sure that no dispatch that expects m.Expect can follow, and so
 // gives the proof that the call did not run. A claim that another process marked
 // not-run is the same proof, since only a call that was not sent is marked. It
@@ -119,16 +126,20 @@
 }
 
 func (b *Book) mark(ctx context.Context, k Key, m NotRunMark) (*Claim, error) {
-	c := &Claim{Key: k, Revision: m.Expect + 1, State: StateNotRun, Digest: m.Digest, Request: m.Request}
-	body, err := encode(c)
+	return b.put(ctx, Claim{Key: k, Revision: m.Expect, Digest: m.Digest, Request: m.Request, State: StateNotRun}, table.NewToken())
+}
+
+// put writes a claim on top of its revision and returns it as it then stands.
+func (b *Book) put(ctx context.Context, c Claim, t table.WriteToken) (*Claim, error) {
+	body, err := encode(&c)
 	if err != nil {
 		return nil, err
 	}
-	err = b.client.Settle(ctx, table.Write{Key: k.row(), Expect: m.Expect, Token: table.NewToken(), Body: body})
-	if err != nil {
+	if err := b.client.Settle(ctx, table.Write{Key: c.Key.row(), Expect: c.Revision, Token: t, Body: body}); err != nil {
 		return nil, err
 	}
-	return c, nil
+	c.Revision++
+	return &c, nil
 }
 
 // check reads the row that a write follows. A first claim follows no row and is
--- a/core/claim/book_test.go
+++ b/core/claim/book_test.go
@@ -68,6 +68,26 @@
 	}
 }
 
+// Guards against a call that was claimed, not sent, and blocks its key for ever.
+func TestAbandon(t *testing.T) {
+	b := claim.New(memory.New())
+	c, err := b.Dispatch(t.Context(), key, claim.Dispatch{Digest: "d", Upstream: "u"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Abandon(t.Context(), c); err != nil {
+		t.Fatal(err)
+	}
+	n, err := b.Read(t.Context(), key)
+	if err != nil || n.State != claim.StateNotRun || n.Revision != 2 {
+		t.Errorf("abandoned: %v, %v", n, err)
+	}
+	var taken *claim.TakenError
+	if err := b.Finish(t.Context(), c, claim.Result{}); !errors.As(err, &taken) {
+		t.Errorf("result of an abandoned call: %v", err)
+	}
+}
+
 // Guards against a key that runs with two bodies.
 func TestKeyReused(t *testing.T) {
 	b := claim.New(memory.New())
--- a/core/claim/later.go
+++ b/core/claim/later.go
@@ -83,11 +83,24 @@
 	c := j.claim
 	c.State = StateDone
 	c.Result = &j.result
-	body, err := encode(&c)
-	if err != nil {
-		return err
+	_, err := b.put(ctx, c, j.token)
+	if t, ok := table.AsConflict(err); ok {
+		return current(c.Key, t)
 	}
-	err = b.client.Settle(ctx, table.Write{Key: c.Key.row(), Expect: c.Revision, Token: j.token, Body: body})
+	return err
+}
+
+// release marks a claim not-run whose call was not sent.
+type release struct {
+	claim Claim
+	token table.WriteToken
+}
+
+func (j *release) run(ctx context.Context, b *Book) error {
+	c := j.claim
+	c.State = StateNotRun
+	c.Upstream = ""
+	_, err := b.put(ctx, c, j.token)
 	if t, ok := table.AsConflict(err); ok {
 		return current(c.Key, t)
 	}
