fix: read halts although the newest document can't be parsed

A poll ended at the first error, so an unreadable document also hid halts. Updates after the end of the control goroutine now fail at once instead of at their deadline.

--- a/core/spread/follow.go
+++ b/core/spread/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/table"
 )
 
 // sideEvery is the number of polls per read of halts and steps. Both travel
@@ -48,14 +49,20 @@
 	at := n.o.Now()
 	after := n.View().Generation()
 	a, err := n.o.Source.Latest(ctx, after)
-	if err != nil {
+	switch {
+	case table.IsUnavailable(err):
 		n.failed.Add(1)
 		f.left = 0
 		return
-	}
-	n.touch()
-	if err := n.update(ctx, tableRead{after: after, accepted: a, at: at}); err != nil {
-		return
+	case err != nil:
+		// The table answered with a document that this program can't read. Halts still count.
+		n.failed.Add(1)
+		n.touch()
+	default:
+		n.touch()
+		if n.update(ctx, tableRead{after: after, accepted: a, at: at}) != nil {
+			return
+		}
 	}
 	if a == nil && f.left > 0 {
 		f.left--
--- a/core/spread/node.go
+++ b/core/spread/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -41,6 +42,8 @@
 type Node struct {
 	o       Options
 	updates chan update
+	// stopped is closed when the control goroutine has ended.
+	stopped chan struct{}
 	// unsaved wakes the table loop when a halt was made here.
 	unsaved chan struct{}
 	current atomic.Pointer[snapshot]
@@ -76,7 +79,7 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	n := &Node{o: o, updates: make(chan update), unsaved: make(chan struct{}, 1)}
+	n := &Node{o: o, updates: make(chan update), stopped: make(chan struct{}), unsaved: make(chan struct{}, 1)}
 	s := state{confirmed: ConfirmedNone}
 	n.current.Store(&snapshot{state: s, view: s.view(), changed: make(chan struct{})})
 	return n
@@ -87,8 +90,12 @@
 	return "spread"
 }
 
-// Run applies updates and reads the table until ctx ends.
+// ErrStopped reports an update after the control goroutine has ended.
+var ErrStopped = errors.New("update state: the control goroutine has ended")
+
+// Run applies updates and reads the table until ctx ends. It runs once.
 func (n *Node) Run(ctx context.Context) error {
+	defer close(n.stopped)
 	ctx, cancel := context.WithCancel(ctx)
 	polled := make(chan struct{})
 	go func() {
@@ -242,6 +249,8 @@
 	u := update{inputs: es, done: make(chan struct{})}
 	select {
 	case n.updates <- u:
+	case <-n.stopped:
+		return ErrStopped
 	case <-ctx.Done():
 		return oops.In("spread").Wrapf(ctx.Err(), "update state")
 	}
