--- /dev/null
+++ b/bench/scene/result.go
@@ -0,0 +1,191 @@
+package scene
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"tarragonvalve.example/bench/drive"
+	"tarragonvalve.example/bench/world"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/ledger"
+	"tarragonvalve.example/core/opsapi"
+	"tarragonvalve.example/standin/answer"
+	"tarragonvalve.example/standin/setup"
+)
+
+// Versions are the stand-ins' settings of all versions.
+type Versions = map[ident.VersionRef]setup.Version
+
+// Figures are what one run measured after the warm-up.
+type Figures struct {
+	Requests int `json:"requests"`
+	Answered int `json:"answered"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	// Goodput is in whole answers per second.
+	Goodput float64 `json:"goodput"`
+	// Quality is the part of good answers; Target the mean of the accounts' targets over the same answers.
+	Quality float64 `json:"quality"`
+	Target  float64 `json:"target"`
+	// Cost is in micro-cents per answer, over all attempts.
+	Cost float64 `json:"cost"`
+	// First and End hold p50, p95 and p99 to the first token and to the end, in ms.
+	First  [3]float64 `json:"first-ms"`
+	End    [3]float64 `json:"end-ms"`
+	Review [3]float64 `json:"review-end-ms"`
+	// Small is the time to the end for accounts of weight 1, in ms.
+	Small [3]float64 `json:"small-end-ms"`
+	// Exposed counts callers that got an answer from the bad version after it turned bad.
+	Exposed int `json:"exposed"`
+	// Halted is when the first halt of the bad version was made, since the start; 0 for none.
+	Halted time.Duration `json:"halted"`
+	// LastBad is the latest start of an answer of the bad version after the halt, since the halt.
+	LastBad time.Duration `json:"last-bad"`
+	// Attempts is the number of attempts per answered request.
+	Attempts float64        `json:"attempts"`
+	Codes    map[string]int `json:"codes"`
+}
+
+// Measure judges the records of a run. Versions hold the stand-ins' true qualities.
+func Measure(ctx context.Context, s *Scene, w *world.World, rs []drive.Record, begin time.Time, vs Versions) (Figures, error) {
+	f := Figures{Codes: map[string]int{}}
+	var first, end, review, small []float64
+	answered := map[ident.RequestID]bool{}
+	good := 0
+	for i := range rs {
+		r := &rs[i]
+		if r.At < s.Warm {
+			continue
+		}
+		f.Requests++
+		if !r.OK() {
+			f.count(r)
+			continue
+		}
+		f.Answered++
+		answered[r.Request] = true
+		a := w.Document.Accounts[r.Account]
+		f.Target += a.QualityTarget
+		v := vs[r.Version]
+		if answer.Of(answer.Settings{Ref: r.Version, Quality: v.Quality, MeanTokens: v.MeanTokens}, r.Messages, 0).Good {
+			good++
+		}
+		first = append(first, ms(r.First))
+		end = append(end, ms(r.Total))
+		if r.Task == drive.Review {
+			review = append(review, ms(r.Total))
+		}
+		if a.Weight == 1 {
+			small = append(small, ms(r.Total))
+		}
+	}
+	n := float64(max(f.Answered, 1))
+	f.Quality = float64(good) / n
+	f.Target /= n
+	f.Goodput = float64(f.Answered) / (s.Duration - s.Warm).Seconds()
+	f.First, f.End, f.Review, f.Small = quantiles(first), quantiles(end), quantiles(review), quantiles(small)
+	if err := f.cost(ctx, w, answered, begin); err != nil {
+		return f, err
+	}
+	return f, f.exposure(ctx, s, w, rs, begin)
+}
+
+func (f *Figures) count(r *drive.Record) {
+	code := string(r.Code)
+	if code == "" {
+		code = "no-answer"
+	}
+	f.Codes[code]++
+	if r.Ran == "not-run" {
+		f.Refused++
+		return
+	}
+	f.Failed++
+}
+
+// cost sums up the prices of all attempts of the answered requests from the
+// stored receipts. An attempt has the agent's receipt, the entry's or both.
+func (f *Figures) cost(ctx context.Context, w *world.World, answered map[ident.RequestID]bool, begin time.Time) error {
+	rs, err := ledger.Load(ctx, w.Table(), begin.Add(-time.Minute), time.Now().Add(time.Minute))
+	if err != nil {
+		return err
+	}
+	type attempt struct {
+		request ident.RequestID
+		n       ident.Attempt
+	}
+	prices := map[attempt]ident.MicroCents{}
+	for i := range rs {
+		r := &rs[i]
+		if answered[r.Request] {
+			k := attempt{request: r.Request, n: r.Attempt}
+			prices[k] = max(prices[k], r.Price)
+		}
+	}
+	total := 0.0
+	for _, p := range prices {
+		total += float64(p)
+	}
+	n := float64(max(len(answered), 1))
+	f.Cost = total / n
+	f.Attempts = float64(len(prices)) / n
+	return nil
+}
+
+// exposure counts the callers that the bad version reached, and how long after the halt.
+func (f *Figures) exposure(ctx context.Context, s *Scene, w *world.World, rs []drive.Record, begin time.Time) error {
+	if s.Bad == (ident.VersionRef{}) {
+		return nil
+	}
+	halt := time.Time{}
+	for _, a := range w.Admins {
+		var st opsapi.StatusReply
+		if err := w.Operator(ctx, http.MethodGet, a, "/status", &st); err != nil {
+			return err
+		}
+		for _, h := range st.Halts {
+			if h.Version == s.Bad.String() && (halt.IsZero() || h.At.Before(halt)) {
+				halt = h.At
+			}
+		}
+	}
+	if !halt.IsZero() {
+		f.Halted = halt.Sub(begin)
+	}
+	for i := range rs {
+		r := &rs[i]
+		if r.At < s.Warm || r.Version != s.Bad || r.Status == 0 {
+			continue
+		}
+		f.Exposed++
+		if !halt.IsZero() && r.At > f.Halted {
+			f.LastBad = max(f.LastBad, r.At-f.Halted)
+		}
+	}
+	return nil
+}
+
+func quantiles(x []float64) [3]float64 {
+	if len(x) == 0 {
+		return [3]float64{}
+	}
+	slices.Sort(x)
+	at := func(q float64) float64 { return x[min(int(q*float64(len(x))), len(x)-1)] }
+	return [3]float64{at(0.5), at(0.95), at(0.99)}
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
+// JSON returns the figures on one line.
+func (f Figures) JSON() string {
+	b, err := json.Marshal(f)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b)
+}
