--- a/bench/cmds/cmds.go
+++ b/bench/cmds/cmds.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -50,9 +51,9 @@
 		fmt.Fprintln(errs, err)
 		return exitUsage
 	}
-	switch err := p.Parse(argv); err {
-	case nil:
-	case arg.ErrHelp:
+	switch err := p.Parse(argv); {
+	case err == nil:
+	case errors.Is(err, arg.ErrHelp):
 		p.WriteHelp(out)
 		return exitOK
 	default:
@@ -129,7 +130,7 @@
 	if err != nil {
 		return f, err
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	o, vs, err := options(a, s, v, dir)
 	if err != nil {
 		return f, err
--- a/bench/world/world.go
+++ b/bench/world/world.go
@@ -310,7 +310,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	c.Stderr = log
 	r, err := c.StdoutPipe()
 	if err != nil {
