--- a/entry/plan/choose.go
+++ b/entry/plan/choose.go
@@ -52,8 +52,9 @@
 	Objective envdoc.Objective
 	// Target is the part of answers that should be rated good.
 	Target float64
-	// Explore judges plans by their mean instead of the lower bound, so that
-	// versions with few ratings get some. Set it for a small part of requests.
+	// Explore prefers plans that teach something: a cascade from a version whose
+	// answers are not known well enough for cascades yet, or else the best plan by
+	// means instead of lower bounds. Set it for a small part of requests.
 	Explore bool
 	// Deadline is the time left; plans predicted to take longer are avoided. 0 means none.
 	Deadline time.Duration
@@ -73,6 +74,9 @@
 	Meets bool
 }
 
+// probeCut is the bin below which a probe escalates, a mean log-probability of -0.5.
+const probeCut = 5
+
 // Weights of money against time in a plan's score. Both are taken relative to
 // the cheapest and the fastest candidate, so that no unit matters.
 const (
@@ -85,6 +89,9 @@
 	if len(cs) == 0 {
 		return Choice{}, false
 	}
+	if c, ok := probe(cs, g); ok {
+		return c, true
+	}
 	s := scale(cs)
 	var best Choice
 	found := false
@@ -117,6 +124,50 @@
 	return best, true
 }
 
+// probe returns a cascade from the cheapest version with too few answers to the
+// best version that it may escalate to. Escalation keeps the quality near the
+// target while the answers of the cheap version become known.
+func probe(cs []Candidate, g Goal) (Choice, bool) {
+	if !g.Explore || g.CascadeOff {
+		return Choice{}, false
+	}
+	var first, then *Candidate
+	for i := range cs {
+		a := &cs[i]
+		if a.Quality.binned || (first != nil && a.Cost >= first.Cost) {
+			continue
+		}
+		if b := escalation(cs, *a); b != nil {
+			first, then = a, b
+		}
+	}
+	if first == nil {
+		return Choice{}, false
+	}
+	x := cascade(*first, *then, probeCut, g)
+	x.Cost = first.Cost + then.Cost
+	x.Time = first.Time + then.Time
+	return x, g.Deadline == 0 || x.Time <= g.Deadline
+}
+
+// escalation returns the candidate with the best bound that a may escalate to, nil for none.
+func escalation(cs []Candidate, a Candidate) *Candidate {
+	var best *Candidate
+	for i := range cs {
+		b := &cs[i]
+		if mayEscalate(a, *b) && (best == nil || b.Quality.Lower() > best.Quality.Lower()) {
+			best = b
+		}
+	}
+	return best
+}
+
+// NeedsProbe reports whether a version that could start a cascade has too few answers for it.
+func NeedsProbe(cs []Candidate) bool {
+	_, ok := probe(cs, Goal{Explore: true})
+	return ok
+}
+
 func mayEscalate(a, b Candidate) bool {
 	if a.Version.Model == b.Version.Model || a.Cost >= b.Cost {
 		return false
--- a/entry/plan/plan_test.go
+++ b/entry/plan/plan_test.go
@@ -261,3 +261,28 @@
 	fmt.Println(c.Plan.(plan.Single).Version)
 	// Output: small@v1
 }
+
+// Guards against a cheap version that is never tried because nothing is known of
+// its answers, and against probing once they are known.
+func TestProbeLearnsUnknownVersion(t *testing.T) {
+	const seed = 19
+	t.Logf("seed %d", seed)
+	r := rand.New(rand.NewPCG(seed, 1))
+	w := world{ref("small", "v1"): 0.7, ref("large", "v1"): 0.94}
+	q := plan.NewQuality()
+	g := plan.Goal{Objective: envdoc.ObjectiveCost, Target: 0.88, Explore: true}
+	probes := 0
+	for plan.NeedsProbe(candidates(q)) {
+		c, _ := plan.Choose(candidates(q), g)
+		p, ok := c.Plan.(plan.Cascade)
+		if !ok || probes > 200 {
+			t.Fatalf("plan %+v after %d probes, want a cascade", c, probes)
+		}
+		probes++
+		_, l := w.answer(r, p.First)
+		q.Observe(plan.Answer{Account: account, Task: "review", Version: p.First, Logprob: l})
+	}
+	if probes == 0 {
+		t.Error("no probe of an unknown version")
+	}
+}
--- a/entry/plan/resolve.go
+++ b/entry/plan/resolve.go
@@ -56,6 +56,10 @@
 	if !allowsModel(d, a, m) {
 		return ident.VersionRef{}, refuse.New(refuse.ModelNotAllowed, refuse.NotRun, "account %s may use no version of model %s", a, m)
 	}
+	if len(c.Shares) == 0 {
+		// Every version of the model was withdrawn.
+		return Usable(v, a, c.Fallback)
+	}
 	r := ident.VersionRef{Model: m, Version: byShare(c.Shares, p.Base)}
 	if x := inRollout(v, r, p); x != nil {
 		to := ident.VersionRef{Model: m, Version: x.To}
@@ -148,8 +152,5 @@
 			return id
 		}
 	}
-	if len(ids) == 0 {
-		return ""
-	}
 	return ids[len(ids)-1]
 }
--- a/entry/policy/decide.go
+++ b/entry/policy/decide.go
@@ -23,6 +23,8 @@
 	// defaultFirst and defaultPerToken stand in until a version was observed.
 	defaultFirst    = 300 * time.Millisecond
 	defaultPerToken = 30 * time.Millisecond
+	// probeEvery is the number of requests of which one probes a version that is not known yet.
+	probeEvery = 8
 	// maxExposed bounds the sessions remembered per roll-out without a bound of its own.
 	maxExposed = 100_000
 )
@@ -127,14 +129,14 @@
 		}
 		cs = append(cs, c.candidate(q, v))
 	}
+	if len(cs) == 0 {
+		return Decision{}, last
+	}
 	g := plan.Goal{
 		Objective: q.Account.Objective,
 		Target:    q.Account.QualityTarget,
 		Deadline:  q.Left,
-		Explore:   c.o.ExploreEvery > 0 && xxhash.Sum64String(string(q.Request))%c.o.ExploreEvery == 0,
-	}
-	if len(cs) == 0 {
-		return Decision{}, last
+		Explore:   c.explores(q, cs),
 	}
 	choice := c.choose(cs, g, d)
 	c.countChoice(choice, g)
@@ -150,6 +152,19 @@
 	return out, nil
 }
 
+// explores reports whether a request explores: one of ExploreEvery, and one of
+// probeEvery while a version is too little known to start a cascade.
+func (c *Control) explores(q Query, cs []plan.Candidate) bool {
+	n := c.o.ExploreEvery
+	if n == 0 {
+		return false
+	}
+	if plan.NeedsProbe(cs) {
+		n = min(n, probeEvery)
+	}
+	return xxhash.Sum64String(string(q.Request))%n == 0
+}
+
 // choose applies the strategy to at least one candidate.
 func (c *Control) choose(cs []plan.Candidate, g plan.Goal, d *envdoc.Document) plan.Choice {
 	prior := func(x plan.Candidate) float64 { return d.Versions[x.Version].QualityPrior }
--- a/entry/ramp/ramp.go
+++ b/entry/ramp/ramp.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -13,7 +12,6 @@
 
 	"tarragonvalve.example/core/accept"
 	"tarragonvalve.example/core/envdoc"
-	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/core/table"
@@ -53,7 +51,6 @@
 	Samples func(ctx context.Context, v ident.VersionRef) int
 	// Fleet returns this entry's place among the live entries.
 	Fleet func() steps.Fleet
-	Ring  *event.Ring
 	Log   zerolog.Logger
 	Now   func() time.Time
 }
@@ -164,10 +161,5 @@
 	if err := r.o.Node.Advance(ctx, g, id, to); err != nil {
 		return
 	}
-	r.o.Log.Info().Str("rollout", string(id)).Int("step", to).Msg("roll-out advanced")
-	r.o.Ring.Record(event.Event{Kind: event.RolloutAdvanced, Fields: map[string]string{
-		"rollout":       string(id),
-		"step":          strconv.Itoa(to),
-		"fencing-token": strconv.FormatUint(uint64(token), 10),
-	}})
+	r.o.Log.Info().Str("rollout", string(id)).Int("step", to).Uint64("fencing-token", uint64(token)).Msg("roll-out advanced")
 }
--- a/entry/ramp/ramp_test.go
+++ b/entry/ramp/ramp_test.go
@@ -11,7 +11,6 @@
 
 	"tarragonvalve.example/core/accept"
 	"tarragonvalve.example/core/envdoc"
-	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/core/table/memory"
@@ -66,7 +65,6 @@
 				Lease: l, Store: store, Node: n, Now: time.Now, Log: zerolog.Nop(),
 				Fleet:   func() steps.Fleet { return steps.Fleet{Entries: 2} },
 				Samples: func(context.Context, ident.VersionRef) int { samples++; return samples },
-				Ring:    event.NewRing(event.NewClock(time.Now), "e", 16),
 			})
 			go func() { _ = r.Run(ctx) }()
 		}
