--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -131,9 +131,11 @@
 }
 
 const (
-	shortWarm = 12 * time.Second
+	shortWarm = 20 * time.Second
 	shortRun  = 30 * time.Second
-	// exampleRollouts is where the example documents define roll-outs; scenes without one cut them.
+	// compression is how many times faster the engines are than in the demonstrations.
+	compression = 4
+	// rolloutSection is where the example documents define roll-outs; scenes without one cut them.
 	rolloutSection = `(?s)\[rollout [^\]]*\]\n.*?\n\n`
 )
 
@@ -142,18 +144,18 @@
 	{
 		Name: "ilmek-steady", About: "mixed day of Ilmek: cost at the quality target",
 		Deployment: "ilmek", Variants: policies("adaptive", "round-robin-best", "least-outstanding-best", "fixed-cascade"),
-		Rate: 20, Warm: shortWarm, Duration: shortWarm + shortRun, ReviewPart: 0.5, Document: withoutRollouts,
+		Rate: 20, Warm: shortWarm, Duration: shortWarm + shortRun, ReviewPart: 0.5, Document: plain,
 	},
 	{
 		Name: "kootenay-slow-third", About: "Kootenay with a third of the model servers three times as slow",
 		Deployment: "kootenay", Variants: policies("adaptive", "round-robin-best", "least-outstanding-best", "fixed-cascade"),
-		Rate: 12, Warm: shortWarm, Duration: shortWarm + shortRun, ReviewPart: 0.5, Document: withoutRollouts,
+		Rate: 12, Warm: shortWarm, Duration: shortWarm + shortRun, ReviewPart: 0.5, Document: plain,
 		Standin: func(s string) string { return slowThird(s, 3) },
 	},
 	{
 		Name: "ilmek-crowd", About: "three times the load on one large account of Ilmek; small accounts' latency",
 		Deployment: "ilmek", Variants: []Variant{{Policy: "adaptive", Crowd: 3}, {Policy: "adaptive"}, {Policy: "least-outstanding-best", Crowd: 3}, {Policy: "least-outstanding-best"}},
-		Rate: 15, Warm: shortWarm, Duration: shortWarm + shortRun, ReviewPart: 0.5, Document: withoutRollouts,
+		Rate: 15, Warm: shortWarm, Duration: shortWarm + shortRun, ReviewPart: 0.5, Document: plain,
 	},
 	bad("errors", `{"error-rate":0.4}`),
 	bad("ratings", `{"quality":0.3}`),
@@ -161,8 +163,8 @@
 	{
 		Name: "ilmek-overload", About: "twice the capacity of Ilmek: goodput against that at capacity",
 		Deployment: "ilmek", Variants: []Variant{{Policy: "adaptive", Load: 2}, {Policy: "adaptive"}, {Policy: "least-outstanding-best", Load: 2}, {Policy: "least-outstanding-best"}},
-		Rate: 60, Warm: 5 * time.Second, Duration: 20 * time.Second, ReviewPart: 0.5,
-		Document: func(s string) string { return withoutLimits(withoutRollouts(s)) },
+		Rate: 45, Warm: shortWarm, Duration: shortWarm + 20*time.Second, ReviewPart: 0.5,
+		Document: plain,
 	},
 }
 
@@ -184,7 +186,7 @@
 		Deployment: "kootenay", Variants: policies("adaptive", "fixed-schedule"),
 		Rate: 12, Warm: shortWarm, Duration: shortWarm + 45*time.Second, ReviewPart: 0.3,
 		Model: "selkirk", Bad: v,
-		Document: func(s string) string { return rolloutAt(s, "20, 50, 100", "20s") },
+		Document: func(s string) string { return withoutLimits(rolloutAt(s, "20, 50, 100", "20s")) },
 		Actions: func(w *world.World) []drive.Action {
 			return []drive.Action{{At: shortWarm, Do: func(ctx context.Context) {
 				_ = w.Control(ctx, http.MethodPut, "/versions/"+v.String(), raw(change), nil)
@@ -193,6 +195,10 @@
 	}
 }
 
+// plain is the example document without roll-outs and limits: the load is scaled
+// with the engines, the limits are not.
+func plain(s string) string { return withoutLimits(withoutRollouts(s)) }
+
 func withoutRollouts(s string) string {
 	return regexp.MustCompile(rolloutSection).ReplaceAllString(s, "")
 }
@@ -210,21 +216,31 @@
 	return regexp.MustCompile(`(?m)^min-samples = .*$`).ReplaceAllString(s, "min-samples = 10")
 }
 
-// slowThird multiplies the token time of every third engine and divides its prefill rate.
-func slowThird(s string, by int) string {
+// slowThird slows every third engine down.
+func slowThird(s string, by float64) string {
 	parts := strings.Split(s, "[engine ")
 	for i := range parts {
 		if i == 0 || i%3 != 0 {
 			continue
 		}
-		parts[i] = regexp.MustCompile(`token-time = (\d+)ms`).ReplaceAllStringFunc(parts[i], func(m string) string {
-			n, _ := strconv.Atoi(regexp.MustCompile(`\d+`).FindString(m))
-			return fmt.Sprintf("token-time = %dms", n*by)
-		})
+		parts[i] = scaled(parts[i], `token-time = ([\d.]+)ms`, "token-time = %gms", by)
+		parts[i] = scaled(parts[i], `prefill-tokens-per-second = (\d+)`, "prefill-tokens-per-second = %.0f", 1/by)
 	}
 	return strings.Join(parts, "[engine ")
 }
 
+// scaled multiplies the number in every match of a pattern.
+func scaled(s, pattern, format string, by float64) string {
+	p := regexp.MustCompile(pattern)
+	return p.ReplaceAllStringFunc(s, func(m string) string {
+		n, err := strconv.ParseFloat(p.FindStringSubmatch(m)[1], 64)
+		if err != nil {
+			return m
+		}
+		return fmt.Sprintf(format, n*by)
+	})
+}
+
 // raw is JSON that is sent as it is.
 type raw string
 
@@ -233,12 +249,14 @@
 	return []byte(r), nil
 }
 
-// StandinText returns the stand-ins' settings of an experiment. Ratings come
-// faster than in the demonstrations, so that a run of half a minute has as many
-// as minutes of a real day.
+// StandinText returns the stand-ins' settings of an experiment. Engines and
+// ratings are faster than in the demonstrations, so that a run of half a minute
+// has as many requests and ratings as minutes of a real day.
 func (s *Scene) StandinText(t string) string {
 	t = regexp.MustCompile(`(?s)\[rating\]\n.*?\n\n`).ReplaceAllString(t,
 		"[rating]\ndelay = 1s\nmissing = 0.3\nrequests-per-second = 200\n\n")
+	t = scaled(t, `token-time = (\d+)ms`, "token-time = %gms", 1.0/compression)
+	t = scaled(t, `prefill-tokens-per-second = (\d+)`, "prefill-tokens-per-second = %g", compression)
 	if s.Standin != nil {
 		t = s.Standin(t)
 	}
