--- a/entry/agents/fake_test.go
+++ b/entry/agents/fake_test.go
@@ -113,7 +113,7 @@
 func start(t *testing.T, s *wire.Status) (*agent, *Set, func()) {
 	t.Helper()
 	a := &agent{status: s, listener: bufconn.Listen(1 << 16)}
-	g := grpc.NewServer()
+	g := grpc.NewServer(grpc.WaitForHandlers(true))
 	wire.RegisterAgentServer(g, a)
 	wire.RegisterPeerServer(g, a)
 	go g.Serve(a.listener)
--- /dev/null
+++ b/entry/boot/build.go
@@ -0,0 +1,438 @@
+package boot
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"tarragonvalve.example/core/accept"
+	"tarragonvalve.example/core/claim"
+	"tarragonvalve.example/core/event"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/lease"
+	"tarragonvalve.example/core/ledger"
+	"tarragonvalve.example/core/logger"
+	"tarragonvalve.example/core/serve"
+	"tarragonvalve.example/core/spread"
+	"tarragonvalve.example/core/table"
+	"tarragonvalve.example/core/token"
+	"tarragonvalve.example/core/wire"
+	"tarragonvalve.example/entry/agents"
+	"tarragonvalve.example/entry/caller"
+	"tarragonvalve.example/entry/calls"
+	"tarragonvalve.example/entry/certs"
+	"tarragonvalve.example/entry/fleet"
+	"tarragonvalve.example/entry/peers"
+	"tarragonvalve.example/entry/policy"
+	"tarragonvalve.example/entry/ramp"
+	"tarragonvalve.example/entry/relay"
+	"tarragonvalve.example/entry/roster"
+	"tarragonvalve.example/entry/setup"
+)
+
+// build wires all parts and returns the steps in the order of their start. They
+// stop in reverse order: the callers' API drains while all others still work,
+// and receipts are stored and acknowledged after the last request has ended.
+func build(s *setup.Settings, out, logs io.Writer) ([]serve.Step, error) {
+	c := dig.New()
+	l := logger.New(logs, s.Entry.LogLevel, "entry")
+	provide := []any{
+		func() *setup.Settings { return s },
+		func() zerolog.Logger { return l },
+		newListeners,
+		newSecurity,
+		newRing,
+		newTable,
+		newStore,
+		newNode,
+		newPhase,
+		newClaims,
+		newSet,
+		newAcks,
+		newLedger,
+		newRoster,
+		newPlace,
+		newPolicy,
+		newFleet,
+		newRelay,
+		newDesk,
+		newRatings,
+		newLease,
+		newRamp,
+		newExchange,
+		newPeers,
+		newMesh,
+		newAPI,
+		newCallers,
+		newRegistry,
+		newFanout,
+		newAdmin,
+		newWeb,
+	}
+	for _, p := range provide {
+		if err := c.Provide(p); err != nil {
+			return nil, err
+		}
+	}
+	var steps []serve.Step
+	err := c.Invoke(func(p parts) error {
+		steps = p.steps()
+		return p.Listeners.announce(out, s.Entry.Instance)
+	})
+	if err != nil {
+		return nil, dig.RootCause(err)
+	}
+	return steps, nil
+}
+
+type parts struct {
+	dig.In
+
+	Listeners *listeners
+	Node      *spread.Node
+	Claims    *claim.Book
+	Policy    *policy.Control
+	Set       *agents.Set
+	Roster    *roster.Roster
+	Fleet     *fleet.Fleet
+	Ledger    *ledger.Book
+	Acks      *agents.Acks
+	Ratings   *ratings
+	Lease     *lease.Lease
+	Ramp      *ramp.Runner
+	Peers     *peers.Mesh
+	Mesh      *mesh
+	Web       *web
+	Callers   *callers
+	Log       zerolog.Logger
+}
+
+// steps lists what runs, in the order of the start.
+func (p parts) steps() []serve.Step {
+	return []serve.Step{
+		p.Node,
+		p.Claims,
+		p.Policy,
+		p.Set,
+		p.Roster,
+		p.Fleet,
+		p.Acks,
+		p.Ledger,
+		&flush{book: p.Ledger, log: logger.Part(p.Log, "ledger")},
+		p.Ratings.client,
+		p.Lease,
+		p.Ramp,
+		p.Peers,
+		p.Mesh,
+		p.Web,
+		p.Callers,
+	}
+}
+
+// listeners are the ports of the process.
+type listeners struct {
+	callers net.Listener
+	peers   net.Listener
+	admin   net.Listener
+}
+
+func newListeners(s *setup.Settings) (*listeners, error) {
+	l := &listeners{}
+	for _, p := range []struct {
+		to   *net.Listener
+		addr string
+	}{{&l.callers, s.Entry.Callers}, {&l.peers, s.Entry.Peers}, {&l.admin, s.Entry.Admin}} {
+		n, err := net.Listen("tcp", p.addr)
+		if err != nil {
+			l.close()
+			return nil, err
+		}
+		*p.to = n
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, n := range []net.Listener{l.callers, l.peers, l.admin} {
+		if n != nil {
+			n.Close()
+		}
+	}
+}
+
+func (l *listeners) announce(out io.Writer, i ident.InstanceID) error {
+	return json.NewEncoder(out).Encode(map[string]string{
+		"instance": string(i),
+		"callers":  l.callers.Addr().String(),
+		"peers":    l.peers.Addr().String(),
+		"admin":    l.admin.Addr().String(),
+	})
+}
+
+// security holds the certificates, nil for unencrypted connections.
+type security struct{ source *certs.Source }
+
+func newSecurity(s *setup.Settings) (*security, error) {
+	if s.TLS.Cert == "" {
+		return &security{}, nil
+	}
+	c, err := certs.New(certs.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA})
+	return &security{source: c}, err
+}
+
+func (s *security) client() credentials.TransportCredentials {
+	if s.source == nil {
+		return nil
+	}
+	return s.source.Client()
+}
+
+func newRing(s *setup.Settings) *event.Ring {
+	return event.NewRing(event.NewClock(time.Now), s.Entry.Instance, s.Entry.EventRing)
+}
+
+func newTable(s *setup.Settings) table.Client {
+	return table.NewDynamo(s.Table)
+}
+
+func newStore(s *setup.Settings, t table.Client) *accept.Store {
+	return accept.New(t, s.Control.Environment)
+}
+
+func newNode(s *setup.Settings, a *accept.Store, r *event.Ring) *spread.Node {
+	return spread.New(spread.Options{
+		Instance:     s.Entry.Instance,
+		Role:         roster.RoleEntry,
+		Source:       a,
+		Ring:         r,
+		PollInterval: s.Control.PollInterval,
+		Now:          time.Now,
+	})
+}
+
+func newPhase(s *setup.Settings, n *spread.Node) *phase {
+	return &phase{node: n, isolation: s.Entry.IsolationLimit, now: time.Now}
+}
+
+func newClaims(t table.Client) *claim.Book {
+	return claim.New(t)
+}
+
+func newSet(s *setup.Settings, n *spread.Node, r *event.Ring, c *security, l zerolog.Logger) *agents.Set {
+	return agents.New(agents.Options{
+		Instance:    s.Entry.Instance,
+		Control:     n,
+		Ring:        r,
+		Log:         logger.Part(l, "agents"),
+		SubsetSize:  s.Links.SubsetSize,
+		Credentials: c.client(),
+	})
+}
+
+func newAcks(s *agents.Set) *agents.Acks {
+	return agents.NewAcks(s)
+}
+
+func newLedger(s *setup.Settings, t table.Client, a *agents.Acks) *ledger.Book {
+	b := ledger.New(ledger.Options{
+		Instance: s.Entry.Instance,
+		Client:   t,
+		Interval: s.Receipts.Interval,
+		Capacity: s.Receipts.Capacity,
+		MaxBatch: s.Receipts.MaxBatch,
+		OnStored: a.Stored,
+		Now:      time.Now,
+	})
+	a.Bind(b)
+	return b
+}
+
+func newRoster(s *setup.Settings, a *agents.Set, l zerolog.Logger) *roster.Roster {
+	return roster.New(roster.Options{
+		URL:    s.Instances.URL,
+		Every:  s.Instances.Interval,
+		Client: &http.Client{},
+		Static: s.Instances.Static,
+		Listed: func(is []roster.Instance) {
+			a.Update(targets(is))
+		},
+		Log: logger.Part(l, "roster"),
+	})
+}
+
+func targets(is []roster.Instance) []agents.Target {
+	var out []agents.Target
+	for _, i := range is {
+		if i.Role == roster.RoleAgent {
+			out = append(out, agents.Target{Upstream: i.Upstream, Domain: i.Domain, Addr: i.Addr, Kind: i.Kind, Leaving: i.Leaving})
+		}
+	}
+	return out
+}
+
+func newPolicy(s *setup.Settings, n *spread.Node, p *place, r *event.Ring, l zerolog.Logger) *policy.Control {
+	o := policy.Default()
+	o.Halter = n
+	o.Ring = r
+	o.Log = logger.Part(l, "policy")
+	o.View = n.View
+	o.Fleet = p.fleet
+	o.Strategy = s.Policy.Plans
+	o.GuardOff = !s.Policy.Guard
+	o.ExploreEvery = uint64(s.Policy.ExploreOneOf)
+	o.DetectorAlpha = s.Policy.DetectorAlpha
+	return policy.New(o)
+}
+
+func newFleet(s *setup.Settings, a *agents.Set) *fleet.Fleet {
+	return fleet.New(fleet.Options{
+		Links:    a,
+		Strategy: s.Policy.Upstreams,
+		Domain:   s.Entry.Domain,
+		Delay: func(from, to ident.DomainID) time.Duration {
+			if from == to {
+				return s.Links.SameDomain
+			}
+			return s.Links.OtherDomain
+		},
+		Now: time.Now,
+	})
+}
+
+func newRelay(s *setup.Settings, n *spread.Node, f *fleet.Fleet, p *policy.Control, a *agents.Acks, _ *ledger.Book, m *ratings, r *event.Ring, l zerolog.Logger) (*relay.Relay, error) {
+	k, err := token.NewSigner(s.Sessions.Keys)
+	if err != nil {
+		return nil, err
+	}
+	return relay.New(relay.Options{
+		Instance:       s.Entry.Instance,
+		Control:        n,
+		Fleet:          f,
+		Decider:        p,
+		Signer:         k,
+		Ledger:         a,
+		Ring:           r,
+		Log:            logger.Part(l, "relay"),
+		Now:            time.Now,
+		IsolationLimit: s.Entry.IsolationLimit,
+		Contact:        n.Contact,
+		Accepted:       m.accepted,
+	}), nil
+}
+
+func newDesk(s *setup.Settings, n *spread.Node, f *fleet.Fleet, p *policy.Control, a *agents.Acks, _ *ledger.Book, b *claim.Book, r *event.Ring, l zerolog.Logger) *calls.Desk {
+	return calls.New(calls.Options{
+		Instance: s.Entry.Instance,
+		Control:  n,
+		Fleet:    f,
+		Claims:   b,
+		Ledger:   a,
+		Budget:   p,
+		Ring:     r,
+		Log:      logger.Part(l, "calls"),
+		Now:      time.Now,
+	})
+}
+
+// rampLease is the lease under which one entry advances the roll-outs of an environment.
+const rampLease = "rollouts/"
+
+func newLease(s *setup.Settings, t table.Client, r *event.Ring) *lease.Lease {
+	return lease.New(lease.Options{
+		Client:   t,
+		Name:     rampLease + s.Control.Environment,
+		Instance: s.Entry.Instance,
+		Now:      time.Now,
+		Ring:     r,
+	})
+}
+
+func newRamp(e *lease.Lease, a *accept.Store, n *spread.Node, p *policy.Control, f *place, l zerolog.Logger) *ramp.Runner {
+	return ramp.New(ramp.Options{
+		Lease:   e,
+		Store:   a,
+		Node:    n,
+		Samples: p.Samples,
+		Fleet:   f.fleet,
+		Log:     logger.Part(l, "ramp"),
+		Now:     time.Now,
+	})
+}
+
+func newPeers(s *setup.Settings, n *spread.Node, f *place, x *exchange, c *security, l zerolog.Logger) *peers.Mesh {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.Entry.Instance))
+	return peers.New(peers.Options{
+		Control:     n,
+		Others:      f.others,
+		Fill:        x.fill,
+		Seen:        x.seen,
+		Credentials: c.client(),
+		Seed:        h.Sum64(),
+		Log:         logger.Part(l, "peers"),
+	})
+}
+
+// minPing permits the pings of entries, which run each second.
+const minPing = 500 * time.Millisecond
+
+func newMesh(p *listeners, n *spread.Node, r *event.Ring, h *phase, x *exchange, c *security) *mesh {
+	o := []grpc.ServerOption{grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true})}
+	if c.source != nil {
+		o = append(o, grpc.Creds(credentials.NewTLS(c.source.Server())))
+	}
+	g := grpc.NewServer(o...)
+	s := spread.NewServer(n, r, h.draining.Load)
+	s.OnExchange(x.seen)
+	s.Fill(x.fill)
+	wire.RegisterPeerServer(g, s)
+	return &mesh{listener: p.peers, server: g}
+}
+
+func newAPI(s *setup.Settings, n *spread.Node, r *relay.Relay, d *calls.Desk, p *policy.Control, e *event.Ring, l zerolog.Logger) *caller.API {
+	return caller.New(caller.Options{
+		Control:        n,
+		Chats:          r,
+		Calls:          d,
+		Limits:         p,
+		Ring:           e,
+		Log:            logger.Part(l, "caller"),
+		Now:            time.Now,
+		MaxBody:        int64(s.Callers.MaxBody),
+		DefaultTimeout: s.Callers.DefaultTimeout,
+		MaxTimeout:     s.Callers.MaxTimeout,
+		MaxOpen:        s.Callers.MaxOpen,
+		MaxTokens:      s.Callers.MaxTokens,
+	})
+}
+
+func newCallers(s *setup.Settings, p *listeners, a *caller.API, h *phase, r *relay.Relay, e *event.Ring, c *security, l zerolog.Logger) *callers {
+	v := &http.Server{Handler: a, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeader}
+	if c.source != nil {
+		v.TLSConfig = c.source.Callers()
+	}
+	return &callers{
+		listener: p.callers,
+		server:   v,
+		tls:      c.source != nil,
+		phase:    h,
+		notice:   s.Entry.DrainNotice,
+		limit:    s.Entry.DrainLimit,
+		relay:    r,
+		ring:     e,
+		log:      logger.Part(l, "callers"),
+	}
+}
+
+func newWeb(p *listeners, h http.Handler) *web {
+	return &web{listener: p.admin, server: &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeader}}
+}
--- /dev/null
+++ b/entry/boot/office.go
@@ -0,0 +1,134 @@
+package boot
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"tarragonvalve.example/core/event"
+	"tarragonvalve.example/core/ledger"
+	"tarragonvalve.example/core/spread"
+	"tarragonvalve.example/core/wire"
+	"tarragonvalve.example/entry/agents"
+	"tarragonvalve.example/entry/caller"
+	"tarragonvalve.example/entry/calls"
+	"tarragonvalve.example/entry/fanout"
+	"tarragonvalve.example/entry/fleet"
+	"tarragonvalve.example/entry/peers"
+	"tarragonvalve.example/entry/policy"
+	"tarragonvalve.example/entry/relay"
+	"tarragonvalve.example/entry/roster"
+	"tarragonvalve.example/entry/setup"
+)
+
+func newFanout(s *setup.Settings, p *listeners, n *spread.Node, r *roster.Roster, a *agents.Set, i *caller.API, e *event.Ring, h *phase, c *security) *fanout.Fanout {
+	return fanout.New(fanout.Options{
+		Instance:  s.Entry.Instance,
+		Domain:    s.Entry.Domain,
+		Own:       p.peers.Addr().String(),
+		Instances: r.Instances,
+		State: func() *wire.State {
+			m := n.State()
+			m.Draining = h.draining.Load()
+			return m
+		},
+		Link:        a.Link,
+		Ring:        e,
+		Open:        i.Open,
+		Credentials: c.client(),
+	})
+}
+
+const namespace = "tarragonvalve_entry"
+
+// metrics are the parts whose counters are exported.
+type metrics struct {
+	registry *prometheus.Registry
+}
+
+func (m metrics) gauge(name, help string, f func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
+}
+
+func (m metrics) counter(name, help string, f func() uint64) {
+	g := func() float64 { return float64(f()) }
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, g))
+}
+
+func newRegistry(a *caller.API, r *relay.Relay, d *calls.Desk, p *policy.Control, f *fleet.Fleet, b *ledger.Book, k *agents.Acks, t *ratings, o *roster.Roster, e *peers.Mesh, s *agents.Set, n *spread.Node) *prometheus.Registry {
+	m := metrics{registry: prometheus.NewRegistry()}
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.gauge("open_requests", "Requests that are open.", func() float64 { return float64(a.Open()) })
+	m.gauge("generation", "Generation in force.", func() float64 { return float64(n.View().Generation()) })
+	m.gauge("links", "Links to agents.", func() float64 { return float64(len(s.Links())) })
+	m.gauge("receipts_pending", "Receipts that are not stored yet.", func() float64 { return float64(b.Pending()) })
+	m.counter("excess_requests_total", "Requests refused because too many were open.", a.Excess)
+	m.counter("receipts_refused_total", "Receipts that did not fit into the buffer.", b.Refused)
+	m.counter("acknowledgements_dropped_total", "Stored batches that were not acknowledged to agents.", k.Dropped)
+	m.counter("attempt_reports_dropped_total", "Ends of attempts that outlier detection did not learn of.", f.Dropped)
+	m.counter("links_replaced_total", "Silent connections to agents that were replaced.", func() uint64 {
+		n := uint64(0)
+		for _, l := range s.Links() {
+			n += l.Replaced()
+		}
+		return n
+	})
+	m.relay(r.Counters())
+	m.desk(d.Counters())
+	m.policy(p.Counters())
+	m.outside(t, o, e)
+	return m.registry
+}
+
+func (m metrics) relay(c *relay.Counters) {
+	m.counter("chats_total", "Chat completions.", c.Requests.Load)
+	m.counter("chats_refused_total", "Chat completions that ended with a refusal.", c.Refused.Load)
+	m.counter("attempts_total", "Attempts of chat completions.", c.Attempts.Load)
+	m.counter("retries_total", "Attempts on another upstream under the retry budget.", c.Retries.Load)
+	m.counter("resumes_total", "Streams resumed.", c.Resumes.Load)
+	m.counter("escalations_total", "Cascade escalations.", c.Escalations.Load)
+	m.counter("streams_broken_total", "Streams that ended with stream-broken.", c.Broken.Load)
+	m.counter("frames_crossed_total", "Frames of another request or attempt.", c.Crossed.Load)
+	m.counter("frames_late_total", "Frames at an earlier position than expected.", c.Late.Load)
+	m.counter("frame_gaps_total", "Frames at a later position than expected.", c.Gaps.Load)
+	m.counter("catch_ups_total", "Plans made again after a generation was caught up.", c.Catches.Load)
+	m.counter("chat_receipts_lost_total", "Receipts of chats that could not be kept.", c.LedgerDrops.Load)
+}
+
+func (m metrics) desk(c *calls.Counters) {
+	m.counter("calls_total", "Plain-service calls.", c.Calls.Load)
+	m.counter("calls_refused_total", "Plain-service calls that ended with a refusal.", c.Refused.Load)
+	m.counter("call_retries_total", "Calls tried again under the retry budget.", c.Retries.Load)
+	m.counter("hedges_total", "Second, parallel look-ups.", c.Hedges.Load)
+	m.counter("calls_fenced_total", "Keyed calls marked not-run after an agent was silent.", c.Fenced.Load)
+	m.counter("calls_replayed_total", "Keyed calls answered with a recorded result.", c.Replayed.Load)
+	m.counter("calls_unknown_total", "Calls whose outcome is unknown.", c.Unknown.Load)
+	m.counter("call_receipts_lost_total", "Receipts of calls that could not be kept.", c.LedgerDrops.Load)
+}
+
+func (m metrics) policy(c *policy.Counters) {
+	m.counter("plans_total", "Plans made.", c.Plans.Load)
+	m.counter("cascades_total", "Plans with a cascade.", c.Cascades.Load)
+	m.counter("explored_total", "Plans that explored.", c.Explored.Load)
+	m.counter("below_goal_total", "Plans that did not meet the quality target.", c.BelowGoal.Load)
+	m.counter("limited_total", "Requests over their account's limit.", c.Limited.Load)
+	m.counter("retries_exhausted_total", "Retries that the budget did not allow.", c.RetriesOut.Load)
+	m.counter("halts_total", "Versions halted on this entry's evidence.", c.Halts.Load)
+	m.counter("observations_dropped_total", "Observations that the policy did not learn of.", c.Dropped.Load)
+}
+
+func (m metrics) outside(t *ratings, o *roster.Roster, e *peers.Mesh) {
+	first := func(f func() (uint64, uint64)) func() uint64 {
+		return func() uint64 { n, _ := f(); return n }
+	}
+	second := func(f func() (uint64, uint64)) func() uint64 {
+		return func() uint64 { _, n := f(); return n }
+	}
+	m.counter("exchanges_total", "Exchanges with other entries.", first(e.Counts))
+	m.counter("exchanges_failed_total", "Exchanges with other entries that failed.", second(e.Counts))
+	m.counter("instance_list_failures_total", "Reads of the instance list that failed.", first(o.Counts))
+	m.counter("instance_list_skipped_total", "Entries of the instance list that were not usable.", second(o.Counts))
+	m.counter("ratings_total", "Ratings read.", func() uint64 { n, _, _ := t.client.Counts(); return n })
+	m.counter("rating_reports_dropped_total", "Reports to the rating service that were dropped.", func() uint64 { _, n, _ := t.client.Counts(); return n })
+	m.counter("rating_calls_failed_total", "Calls to the rating service that failed.", func() uint64 { _, _, n := t.client.Counts(); return n })
+	m.counter("ratings_foreign_total", "Ratings of answers that this entry doesn't remember.", t.memory.Foreign)
+}
--- /dev/null
+++ b/entry/caller/chat.go
@@ -0,0 +1,193 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/core/wire"
+	"tarragonvalve.example/entry/relay"
+)
+
+const (
+	// defaultTokens is the output bound of a request that states none.
+	defaultTokens = 1024
+	// maxMessages bounds the messages of one request.
+	maxMessages = 1024
+	// maxTemperature is the upper end of the range of the OpenAI protocol.
+	maxTemperature = 2
+)
+
+// chatRequest holds the supported fields of a chat completion. Other fields are
+// refused: dropping one that shapes the answer would give a wrong answer.
+type chatRequest struct {
+	Model         string          `json:"model"`
+	Messages      []chatMessage   `json:"messages"`
+	MaxTokens     *int            `json:"max_tokens"`
+	MaxCompletion *int            `json:"max_completion_tokens"`
+	Temperature   *float64        `json:"temperature"`
+	Stream        bool            `json:"stream"`
+	StreamOptions *streamOptions  `json:"stream_options"`
+	N             *int            `json:"n"`
+	User          string          `json:"user"`
+	Metadata      json.RawMessage `json:"metadata"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatMessage struct {
+	Role    string      `json:"role"`
+	Content chatContent `json:"content"`
+	Name    string      `json:"name"`
+}
+
+// chatContent is a text, or a list of text parts that are joined.
+type chatContent string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *chatContent) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err == nil {
+		*c = chatContent(s)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(b, &parts); err != nil {
+		return errors.New("content must be a text or a list of text parts")
+	}
+	var t strings.Builder
+	for _, p := range parts {
+		if p.Type != "text" {
+			return errors.New("only text parts are supported in content")
+		}
+		t.WriteString(p.Text)
+	}
+	*c = chatContent(t.String())
+	return nil
+}
+
+var roles = map[string]bool{"system": true, "developer": true, "user": true, "assistant": true}
+
+func (a *API) chat(w http.ResponseWriter, r *http.Request, c *caller) {
+	q, m, err := a.readChat(r, c)
+	if err != nil {
+		a.refuse(w, c.id, err)
+		return
+	}
+	estimate := relay.Estimate(q.Messages) + ident.Tokens(q.MaxTokens)
+	if err := a.o.Limits.Admit(r.Context(), c.account, estimate); err != nil {
+		a.refuse(w, c.id, err)
+		return
+	}
+	var used ident.Tokens
+	if q.Streaming {
+		used = a.stream(w, r, c, q, m)
+	} else {
+		used = a.whole(w, r, c, q)
+	}
+	a.o.Limits.Settle(c.account.ID, estimate, used)
+}
+
+func (a *API) readChat(r *http.Request, c *caller) (relay.Chat, *chatRequest, error) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return relay.Chat{}, nil, readRefusal(err)
+	}
+	var m chatRequest
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&m); err != nil {
+		return relay.Chat{}, nil, refuse.New(refuse.BadRequest, refuse.NotRun, "the body is not a chat completion: %v", err)
+	}
+	if d.More() {
+		return relay.Chat{}, nil, refuse.New(refuse.BadRequest, refuse.NotRun, "the body holds more than one value")
+	}
+	if f := m.fault(a.o.MaxTokens); f != "" {
+		return relay.Chat{}, nil, refuse.New(refuse.BadRequest, refuse.NotRun, "%s", f)
+	}
+	q := relay.Chat{
+		ID:        c.id,
+		Account:   c.account.ID,
+		Task:      c.task,
+		Model:     m.Model,
+		Session:   r.Header.Get(HeaderSession),
+		MaxTokens: uint32(m.tokens(a.o.MaxTokens)),
+		Streaming: m.Stream,
+		Deadline:  c.deadline,
+	}
+	if m.Temperature != nil {
+		q.Temperature = *m.Temperature
+	}
+	for _, x := range m.Messages {
+		q.Messages = append(q.Messages, &wire.Message{Role: x.Role, Content: string(x.Content)})
+	}
+	return q, &m, nil
+}
+
+func (m *chatRequest) tokens(most int) int {
+	switch {
+	case m.MaxCompletion != nil:
+		return *m.MaxCompletion
+	case m.MaxTokens != nil:
+		return *m.MaxTokens
+	default:
+		return min(defaultTokens, most)
+	}
+}
+
+// fault returns what is wrong with a request, empty for nothing.
+func (m *chatRequest) fault(maxTokens int) string {
+	switch n := m.tokens(maxTokens); {
+	case m.Model == "":
+		return "model is missing"
+	case len(m.Messages) == 0:
+		return "messages is empty"
+	case len(m.Messages) > maxMessages:
+		return "there are too many messages"
+	case n < 1 || n > maxTokens:
+		return "max_tokens is out of range"
+	case m.Temperature != nil && (*m.Temperature < 0 || *m.Temperature > maxTemperature):
+		return "temperature is out of range"
+	case m.N != nil && *m.N != 1:
+		return "n must be 1"
+	}
+	for _, x := range m.Messages {
+		if !roles[x.Role] {
+			return "a message's role must be system, developer, user or assistant"
+		}
+	}
+	return ""
+}
+
+// models lists the models and versions that the account may use now.
+func (a *API) models(w http.ResponseWriter, _ *http.Request, c *caller) {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	out := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	seen := map[ident.ModelID]bool{}
+	for _, v := range usable(c) {
+		if !seen[v.Model] {
+			seen[v.Model] = true
+			out.Data = append(out.Data, model{ID: string(v.Model), Object: "model", OwnedBy: "tarragonvalve"})
+		}
+		out.Data = append(out.Data, model{ID: v.String(), Object: "model", OwnedBy: "tarragonvalve"})
+	}
+	w.Header().Set(HeaderRequest, string(c.id))
+	writeJSON(w, http.StatusOK, out)
+}
--- /dev/null
+++ b/entry/caller/service.go
@@ -0,0 +1,101 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"tarragonvalve.example/core/claim"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/entry/calls"
+)
+
+// service runs a plain-service call.
+func (a *API) service(w http.ResponseWriter, r *http.Request, c *caller) {
+	k, err := a.readCall(r, c)
+	if err != nil {
+		a.refuse(w, c.id, err)
+		return
+	}
+	if err := a.o.Limits.Admit(r.Context(), c.account, 0); err != nil {
+		a.refuse(w, k.ID, err)
+		return
+	}
+	p, err := a.o.Calls.Call(r.Context(), k)
+	if err != nil {
+		a.refuse(w, k.ID, err)
+		return
+	}
+	h := w.Header()
+	h.Set(HeaderRequest, string(k.ID))
+	if p.ContentType != "" {
+		h.Set("Content-Type", p.ContentType)
+	}
+	if p.Replayed {
+		h.Set(HeaderReplayed, "yes")
+	}
+	w.WriteHeader(answerStatus(p.StatusCode))
+	_, _ = w.Write(p.Body)
+}
+
+// answerStatus guards against a status that net/http refuses to send.
+func answerStatus(s int) int {
+	if s < 200 || s > 599 {
+		return http.StatusBadGateway
+	}
+	return s
+}
+
+func (a *API) readCall(r *http.Request, c *caller) (calls.Call, error) {
+	s := chi.URLParam(r, "service")
+	key := r.Header.Get(HeaderKey)
+	if len(key) > maxName {
+		return calls.Call{}, refuse.New(refuse.BadRequest, refuse.NotRun, "%s is longer than %d bytes", HeaderKey, maxName)
+	}
+	path, target, err := callPath(r.URL, s)
+	if err != nil {
+		return calls.Call{}, err
+	}
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return calls.Call{}, readRefusal(err)
+	}
+	id := c.id
+	if key != "" {
+		id = claim.Key{Account: c.account.ID, Service: ident.ServiceID(s), Idempotency: key}.Request()
+	}
+	return calls.Call{
+		ID:          id,
+		Account:     c.account.ID,
+		Service:     ident.ServiceID(s),
+		Method:      r.Method,
+		Path:        path,
+		Target:      target,
+		ContentType: r.Header.Get("Content-Type"),
+		Body:        b,
+		Key:         key,
+		Deadline:    c.deadline,
+	}, nil
+}
+
+// callPath returns the decoded path after the service and the path and query to
+// send. Paths with empty, "." or ".." segments are refused: the service could
+// resolve them to a path of another rule than the one that was matched.
+func callPath(u *url.URL, service string) (path, target string, err error) {
+	path = strings.TrimPrefix(u.Path, "/v1/services/"+service)
+	if path == "" {
+		path = "/"
+	}
+	for i, s := range strings.Split(path, "/")[1:] {
+		empty := s == "" && i < strings.Count(path, "/")-1
+		if empty || s == "." || s == ".." || strings.ContainsAny(s, "\\\x00") {
+			return "", "", refuse.New(refuse.BadRequest, refuse.NotRun, "the path has a segment that is not allowed")
+		}
+	}
+	target = (&url.URL{Path: path, RawQuery: u.RawQuery}).String()
+	return path, target, nil
+}
--- /dev/null
+++ b/entry/fleet/fleet.go
@@ -0,0 +1,239 @@
+// Package fleet keeps the candidates for attempts: the agents' statuses joined
+// with ejections, in immutable snapshots by version and by service.
+package fleet
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/entry/agents"
+	"tarragonvalve.example/entry/relay"
+	"tarragonvalve.example/entry/retry"
+	"tarragonvalve.example/entry/score"
+)
+
+const (
+	// refresh is the pause between snapshots. Draining and silence are checked
+	// again at each choice, so a snapshot's age only delays news of free capacity.
+	refresh = 50 * time.Millisecond
+	// maxReports bounds the reports of ended attempts that wait for the control goroutine.
+	maxReports = 4096
+	// maxPicks bounds the candidates that turn out not to be usable in one choice.
+	maxPicks = 8
+	// costFirstWeight and latencyFirstWeight weigh the time to the first token against the time to the end.
+	costFirstWeight    = 0.2
+	latencyFirstWeight = 0.3
+)
+
+// Links is the source of agents.
+type Links interface {
+	Links() []*agents.Link
+	Link(u ident.UpstreamID) *agents.Link
+}
+
+// Options are the settings of a Fleet.
+type Options struct {
+	Links    Links
+	Strategy score.Strategy
+	// Domain is this entry's failure domain.
+	Domain ident.DomainID
+	// Delay returns the one-way delay to a failure domain.
+	Delay func(from, to ident.DomainID) time.Duration
+	Now   func() time.Time
+}
+
+type snapshot struct {
+	versions map[ident.VersionRef][]*score.Upstream
+	services map[ident.ServiceID][]*score.Upstream
+}
+
+type report struct {
+	upstream ident.UpstreamID
+	ok       bool
+}
+
+// Fleet chooses upstreams. It is safe for concurrent use.
+type Fleet struct {
+	o       Options
+	current atomic.Pointer[snapshot]
+	reports chan report
+	dropped atomic.Uint64
+
+	// The rest belongs to the control goroutine.
+	outliers *retry.Outliers
+	known    map[ident.UpstreamID]*member
+}
+
+// member is an upstream with the status that it was made from.
+type member struct {
+	seen     *agents.Seen
+	ejected  bool
+	upstream *score.Upstream
+}
+
+// New returns a fleet without candidates.
+func New(o Options) *Fleet {
+	f := &Fleet{o: o, reports: make(chan report, maxReports), outliers: retry.NewOutliers(), known: map[ident.UpstreamID]*member{}}
+	f.current.Store(&snapshot{})
+	return f
+}
+
+// Name is the name of the step.
+func (f *Fleet) Name() string { return "fleet" }
+
+// Run makes snapshots until the context ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	t := time.NewTicker(refresh)
+	defer t.Stop()
+	for {
+		f.rebuild()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// Ended records how an attempt or call at an upstream ended.
+func (f *Fleet) Ended(u ident.UpstreamID, ok bool) {
+	select {
+	case f.reports <- report{upstream: u, ok: ok}:
+	default:
+		f.dropped.Add(1)
+	}
+}
+
+// Dropped returns how many reports of ended attempts were dropped.
+func (f *Fleet) Dropped() uint64 { return f.dropped.Load() }
+
+// Pick chooses an upstream for an attempt.
+func (f *Fleet) Pick(p relay.Place) (*agents.Link, bool) {
+	w := costFirstWeight
+	if p.Account != nil && p.Account.Objective == envdoc.ObjectiveLatency {
+		w = latencyFirstWeight
+	}
+	return f.pick(f.current.Load().versions[p.Version], score.Request{
+		Input:            p.Input,
+		Output:           p.Output,
+		Prefixes:         p.Prefixes,
+		PrefixTokens:     relay.PrefixTokens,
+		Seed:             p.Seed,
+		FirstTokenWeight: w,
+		Exclude:          p.Exclude,
+	})
+}
+
+// PickService chooses an upstream for a plain-service call.
+func (f *Fleet) PickService(s ident.ServiceID, seed uint64, exclude []ident.UpstreamID) (*agents.Link, bool) {
+	return f.pick(f.current.Load().services[s], score.Request{Seed: seed, Exclude: exclude})
+}
+
+// Candidates returns the upstreams that report a version as loaded. The slice must not be changed.
+func (f *Fleet) Candidates(v ident.VersionRef) []*score.Upstream {
+	return f.current.Load().versions[v]
+}
+
+func (f *Fleet) pick(us []*score.Upstream, r score.Request) (*agents.Link, bool) {
+	now := f.o.Now()
+	for range maxPicks {
+		c, ok := score.Choose(f.o.Strategy, us, r, now)
+		if !ok {
+			return nil, false
+		}
+		l := f.o.Links.Link(c.Upstream.ID)
+		if l != nil && l.Usable(now) {
+			return l, true
+		}
+		r.Exclude = append(slices.Clip(r.Exclude), c.Upstream.ID)
+	}
+	return nil, false
+}
+
+func (f *Fleet) rebuild() {
+	now := f.o.Now()
+	links := f.o.Links.Links()
+	f.drain(len(links), now)
+	n := &snapshot{versions: map[ident.VersionRef][]*score.Upstream{}, services: map[ident.ServiceID][]*score.Upstream{}}
+	live := make(map[ident.UpstreamID]bool, len(links))
+	for _, l := range links {
+		live[l.Upstream()] = true
+		s := l.Seen()
+		if s == nil || !l.Usable(now) {
+			continue
+		}
+		u := f.member(l, s, now)
+		if c := s.Status.GetService(); c != "" {
+			n.services[ident.ServiceID(c)] = append(n.services[ident.ServiceID(c)], u)
+		}
+		for _, v := range s.Status.GetLoaded() {
+			r := ident.VersionRef{Model: ident.ModelID(v.GetModel()), Version: ident.VersionID(v.GetVersion())}
+			n.versions[r] = append(n.versions[r], u)
+		}
+	}
+	f.forget(live)
+	f.current.Store(n)
+}
+
+func (f *Fleet) drain(fleet int, now time.Time) {
+	for {
+		select {
+		case r := <-f.reports:
+			if r.ok {
+				f.outliers.Success(r.upstream)
+				continue
+			}
+			f.outliers.Failure(r.upstream, fleet, now)
+		default:
+			return
+		}
+	}
+}
+
+func (f *Fleet) forget(live map[ident.UpstreamID]bool) {
+	f.outliers.Forget(func(u ident.UpstreamID) bool { return live[u] })
+	for u := range f.known {
+		if !live[u] {
+			delete(f.known, u)
+		}
+	}
+}
+
+// member returns the candidate of a link; it is made again only when the status changed.
+func (f *Fleet) member(l *agents.Link, s *agents.Seen, now time.Time) *score.Upstream {
+	e := f.outliers.Ejected(l.Upstream(), now)
+	m := f.known[l.Upstream()]
+	if m != nil && m.seen == s && m.ejected == e {
+		return m.upstream
+	}
+	u := upstream(l, s)
+	u.Ejected = e
+	u.Delay = f.o.Delay(f.o.Domain, u.Domain)
+	f.known[l.Upstream()] = &member{seen: s, ejected: e, upstream: u}
+	return u
+}
+
+func upstream(l *agents.Link, s *agents.Seen) *score.Upstream {
+	m := s.Status
+	p := make(map[uint64]struct{}, len(m.GetPrefixes()))
+	for _, h := range m.GetPrefixes() {
+		p[h] = struct{}{}
+	}
+	return &score.Upstream{
+		ID:           l.Upstream(),
+		Domain:       l.Domain(),
+		Slots:        int(m.GetSlots()),
+		Running:      int(m.GetRunning()),
+		Queued:       int(m.GetQueued()),
+		PendingInput: ident.Tokens(m.GetPendingInputTokens()),
+		InputRate:    m.GetInputTokensPerSecond(),
+		OutputRate:   m.GetOutputTokensPerSecond(),
+		Prefixes:     p,
+		StatusAt:     s.At,
+		Own:          l.Own(),
+	}
+}
--- /dev/null
+++ b/entry/relay/bill.go
@@ -0,0 +1,176 @@
+package relay
+
+import (
+	"crypto/rand"
+	"encoding/base32"
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/ledger"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/core/wire"
+	"tarragonvalve.example/entry/policy"
+)
+
+// receipt records the use of a complete attempt.
+func (r *Relay) receipt(q *request, a *attempt, e *wire.End, role ledger.Role, o ledger.Outcome) {
+	r.add(q, a, role, o, ident.Tokens(e.GetInputTokens()), ident.Tokens(e.GetOutputTokens()))
+}
+
+// partial bills an answer that broke off: only the tokens that were relayed.
+func (r *Relay) partial(q *request, e *refuse.Error) {
+	o := ledger.OutcomeFailed
+	switch {
+	case e.Code == refuse.Cancelled || e.Code == refuse.DeadlineExceeded:
+		o = ledger.OutcomeCancelled
+	case q.texts > 0:
+		o = ledger.OutcomeBroken
+	}
+	a := q.relayedBy
+	if a == nil {
+		a = &attempt{r: r, q: q, n: q.attempts, step: Step{Version: q.version}}
+	}
+	r.add(q, a, ledger.RoleBill, o, 0, q.relayed)
+}
+
+func (r *Relay) add(q *request, a *attempt, role ledger.Role, o ledger.Outcome, in, out ident.Tokens) {
+	t := ledger.Receipt{
+		Request:  q.ID,
+		Role:     role,
+		Attempt:  a.n,
+		Account:  q.Account,
+		Session:  q.session,
+		Version:  a.step.Version,
+		Input:    in,
+		Output:   out,
+		Price:    r.price(q, a.step.Version, in, out),
+		Direct:   a.direct,
+		Outcome:  o,
+		Instance: r.o.Instance,
+		At:       r.o.Now(),
+	}
+	if a.link != nil {
+		t.Upstream = a.link.Upstream()
+	}
+	if err := r.o.Ledger.Add(t); err != nil {
+		r.count.LedgerDrops.Add(1)
+		r.o.Log.Error().Err(err).Str("request", string(q.ID)).Msg("receipt was not kept")
+	}
+}
+
+func (r *Relay) price(q *request, v ident.VersionRef, in, out ident.Tokens) ident.MicroCents {
+	d := q.view.Document()
+	if d == nil || d.Versions[v] == nil {
+		return 0
+	}
+	p := d.Versions[v]
+	return ident.MicroCents(in)*p.InputPrice + ident.MicroCents(out)*p.OutputPrice
+}
+
+// observe tells the policy how an attempt ended. Attempts that were lost with
+// their agent say nothing about the version and are left out.
+func (r *Relay) observe(q *request, a *attempt, e *wire.End) {
+	r.o.Decider.Observe(policy.Outcome{
+		Request:    q.ID,
+		Account:    q.Account,
+		Task:       q.Task,
+		Session:    q.session,
+		Version:    a.step.Version,
+		Failed:     e == nil,
+		FirstToken: a.first,
+		Total:      r.o.Now().Sub(a.began),
+		Output:     ident.Tokens(e.GetOutputTokens()),
+		Logprob:    e.GetMeanLogprob(),
+	})
+}
+
+func (a *attempt) request() *wire.RunRequest {
+	return &wire.RunRequest{
+		RequestId:   string(a.q.ID),
+		Attempt:     uint32(a.n),
+		Account:     string(a.q.Account),
+		Session:     string(a.q.session),
+		Task:        string(a.q.Task),
+		Model:       string(a.step.Version.Model),
+		Version:     string(a.step.Version.Version),
+		Messages:    a.q.Messages,
+		MaxTokens:   a.q.MaxTokens,
+		Temperature: a.q.Temperature,
+		Priority:    int32(a.q.account.Priority),
+		TimeoutMs:   a.left(),
+		Generation:  uint64(a.q.view.Generation()),
+		Clock:       uint64(a.r.o.Ring.Clock().Next()),
+		Direct:      a.direct,
+		Entry:       string(a.r.o.Instance),
+		Streaming:   a.q.Streaming,
+		Prefixes:    a.q.hashes,
+	}
+}
+
+func (a *attempt) resumeRequest() *wire.ResumeRequest {
+	return &wire.ResumeRequest{
+		RequestId: string(a.q.ID),
+		Attempt:   uint32(a.n),
+		Position:  a.next,
+		Model:     string(a.step.Version.Model),
+		Version:   string(a.step.Version.Version),
+		Account:   string(a.q.Account),
+		TimeoutMs: a.left(),
+		Entry:     string(a.r.o.Instance),
+		Clock:     uint64(a.r.o.Ring.Clock().Next()),
+	}
+}
+
+func (a *attempt) left() int64 {
+	return max(a.q.Deadline.Sub(a.r.o.Now()).Milliseconds(), 1)
+}
+
+const (
+	// bytesPerToken is the usual length of a token in English text.
+	bytesPerToken = 4
+	// PrefixTokens is the length of prompt that one more prefix hash stands for.
+	PrefixTokens = 256
+	// maxPrefixes bounds the hashes of a prompt.
+	maxPrefixes = 16
+)
+
+// Estimate returns the expected number of input tokens.
+func Estimate(ms []*wire.Message) ident.Tokens {
+	n := 0
+	for _, m := range ms {
+		n += len(m.GetRole()) + len(m.GetContent()) + bytesPerToken
+	}
+	return ident.Tokens(n / bytesPerToken)
+}
+
+// Prefixes returns hashes of the prompt's prefixes, longest first. Prompts that
+// start alike have their last hashes in common.
+func Prefixes(ms []*wire.Message) []uint64 {
+	h := fnv.New64a()
+	var out []uint64
+	room := PrefixTokens * bytesPerToken
+	for _, m := range ms {
+		t := m.GetRole() + "\x00" + m.GetContent() + "\x00"
+		for len(t) > 0 && len(out) < maxPrefixes {
+			n := min(room, len(t))
+			_, _ = h.Write([]byte(t[:n]))
+			t = t[n:]
+			room -= n
+			if room == 0 {
+				out = append(out, h.Sum64())
+				room = PrefixTokens * bytesPerToken
+			}
+		}
+	}
+	slices.Reverse(out)
+	return out
+}
+
+// NewID returns a random id of 128 bits in lower-case base32.
+func NewID() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:])
+	return strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(b[:]))
+}
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -54,7 +54,7 @@
 	Static []Instance
 	// Listed is called with every list that was read.
 	Listed func(is []Instance)
-	Log     zerolog.Logger
+	Log    zerolog.Logger
 }
 
 // Roster holds the instance list.
--- /dev/null
+++ b/entry/setup/setup.go
@@ -0,0 +1,357 @@
+// Package setup reads the settings of an entry.
+package setup
+
+import (
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"tarragonvalve.example/core/config"
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/table"
+	"tarragonvalve.example/core/token"
+	"tarragonvalve.example/entry/policy"
+	"tarragonvalve.example/entry/roster"
+	"tarragonvalve.example/entry/score"
+)
+
+// Settings are all settings of an entry.
+type Settings struct {
+	Entry     Entry
+	Callers   Callers
+	Sessions  Sessions
+	Table     table.Options
+	Control   Control
+	Instances Instances
+	Links     Links
+	Receipts  Receipts
+	Rating    Rating
+	Policy    Policy
+	Operators []Operator
+	TLS       TLS
+}
+
+// Entry is section [entry].
+type Entry struct {
+	Instance ident.InstanceID
+	Domain   ident.DomainID
+	// Callers, Peers and Admin are the addresses to listen on: the callers' API,
+	// other entries, and the administration API with health and metrics.
+	Callers  string
+	Peers    string
+	Admin    string
+	LogLevel string
+	// DrainNotice is the time for the load balancer to see that the entry is
+	// leaving; DrainLimit bounds the end of open requests.
+	DrainNotice time.Duration
+	DrainLimit  time.Duration
+	// IsolationLimit is the time without table and peers after which the entry is not ready.
+	IsolationLimit time.Duration
+	EventRing      int
+}
+
+// Callers is section [callers].
+type Callers struct {
+	MaxBody        int
+	MaxOpen        int
+	MaxTokens      int
+	DefaultTimeout time.Duration
+	MaxTimeout     time.Duration
+}
+
+// Sessions is section [sessions]. The first key signs.
+type Sessions struct {
+	Keys []token.Key
+}
+
+// Control is section [control].
+type Control struct {
+	Environment  string
+	PollInterval time.Duration
+}
+
+// Instances is section [instances].
+type Instances struct {
+	URL      string
+	Interval time.Duration
+	// Static are instances named by the keys agents and entries.
+	Static []roster.Instance
+}
+
+// Links is section [links].
+type Links struct {
+	SubsetSize int
+	// SameDomain and OtherDomain are the one-way delays to agents.
+	SameDomain  time.Duration
+	OtherDomain time.Duration
+}
+
+// Receipts is section [receipts].
+type Receipts struct {
+	Interval time.Duration
+	Capacity int
+	MaxBatch int
+}
+
+// Rating is section [rating].
+type Rating struct {
+	URL string
+	// ReportOneOf is the number of answers of which one is reported; 0 reports none.
+	ReportOneOf    int
+	ReportInterval time.Duration
+	ReadInterval   time.Duration
+}
+
+// Policy is section [policy].
+type Policy struct {
+	Plans     policy.Strategy
+	Upstreams score.Strategy
+	Guard     bool
+	// ExploreOneOf is the number of requests of which one explores; 0 means none.
+	ExploreOneOf  int
+	DetectorAlpha float64
+}
+
+// Operator is one part of key operators in section [admin].
+type Operator struct {
+	ID     ident.OperatorID
+	Role   string
+	Digest string
+}
+
+// TLS is section [tls]. Without files, connections are not encrypted, which
+// AllowPlaintext must permit.
+type TLS struct {
+	Cert string
+	Key  string
+	// CA verifies agents and other entries.
+	CA             string
+	AllowPlaintext bool
+}
+
+// Default returns the settings that hold where the file says nothing. The
+// limits are those that docs/design.md fixes.
+func Default() Settings {
+	p := policy.Default()
+	return Settings{
+		Entry: Entry{
+			Callers:        "127.0.0.1:0",
+			Peers:          "127.0.0.1:0",
+			Admin:          "127.0.0.1:0",
+			LogLevel:       "info",
+			DrainNotice:    2 * time.Second,
+			DrainLimit:     60 * time.Second,
+			IsolationLimit: 30 * time.Second,
+			EventRing:      16384,
+		},
+		Callers: Callers{
+			MaxBody:        1 << 20,
+			MaxOpen:        4096,
+			MaxTokens:      32768,
+			DefaultTimeout: time.Minute,
+			MaxTimeout:     15 * time.Minute,
+		},
+		Table:     table.Options{Region: "local", Timeout: time.Second},
+		Control:   Control{PollInterval: 2 * time.Second},
+		Instances: Instances{Interval: 2 * time.Second},
+		Links:     Links{SubsetSize: 64, OtherDomain: time.Millisecond},
+		Receipts:  Receipts{Interval: 2 * time.Second, Capacity: 100_000, MaxBatch: 500},
+		Rating:    Rating{ReportOneOf: 4, ReportInterval: 50 * time.Millisecond, ReadInterval: 2 * time.Second},
+		Policy: Policy{
+			Plans:         p.Strategy,
+			Upstreams:     score.Predicted{},
+			Guard:         true,
+			ExploreOneOf:  int(p.ExploreEvery),
+			DetectorAlpha: p.DetectorAlpha,
+		},
+	}
+}
+
+// Read reads a settings file, the environment and flags. It reports all problems at once.
+func Read(path string, env []string, flags map[string]string) (*Settings, error) {
+	f, err := config.Read(path, env, flags)
+	if err != nil {
+		return nil, err
+	}
+	s := Default()
+	s.readEntry(f)
+	s.readCallers(f)
+	s.readSessions(f)
+	s.readTable(f)
+	s.readInstances(f)
+	s.readReceipts(f)
+	s.readRating(f)
+	s.readPolicy(f)
+	s.readOperators(f)
+	s.readTLS(f)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return &s, nil
+}
+
+func (s *Settings) readEntry(f *config.File) {
+	c := f.Section("entry")
+	e := &s.Entry
+	e.Instance = ident.InstanceID(c.Text("instance", ""))
+	e.Domain = ident.DomainID(c.Required("domain"))
+	e.Callers = c.Addr("callers", e.Callers)
+	e.Peers = c.Addr("peers", e.Peers)
+	e.Admin = c.Addr("admin", e.Admin)
+	e.LogLevel = c.Choice("log-level", e.LogLevel, "debug", "info", "warn", "error")
+	e.DrainNotice = c.Duration("drain-notice", e.DrainNotice)
+	e.DrainLimit = c.Duration("drain-limit", e.DrainLimit)
+	e.IsolationLimit = positive(f, "entry", "isolation-limit", e.IsolationLimit)
+	e.EventRing = c.IntIn("event-ring", e.EventRing, 16, 1<<20)
+}
+
+func (s *Settings) readCallers(f *config.File) {
+	c := f.Section("callers")
+	a := &s.Callers
+	a.MaxBody = c.IntIn("max-body", a.MaxBody, 1<<10, 4<<20)
+	a.MaxOpen = c.IntIn("max-open", a.MaxOpen, 1, 1<<20)
+	a.MaxTokens = c.IntIn("max-tokens", a.MaxTokens, 1, 1<<20)
+	a.DefaultTimeout = positive(f, "callers", "default-timeout", a.DefaultTimeout)
+	a.MaxTimeout = positive(f, "callers", "max-timeout", a.MaxTimeout)
+}
+
+func (s *Settings) readSessions(f *config.File) {
+	c := f.Section("sessions")
+	c.Required("keys")
+	for _, t := range c.List("keys", nil) {
+		id, secret, _ := strings.Cut(t, ":")
+		s.Sessions.Keys = append(s.Sessions.Keys, token.Key{ID: id, Secret: []byte(secret)})
+	}
+	if _, err := token.NewSigner(s.Sessions.Keys); err != nil {
+		f.Reject("sessions", "keys", err.Error(), "ID:SECRET, ... with secrets of at least 16 bytes; the first signs")
+	}
+}
+
+func (s *Settings) readTable(f *config.File) {
+	c := f.Section("table")
+	t := &s.Table
+	t.Endpoint = c.Required("endpoint")
+	t.Table = c.Required("name")
+	t.Region = c.Text("region", t.Region)
+	t.AccessKey = c.Required("access-key")
+	t.SecretKey = c.Required("secret-key")
+	t.Timeout = positive(f, "table", "timeout", t.Timeout)
+	s.Control.Environment = f.Section("control").Required("environment")
+	s.Control.PollInterval = positive(f, "control", "poll-interval", s.Control.PollInterval)
+}
+
+func (s *Settings) readInstances(f *config.File) {
+	c := f.Section("instances")
+	s.Instances.URL = c.Text("url", "")
+	checkURL(f, "instances", "url", s.Instances.URL)
+	s.Instances.Interval = positive(f, "instances", "interval", s.Instances.Interval)
+	for _, t := range c.List("agents", nil) {
+		i, ok := staticAgent(t)
+		if !ok {
+			f.Reject("instances", "agents", "not an agent", "UPSTREAM@DOMAIN=IP:PORT, ...")
+		}
+		s.Instances.Static = append(s.Instances.Static, i)
+	}
+	for _, t := range c.List("entries", nil) {
+		if _, err := netip.ParseAddrPort(t); err != nil {
+			f.Reject("instances", "entries", "not an address", "IP:PORT, ...")
+		}
+		s.Instances.Static = append(s.Instances.Static, roster.Instance{Addr: t, Role: roster.RoleEntry})
+	}
+	l := f.Section("links")
+	s.Links.SubsetSize = l.IntIn("subset-size", s.Links.SubsetSize, 0, 1<<16)
+	s.Links.SameDomain = l.Duration("same-domain", s.Links.SameDomain)
+	s.Links.OtherDomain = l.Duration("other-domain", s.Links.OtherDomain)
+}
+
+func staticAgent(t string) (roster.Instance, bool) {
+	name, addr, _ := strings.Cut(t, "=")
+	u, d, ok := strings.Cut(strings.TrimSpace(name), "@")
+	_, err := netip.ParseAddrPort(strings.TrimSpace(addr))
+	return roster.Instance{
+		Addr:     strings.TrimSpace(addr),
+		Role:     roster.RoleAgent,
+		Upstream: ident.UpstreamID(u),
+		Domain:   ident.DomainID(d),
+	}, ok && u != "" && d != "" && err == nil
+}
+
+func (s *Settings) readReceipts(f *config.File) {
+	c := f.Section("receipts")
+	s.Receipts.Interval = positive(f, "receipts", "interval", s.Receipts.Interval)
+	s.Receipts.Capacity = c.IntIn("capacity", s.Receipts.Capacity, 10, 1<<24)
+	s.Receipts.MaxBatch = c.IntIn("max-batch", s.Receipts.MaxBatch, 1, 1000)
+}
+
+func (s *Settings) readRating(f *config.File) {
+	c := f.Section("rating")
+	s.Rating.URL = c.Text("url", "")
+	checkURL(f, "rating", "url", s.Rating.URL)
+	s.Rating.ReportOneOf = c.IntIn("report-one-of", s.Rating.ReportOneOf, 0, 1<<30)
+	s.Rating.ReportInterval = positive(f, "rating", "report-interval", s.Rating.ReportInterval)
+	s.Rating.ReadInterval = positive(f, "rating", "read-interval", s.Rating.ReadInterval)
+}
+
+func (s *Settings) readPolicy(f *config.File) {
+	c := f.Section("policy")
+	var err error
+	if s.Policy.Plans, err = policy.ParseStrategy(c.Text("plans", "adaptive")); err != nil {
+		f.Reject("policy", "plans", err.Error(), "adaptive, best-model, fixed-cascade")
+	}
+	if s.Policy.Upstreams, err = score.ParseStrategy(c.Text("upstreams", "predicted")); err != nil {
+		f.Reject("policy", "upstreams", err.Error(), "predicted, round-robin, least-outstanding")
+	}
+	s.Policy.Guard = c.Bool("guard", s.Policy.Guard)
+	s.Policy.ExploreOneOf = c.IntIn("explore-one-of", s.Policy.ExploreOneOf, 0, 1<<30)
+	s.Policy.DetectorAlpha = c.Float("detector-alpha", s.Policy.DetectorAlpha)
+	if a := s.Policy.DetectorAlpha; a <= 0 || a >= 1 {
+		f.Reject("policy", "detector-alpha", "out of range", "a number between 0 and 1")
+	}
+}
+
+func (s *Settings) readOperators(f *config.File) {
+	for _, t := range f.Section("admin").List("operators", nil) {
+		p := strings.Split(t, ":")
+		if len(p) != 3 || p[0] == "" || p[1] != "view" && p[1] != "operate" || len(p[2]) != 64 {
+			f.Reject("admin", "operators", "not an operator", "NAME:ROLE:DIGEST, ... with role view or operate and the SHA-256 of the key in hex")
+			continue
+		}
+		s.Operators = append(s.Operators, Operator{ID: ident.OperatorID(p[0]), Role: p[1], Digest: p[2]})
+	}
+}
+
+func (s *Settings) readTLS(f *config.File) {
+	c := f.Section("tls")
+	t := &s.TLS
+	t.Cert = c.Text("cert", "")
+	t.Key = c.Text("key", "")
+	t.CA = c.Text("ca", "")
+	t.AllowPlaintext = c.Bool("allow-plaintext", false)
+	if (t.Cert == "") != (t.Key == "") || (t.Cert == "") != (t.CA == "") {
+		f.Reject("tls", "cert", "cert, key and ca belong together", "all or none")
+	}
+	if t.Cert == "" && !t.AllowPlaintext {
+		f.Reject("tls", "allow-plaintext", "no certificate", "cert, key and ca, or allow-plaintext = yes")
+	}
+}
+
+// positive reads a duration that a timer will use.
+func positive(f *config.File, section, key string, fallback time.Duration) time.Duration {
+	d := f.Section(section).Duration(key, fallback)
+	if d <= 0 {
+		f.Reject(section, key, "not positive", "a duration above 0, such as 500ms")
+		return fallback
+	}
+	return d
+}
+
+func checkURL(f *config.File, section, key, text string) {
+	if text == "" {
+		return
+	}
+	u, err := url.Parse(text)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		f.Reject(section, key, "not a URL", "http://IP:PORT or https://IP:PORT")
+	}
+}
