feat: judge escalated requests apart and expect real answer lengths

Plans used the caller's token bound as the expected length; quality of escalated requests was taken to be that of all requests, though escalated ones are harder; weak answers were never rated; and the limits charged each request with its token bound. Change: expected lengths follow each task; a version's answers after another's weak ones are rated apart; half of the weak answers are offered for rating in place of the accepted one; the mean follows from bins. One request in four probes while fewer than 30 answers are known.

--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -131,7 +131,7 @@
 }
 
 const (
-	shortWarm = 20 * time.Second
+	shortWarm = 45 * time.Second
 	shortRun  = 30 * time.Second
 	// compression is how many times faster the engines are than in the demonstrations.
 	compression = 4
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -325,7 +325,7 @@
 		Now:            time.Now,
 		IsolationLimit: s.Entry.IsolationLimit,
 		Contact:        n.Contact,
-		Accepted:       m.accepted,
+		Sample:         m.sample,
 	}), nil
 }
 
--- a/entry/boot/ratings.go
+++ b/entry/boot/ratings.go
@@ -34,19 +34,19 @@
 	return r
 }
 
-// accepted learns of an answer that a caller got.
-func (r *ratings) accepted(c relay.Chat, v ident.VersionRef, logprob float64) {
+// sample learns of an answer that may be rated.
+func (r *ratings) sample(s relay.Sample) {
 	r.memory.Answer(rating.Answered{
-		Request: c.ID,
-		Account: c.Account,
-		Task:    c.Task,
-		Model:   v.Model,
-		Version: v.Version,
-	}, c.Messages, logprob)
+		Request: s.Chat.ID,
+		Account: s.Chat.Account,
+		Task:    s.Chat.Task,
+		Model:   s.Version.Model,
+		Version: s.Version.Version,
+	}, s.Chat.Messages, rating.Known{After: s.After, Logprob: s.Logprob})
 }
 
 func (r *ratings) rated(x rating.Rating) {
-	p, ok := r.memory.Logprob(x.Request)
+	k, ok := r.memory.Known(x.Request)
 	if !ok {
 		return
 	}
@@ -54,7 +54,8 @@
 		Account: x.Account,
 		Task:    x.Task,
 		Version: ident.VersionRef{Model: x.Model, Version: x.Version},
-		Logprob: p,
+		After:   k.After,
+		Logprob: k.Logprob,
 		Good:    x.Good,
 	})
 }
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -21,6 +21,7 @@
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/entry/calls"
+	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/relay"
 )
 
@@ -54,8 +55,8 @@
 
 // Limits charges accounts' limits; policy.Control implements it.
 type Limits interface {
-	// Admit returns a *refuse.Error when the account is over its limits.
-	Admit(ctx context.Context, a *envdoc.Account, estimate ident.Tokens) error
+	// Admit returns the tokens that the request was counted with, or a *refuse.Error when the account is over its limits.
+	Admit(ctx context.Context, a *envdoc.Account, l policy.Load) (ident.Tokens, error)
 	Settle(a ident.AccountID, estimate, used ident.Tokens)
 }
 
--- a/entry/caller/caller_test.go
+++ b/entry/caller/caller_test.go
@@ -22,6 +22,7 @@
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/entry/calls"
+	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/relay"
 )
 
@@ -54,11 +55,11 @@
 	return &calls.Reply{StatusCode: 201, ContentType: "text/plain", Body: []byte("made"), Replayed: true}, nil
 }
 
-func (f *fake) Admit(context.Context, *envdoc.Account, ident.Tokens) error {
+func (f *fake) Admit(context.Context, *envdoc.Account, policy.Load) (ident.Tokens, error) {
 	if f.limited {
-		return refuse.New(refuse.RateLimited, refuse.NotRun, "over the limit").After(1500 * time.Millisecond)
+		return 0, refuse.New(refuse.RateLimited, refuse.NotRun, "over the limit").After(1500 * time.Millisecond)
 	}
-	return nil
+	return 0, nil
 }
 
 func (f *fake) Settle(ident.AccountID, ident.Tokens, ident.Tokens) {}
--- a/entry/caller/chat.go
+++ b/entry/caller/chat.go
@@ -11,6 +11,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/wire"
+	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/relay"
 )
 
@@ -84,8 +85,9 @@
 		a.refuse(w, c.id, err)
 		return
 	}
-	estimate := relay.Estimate(q.Messages) + ident.Tokens(q.MaxTokens)
-	if err := a.o.Limits.Admit(r.Context(), c.account, estimate); err != nil {
+	l := policy.Load{Task: q.Task, Input: relay.Estimate(q.Messages), MaxOutput: ident.Tokens(q.MaxTokens)}
+	estimate, err := a.o.Limits.Admit(r.Context(), c.account, l)
+	if err != nil {
 		a.refuse(w, c.id, err)
 		return
 	}
--- a/entry/caller/service.go
+++ b/entry/caller/service.go
@@ -12,6 +12,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/entry/calls"
+	"tarragonvalve.example/entry/policy"
 )
 
 // service runs a plain-service call.
@@ -21,7 +22,7 @@
 		a.refuse(w, c.id, err)
 		return
 	}
-	if err := a.o.Limits.Admit(r.Context(), c.account, 0); err != nil {
+	if _, err := a.o.Limits.Admit(r.Context(), c.account, policy.Load{}); err != nil {
 		a.refuse(w, k.ID, err)
 		return
 	}
--- a/entry/plan/choose.go
+++ b/entry/plan/choose.go
@@ -43,6 +43,8 @@
 	// Time is the predicted time to the end of one answer.
 	Time    time.Duration
 	Quality Estimate
+	// After holds the version's quality on requests that another version answered weakly.
+	After map[ident.VersionRef]Estimate
 	// Escalate is the only model that a weak answer may escalate to; empty for any.
 	Escalate ident.ModelID
 }
@@ -113,7 +115,7 @@
 			continue
 		}
 		for _, b := range cs {
-			if !mayEscalate(a, b) {
+			if !MayEscalate(a, b) {
 				continue
 			}
 			for cut := 1; cut < bins; cut++ {
@@ -155,7 +157,7 @@
 	var best *Candidate
 	for i := range cs {
 		b := &cs[i]
-		if mayEscalate(a, *b) && (best == nil || b.Quality.Lower() > best.Quality.Lower()) {
+		if MayEscalate(a, *b) && (best == nil || b.Quality.Lower() > best.Quality.Lower()) {
 			best = b
 		}
 	}
@@ -168,7 +170,8 @@
 	return ok
 }
 
-func mayEscalate(a, b Candidate) bool {
+// MayEscalate reports whether a weak answer of a may be replaced by one of b.
+func MayEscalate(a, b Candidate) bool {
 	if a.Version.Model == b.Version.Model || a.Cost >= b.Cost {
 		return false
 	}
@@ -201,8 +204,12 @@
 		good += p * a.Quality.bin[i]
 		variance += p * p * a.Quality.variance[i]
 	}
-	mean := good + weak*b.Quality.Mean
-	variance += weak * weak * b.Quality.Deviation * b.Quality.Deviation
+	e, ok := b.After[a.Version]
+	if !ok {
+		e = b.Quality
+	}
+	mean := good + weak*e.Mean
+	variance += weak * weak * e.Deviation * e.Deviation
 	l := mean
 	if !g.Explore {
 		l -= math.Sqrt(variance)
--- a/entry/plan/quality.go
+++ b/entry/plan/quality.go
@@ -14,12 +14,14 @@
 	predecessorWeight = 10.0
 	// localWeight is how many ratings an account and task inherit at most from the version as a whole.
 	localWeight = 20.0
+	// afterWeight is how many ratings a version's quality on all requests counts for on escalated ones.
+	afterWeight = 6.0
 	// binWeight is how many ratings a log-probability bin inherits from its version.
 	binWeight = 4.0
 	// window bounds the weight of old ratings, so that a change of quality shows.
 	window = 2000.0
 	// minSeen is the number of answers before the distribution over bins is used for a cascade.
-	minSeen = 50.0
+	minSeen = 30.0
 )
 
 // edges are the lower ends of the bins of an answer's mean token log-probability, but for the first bin.
@@ -36,6 +38,9 @@
 	Account ident.AccountID
 	Task    ident.TaskID
 	Version ident.VersionRef
+	// After is the version whose weak answer this one replaces; zero for a first
+	// answer. Escalated requests are harder than others, so they are kept apart.
+	After   ident.VersionRef
 	Logprob float64
 	Good    *bool
 }
@@ -43,7 +48,13 @@
 type key struct {
 	account ident.AccountID
 	task    ident.TaskID
+	place   place
+}
+
+// place is a version as the first of a plan or after the weak answer of another.
+type place struct {
 	version ident.VersionRef
+	after   ident.VersionRef
 }
 
 // counts holds, for each bin, how many answers were seen and how they were rated.
@@ -57,7 +68,7 @@
 // and as a whole. The owner serializes its use.
 type Quality struct {
 	local  map[key]*counts
-	global map[ident.VersionRef]*counts
+	global map[place]*counts
 }
 
 // maxLocal bounds the number of (account, task, version) entries; further ones use the version as a whole.
@@ -65,18 +76,19 @@
 
 // NewQuality returns a state without ratings.
 func NewQuality() *Quality {
-	return &Quality{local: map[key]*counts{}, global: map[ident.VersionRef]*counts{}}
+	return &Quality{local: map[key]*counts{}, global: map[place]*counts{}}
 }
 
 // Observe records an answer, or its rating when it comes later.
 func (q *Quality) Observe(a Answer) {
-	g, ok := q.global[a.Version]
+	p := place{version: a.Version, after: a.After}
+	g, ok := q.global[p]
 	if !ok {
 		g = &counts{}
-		q.global[a.Version] = g
+		q.global[p] = g
 	}
 	g.add(a)
-	k := key{account: a.Account, task: a.Task, version: a.Version}
+	k := key{account: a.Account, task: a.Task, place: p}
 	l, ok := q.local[k]
 	if !ok && len(q.local) < maxLocal {
 		l = &counts{}
@@ -132,10 +144,10 @@
 	return e.Mean - e.Deviation
 }
 
-// Estimate returns the quality of a version's answers for an account and task.
+// Estimate returns the quality of a version's first answers for an account and task.
 func (q *Quality) Estimate(a ident.AccountID, t ident.TaskID, v ident.VersionRef, p Prior) Estimate {
 	mean, weight := p.Mean, priorWeight
-	if o, ok := q.global[p.Predecessor]; ok {
+	if o, ok := q.global[place{version: p.Predecessor}]; ok {
 		good, bad := sum(o.good), sum(o.bad)
 		w := min(good+bad, predecessorWeight)
 		if w > 0 {
@@ -143,23 +155,36 @@
 			weight += w
 		}
 	}
-	all := &counts{}
-	if g, ok := q.global[v]; ok {
-		all = g
+	return q.estimate(a, t, place{version: v}, mean, weight)
+}
+
+// After returns the quality of a version's answers to requests that another
+// version answered weakly. first is its quality on all requests, which counts
+// for few ratings here.
+func (q *Quality) After(a ident.AccountID, t ident.TaskID, v, weak ident.VersionRef, first Estimate) Estimate {
+	return q.estimate(a, t, place{version: v, after: weak}, first.Mean, afterWeight)
+}
+
+func (q *Quality) estimate(a ident.AccountID, t ident.TaskID, p place, prior, weight float64) Estimate {
+	all, ok := q.global[p]
+	if !ok {
+		all = &counts{}
 	}
-	mean, weight = update(mean, weight, sum(all.good), sum(all.bad))
-	l, ok := q.local[key{account: a, task: t, version: v}]
+	l, ok := q.local[key{account: a, task: t, place: p}]
 	if !ok {
 		l = &counts{}
 	}
-	mean, weight = update(mean, min(weight, localWeight), sum(l.good), sum(l.bad))
-	e := Estimate{Mean: mean, Deviation: math.Sqrt(mean * (1 - mean) / (weight + 1))}
-	e.fill(l, all)
+	mean, w := update(prior, weight, sum(all.good), sum(all.bad))
+	mean, w = update(mean, min(w, localWeight), sum(l.good), sum(l.bad))
+	e := Estimate{Mean: mean, Deviation: math.Sqrt(mean * (1 - mean) / (w + 1))}
+	e.fill(l, all, prior)
 	return e
 }
 
-// fill estimates the bins from the account's own answers where there are enough, else from all.
-func (e *Estimate) fill(l, all *counts) {
+// fill estimates the bins from the account's own answers where there are enough,
+// else from all. The mean then follows from the bins: ratings are not spread over
+// the bins as answers are, since weak answers are rated less often.
+func (e *Estimate) fill(l, all *counts, prior float64) {
 	seen := l
 	if sum(seen.seen) < minSeen {
 		seen = all
@@ -169,15 +194,18 @@
 		return
 	}
 	e.binned = true
+	mean, variance := 0.0, 0.0
 	for i := range bins {
 		e.parts[i] = seen.seen[i] / n
-		m, w := update(e.Mean, binWeight, all.good[i], all.bad[i])
-		if l != all {
-			m, w = update(m, min(w, localWeight), l.good[i], l.bad[i])
-		}
+		m, w := update(prior, binWeight, all.good[i], all.bad[i])
+		m, w = update(m, min(w, localWeight), l.good[i], l.bad[i])
 		e.bin[i] = m
 		e.variance[i] = m * (1 - m) / (w + 1)
+		mean += e.parts[i] * m
+		variance += e.parts[i] * e.parts[i] * e.variance[i]
 	}
+	e.Mean = mean
+	e.Deviation = math.Sqrt(variance)
 }
 
 // update joins a mean with a weight and rated answers.
--- a/entry/policy/control.go
+++ b/entry/policy/control.go
@@ -33,9 +33,14 @@
 }
 
 type admission struct {
-	account  *envdoc.Account
+	account *envdoc.Account
+	load    Load
+	reply   chan<- admitted
+}
+
+type admitted struct {
 	estimate ident.Tokens
-	reply    chan<- error
+	err      error
 }
 
 type settlement struct {
@@ -97,6 +102,7 @@
 	budget  retry.Budget
 	watch   *guard.Watch
 	speeds  map[ident.VersionRef]speed
+	outputs map[ident.TaskID]float64
 	exposed map[ident.RolloutID]map[ident.SessionID]struct{}
 	halted  map[ident.VersionRef]ident.Generation
 	current ident.Generation
@@ -118,6 +124,7 @@
 		budget:  retry.NewBudget(),
 		watch:   guard.NewWatch(o.DetectorAlpha),
 		speeds:  map[ident.VersionRef]speed{},
+		outputs: map[ident.TaskID]float64{},
 		exposed: map[ident.RolloutID]map[ident.SessionID]struct{}{},
 		halted:  map[ident.VersionRef]ident.Generation{},
 	}
@@ -190,16 +197,17 @@
 	}
 }
 
-func (c *Control) admit(m admission, now time.Time) error {
+func (c *Control) admit(m admission, now time.Time) admitted {
 	a := m.account
 	l := limit.Limits{Requests: a.RequestsPerSecond, Tokens: a.TokensPerSecond}
-	d, ok := c.limits.Allow(a.ID, l, m.estimate, now)
+	e := m.load.Input + c.expected(m.load.Task, m.load.MaxOutput)
+	d, ok := c.limits.Allow(a.ID, l, e, now)
 	if !ok {
 		c.count.Limited.Add(1)
-		return refuse.New(refuse.RateLimited, refuse.NotRun, "account %s is over its limit", a.ID).After(d)
+		return admitted{err: refuse.New(refuse.RateLimited, refuse.NotRun, "account %s is over its limit", a.ID).After(d)}
 	}
 	c.budget = c.budget.Request()
-	return nil
+	return admitted{estimate: e}
 }
 
 // Plan chooses how a request is answered. It returns a *refuse.Error when nothing may answer it.
@@ -211,16 +219,17 @@
 	return r.decision, r.err
 }
 
-// Admit counts a request against its account's limits. It returns a *refuse.Error
-// with a time to retry after when the account is over them.
-func (c *Control) Admit(ctx context.Context, a *envdoc.Account, estimate ident.Tokens) error {
-	r, err := ask(ctx, c, func(ch chan<- error) message {
-		return admission{account: a, estimate: estimate, reply: ch}
+// Admit counts a request against its account's limits and returns the tokens that
+// it was counted with, for Settle. It returns a *refuse.Error with a time to retry
+// after when the account is over its limits.
+func (c *Control) Admit(ctx context.Context, a *envdoc.Account, l Load) (ident.Tokens, error) {
+	r, err := ask(ctx, c, func(ch chan<- admitted) message {
+		return admission{account: a, load: l, reply: ch}
 	})
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return r
+	return r.estimate, r.err
 }
 
 // Settle corrects the estimate of an admitted request by the tokens that it used.
--- a/entry/policy/decide.go
+++ b/entry/policy/decide.go
@@ -23,8 +23,12 @@
 	// defaultFirst and defaultPerToken stand in until a version was observed.
 	defaultFirst    = 300 * time.Millisecond
 	defaultPerToken = 30 * time.Millisecond
+	// defaultOutput is the expected length of an answer until a task was observed, in tokens.
+	defaultOutput = 200
+	// maxTasks bounds the task labels that are remembered, since callers choose them.
+	maxTasks = 1000
 	// probeEvery is the number of requests of which one probes a version that is not known yet.
-	probeEvery = 8
+	probeEvery = 4
 	// maxExposed bounds the sessions remembered per roll-out without a bound of its own.
 	maxExposed = 100_000
 )
@@ -52,7 +56,33 @@
 	return s.first + time.Duration(out)*s.perToken
 }
 
+// expected returns the expected number of output tokens of a task.
+func (c *Control) expected(t ident.TaskID, most ident.Tokens) ident.Tokens {
+	n, ok := c.outputs[t]
+	if !ok {
+		n = defaultOutput
+	}
+	return min(ident.Tokens(n), most)
+}
+
+func (c *Control) observeOutput(t ident.TaskID, out ident.Tokens) {
+	n, ok := c.outputs[t]
+	if !ok && len(c.outputs) >= maxTasks {
+		return
+	}
+	if !ok {
+		n = float64(out)
+	}
+	c.outputs[t] = n + speedStep*(float64(out)-n)
+}
+
 func (c *Control) plan(q Query) (Decision, error) {
+	d, err := c.decide(q)
+	d.Output = c.expected(q.Task, q.MaxOutput)
+	return d, err
+}
+
+func (c *Control) decide(q Query) (Decision, error) {
 	d := q.View.Document()
 	if d == nil {
 		return Decision{}, refuse.New(refuse.NoDocument, refuse.NotRun, "no document is in force")
@@ -132,6 +162,7 @@
 	if len(cs) == 0 {
 		return Decision{}, last
 	}
+	c.fillAfter(q, cs)
 	g := plan.Goal{
 		Objective: q.Account.Objective,
 		Target:    q.Account.QualityTarget,
@@ -152,6 +183,19 @@
 	return out, nil
 }
 
+// fillAfter adds the quality of each candidate on requests that another one answered weakly.
+func (c *Control) fillAfter(q Query, cs []plan.Candidate) {
+	for i := range cs {
+		b := &cs[i]
+		b.After = map[ident.VersionRef]plan.Estimate{}
+		for _, a := range cs {
+			if plan.MayEscalate(a, *b) {
+				b.After[a.Version] = c.quality.After(q.Account.ID, q.Task, b.Version, a.Version, b.Quality)
+			}
+		}
+	}
+}
+
 // explores reports whether a request explores: one of ExploreEvery, and one of
 // probeEvery while a version is too little known to start a cascade.
 func (c *Control) explores(q Query, cs []plan.Candidate) bool {
@@ -219,14 +263,15 @@
 func (c *Control) candidate(q Query, r ident.VersionRef) plan.Candidate {
 	d := q.View.Document()
 	v := d.Versions[r]
+	out := c.expected(q.Task, q.MaxOutput)
 	p := plan.Prior{Mean: v.QualityPrior}
 	if x := rolloutTo(d, r); x != nil {
 		p.Predecessor = ident.VersionRef{Model: x.Model, Version: x.From}
 	}
 	return plan.Candidate{
 		Version:  r,
-		Cost:     ident.MicroCents(q.Input)*v.InputPrice + ident.MicroCents(q.Output)*v.OutputPrice,
-		Time:     c.speeds[r].predict(q.Output),
+		Cost:     ident.MicroCents(q.Input)*v.InputPrice + ident.MicroCents(out)*v.OutputPrice,
+		Time:     c.speeds[r].predict(out),
 		Quality:  c.quality.Estimate(q.Account.ID, q.Task, r, p),
 		Escalate: d.Models[r.Model].Escalate,
 	}
@@ -281,7 +326,8 @@
 func (c *Control) observe(o Outcome) {
 	if !o.Failed {
 		c.speeds[o.Version] = c.speeds[o.Version].observe(o)
-		c.quality.Observe(plan.Answer{Account: o.Account, Task: o.Task, Version: o.Version, Logprob: o.Logprob})
+		c.observeOutput(o.Task, o.Output)
+		c.quality.Observe(plan.Answer{Account: o.Account, Task: o.Task, Version: o.Version, After: o.After, Logprob: o.Logprob})
 	}
 	// The time per token compares answers of unlike lengths.
 	l := time.Duration(0)
@@ -292,8 +338,13 @@
 }
 
 func (c *Control) rate(r Rating) {
-	c.quality.Observe(plan.Answer{Account: r.Account, Task: r.Task, Version: r.Version, Logprob: r.Logprob, Good: &r.Good})
-	c.check(r.Version, guard.Observation{Rating: &r.Good})
+	c.quality.Observe(plan.Answer{
+		Account: r.Account, Task: r.Task, Version: r.Version, After: r.After, Logprob: r.Logprob, Good: &r.Good,
+	})
+	if r.After == (ident.VersionRef{}) {
+		// Escalated requests are harder than others, so their ratings don't compare.
+		c.check(r.Version, guard.Observation{Rating: &r.Good})
+	}
 }
 
 func (c *Control) check(v ident.VersionRef, o guard.Observation) {
--- a/entry/policy/policy_test.go
+++ b/entry/policy/policy_test.go
@@ -94,7 +94,7 @@
 func query(h *halter, model string, i int) policy.Query {
 	v := h.current()
 	return policy.Query{
-		View: v, Account: v.Document().Accounts["bursa"], Model: model, Output: 100,
+		View: v, Account: v.Document().Accounts["bursa"], Model: model, MaxOutput: 100,
 		Request: ident.RequestID(fmt.Sprint("r", i)), Session: ident.SessionID(fmt.Sprint("s", i)),
 	}
 }
@@ -194,7 +194,7 @@
 		a := h.current().Document().Accounts["bursa"]
 		admitted := 0
 		for range 100 {
-			err := c.Admit(ctx, a, 10)
+			_, err := c.Admit(ctx, a, policy.Load{Input: 10})
 			if err == nil {
 				admitted++
 				continue
--- a/entry/policy/types.go
+++ b/entry/policy/types.go
@@ -35,7 +35,8 @@
 	// Isolated keeps new sessions off versions in roll-out.
 	Isolated bool
 	Input    ident.Tokens
-	Output   ident.Tokens
+	// MaxOutput bounds the answer.
+	MaxOutput ident.Tokens
 	// Left is the time until the caller's deadline; 0 means none.
 	Left time.Duration
 }
@@ -47,6 +48,15 @@
 	Pin ident.VersionRef
 	// Moved is true when the session left a withdrawn or halted version.
 	Moved bool
+	// Output is the expected number of output tokens.
+	Output ident.Tokens
+}
+
+// Load is what a request will use, as far as it is known before it runs.
+type Load struct {
+	Task      ident.TaskID
+	Input     ident.Tokens
+	MaxOutput ident.Tokens
 }
 
 // Outcome is what is known of one attempt that ended.
@@ -56,7 +66,9 @@
 	Task    ident.TaskID
 	Session ident.SessionID
 	Version ident.VersionRef
-	Failed  bool
+	// After is the version whose weak answer this attempt replaces; zero for a first attempt.
+	After  ident.VersionRef
+	Failed bool
 	// FirstToken and Total are measured from the start of the attempt.
 	FirstToken time.Duration
 	Total      time.Duration
@@ -69,6 +81,7 @@
 	Account ident.AccountID
 	Task    ident.TaskID
 	Version ident.VersionRef
+	After   ident.VersionRef
 	Logprob float64
 	Good    bool
 }
--- a/entry/rating/memory.go
+++ b/entry/rating/memory.go
@@ -12,30 +12,38 @@
 // maxAnswers bounds the answers whose ratings are awaited; the oldest are forgotten first.
 const maxAnswers = 20_000
 
+// Known is what the rating service does not tell of an answer.
+type Known struct {
+	// After is the version whose weak answer this one replaced; zero for a first answer.
+	After ident.VersionRef
+	// Logprob is the mean token log-probability.
+	Logprob float64
+}
+
 // Memory joins late ratings with what this entry knows of the rated answers.
 // Ratings of other entries' answers are left to those entries.
 type Memory struct {
 	client *Client
 	oneOf  uint64
 
-	mu       sync.Mutex
-	logprobs map[ident.RequestID]float64
-	order    []ident.RequestID
-	next     int
-	foreign  atomic.Uint64
+	mu      sync.Mutex
+	known   map[ident.RequestID]Known
+	order   []ident.RequestID
+	next    int
+	foreign atomic.Uint64
 }
 
 // NewMemory returns a memory that reports one of so many answers; 0 reports none.
 func NewMemory(c *Client, oneOf int) *Memory {
-	return &Memory{client: c, oneOf: uint64(oneOf), logprobs: map[ident.RequestID]float64{}}
+	return &Memory{client: c, oneOf: uint64(oneOf), known: map[ident.RequestID]Known{}}
 }
 
 // Foreign returns how many ratings were for answers that this entry doesn't remember.
 func (m *Memory) Foreign() uint64 { return m.foreign.Load() }
 
 // Answer remembers an answer and reports it if it is in the sample.
-func (m *Memory) Answer(a Answered, ms []*wire.Message, logprob float64) {
-	m.remember(a.Request, logprob)
+func (m *Memory) Answer(a Answered, ms []*wire.Message, k Known) {
+	m.remember(a.Request, k)
 	if m.oneOf == 0 || sample(a.Request)%m.oneOf != 0 {
 		return
 	}
@@ -43,27 +51,27 @@
 	m.client.Report(a)
 }
 
-// Logprob returns the mean log-probability of a remembered answer and forgets it.
-func (m *Memory) Logprob(r ident.RequestID) (float64, bool) {
+// Known returns what is known of a remembered answer and forgets it.
+func (m *Memory) Known(r ident.RequestID) (Known, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p, ok := m.logprobs[r]
+	p, ok := m.known[r]
 	if !ok {
 		m.foreign.Add(1)
 	}
-	delete(m.logprobs, r)
+	delete(m.known, r)
 	return p, ok
 }
 
-func (m *Memory) remember(r ident.RequestID, logprob float64) {
+func (m *Memory) remember(r ident.RequestID, k Known) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.logprobs[r] = logprob
+	m.known[r] = k
 	if len(m.order) < maxAnswers {
 		m.order = append(m.order, r)
 		return
 	}
-	delete(m.logprobs, m.order[m.next])
+	delete(m.known, m.order[m.next])
 	m.order[m.next] = r
 	m.next = (m.next + 1) % maxAnswers
 }
--- a/entry/relay/bill.go
+++ b/entry/relay/bill.go
@@ -78,6 +78,7 @@
 		Task:       q.Task,
 		Session:    q.session,
 		Version:    a.step.Version,
+		After:      q.weak,
 		Failed:     e == nil,
 		FirstToken: a.first,
 		Total:      r.o.Now().Sub(a.began),
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -104,6 +104,15 @@
 	Verify(t string) (token.Claims, error)
 }
 
+// Sample is a whole answer that may be rated.
+type Sample struct {
+	Chat    Chat
+	Version ident.VersionRef
+	// After is the version whose weak answer this one replaces; zero for a first answer.
+	After   ident.VersionRef
+	Logprob float64
+}
+
 // Options are the parts that a relay works with.
 type Options struct {
 	Instance ident.InstanceID
@@ -120,8 +129,8 @@
 	IsolationLimit time.Duration
 	// Contact returns when the table or a peer last answered.
 	Contact func() time.Time
-	// Accepted learns of every answer that a caller got whole; it must not block.
-	Accepted func(c Chat, v ident.VersionRef, logprob float64)
+	// Sample learns of every whole answer that may be rated; it must not block.
+	Sample func(s Sample)
 }
 
 // Counters count what happened to requests and frames.
--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -38,7 +38,13 @@
 	head    Head
 	claims  *token.Claims
 	input   ident.Tokens
-	hashes  []uint64
+	// output is the expected number of output tokens.
+	output ident.Tokens
+	hashes []uint64
+	// weak is the version whose weak answer was escalated; zero for none.
+	weak ident.VersionRef
+	// sampled is true when the weak answer was offered for rating in place of the accepted one.
+	sampled bool
 
 	attempts ident.Attempt
 	// ran is what is known of the attempts so far.
@@ -111,16 +117,16 @@
 		return decision{}, err
 	}
 	u := policy.Query{
-		View:     q.view,
-		Account:  a,
-		Task:     q.Task,
-		Model:    q.Model,
-		Request:  q.ID,
-		Session:  q.session,
-		Isolated: r.isolated(),
-		Input:    q.input,
-		Output:   ident.Tokens(q.MaxTokens),
-		Left:     q.Deadline.Sub(r.o.Now()),
+		View:      q.view,
+		Account:   a,
+		Task:      q.Task,
+		Model:     q.Model,
+		Request:   q.ID,
+		Session:   q.session,
+		Isolated:  r.isolated(),
+		Input:     q.input,
+		MaxOutput: ident.Tokens(q.MaxTokens),
+		Left:      q.Deadline.Sub(r.o.Now()),
 	}
 	if q.claims != nil {
 		u.Pin = q.claims.Version
@@ -129,6 +135,7 @@
 	if err != nil {
 		return decision{}, err
 	}
+	q.output = c.Output
 	p := decision{pin: c.Pin, moved: c.Moved, steps: stepsOf(c)}
 	r.announce(q, p)
 	return p, nil
@@ -210,6 +217,7 @@
 		if !last && t.end.GetMeanLogprob() < s.Below {
 			r.receipt(q, t.attempt, t.end, ledger.RoleAttempt, ledger.OutcomeComplete)
 			r.observe(q, t.attempt, t.end)
+			r.sampleWeak(q, s, t.end)
 			r.escalated(q, s, "weak")
 			continue
 		}
@@ -226,9 +234,27 @@
 
 func (r *Relay) escalated(q *request, s Step, why string) {
 	r.count.Escalations.Add(1)
+	q.weak = s.Version
 	r.record(event.Escalated, q, map[string]string{"from": s.Version.String(), "why": why})
 }
 
+// sampleWeak offers half of the weak answers for rating. The rating service rates
+// one answer of a request, and weak answers that are never rated would keep the
+// prior's quality.
+func (r *Relay) sampleWeak(q *request, s Step, e *wire.End) {
+	if seed(q.ID, 0)%2 == 0 {
+		q.sampled = true
+		r.sample(q, s, e)
+	}
+}
+
+func (r *Relay) sample(q *request, s Step, e *wire.End) {
+	if r.o.Sample == nil {
+		return
+	}
+	r.o.Sample(Sample{Chat: q.Chat, Version: s.Version, After: q.weak, Logprob: e.GetMeanLogprob()})
+}
+
 func (r *Relay) accept(q *request, s Step, t *taken) (*Answer, error) {
 	q.version = s.Version
 	q.head.Version = s.Version
@@ -242,8 +268,8 @@
 	}
 	r.receipt(q, t.attempt, t.end, ledger.RoleBill, ledger.OutcomeComplete)
 	r.observe(q, t.attempt, t.end)
-	if r.o.Accepted != nil {
-		r.o.Accepted(q.Chat, s.Version, t.end.GetMeanLogprob())
+	if !q.sampled {
+		r.sample(q, s, t.end)
 	}
 	return &Answer{
 		Head:         q.head,
--- a/entry/relay/step.go
+++ b/entry/relay/step.go
@@ -58,7 +58,7 @@
 	return r.o.Fleet.Pick(Place{
 		Version:  s.Version,
 		Input:    q.input,
-		Output:   ident.Tokens(q.MaxTokens),
+		Output:   q.output,
 		Prefixes: q.hashes,
 		Seed:     seed(q.ID, q.attempts),
 		Account:  q.account,
