fix: show a roll-out at its first step with its share

Cause: status showed a new roll-out as step 0 with 0 percent, since a roll-out at its first step has no entry in the view. Change: a missing entry is shown as the first step.

--- a/entry/admin/status.go
+++ b/entry/admin/status.go
@@ -73,10 +73,14 @@
 	out := []opsapi.Step{}
 	for _, id := range slices.Sorted(maps.Keys(d.Rollouts)) {
 		r := d.Rollouts[id]
-		s := opsapi.Step{Rollout: id, Version: ident.VersionRef{Model: r.Model, Version: r.To}.String(), Steps: len(r.Steps), Share: "0"}
-		if i, ok := v.Steps[id]; ok && i >= 0 && i < len(r.Steps) {
-			s.Step = i + 1
-			s.Share = envdoc.FormatShare(r.Steps[i])
+		// A roll-out at its first step has no entry.
+		i := min(v.Steps[id], len(r.Steps)-1)
+		s := opsapi.Step{
+			Rollout: id,
+			Version: ident.VersionRef{Model: r.Model, Version: r.To}.String(),
+			Step:    i + 1,
+			Steps:   len(r.Steps),
+			Share:   envdoc.FormatShare(r.Steps[i]),
 		}
 		out = append(out, s)
 	}
