feat: count accounts that miss their quality target in the experiments

The mean over accounts can hide one that is short; the table now counts those below by more than two standard errors.

--- a/bench/report/report.go
+++ b/bench/report/report.go
@@ -41,6 +41,7 @@
 	{"good/s", "%.1f", func(f scene.Figures) float64 { return f.Goodput }},
 	{"quality", "%.3f", func(f scene.Figures) float64 { return f.Quality }},
 	{"target", "%.3f", func(f scene.Figures) float64 { return f.Target }},
+	{"short", "%.0f", func(f scene.Figures) float64 { return float64(f.Short) }},
 	{"cost", "%.0f", func(f scene.Figures) float64 { return f.Cost }},
 	{"attempts", "%.2f", func(f scene.Figures) float64 { return f.Attempts }},
 	{"first p50", "%.0f", func(f scene.Figures) float64 { return f.First[0] }},
--- a/bench/scene/result.go
+++ b/bench/scene/result.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -30,6 +31,9 @@
 	// Quality is the part of good answers; Target the mean of the accounts' targets over the same answers.
 	Quality float64 `json:"quality"`
 	Target  float64 `json:"target"`
+	// Short counts accounts whose part of good answers is below their target by
+	// more than two standard errors.
+	Short int `json:"short"`
 	// Cost is in micro-cents per answer, over all attempts.
 	Cost float64 `json:"cost"`
 	// First and End hold p50, p95 and p99 to the first token and to the end, in ms.
@@ -55,6 +59,7 @@
 	var first, end, review, small []float64
 	answered := map[ident.RequestID]bool{}
 	good := 0
+	tallies := map[ident.AccountID]tally{}
 	for i := range rs {
 		r := &rs[i]
 		if r.At < s.Warm {
@@ -72,6 +77,9 @@
 		v := vs[r.Version]
 		if answer.Of(answer.Settings{Ref: r.Version, Quality: v.Quality, MeanTokens: v.MeanTokens}, r.Messages, 0).Good {
 			good++
+			tallies[r.Account] = tallies[r.Account].add(1)
+		} else {
+			tallies[r.Account] = tallies[r.Account].add(0)
 		}
 		first = append(first, ms(r.First))
 		end = append(end, ms(r.Total))
@@ -85,6 +93,11 @@
 	n := float64(max(f.Answered, 1))
 	f.Quality = float64(good) / n
 	f.Target /= n
+	for id, t := range tallies {
+		if t.short(w.Document.Accounts[id].QualityTarget) {
+			f.Short++
+		}
+	}
 	f.Goodput = float64(f.Answered) / (s.Duration - s.Warm).Seconds()
 	f.First, f.End, f.Review, f.Small = quantiles(first), quantiles(end), quantiles(review), quantiles(small)
 	if err := f.cost(ctx, w, answered, begin); err != nil {
@@ -93,6 +106,19 @@
 	return f, f.exposure(ctx, s, w, rs, begin)
 }
 
+// tally counts the answers of one account.
+type tally struct{ good, all float64 }
+
+func (t tally) add(good float64) tally {
+	return tally{good: t.good + good, all: t.all + 1}
+}
+
+// short reports whether the part of good answers is below a target by more than two standard errors.
+func (t tally) short(target float64) bool {
+	q := t.good / t.all
+	return q+2*math.Sqrt(target*(1-target)/t.all) < target
+}
+
 func (f *Figures) count(r *drive.Record) {
 	code := string(r.Code)
 	if code == "" {
