--- a/agent/certs/certs_test.go
+++ b/agent/certs/certs_test.go
@@ -95,3 +95,33 @@
 		}
 	})
 }
+
+// Guards against a configuration that gRPC clients refuse because it does not
+// offer HTTP/2.
+func TestOffersHTTP2(t *testing.T) {
+	d := t.TempDir()
+	f := certs.Files{Cert: filepath.Join(d, "cert.pem"), Key: filepath.Join(d, "key.pem")}
+	write(t, f, 1)
+	s, err := certs.New(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := tls.Listen("tcp", "127.0.0.1:0", s.Server())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			_ = c.(*tls.Conn).Handshake()
+		}
+	}()
+	c, err := tls.Dial("tcp", l.Addr().String(), &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"h2"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if p := c.ConnectionState().NegotiatedProtocol; p != "h2" {
+		t.Fatalf("negotiated %q", p)
+	}
+}
--- a/agent/setup/setup.go
+++ b/agent/setup/setup.go
@@ -103,7 +103,7 @@
 			Slots:          8,
 			Engine:         engine.Default(""),
 			Plain:          plain.Default(""),
-			ReportInterval: 500 * time.Millisecond,
+			ReportInterval: time.Second,
 			// A status with 32 hashes and two loaded versions has 480 bytes.
 			Prefixes: 32,
 		},
--- a/agent/stream/store.go
+++ b/agent/stream/store.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// sweepInterval is fine enough for limits of seconds.
-const sweepInterval = 250 * time.Millisecond
+// sweepInterval is fine enough for limits of many seconds.
+const sweepInterval = time.Second
 
 // FullError reports that no buffer could be made.
 type FullError struct {
