fix: cancel a resumed stream whose version was withdrawn meanwhile

A restarted agent took over a stream at the engine without applying cancel-running. Run: go vet, golangci-lint, go test -race -count=5 ./entries.

--- a/agent/entries/entries_test.go
+++ b/agent/entries/entries_test.go
@@ -162,7 +162,7 @@
 }
 
 // Guards against running streams of a version that is withdrawn with
-// cancel-running, and new work on it.
+// cancel-running, also of one that an earlier process started, and new work on it.
 func TestWithdrawnWhileRunning(t *testing.T) {
 	r := start(t, newFake())
 	s := accepted(t, r, "r1")
@@ -178,6 +178,14 @@
 	}
 	wantRefusal(t, next(t, c), refuse.VersionWithdrawn, refuse.NotRun)
 	wantRefusal(t, next(t, run(t, r, "r3")), refuse.StaleGeneration, refuse.NotRun)
+	r.engine.mu.Lock()
+	r.engine.known["r4-1"] = true
+	r.engine.mu.Unlock()
+	m, err := r.client.Resume(t.Context(), resumeRequest("r4", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantRefusal(t, next(t, m), refuse.VersionWithdrawn, refuse.DidRun)
 }
 
 // Guards against a caller who is billed for output that no entry relayed.
--- a/agent/runner/relay.go
+++ b/agent/runner/relay.go
@@ -64,6 +64,8 @@
 
 func (r *Runner) adopt(a *attempt) {
 	p := r.begin(a)
+	// The withdrawal may have come while no process of this agent ran.
+	r.cancelWithdrawn()
 	s, err := r.options.Engine.Resume(a.ctx, engine.StreamID(a.key.Request, a.key.Attempt), 0)
 	if engine.Missing(err) {
 		r.end(a, refuse.New(refuse.UnknownAttempt, refuse.Unknown, "resume attempt: neither this agent nor the engine knows it"))
