fix: spend retries only on attempts that follow, bound slow callers

A retry was charged although no other upstream was left, and a failed first step of a cascade used one up before the next step could. Bodies and answers of callers that stop reading or writing now have a time limit, and text that was relayed always counts as ran. Run: lint, go test -race ./relay ./caller ./calls.

--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -186,6 +187,9 @@
 	return time.Duration(n) * time.Millisecond, nil
 }
 
+// readLimit bounds reading a request's body.
+const readLimit = 20 * time.Second
+
 // maxName bounds task names and idempotency keys, in bytes: they become parts of table rows and of statistics.
 const maxName = 255
 
@@ -231,7 +235,26 @@
 	writeJSON(w, Status(e.Code), errorOf(id, e))
 }
 
+// hurry bounds the write of an answer to a caller that no longer reads.
+func hurry(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeLimit))
+}
+
+// readBody reads a body within the read limit. The limit is lifted afterwards: a
+// read that fails later counts as a caller who left.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(readLimit))
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, readRefusal(err)
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	return b, nil
+}
+
 func writeJSON(w http.ResponseWriter, code int, v any) {
+	hurry(w)
 	b, err := json.Marshal(v)
 	if err != nil {
 		code = http.StatusInternalServerError
--- a/entry/caller/chat.go
+++ b/entry/caller/chat.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 
@@ -80,7 +79,7 @@
 var roles = map[string]bool{"system": true, "developer": true, "user": true, "assistant": true}
 
 func (a *API) chat(w http.ResponseWriter, r *http.Request, c *caller) {
-	q, m, err := a.readChat(r, c)
+	q, m, err := a.readChat(w, r, c)
 	if err != nil {
 		a.refuse(w, c.id, err)
 		return
@@ -100,10 +99,10 @@
 	a.o.Limits.Settle(c.account.ID, estimate, used)
 }
 
-func (a *API) readChat(r *http.Request, c *caller) (relay.Chat, *chatRequest, error) {
-	b, err := io.ReadAll(r.Body)
+func (a *API) readChat(w http.ResponseWriter, r *http.Request, c *caller) (relay.Chat, *chatRequest, error) {
+	b, err := readBody(w, r)
 	if err != nil {
-		return relay.Chat{}, nil, readRefusal(err)
+		return relay.Chat{}, nil, err
 	}
 	var m chatRequest
 	d := json.NewDecoder(bytes.NewReader(b))
--- a/entry/caller/service.go
+++ b/entry/caller/service.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -17,7 +16,7 @@
 
 // service runs a plain-service call.
 func (a *API) service(w http.ResponseWriter, r *http.Request, c *caller) {
-	k, err := a.readCall(r, c)
+	k, err := a.readCall(w, r, c)
 	if err != nil {
 		a.refuse(w, c.id, err)
 		return
@@ -39,6 +38,7 @@
 	if p.Replayed {
 		h.Set(HeaderReplayed, "yes")
 	}
+	hurry(w)
 	w.WriteHeader(answerStatus(p.StatusCode))
 	_, _ = w.Write(p.Body)
 }
@@ -51,7 +51,7 @@
 	return s
 }
 
-func (a *API) readCall(r *http.Request, c *caller) (calls.Call, error) {
+func (a *API) readCall(w http.ResponseWriter, r *http.Request, c *caller) (calls.Call, error) {
 	s := chi.URLParam(r, "service")
 	key := r.Header.Get(HeaderKey)
 	if len(key) > maxName {
@@ -61,9 +61,9 @@
 	if err != nil {
 		return calls.Call{}, err
 	}
-	b, err := io.ReadAll(r.Body)
+	b, err := readBody(w, r)
 	if err != nil {
-		return calls.Call{}, readRefusal(err)
+		return calls.Call{}, err
 	}
 	id := c.id
 	if key != "" {
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -324,3 +324,62 @@
 	e, ok := refuse.As(err)
 	return ok && e.Code == c
 }
+
+// Guards against a request that is held past its deadline, and against a not-run
+// for work that was accepted by an agent.
+func TestDeadlineEndsTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, func(q *wire.RunRequest, s wire.Agent_RunServer) error {
+			for s.Context().Err() == nil {
+				f := &wire.Frame{RequestId: q.GetRequestId(), Attempt: q.GetAttempt(), Body: &wire.Frame_Heartbeat{}}
+				s.Send(f)
+				time.Sleep(500 * time.Millisecond)
+			}
+			return nil
+		})
+		defer w.stop()
+		at := time.Now()
+		_, err := w.chat(context.Background())
+		if e, _ := refuse.As(err); e == nil || e.Code != refuse.DeadlineExceeded || e.Ran != refuse.Unknown {
+			t.Fatalf("got %v", err)
+		}
+		if d := time.Since(at); d != time.Minute {
+			t.Fatalf("ended after %v", d)
+		}
+		if b := w.bill(); b.Price != 0 {
+			t.Fatalf("billed %+v", b)
+		}
+	})
+}
+
+// Guards against a cascade that fails with its first step although the second
+// could answer, and against doing so beyond the retry budget.
+func TestFailedFirstStep(t *testing.T) {
+	for name, c := range map[string]struct {
+		budget int
+		code   refuse.Code
+	}{
+		"budget left":     {1, ""},
+		"budget is spent": {0, refuse.UpstreamFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, func(q *wire.RunRequest, s wire.Agent_RunServer) error {
+					if q.GetModel() == "cheap" {
+						return s.Send(of(q).refusal(string(refuse.UpstreamFailed), wire.Ran_RAN_RAN))
+					}
+					return letters(of(q), s, "strong", 0, 0)
+				})
+				defer w.stop()
+				w.plan = plan.Cascade{First: cheap, Then: best, Below: -1}
+				w.budget = c.budget
+				a, err := w.chat(context.Background())
+				if c.code == "" {
+					whole(t, w, "strong", a, err)
+				} else if !isCode(err, c.code) {
+					t.Fatalf("got %v", err)
+				}
+			})
+		})
+	}
+}
--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -226,10 +226,18 @@
 	return nil, refuse.New(refuse.Internal, q.ran, "the plan ended without an answer")
 }
 
-// mayEscalate reports whether the next step of a plan may make up for a failed one.
+// mayEscalate reports whether the next step of a plan may make up for a failed
+// one. After an attempt that may have run this is a retry and is charged as one.
 func (r *Relay) mayEscalate(ctx context.Context, q *request, err error) bool {
 	var again *replan
-	return ctx.Err() == nil && q.texts == 0 && !errors.As(err, &again)
+	if ctx.Err() != nil || q.texts > 0 || errors.As(err, &again) {
+		return false
+	}
+	e, ok := refuse.As(err)
+	if !ok || !repeatable(e) {
+		return false
+	}
+	return e.Ran == refuse.NotRun || r.retry(ctx)
 }
 
 func (r *Relay) escalated(q *request, s Step, why string) {
@@ -292,6 +300,9 @@
 // what was relayed. A request of which an attempt may have run gets a receipt
 // for no more than the relayed tokens, so that no agent's receipt is billed instead.
 func (r *Relay) final(ctx context.Context, q *request, err error) *refuse.Error {
+	if q.texts > 0 {
+		q.ran = refuse.DidRun
+	}
 	e := refuse.From(err, q.ran)
 	var again *replan
 	if errors.As(err, &again) {
--- a/entry/relay/step.go
+++ b/entry/relay/step.go
@@ -20,10 +20,24 @@
 	held []*wire.Data
 }
 
-// step runs one model of a plan on one upstream after another.
+// sequel says what may follow an attempt without an answer.
+type sequel int
+
+const (
+	// giveUp ends the step.
+	giveUp sequel = iota
+	// goOn allows another upstream at no charge, since the attempt added no load.
+	goOn
+	// charged allows another upstream if the retry budget has a retry left.
+	charged
+)
+
+// step runs one model of a plan on one upstream after another. A step whose
+// output is held back leaves retries to the next step of the plan.
 func (r *Relay) step(ctx context.Context, q *request, s Step, direct bool) (*taken, error) {
 	var tried []ident.UpstreamID
-	var last *refuse.Error
+	var last error
+	next := goOn
 	for range maxTries {
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
@@ -32,6 +46,9 @@
 		if !ok {
 			break
 		}
+		if next == charged && !r.retry(ctx) {
+			return nil, last
+		}
 		tried = append(tried, l.Upstream())
 		t := &taken{}
 		a := r.attempt(q, s, l, direct, t)
@@ -42,11 +59,10 @@
 			t.end = f.end
 			return t, nil
 		}
-		again, err := r.failed(ctx, q, a, o)
-		if !again {
-			return nil, err
+		next, last = r.failed(ctx, q, a, o)
+		if next == giveUp || next == charged && !direct && q.ran != refuse.NotRun {
+			return nil, last
 		}
-		last, _ = refuse.As(err)
 	}
 	if last != nil {
 		return nil, last
@@ -54,6 +70,14 @@
 	return nil, refuse.New(refuse.NoUpstream, q.ran, "no upstream can serve %s now", s.Version).After(retryLater)
 }
 
+func (r *Relay) retry(ctx context.Context) bool {
+	if !r.o.Decider.Retry(ctx) {
+		return false
+	}
+	r.count.Retries.Add(1)
+	return true
+}
+
 func (r *Relay) pick(q *request, s Step, tried []ident.UpstreamID) (*agents.Link, bool) {
 	return r.o.Fleet.Pick(Place{
 		Version:  s.Version,
@@ -94,7 +118,7 @@
 
 // failed decides what follows an attempt without an answer: another upstream,
 // a new plan, or the error as it is.
-func (r *Relay) failed(ctx context.Context, q *request, a *attempt, o outcome) (bool, error) {
+func (r *Relay) failed(ctx context.Context, q *request, a *attempt, o outcome) (sequel, error) {
 	switch o := o.(type) {
 	case refused:
 		return r.refused(ctx, q, a, o.err)
@@ -102,50 +126,45 @@
 		q.ran = worse(q.ran, refuse.Unknown)
 		r.o.Fleet.Ended(a.link.Upstream(), false)
 		e := refuse.New(refuse.UpstreamFailed, q.ran, "upstream %s was lost: %s", a.link.Upstream(), o.why).After(retryLater)
-		return r.retry(ctx, q, e)
+		return r.elsewhere(q, e, charged)
 	case stopped:
 		q.ran = worse(q.ran, refuse.Unknown)
-		return false, refuse.New(refuse.Cancelled, q.ran, "the request was stopped")
+		return giveUp, refuse.New(refuse.Cancelled, q.ran, "the request was stopped")
 	default:
-		return false, refuse.New(refuse.Internal, refuse.Unknown, "unexpected end of an attempt")
+		return giveUp, refuse.New(refuse.Internal, refuse.Unknown, "unexpected end of an attempt")
 	}
 }
 
-func (r *Relay) refused(ctx context.Context, q *request, a *attempt, e *refuse.Error) (bool, error) {
+func (r *Relay) refused(ctx context.Context, q *request, a *attempt, e *refuse.Error) (sequel, error) {
 	q.ran = worse(q.ran, e.Ran)
 	switch e.Code {
 	case refuse.StaleGeneration, refuse.AgentBehind, refuse.VersionWithdrawn, refuse.VersionHalted:
-		if e.Ran != refuse.NotRun || q.texts > 0 {
+		if e.Ran != refuse.NotRun || q.texts > 0 || a.link.CatchUp(ctx) != nil {
 			break
 		}
-		if err := a.link.CatchUp(ctx); err != nil {
-			return r.retry(ctx, q, e)
-		}
-		return false, &replan{refusal: e}
+		return giveUp, &replan{refusal: e}
 	case refuse.Draining:
-		// The agent has done nothing yet, so going elsewhere adds no load and is not charged to the budget.
-		if e.Ran == refuse.NotRun && q.texts == 0 {
-			return true, e
+		// The agent has done nothing, so going elsewhere adds no load.
+		if e.Ran == refuse.NotRun {
+			return r.elsewhere(q, e, goOn)
 		}
 	case refuse.UpstreamFailed, refuse.Internal:
 		r.o.Fleet.Ended(a.link.Upstream(), false)
 		r.observe(q, a, nil)
 	}
-	return r.retry(ctx, q, e)
+	return r.elsewhere(q, e, charged)
 }
 
-// retry allows another attempt when the caller has nothing of the answer yet
-// and the budget has a retry left.
-func (r *Relay) retry(ctx context.Context, q *request, e *refuse.Error) (bool, error) {
+// elsewhere allows another attempt when the caller has nothing of the answer yet.
+func (r *Relay) elsewhere(q *request, e *refuse.Error, n sequel) (sequel, error) {
 	if q.texts > 0 {
 		r.count.Broken.Add(1)
-		return false, refuse.New(refuse.StreamBroken, refuse.DidRun, "the stream can't be continued: %s", e.Message)
+		return giveUp, refuse.New(refuse.StreamBroken, refuse.DidRun, "the stream can't be continued: %s", e.Message)
 	}
-	if !repeatable(e) || !r.o.Decider.Retry(ctx) {
-		return false, e
+	if !repeatable(e) {
+		return giveUp, e
 	}
-	r.count.Retries.Add(1)
-	return true, e
+	return n, e
 }
 
 // repeatable reports whether another upstream may answer what this one refused.
