--- a/entry/rating/rating.go
+++ b/entry/rating/rating.go
@@ -139,7 +139,9 @@
 			if err := c.post(ctx, a); err != nil && ctx.Err() == nil {
 				c.failed.Add(1)
 			}
-			sleep(ctx, c.o.ReportEvery)
+			if !sleep(ctx, c.o.ReportEvery) {
+				return
+			}
 		}
 	}
 }
