fix: give each start of an entry its own instance id

Receipt batches are rows of an instance id, so a restart under the same id met the rows of the run before and lost time on each conflict. The setting is now the first part of the id. A silent stream on a live connection is first opened again on it, since replacing the connection broke all its other streams. Requests are recorded under their final id, with their refusal.

--- a/entry/agents/agents.go
+++ b/entry/agents/agents.go
@@ -61,6 +61,9 @@
 	links atomic.Pointer[map[ident.UpstreamID]*Link]
 	list  atomic.Pointer[[]*Link]
 
+	// retired counts the replaced connections of links that ended.
+	retired atomic.Uint64
+
 	mu      sync.Mutex
 	ctx     context.Context
 	wait    sync.WaitGroup
@@ -104,6 +107,15 @@
 	return (*s.links.Load())[u]
 }
 
+// Replaced returns how many silent connections were replaced.
+func (s *Set) Replaced() uint64 {
+	n := s.retired.Load()
+	for _, l := range s.Links() {
+		n += l.Replaced()
+	}
+	return n
+}
+
 // Update replaces the wanted agents. Links to agents that remain are kept.
 func (s *Set) Update(ts []Target) {
 	s.mu.Lock()
@@ -125,6 +137,7 @@
 	for u, l := range before {
 		if _, ok := after[u]; !ok {
 			l.stop()
+			s.retired.Add(l.Replaced())
 		}
 	}
 	s.publish(after)
--- a/entry/agents/link.go
+++ b/entry/agents/link.go
@@ -21,6 +21,8 @@
 	pingLimit = 2 * time.Second
 	// silenceLimit is the age of the latest status above which a link gets no new work.
 	silenceLimit = 3 * time.Second
+	// freshLimit is below the 2 s of silence on a stream and above the second between two statuses.
+	freshLimit = 1500 * time.Millisecond
 	// reopenAfter is the pause before a failed watch is opened again.
 	reopenAfter = 200 * time.Millisecond
 	// catchUpLimit bounds one exchange of state and document.
@@ -93,6 +95,12 @@
 	return !s.Status.GetDraining() && now.Sub(s.At) < silenceLimit
 }
 
+// Fresh reports whether a status arrived so lately that the connection can't be silent.
+func (l *Link) Fresh(now time.Time) bool {
+	s := l.seen.Load()
+	return s != nil && now.Sub(s.At) < freshLimit
+}
+
 func (l *Link) alive(now time.Time) bool {
 	s := l.seen.Load()
 	return s != nil && now.Sub(s.At) < silenceLimit
--- a/entry/boot/boot.go
+++ b/entry/boot/boot.go
@@ -103,13 +103,20 @@
 // Run runs an entry until the context ends and its drain is over. It writes one
 // JSON line with the addresses that it listens on to out.
 func Run(ctx context.Context, s *setup.Settings, out, logs io.Writer) error {
-	if s.Entry.Instance == "" {
-		// A restart is a new instance, so the id has a random part.
-		s.Entry.Instance = ident.InstanceID("entry-" + string(s.Entry.Domain) + "-" + strings.ToLower(rand.Text()[:8]))
-	}
+	s.Entry.Instance = instance(s.Entry)
 	steps, err := build(s, out, logs)
 	if err != nil {
 		return err
 	}
 	return serve.Run(ctx, steps)
 }
+
+// instance returns the id of this process. It has a random part, since a restart
+// is a new instance: the rows of its receipts must not meet those of the one before.
+func instance(e setup.Entry) ident.InstanceID {
+	name := string(e.Instance)
+	if name == "" {
+		name = "entry-" + string(e.Domain)
+	}
+	return ident.InstanceID(name + "-" + strings.ToLower(rand.Text()[:8]))
+}
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -171,10 +171,22 @@
 	if err != nil {
 		return nil, err
 	}
-	a.o.Ring.Record(event.Event{Kind: event.RequestReceived, Request: id, Account: c.ID})
 	return &caller{id: id, view: v, account: c, task: task, deadline: a.o.Now().Add(t)}, nil
 }
 
+// received records a request under its final id.
+func (a *API) received(id ident.RequestID, c *caller) {
+	a.o.Ring.Record(event.Event{Kind: event.RequestReceived, Request: id, Account: c.account.ID})
+}
+
+// reject refuses a request that went no further; what goes further records its own end.
+func (a *API) reject(w http.ResponseWriter, id ident.RequestID, c *caller, err error) {
+	e := refuse.From(err, refuse.Unknown)
+	f := map[string]string{"code": string(e.Code), "ran": string(e.Ran)}
+	a.o.Ring.Record(event.Event{Kind: event.RequestRefused, Request: id, Account: c.account.ID, Fields: f})
+	a.refuse(w, id, e)
+}
+
 func (a *API) timeout(r *http.Request) (time.Duration, error) {
 	s := r.Header.Get(HeaderTimeout)
 	if s == "" {
--- a/entry/caller/chat.go
+++ b/entry/caller/chat.go
@@ -79,15 +79,16 @@
 var roles = map[string]bool{"system": true, "developer": true, "user": true, "assistant": true}
 
 func (a *API) chat(w http.ResponseWriter, r *http.Request, c *caller) {
+	a.received(c.id, c)
 	q, m, err := a.readChat(w, r, c)
 	if err != nil {
-		a.refuse(w, c.id, err)
+		a.reject(w, c.id, c, err)
 		return
 	}
 	l := policy.Load{Task: q.Task, Input: relay.Estimate(q.Messages), MaxOutput: ident.Tokens(q.MaxTokens)}
 	estimate, err := a.o.Limits.Admit(r.Context(), c.account, l)
 	if err != nil {
-		a.refuse(w, c.id, err)
+		a.reject(w, c.id, c, err)
 		return
 	}
 	var used ident.Tokens
--- a/entry/caller/service.go
+++ b/entry/caller/service.go
@@ -18,11 +18,12 @@
 func (a *API) service(w http.ResponseWriter, r *http.Request, c *caller) {
 	k, err := a.readCall(w, r, c)
 	if err != nil {
-		a.refuse(w, c.id, err)
+		a.reject(w, c.id, c, err)
 		return
 	}
+	a.received(k.ID, c)
 	if _, err := a.o.Limits.Admit(r.Context(), c.account, policy.Load{}); err != nil {
-		a.refuse(w, k.ID, err)
+		a.reject(w, k.ID, c, err)
 		return
 	}
 	p, err := a.o.Calls.Call(r.Context(), k)
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -152,13 +152,15 @@
 }
 
 // resume continues the stream from the next position, over a new connection
-// when the old one is silent. A restarted agent asks its engine for the stream.
+// when the old one is silent. A silent stream on a connection that still brings
+// statuses is first opened again on it, since replacing the connection breaks
+// all its other streams. A restarted agent asks its engine for the stream.
 func (a *attempt) resume(ctx context.Context, b broken) outcome {
 	if a.tries > 1 && !pause(ctx, resumeEvery) {
 		return stopped{err: ctx.Err()}
 	}
 	c, err := a.link.Conn()
-	if b.silent {
+	if b.silent && (a.tries > 1 || !a.link.Fresh(a.r.o.Now())) {
 		c, err = a.link.Replace(a.conn)
 	}
 	if err != nil {
--- a/entry/setup/setup.go
+++ b/entry/setup/setup.go
@@ -34,6 +34,7 @@
 
 // Entry is section [entry].
 type Entry struct {
+	// Instance is the first part of the instance id; the process adds a random part.
 	Instance ident.InstanceID
 	Domain   ident.DomainID
 	// Callers, Peers and Admin are the addresses to listen on: the callers' API,
