fix: keep documents and state within their environment and upstream

Cause: the instance list lags, so an address in it can belong to another process by now. Entries exchanged state with whatever agent answered there and offered it their document, and the document's environment was not checked.

Change: a node refuses a peer's document whose environment is not its own, and a link drops the watch of an agent that reports another upstream. Halts and the clock in the first watch message still reach the stranger, since State names no environment; that needs a field in wire.proto.

Run: go test -race ./spread ./agents ./admin; the test of the link fails without the change.

--- a/agent/boot/build.go
+++ b/agent/boot/build.go
@@ -174,6 +174,7 @@
 		Role:         "agent",
 		Source:       accept.New(t, s.Control.Environment),
 		Ring:         r,
+		Environment:  s.Control.Environment,
 		PollInterval: s.Control.PollInterval,
 		Now:          time.Now,
 	})
--- a/core/spread/node.go
+++ b/core/spread/node.go
@@ -32,6 +32,8 @@
 	Role   string
 	Source Source
 	Ring   *event.Ring
+	// Environment is the name that documents of peers must have; empty takes any.
+	Environment string
 	// PollInterval is the pause between reads of the table.
 	PollInterval time.Duration
 	Now          func() time.Time
@@ -164,7 +166,9 @@
 }
 
 // Offer adopts a document from a peer unless the one in force is as new. It
-// returns a *DocumentError for bytes that are damaged or not valid.
+// returns a *DocumentError for bytes that are damaged or not valid, and for the
+// document of another environment: an address in the lagging instance list may
+// belong to a process of another environment by now, and generations never revert.
 func (n *Node) Offer(ctx context.Context, d *wire.Document) error {
 	n.observe(d.GetClock())
 	if ident.Generation(d.GetGeneration()) <= n.View().Generation() {
@@ -174,6 +178,9 @@
 	if err != nil {
 		return err
 	}
+	if e := n.o.Environment; e != "" && a.Document.Name != e {
+		return &DocumentError{Generation: a.Generation, Err: &EnvironmentError{Want: e, Got: a.Document.Name}}
+	}
 	n.touch()
 	return n.update(ctx, offered{accepted: a})
 }
--- a/core/spread/node_test.go
+++ b/core/spread/node_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"tarragonvalve.example/core/accept"
+	"tarragonvalve.example/core/envdoc"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/spread"
@@ -212,3 +213,19 @@
 		want(t, n, 0, spread.ConfirmedNone)
 	})
 }
+
+// Guards against a process adopting the document of another environment, whose
+// process took over an address that the lagging instance list still names: the
+// foreign generation could be higher and would never be reverted.
+func TestForeignDocument(t *testing.T) {
+	n := spread.New(spread.Options{Instance: "engine-1", Environment: "ilmek", Now: time.Now})
+	b := document("kootenay", 0)
+	err := n.Offer(t.Context(), &wire.Document{Generation: 6, Digest: string(envdoc.DigestOf(b)), Body: b})
+	var e *spread.EnvironmentError
+	if !errors.As(err, &e) || e.Got != "kootenay" {
+		t.Fatalf("the offer of a foreign document gave %v", err)
+	}
+	if g := n.View().Generation(); g != 0 {
+		t.Fatalf("generation %d is in force", g)
+	}
+}
--- a/core/spread/wire.go
+++ b/core/spread/wire.go
@@ -34,6 +34,15 @@
 	return fmt.Sprintf("check document digest: want %s, got %s", e.Want, e.Got)
 }
 
+// EnvironmentError reports the document of another environment.
+type EnvironmentError struct {
+	Want, Got string
+}
+
+func (e *EnvironmentError) Error() string {
+	return fmt.Sprintf("check document: want environment %s, got %s", e.Want, e.Got)
+}
+
 func acceptedFromWire(m *wire.Document) (*Accepted, error) {
 	g := ident.Generation(m.GetGeneration())
 	if got := envdoc.DigestOf(m.GetBody()); got != envdoc.Digest(m.GetDigest()) {
--- a/entry/agents/agents_test.go
+++ b/entry/agents/agents_test.go
@@ -146,3 +146,20 @@
 		}
 	}
 }
+
+// Guards against an entry that exchanges state with the agent of another
+// upstream, which took over the address of one that ended.
+func TestOtherUpstreamAtAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, s, stop := start(t, &wire.Status{Upstream: "orders-1", State: &wire.State{Instance: "orders-1-a"}})
+		defer stop()
+		time.Sleep(3 * time.Second)
+		l := s.Link("engine-1")
+		if l.Usable(time.Now()) {
+			t.Fatal("the link is usable")
+		}
+		if n := s.o.Control.(*control).caught.Load(); n != 0 {
+			t.Fatalf("state was exchanged %d times", n)
+		}
+	})
+}
--- a/entry/agents/link.go
+++ b/entry/agents/link.go
@@ -46,8 +46,10 @@
 
 	own      score.Counter
 	replaced atomic.Uint64
-	catching atomic.Bool
-	side     sync.WaitGroup
+	// strangers counts statuses of agents of other upstreams at this address.
+	strangers atomic.Uint64
+	catching  atomic.Bool
+	side      sync.WaitGroup
 
 	mu      sync.Mutex
 	addr    string
@@ -272,6 +274,13 @@
 			return
 		}
 		silent.Reset(silenceLimit)
+		if u := m.GetUpstream(); u != "" && u != string(l.upstream) {
+			// The address belongs to another agent by now, maybe of another
+			// environment: it must not get this entry's document.
+			l.strangers.Add(1)
+			l.o.Log.Warn().Str("upstream", string(l.upstream)).Msg("another upstream's agent answers at this address")
+			return
+		}
 		l.Observe(m, time.Now())
 		l.o.Ring.Clock().Observe(event.Stamp(m.GetState().GetClock()))
 		l.behind(ctx, c, m.GetState())
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -214,6 +214,7 @@
 		Role:         roster.RoleEntry,
 		Source:       a,
 		Ring:         r,
+		Environment:  s.Control.Environment,
 		PollInterval: s.Control.PollInterval,
 		Now:          time.Now,
 	})
