fix: keep the counter of replaced connections from falling

Cause: links_replaced_total was the sum over present links, so it fell when an agent left the instance list, which Prometheus takes for a restart. Change: the set keeps the counts of removed links. Run: go test -race ./agents ./boot.

--- a/entry/agents/agents.go
+++ b/entry/agents/agents.go
@@ -61,7 +61,9 @@
 	links atomic.Pointer[map[ident.UpstreamID]*Link]
 	list  atomic.Pointer[[]*Link]
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// ended counts the connections that removed links had replaced.
+	ended   uint64
 	ctx     context.Context
 	wait    sync.WaitGroup
 	pending []Target
@@ -104,6 +106,18 @@
 	return (*s.links.Load())[u]
 }
 
+// Replaced returns how many silent connections were replaced, over present and
+// removed links, so that it never falls.
+func (s *Set) Replaced() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.ended
+	for _, l := range s.Links() {
+		n += l.Replaced()
+	}
+	return n
+}
+
 // Update replaces the wanted agents. Links to agents that remain are kept.
 func (s *Set) Update(ts []Target) {
 	s.mu.Lock()
@@ -125,6 +139,7 @@
 	for u, l := range before {
 		if _, ok := after[u]; !ok {
 			l.stop()
+			s.ended += l.Replaced()
 		}
 	}
 	s.publish(after)
--- a/entry/agents/agents_test.go
+++ b/entry/agents/agents_test.go
@@ -163,3 +163,23 @@
 		}
 	})
 }
+
+// Guards against a counter that falls when a link is removed, which a scraper
+// takes for a restart of the process.
+func TestReplacedNeverFalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, s, stop := start(t, &wire.Status{Upstream: "engine-1"})
+		defer stop()
+		time.Sleep(2 * time.Second)
+		a.muteOpen()
+		time.Sleep(silenceLimit + pingEvery + pingLimit)
+		before := s.Replaced()
+		if before == 0 {
+			t.Fatal("the silent connection was not replaced")
+		}
+		s.Update(nil)
+		if after := s.Replaced(); after < before {
+			t.Fatalf("the counter fell from %d to %d", before, after)
+		}
+	})
+}
--- a/entry/boot/office.go
+++ b/entry/boot/office.go
@@ -65,13 +65,7 @@
 	m.counter("receipts_refused_total", "Receipts that did not fit into the buffer.", b.Refused)
 	m.counter("acknowledgements_dropped_total", "Stored batches that were not acknowledged to agents.", k.Dropped)
 	m.counter("attempt_reports_dropped_total", "Ends of attempts that outlier detection did not learn of.", f.Dropped)
-	m.counter("links_replaced_total", "Silent connections to agents that were replaced.", func() uint64 {
-		n := uint64(0)
-		for _, l := range s.Links() {
-			n += l.Replaced()
-		}
-		return n
-	})
+	m.counter("links_replaced_total", "Silent connections to agents that were replaced.", s.Replaced)
 	m.relay(r.Counters())
 	m.desk(d.Counters())
 	m.policy(p.Counters())
