fix: encrypt the entry's administration port where certificates are set

Cause: the port served plain HTTP whatever [tls] said, so operator keys passed unencrypted, against docs/design.md (Operators). Change: it uses the callers' certificate; health and metrics are on it too, so probes need https then. Run: go test -race ./boot.

--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -434,6 +434,10 @@
 	}
 }
 
-func newWeb(p *listeners, h http.Handler) *web {
-	return &web{listener: p.admin, server: &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeader}}
+func newWeb(p *listeners, h http.Handler, c *security) *web {
+	v := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeader}
+	if c.source != nil {
+		v.TLSConfig = c.source.Callers()
+	}
+	return &web{listener: p.admin, server: v, tls: c.source != nil}
 }
--- a/entry/boot/serve.go
+++ b/entry/boot/serve.go
@@ -107,11 +107,17 @@
 }
 
 func (c *callers) serve() error {
+	return serveHTTP(c.server, c.listener, c.tls)
+}
+
+// serveHTTP serves until the server is shut down. With tls, the certificates are
+// those of the server's TLSConfig.
+func serveHTTP(s *http.Server, l net.Listener, tls bool) error {
 	var err error
-	if c.tls {
-		err = c.server.ServeTLS(c.listener, "", "")
+	if tls {
+		err = s.ServeTLS(l, "", "")
 	} else {
-		err = c.server.Serve(c.listener)
+		err = s.Serve(l)
 	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -125,10 +131,12 @@
 	<-t.C
 }
 
-// web serves the administration API. It stays up during the drain.
+// web serves the administration API, encrypted where certificates are set, since
+// operator keys pass through it. It stays up during the drain.
 type web struct {
 	listener net.Listener
 	server   *http.Server
+	tls      bool
 }
 
 // Name is the name of the step.
@@ -137,7 +145,7 @@
 // Run serves until the context ends.
 func (w *web) Run(ctx context.Context) error {
 	failed := make(chan error, 1)
-	go func() { failed <- w.server.Serve(w.listener) }()
+	go func() { failed <- serveHTTP(w.server, w.listener, w.tls) }()
 	select {
 	case err := <-failed:
 		return err
