fix: keep table answers whole while the request is still being written

Cause: the SDK closes a request's body when the response's headers arrive. Change: the transport gets a copy of the body that nobody else closes. Run: go test -race ./table ./accept ./claim ./ledger ./lease.

--- a/core/table/dynamo.go
+++ b/core/table/dynamo.go
@@ -1,10 +1,12 @@
 package table
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -66,7 +68,7 @@
 		BaseEndpoint: aws.String(o.Endpoint),
 		Region:       o.Region,
 		Credentials:  credentials.NewStaticCredentialsProvider(o.AccessKey, o.SecretKey, ""),
-		HTTPClient:   &http.Client{Transport: transport(o.Timeout)},
+		HTTPClient:   &http.Client{Transport: detached{transport(o.Timeout)}},
 		// Settle repeats writes itself: a hidden repeat would report a conflict with the write's own effect.
 		Retryer: aws.NopRetryer{},
 		// The endpoint comes from settings and never from the service.
@@ -92,6 +94,27 @@
 	}
 }
 
+// detached gives the transport a request body of its own. The SDK closes the
+// request's body as soon as the response's headers are there. If the transport is
+// still finishing its write then, that write fails and the connection is closed
+// under the response, which reads as a table that is not available.
+type detached struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (d detached) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return d.next.RoundTrip(r)
+	}
+	b, err := io.ReadAll(r.Body)
+	_ = r.Body.Close()
+	if err != nil {
+		return nil, err
+	}
+	c := r.Clone(r.Context())
+	c.Body = io.NopCloser(bytes.NewReader(b))
+	return d.next.RoundTrip(c)
+}
+
 // Get implements Client.
 func (d *Dynamo) Get(ctx context.Context, k Key) (Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
