--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -89,6 +89,9 @@
 func (s *Scene) Options(v Variant, w *world.World, seed uint64) drive.Options {
 	large := largest(w.Document)
 	weight := func(a *envdoc.Account, at time.Duration) float64 {
+		if s.Bad != (ident.VersionRef{}) && !w.Document.Allows(a.ID, s.Bad) {
+			return 0
+		}
 		if v.Crowd > 0 && a.ID == large && at >= s.Warm {
 			return float64(a.Weight) * v.Crowd
 		}
--- a/entry/agents/agents_test.go
+++ b/entry/agents/agents_test.go
@@ -146,3 +146,40 @@
 		}
 	}
 }
+
+// Guards against an entry that exchanges state with the agent of another
+// upstream, which took over the address of one that ended.
+func TestOtherUpstreamAtAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, s, stop := start(t, &wire.Status{Upstream: "orders-1", State: &wire.State{Instance: "orders-1-a"}})
+		defer stop()
+		time.Sleep(3 * time.Second)
+		l := s.Link("engine-1")
+		if l.Usable(time.Now()) {
+			t.Fatal("the link is usable")
+		}
+		if n := s.o.Control.(*control).caught.Load(); n != 0 {
+			t.Fatalf("state was exchanged %d times", n)
+		}
+	})
+}
+
+// Guards against a counter that falls when a link is removed, which a scraper
+// takes for a restart of the process.
+func TestReplacedNeverFalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, s, stop := start(t, &wire.Status{Upstream: "engine-1"})
+		defer stop()
+		time.Sleep(2 * time.Second)
+		a.muteOpen()
+		time.Sleep(silenceLimit + pingEvery + pingLimit)
+		before := s.Replaced()
+		if before == 0 {
+			t.Fatal("the silent connection was not replaced")
+		}
+		s.Update(nil)
+		if after := s.Replaced(); after < before {
+			t.Fatalf("the counter fell from %d to %d", before, after)
+		}
+	})
+}
--- a/proof/fleet/judge.go
+++ b/proof/fleet/judge.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -180,10 +181,17 @@
 func (f *Fleet) waitServing(e *Entry) {
 	f.t.Helper()
 	c := f.Caller(e, Alpha)
+	last := ""
+	defer func() {
+		if f.t.Failed() {
+			f.t.Logf("%s does not serve: %s", e.Name, last)
+		}
+	}()
 	proc.Eventually(f.t, e.Name+" serves models and services", func() bool {
 		q := c.Chat(f.t.Context(), Ask("quick", "warm-up"))
 		s := c.Call(f.t.Context(), client.Call{Service: "stock", Method: http.MethodGet, Path: "/caps"})
 		o := c.Call(f.t.Context(), client.Call{Service: "orders", Method: http.MethodGet, Path: "/runs"})
+		last = fmt.Sprintf("chat %s; stock %s; orders %s", q.Problem(), s.Problem(), o.Problem())
 		return q.OK() && s.OK() && o.OK()
 	})
 }
