feat: keep enough copies of each version loaded

Cause: nobody gave orders to engines; a version that lost a copy, or whose copies were all busy for long, stayed that way. Change: package copies decides on loads and unloads, never of a last copy, with a bounded number of loads under way; one entry gives the orders under the control lease, and agents check its fencing token. The effect on latency is not measured.

--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -30,6 +30,7 @@
 	"tarragonvalve.example/entry/caller"
 	"tarragonvalve.example/entry/calls"
 	"tarragonvalve.example/entry/certs"
+	"tarragonvalve.example/entry/copies"
 	"tarragonvalve.example/entry/fleet"
 	"tarragonvalve.example/entry/peers"
 	"tarragonvalve.example/entry/policy"
@@ -68,6 +69,7 @@
 		newRatings,
 		newLease,
 		newRamp,
+		newCopies,
 		newExchange,
 		newPeers,
 		newMesh,
@@ -109,6 +111,7 @@
 	Ratings   *ratings
 	Lease     *lease.Lease
 	Ramp      *ramp.Runner
+	Copies    *copies.Runner
 	Peers     *peers.Mesh
 	Mesh      *mesh
 	Web       *web
@@ -131,6 +134,7 @@
 		p.Ratings.client,
 		p.Lease,
 		p.Ramp,
+		p.Copies,
 		p.Peers,
 		p.Mesh,
 		p.Web,
@@ -344,13 +348,14 @@
 	})
 }
 
-// rampLease is the lease under which one entry advances the roll-outs of an environment.
-const rampLease = "rollouts/"
+// controlLease is the lease under which one entry advances the roll-outs of an
+// environment and gives orders to the engines.
+const controlLease = "control/"
 
 func newLease(s *setup.Settings, t table.Client, r *event.Ring) *lease.Lease {
 	return lease.New(lease.Options{
 		Client:   t,
-		Name:     rampLease + s.Control.Environment,
+		Name:     controlLease + s.Control.Environment,
 		Instance: s.Entry.Instance,
 		Now:      time.Now,
 		Ring:     r,
@@ -369,6 +374,21 @@
 	})
 }
 
+func newCopies(s *setup.Settings, e *lease.Lease, n *spread.Node, a *agents.Set, l zerolog.Logger) *copies.Runner {
+	links := a.Links
+	if !s.Policy.Orders {
+		links = func() []*agents.Link { return nil }
+	}
+	return copies.New(copies.Options{
+		Lease:     e,
+		LeaseName: controlLease + s.Control.Environment,
+		View:      n.View,
+		Links:     links,
+		Log:       logger.Part(l, "copies"),
+		Now:       time.Now,
+	})
+}
+
 func newPeers(s *setup.Settings, n *spread.Node, f *place, x *exchange, c *security, l zerolog.Logger) *peers.Mesh {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(s.Entry.Instance))
--- a/entry/setup/setup.go
+++ b/entry/setup/setup.go
@@ -109,6 +109,8 @@
 	Plans     policy.Strategy
 	Upstreams score.Strategy
 	Guard     bool
+	// Orders lets this entry order loads and unloads of versions.
+	Orders bool
 	// ExploreOneOf is the number of requests of which one explores; 0 means none.
 	ExploreOneOf  int
 	DetectorAlpha float64
@@ -163,6 +165,7 @@
 			Plans:         p.Strategy,
 			Upstreams:     score.Predicted{},
 			Guard:         true,
+			Orders:        true,
 			ExploreOneOf:  int(p.ExploreEvery),
 			DetectorAlpha: p.DetectorAlpha,
 		},
@@ -304,6 +307,7 @@
 		f.Reject("policy", "upstreams", err.Error(), "predicted, round-robin, least-outstanding")
 	}
 	s.Policy.Guard = c.Bool("guard", s.Policy.Guard)
+	s.Policy.Orders = c.Bool("orders", s.Policy.Orders)
 	s.Policy.ExploreOneOf = c.IntIn("explore-one-of", s.Policy.ExploreOneOf, 0, 1<<30)
 	s.Policy.DetectorAlpha = c.Float("detector-alpha", s.Policy.DetectorAlpha)
 	if a := s.Policy.DetectorAlpha; a <= 0 || a >= 1 {
--- a/proof/fleet/judge.go
+++ b/proof/fleet/judge.go
@@ -122,6 +122,13 @@
 	return f.Counters(time.Time{}).Runs[plain.KeyID("orders", key)]
 }
 
+// Orders returns the orders that arrived at the engines.
+func (f *Fleet) Orders() []engine.OrderRecord {
+	var out []engine.OrderRecord
+	f.control(http.MethodGet, "/orders", nil, &out)
+	return out
+}
+
 // Rows returns the rows of the partitions with a prefix.
 func (f *Fleet) Rows(prefix string) []dynamo.Row {
 	f.t.Helper()
