fix: give a claim back whose call was not sent

Cause: when the deadline or the document ruled a call out after its claim was written, the answer not-run was true but the key stayed dispatched for good. Change: the agent abandons the claim; the digest of a call is computed in one place.

--- a/agent/calls/calls.go
+++ b/agent/calls/calls.go
@@ -31,6 +31,7 @@
 type Claims interface {
 	Dispatch(ctx context.Context, k claim.Key, d claim.Dispatch) (*claim.Claim, error)
 	Finish(ctx context.Context, c *claim.Claim, r claim.Result) error
+	Abandon(ctx context.Context, c *claim.Claim) error
 }
 
 // Receipts takes the receipts of calls; ledger.Book implements it.
--- a/agent/calls/calls_test.go
+++ b/agent/calls/calls_test.go
@@ -85,6 +85,8 @@
 	claims   *claim.Book
 	receipts *receipts
 	url      string
+	// wrap stands between the caller and its claims; nil for nothing.
+	wrap func(*claim.Book) calls.Claims
 }
 
 func start(t *testing.T, f func(*rig)) *rig {
@@ -106,9 +108,13 @@
 	v := &views{view: &spread.View{Accepted: &spread.Accepted{Generation: 1, Document: d}}, changed: make(chan struct{})}
 	s := sched.New(sched.Options{Views: v, Slots: 4, Limits: queue.Default(), LedgerFull: func(int) bool { return false }, Now: time.Now})
 	r.claims = claim.New(r.table)
+	var cs calls.Claims = r.claims
+	if r.wrap != nil {
+		cs = r.wrap(r.claims)
+	}
 	r.Caller = calls.New(calls.Options{
 		Service: "bookings", Upstream: "p1", Instance: "agent-1",
-		Plain: plain.New(plain.Default(r.url)), Sched: s, Views: v, Claims: r.claims, Receipts: r.receipts,
+		Plain: plain.New(plain.Default(r.url)), Sched: s, Views: v, Claims: cs, Receipts: r.receipts,
 		Ring: event.NewRing(event.NewClock(time.Now), "agent-1", 64), Log: zerolog.Nop(), Now: time.Now,
 		NewToken: table.NewToken, ClaimLimit: 100 * time.Millisecond, RecordWait: time.Second,
 	})
@@ -299,3 +305,32 @@
 		})
 	}
 }
+
+// late returns from a dispatch only after the call's deadline.
+type late struct {
+	*claim.Book
+	limit time.Duration
+}
+
+func (l late) Dispatch(ctx context.Context, k claim.Key, d claim.Dispatch) (*claim.Claim, error) {
+	c, err := l.Book.Dispatch(ctx, k, d)
+	time.Sleep(l.limit)
+	return c, err
+}
+
+// Guards against a key that stays blocked because its claim was written too late
+// for the call to be sent.
+func TestClaimIsGivenBackWhenTheCallIsNotSent(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	r := start(t, func(r *rig) {
+		r.wrap = func(b *claim.Book) calls.Claims { return late{Book: b, limit: limit} }
+	})
+	_, e := r.call(t, func(q *wire.CallRequest) { q.TimeoutMs = limit.Milliseconds() })
+	if e == nil || e.Ran != refuse.NotRun {
+		t.Fatalf("refusal %v, want not-run", e)
+	}
+	c, err := r.claims.Read(t.Context(), claim.Key{Account: "a", Service: "bookings", Idempotency: "k1"})
+	if err != nil || c == nil || c.State != claim.StateNotRun {
+		t.Errorf("claim %+v, error %v, want not-run", c, err)
+	}
+}
--- a/agent/calls/once.go
+++ b/agent/calls/once.go
@@ -27,7 +27,7 @@
 	k := claim.Key{Account: j.work.Account, Service: j.work.Service, Idempotency: q.GetIdempotencyKey()}
 	d := claim.Dispatch{
 		Expect:   ident.Revision(q.GetClaimRevision()),
-		Digest:   digest(q),
+		Digest:   claim.DigestOf(q.GetMethod(), q.GetPath(), q.GetBody()),
 		Request:  ident.RequestID(q.GetRequestId()),
 		Upstream: c.options.Upstream,
 		Token:    c.options.NewToken(),
@@ -38,14 +38,26 @@
 	}
 	c.record(j, event.ClaimDispatched, nil)
 	// The write may have taken long, and the document or the deadline may rule
-	// the call out by now. Nothing was sent, so not-run is true; the claim stays
-	// dispatched, since a claim book takes back only writes of unknown outcome.
+	// the call out by now. Nothing was sent, so the claim is given back.
 	if ref := j.ticket.Check(); ref != nil {
+		c.abandon(ctx, j, m)
 		return nil, ref
 	}
 	return c.sendOnce(ctx, j, n, m)
 }
 
+// abandon marks a claim not-run whose call was not sent; the claim book repeats
+// the write in the background until it is stored.
+func (c *Caller) abandon(ctx context.Context, j *job, m *claim.Claim) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.options.RecordWait)
+	defer cancel()
+	if err := c.options.Claims.Abandon(ctx, m); err != nil {
+		c.options.Log.Warn().Err(err).Str("request", j.request.GetRequestId()).Msg("give the claim back later")
+		return
+	}
+	c.record(j, event.ClaimNotRun, nil)
+}
+
 // claim bounds the write of the claim, so that a table that is down does not
 // hold the answer until the caller's deadline.
 func (c *Caller) claim(ctx context.Context, k claim.Key, d claim.Dispatch) (*claim.Claim, error) {
--- a/core/claim/decide.go
+++ b/core/claim/decide.go
@@ -41,6 +41,15 @@
 		e.Claim.Key.Service, e.Claim.Key.Account, e.Claim.State, e.Claim.Revision)
 }
 
+// DigestOf returns the digest of a call, by which a repeat with the same key is
+// told from another call. The path includes the query.
+func DigestOf(method, path string, body []byte) BodyDigest {
+	h := sha256.New()
+	_, _ = h.Write([]byte(method + "\n" + path + "\n"))
+	_, _ = h.Write(body)
+	return BodyDigest(hex.EncodeToString(h.Sum(nil)))
+}
+
 // Hash returns the SHA-256 of the key's parts in lower-case hex. Row keys and
 // request ids use it, since a caller's key may have any length and content.
 func (k Key) Hash() string {
