feat: measure how the cost of control grows

docs/design.md states control limits per node at 400 entries and 600 servers, and nothing measured how today's cost grows towards them.

bench capacity starts deployments of real processes at several sizes and measures idle control per entry and agent, the time until a promotion is in force everywhere (from the processes' event rings), processor time, table operations and receipts under load, and open streams. Slopes are least-squares fits over the sizes. World takes the number of entries, the product's own pauses, and a table that only one entry reads; it starts agents eight at a time and stops entries together.

--- a/bench/cmds/cmds.go
+++ b/bench/cmds/cmds.go
@@ -30,6 +30,8 @@
 )
 
 type args struct {
+	Capacity *capacityArgs `arg:"subcommand:capacity" help:"measure how costs grow with the size of a deployment"`
+
 	Scenes string   `arg:"--scenes" default:"all" help:"experiments to run, separated by commas"`
 	Seeds  []uint64 `arg:"--seeds" help:"seeds of the load; each runs every policy once [default: 1]"`
 	Root   string   `arg:"--root" default:"." help:"folder of the repository"`
@@ -60,6 +62,16 @@
 		fmt.Fprintln(errs, err)
 		return exitUsage
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if a.Capacity != nil {
+		return exit(capacity(ctx, a, out), errs)
+	}
+	return compare(ctx, a, out, errs)
+}
+
+// compare runs the experiments.
+func compare(ctx context.Context, a args, out, errs io.Writer) int {
 	if len(a.Seeds) == 0 {
 		a.Seeds = []uint64{1}
 	}
@@ -74,9 +86,11 @@
 		}
 		return exitOK
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := run(ctx, a, ss, out); err != nil {
+	return exit(run(ctx, a, ss, out), errs)
+}
+
+func exit(err error, errs io.Writer) int {
+	if err != nil {
 		fmt.Fprintln(errs, "bench:", err)
 		return exitFailed
 	}
--- /dev/null
+++ b/bench/scale/load.go
@@ -0,0 +1,152 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"tarragonvalve.example/bench/drive"
+	"tarragonvalve.example/bench/world"
+	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/table"
+)
+
+// loadModel names one version, so that each request has one attempt.
+const loadModel = "keten@3.0"
+
+// storeTime is the time until the last receipts of a load are stored. An agent
+// writes receipts that no entry has acknowledged after 15 s; those are not waited for.
+const storeTime = 3 * time.Second
+
+// Load measures processor time, bytes, table operations and receipts against the
+// rate of requests, for each mean length of an answer in tokens.
+func Load(ctx context.Context, o Options, s Size, rs []float64, tokens []int) error {
+	fmt.Fprintf(o.Out, "\nload %s: cpu in ms per second, all entries and all agents together; table in operations/s; receipts in bytes\n", s)
+	fmt.Fprintf(o.Out, "%6s %6s %8s %8s %8s %9s %9s %8s %8s %8s %8s %9s %9s %9s\n", "rate", "tokens", "ok", "failed", "ok/s",
+		"tokens/s", "e.cpu", "a.cpu", "reads", "writes", "batches", "receipts", "per-batch", "B/receipt")
+	var ps []loaded
+	for _, t := range tokens {
+		more, err := loadOf(ctx, o, s, rs, t)
+		if err != nil {
+			return fmt.Errorf("measure load %s with %d tokens: %w", s, t, err)
+		}
+		ps = append(ps, more...)
+	}
+	x := func(p loaded) []float64 { return []float64{1, p.rate, p.tokens} }
+	const factors = "= idle, per request/s, per token/s"
+	printFits(o.Out, ps, []line[loaded]{
+		{"entries ms/s", factors, x, func(p loaded) float64 { return p.entries }},
+		{"agents ms/s", factors, x, func(p loaded) float64 { return p.agents }},
+		{"writes/s", "= idle, per request/s", func(p loaded) []float64 { return []float64{1, p.rate} }, func(p loaded) float64 { return p.writes }},
+	})
+	return nil
+}
+
+// loaded is one window under load.
+type loaded struct {
+	rate, tokens    float64
+	entries, agents float64
+	reads, writes   float64
+}
+
+func loadOf(ctx context.Context, o Options, s Size, rs []float64, tokens int) ([]loaded, error) {
+	w, stop, err := deploy(ctx, o, s, Engines{Slots: 64, TokenTime: 2 * time.Millisecond, Tokens: tokens}, 0)
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	var out []loaded
+	for i, r := range rs {
+		p, err := loadOnce(ctx, o, w, r, tokens, uint64(i+1))
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, p)
+	}
+	return out, nil
+}
+
+func loadOnce(ctx context.Context, o Options, w *world.World, rate float64, tokens int, seed uint64) (loaded, error) {
+	var p loaded
+	stored, err := receipts(ctx, w)
+	if err != nil {
+		return p, err
+	}
+	before, err := counts(ctx, w)
+	if err != nil {
+		return p, err
+	}
+	start := time.Now()
+	var answers []drive.Record
+	c, err := during(w, func() error {
+		answers = drive.Run(ctx, drive.Options{
+			Entries: w.Callers, Document: w.Document, Duration: o.Window, Seed: seed, Model: loadModel,
+			ReviewPart: 0.5, Rate: func(time.Duration) float64 { return rate },
+			Weight: weight,
+		}, nil)
+		return pause(ctx, storeTime)
+	})
+	if err != nil {
+		return p, err
+	}
+	s := time.Since(start).Seconds()
+	after, err := counts(ctx, w)
+	if err != nil {
+		return p, err
+	}
+	now, err := receipts(ctx, w)
+	if err != nil {
+		return p, err
+	}
+	ok, failed, length := 0, 0, 0
+	for _, a := range answers {
+		if !a.OK() {
+			failed++
+			continue
+		}
+		ok++
+		length += a.Output
+	}
+	p.rate, p.tokens = float64(ok)/s, float64(length)/s
+	p.entries = 10 * c.entry.cpu * float64(len(w.Entries))
+	p.agents = 10 * c.agent.cpu * float64(len(w.Agents))
+	p.reads = float64(after.Gets+after.Queries-before.Gets-before.Queries) / s
+	p.writes = float64(after.Puts-before.Puts) / s
+	b, n, size := now.batches-stored.batches, now.receipts-stored.receipts, now.bytes-stored.bytes
+	fmt.Fprintf(o.Out, "%6.0f %6d %8d %8d %8.1f %9.0f %9.1f %8.1f %8.1f %8.2f %8.0f %9.0f %9.1f %9.0f\n", rate, tokens, ok, failed,
+		p.rate, p.tokens, p.entries, p.agents, p.reads, p.writes, b, n, n/max(b, 1), size/max(n, 1))
+	return p, nil
+}
+
+// weight leaves out the accounts that may not use the version of the load.
+func weight(a *envdoc.Account, _ time.Duration) float64 {
+	for v, ok := range a.Allowed {
+		if ok && v.String() == loadModel {
+			return float64(a.Weight)
+		}
+	}
+	return 0
+}
+
+// stock is what the table holds of receipts.
+type stock struct {
+	batches, receipts, bytes float64
+}
+
+func receipts(ctx context.Context, w *world.World) (stock, error) {
+	var s stock
+	now := time.Now().UTC().Truncate(time.Hour)
+	for _, t := range []time.Time{now.Add(-time.Hour), now} {
+		rows, err := w.Table().List(ctx, table.Query{Partition: "bill/" + t.Format("2006-01-02T15")})
+		if err != nil {
+			return s, err
+		}
+		for _, r := range rows {
+			s.batches++
+			s.bytes += float64(len(r.Body))
+			s.receipts += float64(strings.Count(string(r.Body), "\n"))
+		}
+	}
+	return s, nil
+}
--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -195,6 +195,9 @@
 	}
 }
 
+// Plain is the example document without roll-outs and limits.
+func Plain(s string) string { return plain(s) }
+
 // plain is the example document without roll-outs and limits: the load is scaled
 // with the engines, the limits are not.
 func plain(s string) string { return withoutLimits(withoutRollouts(s)) }
--- a/bench/world/world.go
+++ b/bench/world/world.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -30,7 +31,9 @@
 )
 
 const (
-	entryCount   = 3
+	entryCount = 3
+	// startsAtOnce bounds the agents that start at the same time.
+	startsAtOnce = 8
 	startLimit   = 20 * time.Second
 	stopLimit    = 15 * time.Second
 	readyPoll    = 50 * time.Millisecond
@@ -48,6 +51,14 @@
 	Document string
 	// Entry is added to the settings of every entry.
 	Entry string
+	// Entries is the number of entries; 0 means 3.
+	Entries int
+	// Product leaves the pauses between reads of the instance list and the
+	// ratings at the product's defaults, which are longer than those of experiments.
+	Product bool
+	// OthersPoll is the pause between reads of the table in all processes but the
+	// first entry; 0 means the default of each program.
+	OthersPoll time.Duration
 	// Dir is a folder for settings and logs.
 	Dir string
 }
@@ -65,7 +76,10 @@
 	Entries []*Process
 	// Generation is the latest that this world promoted.
 	Generation ident.Generation
+	// Promoted is the time just before the latest promotion was sent.
+	Promoted time.Time
 
+	mu      sync.Mutex
 	standin *Process
 }
 
@@ -100,12 +114,14 @@
 	if w.standin, err = w.run("standin", &w.Addresses, "run", "--config", f); err != nil {
 		return err
 	}
-	for _, u := range w.Addresses.Upstreams {
-		if err := w.startAgent(ctx, u); err != nil {
-			return err
-		}
+	if err := w.startAgents(ctx); err != nil {
+		return err
+	}
+	n := w.o.Entries
+	if n == 0 {
+		n = entryCount
 	}
-	for i := range entryCount {
+	for i := range n {
 		if err := w.startEntry(ctx, i); err != nil {
 			return err
 		}
@@ -116,8 +132,23 @@
 	return w.waitReady(ctx)
 }
 
+func (w *World) startAgents(ctx context.Context) error {
+	var g sync.WaitGroup
+	slots := make(chan struct{}, startsAtOnce)
+	failed := make([]error, len(w.Addresses.Upstreams))
+	for i, u := range w.Addresses.Upstreams {
+		slots <- struct{}{}
+		g.Go(func() {
+			defer func() { <-slots }()
+			failed[i] = w.startAgent(ctx, u)
+		})
+	}
+	g.Wait()
+	return errors.Join(failed...)
+}
+
 func (w *World) startAgent(ctx context.Context, u ctrl.Upstream) error {
-	s := fmt.Sprintf("%s\n[upstream]\nid = %s\ndomain = %s\nslots = %d\n", w.common(), u.ID, u.Domain, u.Slots)
+	s := fmt.Sprintf("%s\n[upstream]\nid = %s\ndomain = %s\nslots = %d\n", w.common(w.o.OthersPoll), u.ID, u.Domain, u.Slots)
 	if u.Service != "" {
 		s += fmt.Sprintf("service = %s\nservice-url = http://%s\n", u.Service, u.Address)
 	} else {
@@ -133,7 +164,10 @@
 	if err != nil {
 		return err
 	}
+	p.Peer = a.Listen
+	w.mu.Lock()
 	w.Agents[u.ID] = p
+	w.mu.Unlock()
 	return w.register(ctx, listed.Instance{
 		Instance: a.Instance, Address: a.Listen, Role: "agent",
 		Upstream: string(u.ID), Domain: string(u.Domain), State: "live",
@@ -145,11 +179,21 @@
 	domains := w.Domains()
 	name := fmt.Sprintf("entry-%d", i+1)
 	domain := domains[i%len(domains)]
-	s := w.common() + fmt.Sprintf("\n[entry]\ninstance = %s\ndomain = %s\ndrain-notice = 0s\ndrain-limit = 5s\n", name, domain)
+	poll := w.o.OthersPoll
+	if i == 0 {
+		poll = 0
+	}
+	s := w.common(poll) + fmt.Sprintf("\n[entry]\ninstance = %s\ndomain = %s\ndrain-notice = 0s\ndrain-limit = 5s\n", name, domain)
 	s += "\n[sessions]\nkeys = bench:key-of-experiments-only\n"
-	s += fmt.Sprintf("\n[instances]\nurl = http://%s\ninterval = 500ms\n", w.Addresses.Instances)
+	s += fmt.Sprintf("\n[instances]\nurl = http://%s\n", w.Addresses.Instances)
+	if !w.o.Product {
+		s += "interval = 500ms\n"
+	}
 	s += fmt.Sprintf("\n[admin]\noperators = bench:operate:%s\n", envdoc.KeyDigestOf(operatorKey))
-	s += fmt.Sprintf("\n[rating]\nurl = http://%s\nread-interval = 200ms\nreport-one-of = 1\nreport-interval = 5ms\n", w.Addresses.Rating)
+	s += fmt.Sprintf("\n[rating]\nurl = http://%s\n", w.Addresses.Rating)
+	if !w.o.Product {
+		s += "read-interval = 200ms\nreport-one-of = 1\nreport-interval = 5ms\n"
+	}
 	s += "\n" + w.o.Entry
 	f, err := w.write(name+".ini", s)
 	if err != nil {
@@ -160,6 +204,7 @@
 	if err != nil {
 		return err
 	}
+	p.Peer = a.Peers
 	w.Entries = append(w.Entries, p)
 	w.Callers = append(w.Callers, a.Callers)
 	w.Admins = append(w.Admins, a.Admin)
@@ -168,9 +213,14 @@
 	})
 }
 
-func (w *World) common() string {
-	return fmt.Sprintf("[table]\nendpoint = http://%s\nname = %s\naccess-key = %s\nsecret-key = %s\n\n[control]\nenvironment = %s\n\n[tls]\nallow-plaintext = yes\n",
+// common returns the settings that entries and agents share.
+func (w *World) common(poll time.Duration) string {
+	s := fmt.Sprintf("[table]\nendpoint = http://%s\nname = %s\naccess-key = %s\nsecret-key = %s\n\n[tls]\nallow-plaintext = yes\n\n[control]\nenvironment = %s\n",
 		w.Addresses.Table, tableName, tableCredKey, tableCredKey, w.Document.Name)
+	if poll > 0 {
+		s += fmt.Sprintf("poll-interval = %s\n", poll)
+	}
+	return s
 }
 
 // Domains returns the failure domains of the upstreams in the order of the settings.
@@ -196,6 +246,7 @@
 		return err
 	}
 	q := opsapi.PromoteRequest{Body: body, Digest: tried.Digest, Seen: w.Generation, Reason: "experiment"}
+	w.Promoted = time.Now()
 	var out opsapi.AcceptedReply
 	if err := w.call(ctx, http.MethodPost, base+"/document/promote", operatorKey, q, &out); err != nil {
 		return err
@@ -285,10 +336,11 @@
 
 // Stop drains all processes, entries first, and ends those that do not end in time.
 func (w *World) Stop() {
+	var g sync.WaitGroup
 	for _, p := range w.Entries {
-		p.Stop()
+		g.Go(p.Stop)
 	}
-	var g sync.WaitGroup
+	g.Wait()
 	for _, p := range w.Agents {
 		g.Go(p.Stop)
 	}
@@ -300,6 +352,8 @@
 
 // Process is a process that this world started.
 type Process struct {
+	// Peer is the address at which entries reach the process.
+	Peer string
 	cmd  *exec.Cmd
 	done chan struct{}
 }
@@ -344,6 +398,11 @@
 	_ = p.cmd.Wait()
 }
 
+// PID returns the id of the process.
+func (p *Process) PID() int {
+	return p.cmd.Process.Pid
+}
+
 // Kill ends the process at once.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill()
