fix: let an idle agent sleep between messages

Cause: the agent's scheduler compared waiting work with its deadlines every 25 ms, also when nothing waited.

Change: the scheduler listens to its ticker only while work waits.

--- a/agent/sched/control.go
+++ b/agent/sched/control.go
@@ -45,6 +45,11 @@
 		changed := s.options.Views.Changed()
 		c.fill()
 		s.publish(c)
+		// Without waiting work nothing expires, and an idle agent need not wake 40 times a second.
+		var expiry <-chan time.Time
+		if len(c.waiting) > 0 {
+			expiry = t.C
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -52,7 +57,7 @@
 			c.handle(s, m)
 		case <-changed:
 			c.sweep()
-		case <-t.C:
+		case <-expiry:
 			c.expire()
 		}
 	}
--- a/agent/sched/sched_test.go
+++ b/agent/sched/sched_test.go
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	view    *spread.View
 	changed chan struct{}
+	// asked counts the turns of the control goroutine, which asks once in each.
+	asked int
 }
 
 func (v *views) View() *spread.View {
@@ -35,9 +37,16 @@
 func (v *views) Changed() <-chan struct{} {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.asked++
 	return v.changed
 }
 
+func (v *views) turns() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.asked
+}
+
 func (v *views) set(g ident.Generation, state envdoc.VersionState) {
 	d := &envdoc.Document{
 		Accounts: map[ident.AccountID]*envdoc.Account{},
@@ -205,3 +214,17 @@
 		last.Done(nil)
 	})
 }
+
+// Guards against an agent without work that wakes 40 times a second, which was
+// half of its processor time.
+func TestIdleSchedulerSleeps(t *testing.T) {
+	run(t, 1, func(t *testing.T, r *rig) {
+		synctest.Wait()
+		before := r.views.turns()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if n := r.views.turns() - before; n > 0 {
+			t.Errorf("%d turns in a minute without work", n)
+		}
+	})
+}
