--- a/bench/cmds/capacity.go
+++ b/bench/cmds/capacity.go
@@ -15,7 +15,7 @@
 
 // capacityArgs are the arguments of the command capacity.
 type capacityArgs struct {
-	Measure string        `arg:"--measure" default:"idle,force,force-one,load,open" help:"what to measure, separated by commas"`
+	Measure string        `arg:"--measure" default:"idle,force,force-one,ask,load,open" help:"what to measure, separated by commas"`
 	Sizes   string        `arg:"--sizes" default:"3x12,10x40,20x120x16,20x120x64,40x120x64,40x120x0" help:"ENTRIESxAGENTS or ENTRIESxAGENTSxSUBSET, separated by commas; subset 0 links to all agents"`
 	Window  time.Duration `arg:"--window" default:"10s" help:"time over which counters are compared"`
 	Settle  time.Duration `arg:"--settle" default:"5s" help:"pause after the start of a deployment"`
@@ -60,12 +60,14 @@
 			err = scale.Force(ctx, o, sizes[:n], false)
 		case "force-one":
 			err = scale.Force(ctx, o, sizes[:n], true)
+		case "ask":
+			err = scale.Ask(ctx, o, sizes[:n])
 		case "load":
 			err = scale.Load(ctx, o, sizes[n], c.Rates, c.Tokens)
 		case "open":
 			err = scale.Open(ctx, o, sizes[n+1], c.Streams)
 		default:
-			err = fmt.Errorf("choose measurement %q: want idle, force, force-one, load or open", m)
+			err = fmt.Errorf("choose measurement %q: want idle, force, force-one, ask, load or open", m)
 		}
 		if err != nil {
 			return err
--- /dev/null
+++ b/bench/scale/ask.go
@@ -0,0 +1,50 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// questions are what operators ask that involves every process, or the table.
+var questions = []string{"/status", "/events?limit=100", "/history"}
+
+// Ask measures the time of operators' questions at one entry.
+func Ask(ctx context.Context, o Options, sizes []Size) error {
+	fmt.Fprintln(o.Out, "\nask: milliseconds per operators' question at one entry")
+	fmt.Fprintf(o.Out, "%-12s %6s", "size", "times")
+	for _, q := range questions {
+		fmt.Fprintf(o.Out, " %20s p50 max", q)
+	}
+	fmt.Fprintln(o.Out)
+	for _, s := range sizes {
+		if err := askOf(ctx, o, s); err != nil {
+			return fmt.Errorf("measure questions %s: %w", s, err)
+		}
+	}
+	return nil
+}
+
+func askOf(ctx context.Context, o Options, s Size) error {
+	w, stop, err := deploy(ctx, o, s, idle, 0)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	fmt.Fprintf(o.Out, "%-12s %6d", s, o.Rounds)
+	for _, q := range questions {
+		var times []float64
+		for range o.Rounds {
+			start := time.Now()
+			if err := w.Operator(ctx, http.MethodGet, w.Admins[0], q, nil); err != nil {
+				return err
+			}
+			times = append(times, float64(time.Since(start).Microseconds())/1000)
+		}
+		fmt.Fprintf(o.Out, " %20.1f %7.1f", median(times), slices.Max(times))
+	}
+	fmt.Fprintln(o.Out)
+	return nil
+}
