fix: try a fenced agent again with the claim's new revision

An agent that was refused because the claim had moved was left out of the following tries, so a call with one agent left was refused.

--- a/entry/calls/calls_test.go
+++ b/entry/calls/calls_test.go
@@ -32,6 +32,8 @@
 		"refused, then answered":        {[]behaviour{{refuse: refuse.Overloaded}, {}}, 1, "", "", 1},
 		"all refuse":                    {[]behaviour{{refuse: refuse.Overloaded}, {refuse: refuse.Overloaded}}, 0, refuse.Overloaded, refuse.NotRun, 0},
 		"no agent":                      {nil, 0, refuse.NoUpstream, refuse.NotRun, 0},
+		"link broke, then answered":     {[]behaviour{{breaks: true}, {}}, 1, "", "", 1},
+		"link broke, no other":          {[]behaviour{{breaks: true}}, 0, refuse.UpstreamFailed, refuse.NotRun, 0},
 		"paused before dispatch":        {[]behaviour{{before: long}}, 0, refuse.UpstreamFailed, refuse.NotRun, 0},
 		"paused before run":             {[]behaviour{{run: long}}, 1, refuse.ClaimUnknown, refuse.Unknown, 0},
 		"paused after the result":       {[]behaviour{{after: long}}, 1, "", "", 0},
@@ -205,6 +207,7 @@
 				before:  pause.Draw(r, fmt.Sprint("before", i)),
 				run:     pause.Draw(r, fmt.Sprint("run", i)),
 				after:   pause.Draw(r, fmt.Sprint("after", i)),
+				breaks:  rapid.IntRange(0, 5).Draw(r, fmt.Sprint("breaks", i)) == 0,
 				dies:    rapid.IntRange(0, 5).Draw(r, fmt.Sprint("dies", i)) == 0,
 				forgets: rapid.IntRange(0, 5).Draw(r, fmt.Sprint("forgets", i)) == 0,
 			})
--- a/entry/calls/fake_test.go
+++ b/entry/calls/fake_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/grpc/test/bufconn"
 
 	"tarragonvalve.example/core/claim"
@@ -26,6 +28,8 @@
 // later acts on what it knew before.
 type behaviour struct {
 	refuse refuse.Code
+	// breaks fails the link, after which the agent acts on the call all the same.
+	breaks bool
 	// before is the pause before the claim is dispatched, run that between
 	// dispatch and run, after that between the run and the answer.
 	before, run, after time.Duration
@@ -63,6 +67,13 @@
 	if a.do.refuse != "" {
 		return refusal(refuse.New(a.do.refuse, refuse.NotRun, "scripted")), nil
 	}
+	if a.do.breaks {
+		a.w.late.Go(func() {
+			time.Sleep(time.Second)
+			a.once(context.Background(), q)
+		})
+		return nil, status.Error(codes.Unavailable, "scripted")
+	}
 	time.Sleep(a.do.before)
 	if q.GetRepeatable() {
 		a.w.ran()
@@ -120,6 +131,9 @@
 	view   *spread.View
 	stop   func()
 
+	// late counts agents that act after their link broke.
+	late sync.WaitGroup
+
 	mu       sync.Mutex
 	runs     int
 	budget   int
@@ -170,6 +184,7 @@
 		Log: zerolog.Nop(), Now: time.Now,
 	})
 	w.stop = func() {
+		w.late.Wait()
 		cancel()
 		<-done
 		for _, g := range servers {
--- a/entry/calls/once.go
+++ b/entry/calls/once.go
@@ -58,7 +58,10 @@
 		}
 		expect = s.expect
 		last = s.refusal
-		tried = append(tried, l.Upstream())
+		if last.Code != refuse.ClaimFenced {
+			// A fenced agent only lacked the claim's new revision.
+			tried = append(tried, l.Upstream())
+		}
 		if work.Err() != nil || !d.again(ctx, last) {
 			return nil, last
 		}
--- a/entry/relay/fake_test.go
+++ b/entry/relay/fake_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,6 +39,7 @@
 	resume func(q *wire.ResumeRequest, w wire.Agent_ResumeServer) error
 
 	listener *bufconn.Listener
+	statuses atomic.Bool
 	mu       sync.Mutex
 	runs     []*wire.RunRequest
 	resumes  []*wire.ResumeRequest
@@ -73,7 +75,18 @@
 	return &wire.State{Generation: 2}, nil
 }
 
+// Watch sends statuses, as a live connection does, only where the test asks for them.
 func (a *agent) Watch(_ *wire.WatchRequest, w wire.Agent_WatchServer) error {
+	for a.statuses.Load() {
+		if err := w.Send(&wire.Status{}); err != nil {
+			return err
+		}
+		select {
+		case <-w.Context().Done():
+			return nil
+		case <-time.After(time.Second):
+		}
+	}
 	<-w.Context().Done()
 	return nil
 }
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,10 +95,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, broken)
 				defer w.stop()
-				tries := 0
+				var tries atomic.Int64
 				w.agents[0].resume = func(q *wire.ResumeRequest, s wire.Agent_ResumeServer) error {
-					tries++
-					if tries == 1 {
+					if tries.Add(1) == 1 {
 						return status.Error(codes.Unavailable, "restarting")
 					}
 					return letters(of(q), s, "abc", q.GetPosition(), 0)
@@ -383,3 +383,47 @@
 		})
 	}
 }
+
+// Guards against one stuck stream that breaks all others of its connection, and
+// against staying on a connection whose streams are stuck.
+func TestStuckStreamOnLiveConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		stuck    int64
+		replaced uint64
+	}{
+		"opened again":      {0, 0},
+		"replaced the next": {1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, func(q *wire.RunRequest, s wire.Agent_RunServer) error {
+					s.Send(of(q).data(0, "a"))
+					<-s.Context().Done()
+					return nil
+				})
+				defer w.stop()
+				a := w.agents[0]
+				a.statuses.Store(true)
+				var tries atomic.Int64
+				a.resume = func(q *wire.ResumeRequest, s wire.Agent_ResumeServer) error {
+					if tries.Add(1) <= c.stuck {
+						<-s.Context().Done()
+						return nil
+					}
+					return letters(of(q), s, "abc", q.GetPosition(), 0)
+				}
+				// The watch that is open sends nothing; a new one does.
+				l := w.set.Link("u1")
+				k, _ := l.Conn()
+				l.Replace(k)
+				time.Sleep(2 * time.Second)
+				before := l.Replaced()
+				x, err := w.chat(context.Background())
+				whole(t, w, "abc", x, err)
+				if n := l.Replaced() - before; n != c.replaced {
+					t.Errorf("%d connections were replaced", n)
+				}
+			})
+		})
+	}
+}
