fix: pin the version that answers, replace broken held answers, judge versions by their own time

Cause, each seen on running processes: with auto a second turn came from another version than the first; callers without streaming got stream-broken though nothing had reached them; after a halt the fallback was halted 1.0 s later for latency, which included queueing under the moved load; a rarely used version at 60 percent errors was never halted for want of a past. Change: the session token is that of the version that answered, and headers wait until that is settled; answers in one piece are held back so that a broken attempt can be replaced; latency leaves the queue out and is judged only against a version under the same load; errors of all versions stand in for a missing past; a version without a usable fallback is not halted automatically. Run: go test ./... in entry passes, with new tests for the token, the headers, the rare version and the load. Not repeated on running processes yet.

--- a/entry/boot/office.go
+++ b/entry/boot/office.go
@@ -107,6 +107,7 @@
 	m.counter("limited_total", "Requests over their account's limit.", c.Limited.Load)
 	m.counter("retries_exhausted_total", "Retries that the budget did not allow.", c.RetriesOut.Load)
 	m.counter("halts_total", "Versions halted on this entry's evidence.", c.Halts.Load)
+	m.counter("halts_spared_total", "Findings against versions without a usable fallback, which are not halted.", c.Spared.Load)
 	m.counter("observations_dropped_total", "Observations that the policy did not learn of.", c.Dropped.Load)
 }
 
--- a/entry/caller/stream.go
+++ b/entry/caller/stream.go
@@ -96,7 +96,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.head = h
-	s.planned = true
+	s.planned = h.Settled
 	if !s.started {
 		setHead(s.w.Header(), s.id, h)
 	}
@@ -160,7 +160,8 @@
 	s.w.WriteHeader(http.StatusOK)
 }
 
-// comment sends a comment line once the plan is known; before that the headers are not complete.
+// comment sends a comment line once it is settled which version answers; before
+// that the headers are not complete.
 func (s *writer) comment() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -144,7 +144,8 @@
 // NewDetector returns a guard for a version that is fully deployed and may turn
 // bad later: each signal's value restarts at 1 when it falls below, so old good
 // answers don't hide a change. On average it then takes at least 1/alpha
-// observations until a false alarm.
+// observations until a false alarm. It leaves latency out: a version's own past
+// had another load, so the fallback of a halted version would look slow too.
 func NewDetector(alpha float64) *Guard {
 	return newGuard(alpha, true)
 }
@@ -166,7 +167,7 @@
 	a := answers(o, r.latency.value())
 	for _, s := range signals {
 		x, ok := a[s]
-		if !ok || r.rates[s].n < minReference {
+		if !ok || r.rates[s].n < minReference || (g.detect && s == SignalLatency) {
 			continue
 		}
 		t := g.tests[s]
--- a/entry/guard/guard_test.go
+++ b/entry/guard/guard_test.go
@@ -116,3 +116,51 @@
 		t.Fatal("version that turned bad not halted within 300 answers")
 	}
 }
+
+// Guards against a rarely used version that fails most of its requests and is not
+// halted, because its own past has too few answers.
+func TestWatchHaltsRareVersionByErrorsOfAll(t *testing.T) {
+	const seed = 23
+	t.Logf("seed %d", seed)
+	r := rand.New(rand.NewPCG(seed, 4))
+	w := guard.NewWatch(0.0001)
+	sound := source{errors: 0.01, bad: 0.1, slow: 0.05}
+	for range 300 {
+		for _, o := range sound.draw(r) {
+			if _, ok := w.Observe(ident.VersionRef{Model: "m", Version: "much-used"}, guard.Rollout{}, o).(guard.Bad); ok {
+				t.Fatal("sound version halted")
+			}
+		}
+	}
+	rare := ident.VersionRef{Model: "m", Version: "rare"}
+	for i := range 60 {
+		for _, o := range (source{errors: 0.6, bad: 0.1}).draw(r) {
+			if _, ok := w.Observe(rare, guard.Rollout{}, o).(guard.Bad); ok {
+				t.Logf("halted after %d answers", i+1)
+				return
+			}
+		}
+	}
+	t.Error("not halted within 60 answers")
+}
+
+// Guards against halting the version that takes over the load of a halted one,
+// because its answers got slower under that load.
+func TestWatchDoesNotHaltForLoad(t *testing.T) {
+	const seed = 29
+	t.Logf("seed %d", seed)
+	r := rand.New(rand.NewPCG(seed, 5))
+	w := guard.NewWatch(0.0001)
+	v := ident.VersionRef{Model: "m", Version: "fallback"}
+	for i := range 1500 {
+		s := source{errors: 0.01, bad: 0.1, slow: 0.05}
+		if i > 800 {
+			s.slow = 0.95
+		}
+		for _, o := range s.draw(r) {
+			if b, ok := w.Observe(v, guard.Rollout{}, o).(guard.Bad); ok {
+				t.Fatalf("halted at answer %d: %+v", i, b)
+			}
+		}
+	}
+}
--- a/entry/guard/watch.go
+++ b/entry/guard/watch.go
@@ -17,6 +17,9 @@
 	alpha float64
 	// references hold all answers of a version, for comparison with the version that replaces it.
 	references map[ident.VersionRef]*Reference
+	// pool holds the errors of all versions. It stands in for the past of a version
+	// with few answers: errors are rare whatever the version.
+	pool *Reference
 	// past holds a version's answers but for the latest, which are in held.
 	past      map[ident.VersionRef]*Reference
 	held      map[ident.VersionRef][]Observation
@@ -29,6 +32,7 @@
 	return &Watch{
 		alpha:      alpha,
 		references: map[ident.VersionRef]*Reference{},
+		pool:       NewReference(),
 		past:       map[ident.VersionRef]*Reference{},
 		held:       map[ident.VersionRef][]Observation{},
 		rollouts:   map[ident.VersionRef]*Guard{},
@@ -60,7 +64,10 @@
 		d = NewDetector(w.alpha)
 		w.detectors[v] = d
 	}
-	out := d.Observe(reference(w.past, v), o)
+	out := d.Observe(w.pastOf(v), o)
+	if o.Rating == nil {
+		w.pool.Observe(Observation{Failed: o.Failed})
+	}
 	reference(w.references, v).Observe(o)
 	w.hold(v, o)
 	return out
@@ -102,6 +109,13 @@
 	return r
 }
 
+func (w *Watch) pastOf(v ident.VersionRef) *Reference {
+	if r := reference(w.past, v); r.Count() >= minReference {
+		return r
+	}
+	return w.pool
+}
+
 func (w *Watch) hold(v ident.VersionRef, o Observation) {
 	w.held[v] = append(w.held[v], o)
 	if h := w.held[v]; len(h) > lag {
--- a/entry/policy/control.go
+++ b/entry/policy/control.go
@@ -85,6 +85,8 @@
 	Limited    atomic.Uint64
 	RetriesOut atomic.Uint64
 	Halts      atomic.Uint64
+	// Spared counts findings against versions that have no usable fallback.
+	Spared atomic.Uint64
 	// Dropped counts observations turned away because the inbox was full.
 	Dropped atomic.Uint64
 }
--- a/entry/policy/decide.go
+++ b/entry/policy/decide.go
@@ -164,10 +164,11 @@
 	}
 	c.fillAfter(q, cs)
 	g := plan.Goal{
-		Objective: q.Account.Objective,
-		Target:    q.Account.QualityTarget,
-		Deadline:  q.Left,
-		Explore:   c.explores(q, cs),
+		Objective:  q.Account.Objective,
+		Target:     q.Account.QualityTarget,
+		Deadline:   q.Left,
+		Explore:    c.explores(q, cs),
+		CascadeOff: q.Starts,
 	}
 	choice := c.choose(cs, g, d)
 	c.countChoice(choice, g)
@@ -176,8 +177,8 @@
 	case plan.Single:
 		out.Pin = p.Version
 	case plan.Cascade:
-		// Later turns run without a cascade, so the session keeps the version that meets the target alone.
-		out.Pin = p.Then
+		// The version that answers becomes the pin when it is known.
+		out.Pin = p.First
 	}
 	c.expose(q, choice)
 	return out, nil
@@ -332,7 +333,7 @@
 	// The time per token compares answers of unlike lengths.
 	l := time.Duration(0)
 	if !o.Failed {
-		l = o.Total / time.Duration(max(o.Output, 1))
+		l = (o.Total - o.Queued) / time.Duration(max(o.Output, 1))
 	}
 	c.check(o.Version, guard.Observation{Failed: o.Failed, Latency: l})
 }
@@ -348,9 +349,40 @@
 }
 
 func (c *Control) check(v ident.VersionRef, o guard.Observation) {
-	if b, ok := c.watch.Observe(v, c.comparison(v), o).(guard.Bad); ok && !c.o.GuardOff {
-		c.halt(v, b)
+	b, ok := c.watch.Observe(v, c.comparison(v), o).(guard.Bad)
+	if !ok || c.o.GuardOff {
+		return
+	}
+	if !c.replaceable(v) {
+		// Some answers are better than none; operators may still halt the version.
+		c.count.Spared.Add(1)
+		return
+	}
+	c.halt(v, b)
+}
+
+// replaceable reports whether every account that may use a version has a usable fallback for it.
+func (c *Control) replaceable(v ident.VersionRef) bool {
+	w := c.o.View()
+	d := w.Document()
+	if d == nil {
+		return false
+	}
+	without := *w
+	without.Halts = maps.Clone(w.Halts)
+	if without.Halts == nil {
+		without.Halts = map[ident.VersionRef]spread.Halt{}
+	}
+	without.Halts[v] = spread.Halt{Version: v, Generation: w.Generation()}
+	for id := range d.Accounts {
+		if !d.Allows(id, v) {
+			continue
+		}
+		if _, err := plan.Usable(&without, id, v); err != nil {
+			return false
+		}
 	}
+	return true
 }
 
 // comparison names what a version is compared with; each entry takes its part of the false-alarm rate.
--- a/entry/policy/types.go
+++ b/entry/policy/types.go
@@ -32,6 +32,9 @@
 	Session ident.SessionID
 	// Pin is the version of the session; zero for a new session.
 	Pin ident.VersionRef
+	// Starts is true when the caller starts a session whose later turns follow this
+	// one's version; it then gets no cascade.
+	Starts bool
 	// Isolated keeps new sessions off versions in roll-out.
 	Isolated bool
 	Input    ident.Tokens
@@ -72,8 +75,10 @@
 	// FirstToken and Total are measured from the start of the attempt.
 	FirstToken time.Duration
 	Total      time.Duration
-	Output     ident.Tokens
-	Logprob    float64
+	// Queued is the part of Total that the attempt waited in the agent's queue.
+	Queued  time.Duration
+	Output  ident.Tokens
+	Logprob float64
 }
 
 // Rating is a late rating of an answer.
--- a/entry/relay/bill.go
+++ b/entry/relay/bill.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"slices"
 	"strings"
+	"time"
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/ledger"
@@ -82,6 +83,7 @@
 		Failed:     e == nil,
 		FirstToken: a.first,
 		Total:      r.o.Now().Sub(a.began),
+		Queued:     time.Duration(e.GetQueueMs()) * time.Millisecond,
 		Output:     ident.Tokens(e.GetOutputTokens()),
 		Logprob:    e.GetMeanLogprob(),
 	})
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -44,8 +44,14 @@
 	Version ident.VersionRef
 	// Moved is true when the session left a withdrawn or halted version.
 	Moved bool
+	// Settled is false while another version may still answer.
+	Settled bool
 }
 
+// NewSession in place of a session token starts a session whose first turn gets no
+// cascade, so that a version that meets the account's target alone is pinned.
+const NewSession = "new"
+
 // Sink receives the answer. Planned comes before the first Text and may come
 // again when the plan changes before any text was relayed.
 type Sink interface {
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -263,6 +263,10 @@
 				if len(w.receipts) != c.receipts || int(w.bill().Price) != c.price {
 					t.Fatalf("receipts %+v", w.receipts)
 				}
+				c, err := w.relay.o.Signer.Verify(a.Session)
+				if err != nil || c.Version != a.Version {
+					t.Fatalf("the session is pinned to %v, answered by %v, error %v", c.Version, a.Version, err)
+				}
 				if w.agents[0].runs[0].GetDirect() {
 					t.Fatal("the first step of a cascade says that its output goes to the caller")
 				}
--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -146,7 +146,7 @@
 	if q.session != "" {
 		return nil
 	}
-	if q.Session == "" {
+	if q.Session == "" || q.Session == NewSession {
 		q.session = ident.SessionID(NewID())
 		return nil
 	}
@@ -164,10 +164,7 @@
 }
 
 func (r *Relay) announce(q *request, p decision) {
-	q.version = p.pin
-	c := token.Claims{Session: q.session, Account: q.Account, Version: p.pin, Generation: q.view.Generation()}
-	q.head = Head{Session: r.o.Signer.Sign(c), Version: p.steps[0].Version, Moved: p.moved}
-	q.sink.Planned(q.head)
+	r.promise(q, p.pin, p.moved, len(p.steps) == 1)
 	r.record(event.PlanChosen, q, map[string]string{
 		"steps":      strconv.Itoa(len(p.steps)),
 		"first":      p.steps[0].Version.String(),
@@ -175,6 +172,15 @@
 	})
 }
 
+// promise tells the caller which version its session keeps. In a cascade that is
+// the version that answers, so it may change until the answer is accepted.
+func (r *Relay) promise(q *request, pin ident.VersionRef, moved, settled bool) {
+	q.version = pin
+	c := token.Claims{Session: q.session, Account: q.Account, Version: pin, Generation: q.view.Generation()}
+	q.head = Head{Session: r.o.Signer.Sign(c), Version: pin, Moved: moved, Settled: settled}
+	q.sink.Planned(q.head)
+}
+
 // decision is a plan as a list of steps.
 type decision struct {
 	steps []Step
@@ -206,7 +212,12 @@
 func (r *Relay) follow(ctx context.Context, q *request, p decision) (*Answer, error) {
 	for i, s := range p.steps {
 		last := i == len(p.steps)-1
-		t, err := r.step(ctx, q, s, last)
+		if i > 0 {
+			r.promise(q, s.Version, false, last)
+		}
+		// An answer that the caller gets in one piece is held back too, so that an
+		// attempt that breaks can be replaced.
+		t, err := r.step(ctx, q, s, last && q.Streaming)
 		if err != nil && !last && r.mayEscalate(ctx, q, err) {
 			r.escalated(q, s, "failed")
 			continue
@@ -264,9 +275,8 @@
 }
 
 func (r *Relay) accept(q *request, s Step, t *taken) (*Answer, error) {
-	q.version = s.Version
-	q.head.Version = s.Version
-	if len(t.held) > 0 {
+	if !q.head.Settled {
+		q.head.Settled = true
 		q.sink.Planned(q.head)
 	}
 	for _, d := range t.held {
