fix: keep state of another environment out

Cause: an address in the lagging instance list can belong to a process of another environment by now. Its document was refused, but halts, roll-out steps and the clock were merged, and halts are never taken back. Change: the exchanged state names its environment, and one of another environment is refused; an entry leaves such an agent alone. Run: TestForeignDocument fails without the check of the state; go test passes in core, entry and agent.

--- a/core/spread/node.go
+++ b/core/spread/node.go
@@ -153,13 +153,19 @@
 	m := n.current.Load().state.toWire(n.o.Now())
 	m.Instance = string(n.o.Instance)
 	m.Role = n.o.Role
+	m.Environment = n.o.Environment
 	m.Clock = n.clock()
 	return m
 }
 
 // Merge adds a peer's halts, steps and confirmation to the state. It does not
-// transfer the document; CatchUp does.
+// transfer the document; CatchUp does. It returns an *EnvironmentError for the
+// state of another environment: an address in the lagging instance list may belong
+// to a process of another environment by now, and halts are never taken back.
 func (n *Node) Merge(ctx context.Context, s *wire.State) error {
+	if e := n.o.Environment; e != "" && s.GetEnvironment() != "" && s.GetEnvironment() != e {
+		return &EnvironmentError{Want: e, Got: s.GetEnvironment()}
+	}
 	n.observe(s.GetClock())
 	n.touch()
 	return n.update(ctx, inputsFromWire(s, n.o.Now())...)
--- a/core/spread/server.go
+++ b/core/spread/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -48,12 +49,16 @@
 
 // Exchange implements wire.PeerServer.
 func (s *Server) Exchange(ctx context.Context, m *wire.State) (*wire.State, error) {
-	if f := s.seen.Load(); f != nil {
-		(*f)(m)
-	}
 	if err := s.node.Merge(ctx, m); err != nil {
+		var e *EnvironmentError
+		if errors.As(err, &e) {
+			return nil, status.Error(codes.FailedPrecondition, e.Error())
+		}
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
+	if f := s.seen.Load(); f != nil {
+		(*f)(m)
+	}
 	return s.state(), nil
 }
 
--- a/core/spread/wire.go
+++ b/core/spread/wire.go
@@ -34,13 +34,13 @@
 	return fmt.Sprintf("check document digest: want %s, got %s", e.Want, e.Got)
 }
 
-// EnvironmentError reports the document of another environment.
+// EnvironmentError reports the document or state of another environment.
 type EnvironmentError struct {
 	Want, Got string
 }
 
 func (e *EnvironmentError) Error() string {
-	return fmt.Sprintf("check document: want environment %s, got %s", e.Want, e.Got)
+	return fmt.Sprintf("check environment: want %s, got %s", e.Want, e.Got)
 }
 
 func acceptedFromWire(m *wire.Document) (*Accepted, error) {
--- a/entry/agents/link.go
+++ b/entry/agents/link.go
@@ -272,7 +272,8 @@
 	defer cancel()
 	silent := time.AfterFunc(silenceLimit, cancel)
 	defer silent.Stop()
-	s, err := c.Agent.Watch(ctx, &wire.WatchRequest{Entry: string(l.o.Instance), State: l.o.Control.State()})
+	own := l.o.Control.State()
+	s, err := c.Agent.Watch(ctx, &wire.WatchRequest{Entry: string(l.o.Instance), State: own})
 	if err != nil {
 		return
 	}
@@ -282,7 +283,8 @@
 			return
 		}
 		silent.Reset(silenceLimit)
-		if u := m.GetUpstream(); u != "" && u != string(l.upstream) {
+		u, e := m.GetUpstream(), m.GetState().GetEnvironment()
+		if (u != "" && u != string(l.upstream)) || (e != "" && e != own.GetEnvironment()) {
 			// The address belongs to another agent by now, maybe of another
 			// environment: it must not get this entry's document.
 			l.strangers.Add(1)
