fix: repeat a table read whose connection was closed on this side

In one of 14 runs of TestBilledOnce/table's_answers_to_batches_lost the bill was refused as table-unavailable while the table worked: the query's answer had arrived with status 200 and its body failed with 'use of closed network connection'. Why the connection was closed is not known. Reads have no effect, so such a read is repeated once.

--- a/core/table/dynamo.go
+++ b/core/table/dynamo.go
@@ -96,14 +96,18 @@
 func (d *Dynamo) Get(ctx context.Context, k Key) (Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
-	out, err := d.api.GetItem(ctx, &dynamodb.GetItemInput{
+	in := &dynamodb.GetItemInput{
 		TableName:      aws.String(d.table),
 		ConsistentRead: aws.Bool(true),
 		Key: map[string]types.AttributeValue{
 			attrPartition: text(k.Partition),
 			attrSort:      text(k.Sort),
 		},
-	})
+	}
+	out, err := d.api.GetItem(ctx, in)
+	if closedHere(ctx, err) {
+		out, err = d.api.GetItem(ctx, in)
+	}
 	if err != nil {
 		return Row{}, unavailable("read", k, err)
 	}
@@ -190,7 +194,18 @@
 func (d *Dynamo) page(ctx context.Context, in *dynamodb.QueryInput) (*dynamodb.QueryOutput, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
-	return d.api.Query(ctx, in)
+	out, err := d.api.Query(ctx, in)
+	if closedHere(ctx, err) {
+		out, err = d.api.Query(ctx, in)
+	}
+	return out, err
+}
+
+// closedHere reports whether a read failed because its connection was closed on
+// this side while the answer arrived. That was seen with a table that worked, so such a
+// read is repeated once.
+func closedHere(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && errors.Is(err, net.ErrClosed)
 }
 
 func (d *Dynamo) query(q Query) *dynamodb.QueryInput {
