test: prove more failures of billing, claims, halts and restarts

New cases: entry and agents both store a batch, the entry dies after a batch whose answer was lost, all answers to writes are lost, agents pause while a claim is written, a halt with the table down, the entry pauses in mid-stream, and agents restart in turn under load. The doubled batch is now brought about by a silent table link, since a pause met the entry's flush at times. The case of the lost batch answer first waited for the entry's receipts of the last requests: while every answer is lost a process stays at its first batch, as designed, so it waits for any batch and demands that the agents' receipts bill the requests.

--- a/proof/fleet/admin.go
+++ b/proof/fleet/admin.go
@@ -104,6 +104,12 @@
 	return out.Generation.Generation
 }
 
+// Halt halts a version through an entry.
+func (f *Fleet) Halt(entry int, r ident.VersionRef) error {
+	var out opsapi.HaltReply
+	return f.Admin(f.Entries[entry], http.MethodPost, "/halt", opsapi.HaltRequest{Version: r.String(), Reason: "test"}, &out)
+}
+
 // Status returns the status that an entry reports.
 func (f *Fleet) Status(e *Entry) (opsapi.StatusReply, error) {
 	var s opsapi.StatusReply
--- a/proof/fleet/judge.go
+++ b/proof/fleet/judge.go
@@ -177,6 +177,15 @@
 	}
 }
 
+// WaitServed waits until requests start on an agent's engine again.
+func (f *Fleet) WaitServed(a *Agent) {
+	f.t.Helper()
+	before := f.Counters(time.Time{}).Engines[a.ID].Started
+	proc.Eventually(f.t, "requests start on "+string(a.ID), func() bool {
+		return f.Counters(time.Time{}).Engines[a.ID].Started > before
+	})
+}
+
 func (f *Fleet) waitServing(e *Entry) {
 	f.t.Helper()
 	c := f.Caller(e, Alpha)
--- a/proof/guarantees_test.go
+++ b/proof/guarantees_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -77,6 +78,19 @@
 			checkTruth(t, f, os)
 			noStartsAfter(t, f, fleet.Deep1, at)
 		}},
+		"halt with the table down": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("table", fault.Faults{Down: true})
+			if err := f.Halt(0, fleet.Deep1); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(3 * time.Second) // the design's bound for a halt
+			at := time.Now()
+			os := <-chats(f, f.Entries[1], fleet.Alpha, "deep", "after the halt", 8)
+			if whole := checkEnds(t, f, os); whole != len(os) {
+				t.Errorf("%d of %d requests were answered by the version that is left", whole, len(os))
+			}
+			noStartsAfter(t, f, fleet.Deep1, at)
+		}},
 		"agent cut off from the table": {run: func(t *testing.T, f *fleet.Fleet) {
 			f.Engine(0).Table.Silence(t)
 			g := f.Withdraw(0, fleet.Deep1, 1)
@@ -178,6 +192,11 @@
 			time.Sleep(4 * time.Second)
 			a.Resume()
 		}),
+		"entry paused": finish(func(_ *testing.T, f *fleet.Fleet, _ *fleet.Agent) {
+			f.Entries[0].Pause()
+			time.Sleep(4 * time.Second)
+			f.Entries[0].Resume()
+		}),
 		"agent killed and restarted": explicit(func(_ *testing.T, _ *fleet.Fleet, a *fleet.Agent) {
 			a.Kill()
 			a.Restart()
@@ -295,6 +314,42 @@
 				t.Errorf("exit code %d", c)
 			}
 		}},
+		"agents restart in turn under load": {run: func(t *testing.T, f *fleet.Fleet) {
+			stop := make(chan struct{})
+			var mu sync.Mutex
+			var os []outcome
+			var w sync.WaitGroup
+			for i := range 6 {
+				w.Go(func() {
+					for n := 0; ; n++ {
+						select {
+						case <-stop:
+							return
+						default:
+						}
+						o := <-chats(f, f.Entries[i%2], fleet.Alpha, "quick", fmt.Sprint("under load ", i, n), 1)
+						mu.Lock()
+						os = append(os, o...)
+						mu.Unlock()
+					}
+				})
+			}
+			for i := range 2 {
+				a := f.Engine(i)
+				a.Drain()
+				if c := a.ExitCode(t); c != 0 {
+					t.Errorf("exit code %d of %s", c, a.Name)
+				}
+				a.Restart()
+				f.WaitInForce(1)
+				f.WaitServed(a)
+			}
+			close(stop)
+			w.Wait()
+			if whole := checkEnds(t, f, os); whole != len(os) {
+				t.Errorf("%d of %d requests were answered", whole, len(os))
+			}
+		}},
 		"call in progress": {run: func(t *testing.T, f *fleet.Fleet) {
 			f.Fault("orders-1", fault.Faults{SlowMs: 1500})
 			f.Fault("orders-2", fault.Faults{SlowMs: 1500})
--- a/proof/records_test.go
+++ b/proof/records_test.go
@@ -118,11 +118,37 @@
 			once(t, f, "k", r, again)
 		}},
 		"table's answer to the claim lost": {run: func(t *testing.T, f *fleet.Fleet) {
-			f.Fault("table", fault.Faults{Lost: 4})
+			// Receipts and leases are written too, so one of several calls meets the lost answers.
+			for i := range 6 {
+				k := fmt.Sprint("k", i)
+				f.Fault("table", fault.Faults{Lost: 2})
+				r := f.Caller(f.Entries[0], fleet.Alpha).Call(f.Context(), order(k, "{}"))
+				f.Fault("table", fault.Faults{})
+				once(t, f, k, r, verdict(t, f, f.Entries[1], order(k, "{}")))
+			}
+		}},
+		"all answers to writes lost": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("table", fault.Faults{Lost: -1})
 			r := f.Caller(f.Entries[0], fleet.Alpha).Call(f.Context(), order("k", "{}"))
 			f.Fault("table", fault.Faults{})
-			again := verdict(t, f, f.Entries[1], order("k", "{}"))
-			once(t, f, "k", r, again)
+			time.Sleep(3 * time.Second) // a late dispatch would show by now
+			once(t, f, "k", r)
+		}},
+		"agents paused while the claim is written": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Fault("table", fault.Faults{SlowMs: 800})
+			done := make(chan client.Reply, 1)
+			go func() { done <- f.Caller(f.Entries[0], fleet.Alpha).Call(f.Context(), order("k", "{}")) }()
+			// The entry reads the claim before it sends the call, the agent writes it after.
+			for _, a := range []ident.UpstreamID{"orders-1", "orders-2"} {
+				time.Sleep(700 * time.Millisecond)
+				f.Agents[a].Pause()
+			}
+			r := <-done
+			f.Fault("table", fault.Faults{})
+			f.Agents["orders-1"].Resume()
+			f.Agents["orders-2"].Resume()
+			time.Sleep(3 * time.Second) // a late dispatch would show by now
+			once(t, f, "k", r)
 		}},
 		"table slow": {run: func(t *testing.T, f *fleet.Fleet) {
 			f.Fault("table", fault.Faults{SlowMs: 1500})
@@ -171,8 +197,8 @@
 	Direct  bool            `json:"direct"`
 }
 
-// stored returns the ids of the requests that the stored receipts bill.
-func stored(t *testing.T, f *fleet.Fleet) map[ident.RequestID]bool {
+// stored returns the ids of the requests with a stored receipt that the filter selects.
+func stored(t *testing.T, f *fleet.Fleet, filter func(receipt) bool) map[ident.RequestID]bool {
 	t.Helper()
 	out := map[ident.RequestID]bool{}
 	for _, row := range f.Rows("bill/") {
@@ -181,7 +207,7 @@
 			if err := json.Unmarshal(line, &r); err != nil {
 				t.Fatalf("batch %s/%s: %v", row.Partition, row.Sort, err)
 			}
-			if r.Role == "bill" || r.Direct {
+			if filter(r) {
 				out[r.Request] = true
 			}
 		}
@@ -189,13 +215,19 @@
 	return out
 }
 
-// checkBill waits until each of the requests is in a stored receipt and checks
-// that the bill counts each once: the requests that Start's warm-up sent are
-// in both figures.
-func checkBill(t *testing.T, f *fleet.Fleet, e *fleet.Entry, ids ...ident.RequestID) {
+// billing selects the receipts that may decide a request's bill.
+func billing(r receipt) bool {
+	return r.Role == "bill" || r.Direct
+}
+
+// waitStored waits until each request has a stored receipt that the filter selects.
+func waitStored(t *testing.T, f *fleet.Fleet, ids []ident.RequestID, filter func(receipt) bool) {
 	t.Helper()
+	if len(ids) == 0 {
+		t.Fatal("no request was answered")
+	}
 	proc.Eventually(t, fmt.Sprintf("receipts of %d requests are stored", len(ids)), func() bool {
-		s := stored(t, f)
+		s := stored(t, f, filter)
 		for _, id := range ids {
 			if !s[id] {
 				return false
@@ -203,8 +235,16 @@
 		}
 		return true
 	})
+}
+
+// checkBill waits until each of the requests is in a stored receipt and checks
+// that the bill counts each once: the requests that Start's warm-up sent are
+// in both figures.
+func checkBill(t *testing.T, f *fleet.Fleet, e *fleet.Entry, ids ...ident.RequestID) {
+	t.Helper()
+	waitStored(t, f, ids, billing)
 	time.Sleep(5 * time.Second) // the agents' receipts come after a hold of 3 s and would double the lines
-	want := len(stored(t, f))
+	want := len(stored(t, f, billing))
 	b, err := f.Bill(e)
 	if err != nil {
 		t.Fatalf("read the bill: %v", err)
@@ -262,11 +302,24 @@
 			f.Fault("table", fault.Faults{})
 			checkBill(t, f, f.Entries[1], requests(os)...)
 		}},
-		"entry paused past the agents' hold": {run: func(t *testing.T, f *fleet.Fleet) {
-			os := <-chats(f, f.Entries[0], fleet.Alpha, "quick", "paused", 6)
-			f.Entries[0].Pause()
-			time.Sleep(5 * time.Second) // longer than the hold of 3 s, so that the agents store theirs
-			f.Entries[0].Resume()
+		"entry and agents both store": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.Entries[0].Table.Silence(t)
+			os := <-chats(f, f.Entries[0], fleet.Alpha, "quick", "doubled", 6)
+			// Without an acknowledgement the agents store theirs after the hold.
+			waitStored(t, f, requests(os), func(r receipt) bool { return r.Role == "attempt" })
+			f.Entries[0].Table.Restore(t)
+			waitStored(t, f, requests(os), func(r receipt) bool { return r.Role == "bill" })
+			checkBill(t, f, f.Entries[1], requests(os)...)
+		}},
+		"entry killed after a batch whose answer was lost": {run: func(t *testing.T, f *fleet.Fleet) {
+			before := len(f.Rows("bill/"))
+			f.Fault("table", fault.Faults{Lost: -1})
+			os := <-chats(f, f.Entries[0], fleet.Alpha, "quick", "mid-batch", 6)
+			// While all answers are lost a process stays at its first batch. The entry's other
+			// receipts are lost with it, so the bill depends on the agents.
+			proc.Eventually(t, "a batch is stored", func() bool { return len(f.Rows("bill/")) > before })
+			f.Entries[0].Kill()
+			f.Fault("table", fault.Faults{})
 			checkBill(t, f, f.Entries[1], requests(os)...)
 		}},
 		"keyed call repeated": {run: func(t *testing.T, f *fleet.Fleet) {
