--- a/entry/agents/link.go
+++ b/entry/agents/link.go
@@ -21,6 +21,8 @@
 	pingLimit = 2 * time.Second
 	// silenceLimit is the age of the latest status above which a link gets no new work.
 	silenceLimit = 3 * time.Second
+	// freshLimit is below the 2 s of silence on a stream and above the second between two statuses.
+	freshLimit = 1500 * time.Millisecond
 	// reopenAfter is the pause before a failed watch is opened again.
 	reopenAfter = 200 * time.Millisecond
 	// catchUpLimit bounds one exchange of state and document.
@@ -46,8 +48,10 @@
 
 	own      score.Counter
 	replaced atomic.Uint64
-	catching atomic.Bool
-	side     sync.WaitGroup
+	// strangers counts statuses of agents of other upstreams at this address.
+	strangers atomic.Uint64
+	catching  atomic.Bool
+	side      sync.WaitGroup
 
 	mu      sync.Mutex
 	addr    string
@@ -93,6 +97,12 @@
 	return !s.Status.GetDraining() && now.Sub(s.At) < silenceLimit
 }
 
+// Fresh reports whether a status arrived so lately that the connection can't be silent.
+func (l *Link) Fresh(now time.Time) bool {
+	s := l.seen.Load()
+	return s != nil && now.Sub(s.At) < freshLimit
+}
+
 func (l *Link) alive(now time.Time) bool {
 	s := l.seen.Load()
 	return s != nil && now.Sub(s.At) < silenceLimit
@@ -272,6 +282,13 @@
 			return
 		}
 		silent.Reset(silenceLimit)
+		if u := m.GetUpstream(); u != "" && u != string(l.upstream) {
+			// The address belongs to another agent by now, maybe of another
+			// environment: it must not get this entry's document.
+			l.strangers.Add(1)
+			l.o.Log.Warn().Str("upstream", string(l.upstream)).Msg("another upstream's agent answers at this address")
+			return
+		}
 		l.Observe(m, time.Now())
 		l.o.Ring.Clock().Observe(event.Stamp(m.GetState().GetClock()))
 		l.behind(ctx, c, m.GetState())
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -214,6 +214,7 @@
 		Role:         roster.RoleEntry,
 		Source:       a,
 		Ring:         r,
+		Environment:  s.Control.Environment,
 		PollInterval: s.Control.PollInterval,
 		Now:          time.Now,
 	})
@@ -325,7 +326,7 @@
 		Now:            time.Now,
 		IsolationLimit: s.Entry.IsolationLimit,
 		Contact:        n.Contact,
-		Accepted:       m.accepted,
+		Sample:         m.sample,
 	}), nil
 }
 
@@ -433,6 +434,10 @@
 	}
 }
 
-func newWeb(p *listeners, h http.Handler) *web {
-	return &web{listener: p.admin, server: &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeader}}
+func newWeb(p *listeners, h http.Handler, c *security) *web {
+	v := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: maxHeader}
+	if c.source != nil {
+		v.TLSConfig = c.source.Callers()
+	}
+	return &web{listener: p.admin, server: v, tls: c.source != nil}
 }
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,6 +22,7 @@
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/entry/calls"
+	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/relay"
 )
 
@@ -54,8 +56,8 @@
 
 // Limits charges accounts' limits; policy.Control implements it.
 type Limits interface {
-	// Admit returns a *refuse.Error when the account is over its limits.
-	Admit(ctx context.Context, a *envdoc.Account, estimate ident.Tokens) error
+	// Admit returns the tokens that the request was counted with, or a *refuse.Error when the account is over its limits.
+	Admit(ctx context.Context, a *envdoc.Account, l policy.Load) (ident.Tokens, error)
 	Settle(a ident.AccountID, estimate, used ident.Tokens)
 }
 
@@ -169,10 +171,22 @@
 	if err != nil {
 		return nil, err
 	}
-	a.o.Ring.Record(event.Event{Kind: event.RequestReceived, Request: id, Account: c.ID})
 	return &caller{id: id, view: v, account: c, task: task, deadline: a.o.Now().Add(t)}, nil
 }
 
+// received records a request under its final id.
+func (a *API) received(id ident.RequestID, c *caller) {
+	a.o.Ring.Record(event.Event{Kind: event.RequestReceived, Request: id, Account: c.account.ID})
+}
+
+// reject refuses a request that went no further; what goes further records its own end.
+func (a *API) reject(w http.ResponseWriter, id ident.RequestID, c *caller, err error) {
+	e := refuse.From(err, refuse.Unknown)
+	f := map[string]string{"code": string(e.Code), "ran": string(e.Ran)}
+	a.o.Ring.Record(event.Event{Kind: event.RequestRefused, Request: id, Account: c.account.ID, Fields: f})
+	a.refuse(w, id, e)
+}
+
 func (a *API) timeout(r *http.Request) (time.Duration, error) {
 	s := r.Header.Get(HeaderTimeout)
 	if s == "" {
@@ -185,6 +199,9 @@
 	return time.Duration(n) * time.Millisecond, nil
 }
 
+// readLimit bounds reading a request's body.
+const readLimit = 20 * time.Second
+
 // maxName bounds task names and idempotency keys, in bytes: they become parts of table rows and of statistics.
 const maxName = 255
 
@@ -230,7 +247,26 @@
 	writeJSON(w, Status(e.Code), errorOf(id, e))
 }
 
+// hurry bounds the write of an answer to a caller that no longer reads.
+func hurry(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeLimit))
+}
+
+// readBody reads a body within the read limit. The limit is lifted afterwards: a
+// read that fails later counts as a caller who left.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(readLimit))
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, readRefusal(err)
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	return b, nil
+}
+
 func writeJSON(w http.ResponseWriter, code int, v any) {
+	hurry(w)
 	b, err := json.Marshal(v)
 	if err != nil {
 		code = http.StatusInternalServerError
--- a/entry/caller/chat.go
+++ b/entry/caller/chat.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/wire"
+	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/relay"
 )
 
@@ -79,14 +79,16 @@
 var roles = map[string]bool{"system": true, "developer": true, "user": true, "assistant": true}
 
 func (a *API) chat(w http.ResponseWriter, r *http.Request, c *caller) {
-	q, m, err := a.readChat(r, c)
+	a.received(c.id, c)
+	q, m, err := a.readChat(w, r, c)
 	if err != nil {
-		a.refuse(w, c.id, err)
+		a.reject(w, c.id, c, err)
 		return
 	}
-	estimate := relay.Estimate(q.Messages) + ident.Tokens(q.MaxTokens)
-	if err := a.o.Limits.Admit(r.Context(), c.account, estimate); err != nil {
-		a.refuse(w, c.id, err)
+	l := policy.Load{Task: q.Task, Input: relay.Estimate(q.Messages), MaxOutput: ident.Tokens(q.MaxTokens)}
+	estimate, err := a.o.Limits.Admit(r.Context(), c.account, l)
+	if err != nil {
+		a.reject(w, c.id, c, err)
 		return
 	}
 	var used ident.Tokens
@@ -98,10 +100,10 @@
 	a.o.Limits.Settle(c.account.ID, estimate, used)
 }
 
-func (a *API) readChat(r *http.Request, c *caller) (relay.Chat, *chatRequest, error) {
-	b, err := io.ReadAll(r.Body)
+func (a *API) readChat(w http.ResponseWriter, r *http.Request, c *caller) (relay.Chat, *chatRequest, error) {
+	b, err := readBody(w, r)
 	if err != nil {
-		return relay.Chat{}, nil, readRefusal(err)
+		return relay.Chat{}, nil, err
 	}
 	var m chatRequest
 	d := json.NewDecoder(bytes.NewReader(b))
--- a/entry/caller/service.go
+++ b/entry/caller/service.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -12,17 +11,19 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/entry/calls"
+	"tarragonvalve.example/entry/policy"
 )
 
 // service runs a plain-service call.
 func (a *API) service(w http.ResponseWriter, r *http.Request, c *caller) {
-	k, err := a.readCall(r, c)
+	k, err := a.readCall(w, r, c)
 	if err != nil {
-		a.refuse(w, c.id, err)
+		a.reject(w, c.id, c, err)
 		return
 	}
-	if err := a.o.Limits.Admit(r.Context(), c.account, 0); err != nil {
-		a.refuse(w, k.ID, err)
+	a.received(k.ID, c)
+	if _, err := a.o.Limits.Admit(r.Context(), c.account, policy.Load{}); err != nil {
+		a.reject(w, k.ID, c, err)
 		return
 	}
 	p, err := a.o.Calls.Call(r.Context(), k)
@@ -38,6 +39,7 @@
 	if p.Replayed {
 		h.Set(HeaderReplayed, "yes")
 	}
+	hurry(w)
 	w.WriteHeader(answerStatus(p.StatusCode))
 	_, _ = w.Write(p.Body)
 }
@@ -50,7 +52,7 @@
 	return s
 }
 
-func (a *API) readCall(r *http.Request, c *caller) (calls.Call, error) {
+func (a *API) readCall(w http.ResponseWriter, r *http.Request, c *caller) (calls.Call, error) {
 	s := chi.URLParam(r, "service")
 	key := r.Header.Get(HeaderKey)
 	if len(key) > maxName {
@@ -60,9 +62,9 @@
 	if err != nil {
 		return calls.Call{}, err
 	}
-	b, err := io.ReadAll(r.Body)
+	b, err := readBody(w, r)
 	if err != nil {
-		return calls.Call{}, readRefusal(err)
+		return calls.Call{}, err
 	}
 	id := c.id
 	if key != "" {
