feat: say why requests of the capacity load were refused

Cause: a stepped load on healthy engines lost all requests from some time on, and the table of figures did not say why; one refused question ended a run. Change: the load prints refusals by code and the halts in force; the questions count refusals and go on.

--- a/bench/scale/ask.go
+++ b/bench/scale/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -34,17 +35,25 @@
 	}
 	defer stop()
 	fmt.Fprintf(o.Out, "%-12s %6d", s, o.Rounds)
+	var failed []error
 	for _, q := range questions {
 		var times []float64
 		for range o.Rounds {
 			start := time.Now()
 			if err := w.Operator(ctx, http.MethodGet, w.Admins[0], q, nil); err != nil {
-				return err
+				failed = append(failed, err)
+				continue
 			}
 			times = append(times, float64(time.Since(start).Microseconds())/1000)
 		}
+		if len(times) == 0 {
+			return errors.Join(failed...)
+		}
 		fmt.Fprintf(o.Out, " %20.1f %7.1f", median(times), slices.Max(times))
 	}
 	fmt.Fprintln(o.Out)
-	return nil
+	for _, err := range failed {
+		fmt.Fprintln(o.Out, "       failed:", err)
+	}
+	return ctx.Err()
 }
--- a/bench/scale/load.go
+++ b/bench/scale/load.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"tarragonvalve.example/bench/drive"
 	"tarragonvalve.example/bench/world"
 	"tarragonvalve.example/core/envdoc"
+	"tarragonvalve.example/core/opsapi"
 	"tarragonvalve.example/core/table"
 )
 
@@ -100,9 +104,11 @@
 		return p, err
 	}
 	ok, failed, length := 0, 0, 0
+	why := map[string]int{}
 	for _, a := range answers {
 		if !a.OK() {
 			failed++
+			why[fmt.Sprintf("status %d %s", a.Status, a.Code)]++
 			continue
 		}
 		ok++
@@ -116,7 +122,22 @@
 	b, n, size := now.batches-stored.batches, now.receipts-stored.receipts, now.bytes-stored.bytes
 	fmt.Fprintf(o.Out, "%6.0f %6d %8d %8d %8.1f %9.0f %9.1f %8.1f %8.1f %8.2f %8.0f %9.0f %9.1f %9.0f\n", rate, tokens, ok, failed,
 		p.rate, p.tokens, p.entries, p.agents, p.reads, p.writes, b, n, n/max(b, 1), size/max(n, 1))
-	return p, nil
+	for _, k := range slices.Sorted(maps.Keys(why)) {
+		fmt.Fprintf(o.Out, "       failed: %d with %s\n", why[k], k)
+	}
+	return p, halts(ctx, o, w)
+}
+
+// halts prints which versions the processes have halted. The stand-in engines are healthy.
+func halts(ctx context.Context, o Options, w *world.World) error {
+	var r opsapi.StatusReply
+	if err := w.Operator(ctx, http.MethodGet, w.Admins[0], "/status", &r); err != nil {
+		return err
+	}
+	for _, h := range r.Halts {
+		fmt.Fprintf(o.Out, "       halted: %s by %s: %s\n", h.Version, h.Instance, h.Reason)
+	}
+	return nil
 }
 
 // weight leaves out the accounts that may not use the version of the load.
