--- a/core/spread/node_test.go
+++ b/core/spread/node_test.go
@@ -225,7 +225,10 @@
 	if !errors.As(err, &e) || e.Got != "kootenay" {
 		t.Fatalf("the offer of a foreign document gave %v", err)
 	}
-	err = n.Merge(t.Context(), &wire.State{Environment: "kootenay", Halts: []*wire.Halt{{Model: "ipek", Version: "a", Generation: 1}}})
+	// The node does not run, so a state that is not refused would wait for the deadline.
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	err = n.Merge(ctx, &wire.State{Environment: "kootenay", Halts: []*wire.Halt{{Model: "ipek", Version: "a", Generation: 1}}})
 	if !errors.As(err, &e) || len(n.View().Halts) > 0 {
 		t.Fatalf("the halt of a foreign state gave %v, halts %v", err, n.View().Halts)
 	}
