refactor: keep TLS files in one package, report unusable ones

Cause: agent and entry each had a package for TLS files with the same reloading, and a renewed file that can't be used left the old one in force without a word. Change: core/certs serves both, and logs once for each change that can't be used. Run: go test -race ./certs in core, ./boot in entry, ./setup in agent pass.

--- a/agent/boot/build.go
+++ b/agent/boot/build.go
@@ -12,7 +12,6 @@
 	"go.uber.org/dig"
 
 	"tarragonvalve.example/agent/calls"
-	"tarragonvalve.example/agent/certs"
 	"tarragonvalve.example/agent/engine"
 	"tarragonvalve.example/agent/entries"
 	"tarragonvalve.example/agent/fence"
@@ -23,6 +22,7 @@
 	"tarragonvalve.example/agent/setup"
 	"tarragonvalve.example/agent/stream"
 	"tarragonvalve.example/core/accept"
+	"tarragonvalve.example/core/certs"
 	"tarragonvalve.example/core/claim"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
@@ -336,7 +336,7 @@
 		o.Unsettled = func() int { return k.Stats().Waiting }
 	}
 	if s.TLS.Cert != "" {
-		f, err := certs.New(certs.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, ClientCA: s.TLS.ClientCA})
+		f, err := certs.New(certs.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.ClientCA}, logger.Failure(logger.Part(l, "certs"), "certificate files can't be used, the old ones stay in force"))
 		if err != nil {
 			return nil, err
 		}
--- a/entry/certs/certs.go
+++ b/core/certs/certs.go
@@ -19,7 +19,8 @@
 type Files struct {
 	Cert string
 	Key  string
-	// CA verifies agents and other entries, as servers and as clients.
+	// CA verifies other processes of the system, as servers and as clients. It may
+	// be empty; a server then asks for no client certificate.
 	CA string
 }
 
@@ -42,7 +43,8 @@
 
 // Source holds the present certificates. It is safe for concurrent use.
 type Source struct {
-	files Files
+	files  Files
+	failed func(error)
 
 	mu      sync.Mutex
 	now     *loaded
@@ -55,9 +57,10 @@
 	pool *x509.CertPool
 }
 
-// New loads the files. It returns a *LoadError when they can't be used.
-func New(f Files) (*Source, error) {
-	s := &Source{files: f}
+// New loads the files. It returns a *LoadError when they can't be used. Later, failed
+// learns once of each change that can't be used, while the old files stay in force.
+func New(f Files, failed func(error)) (*Source, error) {
+	s := &Source{files: f, failed: failed}
 	s.stamp = s.times()
 	l, err := s.load()
 	if err != nil {
@@ -77,20 +80,24 @@
 	}
 }
 
-// Server returns a configuration for other processes of the system, which must show a certificate.
+// Server returns a configuration for other processes of the system, which must
+// show a certificate when there is a CA to verify it.
 func (s *Source) Server() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			l := s.current()
-			return &tls.Config{
+			c := &tls.Config{
 				MinVersion:   tls.VersionTLS13,
 				Certificates: []tls.Certificate{l.cert},
-				ClientCAs:    l.pool,
-				ClientAuth:   tls.RequireAndVerifyClientCert,
 				// gRPC needs HTTP/2; a configuration made per client must offer it itself.
 				NextProtos: []string{"h2"},
-			}, nil
+			}
+			if l.pool != nil {
+				c.ClientCAs = l.pool
+				c.ClientAuth = tls.RequireAndVerifyClientCert
+			}
+			return c, nil
 		},
 	}
 }
@@ -138,10 +145,13 @@
 	if t == s.stamp {
 		return s.now
 	}
-	if l, err := s.load(); err == nil {
-		s.now = l
-		s.stamp = t
+	s.stamp = t
+	l, err := s.load()
+	if err != nil {
+		s.failed(err)
+		return s.now
 	}
+	s.now = l
 	return s.now
 }
 
@@ -160,6 +170,9 @@
 	if err != nil {
 		return nil, &LoadError{File: s.files.Cert, Err: err}
 	}
+	if s.files.CA == "" {
+		return &loaded{cert: p}, nil
+	}
 	b, err := os.ReadFile(s.files.CA)
 	if err != nil {
 		return nil, &LoadError{File: s.files.CA, Err: err}
--- a/entry/certs/certs_test.go
+++ b/core/certs/certs_test.go
@@ -108,7 +108,7 @@
 
 func load(t *testing.T, f Files) *Source {
 	t.Helper()
-	s, err := New(f)
+	s, err := New(f, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/agent/certs/certs_test.go
+++ b/core/certs/reload_test.go
@@ -1,4 +1,4 @@
-package certs_test
+package certs
 
 import (
 	"crypto/ecdsa"
@@ -15,12 +15,10 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"tarragonvalve.example/agent/certs"
 )
 
 // write makes a self-signed certificate with a serial number.
-func write(t *testing.T, f certs.Files, serial int64) {
+func writeSelfSigned(t *testing.T, f Files, serial int64) {
 	t.Helper()
 	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -67,16 +65,17 @@
 // half-written one that breaks all connections.
 func TestReload(t *testing.T) {
 	d := t.TempDir()
-	f := certs.Files{Cert: filepath.Join(d, "cert.pem"), Key: filepath.Join(d, "key.pem")}
+	f := Files{Cert: filepath.Join(d, "cert.pem"), Key: filepath.Join(d, "key.pem")}
 	synctest.Test(t, func(t *testing.T) {
-		write(t, f, 1)
-		s, err := certs.New(f)
+		writeSelfSigned(t, f, 1)
+		var failures []error
+		s, err := New(f, func(e error) { failures = append(failures, e) })
 		if err != nil {
 			t.Fatal(err)
 		}
 		c := s.Server()
 		for _, n := range []int64{1, 2} {
-			write(t, f, n)
+			writeSelfSigned(t, f, n)
 			time.Sleep(2 * time.Second)
 			if got := serial(t, c); got != n {
 				t.Fatalf("serial %d, want %d", got, n)
@@ -89,8 +88,12 @@
 		if got := serial(t, c); got != 2 {
 			t.Fatalf("serial %d, want the old certificate", got)
 		}
-		var e *certs.LoadError
-		if _, err := certs.New(f); !errors.As(err, &e) {
+		time.Sleep(5 * time.Second)
+		if serial(t, c); len(failures) != 1 {
+			t.Fatalf("reported %v, want the unusable change once", failures)
+		}
+		var e *LoadError
+		if _, err := New(f, nil); !errors.As(err, &e) {
 			t.Fatalf("got %v, want a load error", err)
 		}
 	})
@@ -100,9 +103,9 @@
 // offer HTTP/2.
 func TestOffersHTTP2(t *testing.T) {
 	d := t.TempDir()
-	f := certs.Files{Cert: filepath.Join(d, "cert.pem"), Key: filepath.Join(d, "key.pem")}
-	write(t, f, 1)
-	s, err := certs.New(f)
+	f := Files{Cert: filepath.Join(d, "cert.pem"), Key: filepath.Join(d, "key.pem")}
+	writeSelfSigned(t, f, 1)
+	s, err := New(f, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/core/logger/logger.go
+++ b/core/logger/logger.go
@@ -41,3 +41,10 @@
 func Part(l zerolog.Logger, part string) zerolog.Logger {
 	return l.With().Str(partField, part).Logger()
 }
+
+// Failure returns a function that logs errors as warnings with a message.
+func Failure(l zerolog.Logger, message string) func(error) {
+	return func(err error) {
+		l.Warn().Err(err).Msg(message)
+	}
+}
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"tarragonvalve.example/core/accept"
+	"tarragonvalve.example/core/certs"
 	"tarragonvalve.example/core/claim"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
@@ -29,7 +30,6 @@
 	"tarragonvalve.example/entry/agents"
 	"tarragonvalve.example/entry/caller"
 	"tarragonvalve.example/entry/calls"
-	"tarragonvalve.example/entry/certs"
 	"tarragonvalve.example/entry/copies"
 	"tarragonvalve.example/entry/fleet"
 	"tarragonvalve.example/entry/peers"
@@ -185,11 +185,11 @@
 // security holds the certificates, nil for unencrypted connections.
 type security struct{ source *certs.Source }
 
-func newSecurity(s *setup.Settings) (*security, error) {
+func newSecurity(s *setup.Settings, l zerolog.Logger) (*security, error) {
 	if s.TLS.Cert == "" {
 		return &security{}, nil
 	}
-	c, err := certs.New(certs.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA})
+	c, err := certs.New(certs.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA}, logger.Failure(logger.Part(l, "certs"), "certificate files can't be used, the old ones stay in force"))
 	return &security{source: c}, err
 }
 
--- a/entry/boot/serve_test.go
+++ b/entry/boot/serve_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"tarragonvalve.example/entry/setup"
 )
 
@@ -55,7 +57,7 @@
 	cert, key := certificate(t)
 	s := setup.Default()
 	s.TLS = setup.TLS{Cert: cert, Key: key, CA: cert}
-	c, err := newSecurity(&s)
+	c, err := newSecurity(&s, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
