fix: give a final answer for a lost result, refuse ends without a reason

Cause: a key whose agent was lost after the dispatch was answered with key-in-progress and a time to come back for ever, and an end frame without a finish reason would have closed a stream as whole. Change: claims hold the time of the dispatch; a minute after the longest call the answer is claim-unknown (unknown) without a time to come back. An end without a finish reason counts as a lost attempt. Run: TestLostResultIsFinalAfterTheLongestCall and TestEndWithoutFinishReasonIsNotWhole; go test ./calls ./relay pass.

--- a/agent/calls/once.go
+++ b/agent/calls/once.go
@@ -30,6 +30,7 @@
 		Digest:   claim.DigestOf(q.GetMethod(), q.GetPath(), q.GetBody()),
 		Request:  ident.RequestID(q.GetRequestId()),
 		Upstream: c.options.Upstream,
+		At:       c.options.Now(),
 		Token:    c.options.NewToken(),
 	}
 	m, err := c.claim(ctx, k, d)
--- a/core/claim/book.go
+++ b/core/claim/book.go
@@ -53,6 +53,7 @@
 		Digest:   d.Digest,
 		Request:  d.Request,
 		Upstream: d.Upstream,
+		At:       d.At,
 	}, token)
 	if err == nil {
 		return c, nil
--- a/core/claim/decide.go
+++ b/core/claim/decide.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -20,6 +21,8 @@
 	Digest   BodyDigest
 	Request  ident.RequestID
 	Upstream ident.UpstreamID
+	// At is the time of the dispatch.
+	At time.Time
 	// Token identifies the attempt. Two calls never share a claim, even with the same token.
 	Token table.WriteToken
 }
--- a/core/claim/types.go
+++ b/core/claim/types.go
@@ -3,6 +3,8 @@
 package claim
 
 import (
+	"time"
+
 	"tarragonvalve.example/core/ident"
 )
 
@@ -48,5 +50,7 @@
 	Digest   BodyDigest       `json:"digest"`
 	Request  ident.RequestID  `json:"request-id"`
 	Upstream ident.UpstreamID `json:"upstream,omitempty"`
-	Result   *Result          `json:"result,omitempty"`
+	// At is when the call was dispatched, by the agent's clock.
+	At     time.Time `json:"at,omitzero"`
+	Result *Result   `json:"result,omitempty"`
 }
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -345,6 +345,8 @@
 		Ring:     r,
 		Log:      logger.Part(l, "calls"),
 		Now:      time.Now,
+
+		MaxTimeout: s.Callers.MaxTimeout,
 	})
 }
 
--- a/entry/calls/calls.go
+++ b/entry/calls/calls.go
@@ -102,6 +102,8 @@
 	Ring     *event.Ring
 	Log      zerolog.Logger
 	Now      func() time.Time
+	// MaxTimeout is the longest time that a caller may allow for a call.
+	MaxTimeout time.Duration
 }
 
 // Counters count what happened to calls.
--- a/entry/calls/calls_test.go
+++ b/entry/calls/calls_test.go
@@ -81,6 +81,27 @@
 	})
 }
 
+// Guards against callers who are told for ever to come back for the result of a
+// call whose agent was lost.
+func TestLostResultIsFinalAfterTheLongestCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(behaviour{dies: true}, behaviour{})
+		defer w.stop()
+		for _, c := range []struct {
+			pause time.Duration
+			code  refuse.Code
+			retry bool
+		}{{0, refuse.ClaimUnknown, true}, {time.Second, refuse.KeyInProgress, true}, {w.desk.o.MaxTimeout + 2*time.Minute, refuse.ClaimUnknown, false}} {
+			time.Sleep(c.pause)
+			_, err := w.call("body")
+			e, ok := refuse.As(err)
+			if !ok || e.Code != c.code || e.Ran != refuse.Unknown || (e.RetryAfter > 0) != c.retry {
+				t.Fatalf("after %v: %v, retry after %v", c.pause, err, e.RetryAfter)
+			}
+		}
+	})
+}
+
 // Guards against a duplicate that runs beside the first call, or that waits for long.
 func TestRunningDuplicate(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/entry/calls/fake_test.go
+++ b/entry/calls/fake_test.go
@@ -91,6 +91,7 @@
 		Digest:   digest(j),
 		Request:  ident.RequestID(q.GetRequestId()),
 		Upstream: a.upstream,
+		At:       time.Now(),
 		Token:    "t",
 	})
 	if err != nil {
--- a/entry/calls/once.go
+++ b/entry/calls/once.go
@@ -17,6 +17,8 @@
 	duplicateWait = 2 * time.Second
 	// pollEvery is the pause between reads of a claim that is dispatched.
 	pollEvery = 150 * time.Millisecond
+	// clockMargin allows for clocks that differ between an agent and an entry.
+	clockMargin = time.Minute
 	// maxRecent bounds the keys that this entry remembers to have sent to an agent.
 	maxRecent = 20_000
 )
@@ -221,6 +223,10 @@
 		r, err := recorded(j, c)
 		return 0, r, err
 	default:
+		if !c.At.IsZero() && d.o.Now().Sub(c.At) > d.o.MaxTimeout+clockMargin {
+			// No call runs that long: its agent was lost, and only the service knows what happened.
+			return 0, nil, refuse.New(refuse.ClaimUnknown, refuse.Unknown, "an earlier call with this Idempotency-Key was sent and its result is lost")
+		}
 		return 0, nil, refuse.New(refuse.KeyInProgress, refuse.Unknown, "a call with this Idempotency-Key is running").After(retryLater)
 	}
 }
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -296,6 +296,10 @@
 			return o
 		}
 		a.link.Observe(b.End.GetStatus(), a.r.o.Now())
+		if b.End.GetFinishReason() == "" {
+			// Without a finish reason nobody knows that the answer is whole.
+			return lost{why: "the end has no finish reason"}
+		}
 		return finished{end: b.End}
 	case *wire.Frame_Refusal:
 		e := refuse.FromWire(b.Refusal)
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -237,7 +237,23 @@
 	})
 }
 
-// Guards against callers who see text of a rejected cascade answer, or pay for it.
+// Guards against an empty or cut answer that is shown as whole because it ended without an error.
+func TestEndWithoutFinishReasonIsNotWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, func(q *wire.RunRequest, s wire.Agent_RunServer) error {
+			f := of(q).end(0, 0)
+			f.GetEnd().FinishReason = ""
+			return s.Send(f)
+		})
+		defer w.stop()
+		if a, err := w.chat(context.Background()); err == nil {
+			t.Fatalf("got %+v for an answer without a finish reason", a)
+		}
+	})
+}
+
+// Guards against callers who see text of a rejected cascade answer, or pay for it,
+// and against a session pinned to a version that did not answer.
 func TestCascadeShowsOnlyTheAcceptedAnswer(t *testing.T) {
 	for name, c := range map[string]struct {
 		logprob  float64
