--- a/entry/agents/link.go
+++ b/entry/agents/link.go
@@ -225,7 +225,10 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			l.pingOnce(ctx)
+			// A status that just arrived on the connection is an answer too.
+			if !l.Fresh(time.Now()) {
+				l.pingOnce(ctx)
+			}
 		}
 	}
 }
