refactor: share the processes' command line, name the agent's peer package entry

Cause: agent and entry each held the same eighty lines for flags, checks and signals, and package entries had seven letters where the house style allows six. Change: core/launch holds the command line; agent/entries is agent/entry.

--- a/agent/boot/boot.go
+++ b/agent/boot/boot.go
@@ -1,111 +1,30 @@
-// Package boot holds the agent program's commands and wires its parts.
+// Package boot wires the agent program's parts.
 package boot
 
 import (
 	"context"
-	"crypto/rand"
-	"errors"
-	"fmt"
 	"io"
-	"os"
-	"os/signal"
-	"strings"
-	"syscall"
-
-	"github.com/alexflint/go-arg"
 
 	"tarragonvalve.example/agent/setup"
-	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/launch"
 	"tarragonvalve.example/core/serve"
 )
 
-// Exit codes of the program.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
-)
-
-type arguments struct {
-	Config string   `arg:"-c,--config,required" help:"settings file (INI)"`
-	Check  bool     `arg:"--check" help:"check the settings and exit"`
-	Set    []string `arg:"--set,separate" placeholder:"SECTION.KEY=VALUE" help:"override a setting; may be repeated"`
-}
-
-func (arguments) Description() string {
-	return "The agent runs beside one upstream, a model engine or a plain service, and checks all work before it runs."
-}
-
 // Main runs the program and returns its exit code.
 func Main(args []string, out, errs io.Writer) int {
-	var a arguments
-	p, err := arg.NewParser(arg.Config{Program: "agent"}, &a)
-	if err != nil {
-		fmt.Fprintln(errs, err)
-		return exitUsage
-	}
-	if err := p.Parse(args); err != nil {
-		return usage(p, err, errs)
-	}
-	flags, err := overrides(a.Set)
-	if err != nil {
-		return usage(p, err, errs)
-	}
-	s, err := setup.Read(a.Config, os.Environ(), flags)
-	if err != nil {
-		fmt.Fprintln(errs, "agent:", err)
-		return exitUsage
-	}
-	if a.Check {
-		fmt.Fprintln(out, "settings are valid")
-		return exitOK
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	if err := Run(ctx, s, out, errs); err != nil {
-		fmt.Fprintln(errs, "agent:", err)
-		return exitFailed
-	}
-	return exitOK
-}
-
-func usage(p *arg.Parser, err error, errs io.Writer) int {
-	if errors.Is(err, arg.ErrHelp) {
-		p.WriteHelp(errs)
-		return exitOK
-	}
-	p.WriteUsage(errs)
-	fmt.Fprintln(errs, "agent:", err)
-	return exitUsage
-}
-
-// OverrideError reports a --set that is not SECTION.KEY=VALUE.
-type OverrideError struct {
-	Text string
-}
-
-func (e *OverrideError) Error() string {
-	return fmt.Sprintf("read --set %q: want SECTION.KEY=VALUE", e.Text)
-}
-
-func overrides(sets []string) (map[string]string, error) {
-	out := make(map[string]string, len(sets))
-	for _, s := range sets {
-		k, v, ok := strings.Cut(s, "=")
-		if !ok || !strings.Contains(k, ".") {
-			return nil, &OverrideError{Text: s}
-		}
-		out[k] = v
-	}
-	return out, nil
+	return launch.Program[*setup.Settings]{
+		Name:  "agent",
+		About: "The agent runs beside one upstream, a model engine or a plain service, and checks all work before it runs.",
+		Read:  setup.Read,
+		Run:   Run,
+	}.Main(args, out, errs)
 }
 
 // Run runs an agent until the context ends and its drain is over. It writes
 // one JSON line with the addresses that it listens on to out.
 func Run(ctx context.Context, s *setup.Settings, out, logs io.Writer) error {
 	if s.Agent.Instance == "" {
-		// A restart is a new instance, so the id has a random part.
-		s.Agent.Instance = ident.InstanceID(string(s.Upstream.ID) + "-" + strings.ToLower(rand.Text()[:8]))
+		s.Agent.Instance = launch.Instance(string(s.Upstream.ID))
 	}
 	steps, err := build(s, out, logs)
 	if err != nil {
--- a/agent/boot/build.go
+++ b/agent/boot/build.go
@@ -13,7 +13,7 @@
 
 	"tarragonvalve.example/agent/calls"
 	"tarragonvalve.example/agent/engine"
-	"tarragonvalve.example/agent/entries"
+	"tarragonvalve.example/agent/entry"
 	"tarragonvalve.example/agent/fence"
 	"tarragonvalve.example/agent/health"
 	"tarragonvalve.example/agent/plain"
@@ -90,7 +90,7 @@
 	Runner    *runner.Runner
 	Caller    *calls.Caller
 	Health    *health.Server
-	Entries   *entries.Listener
+	Entries   *entry.Listener
 }
 
 func (p parts) steps() []serve.Step {
@@ -251,7 +251,7 @@
 	return e
 }
 
-func newRunner(s *setup.Settings, e *engineParts, h *sched.Scheduler, t *stream.Store, n *spread.Node, b *ledger.Book, r *event.Ring, l zerolog.Logger, st *entries.Status) *runner.Runner {
+func newRunner(s *setup.Settings, e *engineParts, h *sched.Scheduler, t *stream.Store, n *spread.Node, b *ledger.Book, r *event.Ring, l zerolog.Logger, st *entry.Status) *runner.Runner {
 	if e == nil {
 		return nil
 	}
@@ -293,8 +293,8 @@
 	})
 }
 
-func newStatus(s *setup.Settings, h *sched.Scheduler, n *spread.Node, e *engineParts) *entries.Status {
-	o := entries.StatusOptions{
+func newStatus(s *setup.Settings, h *sched.Scheduler, n *spread.Node, e *engineParts) *entry.Status {
+	o := entry.StatusOptions{
 		Upstream: s.Upstream.ID,
 		Domain:   s.Upstream.Domain,
 		Service:  s.Upstream.Service,
@@ -305,11 +305,11 @@
 		o.Reports = e.monitor
 		o.Prefixes = e.cache
 	}
-	return entries.NewStatus(o)
+	return entry.NewStatus(o)
 }
 
-func newServer(st *entries.Status, u *runner.Runner, c *calls.Caller, e *engineParts, t *stream.Store, n *spread.Node, b *ledger.Book, r *event.Ring) *entries.Server {
-	o := entries.Options{Status: st, Runner: u, Streams: t, Node: n, Receipts: b, Ring: r}
+func newServer(st *entry.Status, u *runner.Runner, c *calls.Caller, e *engineParts, t *stream.Store, n *spread.Node, b *ledger.Book, r *event.Ring) *entry.Server {
+	o := entry.Options{Status: st, Runner: u, Streams: t, Node: n, Receipts: b, Ring: r}
 	// A nil pointer in an interface would not compare as nil.
 	if c != nil {
 		o.Caller = c
@@ -317,11 +317,11 @@
 	if e != nil {
 		o.Orderer = e.guard
 	}
-	return entries.NewServer(o)
+	return entry.NewServer(o)
 }
 
-func newListener(s *setup.Settings, p *listeners, v *entries.Server, st *entries.Status, n *spread.Node, h *sched.Scheduler, c *calls.Caller, k *claim.Book, r *event.Ring, l zerolog.Logger) (*entries.Listener, error) {
-	o := entries.ListenerOptions{
+func newListener(s *setup.Settings, p *listeners, v *entry.Server, st *entry.Status, n *spread.Node, h *sched.Scheduler, c *calls.Caller, k *claim.Book, r *event.Ring, l zerolog.Logger) (*entry.Listener, error) {
+	o := entry.ListenerOptions{
 		Listener:    p.entries,
 		Server:      v,
 		Peer:        spread.NewServer(n, r, st.Draining),
@@ -342,10 +342,10 @@
 		}
 		o.TLS = f.Server()
 	}
-	return entries.NewListener(o), nil
+	return entry.NewListener(o), nil
 }
 
-func newHealth(p *listeners, st *entries.Status, n *spread.Node, h *sched.Scheduler, t *stream.Store, b *ledger.Book, e *engineParts) *health.Server {
+func newHealth(p *listeners, st *entry.Status, n *spread.Node, h *sched.Scheduler, t *stream.Store, b *ledger.Book, e *engineParts) *health.Server {
 	r := prometheus.NewRegistry()
 	register(r, h, t, b, e)
 	return health.New(health.Options{
@@ -367,4 +367,4 @@
 	})
 }
 
-var _ wire.AgentServer = (*entries.Server)(nil)
+var _ wire.AgentServer = (*entry.Server)(nil)
--- a/agent/entries/entries_test.go
+++ b/agent/entry/entries_test.go
@@ -1,4 +1,4 @@
-package entries_test
+package entry_test
 
 import (
 	"context"
--- a/agent/entries/fake_test.go
+++ b/agent/entry/fake_test.go
@@ -1,4 +1,4 @@
-package entries_test
+package entry_test
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 	"google.golang.org/grpc/test/bufconn"
 
 	"tarragonvalve.example/agent/engine"
-	"tarragonvalve.example/agent/entries"
+	"tarragonvalve.example/agent/entry"
 	"tarragonvalve.example/agent/queue"
 	"tarragonvalve.example/agent/runner"
 	"tarragonvalve.example/agent/sched"
@@ -204,7 +204,7 @@
 	so := stream.Default()
 	so.Now = func() time.Time { return time.Now().Add(time.Duration(r.ahead.Load())) }
 	r.streams = stream.NewStore(so)
-	st := entries.NewStatus(entries.StatusOptions{Upstream: "e1", Sched: s, Node: r.node})
+	st := entry.NewStatus(entry.StatusOptions{Upstream: "e1", Sched: s, Node: r.node})
 	c := engine.New(engine.Default(h.URL))
 	u := runner.New(runner.Options{
 		Engine: c, Sched: s, Streams: r.streams, Views: r.node, Receipts: r.receipts, Ring: ring,
@@ -212,9 +212,9 @@
 		Learn: func([]uint64, []engine.Message) {}, Status: st.Now, Now: time.Now,
 	})
 	l := bufconn.Listen(1 << 20)
-	g := entries.NewListener(entries.ListenerOptions{
+	g := entry.NewListener(entry.ListenerOptions{
 		Listener: l,
-		Server:   entries.NewServer(entries.Options{Status: st, Runner: u, Streams: r.streams, Node: r.node, Receipts: r.receipts, Ring: ring}),
+		Server:   entry.NewServer(entry.Options{Status: st, Runner: u, Streams: r.streams, Node: r.node, Receipts: r.receipts, Ring: ring}),
 		Peer:     wire.UnimplementedPeerServer{},
 		Sched:    s, DrainLimit: 30 * time.Second, Ring: ring, Log: zerolog.Nop(), Now: time.Now,
 	})
--- a/agent/entries/server.go
+++ b/agent/entry/server.go
@@ -1,6 +1,6 @@
-// Package entries is the agent's peer for the entries: the gRPC server of the
+// Package entry is the agent's peer for the entries: the gRPC server of the
 // Agent service.
-package entries
+package entry
 
 import (
 	"context"
--- a/agent/entries/status.go
+++ b/agent/entry/status.go
@@ -1,4 +1,4 @@
-package entries
+package entry
 
 import (
 	"sync"
--- a/entry/boot/boot_test.go
+++ b/entry/boot/boot_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/event"
+	"tarragonvalve.example/core/launch"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/entry/relay"
 	"tarragonvalve.example/entry/roster"
@@ -23,11 +24,11 @@
 		args []string
 		code int
 	}{
-		"check":       {[]string{"--config", "../testdata/entry.ini", "--check"}, exitOK},
-		"bad setting": {[]string{"--config", "../testdata/entry.ini", "--check", "--set", "callers.max-open=0"}, exitUsage},
-		"bad flag":    {[]string{"--config", "../testdata/entry.ini", "--set", "x"}, exitUsage},
-		"no settings": {nil, exitUsage},
-		"no file":     {[]string{"--config", "missing.ini"}, exitUsage},
+		"check":       {[]string{"--config", "../testdata/entry.ini", "--check"}, launch.ExitOK},
+		"bad setting": {[]string{"--config", "../testdata/entry.ini", "--check", "--set", "callers.max-open=0"}, launch.ExitUsage},
+		"bad flag":    {[]string{"--config", "../testdata/entry.ini", "--set", "x"}, launch.ExitUsage},
+		"no settings": {nil, launch.ExitUsage},
+		"no file":     {[]string{"--config", "missing.ini"}, launch.ExitUsage},
 	} {
 		var out, errs bytes.Buffer
 		if n := Main(c.args, &out, &errs); n != c.code {
