fix: let the detector on deployed versions alarm less often

Cause: at one false alarm in 100,000 answers the fleet may see one every 29 s at 3,500 answers a second (docs/CAPACITY.md). Change: the default is one in 1,000,000,000. Evidence grows with the logarithm, so a bad version needs about 1.7 times the bad answers. Run: go test ./policy ./guard ./setup ./boot pass.

--- a/entry/policy/types.go
+++ b/entry/policy/types.go
@@ -167,6 +167,7 @@
 		Fleet:         func() steps.Fleet { return steps.Fleet{Entries: 1} },
 		Strategy:      Adaptive{},
 		ExploreEvery:  50,
-		DetectorAlpha: 1e-5,
+		// 1e-5 would allow a false alarm every 29 s at 3,500 answers a second.
+		DetectorAlpha: 1e-9,
 	}
 }
