--- a/entry/policy/types.go
+++ b/entry/policy/types.go
@@ -163,10 +163,10 @@
 // Default returns the options that don't depend on the process.
 func Default() Options {
 	return Options{
-		Now:           time.Now,
-		Fleet:         func() steps.Fleet { return steps.Fleet{Entries: 1} },
-		Strategy:      Adaptive{},
-		ExploreEvery:  50,
+		Now:          time.Now,
+		Fleet:        func() steps.Fleet { return steps.Fleet{Entries: 1} },
+		Strategy:     Adaptive{},
+		ExploreEvery: 50,
 		// 1e-5 would allow a false alarm every 29 s at 3,500 answers a second.
 		DetectorAlpha: 1e-9,
 	}
