fix: don't say not-run for a key whose claim can't be read

Cause: with the table down, an entry refused a keyed call with not-run although an earlier call with the same key had run through another entry; a caller who believes that orders again under a new key. Ruled out: remembering sent keys per entry, which covers one entry only. Change: a claim that can't be read gives claim-unknown (unknown); the memory of sent keys is gone. Before: TestTruthful/repeat_through_another_entry_with_the_table_down failed; after: it passes, as do go test -race ./calls and TestTruthful/table_down.

--- a/entry/calls/calls.go
+++ b/entry/calls/calls.go
@@ -125,7 +125,6 @@
 
 	mu     sync.Mutex
 	delays map[hedgeKey]retry.HedgeDelay
-	recent *recent
 }
 
 type hedgeKey struct {
@@ -135,7 +134,7 @@
 
 // New returns a desk.
 func New(o Options) *Desk {
-	return &Desk{o: o, delays: map[hedgeKey]retry.HedgeDelay{}, recent: newRecent(maxRecent)}
+	return &Desk{o: o, delays: map[hedgeKey]retry.HedgeDelay{}}
 }
 
 // Counters returns the desk's counters.
--- a/entry/calls/once.go
+++ b/entry/calls/once.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"tarragonvalve.example/core/claim"
@@ -19,8 +18,6 @@
 	pollEvery = 150 * time.Millisecond
 	// clockMargin allows for clocks that differ between an agent and an entry.
 	clockMargin = time.Minute
-	// maxRecent bounds the keys that this entry remembers to have sent to an agent.
-	maxRecent = 20_000
 )
 
 // once runs a call that may run only once. An agent is tried with the revision
@@ -41,7 +38,6 @@
 		if !ok {
 			break
 		}
-		d.recent.add(k)
 		res, err := d.send(work, j, l, expect)
 		if err == nil {
 			if !res.GetReplayed() {
@@ -208,7 +204,7 @@
 		cancel()
 	}
 	if err != nil {
-		return 0, nil, d.unreadable(ctx, k)
+		return 0, nil, d.unreadable(ctx)
 	}
 	if c == nil {
 		return 0, nil, nil
@@ -231,16 +227,14 @@
 	}
 }
 
-// unreadable refuses a call whose claim could not be read. A key that this entry
-// sent to an agent before may have run, so nothing is said about it.
-func (d *Desk) unreadable(ctx context.Context, k claim.Key) error {
-	if d.recent.has(k) {
-		return refuse.New(refuse.ClaimUnknown, refuse.Unknown, "the claim of an earlier call with this key can't be read now").After(retryLater)
-	}
+// unreadable refuses a call whose claim could not be read. An earlier call with the
+// key may have run through any entry, so the answer can't be not-run.
+func (d *Desk) unreadable(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return refuse.New(refuse.Cancelled, refuse.NotRun, "the caller left")
+		return refuse.New(refuse.Cancelled, refuse.Unknown, "the caller left")
 	}
-	return refuse.New(refuse.ClaimsUnavailable, refuse.NotRun, "claims can't be made now; this request was not sent to the service").After(retryLater)
+	return refuse.New(refuse.ClaimUnknown, refuse.Unknown,
+		"claims can't be read now: nothing was sent for this request, but an earlier one with this Idempotency-Key may have run; repeat it with the same key").After(retryLater)
 }
 
 // wait reads a claim until it is no longer dispatched or the context ends. It
@@ -281,38 +275,3 @@
 		Replayed:    true,
 	}, nil
 }
-
-// recent is a bounded set of keys; the oldest leaves first. It is safe for concurrent use.
-type recent struct {
-	mu    sync.Mutex
-	keys  map[claim.Key]struct{}
-	order []claim.Key
-	next  int
-}
-
-func newRecent(n int) *recent {
-	return &recent{keys: make(map[claim.Key]struct{}), order: make([]claim.Key, 0, n)}
-}
-
-func (r *recent) add(k claim.Key) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, ok := r.keys[k]; ok {
-		return
-	}
-	r.keys[k] = struct{}{}
-	if len(r.order) < cap(r.order) {
-		r.order = append(r.order, k)
-		return
-	}
-	delete(r.keys, r.order[r.next])
-	r.order[r.next] = k
-	r.next = (r.next + 1) % len(r.order)
-}
-
-func (r *recent) has(k claim.Key) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	_, ok := r.keys[k]
-	return ok
-}
--- a/proof/guarantees_test.go
+++ b/proof/guarantees_test.go
@@ -263,6 +263,16 @@
 				t.Errorf("claims-unavailable says %s", r.Ran)
 			}
 		}},
+		"repeat through another entry with the table down": {run: func(t *testing.T, f *fleet.Fleet) {
+			if r := f.Caller(f.Entries[0], fleet.Alpha).Call(f.Context(), order("ran", "{}")); !r.OK() {
+				t.Fatal(r.Problem())
+			}
+			f.Fault("table", fault.Faults{Down: true})
+			r := f.Caller(f.Entries[1], fleet.Alpha).Call(f.Context(), order("ran", "{}"))
+			if r.OK() || r.Ran == refuse.NotRun {
+				t.Errorf("the repeat of a call that ran says %s (%s)", r.Code, r.Ran)
+			}
+		}},
 	})
 }
 
