refactor: share the periodic loop, drop unused code

Cause: ramp, copies and the agent's stream store held the same ticker loop; copies worked out the wanted versions again for every upstream that it looked at; two exported functions had no caller. Change: serve.Every is the loop; copies takes the wanted versions once a round; fleet.Candidates and ident.IsRefError are gone. Loops that work before their first tick keep their own form. Behaviour is unchanged.

--- a/agent/stream/store.go
+++ b/agent/stream/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/serve"
 	"tarragonvalve.example/core/wire"
 )
 
@@ -186,16 +187,7 @@
 
 // Run forgets old attempts and cancels abandoned ones until the context ends.
 func (s *Store) Run(ctx context.Context) error {
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			s.Sweep()
-		}
-	}
+	return serve.Every(ctx, sweepInterval, func(context.Context) { s.Sweep() })
 }
 
 // Sweep applies the time limits once.
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -2,7 +2,6 @@
 package ident
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 )
@@ -86,9 +85,3 @@
 	}
 	return VersionRef{Model: ModelID(m), Version: VersionID(v)}, nil
 }
-
-// IsRefError reports whether err holds a *RefError.
-func IsRefError(err error) bool {
-	var e *RefError
-	return errors.As(err, &e)
-}
--- a/entry/copies/decide.go
+++ b/entry/copies/decide.go
@@ -89,10 +89,10 @@
 	if d == nil || len(us) == 0 {
 		return s, nil
 	}
-	p := &planner{state: s.clone(), view: v, now: now, upstreams: us}
+	p := &planner{state: s.clone(), view: v, wanted: wanted(v), now: now, upstreams: us}
 	p.settle()
 	var out []Order
-	for _, r := range wanted(v) {
+	for _, r := range p.wanted {
 		p.time(r)
 		if o := p.need(r); o != nil {
 			out = append(out, o)
@@ -112,6 +112,7 @@
 type planner struct {
 	state     State
 	view      *spread.View
+	wanted    []ident.VersionRef
 	now       time.Time
 	upstreams []Upstream
 }
@@ -222,10 +223,9 @@
 // that the document no longer wants and that is not the last, or one that was idle
 // for long and has more than the wanted copies.
 func (p *planner) spare(u *Upstream) (ident.VersionRef, bool) {
-	w := wanted(p.view)
 	for _, r := range u.Loaded {
 		n := len(p.on(r))
-		if !slices.Contains(w, r) && (n > 1 || p.view.Document().Withdrawn(r)) {
+		if !slices.Contains(p.wanted, r) && (n > 1 || p.view.Document().Withdrawn(r)) {
 			return r, true
 		}
 		at, idle := p.state.idleSince[r]
--- a/entry/copies/runner.go
+++ b/entry/copies/runner.go
@@ -8,6 +8,7 @@
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/core/serve"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/core/wire"
 	"tarragonvalve.example/entry/agents"
@@ -54,16 +55,7 @@
 
 // Run looks at the copies until the context ends.
 func (r *Runner) Run(ctx context.Context) error {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			r.round(ctx)
-		}
-	}
+	return serve.Every(ctx, interval, r.round)
 }
 
 func (r *Runner) round(ctx context.Context) {
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -133,11 +133,6 @@
 	return f.pick(f.current.Load().services[s], score.Request{Seed: seed, Exclude: exclude})
 }
 
-// Candidates returns the upstreams that report a version as loaded. The slice must not be changed.
-func (f *Fleet) Candidates(v ident.VersionRef) []*score.Upstream {
-	return f.current.Load().versions[v]
-}
-
 func (f *Fleet) pick(us []*score.Upstream, r score.Request) (*agents.Link, bool) {
 	now := f.o.Now()
 	for range maxPicks {
--- a/entry/ramp/ramp.go
+++ b/entry/ramp/ramp.go
@@ -13,6 +13,7 @@
 	"tarragonvalve.example/core/accept"
 	"tarragonvalve.example/core/envdoc"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/serve"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/core/table"
 	"tarragonvalve.example/entry/steps"
@@ -86,16 +87,7 @@
 
 // Run looks at the roll-outs until the context ends.
 func (r *Runner) Run(ctx context.Context) error {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			r.round(ctx)
-		}
-	}
+	return serve.Every(ctx, interval, r.round)
 }
 
 func (r *Runner) round(ctx context.Context) {
