--- /dev/null
+++ b/router/boot/admin.go
@@ -0,0 +1,53 @@
+package boot
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"tarragonvalve.example/router/front"
+	"tarragonvalve.example/router/setup"
+)
+
+// readHeader bounds the head of a request for readiness or metrics.
+const readHeader = 2 * time.Second
+
+// admin serves readiness and metrics.
+type admin struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func newAdmin(s *setup.Settings, g *front.Gate) (*admin, error) {
+	i, err := net.Listen("tcp", s.Admin)
+	if err != nil {
+		return nil, err
+	}
+	m := chi.NewRouter()
+	m.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return &admin{listener: i, server: &http.Server{Handler: m, ReadHeaderTimeout: readHeader}}, nil
+}
+
+// Name is the name of the step.
+func (a *admin) Name() string { return "admin" }
+
+// Run serves until ctx ends.
+func (a *admin) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { a.server.Close() })
+	defer stop()
+	err := a.server.Serve(a.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/router/budget/budget.go
@@ -0,0 +1,101 @@
+// Package budget limits the repeats that a service gets to a share of its
+// requests within a sliding window, without coordination: each instance spends
+// only what its own requests allow, so the sum over all instances holds too.
+package budget
+
+import (
+	"sync"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+)
+
+const (
+	// slots is the resolution of the window.
+	slots = 20
+	// reserve is the part of the ratio that is left unspent: requests are counted
+	// where they arrive, which differs from our count by those in flight.
+	reserve = 0.1
+)
+
+// Rule is the bound over all instances.
+type Rule struct {
+	// Ratio is the number of repeats allowed per request within Window.
+	Ratio  float64
+	Window time.Duration
+	// Slack is the number of repeats allowed beside, for one instance.
+	Slack float64
+}
+
+type counts struct {
+	slot     int64
+	requests int
+	repeats  int
+}
+
+// Budget counts requests and repeats by service. Times are readings of a clock
+// that doesn't jump. It is safe for concurrent use.
+type Budget struct {
+	mu       sync.Mutex
+	rule     Rule
+	services map[ident.ServiceID]*[slots]counts
+}
+
+// New returns a budget without history.
+func New(r Rule) *Budget {
+	return &Budget{rule: r, services: map[ident.ServiceID]*[slots]counts{}}
+}
+
+// Set changes the rule.
+func (b *Budget) Set(r Rule) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rule = r
+}
+
+// Request records the first attempt of a request.
+func (b *Budget) Request(s ident.ServiceID, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.at(s, now).requests++
+}
+
+// Take spends a repeat. It reports false if none is left, and counts nothing then.
+// keep is the part of the budget that the caller must leave to more important repeats.
+func (b *Budget) Take(s ident.ServiceID, keep float64, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.at(s, now)
+	first := b.slot(now) - slots
+	requests, repeats := 0, 0
+	for _, x := range b.services[s] {
+		if x.slot > first {
+			requests += x.requests
+			repeats += x.repeats
+		}
+	}
+	allowed := (b.rule.Ratio*(1-reserve)*float64(requests) + b.rule.Slack) * (1 - keep)
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	c.repeats++
+	return true
+}
+
+func (b *Budget) slot(now time.Duration) int64 {
+	return now.Nanoseconds() / (b.rule.Window.Nanoseconds() / slots)
+}
+
+func (b *Budget) at(s ident.ServiceID, now time.Duration) *counts {
+	w := b.services[s]
+	if w == nil {
+		w = &[slots]counts{}
+		b.services[s] = w
+	}
+	n := b.slot(now)
+	c := &w[n%slots]
+	if c.slot != n {
+		*c = counts{slot: n}
+	}
+	return c
+}
--- /dev/null
+++ b/router/front/front.go
@@ -0,0 +1,205 @@
+// Package front serves clients: it admits requests by the configuration in
+// force and hands them to the relay.
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/known"
+	"tarragonvalve.example/router/relay"
+	"tarragonvalve.example/router/routes"
+)
+
+const (
+	// defaultLeft is the time of a client that states none.
+	defaultLeft = 30 * time.Second
+	// retryUnknown is when a client may come back to an instance that doesn't
+	// know a fresh configuration; another instance may take it at once.
+	retryUnknown = 200 * time.Millisecond
+	// retryStopping sends clients to another instance; their next try uses a new connection.
+	retryStopping = 50 * time.Millisecond
+)
+
+// Handler answers clients. It is safe for concurrent use.
+type Handler struct {
+	node  *known.Node
+	relay *relay.Relay
+	codec call.Codec
+	gate  *Gate
+	log   zerolog.Logger
+}
+
+// New returns a handler.
+func New(n *known.Node, r *relay.Relay, c call.Codec, g *Gate, l zerolog.Logger) *Handler {
+	return &Handler{node: n, relay: r, codec: c, gate: g, log: l}
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	began := time.Now()
+	h.gate.enter()
+	defer h.gate.leave()
+	if h.gate.Stopping() || !h.gate.Fresh() {
+		w.Header().Set("Connection", "close")
+	}
+	m := h.codec.Request(q.Header)
+	err := h.serve(q.Context(), w, q, m, began)
+	h.record(q, m, err, time.Since(began))
+	if err == nil {
+		return
+	}
+	var cut *relay.CutError
+	if errors.As(err, &cut) {
+		// The connection must end without the mark of a complete answer.
+		panic(http.ErrAbortHandler)
+	}
+	refused(w, refuse.From(err, refuse.Unknown))
+}
+
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, q *http.Request, m call.Request, began time.Time) error {
+	j, err := h.admit(q, m, began)
+	if err != nil {
+		return err
+	}
+	if err := h.body(w, q, j); err != nil {
+		return err
+	}
+	// The body may have taken long; the configuration is checked again for what is sent now.
+	if j.Document != h.node.View().Document || !h.gate.Fresh() {
+		k, err := h.admit(q, m, began)
+		if err != nil {
+			return err
+		}
+		k.Body = j.Body
+		j = k
+	}
+	return h.relay.Serve(ctx, w, j)
+}
+
+// admit checks a request against the configuration in force.
+func (h *Handler) admit(q *http.Request, m call.Request, began time.Time) (*relay.Job, error) {
+	d := h.node.View().Document
+	if d == nil {
+		return nil, refuse.New(refuse.NoDocument, refuse.NotRun, "no configuration is known yet").After(retryUnknown)
+	}
+	r, ok := d.Match(q.Host, q.URL.Path)
+	if !ok {
+		if !h.gate.Fresh() {
+			return nil, refuse.New(refuse.StaleGeneration, refuse.NotRun, "the route is unknown and the configuration is old").After(retryUnknown)
+		}
+		return nil, refuse.New(refuse.NotFound, refuse.NotRun, "no route for %s%s", q.Host, q.URL.Path)
+	}
+	j := &relay.Job{
+		Document: d, Route: r, Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host,
+		Header: q.Header, Arrived: began, Priority: r.Priority,
+	}
+	if err := h.identify(j, d); err != nil {
+		return nil, err
+	}
+	left := m.Left
+	if left <= 0 {
+		left = defaultLeft
+	}
+	if r.Timeout > 0 {
+		left = min(left, r.Timeout)
+	}
+	j.Deadline = began.Add(left)
+	if h.gate.Closed() && r.Kind == routes.Stream {
+		return nil, refuse.New(refuse.Draining, refuse.NotRun, "the instance is stopping").After(retryStopping)
+	}
+	return j, nil
+}
+
+// identify finds the client account of a keyed request. A key is accepted only
+// while the configuration is provably fresh: it may have been taken away.
+func (h *Handler) identify(j *relay.Job, d *routes.Document) error {
+	if !d.Keyed(j.Route) {
+		return nil
+	}
+	if !h.gate.Fresh() {
+		return refuse.New(refuse.StaleGeneration, refuse.NotRun, "the configuration is too old to accept keys").After(retryUnknown)
+	}
+	a, ok := d.Account(j.Meta.Key)
+	if !ok {
+		return refuse.New(refuse.Unauthenticated, refuse.NotRun, "the key is unknown")
+	}
+	j.Account = a.ID
+	if a.Priority >= 0 {
+		j.Priority = a.Priority
+	}
+	return nil
+}
+
+func (h *Handler) body(w http.ResponseWriter, q *http.Request, j *relay.Job) error {
+	if q.Body == nil || q.Body == http.NoBody {
+		return nil
+	}
+	limit := j.Document.Limits.Body
+	if limit <= 0 {
+		limit = math.MaxInt32
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
+	var long *http.MaxBytesError
+	if errors.As(err, &long) {
+		return refuse.New(refuse.BodyTooLarge, refuse.NotRun, "the body is longer than %d bytes", long.Limit)
+	}
+	if err != nil {
+		return refuse.New(refuse.BadRequest, refuse.NotRun, "read the body: %v", err)
+	}
+	j.Body = b
+	return nil
+}
+
+// statuses are the status codes of refusals; others that did not run are 503.
+var statuses = map[refuse.Code]int{
+	refuse.NotFound:         http.StatusNotFound,
+	refuse.Unauthenticated:  http.StatusUnauthorized,
+	refuse.BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	refuse.BadRequest:       http.StatusBadRequest,
+	refuse.DeadlineExceeded: http.StatusGatewayTimeout,
+}
+
+// refused writes the final answer of a request that no upstream answered.
+func refused(w http.ResponseWriter, e *refuse.Error) {
+	status, ok := statuses[e.Code]
+	switch {
+	case ok:
+	case e.Ran == refuse.NotRun:
+		status = http.StatusServiceUnavailable
+	default:
+		status = http.StatusBadGateway
+	}
+	if e.RetryAfter > 0 && e.Ran == refuse.NotRun {
+		w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	b, err := json.Marshal(map[string]any{"error": map[string]any{
+		"code": e.Code, "message": e.Message, "ran": e.Ran, "retry-after-ms": e.RetryAfter.Milliseconds(),
+	}})
+	if err != nil {
+		// The values above always encode; an empty body still carries the status.
+		b = nil
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(status)
+	w.Write(b)
+}
+
+func (h *Handler) record(q *http.Request, m call.Request, err error, took time.Duration) {
+	e := h.log.Info()
+	if err != nil {
+		e = h.log.Warn().Err(err)
+	}
+	e.Str("request", string(m.ID)).Str("path", q.URL.Path).Dur("took", took).Msg("request ended")
+}
--- /dev/null
+++ b/router/known/known.go
@@ -0,0 +1,274 @@
+package known
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/router/canary"
+	"tarragonvalve.example/router/clock"
+)
+
+const (
+	// ordersWait and upstreamsWait bound how long the store holds a question
+	// without news. A key taken away must stop within seconds, so the answer
+	// that proves freshness must come often; each one has a price.
+	ordersWait    = 1500 * time.Millisecond
+	upstreamsWait = 2500 * time.Millisecond
+	progressWait  = 1500 * time.Millisecond
+	// answerLimit is how long an answer may take beyond the wait. A store
+	// slowed eighty times takes 0.4 s.
+	answerLimit = 1200 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a failed read.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// staleAfter is the age of an answer above which it is no evidence of freshness.
+	staleAfter = 500 * time.Millisecond
+)
+
+// Node keeps the view current.
+type Node struct {
+	store Store
+	now   clock.Func
+	log   zerolog.Logger
+
+	view    atomic.Pointer[View]
+	proved  atomic.Int64 // local time, in ns, as of which the orders are known
+	updates chan update
+	changed atomic.Pointer[chan struct{}]
+
+	mu       sync.Mutex // guards evidence
+	evidence Evidence
+}
+
+// update is one answered or failed read, handed to the control goroutine.
+type update struct {
+	topic    Topic
+	page     Page
+	snapshot bool
+	returned bool
+}
+
+// New returns a node that knows nothing yet.
+func New(s Store, now clock.Func, l zerolog.Logger) *Node {
+	n := &Node{store: s, now: now, log: l, updates: make(chan update)}
+	n.view.Store(newState().view())
+	c := make(chan struct{})
+	n.changed.Store(&c)
+	n.proved.Store(-1)
+	return n
+}
+
+// View returns the latest snapshot; it never blocks.
+func (n *Node) View() *View {
+	return n.view.Load()
+}
+
+// Changed returns a channel that is closed at the next change of the view.
+func (n *Node) Changed() <-chan struct{} {
+	return *n.changed.Load()
+}
+
+// Age returns how old the configuration may be at most. The second result is
+// false until a configuration was read.
+func (n *Node) Age() (time.Duration, bool) {
+	p := n.proved.Load()
+	if p < 0 {
+		return 0, false
+	}
+	return n.now() - time.Duration(p), true
+}
+
+// StoreClock estimates the store's clock.
+func (n *Node) StoreClock() (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.now() + n.evidence.offset, n.evidence.set
+}
+
+// SaveProgress writes the state of a roll-out under the condition that no one else did.
+func (n *Node) SaveProgress(ctx context.Context, p canary.Progress, seen Revision) error {
+	ctx, stop := context.WithTimeout(ctx, answerLimit)
+	defer stop()
+	return n.store.SaveProgress(ctx, p, seen)
+}
+
+// Name is the name of the step.
+func (n *Node) Name() string { return "known" }
+
+// Run follows the store until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	var w sync.WaitGroup
+	w.Go(func() { n.follow(ctx, TopicOrders, ordersWait, nil) })
+	w.Go(func() { n.follow(ctx, TopicUpstreams, upstreamsWait, nil) })
+	w.Go(func() { n.follow(ctx, TopicProgress, progressWait, n.rollingOut) })
+	n.control(ctx)
+	w.Wait()
+	return nil
+}
+
+// rollingOut reports whether a roll-out is under way as far as is known.
+func (n *Node) rollingOut() bool {
+	v := n.View()
+	for s, o := range v.Orders {
+		p, ok := v.Progress[s]
+		if !ok || p.Progress.Order != o.Revision || !p.Progress.Phase.Final() {
+			return true
+		}
+	}
+	return false
+}
+
+// control owns the state and publishes a view after each change.
+func (n *Node) control(ctx context.Context) {
+	s := newState()
+	tick := time.NewTicker(returnGrace / 4)
+	defer tick.Stop()
+	for {
+		changed := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			changed = s.expire(n.now())
+		case u := <-n.updates:
+			changed = n.take(s, u)
+		}
+		if changed {
+			n.publish(s)
+		}
+	}
+}
+
+func (n *Node) take(s *state, u update) bool {
+	now := n.now()
+	if u.returned {
+		s.returned(now)
+	}
+	changed := false
+	if u.snapshot && u.topic == TopicUpstreams {
+		changed = s.reset(u.page.Changes, now)
+	}
+	for _, c := range u.page.Changes {
+		if s.apply(c, now) {
+			changed = true
+			n.record(c)
+		}
+	}
+	return changed
+}
+
+func (n *Node) publish(s *state) {
+	n.view.Store(s.view())
+	next := make(chan struct{})
+	close(*n.changed.Swap(&next))
+}
+
+// follow reads one topic until ctx ends. While needed is set and false it waits
+// for the view to change.
+func (n *Node) follow(ctx context.Context, t Topic, wait time.Duration, needed func() bool) {
+	f := follower{Node: n, topic: t, wait: wait}
+	f.pause = &backoff.ExponentialBackOff{
+		InitialInterval: retryFirst, MaxInterval: retryMost, Multiplier: 2, RandomizationFactor: backoff.DefaultRandomizationFactor,
+	}
+	f.pause.Reset()
+	for ctx.Err() == nil {
+		c := n.Changed()
+		if needed != nil && !needed() {
+			select {
+			case <-ctx.Done():
+			case <-c:
+			}
+			continue
+		}
+		f.read(ctx)
+	}
+}
+
+// follower is the state of reading one topic.
+type follower struct {
+	*Node
+	topic  Topic
+	wait   time.Duration
+	synced bool
+	after  Revision
+	lost   bool
+	pause  *backoff.ExponentialBackOff
+}
+
+func (f *follower) read(ctx context.Context) {
+	sent := f.now()
+	p, err := f.ask(ctx)
+	if err != nil {
+		f.failed(ctx, err)
+		return
+	}
+	f.pause.Reset()
+	f.mu.Lock()
+	asOf := f.evidence.AsOf(sent, f.now(), p.Clock)
+	f.mu.Unlock()
+	if p.Revision < f.after || asOf < sent-staleAfter {
+		f.log.Warn().Stringer("topic", f.topic).Dur("behind", sent-asOf).Uint64("revision", uint64(p.Revision)).Msg("stale answer of the store ignored")
+		f.sleep(ctx, retryMost)
+		return
+	}
+	u := update{topic: f.topic, page: p, snapshot: !f.synced, returned: f.lost}
+	select {
+	case <-ctx.Done():
+		return
+	case f.updates <- u:
+	}
+	if f.lost {
+		f.lost = false
+		f.log.Info().Str("dependency", "store").Stringer("topic", f.topic).Msg("dependency regained")
+	}
+	f.synced = true
+	f.after = p.Revision
+	if f.topic == TopicOrders {
+		f.proved.Store(max(f.proved.Load(), int64(asOf)))
+	}
+}
+
+func (f *follower) ask(ctx context.Context) (Page, error) {
+	if !f.synced {
+		ctx, stop := context.WithTimeout(ctx, answerLimit)
+		defer stop()
+		return f.store.Snapshot(ctx, f.topic)
+	}
+	ctx, stop := context.WithTimeout(ctx, f.wait+answerLimit)
+	defer stop()
+	return f.store.Follow(ctx, f.topic, f.after, f.wait)
+}
+
+func (f *follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	var h *HistoryLostError
+	if errors.As(err, &h) {
+		f.synced = false
+		f.log.Info().Stringer("topic", f.topic).Uint64("after", uint64(f.after)).Msg("history of the store lost, reading everything")
+		return
+	}
+	if !f.lost {
+		f.lost = true
+		f.log.Warn().Err(err).Str("dependency", "store").Stringer("topic", f.topic).Msg("dependency lost")
+	}
+	// A snapshot after an outage also shows removals that the history no longer has.
+	f.synced = false
+	f.sleep(ctx, f.pause.NextBackOff())
+}
+
+func (f *follower) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/router/known/types.go
@@ -0,0 +1,111 @@
+package known
+
+import (
+	"context"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/canary"
+	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/routes"
+)
+
+// Topic is a part of the store that is followed on its own.
+type Topic int
+
+// Topics.
+const (
+	// TopicOrders holds the configuration and the roll-outs ordered by operators.
+	TopicOrders Topic = iota
+	// TopicUpstreams holds the registered upstreams.
+	TopicUpstreams
+	// TopicProgress holds the state of roll-outs, written by the instances.
+	TopicProgress
+)
+
+// String returns the name used in logs.
+func (t Topic) String() string {
+	switch t {
+	case TopicOrders:
+		return "orders"
+	case TopicUpstreams:
+		return "upstreams"
+	default:
+		return "progress"
+	}
+}
+
+// Revision is a position in the store's history of changes.
+type Revision uint64
+
+// Change is one changed row; the sealed cases are below.
+type Change interface{ change() }
+
+type (
+	// DocumentChanged carries a new configuration.
+	DocumentChanged struct{ Document *routes.Document }
+	// RolloutOrdered carries an order to move a service to another version.
+	RolloutOrdered struct{ Order canary.Order }
+	// UpstreamChanged carries a new or changed upstream.
+	UpstreamChanged struct{ Upstream *fleet.Upstream }
+	// UpstreamGone names an upstream whose entry was removed.
+	UpstreamGone struct{ ID ident.UpstreamID }
+	// RolloutMoved carries the state of a roll-out with the revision of its row.
+	RolloutMoved struct {
+		Progress canary.Progress
+		Revision Revision
+	}
+	// Unreadable reports a row that names nothing usable.
+	Unreadable struct {
+		Key    string
+		Reason string
+	}
+)
+
+func (DocumentChanged) change() {}
+func (RolloutOrdered) change()  {}
+func (UpstreamChanged) change() {}
+func (UpstreamGone) change()    {}
+func (RolloutMoved) change()    {}
+func (Unreadable) change()      {}
+
+// Page is what one read of a topic returned.
+type Page struct {
+	Changes []Change
+	// Revision is the newest revision that the page covers.
+	Revision Revision
+	// Clock is the store's steady clock when it made the answer.
+	Clock time.Duration
+}
+
+// Store reads and writes the platform's store.
+type Store interface {
+	// Snapshot returns all rows of a topic as of one moment.
+	Snapshot(ctx context.Context, t Topic) (Page, error)
+	// Follow returns the changes of a topic after a revision. It waits for the
+	// first one, at most for wait. It returns a *HistoryLostError when the
+	// store no longer has the changes.
+	Follow(ctx context.Context, t Topic, after Revision, wait time.Duration) (Page, error)
+	// SaveProgress writes the state of a roll-out if its row still has the
+	// revision seen; 0 means that no row exists. It returns a *ConflictError otherwise.
+	SaveProgress(ctx context.Context, p canary.Progress, seen Revision) error
+}
+
+// HistoryLostError reports that the store no longer has the changes asked for.
+type HistoryLostError struct {
+	Topic Topic
+	After Revision
+}
+
+func (e *HistoryLostError) Error() string {
+	return "follow " + e.Topic.String() + ": the store has dropped the history asked for"
+}
+
+// ConflictError reports a conditional write that another writer preceded.
+type ConflictError struct {
+	Key string
+}
+
+func (e *ConflictError) Error() string {
+	return "write " + e.Key + ": another writer changed the row"
+}
--- /dev/null
+++ b/router/link/pool.go
@@ -0,0 +1,200 @@
+// Package link speaks HTTP/1.1 to upstreams over connections of its own. The
+// stock transport resends some requests by itself and hides whether bytes left,
+// so neither the number of attempts nor a promise that nothing ran would be true.
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"tarragonvalve.example/router/call"
+)
+
+const (
+	// dialLimit bounds the set-up of a connection; it takes a few ms within a region.
+	dialLimit = time.Second
+	// unackedLimit ends connections on which sent bytes stay unacknowledged: a
+	// link that went silent reports nothing else.
+	unackedLimit = 1500 * time.Millisecond
+	// probeIdle and probeInterval find idle connections that went silent.
+	probeIdle     = 1 * time.Second
+	probeInterval = 1 * time.Second
+	probeCount    = 2
+	// idleUnstated is how long an idle connection is reused if the upstream states no time.
+	idleUnstated = 4 * time.Second
+	// idleMargin is subtracted from the stated time: the upstream's clock starts earlier.
+	idleMargin = 300 * time.Millisecond
+	// onceIdle bounds the idle time of connections for requests that may run only
+	// once: their loss can't be repaired by a repeat.
+	onceIdle = 1 * time.Second
+	// sweepInterval is how often expired idle connections are closed.
+	sweepInterval = time.Second
+	readBuffer    = 4 << 10
+)
+
+// Pool holds the connections to all upstreams. It is safe for concurrent use.
+type Pool struct {
+	codec  call.Codec
+	dialer net.Dialer
+
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	open  map[string]int
+	limit int
+}
+
+// New returns an empty pool.
+func New(c call.Codec) *Pool {
+	p := &Pool{codec: c, idle: map[string][]*conn{}, open: map[string]int{}}
+	p.dialer = net.Dialer{
+		Timeout:         dialLimit,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+		Control:         setUnackedLimit,
+	}
+	return p
+}
+
+func setUnackedLimit(_, _ string, c syscall.RawConn) error {
+	var set error
+	err := c.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedLimit.Milliseconds()))
+	})
+	return errors.Join(err, set)
+}
+
+// FullError reports that an upstream has as many connections as this instance may open.
+type FullError struct {
+	Address string
+	Limit   int
+}
+
+func (e *FullError) Error() string {
+	return "connect to " + e.Address + ": all connections of this instance are in use"
+}
+
+// get returns a connection, an idle one if possible. A limit of 0 means no bound.
+func (p *Pool) get(ctx context.Context, address string, once bool, limit int) (*conn, error) {
+	for {
+		c := p.takeIdle(address, once)
+		if c == nil {
+			break
+		}
+		if c.silent() == nil {
+			c.reused = true
+			return c, nil
+		}
+		p.drop(c)
+	}
+	p.mu.Lock()
+	if limit > 0 && p.open[address] >= limit {
+		p.mu.Unlock()
+		return nil, &FullError{Address: address, Limit: limit}
+	}
+	p.open[address]++
+	p.mu.Unlock()
+	n, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		p.forget(address)
+		return nil, err
+	}
+	return &conn{Conn: n, r: bufio.NewReaderSize(n, readBuffer), address: address}, nil
+}
+
+func (p *Pool) takeIdle(address string, once bool) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	cs := p.idle[address]
+	for i := len(cs) - 1; i >= 0; i-- {
+		c := cs[i]
+		age := now.Sub(c.usedAt)
+		if age >= c.idle || (once && age >= onceIdle) {
+			// Older ones are further down; the sweep closes them.
+			return nil
+		}
+		p.idle[address] = cs[:i]
+		return c
+	}
+	return nil
+}
+
+// put keeps a connection for reuse; stated is the upstream's idle timeout or 0.
+func (p *Pool) put(c *conn, stated time.Duration) {
+	c.idle = idleUnstated
+	if stated > 0 {
+		c.idle = stated - idleMargin
+	}
+	if err := c.SetDeadline(time.Time{}); err != nil || c.idle <= 0 {
+		p.drop(c)
+		return
+	}
+	c.usedAt = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+func (p *Pool) drop(c *conn) {
+	c.Close()
+	p.forget(c.address)
+}
+
+func (p *Pool) forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open[address]--
+	if p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+// Name is the name of the step.
+func (p *Pool) Name() string { return "links" }
+
+// Run closes expired idle connections until ctx ends, and all of them then.
+func (p *Pool) Run(ctx context.Context) error {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.sweep(time.Now().Add(time.Hour))
+			return nil
+		case now := <-t.C:
+			p.sweep(now)
+		}
+	}
+}
+
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	var old []*conn
+	for a, cs := range p.idle {
+		n := 0
+		for _, c := range cs {
+			if now.Sub(c.usedAt) >= c.idle {
+				old = append(old, c)
+				continue
+			}
+			cs[n] = c
+			n++
+		}
+		clear(cs[n:])
+		if n == 0 {
+			delete(p.idle, a)
+			continue
+		}
+		p.idle[a] = cs[:n]
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		p.drop(c)
+	}
+}
--- /dev/null
+++ b/router/link/send.go
@@ -0,0 +1,248 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tarragonvalve.example/router/call"
+)
+
+const (
+	// inlineBody is the size up to which a body is written before the answer is
+	// read. Longer ones are written meanwhile: the upstream may answer first.
+	inlineBody = 4 << 10
+	// maxForeign bounds the answers to other requests that are skipped on one connection.
+	maxForeign = 2
+	// maxSkipped bounds the body of a skipped answer.
+	maxSkipped = 64 << 10
+)
+
+// Message is a request to an upstream.
+type Message struct {
+	Address string
+	Method  string
+	// Target is the path and query as the client sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	ID     call.ID
+	// Once is true for requests that may run only once.
+	Once bool
+	// Connections bounds this instance's connections to the upstream; 0 means no bound.
+	Connections int
+}
+
+// NotSentError reports that no byte of a request left, so it did not run.
+type NotSentError struct {
+	Address string
+	Err     error
+}
+
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("send to %s: nothing was sent: %v", e.Address, e.Err)
+}
+
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// LostError reports that a request was sent, at least in part, and no valid
+// answer came. It may have run.
+type LostError struct {
+	Address string
+	// Reused is true when the connection had carried a request before.
+	Reused bool
+	Err    error
+}
+
+func (e *LostError) Error() string {
+	return fmt.Sprintf("send to %s: no valid answer: %v", e.Address, e.Err)
+}
+
+func (e *LostError) Unwrap() error { return e.Err }
+
+// ForeignError reports an answer that belongs to another request.
+type ForeignError struct {
+	ID call.ID
+}
+
+func (e *ForeignError) Error() string {
+	return fmt.Sprintf("the answer carries the id %q of another request", e.ID)
+}
+
+// Answer is an upstream's answer. Its body must be read to the end or closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Meta   call.Answer
+	// Length is the body's stated length, or -1.
+	Length int64
+	// Framed is false when only the end of the connection ends the body.
+	Framed bool
+
+	exchange *exchange
+	body     io.ReadCloser
+	ended    bool
+}
+
+// exchange is one request on one connection.
+type exchange struct {
+	pool    *Pool
+	conn    *conn
+	stop    func() bool
+	written chan error // nil when the request was written before the answer was read
+	keep    bool
+	closed  bool
+}
+
+// Send sends a request once and returns the head of its answer. The end of ctx
+// closes the connection, also while the body is read. Errors are
+// *NotSentError, *LostError.
+func (p *Pool) Send(ctx context.Context, m *Message) (*Answer, error) {
+	c, err := p.get(ctx, m.Address, m.Once, m.Connections)
+	if err != nil {
+		return nil, &NotSentError{Address: m.Address, Err: err}
+	}
+	if ctx.Err() != nil {
+		p.drop(c)
+		return nil, &NotSentError{Address: m.Address, Err: ctx.Err()}
+	}
+	e := &exchange{pool: p, conn: c}
+	e.stop = context.AfterFunc(ctx, func() {
+		// Closing is what tells the upstream to stop; it also ends a blocked read or write.
+		c.Close()
+	})
+	a, err := e.run(m)
+	if err != nil {
+		e.end(false, 0)
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
+		return nil, &LostError{Address: m.Address, Reused: c.reused, Err: err}
+	}
+	return a, nil
+}
+
+func (e *exchange) run(m *Message) (*Answer, error) {
+	if err := e.write(m); err != nil {
+		return nil, err
+	}
+	for range maxForeign + 1 {
+		a, err := e.read(m)
+		if err != nil {
+			return nil, err
+		}
+		if a.Meta.ID == m.ID {
+			return a, nil
+		}
+		// The answer to an earlier request came late, or twice; ours may follow.
+		if !a.Framed {
+			return nil, &ForeignError{ID: a.Meta.ID}
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(a.body, maxSkipped))
+		if err != nil || n == maxSkipped {
+			return nil, errors.Join(&ForeignError{ID: a.Meta.ID}, err)
+		}
+		e.keep = false
+	}
+	return nil, errors.New("only answers to other requests came")
+}
+
+func (e *exchange) write(m *Message) error {
+	var b bytes.Buffer
+	b.Grow(1024 + len(m.Body))
+	b.WriteString(m.Method)
+	b.WriteByte(' ')
+	b.WriteString(m.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(m.Host)
+	b.WriteString("\r\n")
+	if err := m.Header.Write(&b); err != nil {
+		return err
+	}
+	if len(m.Body) > 0 || (m.Method != http.MethodGet && m.Method != http.MethodHead) {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(m.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(m.Body)
+	e.keep = true
+	if len(m.Body) <= inlineBody {
+		_, err := e.conn.Write(b.Bytes())
+		return err
+	}
+	e.written = make(chan error, 1)
+	go func() {
+		_, err := e.conn.Write(b.Bytes())
+		e.written <- err
+	}()
+	return nil
+}
+
+func (e *exchange) read(m *Message) (*Answer, error) {
+	q := &http.Request{Method: m.Method}
+	for {
+		r, err := http.ReadResponse(e.conn.r, q)
+		if err != nil {
+			return nil, err
+		}
+		if r.StatusCode < http.StatusOK {
+			// Interim answers carry no body (RFC 9110, section 15.2).
+			continue
+		}
+		framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+		if r.Close || !framed {
+			e.keep = false
+		}
+		a := &Answer{
+			Status: r.StatusCode, Header: r.Header, Meta: e.pool.codec.Answer(r.StatusCode, r.Header),
+			Length: r.ContentLength, Framed: framed, exchange: e, body: r.Body,
+		}
+		return a, nil
+	}
+}
+
+// Read reads the body. Any error but io.EOF means that the body is incomplete.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.body.Read(b)
+	if err == io.EOF {
+		a.ended = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept if the body was read to its
+// end and the request was written whole; otherwise closing it cancels the work.
+func (a *Answer) Close() error {
+	e := a.exchange
+	e.end(a.ended && e.keep, a.Meta.Idle)
+	return nil
+}
+
+func (e *exchange) end(keep bool, idle time.Duration) {
+	if e.closed {
+		return
+	}
+	e.closed = true
+	intact := e.stop()
+	if keep && e.written != nil {
+		select {
+		case err := <-e.written:
+			keep = err == nil
+		default:
+			// The upstream answered before it read the whole request.
+			keep = false
+		}
+	}
+	if !keep || !intact || e.conn.r.Buffered() > 0 {
+		e.pool.drop(e.conn)
+		return
+	}
+	e.pool.put(e.conn, idle)
+}
--- /dev/null
+++ b/router/relay/relay.go
@@ -0,0 +1,286 @@
+// Package relay drives one request of a client: which upstreams it is sent to,
+// what is repeated, and what the client gets in the end.
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/router/budget"
+	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/known"
+	"tarragonvalve.example/router/link"
+	"tarragonvalve.example/router/place"
+	"tarragonvalve.example/router/routes"
+)
+
+const (
+	// answerReserve is left of the client's time for the answer's way back.
+	answerReserve = 20 * time.Millisecond
+	// maxWhole bounds an answer that is held until it is complete.
+	maxWhole = 4 << 20
+	// instances is the number of instances among which an upstream's
+	// connections are divided; the largest deployment of today has eight.
+	instances = 8
+)
+
+// Job is one admitted request.
+type Job struct {
+	Document *routes.Document
+	Route    *routes.Route
+	Account  ident.AccountID
+	// Priority is the urgency, 0 first.
+	Priority int
+	Meta     call.Request
+	Method   string
+	Target   string
+	Host     string
+	Header   http.Header
+	Body     []byte
+	Arrived  time.Time
+	// Deadline is when the client, or the route's time, is over.
+	Deadline time.Time
+}
+
+// CutError reports an answer that was broken off after its head was sent.
+type CutError struct {
+	Err error
+}
+
+func (e *CutError) Error() string { return "answer cut: " + e.Err.Error() }
+
+func (e *CutError) Unwrap() error { return e.Err }
+
+// Options are the parts that a Relay uses.
+type Options struct {
+	Node   *known.Node
+	Links  *link.Pool
+	Codec  call.Codec
+	Book   *place.Book
+	Budget *budget.Budget
+	Now    clock.Func
+	Log    zerolog.Logger
+	Domain ident.DomainID
+}
+
+// Relay drives requests. It is safe for concurrent use.
+type Relay struct {
+	Options
+}
+
+// New returns a relay.
+func New(o Options) *Relay {
+	return &Relay{Options: o}
+}
+
+// Serve answers a request. It returns a *refuse.Error if nothing was sent to the
+// client yet, and a *CutError if the answer's head was.
+func (r *Relay) Serve(ctx context.Context, w http.ResponseWriter, j *Job) error {
+	ctx, stop := context.WithDeadlineCause(ctx, j.Deadline, context.DeadlineExceeded)
+	defer stop()
+	s, ok := j.Route.Service(xxhash.Sum64String(string(j.Meta.ID)))
+	if !ok {
+		return refuse.New(refuse.NoUpstream, refuse.NotRun, "route %s has no service", j.Route.ID).After(time.Second)
+	}
+	t := &try{Relay: r, Job: j, service: s, engine: j.Document.Services[s].Engine}
+	r.Budget.Request(s, r.Now())
+	if j.Route.Kind == routes.Stream {
+		return t.stream(ctx, w)
+	}
+	return t.whole(ctx, w)
+}
+
+// try is the state of one request.
+type try struct {
+	*Relay
+	*Job
+	service ident.ServiceID
+	engine  bool
+	// sent counts the upstreams that may have run the request.
+	sent int
+	// offers counts all sends, also those that an upstream rejected.
+	offers int
+	// ran is true once an upstream may have run the request.
+	ran     bool
+	exclude []ident.UpstreamID
+	// version is set once an answer has begun; it can only go on at the same version.
+	version fleet.Version
+}
+
+// outcome is the result of one send; the sealed cases are below.
+type outcome interface{ outcome() }
+
+type (
+	// answered carries an answer of an upstream, its body unread.
+	answered struct {
+		*link.Answer
+		upstream *fleet.Upstream
+	}
+	// rejected means that the request did not run.
+	rejected struct{ reason string }
+	// lost means that the request may have run and no answer came.
+	lost struct{ err error }
+	// none means that no upstream is left to try.
+	none struct{}
+)
+
+func (answered) outcome() {}
+func (rejected) outcome() {}
+func (lost) outcome()     {}
+func (none) outcome()     {}
+
+// send places the request and sends it once. done must be called when the answer was read.
+func (t *try) send(ctx context.Context, model ident.ModelID, s call.Send) (outcome, func(ok bool)) {
+	v := t.Node.View()
+	us := v.Fleet.Service(t.service)
+	c, ok := t.Book.Pick(us, t.query(v, model), time.Now())
+	if !ok {
+		return none{}, func(bool) {}
+	}
+	u := c.Upstream
+	t.exclude = append(t.exclude, u.ID)
+	t.Book.Start(u.ID)
+	t.offers++
+	done := func(ok bool) {
+		t.Book.End(u.ID)
+		t.Book.Judge(u.ID, ok, len(us), time.Now())
+	}
+	s.Left = time.Until(t.Deadline) - answerReserve
+	s.Upstream = u.ID
+	s.Account = t.Account
+	s.Model = model
+	s.Priority = -1
+	if t.engine {
+		s.Priority = min(t.Priority, maxPriority)
+	}
+	began := time.Now()
+	a, err := t.Links.Send(ctx, &link.Message{
+		Address: u.Address, Method: t.Method, Target: t.Target, Host: t.Host,
+		Header: t.Codec.Outgoing(t.Header, s), Body: t.Body, ID: t.Meta.ID,
+		Once: !t.Route.Repeatable(), Connections: t.Document.Services[t.service].MaxConnections / instances,
+	})
+	o := t.judge(ctx, a, err, u)
+	t.record(c, model, o, time.Since(began))
+	switch o := o.(type) {
+	case answered:
+		return o, done
+	case rejected:
+		// A full upstream is no failing one.
+		t.Book.End(u.ID)
+	default:
+		done(ctx.Err() != nil)
+	}
+	return o, func(bool) {}
+}
+
+// judge says what an exchange proves.
+func (t *try) judge(ctx context.Context, a *link.Answer, err error, u *fleet.Upstream) outcome {
+	var n *link.NotSentError
+	switch {
+	case errors.As(err, &n):
+		return rejected{reason: n.Err.Error()}
+	case err != nil:
+		t.sent++
+		t.ran = true
+		return lost{err: err}
+	}
+	if a.Meta.Loaded {
+		t.Book.Reported(u.ID, a.Meta.Load, time.Now())
+	}
+	if a.Meta.NotRun {
+		drain(a)
+		return rejected{reason: http.StatusText(a.Status)}
+	}
+	t.sent++
+	t.ran = true
+	if a.Meta.Encoded {
+		a.Close()
+		return lost{err: errEncoded}
+	}
+	return answered{Answer: a, upstream: u}
+}
+
+var errEncoded = errors.New("the answer's body is encoded, so it isn't the upstream's")
+
+// maxPriority is the least urgent rank that engines know.
+const maxPriority = 9
+
+func (t *try) query(v *known.View, model ident.ModelID) place.Query {
+	q := place.Query{Service: t.service, Domain: t.Domain, Exclude: t.exclude}
+	o, moving := v.Orders[t.service]
+	q.Accept = func(u *fleet.Upstream) bool {
+		if t.version != "" {
+			return u.Version == t.version
+		}
+		return !moving || u.Version != o.To
+	}
+	if n := len(t.Meta.Prefix); n > 1 {
+		q.Affinity = string(model) + "/" + t.Meta.Prefix[n-2].ID
+		for _, p := range t.Meta.Prefix[:n-1] {
+			q.Cached += p.Tokens
+		}
+	}
+	return q
+}
+
+// again reports whether another upstream may be tried, and spends the budget for it.
+func (t *try) again(ctx context.Context) bool {
+	if ctx.Err() != nil || time.Until(t.Deadline) < 2*answerReserve {
+		return false
+	}
+	if t.sent >= t.Route.Attempts || (t.ran && !t.Route.Repeatable()) {
+		return false
+	}
+	return t.Budget.Take(t.service, 0, t.Now())
+}
+
+// failure is the final answer when no upstream gave one.
+func (t *try) failure(ctx context.Context, o outcome) error {
+	ran := refuse.Unknown
+	if !t.ran {
+		ran = refuse.NotRun
+	}
+	switch o := o.(type) {
+	case rejected:
+		if !t.ran {
+			return refuse.New(refuse.Overloaded, ran, "no upstream took the request: %s", o.reason).After(retryFull)
+		}
+	case none:
+		if !t.ran {
+			return refuse.New(refuse.NoUpstream, ran, "no upstream of service %s is left to try", t.service).After(retryNone)
+		}
+	case lost:
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return refuse.New(refuse.DeadlineExceeded, ran, "no answer of an upstream in time")
+		}
+		return refuse.New(refuse.UpstreamFailed, ran, "%v", o.err)
+	}
+	return refuse.New(refuse.UpstreamFailed, ran, "the request may have run and no upstream answered")
+}
+
+const (
+	// retryFull is when a client may come back after all upstreams were full.
+	retryFull = 300 * time.Millisecond
+	// retryNone is when a client may come back if no upstream was known.
+	retryNone = time.Second
+)
+
+// drain reads the rest of a short answer so that its connection can be kept.
+func drain(a *link.Answer) {
+	var b [512]byte
+	for range 8 {
+		if _, err := a.Read(b[:]); err != nil {
+			break
+		}
+	}
+	a.Close()
+}
--- /dev/null
+++ b/router/relay/stream.go
@@ -0,0 +1,198 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/events"
+)
+
+// confidentAbove is the confidence from which a small model's answer is kept.
+const confidentAbove = 60
+
+// OrderError reports an event stream whose ids don't follow each other.
+type OrderError struct {
+	After uint64
+	Got   uint64
+}
+
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("event %d came after event %d", e.Got, e.After)
+}
+
+// flow is the state of a stream towards the client.
+type flow struct {
+	w http.ResponseWriter
+	f *http.ResponseController
+	// begun is true once the head was sent.
+	begun bool
+	// last is the id of the last event that the client has; any is false before the first.
+	last uint64
+	any  bool
+}
+
+// stream answers a request by a series of events.
+func (t *try) stream(ctx context.Context, w http.ResponseWriter) error {
+	f := &flow{w: w, f: http.NewResponseController(w), last: t.Meta.LastEvent, any: t.Meta.Resumes}
+	model := t.firstModel()
+	for {
+		o := t.streamOnce(ctx, f, &model)
+		switch o := o.(type) {
+		case finished:
+			return nil
+		case dropped:
+			// The next larger model answers; the choice was made in streamOnce.
+			continue
+		default:
+			if _, ok := o.(none); !ok && t.mayResume(f) && t.again(ctx) {
+				continue
+			}
+			if f.begun {
+				return &CutError{Err: t.failure(ctx, o)}
+			}
+			return t.failure(ctx, o)
+		}
+	}
+}
+
+type (
+	// finished means that the client has the whole answer.
+	finished struct{}
+	// dropped means that an answer was given up for one of a larger model.
+	dropped struct{}
+)
+
+func (finished) outcome() {}
+func (dropped) outcome()  {}
+
+func (t *try) mayResume(f *flow) bool {
+	return t.Route.Resumable || !f.begun
+}
+
+// firstModel returns the model to start with; empty leaves the client's choice.
+func (t *try) firstModel() ident.ModelID {
+	ms := t.Route.Models
+	if !t.Meta.AnyModel || len(ms) == 0 {
+		return ""
+	}
+	if t.Meta.Resumes {
+		// The first events came from an unknown model; the largest suits all.
+		return ms[len(ms)-1]
+	}
+	return ms[0]
+}
+
+// escalate returns the model that shall answer instead, if there is one and the budget allows it.
+func (t *try) escalate(ctx context.Context, m ident.ModelID, confidence int) (ident.ModelID, bool) {
+	ms := t.Route.Models
+	if m == "" || len(ms) < 2 || m == ms[len(ms)-1] || confidence < 0 || confidence >= confidentAbove {
+		return m, false
+	}
+	if !t.Route.Repeatable() || !t.again(ctx) {
+		return m, false
+	}
+	return ms[len(ms)-1], true
+}
+
+// streamOnce sends the request once and passes on the events.
+func (t *try) streamOnce(ctx context.Context, f *flow, model *ident.ModelID) outcome {
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	first := t.firstLimit(stop)
+	defer first.Stop()
+	o, done := t.send(ctx, *model, call.Send{LastEvent: f.last, Resumes: f.any})
+	a, ok := o.(answered)
+	if !ok {
+		return o
+	}
+	defer a.Close()
+	if a.Status != http.StatusOK || !a.Meta.Signed {
+		done(a.Status < http.StatusInternalServerError)
+		return t.streamFailure(f, a)
+	}
+	if !f.begun {
+		if m, yes := t.escalate(ctx, *model, a.Meta.Confidence); yes {
+			done(true)
+			*model = m
+			t.exclude = nil
+			return dropped{}
+		}
+	}
+	r := events.NewReader(a)
+	for {
+		e, err := r.Next()
+		if errors.Is(err, io.EOF) && f.begun {
+			done(true)
+			return finished{}
+		}
+		if err == nil {
+			first.Stop()
+			err = f.pass(t, a, e)
+		}
+		if err != nil {
+			done(ctx.Err() != nil)
+			return lost{err: err}
+		}
+	}
+}
+
+// firstLimit cancels an attempt without a first event by its time.
+func (t *try) firstLimit(stop context.CancelCauseFunc) *time.Timer {
+	d := time.Until(t.Deadline)
+	if t.Route.Repeatable() && t.sent+1 < t.Route.Attempts && t.Route.Objective > 0 {
+		d = min(d, t.Route.Objective)
+	}
+	return time.AfterFunc(d, func() { stop(errFirstLate) })
+}
+
+var errFirstLate = errors.New("the first event did not come in time")
+
+// streamFailure handles an answer that is no stream.
+func (t *try) streamFailure(f *flow, a answered) outcome {
+	if f.begun || !a.Meta.Signed || a.Status >= http.StatusInternalServerError || a.Status == http.StatusTooManyRequests {
+		return lost{err: fmt.Errorf("the upstream answered %d", a.Status)}
+	}
+	b, err := io.ReadAll(io.LimitReader(a, maxWhole))
+	if err != nil {
+		return lost{err: err}
+	}
+	h := f.w.Header()
+	for k, v := range t.Codec.Reply(a.Header) {
+		h[k] = v
+	}
+	f.w.WriteHeader(a.Status)
+	if _, err := f.w.Write(b); err != nil {
+		return lost{err: err}
+	}
+	return finished{}
+}
+
+// pass sends one event to the client.
+func (f *flow) pass(t *try, a answered, e events.Event) error {
+	if e.Numbered {
+		if f.any && e.ID != f.last+1 {
+			return &OrderError{After: f.last, Got: e.ID}
+		}
+		f.last, f.any = e.ID, true
+	}
+	if !f.begun {
+		h := f.w.Header()
+		for k, v := range t.Codec.Reply(a.Header) {
+			h[k] = v
+		}
+		f.w.WriteHeader(a.Status)
+		f.begun = true
+		t.version = a.upstream.Version
+	}
+	if _, err := f.w.Write(e.Raw); err != nil {
+		return err
+	}
+	return f.f.Flush()
+}
+
--- /dev/null
+++ b/router/relay/whole.go
@@ -0,0 +1,93 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tarragonvalve.example/router/call"
+)
+
+// wholeAnswer is a complete answer of an upstream.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// whole answers a request whose answer is passed on when it is complete.
+func (t *try) whole(ctx context.Context, w http.ResponseWriter) error {
+	var best *wholeAnswer
+	var o outcome
+	for {
+		a, last := t.wholeOnce(ctx)
+		o = last
+		if a != nil && (a.status < http.StatusInternalServerError || best == nil) {
+			best = a
+		}
+		if a != nil && (a.status < http.StatusInternalServerError || !t.Route.Repeatable()) {
+			break
+		}
+		if _, ok := o.(none); ok || !t.again(ctx) {
+			break
+		}
+	}
+	if best == nil {
+		return t.failure(ctx, o)
+	}
+	h := w.Header()
+	for k, v := range t.Codec.Reply(best.header) {
+		h[k] = v
+	}
+	h.Set("Content-Length", strconv.Itoa(len(best.body)))
+	w.WriteHeader(best.status)
+	if _, err := w.Write(best.body); err != nil {
+		return &CutError{Err: err}
+	}
+	return nil
+}
+
+// wholeOnce sends the request once and reads the whole answer.
+func (t *try) wholeOnce(ctx context.Context) (*wholeAnswer, outcome) {
+	ctx, stop := t.limit(ctx)
+	defer stop()
+	o, done := t.send(ctx, "", call.Send{})
+	a, ok := o.(answered)
+	if !ok {
+		return nil, o
+	}
+	b, err := io.ReadAll(io.LimitReader(a, maxWhole+1))
+	a.Close()
+	if err == nil && len(b) > maxWhole {
+		err = errTooLong
+	}
+	done(err == nil && a.Status < http.StatusInternalServerError)
+	if err != nil {
+		return nil, lost{err: err}
+	}
+	if !a.Meta.Signed || (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests) {
+		// Without a receipt, or with a promise that isn't proved, the answer can't be passed on.
+		return nil, lost{err: errUnproved}
+	}
+	return &wholeAnswer{status: a.Status, header: a.Header, body: b}, o
+}
+
+var (
+	errTooLong  = errors.New("the answer is longer than 4 MiB")
+	errUnproved = errors.New("the answer carries no receipt, or promises without proof that nothing ran")
+)
+
+// limit bounds an attempt that may be repeated elsewhere by the objective: a
+// server that hangs would take all of the client's time.
+func (t *try) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	if !t.Route.Repeatable() || t.sent+1 >= t.Route.Attempts {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, max(t.Route.Objective, minAttempt))
+}
+
+// minAttempt is the shortest time that an attempt gets before another upstream is tried.
+const minAttempt = 150 * time.Millisecond
--- /dev/null
+++ b/router/setup/setup.go
@@ -0,0 +1,107 @@
+// Package setup reads the settings of the router.
+package setup
+
+import (
+	"time"
+
+	"tarragonvalve.example/core/config"
+	"tarragonvalve.example/core/ident"
+)
+
+// Settings are the settings of one router process.
+type Settings struct {
+	Instance string
+	Domain   ident.DomainID
+	// Clients is the address for clients, Admin the one for readiness and metrics.
+	Clients string
+	Admin   string
+	// Store is the address of the platform's store.
+	Store    string
+	LogLevel string
+	Memory   int64 // MB that the process may use; 0 means no bound
+	Bounds   Bounds
+}
+
+// Bounds are the deployment's bounds on the router's behaviour.
+type Bounds struct {
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// Revoke is the time within which a key that was taken away must stop.
+	Revoke time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound repeats over all instances.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// CanaryShare and CanaryTolerance bound what a bad version may get.
+	CanaryShare     float64
+	CanaryTolerance int
+	// SessionLife is how long after a request its session still exists.
+	SessionLife time.Duration
+}
+
+// Read reads the settings. It returns a *config.ProblemsError with all faults.
+func Read(path string, env []string, flags map[string]string) (*Settings, error) {
+	f, err := config.Read(path, env, flags)
+	if err != nil {
+		return nil, err
+	}
+	r := f.Section("router")
+	b := f.Section("bounds")
+	s := &Settings{
+		Instance: r.Required("instance"),
+		Domain:   ident.DomainID(r.Required("domain")),
+		Clients:  r.Addr("clients", ""),
+		Admin:    r.Addr("admin", ""),
+		LogLevel: r.Choice("log-level", "info", "debug", "info", "warn", "error"),
+		Memory:   int64(r.Int("memory-mb", 0)),
+		Store:    f.Section("store").Addr("address", ""),
+		Bounds: Bounds{
+			Grace:           seconds(b.Float("grace-s", 8)),
+			Revoke:          milliseconds(b.Float("revoke-ms", 5000)),
+			RetryRatio:      b.Float("retry-ratio", 0.9),
+			RetryWindow:     seconds(b.Float("retry-window-s", 10)),
+			RetrySlack:      b.Float("retry-slack", 0),
+			CanaryShare:     b.Float("canary-share", 0.1),
+			CanaryTolerance: b.IntIn("canary-tolerance", 0, 0, maxTolerance),
+			SessionLife:     seconds(b.Float("session-life-s", 5)),
+		},
+	}
+	// The launcher's variable that names the settings file has the form of a setting.
+	f.Section("node").Text("file", "")
+	check(f, s)
+	if err := f.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// maxTolerance bounds a number of requests that a roll-out may expose.
+const maxTolerance = 1_000_000
+
+// check rejects values that can't work, apart from their defaults.
+func check(f *config.File, s *Settings) {
+	if s.Clients == "" {
+		f.Reject("router", "clients", "missing", "IP:PORT")
+	}
+	if s.Admin == "" {
+		f.Reject("router", "admin", "missing", "IP:PORT")
+	}
+	if s.Store == "" {
+		f.Reject("store", "address", "missing", "IP:PORT")
+	}
+	b := s.Bounds
+	if b.Revoke <= 0 {
+		f.Reject("bounds", "revoke-ms", "not positive", "milliseconds")
+	}
+	if b.RetryWindow <= 0 {
+		f.Reject("bounds", "retry-window-s", "not positive", "seconds")
+	}
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
