--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -6,7 +6,10 @@
 	"io"
 	"net"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
@@ -17,10 +20,12 @@
 	"tarragonvalve.example/platform/rows"
 	"tarragonvalve.example/router/budget"
 	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/front"
 	"tarragonvalve.example/router/known"
 	"tarragonvalve.example/router/link"
+	"tarragonvalve.example/router/mover"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/relay"
 	"tarragonvalve.example/router/setup"
@@ -28,12 +33,16 @@
 
 // Main runs the router with command-line arguments and returns its exit code.
 func Main(args []string, out, errs io.Writer) int {
+	// From the first moment on: the signal would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	p := launch.Program[*setup.Settings]{
 		Name:  "router",
 		About: "Serves clients and speaks to upstreams directly.",
 		Read:  setup.Read,
 		Run: func(ctx context.Context, s *setup.Settings, out, _ io.Writer) error {
-			return run(ctx, s, out)
+			return run(ctx, s, reload, out)
 		},
 	}
 	return p.Main(args, out, errs)
@@ -45,7 +54,7 @@
 	megabyte    = 1 << 20
 )
 
-func run(ctx context.Context, s *setup.Settings, out io.Writer) error {
+func run(ctx context.Context, s *setup.Settings, reload <-chan os.Signal, out io.Writer) error {
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory*megabyte) * memoryShare))
 	}
@@ -53,8 +62,8 @@
 	if err != nil {
 		return err
 	}
-	l.Info().Str("instance", s.Instance).Str("domain", string(s.Domain)).Int("pid", os.Getpid()).Msg("start")
-	steps, err := build(s, l)
+	l.Info().Str("domain", string(s.Domain)).Int("pid", os.Getpid()).Msg("start")
+	steps, err := build(s, reload, l)
 	if err != nil {
 		return err
 	}
@@ -74,17 +83,20 @@
 
 // build wires all parts and returns the steps in the order of their start.
 // They stop in reverse order, so clients are drained while all others work.
-func build(s *setup.Settings, l zerolog.Logger) ([]serve.Step, error) {
+func build(s *setup.Settings, reload <-chan os.Signal, l zerolog.Logger) ([]serve.Step, error) {
 	c := dig.New()
 	for _, p := range []any{
 		func() *setup.Settings { return s },
 		func() zerolog.Logger { return l },
+		func() *setup.Live { return setup.NewLive(s, reload, l) },
 		func() clock.Func { return clock.Boot },
 		func() call.Codec { return heads.Codec{} },
 		func() known.Store { return rows.New(s.Store) },
 		known.New,
 		link.New,
 		place.New,
+		canary.NewWatch,
+		newMover,
 		newBudget,
 		newRelay,
 		newGate,
@@ -97,36 +109,39 @@
 		}
 	}
 	var steps []serve.Step
-	err := c.Invoke(func(n *known.Node, p *link.Pool, a *admin, f *front.Server) {
-		steps = []serve.Step{n, p, a, f}
+	err := c.Invoke(func(v *setup.Live, n *known.Node, p *link.Pool, m *mover.Mover, a *admin, f *front.Server) {
+		steps = []serve.Step{v, n, p, m, a, f}
 	})
 	return steps, err
 }
 
-func newBudget(s *setup.Settings) *budget.Budget {
-	return budget.New(rule(s))
+func newBudget(v *setup.Live) *budget.Budget {
+	return budget.New(func() budget.Rule {
+		b := v.Bounds()
+		return budget.Rule{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack / slackShares}
+	})
 }
 
 // slackShares is the number of parts into which the bound's slack is divided:
 // more than there are instances today, so that the sum holds without coordination.
 const slackShares = 10
 
-func rule(s *setup.Settings) budget.Rule {
-	return budget.Rule{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack / slackShares}
+func newMover(s *setup.Settings, v *setup.Live, n *known.Node, w *canary.Watch, l zerolog.Logger) *mover.Mover {
+	return mover.New(n, w, s.Instance, func() float64 { return v.Bounds().CanaryShare }, l)
 }
 
-func newRelay(s *setup.Settings, n *known.Node, p *link.Pool, c call.Codec, b *place.Book, u *budget.Budget, now clock.Func, l zerolog.Logger) *relay.Relay {
-	return relay.New(relay.Options{Node: n, Links: p, Codec: c, Book: b, Budget: u, Now: now, Log: l, Domain: s.Domain})
+func newRelay(s *setup.Settings, n *known.Node, p *link.Pool, c call.Codec, b *place.Book, w *canary.Watch, u *budget.Budget, now clock.Func, l zerolog.Logger) *relay.Relay {
+	return relay.New(relay.Options{Node: n, Links: p, Codec: c, Book: b, Watch: w, Budget: u, Now: now, Log: l, Domain: s.Domain})
 }
 
-func newGate(s *setup.Settings, n *known.Node, now clock.Func) *front.Gate {
-	return front.NewGate(n, now, s.Bounds.Revoke)
+func newGate(v *setup.Live, n *known.Node, now clock.Func) *front.Gate {
+	return front.NewGate(n, now, func() time.Duration { return v.Bounds().Revoke })
 }
 
-func newClients(s *setup.Settings, h *front.Handler, g *front.Gate, n *known.Node, l zerolog.Logger) (*front.Server, error) {
+func newClients(s *setup.Settings, v *setup.Live, h *front.Handler, g *front.Gate, n *known.Node, l zerolog.Logger) (*front.Server, error) {
 	i, err := net.Listen("tcp", s.Clients)
 	if err != nil {
 		return nil, err
 	}
-	return &front.Server{Listener: i, Handler: h, Gate: g, Node: n, Grace: s.Bounds.Grace, Log: l}, nil
+	return &front.Server{Listener: i, Handler: h, Gate: g, Node: n, Grace: func() time.Duration { return v.Bounds().Grace }, Log: l}, nil
 }
--- a/router/budget/budget.go
+++ b/router/budget/budget.go
@@ -37,20 +37,15 @@
 // that doesn't jump. It is safe for concurrent use.
 type Budget struct {
 	mu       sync.Mutex
-	rule     Rule
+	rule     func() Rule
+	window   time.Duration
 	services map[ident.ServiceID]*[slots]counts
 }
 
-// New returns a budget without history.
-func New(r Rule) *Budget {
-	return &Budget{rule: r, services: map[ident.ServiceID]*[slots]counts{}}
-}
-
-// Set changes the rule.
-func (b *Budget) Set(r Rule) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.rule = r
+// New returns a budget without history. rule returns the bound in force; its
+// window is fixed at the first use.
+func New(rule func() Rule) *Budget {
+	return &Budget{rule: rule, window: rule().Window, services: map[ident.ServiceID]*[slots]counts{}}
 }
 
 // Request records the first attempt of a request.
@@ -74,7 +69,8 @@
 			repeats += x.repeats
 		}
 	}
-	allowed := (b.rule.Ratio*(1-reserve)*float64(requests) + b.rule.Slack) * (1 - keep)
+	r := b.rule()
+	allowed := (r.Ratio*(1-reserve)*float64(requests) + r.Slack) * (1 - keep)
 	if float64(repeats+1) > allowed {
 		return false
 	}
@@ -83,7 +79,7 @@
 }
 
 func (b *Budget) slot(now time.Duration) int64 {
-	return now.Nanoseconds() / (b.rule.Window.Nanoseconds() / slots)
+	return now.Nanoseconds() / (b.window.Nanoseconds() / slots)
 }
 
 func (b *Budget) at(s ident.ServiceID, now time.Duration) *counts {
--- a/router/canary/types.go
+++ b/router/canary/types.go
@@ -62,4 +62,16 @@
 	Phase Phase
 	// Began is the store's clock when the first instance took the order up.
 	Began time.Duration
+	// Share is the part of sessions, in hundredths of a percent, that the new
+	// version gets as a canary. All instances use the same one.
+	Share ident.Share
+}
+
+// Tally is what one instance saw of a new version, shared through the store.
+type Tally struct {
+	Service  ident.ServiceID
+	Instance string
+	Order    uint64
+	Answers  int
+	Bad      int
 }
--- a/router/front/gate.go
+++ b/router/front/gate.go
@@ -19,29 +19,24 @@
 
 // Gate says what the instance may accept now. It is safe for concurrent use.
 type Gate struct {
-	node    *known.Node
-	now     clock.Func
-	revoke  atomic.Int64 // bound on the age of the configuration in ns
+	node *known.Node
+	now  clock.Func
+	// revoke returns the time within which a key that was taken away must stop.
+	revoke  func() time.Duration
 	stopped atomic.Int64 // when the stop began, in ns; 0 before
 	open    atomic.Int64 // requests in progress
 }
 
-// NewGate returns a gate. revoke is the time within which a key that was taken away must stop.
-func NewGate(n *known.Node, now clock.Func, revoke time.Duration) *Gate {
-	g := &Gate{node: n, now: now}
-	g.SetRevoke(revoke)
-	return g
-}
-
-// SetRevoke changes the bound on the age of the configuration.
-func (g *Gate) SetRevoke(d time.Duration) {
-	g.revoke.Store(int64(d - revokeMargin))
+// NewGate returns a gate. revoke returns the time within which a key that was
+// taken away must stop.
+func NewGate(n *known.Node, now clock.Func, revoke func() time.Duration) *Gate {
+	return &Gate{node: n, now: now, revoke: revoke}
 }
 
 // Fresh reports whether the configuration is provably fresh enough for keys.
 func (g *Gate) Fresh() bool {
 	a, ok := g.node.Age()
-	return ok && a < time.Duration(g.revoke.Load())
+	return ok && a < g.revoke()-revokeMargin
 }
 
 // Ready reports whether the instance shall get new connections.
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -38,7 +38,7 @@
 	Gate     *Gate
 	Node     *known.Node
 	// Grace is the time between the signal to stop and the kill.
-	Grace time.Duration
+	Grace func() time.Duration
 	Log   zerolog.Logger
 
 	mu   sync.Mutex
@@ -89,7 +89,7 @@
 	for {
 		time.Sleep(stopPoll)
 		past := time.Since(began)
-		if past > s.Grace-stopMargin {
+		if past > s.Grace()-stopMargin {
 			s.Log.Warn().Int("open", s.Gate.Open()).Msg("stopping: grace period over with requests open")
 			return
 		}
--- a/router/known/known.go
+++ b/router/known/known.go
@@ -98,6 +98,13 @@
 	return n.store.SaveProgress(ctx, p, seen)
 }
 
+// SaveTally writes what this instance saw of a new version.
+func (n *Node) SaveTally(ctx context.Context, t canary.Tally) error {
+	ctx, stop := context.WithTimeout(ctx, answerLimit)
+	defer stop()
+	return n.store.SaveTally(ctx, t)
+}
+
 // Name is the name of the step.
 func (n *Node) Name() string { return "known" }
 
@@ -154,6 +161,10 @@
 	if u.snapshot && u.topic == TopicUpstreams {
 		changed = s.reset(u.page.Changes, now)
 	}
+	if u.topic == TopicProgress && !s.progressRead {
+		s.progressRead = true
+		changed = true
+	}
 	for _, c := range u.page.Changes {
 		if s.apply(c, now) {
 			changed = true
--- a/router/known/record.go
+++ b/router/known/record.go
@@ -12,6 +12,9 @@
 	case RolloutMoved:
 		n.log.Info().Str("service", string(c.Progress.Service)).Str("version", string(c.Progress.To)).
 			Stringer("phase", c.Progress.Phase).Uint64("revision", uint64(c.Revision)).Msg("roll-out moved")
+	case TallyChanged:
+		n.log.Info().Str("service", string(c.Tally.Service)).Str("by", c.Tally.Instance).
+			Int("answers", c.Tally.Answers).Int("bad", c.Tally.Bad).Msg("bad answers of a new version reported")
 	case UpstreamChanged:
 		n.log.Info().Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).
 			Str("version", string(c.Upstream.Version)).Str("address", c.Upstream.Address).
--- a/router/known/state.go
+++ b/router/known/state.go
@@ -23,10 +23,19 @@
 	Fleet    *fleet.List
 	Orders   map[ident.ServiceID]canary.Order
 	Progress map[ident.ServiceID]RolloutMoved
+	Tallies  []canary.Tally
+	// ProgressRead is true once the states of roll-outs were read.
+	ProgressRead bool
 	// Listed is true once the upstreams were read.
 	Listed bool
 }
 
+// tallyKey names a tally: each instance has one for each service.
+type tallyKey struct {
+	service  ident.ServiceID
+	instance string
+}
+
 // state is owned by the control goroutine.
 type state struct {
 	document  *routes.Document
@@ -35,7 +44,10 @@
 	doubtful map[ident.UpstreamID]time.Duration
 	orders   map[ident.ServiceID]canary.Order
 	progress map[ident.ServiceID]RolloutMoved
+	tallies  map[tallyKey]canary.Tally
 	listed   bool
+	// progressRead is true once the states of roll-outs were read.
+	progressRead bool
 	// graceEnd is when missing entries count as gone again after an outage.
 	graceEnd time.Duration
 }
@@ -46,6 +58,7 @@
 		doubtful:  map[ident.UpstreamID]time.Duration{},
 		orders:    map[ident.ServiceID]canary.Order{},
 		progress:  map[ident.ServiceID]RolloutMoved{},
+		tallies:   map[tallyKey]canary.Tally{},
 	}
 }
 
@@ -72,6 +85,8 @@
 			return false
 		}
 		s.progress[c.Progress.Service] = c
+	case TallyChanged:
+		s.tallies[tallyKey{c.Tally.Service, c.Tally.Instance}] = c.Tally
 	case UpstreamChanged:
 		s.upstreams[c.Upstream.ID] = c.Upstream
 		delete(s.doubtful, c.Upstream.ID)
@@ -143,5 +158,12 @@
 	for id, p := range s.progress {
 		ps[id] = p
 	}
-	return &View{Document: s.document, Fleet: fleet.New(us), Orders: os, Progress: ps, Listed: s.listed}
+	v := &View{
+		Document: s.document, Fleet: fleet.New(us), Orders: os, Progress: ps,
+		Listed: s.listed, ProgressRead: s.progressRead,
+	}
+	for _, t := range s.tallies {
+		v.Tallies = append(v.Tallies, t)
+	}
+	return v
 }
--- a/router/known/types.go
+++ b/router/known/types.go
@@ -55,6 +55,8 @@
 		Progress canary.Progress
 		Revision Revision
 	}
+	// TallyChanged carries what an instance saw of a new version.
+	TallyChanged struct{ Tally canary.Tally }
 	// Unreadable reports a row that names nothing usable.
 	Unreadable struct {
 		Key    string
@@ -67,6 +69,7 @@
 func (UpstreamChanged) change() {}
 func (UpstreamGone) change()    {}
 func (RolloutMoved) change()    {}
+func (TallyChanged) change()    {}
 func (Unreadable) change()      {}
 
 // Page is what one read of a topic returned.
@@ -89,6 +92,8 @@
 	// SaveProgress writes the state of a roll-out if its row still has the
 	// revision seen; 0 means that no row exists. It returns a *ConflictError otherwise.
 	SaveProgress(ctx context.Context, p canary.Progress, seen Revision) error
+	// SaveTally writes what an instance saw of a new version; only that instance writes it.
+	SaveTally(ctx context.Context, t canary.Tally) error
 }
 
 // HistoryLostError reports that the store no longer has the changes asked for.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -15,6 +15,7 @@
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/router/budget"
 	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/known"
@@ -66,6 +67,7 @@
 	Links  *link.Pool
 	Codec  call.Codec
 	Book   *place.Book
+	Watch  *canary.Watch
 	Budget *budget.Budget
 	Now    clock.Func
 	Log    zerolog.Logger
@@ -114,6 +116,8 @@
 	exclude []ident.UpstreamID
 	// version is set once an answer has begun; it can only go on at the same version.
 	version fleet.Version
+	// latency is the time of the present attempt if it can be compared with others.
+	latency time.Duration
 }
 
 // outcome is the result of one send; the sealed cases are below.
@@ -153,6 +157,7 @@
 	done := func(ok bool) {
 		t.Book.End(u.ID)
 		t.Book.Judge(u.ID, ok, len(us), time.Now())
+		t.observe(u, !ok, t.latency)
 	}
 	s.Left = time.Until(t.Deadline) - answerReserve
 	s.Upstream = u.ID
@@ -163,6 +168,7 @@
 		s.Priority = min(t.Priority, maxPriority)
 	}
 	began := time.Now()
+	t.latency = 0
 	a, err := t.Links.Send(ctx, &link.Message{
 		Address: u.Address, Method: t.Method, Target: t.Target, Host: t.Host,
 		Header: t.Codec.Outgoing(t.Header, s), Body: t.Body, ID: t.Meta.ID,
@@ -177,7 +183,12 @@
 		// A full upstream is no failing one.
 		t.Book.End(u.ID)
 	default:
-		done(ctx.Err() != nil)
+		if errors.Is(context.Cause(ctx), context.Canceled) {
+			// The client left; that says nothing about the upstream.
+			t.Book.End(u.ID)
+			break
+		}
+		done(false)
 	}
 	return o, func(bool) {}
 }
@@ -214,15 +225,50 @@
 // maxPriority is the least urgent rank that engines know.
 const maxPriority = 9
 
-func (t *try) query(v *known.View, model ident.ModelID) place.Query {
-	q := place.Query{Service: t.service, Domain: t.Domain, Exclude: t.exclude}
-	o, moving := v.Orders[t.service]
-	q.Accept = func(u *fleet.Upstream) bool {
-		if t.version != "" {
-			return u.Version == t.version
+// accept returns which upstreams' versions the request may use. If the roll-out
+// leaves no upstream, any version may answer.
+func (t *try) accept(v *known.View) func(u *fleet.Upstream) bool {
+	if t.version != "" {
+		return func(u *fleet.Upstream) bool { return u.Version == t.version }
+	}
+	r := t.rollout(v)
+	accept := func(u *fleet.Upstream) bool { return r.Accepts(u.Version) }
+	for _, u := range v.Fleet.Service(t.service) {
+		if !u.Draining && accept(u) {
+			return accept
 		}
-		return !moving || u.Version != o.To
 	}
+	return nil
+}
+
+// rollout returns which side of a roll-out the request belongs to.
+func (t *try) rollout(v *known.View) canary.Route {
+	o, ok := v.Orders[t.service]
+	if !ok {
+		return canary.Route{}
+	}
+	var p *canary.Progress
+	if m, ok := v.Progress[t.service]; ok {
+		p = &m.Progress
+	}
+	s := t.Meta.Session
+	if s == "" {
+		s = string(t.Meta.ID)
+	}
+	return canary.Choose(o, p, t.Watch.Verdict(t.service, o.Revision) != "", xxhash.Sum64String(s))
+}
+
+// observe tells the watch how an attempt ended; latency is 0 if it can't be compared.
+func (t *try) observe(u *fleet.Upstream, failed bool, latency time.Duration) {
+	o := t.Node.View().Orders[t.service]
+	t.Watch.Observe(canary.Answer{
+		Service: t.service, New: o.To != "" && u.Version == o.To, Failed: failed, Latency: latency,
+	}, o.Revision)
+}
+
+func (t *try) query(v *known.View, model ident.ModelID) place.Query {
+	q := place.Query{Service: t.service, Domain: t.Domain, Exclude: t.exclude}
+	q.Accept = t.accept(v)
 	if n := len(t.Meta.Prefix); n > 1 {
 		q.Affinity = string(model) + "/" + t.Meta.Prefix[n-2].ID
 		for _, p := range t.Meta.Prefix[:n-1] {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -88,6 +88,12 @@
 	return ms[0]
 }
 
+// smallest reports whether a model's times can be compared: larger ones answer
+// other requests and take several times as long.
+func (t *try) smallest(m ident.ModelID) bool {
+	return len(t.Route.Models) == 0 || m == t.Route.Models[0]
+}
+
 // escalate returns the model that shall answer instead, if there is one and the budget allows it.
 func (t *try) escalate(ctx context.Context, m ident.ModelID, confidence int) (ident.ModelID, bool) {
 	ms := t.Route.Models
@@ -106,6 +112,7 @@
 	defer stop(nil)
 	first := t.firstLimit(stop)
 	defer first.Stop()
+	began := time.Now()
 	o, done := t.send(ctx, *model, call.Send{LastEvent: f.last, Resumes: f.any})
 	a, ok := o.(answered)
 	if !ok {
@@ -132,11 +139,14 @@
 			return finished{}
 		}
 		if err == nil {
+			if t.latency == 0 && t.smallest(*model) {
+				t.latency = time.Since(began)
+			}
 			first.Stop()
 			err = f.pass(t, a, e)
 		}
 		if err != nil {
-			done(ctx.Err() != nil)
+			done(errors.Is(context.Cause(ctx), context.Canceled))
 			return lost{err: err}
 		}
 	}
@@ -195,4 +205,3 @@
 	}
 	return f.f.Flush()
 }
-
--- a/router/relay/whole.go
+++ b/router/relay/whole.go
@@ -54,6 +54,7 @@
 func (t *try) wholeOnce(ctx context.Context) (*wholeAnswer, outcome) {
 	ctx, stop := t.limit(ctx)
 	defer stop()
+	began := time.Now()
 	o, done := t.send(ctx, "", call.Send{})
 	a, ok := o.(answered)
 	if !ok {
@@ -64,6 +65,7 @@
 	if err == nil && len(b) > maxWhole {
 		err = errTooLong
 	}
+	t.latency = time.Since(began)
 	done(err == nil && a.Status < http.StatusInternalServerError)
 	if err != nil {
 		return nil, lost{err: err}
--- a/router/setup/setup.go
+++ b/router/setup/setup.go
@@ -20,6 +20,8 @@
 	LogLevel string
 	Memory   int64 // MB that the process may use; 0 means no bound
 	Bounds   Bounds
+	// again reads the settings from where they came from.
+	again func() (*Settings, error)
 }
 
 // Bounds are the deployment's bounds on the router's behaviour.
@@ -72,6 +74,7 @@
 	if err := f.Err(); err != nil {
 		return nil, err
 	}
+	s.again = func() (*Settings, error) { return Read(path, env, flags) }
 	return s, nil
 }
 
