fix: close the listener before idle connections at the stop, date answers by their reply

Requests were refused 1.7 s too early when the store went away, since a watch's answer was dated by its question. Ruled out: a longer grace; the closing itself raced.

--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -7,7 +7,6 @@
 	"log"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,8 +22,9 @@
 	// headerLimit bounds the time for a request's head.
 	headerLimit = 10 * time.Second
 	maxHeader   = 64 << 10
-	// keepIdle is how long idle connections stay open during a stop, so that
-	// their clients get an answer that tells them to close.
+	// keepIdle is how long the listener and idle connections stay open during a
+	// stop: the balancer needs two missed checks, a second apart, and clients of
+	// kept connections get an answer that tells them to close.
 	keepIdle = 5 * time.Second
 	// stopMargin is left of the grace period for the exit itself.
 	stopMargin = 600 * time.Millisecond
@@ -37,12 +37,13 @@
 	Handler  http.Handler
 	Gate     *Gate
 	Node     *known.Node
-	// Grace is the time between the signal to stop and the kill.
+	// Grace returns the time between the signal to stop and the kill.
 	Grace func() time.Duration
-	Log   zerolog.Logger
+	// Notice is how long new connections are accepted during a stop; 0 means keepIdle.
+	Notice time.Duration
+	Log    zerolog.Logger
 
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
+	conns connections
 }
 
 // Name is the name of the step.
@@ -51,10 +52,9 @@
 // Run serves until ctx ends, and then until open requests have ended or the
 // grace period is nearly over.
 func (s *Server) Run(ctx context.Context) error {
-	s.idle = map[net.Conn]time.Time{}
 	h := &http.Server{
-		Handler: s.Handler, ReadHeaderTimeout: headerLimit, MaxHeaderBytes: maxHeader,
-		ConnState: s.track, ErrorLog: log.New(io.Discard, "", 0),
+		Handler: s.conns.guard(s.Handler), ReadHeaderTimeout: headerLimit, MaxHeaderBytes: maxHeader,
+		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(io.Discard, "", 0),
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- h.Serve(s.Listener) }()
@@ -65,7 +65,7 @@
 		case err := <-failed:
 			return err
 		case <-t.C:
-			s.closeIdle(s.idleLimit())
+			s.conns.closeIdle(s.idleLimit())
 		case <-ctx.Done():
 			s.drain()
 			return s.end(h)
@@ -81,11 +81,17 @@
 	return err
 }
 
-// drain waits for the end of open requests.
+// drain waits until no connection is left. The listener is closed first and idle
+// connections after it, so no request is read that would then be given up.
 func (s *Server) drain() {
 	s.Gate.Stop()
 	began := time.Now()
+	notice := s.Notice
+	if notice == 0 {
+		notice = keepIdle
+	}
 	s.Log.Info().Int("open", s.Gate.Open()).Msg("stopping: no longer ready")
+	closed := false
 	for {
 		time.Sleep(stopPoll)
 		past := time.Since(began)
@@ -93,13 +99,20 @@
 			s.Log.Warn().Int("open", s.Gate.Open()).Msg("stopping: grace period over with requests open")
 			return
 		}
-		if past > keepIdle {
-			s.closeIdle(0)
-			if s.Gate.Open() == 0 {
-				s.Log.Info().Msg("stopping: all requests ended")
-				return
+		if past <= notice {
+			continue
+		}
+		if !closed {
+			closed = true
+			if err := s.Listener.Close(); err != nil {
+				s.Log.Warn().Err(err).Msg("stopping: listener not closed")
 			}
 		}
+		s.conns.closeIdle(0)
+		if s.conns.count() == 0 && s.Gate.Open() == 0 {
+			s.Log.Info().Msg("stopping: all requests ended")
+			return
+		}
 	}
 }
 
@@ -110,28 +123,3 @@
 	}
 	return d.Limits.Idle
 }
-
-// track remembers since when a connection has been idle.
-func (s *Server) track(c net.Conn, st http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch st {
-	case http.StateIdle, http.StateNew:
-		s.idle[c] = time.Now()
-	default:
-		delete(s.idle, c)
-	}
-}
-
-// closeIdle closes connections that have been idle longer than limit.
-func (s *Server) closeIdle(limit time.Duration) {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c, t := range s.idle {
-		if now.Sub(t) > limit {
-			c.Close()
-			delete(s.idle, c)
-		}
-	}
-}
--- a/router/known/known.go
+++ b/router/known/known.go
@@ -15,18 +15,27 @@
 )
 
 const (
-	// ordersWait and upstreamsWait bound how long the store holds a question
-	// without news. A key taken away must stop within seconds, so the answer
-	// that proves freshness must come often; each one has a price.
-	ordersWait    = 1500 * time.Millisecond
+	// ordersWait, upstreamsWait and progressWait bound how long the store holds a
+	// question without news. A key taken away must stop within 5 s, and requests
+	// count for 3 s after contact was lost: the answers that prove freshness must
+	// be at most 1 s apart. Each one has a price.
+	ordersWait    = 950 * time.Millisecond
 	upstreamsWait = 2500 * time.Millisecond
 	progressWait  = 1500 * time.Millisecond
+	// deafness is how long the store's watch may miss changes before it ends
+	// (platform's page): an answer without news proves nothing of that time.
+	deafness = 800 * time.Millisecond
+	// gather is the pause after changes of upstreams, so that several that come
+	// together cost one answer. Leaving upstreams serve for two seconds more.
+	gather = 250 * time.Millisecond
 	// answerLimit is how long an answer may take beyond the wait. A store
 	// slowed eighty times takes 0.4 s.
 	answerLimit = 1200 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 50 * time.Millisecond
-	retryMost  = 500 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+	// retryAway is the pause of the other topics while the store is away.
+	retryAway = 700 * time.Millisecond
 	// staleAfter is the age of an answer above which it is no evidence of freshness.
 	staleAfter = 500 * time.Millisecond
 )
@@ -220,8 +229,12 @@
 		return
 	}
 	f.pause.Reset()
+	received := f.now()
+	if f.synced {
+		sent = max(sent, received-deafness)
+	}
 	f.mu.Lock()
-	asOf := f.evidence.AsOf(sent, f.now(), p.Clock)
+	asOf := f.evidence.AsOf(sent, received, p.Clock)
 	f.mu.Unlock()
 	if p.Revision < f.after || asOf < sent-staleAfter {
 		f.log.Warn().Stringer("topic", f.topic).Dur("behind", sent-asOf).Uint64("revision", uint64(p.Revision)).Msg("stale answer of the store ignored")
@@ -238,6 +251,9 @@
 		f.lost = false
 		f.log.Info().Str("dependency", "store").Stringer("topic", f.topic).Msg("dependency regained")
 	}
+	if f.topic == TopicUpstreams && f.synced && len(p.Changes) > 0 {
+		f.sleep(ctx, gather)
+	}
 	f.synced = true
 	f.after = p.Revision
 	if f.topic == TopicOrders {
@@ -272,7 +288,21 @@
 	}
 	// A snapshot after an outage also shows removals that the history no longer has.
 	f.synced = false
-	f.sleep(ctx, f.pause.NextBackOff())
+	d := f.pause.NextBackOff()
+	if f.topic != TopicOrders {
+		// While the store is away, one topic finds out when it returns.
+		d = f.untilBack(d)
+	}
+	f.sleep(ctx, d)
+}
+
+// untilBack returns how long a less important topic pauses after a failure:
+// longer while the orders can't be read either.
+func (f *follower) untilBack(d time.Duration) time.Duration {
+	if a, ok := f.Age(); !ok || a > ordersWait+answerLimit {
+		return retryAway
+	}
+	return d
 }
 
 func (f *follower) sleep(ctx context.Context, d time.Duration) {
