feat: notice silent upstreams, predict work, choose the larger model by its worth

Change: package pulse (silence, checked by a new connection), predicted work and learnt speed in place, package choose (expected worth against price).

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -22,11 +22,13 @@
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/front"
 	"tarragonvalve.example/router/known"
 	"tarragonvalve.example/router/link"
 	"tarragonvalve.example/router/mover"
 	"tarragonvalve.example/router/place"
+	"tarragonvalve.example/router/pulse"
 	"tarragonvalve.example/router/relay"
 	"tarragonvalve.example/router/setup"
 )
@@ -98,6 +100,7 @@
 		canary.NewWatch,
 		newMover,
 		newBudget,
+		newPulse,
 		newRelay,
 		newGate,
 		front.New,
@@ -109,8 +112,8 @@
 		}
 	}
 	var steps []serve.Step
-	err := c.Invoke(func(v *setup.Live, n *known.Node, p *link.Pool, m *mover.Mover, a *admin, f *front.Server) {
-		steps = []serve.Step{v, n, p, m, a, f}
+	err := c.Invoke(func(v *setup.Live, n *known.Node, p *link.Pool, m *mover.Mover, u *pulse.Monitor, a *admin, f *front.Server) {
+		steps = []serve.Step{v, n, p, m, u, a, f}
 	})
 	return steps, err
 }
@@ -130,8 +133,31 @@
 	return mover.New(n, w, s.Instance, func() float64 { return v.Bounds().CanaryShare }, l)
 }
 
-func newRelay(s *setup.Settings, n *known.Node, p *link.Pool, c call.Codec, b *place.Book, w *canary.Watch, u *budget.Budget, now clock.Func, l zerolog.Logger) *relay.Relay {
-	return relay.New(relay.Options{Node: n, Links: p, Codec: c, Book: b, Watch: w, Budget: u, Now: now, Log: l, Domain: s.Domain})
+func newPulse(b *place.Book, n *known.Node, l zerolog.Logger) *pulse.Monitor {
+	return pulse.New(b, func() *fleet.List { return n.View().Fleet }, l)
+}
+
+// relayParts are the parts that a relay uses.
+type relayParts struct {
+	dig.In
+
+	Settings *setup.Settings
+	Node     *known.Node
+	Links    *link.Pool
+	Codec    call.Codec
+	Book     *place.Book
+	Pulse    *pulse.Monitor
+	Watch    *canary.Watch
+	Budget   *budget.Budget
+	Now      clock.Func
+	Log      zerolog.Logger
+}
+
+func newRelay(p relayParts) *relay.Relay {
+	return relay.New(relay.Options{
+		Node: p.Node, Links: p.Links, Codec: p.Codec, Book: p.Book, Pulse: p.Pulse, Watch: p.Watch,
+		Budget: p.Budget, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values,
+	})
 }
 
 func newGate(v *setup.Live, n *known.Node, now clock.Func) *front.Gate {
--- a/router/call/call.go
+++ b/router/call/call.go
@@ -29,6 +29,8 @@
 	AnyModel bool
 	Input    ident.Tokens
 	Output   ident.Tokens
+	// Hint is the client's estimate of the output; 0 means none.
+	Hint ident.Tokens
 	// Prefix lists the parts of the prompt in order; the last one is the request's or its session's own.
 	Prefix []Part
 	// Session is the client's name for requests that belong together; it may be empty.
--- /dev/null
+++ b/router/choose/choose.go
@@ -0,0 +1,86 @@
+// Package choose decides which model answers a request: a small one first, and a
+// larger one instead if the small one's answer is likely wrong and the larger
+// one's is worth its price.
+package choose
+
+import (
+	"time"
+
+	"tarragonvalve.example/core/ident"
+)
+
+const (
+	// outputWeight is how much more a generated token counts than one read.
+	outputWeight = 10
+	// readPart is the part of a model's price that a token read costs.
+	readPart = 0.25
+	// poorPart is what a wrong answer is still worth.
+	poorPart = 0.05
+	// latePart is what an answer after its objective is worth.
+	latePart = 0.3
+	// expectedPart is the usual length of an answer against its permitted one.
+	expectedPart = 0.5
+	// crowded is the queue, in time, at which a larger model counts double: it
+	// delays the requests that wait behind it.
+	crowded = 150 * time.Millisecond
+	// perThousand is the unit of values and prices, in tokens.
+	perThousand = 1000
+)
+
+// Model is a model with its price for 1,000 generated tokens.
+type Model struct {
+	ID    ident.ModelID
+	Price float64
+}
+
+// Request is what is known of a request.
+type Request struct {
+	Input ident.Tokens
+	// Output is the permitted number of tokens, Hint the client's estimate or 0.
+	Output, Hint ident.Tokens
+	// Value is what 1,000 weighted tokens of a right answer are worth, in the unit of prices.
+	Value float64
+	// Left is the time until the objective.
+	Left time.Duration
+}
+
+func (r *Request) output() float64 {
+	if r.Hint > 0 {
+		return float64(min(r.Hint, max(r.Output, 1)))
+	}
+	return float64(r.Output) * expectedPart
+}
+
+// worth returns what a right answer in time is worth.
+func (r *Request) worth() float64 {
+	return r.Value * (float64(r.Input) + outputWeight*r.output()) / perThousand
+}
+
+// price returns what an answer of a model costs.
+func (r *Request) price(m Model) float64 {
+	return m.Price * (readPart*float64(r.Input) + r.output()) / perThousand
+}
+
+// Offer is what a larger model would take.
+type Offer struct {
+	Model Model
+	// Delay is the predicted time until its answer begins, Queue the part of it
+	// that is spent behind other requests.
+	Delay, Queue time.Duration
+}
+
+// Replace reports whether the answer of a small model, with its own confidence
+// from 0 to 100, shall be given up for that of a larger one.
+func Replace(r Request, confidence int, o Offer) bool {
+	if confidence < 0 {
+		return false
+	}
+	right := float64(confidence) / 100
+	keep := right + (1-right)*poorPart
+	inTime := 1.0
+	if o.Delay > r.Left {
+		inTime = latePart
+	}
+	strain := 1 + o.Queue.Seconds()/crowded.Seconds()
+	return r.worth()*(inTime-keep) > r.price(o.Model)*strain
+}
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// dialLimit bounds the set-up of a connection; it takes a few ms within a region.
-	dialLimit = time.Second
+	// dialLimit bounds the set-up of a connection; it takes a few ms within a
+	// region. An upstream without power doesn't answer at all.
+	dialLimit = 250 * time.Millisecond
 	// unackedLimit ends connections on which sent bytes stay unacknowledged: a
 	// link that went silent reports nothing else.
 	unackedLimit = 1500 * time.Millisecond
--- a/router/place/place.go
+++ b/router/place/place.go
@@ -17,13 +17,23 @@
 const (
 	// reportLife is how long an upstream's report of its load counts.
 	reportLife = 2 * time.Second
-	// domainCost is the predicted loss, in ms, of leaving the failure domain.
-	domainCost = 120.0
+	// baseDelay is the nominal delay, in ms, of an idle upstream.
+	baseDelay = 30.0
 	// runningCost is the slow-down, in ms, by each request that runs beside.
-	runningCost = 12.0
-	// waitingCost is the loss, in ms, by each request that waits ahead.
-	waitingCost = 60.0
-	// prefillPerMs is the number of prompt tokens that an engine reads in a ms.
+	runningCost = 4.0
+	// waitingWork is the nominal work, in ms, of a request of other instances that waits.
+	waitingWork = 80.0
+	// domainBase and domainPerKB are the loss, in ms, of leaving the failure
+	// domain: the way and the price of the bytes.
+	domainBase  = 15.0
+	domainPerKB = 7.0
+	// missPerToken is the price, in ms, of a prompt token that is read though
+	// another upstream has it cached, beside the time to read it.
+	missPerToken = 0.035
+	// wideTokens is the length of a cached prefix from which one upstream of all
+	// failure domains keeps it; shorter ones are kept in each.
+	wideTokens = 2000
+	// prefillPerMs is the number of prompt tokens that the reference model reads in a ms.
 	prefillPerMs = 92.0
 )
 
@@ -37,28 +47,68 @@
 	Exclude []ident.UpstreamID
 	// Affinity names what upstreams may have cached; it is empty without a shared prefix.
 	Affinity string
-	// Cached is the number of prompt tokens that a hit saves.
-	Cached ident.Tokens
+	// Input and Cached are the prompt's tokens and how many of them a hit saves.
+	Input, Cached ident.Tokens
 	// Pace is the time of a token relative to the reference model; 0 counts as 1.
 	Pace float64
+	// Bytes is the expected size of request and answer.
+	Bytes int
+	// Engine is true for model servers, which read prompts one after another;
+	// other upstreams work in as many slots as they state.
+	Engine bool
+	// Plain is the work of a request to another upstream, in ms.
+	Plain float64
+}
+
+// work returns the nominal work until the first token, in ms.
+func (q *Query) work(hit bool) float64 {
+	if !q.Engine {
+		return q.Plain
+	}
+	n := float64(q.Input)
+	if hit {
+		n -= float64(q.Cached)
+	}
+	return max(n, 0) / prefillPerMs * q.pace()
+}
+
+func (q *Query) pace() float64 {
+	if q.Pace == 0 {
+		return 1
+	}
+	return q.Pace
 }
 
 // Choice is a chosen upstream and why.
 type Choice struct {
 	Upstream *fleet.Upstream
-	// Cost is the predicted delay in ms.
+	// Cost is the predicted delay and the price of the way, in ms.
 	Cost float64
+	// Delay is the predicted time until the answer begins.
+	Delay time.Duration
+	// Queue is the part of it that is spent behind other requests.
+	Queue time.Duration
 	// Candidates is the number of upstreams that were compared.
 	Candidates int
 	// Affine is true for the upstream that the prefix prefers.
 	Affine bool
+	// Silent is true if the upstream is suspected to be dead and no other was left.
+	Silent bool
+
+	nominal float64
+	work    float64
 }
 
 type load struct {
-	own      int
-	sent     int // sent since the report
-	reported call.Load
-	at       time.Time
+	own int
+	// pending is the nominal work, in ms, of own attempts that have no answer yet.
+	pending      float64
+	pendingCount int
+	sent         int // sent since the report
+	reported     call.Load
+	at           time.Time
+	pace         speed
+	silent       bool
 }
 
 // Book keeps the load of upstreams as this instance knows it. It is safe for
@@ -74,32 +124,52 @@
 	return &Book{loads: map[ident.UpstreamID]*load{}, outliers: retry.NewOutliers()}
 }
 
-// Pick returns the upstream with the lowest predicted delay. It returns false if
-// none may be used. Upstreams that keep failing are used only if no other is left.
+// Pick returns the upstream with the lowest predicted cost. It returns false if
+// none may be used. Upstreams that keep failing or are silent are used only if
+// no other is left.
 func (b *Book) Pick(us []*fleet.Upstream, q Query, now time.Time) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	home := b.home(us, q)
+	home := b.home(us, &q)
 	best := Choice{}
-	worst := true
+	rank := 0
+	n := 0
 	for _, u := range us {
-		if u.Draining || (q.Accept != nil && !q.Accept(u)) || excluded(q.Exclude, u.ID) {
+		if !q.allows(u) || excluded(q.Exclude, u.ID) {
 			continue
 		}
-		best.Candidates++
-		c := b.cost(u, q, home, now)
-		ejected := b.outliers.Ejected(u.ID, now)
-		if best.Upstream == nil || (worst && !ejected) || (ejected == worst && c < best.Cost) {
-			best.Upstream, best.Cost, best.Affine = u, c, u == home
-			worst = ejected
+		n++
+		c := b.choice(u, &q, home, now)
+		r := b.rank(u, now)
+		if best.Upstream == nil || r < rank || (r == rank && c.Cost < best.Cost) {
+			best, rank = c, r
 		}
 	}
+	best.Candidates = n
 	return best, best.Upstream != nil
 }
 
-// home returns the upstream that a prefix prefers. All instances of a failure
-// domain choose the same one by rendezvous hashing, without a message.
-func (b *Book) home(us []*fleet.Upstream, q Query) *fleet.Upstream {
+func (q *Query) allows(u *fleet.Upstream) bool {
+	return !u.Draining && (q.Accept == nil || q.Accept(u))
+}
+
+// rank orders upstreams by trust: sound, failing, silent.
+func (b *Book) rank(u *fleet.Upstream, now time.Time) int {
+	l := b.loads[u.ID]
+	switch {
+	case l != nil && l.silent:
+		return 2
+	case b.outliers.Ejected(u.ID, now):
+		return 1
+	default:
+		return 0
+	}
+}
+
+// home returns the upstream that a prefix prefers. All instances choose the same
+// one by rendezvous hashing, without a message. Long prefixes have one home; the
+// way to it costs less than reading them again. Others have one in each domain.
+func (b *Book) home(us []*fleet.Upstream, q *Query) *fleet.Upstream {
 	if q.Affinity == "" {
 		return nil
 	}
@@ -107,10 +177,13 @@
 	var top uint64
 	near := false
 	for _, u := range us {
-		if u.Draining || (q.Accept != nil && !q.Accept(u)) {
+		if !q.allows(u) {
+			continue
+		}
+		if l := b.loads[u.ID]; l != nil && l.silent {
 			continue
 		}
-		n := u.Domain == q.Domain
+		n := u.Domain == q.Domain || q.Cached >= wideTokens
 		h := xxhash.Sum64String(q.Affinity + "\x00" + string(u.ID))
 		if best == nil || (n && !near) || (n == near && h > top) {
 			best, top, near = u, h, n
@@ -119,71 +192,121 @@
 	return best
 }
 
-func (b *Book) cost(u *fleet.Upstream, q Query, home *fleet.Upstream, now time.Time) float64 {
-	running, waiting := b.work(u, now)
-	c := float64(running)*runningCost + float64(waiting)*waitingCost
+func (b *Book) choice(u *fleet.Upstream, q *Query, home *fleet.Upstream, now time.Time) Choice {
+	hit := u == home
+	c := Choice{Upstream: u, Affine: hit, work: q.work(hit)}
+	l := b.loads[u.ID]
+	s := 1.0
+	queue := 0.0
+	if l != nil {
+		s = l.pace.value(now)
+		c.Silent = l.silent
+		queue = l.queue(u, q, now)
+	}
+	c.nominal = baseDelay + queue + c.work
+	c.Cost = s * c.nominal
+	c.Delay = time.Duration(c.Cost * float64(time.Millisecond))
+	c.Queue = time.Duration(s * queue * float64(time.Millisecond))
 	if u.Domain != q.Domain {
-		c += domainCost
+		c.Cost += domainBase + domainPerKB*float64(q.Bytes)/1024
 	}
-	if home != nil && u != home {
-		pace := q.Pace
-		if pace == 0 {
-			pace = 1
-		}
-		c += float64(q.Cached) / prefillPerMs * pace
+	if !hit && home != nil {
+		c.Cost += missPerToken * float64(q.Cached)
 	}
 	return c
 }
 
-// work estimates the running and waiting requests of an upstream.
-func (b *Book) work(u *fleet.Upstream, now time.Time) (running, waiting int) {
-	l := b.loads[u.ID]
-	if l == nil {
-		return 0, 0
-	}
-	running = l.own
+// queue returns the nominal work, in ms, ahead of a new request.
+func (l *load) queue(u *fleet.Upstream, q *Query, now time.Time) float64 {
+	running, waiting := l.own-l.pendingCount, 0
 	if now.Sub(l.at) < reportLife {
-		running = max(l.own, l.reported.Running+l.sent)
-		waiting = l.reported.Waiting
+		running = max(running, l.reported.Running)
+		waiting = max(l.reported.Waiting-l.pendingCount, 0)
+	}
+	if q.Engine {
+		return l.pending + float64(waiting)*waitingWork + float64(running)*runningCost
 	}
-	if u.Slots > 0 && running > u.Slots {
-		waiting += running - u.Slots
-		running = u.Slots
+	ahead := running + waiting + l.pendingCount + 1 - u.Slots
+	if ahead <= 0 || u.Slots <= 0 {
+		return 0
 	}
-	return running, waiting
+	return float64(ahead) / float64(u.Slots) * q.Plain
 }
 
-// Start records an attempt.
-func (b *Book) Start(id ident.UpstreamID) {
+// Start records an attempt at the chosen upstream and returns its record.
+func (b *Book) Start(c Choice, now time.Time) *Attempt {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.loads[id]
+	l := b.loads[c.Upstream.ID]
 	if l == nil {
 		l = &load{}
-		b.loads[id] = l
+		b.loads[c.Upstream.ID] = l
 	}
 	l.own++
 	l.sent++
+	l.pending += c.work
+	l.pendingCount++
+	return &Attempt{book: b, load: l, choice: c, began: now, pending: true}
 }
 
-// End records the end of an attempt.
-func (b *Book) End(id ident.UpstreamID) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if l := b.loads[id]; l != nil {
-		l.own--
+// Attempt is an attempt in progress.
+type Attempt struct {
+	book    *Book
+	load    *load
+	choice  Choice
+	began   time.Time
+	pending bool
+	ended   bool
+}
+
+// Answered records that the answer began, which tells the upstream's speed.
+func (a *Attempt) Answered(now time.Time) {
+	a.book.mu.Lock()
+	defer a.book.mu.Unlock()
+	if !a.pending {
+		return
 	}
+	a.settle()
+	a.load.pace.observe(now.Sub(a.began), a.choice.nominal, now)
 }
 
-// Reported records an upstream's report of its load.
-func (b *Book) Reported(id ident.UpstreamID, r call.Load, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if l := b.loads[id]; l != nil {
-		l.reported, l.at, l.sent = r, now, 0
+// Late records that the attempt was given up without an answer.
+func (a *Attempt) Late(now time.Time) {
+	a.book.mu.Lock()
+	defer a.book.mu.Unlock()
+	if a.pending {
+		a.load.pace.observe(now.Sub(a.began), a.choice.nominal, now)
 	}
 }
 
+// Reported records the upstream's report of its load.
+func (a *Attempt) Reported(r call.Load, now time.Time) {
+	a.book.mu.Lock()
+	defer a.book.mu.Unlock()
+	a.load.reported, a.load.at, a.load.sent = r, now, 0
+}
+
+// End records the end of the attempt; it may be called again.
+func (a *Attempt) End() {
+	a.book.mu.Lock()
+	defer a.book.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.settle()
+	a.load.own--
+}
+
+func (a *Attempt) settle() {
+	if !a.pending {
+		return
+	}
+	a.pending = false
+	a.load.pending = max(a.load.pending-a.choice.work, 0)
+	a.load.pendingCount--
+}
+
 // Judge records whether an attempt ended well, among n upstreams of the service.
 func (b *Book) Judge(id ident.UpstreamID, ok bool, n int, now time.Time) {
 	b.mu.Lock()
@@ -195,6 +318,18 @@
 	b.outliers.Failure(id, n, now)
 }
 
+// SetSilent records whether an upstream is suspected to be dead.
+func (b *Book) SetSilent(id ident.UpstreamID, silent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.loads[id]
+	if l == nil {
+		l = &load{}
+		b.loads[id] = l
+	}
+	l.silent = silent
+}
+
 // Forget drops what is known of upstreams that are gone and carry nothing of ours.
 func (b *Book) Forget(l *fleet.List) {
 	b.mu.Lock()
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -21,6 +21,7 @@
 	"tarragonvalve.example/router/known"
 	"tarragonvalve.example/router/link"
 	"tarragonvalve.example/router/place"
+	"tarragonvalve.example/router/pulse"
 	"tarragonvalve.example/router/routes"
 )
 
@@ -67,11 +68,15 @@
 	Links  *link.Pool
 	Codec  call.Codec
 	Book   *place.Book
+	Pulse  *pulse.Monitor
 	Watch  *canary.Watch
 	Budget *budget.Budget
 	Now    clock.Func
 	Log    zerolog.Logger
 	Domain ident.DomainID
+	// Values are what 1,000 tokens of a right answer are worth, by the priority of
+	// the route, in the unit of the models' prices.
+	Values []float64
 }
 
 // Relay drives requests. It is safe for concurrent use.
@@ -93,7 +98,7 @@
 	if !ok {
 		return refuse.New(refuse.NoUpstream, refuse.NotRun, "route %s has no service", j.Route.ID).After(time.Second)
 	}
-	t := &try{Relay: r, Job: j, service: s, engine: j.Document.Services[s].Engine}
+	t := &try{Relay: r, Job: j, service: s}
 	r.Budget.Request(s, r.Now())
 	if j.Route.Kind == routes.Stream {
 		return t.stream(ctx, w)
@@ -106,7 +111,6 @@
 	*Relay
 	*Job
 	service ident.ServiceID
-	engine  bool
 	// sent counts the upstreams that may have run the request.
 	sent int
 	// offers counts all sends, also those that an upstream rejected.
@@ -116,8 +120,6 @@
 	exclude []ident.UpstreamID
 	// version is set once an answer has begun; it can only go on at the same version.
 	version fleet.Version
-	// latency is the time of the present attempt if it can be compared with others.
-	latency time.Duration
 }
 
 // outcome is the result of one send; the sealed cases are below.
@@ -127,7 +129,7 @@
 	// answered carries an answer of an upstream, its body unread.
 	answered struct {
 		*link.Answer
-		upstream *fleet.Upstream
+		*offer
 	}
 	// rejected means that the request did not run.
 	rejected struct{ reason string }
@@ -142,82 +144,126 @@
 func (lost) outcome()     {}
 func (none) outcome()     {}
 
-// send places the request and sends it once. done must be called when the answer was read.
-func (t *try) send(ctx context.Context, model ident.ModelID, s call.Send) (outcome, func(ok bool)) {
+// offer is a request on its way to one upstream.
+type offer struct {
+	*try
+	upstream *fleet.Upstream
+	attempt  *place.Attempt
+	wait     *pulse.Wait
+	among    int
+	// latency is the time to the answer if it can be compared with others.
+	latency time.Duration
+}
+
+// heard records bytes of the answer.
+func (o *offer) heard() {
+	now := time.Now()
+	o.wait.Heard(now)
+	o.attempt.Answered(now)
+}
+
+// end records how the offer ended. It must be called once.
+func (o *offer) end(ok bool) {
+	o.left()
+	o.Book.Judge(o.upstream.ID, ok, o.among, time.Now())
+	o.observe(o.upstream, !ok, o.latency)
+}
+
+// left records an end that says nothing about the upstream.
+func (o *offer) left() {
+	o.wait.Done()
+	o.attempt.End()
+}
+
+// pick places the request for a model.
+func (t *try) pick(model ident.ModelID) (place.Choice, bool) {
 	v := t.Node.View()
-	us := v.Fleet.Service(t.service)
-	c, ok := t.Book.Pick(us, t.query(v, model), time.Now())
+	return t.Book.Pick(v.Fleet.Service(t.service), t.query(v, model), time.Now())
+}
+
+// send places the request and sends it once. The offer of an answered outcome
+// must be ended by the caller. cancel ends the attempt early.
+func (t *try) send(ctx context.Context, cancel context.CancelCauseFunc, model ident.ModelID, s call.Send) outcome {
+	c, ok := t.pick(model)
 	if !ok {
-		return none{}, func(bool) {}
+		return none{}
 	}
 	u := c.Upstream
 	t.exclude = append(t.exclude, u.ID)
-	t.Book.Start(u.ID)
 	t.offers++
-	done := func(ok bool) {
-		t.Book.End(u.ID)
-		t.Book.Judge(u.ID, ok, len(us), time.Now())
-		t.observe(u, !ok, t.latency)
+	began := time.Now()
+	o := &offer{try: t, upstream: u, attempt: t.Book.Start(c, began), among: c.Candidates}
+	var end func(error)
+	if t.Route.Repeatable() {
+		end = cancel
 	}
+	o.wait = t.Pulse.Begin(u, end, began)
 	s.Left = time.Until(t.Deadline) - answerReserve
 	s.Upstream = u.ID
 	s.Account = t.Account
 	s.Model = model
 	s.Priority = -1
-	if t.engine {
+	if t.engine() {
 		s.Priority = min(t.Priority, maxPriority)
 	}
-	began := time.Now()
-	t.latency = 0
 	a, err := t.Links.Send(ctx, &link.Message{
 		Address: u.Address, Method: t.Method, Target: t.Target, Host: t.Host,
 		Header: t.Codec.Outgoing(t.Header, s), Body: t.Body, ID: t.Meta.ID,
 		Once: !t.Route.Repeatable(), Connections: t.Document.Services[t.service].MaxConnections / instances,
 	})
-	o := t.judge(ctx, a, err, u)
-	t.record(c, model, o, time.Since(began))
-	switch o := o.(type) {
-	case answered:
-		return o, done
-	case rejected:
-		// A full upstream is no failing one.
-		t.Book.End(u.ID)
-	default:
-		if errors.Is(context.Cause(ctx), context.Canceled) {
-			// The client left; that says nothing about the upstream.
-			t.Book.End(u.ID)
-			break
-		}
-		done(false)
-	}
-	return o, func(bool) {}
+	r := t.judge(ctx, a, err, o)
+	t.record(c, model, r, time.Since(began))
+	return r
 }
 
-// judge says what an exchange proves.
-func (t *try) judge(ctx context.Context, a *link.Answer, err error, u *fleet.Upstream) outcome {
+// judge says what an exchange proves, and ends the offer unless it was answered.
+func (t *try) judge(ctx context.Context, a *link.Answer, err error, o *offer) outcome {
 	var n *link.NotSentError
+	var f *link.FullError
 	switch {
+	case errors.As(err, &f):
+		o.left()
+		return rejected{reason: f.Error()}
 	case errors.As(err, &n):
+		if ctx.Err() == nil {
+			t.Pulse.Failed(o.upstream)
+		}
+		o.left()
 		return rejected{reason: n.Err.Error()}
 	case err != nil:
-		t.sent++
-		t.ran = true
+		t.ranOnce()
+		if errors.Is(context.Cause(ctx), context.Canceled) {
+			// The client left; that says nothing about the upstream.
+			o.left()
+		} else {
+			o.attempt.Late(time.Now())
+			o.end(false)
+		}
 		return lost{err: err}
 	}
+	o.heard()
 	if a.Meta.Loaded {
-		t.Book.Reported(u.ID, a.Meta.Load, time.Now())
+		o.attempt.Reported(a.Meta.Load, time.Now())
 	}
 	if a.Meta.NotRun {
 		drain(a)
+		// A full upstream is no failing one.
+		o.left()
 		return rejected{reason: http.StatusText(a.Status)}
 	}
-	t.sent++
-	t.ran = true
+	t.ranOnce()
 	if a.Meta.Encoded {
 		a.Close()
+		o.end(false)
 		return lost{err: errEncoded}
 	}
-	return answered{Answer: a, upstream: u}
+	return answered{Answer: a, offer: o}
+}
+
+// ranOnce records that an upstream may have run the request.
+func (t *try) ranOnce() {
+	t.sent++
+	t.ran = true
 }
 
 var errEncoded = errors.New("the answer's body is encoded, so it isn't the upstream's")
@@ -266,9 +312,21 @@
 	}, o.Revision)
 }
 
+// engine reports whether the service's upstreams are model servers.
+func (t *try) engine() bool {
+	return t.Document.Services[t.service].Engine
+}
+
 func (t *try) query(v *known.View, model ident.ModelID) place.Query {
-	q := place.Query{Service: t.service, Domain: t.Domain, Exclude: t.exclude}
-	q.Accept = t.accept(v)
+	s := t.Document.Services[t.service]
+	if model == "" {
+		model = t.Meta.Model
+	}
+	q := place.Query{
+		Service: t.service, Domain: t.Domain, Accept: t.accept(v), Exclude: t.exclude,
+		Input: t.Meta.Input, Pace: pace(s, model), Engine: s.Engine, Plain: plainWork,
+		Bytes: len(t.Body) + int(t.Meta.Hint)*bytesPerToken + plainBytes,
+	}
 	if n := len(t.Meta.Prefix); n > 1 {
 		q.Affinity = string(model) + "/" + t.Meta.Prefix[n-2].ID
 		for _, p := range t.Meta.Prefix[:n-1] {
@@ -278,6 +336,30 @@
 	return q
 }
 
+const (
+	// plainWork is the usual work, in ms, of a request to an upstream that is no model server.
+	plainWork = 50
+	// plainBytes is the usual size of the heads and of a short answer.
+	plainBytes = 800
+	// bytesPerToken is the usual size of a generated token in an event stream.
+	bytesPerToken = 10
+	// largestPace is the time of a token of a service's dearest model against the
+	// reference; the others' times follow their prices.
+	largestPace = 3.0
+)
+
+// pace estimates the time of a model's token relative to the reference model.
+func pace(s routes.Service, m ident.ModelID) float64 {
+	top := 0.0
+	for _, p := range s.Prices {
+		top = max(top, p)
+	}
+	if top == 0 {
+		return 1
+	}
+	return largestPace * s.Prices[m] / top
+}
+
 // again reports whether another upstream may be tried, and spends the budget for it.
 func (t *try) again(ctx context.Context) bool {
 	if ctx.Err() != nil || time.Until(t.Deadline) < 2*answerReserve {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -10,12 +10,11 @@
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/choose"
 	"tarragonvalve.example/router/events"
+	"tarragonvalve.example/router/place"
 )
 
-// confidentAbove is the confidence from which a small model's answer is kept.
-const confidentAbove = 60
-
 // OrderError reports an event stream whose ids don't follow each other.
 type OrderError struct {
 	After uint64
@@ -94,71 +93,103 @@
 	return len(t.Route.Models) == 0 || m == t.Route.Models[0]
 }
 
-// escalate returns the model that shall answer instead, if there is one and the budget allows it.
+// escalate returns the model that shall answer instead, if one is worth its price
+// and the budget allows it.
 func (t *try) escalate(ctx context.Context, m ident.ModelID, confidence int) (ident.ModelID, bool) {
 	ms := t.Route.Models
-	if m == "" || len(ms) < 2 || m == ms[len(ms)-1] || confidence < 0 || confidence >= confidentAbove {
+	if m == "" || len(ms) < 2 || m == ms[len(ms)-1] || !t.Route.Repeatable() {
 		return m, false
 	}
-	if !t.Route.Repeatable() || !t.again(ctx) {
+	larger := ms[len(ms)-1]
+	exclude := t.exclude
+	t.exclude = nil
+	c, ok := t.pick(larger)
+	if !ok || !t.worthIt(larger, confidence, c) || !t.again(ctx) {
+		t.exclude = exclude
 		return m, false
 	}
-	return ms[len(ms)-1], true
+	return larger, true
+}
+
+func (t *try) worthIt(larger ident.ModelID, confidence int, c place.Choice) bool {
+	r := choose.Request{
+		Input: t.Meta.Input, Output: t.Meta.Output, Hint: t.Meta.Hint,
+		Value: t.value(), Left: t.Route.Objective - time.Since(t.Arrived),
+	}
+	o := choose.Offer{
+		Model: choose.Model{ID: larger, Price: t.Document.Services[t.service].Prices[larger]},
+		Delay: c.Delay, Queue: c.Queue,
+	}
+	return choose.Replace(r, confidence, o)
+}
+
+// value returns what 1,000 tokens of a right answer are worth at the request's urgency.
+func (t *try) value() float64 {
+	vs := t.Values
+	if len(vs) == 0 {
+		return 0
+	}
+	return vs[min(max(t.Route.Priority, 0), len(vs)-1)]
 }
 
 // streamOnce sends the request once and passes on the events.
 func (t *try) streamOnce(ctx context.Context, f *flow, model *ident.ModelID) outcome {
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	first := t.firstLimit(stop)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	first := t.firstLimit(cancel)
 	defer first.Stop()
 	began := time.Now()
-	o, done := t.send(ctx, *model, call.Send{LastEvent: f.last, Resumes: f.any})
+	o := t.send(ctx, cancel, *model, call.Send{LastEvent: f.last, Resumes: f.any})
 	a, ok := o.(answered)
 	if !ok {
 		return o
 	}
 	defer a.Close()
 	if a.Status != http.StatusOK || !a.Meta.Signed {
-		done(a.Status < http.StatusInternalServerError)
+		a.end(a.Status < http.StatusInternalServerError)
 		return t.streamFailure(f, a)
 	}
 	if !f.begun {
 		if m, yes := t.escalate(ctx, *model, a.Meta.Confidence); yes {
-			done(true)
+			a.end(true)
 			*model = m
-			t.exclude = nil
 			return dropped{}
 		}
 	}
+	if t.smallest(*model) {
+		a.latency = time.Since(began)
+	}
 	r := events.NewReader(a)
 	for {
 		e, err := r.Next()
 		if errors.Is(err, io.EOF) && f.begun {
-			done(true)
+			a.end(true)
 			return finished{}
 		}
 		if err == nil {
-			if t.latency == 0 && t.smallest(*model) {
-				t.latency = time.Since(began)
-			}
 			first.Stop()
+			a.heard()
 			err = f.pass(t, a, e)
 		}
-		if err != nil {
-			done(errors.Is(context.Cause(ctx), context.Canceled))
-			return lost{err: err}
+		if err == nil {
+			continue
+		}
+		if errors.Is(context.Cause(ctx), context.Canceled) {
+			a.left()
+		} else {
+			a.end(false)
 		}
+		return lost{err: err}
 	}
 }
 
 // firstLimit cancels an attempt without a first event by its time.
-func (t *try) firstLimit(stop context.CancelCauseFunc) *time.Timer {
+func (t *try) firstLimit(cancel context.CancelCauseFunc) *time.Timer {
 	d := time.Until(t.Deadline)
 	if t.Route.Repeatable() && t.sent+1 < t.Route.Attempts && t.Route.Objective > 0 {
 		d = min(d, t.Route.Objective)
 	}
-	return time.AfterFunc(d, func() { stop(errFirstLate) })
+	return time.AfterFunc(d, func() { cancel(errFirstLate) })
 }
 
 var errFirstLate = errors.New("the first event did not come in time")
--- a/router/relay/whole.go
+++ b/router/relay/whole.go
@@ -54,8 +54,10 @@
 func (t *try) wholeOnce(ctx context.Context) (*wholeAnswer, outcome) {
 	ctx, stop := t.limit(ctx)
 	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	began := time.Now()
-	o, done := t.send(ctx, "", call.Send{})
+	o := t.send(ctx, cancel, "", call.Send{})
 	a, ok := o.(answered)
 	if !ok {
 		return nil, o
@@ -65,8 +67,8 @@
 	if err == nil && len(b) > maxWhole {
 		err = errTooLong
 	}
-	t.latency = time.Since(began)
-	done(err == nil && a.Status < http.StatusInternalServerError)
+	a.latency = time.Since(began)
+	a.end(err == nil && a.Status < http.StatusInternalServerError)
 	if err != nil {
 		return nil, lost{err: err}
 	}
--- a/router/routes/routes.go
+++ b/router/routes/routes.go
@@ -69,6 +69,8 @@
 	MaxConnections int
 	// Engine is true for services of model servers.
 	Engine bool
+	// Prices are the models' prices for 1,000 generated tokens.
+	Prices map[ident.ModelID]float64
 }
 
 // Limits bound what a client may send.
--- a/router/setup/setup.go
+++ b/router/setup/setup.go
@@ -2,6 +2,7 @@
 package setup
 
 import (
+	"strconv"
 	"time"
 
 	"tarragonvalve.example/core/config"
@@ -20,6 +21,10 @@
 	LogLevel string
 	Memory   int64 // MB that the process may use; 0 means no bound
 	Bounds   Bounds
+	// Values are what 1,000 weighted tokens of a right answer are worth, in the
+	// unit of the models' prices, by the priority of the route. Less urgent routes
+	// than the list has entries for take the last one.
+	Values []float64
 	// again reads the settings from where they came from.
 	again func() (*Settings, error)
 }
@@ -68,6 +73,7 @@
 			SessionLife:     seconds(b.Float("session-life-s", 5)),
 		},
 	}
+	s.Values = values(f, f.Section("cascade"))
 	// The launcher's variable that names the settings file has the form of a setting.
 	f.Section("node").Text("file", "")
 	check(f, s)
@@ -78,6 +84,23 @@
 	return s, nil
 }
 
+// defaultValues follow from the users' sheets: an answer's worth over its prompt
+// tokens and ten times its generated ones.
+var defaultValues = []string{"0.35", "0.32", "0.12"}
+
+func values(f *config.File, s *config.Section) []float64 {
+	var out []float64
+	for _, t := range s.List("values", defaultValues) {
+		v, err := strconv.ParseFloat(t, 64)
+		if err != nil || v < 0 {
+			f.Reject("cascade", "values", "not a list of worths", "numbers from 0")
+			return nil
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
 // maxTolerance bounds a number of requests that a roll-out may expose.
 const maxTolerance = 1_000_000
 
