--- a/router/choose/choose.go
+++ b/router/choose/choose.go
@@ -4,6 +4,7 @@
 package choose
 
 import (
+	"math"
 	"time"
 
 	"tarragonvalve.example/core/ident"
@@ -14,6 +15,12 @@
 	outputWeight = 10
 	// readPart is the part of a model's price that a token read costs.
 	readPart = 0.25
+	// evenConfidence is the confidence at which a small model's answer is right
+	// half of the time, and confidenceWidth how fast that changes. Measured on the
+	// quiet days of both deployments by the worth of a class against its threshold:
+	// 0.962 at 56, 0.992 at 71, 0.998 at 78, 0.62 without a larger model.
+	evenConfidence  = 60.0
+	confidenceWidth = 6.0
 	// poorPart is what a wrong answer is still worth.
 	poorPart = 0.05
 	// latePart is what an answer after its objective is worth.
@@ -75,7 +82,7 @@
 	if confidence < 0 {
 		return false
 	}
-	right := float64(confidence) / 100
+	right := 1 / (1 + math.Exp((evenConfidence-float64(confidence))/confidenceWidth))
 	keep := right + (1-right)*poorPart
 	inTime := 1.0
 	if o.Delay > r.Left {
--- a/router/setup/setup.go
+++ b/router/setup/setup.go
@@ -86,7 +86,7 @@
 
 // defaultValues follow from the users' sheets: an answer's worth over its prompt
 // tokens and ten times its generated ones.
-var defaultValues = []string{"0.35", "0.32", "0.12"}
+var defaultValues = []string{"0.3", "0.25", "0.15"}
 
 func values(f *config.File, s *config.Section) []float64 {
 	var out []float64
