--- a/router/place/place.go
+++ b/router/place/place.go
@@ -30,9 +30,9 @@
 	// missPerToken is the price, in ms, of a prompt token that is read though
 	// another upstream has it cached, beside the time to read it.
 	missPerToken = 0.035
-	// wideTokens is the length of a cached prefix from which one upstream of all
-	// failure domains keeps it; shorter ones are kept in each.
-	wideTokens = 2000
+	// wideWork is the work, in ms, that a cached prefix saves from which one
+	// upstream of all failure domains keeps it; others are kept in each.
+	wideWork = 60.0
 	// prefillPerMs is the number of prompt tokens that the reference model reads in a ms.
 	prefillPerMs = 92.0
 )
@@ -72,6 +72,11 @@
 	return max(n, 0) / prefillPerMs * q.pace()
 }
 
+// saved returns the work, in ms, that a cached prefix saves.
+func (q *Query) saved() float64 {
+	return float64(q.Cached) / prefillPerMs * q.pace()
+}
+
 func (q *Query) pace() float64 {
 	if q.Pace == 0 {
 		return 1
@@ -183,7 +188,7 @@
 		if l := b.loads[u.ID]; l != nil && l.silent {
 			continue
 		}
-		n := u.Domain == q.Domain || q.Cached >= wideTokens
+		n := u.Domain == q.Domain || q.saved() >= wideWork
 		h := xxhash.Sum64String(q.Affinity + "\x00" + string(u.ID))
 		if best == nil || (n && !near) || (n == near && h > top) {
 			best, top, near = u, h, n
