test: run the router between stand-ins of the store and of servers

Found by them: a grace period under 5 s was spent on notice alone, a refusal named the wrong reason, the time format was set per instance.

--- a/router/boot/admin.go
+++ b/router/boot/admin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -43,11 +42,12 @@
 
 // Run serves until ctx ends.
 func (a *admin) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { a.server.Close() })
-	defer stop()
-	err := a.server.Serve(a.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	failed := make(chan error, 1)
+	go func() { failed <- a.server.Serve(a.listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return a.server.Close()
 	}
-	return err
 }
--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -15,6 +15,7 @@
 	"go.uber.org/dig"
 
 	"tarragonvalve.example/core/launch"
+	"tarragonvalve.example/core/logger"
 	"tarragonvalve.example/core/serve"
 	"tarragonvalve.example/platform/heads"
 	"tarragonvalve.example/platform/rows"
@@ -60,10 +61,12 @@
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory*megabyte) * memoryShare))
 	}
-	l, err := newLogger(s, out)
+	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
 		return err
 	}
+	l, flush := logger.Decisions(out, level, s.Instance)
+	defer flush() //nolint:errcheck // the output is gone; there is nowhere else to say so
 	l.Info().Str("domain", string(s.Domain)).Int("pid", os.Getpid()).Msg("start")
 	steps, err := build(s, reload, l)
 	if err != nil {
@@ -74,15 +77,6 @@
 	return err
 }
 
-func newLogger(s *setup.Settings, out io.Writer) (zerolog.Logger, error) {
-	level, err := zerolog.ParseLevel(s.LogLevel)
-	if err != nil {
-		return zerolog.Logger{}, err
-	}
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	return zerolog.New(out).Level(level).With().Timestamp().Str("instance", s.Instance).Logger(), nil
-}
-
 // build wires all parts and returns the steps in the order of their start.
 // They stop in reverse order, so clients are drained while all others work.
 func build(s *setup.Settings, reload <-chan os.Signal, l zerolog.Logger) ([]serve.Step, error) {
@@ -112,8 +106,8 @@
 		}
 	}
 	var steps []serve.Step
-	err := c.Invoke(func(v *setup.Live, n *known.Node, p *link.Pool, m *mover.Mover, u *pulse.Monitor, a *admin, f *front.Server) {
-		steps = []serve.Step{v, n, p, m, u, a, f}
+	err := c.Invoke(func(v *setup.Live, b *place.Book, n *known.Node, p *link.Pool, m *mover.Mover, u *pulse.Monitor, a *admin, f *front.Server) {
+		steps = []serve.Step{v, n, p, m, u, &cleaner{book: b, node: n}, a, f}
 	})
 	return steps, err
 }
--- /dev/null
+++ b/router/boot/clean.go
@@ -0,0 +1,29 @@
+package boot
+
+import (
+	"context"
+	"time"
+
+	"tarragonvalve.example/core/serve"
+	"tarragonvalve.example/router/known"
+	"tarragonvalve.example/router/place"
+)
+
+// cleanInterval is how often records of upstreams that are gone are dropped.
+const cleanInterval = 5 * time.Second
+
+// cleaner bounds the memory that upstreams of the past take.
+type cleaner struct {
+	book *place.Book
+	node *known.Node
+}
+
+// Name is the name of the step.
+func (c *cleaner) Name() string { return "cleaner" }
+
+// Run works until ctx ends.
+func (c *cleaner) Run(ctx context.Context) error {
+	return serve.Every(ctx, cleanInterval, func(context.Context) {
+		c.book.Forget(c.node.View().Fleet)
+	})
+}
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -26,6 +26,8 @@
 	// stop: the balancer needs two missed checks, a second apart, and clients of
 	// kept connections get an answer that tells them to close.
 	keepIdle = 5 * time.Second
+	// noticePart bounds it to a part of the grace period, for deployments with a short one.
+	noticePart = 0.625
 	// stopMargin is left of the grace period for the exit itself.
 	stopMargin = 600 * time.Millisecond
 	stopPoll   = 20 * time.Millisecond
@@ -39,9 +41,7 @@
 	Node     *known.Node
 	// Grace returns the time between the signal to stop and the kill.
 	Grace func() time.Duration
-	// Notice is how long new connections are accepted during a stop; 0 means keepIdle.
-	Notice time.Duration
-	Log    zerolog.Logger
+	Log   zerolog.Logger
 
 	conns connections
 }
@@ -86,10 +86,7 @@
 func (s *Server) drain() {
 	s.Gate.Stop()
 	began := time.Now()
-	notice := s.Notice
-	if notice == 0 {
-		notice = keepIdle
-	}
+	notice := min(keepIdle, time.Duration(float64(s.Grace())*noticePart))
 	s.Log.Info().Int("open", s.Gate.Open()).Msg("stopping: no longer ready")
 	closed := false
 	for {
--- a/router/known/known.go
+++ b/router/known/known.go
@@ -146,17 +146,17 @@
 	tick := time.NewTicker(returnGrace / 4)
 	defer tick.Stop()
 	for {
-		changed := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			changed = s.expire(n.now())
+			if s.expire(n.now()) {
+				n.publish(s)
+			}
 		case u := <-n.updates:
-			changed = n.take(s, u)
-		}
-		if changed {
-			n.publish(s)
+			if n.take(s, u) {
+				n.publish(s)
+			}
 		}
 	}
 }
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -45,10 +45,9 @@
 	codec  call.Codec
 	dialer net.Dialer
 
-	mu    sync.Mutex
-	idle  map[string][]*conn
-	open  map[string]int
-	limit int
+	mu   sync.Mutex
+	idle map[string][]*conn
+	open map[string]int
 }
 
 // New returns an empty pool.
@@ -82,11 +81,7 @@
 
 // get returns a connection, an idle one if possible. A limit of 0 means no bound.
 func (p *Pool) get(ctx context.Context, address string, once bool, limit int) (*conn, error) {
-	for {
-		c := p.takeIdle(address, once)
-		if c == nil {
-			break
-		}
+	for c := p.takeIdle(address, once); c != nil; c = p.takeIdle(address, once) {
 		if c.silent() == nil {
 			c.reused = true
 			return c, nil
@@ -111,19 +106,18 @@
 func (p *Pool) takeIdle(address string, once bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
 	cs := p.idle[address]
-	for i := len(cs) - 1; i >= 0; i-- {
-		c := cs[i]
-		age := now.Sub(c.usedAt)
-		if age >= c.idle || (once && age >= onceIdle) {
-			// Older ones are further down; the sweep closes them.
-			return nil
-		}
-		p.idle[address] = cs[:i]
-		return c
+	if len(cs) == 0 {
+		return nil
+	}
+	// The last one was used most recently; the sweep closes the others in time.
+	c := cs[len(cs)-1]
+	age := time.Since(c.usedAt)
+	if age >= c.idle || (once && age >= onceIdle) {
+		return nil
 	}
-	return nil
+	p.idle[address] = cs[:len(cs)-1]
+	return c
 }
 
 // put keeps a connection for reuse; stated is the upstream's idle timeout or 0.
--- a/router/link/send.go
+++ b/router/link/send.go
@@ -75,7 +75,7 @@
 	return fmt.Sprintf("the answer carries the id %q of another request", e.ID)
 }
 
-// Answer is an upstream's answer. Its body must be read to the end or closed.
+// Answer is an upstream's answer. Its body must be read to the end or given up by End.
 type Answer struct {
 	Status int
 	Header http.Header
@@ -86,7 +86,7 @@
 	Framed bool
 
 	exchange *exchange
-	body     io.ReadCloser
+	body     io.Reader
 	ended    bool
 }
 
@@ -188,6 +188,7 @@
 func (e *exchange) read(m *Message) (*Answer, error) {
 	q := &http.Request{Method: m.Method}
 	for {
+		//nolint:bodyclose // the body is the rest of the connection, which Answer.End closes or keeps
 		r, err := http.ReadResponse(e.conn.r, q)
 		if err != nil {
 			return nil, err
@@ -217,12 +218,10 @@
 	return n, err
 }
 
-// Close ends the exchange. The connection is kept if the body was read to its
+// End ends the exchange. The connection is kept if the body was read to its
 // end and the request was written whole; otherwise closing it cancels the work.
-func (a *Answer) Close() error {
-	e := a.exchange
-	e.end(a.ended && e.keep, a.Meta.Idle)
-	return nil
+func (a *Answer) End() {
+	a.exchange.end(a.ended && a.exchange.keep, a.Meta.Idle)
 }
 
 func (e *exchange) end(keep bool, idle time.Duration) {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -118,6 +118,8 @@
 	// ran is true once an upstream may have run the request.
 	ran     bool
 	exclude []ident.UpstreamID
+	// reason is why the last upstream did not take the request.
+	reason string
 	// version is set once an answer has begun; it can only go on at the same version.
 	version fleet.Version
 }
@@ -223,13 +225,15 @@
 	switch {
 	case errors.As(err, &f):
 		o.left()
-		return rejected{reason: f.Error()}
+		t.reason = f.Error()
+		return rejected{reason: t.reason}
 	case errors.As(err, &n):
 		if ctx.Err() == nil {
 			t.Pulse.Failed(o.upstream)
 		}
 		o.left()
-		return rejected{reason: n.Err.Error()}
+		t.reason = n.Err.Error()
+		return rejected{reason: t.reason}
 	case err != nil:
 		t.ranOnce()
 		if errors.Is(context.Cause(ctx), context.Canceled) {
@@ -249,11 +253,12 @@
 		drain(a)
 		// A full upstream is no failing one.
 		o.left()
-		return rejected{reason: http.StatusText(a.Status)}
+		t.reason = http.StatusText(a.Status)
+		return rejected{reason: t.reason}
 	}
 	t.ranOnce()
 	if a.Meta.Encoded {
-		a.Close()
+		a.End()
 		o.end(false)
 		return lost{err: errEncoded}
 	}
@@ -378,14 +383,14 @@
 		ran = refuse.NotRun
 	}
 	switch o := o.(type) {
-	case rejected:
-		if !t.ran {
-			return refuse.New(refuse.Overloaded, ran, "no upstream took the request: %s", o.reason).After(retryFull)
+	case rejected, none:
+		if t.ran {
+			break
 		}
-	case none:
-		if !t.ran {
-			return refuse.New(refuse.NoUpstream, ran, "no upstream of service %s is left to try", t.service).After(retryNone)
+		if t.reason != "" {
+			return refuse.New(refuse.Overloaded, ran, "no upstream took the request: %s", t.reason).After(retryFull)
 		}
+		return refuse.New(refuse.NoUpstream, ran, "no upstream of service %s is known", t.service).After(retryNone)
 	case lost:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return refuse.New(refuse.DeadlineExceeded, ran, "no answer of an upstream in time")
@@ -410,5 +415,5 @@
 			break
 		}
 	}
-	a.Close()
+	a.End()
 }
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -144,7 +144,7 @@
 	if !ok {
 		return o
 	}
-	defer a.Close()
+	defer a.End()
 	if a.Status != http.StatusOK || !a.Meta.Signed {
 		a.end(a.Status < http.StatusInternalServerError)
 		return t.streamFailure(f, a)
--- a/router/relay/whole.go
+++ b/router/relay/whole.go
@@ -63,7 +63,7 @@
 		return nil, o
 	}
 	b, err := io.ReadAll(io.LimitReader(a, maxWhole+1))
-	a.Close()
+	a.End()
 	if err == nil && len(b) > maxWhole {
 		err = errTooLong
 	}
--- /dev/null
+++ b/standin/server/server.go
@@ -0,0 +1,324 @@
+// Package server is a stand-in of the users' servers: plain services and model
+// servers that answer over HTTP/1.1, with the faults that such servers have.
+package server
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Reply is what a server does with a request; the sealed cases are below.
+type Reply interface{ reply() }
+
+type (
+	// Answer is a whole answer.
+	Answer struct {
+		Status int
+		Body   string
+		// Confidence is sent if it is not negative.
+		Confidence int
+	}
+	// Events is a stream of events with ids from the one after the last seen.
+	Events struct {
+		// Count is the id of the last event.
+		Count int
+		// CutAfter breaks the connection after the event with that id, in the
+		// middle of the next one; 0 means never.
+		CutAfter int
+		// Pause is the time between events.
+		Pause      time.Duration
+		Confidence int
+		// SkipID is the id of an event to leave out.
+		SkipID int
+	}
+	// Reject is a promise that the request was not run.
+	Reject struct{ Status int }
+	// Cut closes the connection in the middle of the answer's body.
+	Cut struct{}
+	// Reset closes the connection without an answer.
+	Reset struct{}
+	// Hang doesn't answer until the caller leaves.
+	Hang struct{}
+	// Garbage sends bytes that are no answer.
+	Garbage struct{}
+	// Extra sends the answer twice.
+	Extra struct{ Answer }
+	// Foreign sends the answer of another request before the own one.
+	Foreign struct{ Answer }
+	// Encoded sends an answer with a content coding.
+	Encoded struct{}
+	// Early answers before the body was read.
+	Early struct{ Answer }
+)
+
+func (Answer) reply()  {}
+func (Events) reply()  {}
+func (Reject) reply()  {}
+func (Cut) reply()     {}
+func (Reset) reply()   {}
+func (Hang) reply()    {}
+func (Garbage) reply() {}
+func (Extra) reply()   {}
+func (Foreign) reply() {}
+func (Encoded) reply() {}
+func (Early) reply()   {}
+
+// Request is a request as the server read it.
+type Request struct {
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   string
+	// Connection counts the server's connections from 1.
+	Connection int
+}
+
+// ID returns the id of the client's attempt.
+func (r Request) ID() string {
+	return r.Header.Get("Tarragonvalve-Attempt-Id")
+}
+
+// Server is one server. It is safe for concurrent use.
+type Server struct {
+	// Name is the id under which the server expects to be addressed.
+	Name     string
+	listener net.Listener
+	script   func(r Request) Reply
+
+	mu       sync.Mutex
+	requests []Request
+	// left counts requests whose caller closed the connection before the end.
+	left  int
+	conns map[net.Conn]bool
+	total int
+	done  sync.WaitGroup
+}
+
+// New starts a server on loopback. script says what it does with each request.
+func New(name string, script func(r Request) Reply) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen for server %s: %w", name, err)
+	}
+	s := &Server{Name: name, listener: l, script: script, conns: map[net.Conn]bool{}}
+	s.done.Go(s.accept)
+	return s, nil
+}
+
+// Address returns IP:PORT.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Requests returns the requests read so far.
+func (s *Server) Requests() []Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Request(nil), s.requests...)
+}
+
+// Left returns how many callers closed their connection before the answer's end.
+func (s *Server) Left() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left
+}
+
+// Close ends the server and all its connections.
+func (s *Server) Close() {
+	s.listener.Close()
+	s.CloseConnections()
+	s.done.Wait()
+}
+
+// CloseConnections closes all open connections, as an idle timeout would.
+func (s *Server) CloseConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
+func (s *Server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.total++
+		n := s.total
+		s.mu.Unlock()
+		s.done.Go(func() {
+			s.serve(c, n)
+			c.Close()
+			s.mu.Lock()
+			delete(s.conns, c)
+			s.mu.Unlock()
+		})
+	}
+}
+
+func (s *Server) serve(c net.Conn, n int) {
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		x := Request{Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Connection: n}
+		reply := s.answerBefore(x)
+		if reply == nil {
+			b, err := io.ReadAll(q.Body)
+			if err != nil {
+				return
+			}
+			x.Body = string(b)
+			s.mu.Lock()
+			s.requests = append(s.requests, x)
+			s.mu.Unlock()
+			reply = s.script(x)
+		}
+		if want := x.Header.Get("Tarragonvalve-Expect-Instance"); want != s.Name {
+			reply = Reject{Status: http.StatusMisdirectedRequest}
+		}
+		if !s.send(c, r, x, reply) {
+			return
+		}
+	}
+}
+
+// answerBefore returns the reply of a server that doesn't wait for the body.
+func (s *Server) answerBefore(x Request) Reply {
+	if x.Header.Get("Content-Length") == "" {
+		return nil
+	}
+	if e, ok := s.script(x).(Early); ok {
+		s.mu.Lock()
+		s.requests = append(s.requests, x)
+		s.mu.Unlock()
+		return e.Answer
+	}
+	return nil
+}
+
+// send carries out a reply and reports whether the connection goes on.
+func (s *Server) send(c net.Conn, r *bufio.Reader, x Request, reply Reply) bool {
+	switch a := reply.(type) {
+	case Answer:
+		return write(c, whole(x, a))
+	case Extra:
+		return write(c, whole(x, a.Answer)+whole(x, a.Answer))
+	case Foreign:
+		y := x
+		y.Header = http.Header{"Tarragonvalve-Attempt-Id": {"of-another-request"}}
+		return write(c, whole(y, a.Answer)+whole(x, a.Answer))
+	case Reject:
+		return write(c, fmt.Sprintf("HTTP/1.1 %d Rejected\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", a.Status, x.ID()))
+	case Cut:
+		write(c, head(x, http.StatusOK, -1)+"Content-Length: 100\r\n\r\nonly a part")
+		return false
+	case Encoded:
+		return write(c, head(x, http.StatusOK, -1)+"Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nzip!")
+	case Garbage:
+		write(c, "\x00\x01 this is no answer\r\n\r\n")
+		return false
+	case Reset:
+		return false
+	case Hang:
+		s.untilLeft(c, r)
+		return false
+	case Events:
+		return s.stream(c, r, x, a)
+	default:
+		return false
+	}
+}
+
+// untilLeft waits until the caller closes the connection.
+func (s *Server) untilLeft(c net.Conn, r *bufio.Reader) {
+	_, err := r.Peek(1)
+	if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) || err != nil {
+		s.mu.Lock()
+		s.left++
+		s.mu.Unlock()
+	}
+	c.Close()
+}
+
+func write(c net.Conn, s string) bool {
+	_, err := io.WriteString(c, s)
+	return err == nil
+}
+
+func head(x Request, status, confidence int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	fmt.Fprintf(&b, "Tarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Server-Signature: receipt-of-%s\r\nTarragonvalve-Server-Load: 1,0,8\r\n", x.ID(), x.ID())
+	if confidence >= 0 {
+		fmt.Fprintf(&b, "Tarragonvalve-Route-Confidence: %d\r\n", confidence)
+	}
+	return b.String()
+}
+
+func whole(x Request, a Answer) string {
+	return head(x, a.Status, a.Confidence) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(a.Body), a.Body)
+}
+
+// Event returns the text of an event.
+func Event(n int) string {
+	return fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n)
+}
+
+func (s *Server) stream(c net.Conn, r *bufio.Reader, x Request, e Events) bool {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		if _, err := r.Peek(1); err != nil {
+			s.mu.Lock()
+			s.left++
+			s.mu.Unlock()
+			stop()
+		}
+	}()
+	first := 1
+	if n, err := strconv.Atoi(x.Header.Get("Last-Event-Id")); err == nil {
+		first = n + 1
+	}
+	if !write(c, head(x, http.StatusOK, e.Confidence)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
+		return false
+	}
+	for n := first; n <= e.Count; n++ {
+		if n == e.SkipID {
+			continue
+		}
+		t := Event(n)
+		if e.CutAfter > 0 && n == e.CutAfter+1 {
+			write(c, fmt.Sprintf("%x\r\n%s", len(t), t[:len(t)/2]))
+			return false
+		}
+		if !write(c, fmt.Sprintf("%x\r\n%s\r\n", len(t), t)) {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(e.Pause):
+		}
+	}
+	write(c, "0\r\n\r\n")
+	// The reader of the caller's bytes can't be shared with the next request.
+	return false
+}
--- /dev/null
+++ b/standin/tables/tables.go
@@ -0,0 +1,316 @@
+// Package tables is a stand-in of the users' store: rows in tables, conditional
+// writes, and a feed of changes, over HTTP.
+package tables
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Row is one row as the store's answers show it.
+type Row struct {
+	Table   string `json:"table_name"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Data    []byte `json:"data,omitempty"`
+	Version uint64 `json:"row_version"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+type id struct {
+	table, key string
+}
+
+// Fault is what the store does instead of answering; the sealed cases are below.
+type Fault interface{ fault() }
+
+type (
+	// Busy answers 503 to every call.
+	Busy struct{}
+	// Silent doesn't answer until the caller leaves.
+	Silent struct{}
+	// Stale answers reads as of a moment before.
+	Stale struct{ By time.Duration }
+	// LostWrites carries writes out and closes the connection without an answer.
+	LostWrites struct{}
+)
+
+func (Busy) fault()       {}
+func (Silent) fault()     {}
+func (Stale) fault()      {}
+func (LostWrites) fault() {}
+
+// Store holds rows in memory. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	version uint64
+	history []Row // all versions of all rows, in order
+	dropped uint64
+	changed chan struct{}
+	fault   Fault
+	began   time.Time
+	calls   int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{changed: make(chan struct{}), began: time.Now()}
+}
+
+// Set sets the fault; nil ends it.
+func (s *Store) Set(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	// Calls that wait see the fault as well.
+	s.notify()
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Put writes a row as an operator or a server would and returns its version.
+func (s *Store) Put(table, key string, data []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.history = append(s.history, Row{Table: table, Key: key, Data: data, Version: s.version})
+	s.notify()
+	return s.version
+}
+
+// PutJSON writes a row with a JSON value.
+func (s *Store) PutJSON(table, key string, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	s.Put(table, key, b)
+	return nil
+}
+
+// Drop removes a row.
+func (s *Store) Drop(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.history = append(s.history, Row{Table: table, Key: key, Version: s.version, Deleted: true})
+	s.notify()
+}
+
+// Get returns a row, or false if there is none.
+func (s *Store) Get(table, key string) (Row, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.rows(s.version)[id{table, key}]
+	return r, ok
+}
+
+// Compact drops the history of changes.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropped = s.version + 1
+	s.notify()
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// rows returns the rows as of a version. The caller holds the lock.
+func (s *Store) rows(version uint64) map[id]Row {
+	out := map[id]Row{}
+	for _, r := range s.history {
+		if r.Version > version {
+			break
+		}
+		if r.Deleted {
+			delete(out, id{r.Table, r.Key})
+			continue
+		}
+		out[id{r.Table, r.Key}] = r
+	}
+	return out
+}
+
+// ServeHTTP answers the store's calls.
+func (s *Store) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	f := s.fault
+	s.mu.Unlock()
+	switch f.(type) {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Silent:
+		<-q.Context().Done()
+		return
+	}
+	switch q.URL.Path {
+	case "/rows-get":
+		s.get(w, q, f)
+	case "/rows-feed":
+		s.feed(w, q)
+	case "/rows-tx":
+		s.commit(w, q, f)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+type answer struct {
+	Rows    []Row   `json:"rows"`
+	Version uint64  `json:"row_version"`
+	Clock   float64 `json:"server_time_ms"`
+	More    bool    `json:"has_more"`
+}
+
+func (s *Store) reply(w http.ResponseWriter, status int, rs []Row, version uint64, clock time.Duration) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if rs == nil {
+		rs = []Row{}
+	}
+	// The caller may have left; the next call tells.
+	_ = json.NewEncoder(w).Encode(answer{Rows: rs, Version: version, Clock: float64(clock) / float64(time.Millisecond)})
+}
+
+func (s *Store) get(w http.ResponseWriter, q *http.Request, f Fault) {
+	table := q.URL.Query().Get("table_name")
+	s.mu.Lock()
+	version, clock := s.version, time.Since(s.began)
+	if x, ok := f.(Stale); ok {
+		clock -= x.By
+	}
+	var rs []Row
+	for k, r := range s.rows(version) {
+		if k.table == table {
+			rs = append(rs, r)
+		}
+	}
+	s.mu.Unlock()
+	sort.Slice(rs, func(i, j int) bool { return rs[i].Key < rs[j].Key })
+	s.reply(w, http.StatusOK, rs, version, clock)
+}
+
+func (s *Store) feed(w http.ResponseWriter, q *http.Request) {
+	v := q.URL.Query()
+	after, err := strconv.ParseUint(v.Get("since_revision"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ms, err := strconv.Atoi(v.Get("wait_ms"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ctx, stop := context.WithTimeout(q.Context(), time.Duration(ms)*time.Millisecond)
+	defer stop()
+	for {
+		s.mu.Lock()
+		rs, version, lost, f, c := s.since(v.Get("table_name"), after), s.version, after < s.dropped, s.fault, s.changed
+		clock := time.Since(s.began)
+		s.mu.Unlock()
+		switch f.(type) {
+		case Busy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case Silent:
+			<-q.Context().Done()
+			return
+		}
+		if lost {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(rs) > 0 || ctx.Err() != nil {
+			s.reply(w, http.StatusOK, rs, version, clock)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-c:
+		}
+	}
+}
+
+// since returns the changes of a table after a version. The caller holds the lock.
+func (s *Store) since(table string, after uint64) []Row {
+	var rs []Row
+	for _, r := range s.history {
+		if r.Version > after && r.Table == table {
+			rs = append(rs, r)
+		}
+	}
+	return rs
+}
+
+type transaction struct {
+	Precondition []Row `json:"precondition"`
+	Write        []Row `json:"write"`
+	Remove       []Row `json:"remove"`
+}
+
+func (s *Store) commit(w http.ResponseWriter, q *http.Request, f Fault) {
+	var t transaction
+	if err := json.NewDecoder(q.Body).Decode(&t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	rs, ok := s.apply(t)
+	version, clock := s.version, time.Since(s.began)
+	s.mu.Unlock()
+	if _, lost := f.(LostWrites); lost {
+		panic(http.ErrAbortHandler)
+	}
+	if !ok {
+		s.reply(w, http.StatusPreconditionFailed, rs, version, clock)
+		return
+	}
+	s.reply(w, http.StatusOK, nil, version, clock)
+}
+
+// apply carries a transaction out, or returns the rows that did not match. The
+// caller holds the lock.
+func (s *Store) apply(t transaction) ([]Row, bool) {
+	now := s.rows(s.version)
+	var current []Row
+	ok := true
+	for _, p := range t.Precondition {
+		r := now[id{p.Table, p.Key}]
+		if r.Version != p.Version {
+			ok = false
+		}
+		if r.Version > 0 {
+			current = append(current, r)
+		}
+	}
+	if !ok {
+		return current, false
+	}
+	s.version++
+	for _, r := range t.Write {
+		r.Version = s.version
+		s.history = append(s.history, r)
+	}
+	for _, r := range t.Remove {
+		r.Version, r.Deleted = s.version, true
+		s.history = append(s.history, r)
+	}
+	s.notify()
+	return nil, true
+}
