test: play load patterns, roll-outs and silence without a network

Cause: decisions were tested through the whole program only. Change: tables and properties for canary, budget, place, choose, events, known and pulse; each names the failure or the load pattern that it guards against.

--- /dev/null
+++ b/router/budget/budget_test.go
@@ -0,0 +1,64 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragonvalve.example/router/budget"
+)
+
+// Guards against more repeats in any sliding window than the users' bound:
+// ratio times the requests of the window or of one before it, plus slack.
+func TestSlidingWindow(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		r := budget.Rule{Ratio: 0.9, Window: window, Slack: 5}
+		b := budget.New(func() budget.Rule { return r })
+		var requests, repeats []time.Duration
+		now := time.Hour
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+				b.Request("llm", now)
+				requests = append(requests, now)
+				continue
+			}
+			if b.Take("llm", 0, now) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			n := count(repeats, end-window, end)
+			allowed := max(count(requests, end-window, end), count(requests, end-2*window, end-window), count(requests, end-window*3/2, end-window/2))
+			if float64(n) > r.Ratio*float64(allowed)+r.Slack {
+				t.Fatalf("%d repeats in the window to %v, %d requests", n, end, allowed)
+			}
+		}
+	})
+}
+
+func count(ts []time.Duration, after, to time.Duration) int {
+	n := 0
+	for _, t := range ts {
+		if t > after && t <= to {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a budget that spends one service's requests on another's repeats.
+func TestServicesApart(t *testing.T) {
+	b := budget.New(func() budget.Rule { return budget.Rule{Ratio: 1, Window: time.Second} })
+	for range 10 {
+		b.Request("llm", time.Second)
+	}
+	if b.Take("desk", 0, time.Second) {
+		t.Error("a repeat of a service without requests was allowed")
+	}
+	if !b.Take("llm", 0, time.Second) {
+		t.Error("no repeat in ten requests was allowed")
+	}
+}
--- /dev/null
+++ b/router/canary/canary_test.go
@@ -0,0 +1,197 @@
+package canary_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/canary"
+)
+
+var order = canary.Order{Service: "llm", To: "v2", Limit: 20 * time.Second, Revision: 7}
+
+func progress(p canary.Phase) *canary.Progress {
+	return &canary.Progress{Service: "llm", To: "v2", Order: 7, Phase: p, Began: 100 * time.Second, Share: 800}
+}
+
+// Guards against a roll-out that moves too early, too late, backwards, or on
+// although its version is bad.
+func TestDecide(t *testing.T) {
+	tests := map[string]struct {
+		facts canary.Facts
+		want  canary.Phase
+		saves bool
+	}{
+		"taken up":                  {canary.Facts{Old: 9, New: 0}, canary.PhaseCanary, true},
+		"state of an earlier order": {canary.Facts{Progress: &canary.Progress{Order: 3, Phase: canary.PhaseReverted}, Old: 9}, canary.PhaseCanary, true},
+		"first half":                {canary.Facts{Progress: progress(canary.PhaseCanary), Clock: 109 * time.Second, Old: 9, New: 9}, 0, false},
+		"second half":               {canary.Facts{Progress: progress(canary.PhaseCanary), Clock: 112 * time.Second, Old: 9, New: 9}, canary.PhaseShift, true},
+		"too few new upstreams":     {canary.Facts{Progress: progress(canary.PhaseCanary), Clock: 112 * time.Second, Old: 9, New: 2}, 0, false},
+		"no new upstream at all":    {canary.Facts{Progress: progress(canary.PhaseCanary), Clock: 119 * time.Second, Old: 9, New: 0}, 0, false},
+		"few, but the time is over": {canary.Facts{Progress: progress(canary.PhaseCanary), Clock: 119 * time.Second, Old: 9, New: 2}, canary.PhaseShift, true},
+		"old work ends":             {canary.Facts{Progress: progress(canary.PhaseShift), Clock: 115 * time.Second, Old: 9, New: 9}, 0, false},
+		"completed":                 {canary.Facts{Progress: progress(canary.PhaseShift), Clock: 117500 * time.Millisecond, Old: 9, New: 9}, canary.PhaseCompleted, true},
+		"bad as a canary":           {canary.Facts{Progress: progress(canary.PhaseCanary), Clock: 103 * time.Second, Bad: "errors"}, canary.PhaseReverted, true},
+		"bad after the shift":       {canary.Facts{Progress: progress(canary.PhaseShift), Clock: 118 * time.Second, Bad: "errors"}, canary.PhaseReverted, true},
+		"bad after the end":         {canary.Facts{Progress: progress(canary.PhaseCompleted), Bad: "errors"}, 0, false},
+		"bad at several": {canary.Facts{Progress: progress(canary.PhaseCanary), Tallies: []canary.Tally{
+			{Order: 7, Answers: 5, Bad: 3}, {Order: 7, Answers: 6, Bad: 3},
+		}}, canary.PhaseReverted, true},
+		"few bad of many": {canary.Facts{Progress: progress(canary.PhaseCanary), Clock: 101 * time.Second, Tallies: []canary.Tally{
+			{Order: 7, Answers: 50, Bad: 3}, {Order: 7, Answers: 60, Bad: 3},
+		}}, 0, false},
+		"bad answers of another order": {canary.Facts{Progress: progress(canary.PhaseCanary), Clock: 101 * time.Second, Tallies: []canary.Tally{
+			{Order: 3, Answers: 9, Bad: 9},
+		}}, 0, false},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			c.facts.Order = order
+			c.facts.MaxShare = 0.15
+			s, ok := canary.Decide(c.facts).(canary.Save)
+			if ok != c.saves || (ok && s.Progress.Phase != c.want) {
+				t.Errorf("got %+v (%v), want %v (%v)", s, ok, c.want, c.saves)
+			}
+		})
+	}
+}
+
+// Guards against a canary that uses up the permitted exposure, whatever the size of the service.
+func TestShareBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(0.01, 0.5).Draw(t, "limit")
+		f := canary.Facts{Order: order, Old: rapid.IntRange(0, 700).Draw(t, "old"), MaxShare: limit}
+		s, ok := canary.Decide(f).(canary.Save)
+		if !ok {
+			t.Fatal("not taken up")
+		}
+		if float64(s.Progress.Share) > limit*float64(ident.FullShare) || s.Progress.Share == 0 {
+			t.Errorf("share %d of a permitted %.4f", s.Progress.Share, limit)
+		}
+	})
+}
+
+// Guards against a state that goes back, in any order of findings, writers that
+// saw old states, and time. Writers win only against the state that they saw.
+func TestPhasesOnlyMoveForward(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var row *canary.Progress
+		revision := 0
+		type seen struct {
+			p        *canary.Progress
+			revision int
+		}
+		views := make([]seen, 3)
+		clock := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			clock += time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+			i := rapid.IntRange(0, len(views)-1).Draw(t, "instance")
+			if rapid.Bool().Draw(t, "reads") {
+				views[i] = seen{row, revision}
+			}
+			bad := ""
+			if rapid.IntRange(0, 9).Draw(t, "bad") == 0 {
+				bad = "errors"
+			}
+			f := canary.Facts{Order: order, Progress: views[i].p, Clock: clock, Bad: bad, Old: 9, New: 9, MaxShare: 0.15}
+			s, ok := canary.Decide(f).(canary.Save)
+			if !ok || views[i].revision != revision {
+				continue
+			}
+			if row != nil && s.Progress.Phase <= row.Phase {
+				t.Fatalf("state went from %v to %v", row.Phase, s.Progress.Phase)
+			}
+			if row != nil && row.Phase.Final() {
+				t.Fatalf("final state %v changed", row.Phase)
+			}
+			p := s.Progress
+			row = &p
+			revision++
+		}
+	})
+}
+
+// Guards against sessions that change their version, and against work for a
+// version that this instance found bad.
+func TestChoose(t *testing.T) {
+	tests := map[string]struct {
+		progress *canary.Progress
+		halted   bool
+		seed     uint64
+		old, new bool
+	}{
+		"before the take-up":    {nil, false, 0, true, false},
+		"state of another":      {&canary.Progress{Order: 3, Phase: canary.PhaseCompleted}, false, 0, true, false},
+		"in the canary's share": {progress(canary.PhaseCanary), false, 10_799, false, true},
+		"outside of the share":  {progress(canary.PhaseCanary), false, 10_800, true, false},
+		"found bad":             {progress(canary.PhaseCanary), true, 10_799, true, false},
+		"shifted":               {progress(canary.PhaseShift), false, 9_999, false, true},
+		"shifted and found bad": {progress(canary.PhaseShift), true, 9_999, true, false},
+		"completed":             {progress(canary.PhaseCompleted), true, 9_999, false, true},
+		"reverted":              {progress(canary.PhaseReverted), false, 0, true, false},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := canary.Choose(order, c.progress, c.halted, c.seed)
+			if r.Accepts("v1") != c.old || r.Accepts("v2") != c.new {
+				t.Errorf("accepts v1 %v, v2 %v", r.Accepts("v1"), r.Accepts("v2"))
+			}
+		})
+	}
+	if !(canary.Route{}).Accepts("v9") {
+		t.Error("without an order a version is refused")
+	}
+}
+
+// Guards against a bad version that is noticed late and a good one that is halted.
+func TestWatch(t *testing.T) {
+	tests := map[string]struct {
+		answer func(i int) canary.Answer
+		// within is the number of answers by which a finding must stand; 0 means never.
+		within int
+	}{
+		"good":             {func(int) canary.Answer { return canary.Answer{Latency: 110 * time.Millisecond} }, 0},
+		"cold caches":      {func(int) canary.Answer { return canary.Answer{Latency: 180 * time.Millisecond} }, 0},
+		"half fail":        {func(i int) canary.Answer { return canary.Answer{Failed: i%2 == 0} }, 10},
+		"eight times slow": {func(int) canary.Answer { return canary.Answer{Latency: 800 * time.Millisecond} }, 20},
+		"late": {func(i int) canary.Answer {
+			return canary.Answer{Failed: i > 100 && i%2 == 0, Latency: 100 * time.Millisecond}
+		}, 130},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := canary.NewWatch()
+			for i := range 60 {
+				w.Observe(canary.Answer{Service: "llm", Latency: time.Duration(90+i%20) * time.Millisecond}, 7)
+			}
+			found := 0
+			for i := 1; i <= 300 && found == 0; i++ {
+				a := c.answer(i)
+				a.Service, a.New = "llm", true
+				w.Observe(a, 7)
+				if w.Verdict("llm", 7) != "" {
+					found = i
+				}
+			}
+			if (found == 0) != (c.within == 0) || found > c.within {
+				t.Errorf("found bad after %d answers, want within %d", found, c.within)
+			}
+			if w.Verdict("llm", 8) != "" {
+				t.Error("a finding about one order counts for the next")
+			}
+		})
+	}
+}
+
+// Guards against a bad version that stays because an instance restarted and knows no reference.
+func TestWatchWithoutReference(t *testing.T) {
+	w := canary.NewWatch()
+	for range 8 {
+		w.Observe(canary.Answer{Service: "llm", New: true, Failed: true}, 7)
+	}
+	if w.Verdict("llm", 7) == "" {
+		t.Error("eight failures in a row are not found bad")
+	}
+}
--- /dev/null
+++ b/router/events/events_test.go
@@ -0,0 +1,55 @@
+package events_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"tarragonvalve.example/router/events"
+)
+
+// Guards against events that are joined, changed, or passed on in part.
+func TestNext(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		ids  []uint64
+		end  error
+	}{
+		"two events":        {"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []uint64{1, 2}, io.EOF},
+		"carriage returns":  {"id: 1\r\ndata: a\r\n\r\n", []uint64{1}, io.EOF},
+		"other first lines": {"tarragonvalve-weight-versions: 2\nid: 7\ndata: a\n\n", []uint64{7}, io.EOF},
+		"cut in an event":   {"id: 1\ndata: a\n\nid: 2\nda", []uint64{1}, io.ErrUnexpectedEOF},
+		"cut at its end":    {"id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF},
+		"empty":             {"", nil, io.EOF},
+		"long":              {"id: 1\ndata: " + strings.Repeat("x", 20_000) + "\n\n", []uint64{1}, io.EOF},
+		"too long":          {"data: " + strings.Repeat("x", 300<<10), nil, events.ErrTooLong},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := events.NewReader(iotest.OneByteReader(strings.NewReader(c.text)))
+			var ids []uint64
+			var raw strings.Builder
+			for {
+				e, err := r.Next()
+				if err != nil {
+					if !errors.Is(err, c.end) {
+						t.Errorf("ended with %v, want %v", err, c.end)
+					}
+					break
+				}
+				ids = append(ids, e.ID)
+				raw.Write(e.Raw)
+			}
+			if len(ids) != len(c.ids) || !strings.HasPrefix(c.text, raw.String()) {
+				t.Fatalf("got ids %v of %q", ids, raw.String())
+			}
+			for i := range ids {
+				if ids[i] != c.ids[i] {
+					t.Errorf("got ids %v, want %v", ids, c.ids)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/router/known/known_test.go
@@ -0,0 +1,175 @@
+package known
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/canary"
+	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/routes"
+)
+
+// Guards against a configuration, an order or a state of a roll-out that goes back.
+func TestNeverReverts(t *testing.T) {
+	s := newState()
+	s.apply(DocumentChanged{Document: &routes.Document{Generation: 5}}, 0)
+	s.apply(DocumentChanged{Document: &routes.Document{Generation: 3}}, 0)
+	if s.document.Generation != 5 {
+		t.Errorf("generation %d replaced 5", s.document.Generation)
+	}
+	s.apply(RolloutOrdered{Order: canary.Order{Service: "s", To: "v3", Revision: 9}}, 0)
+	s.apply(RolloutOrdered{Order: canary.Order{Service: "s", To: "v2", Revision: 4}}, 0)
+	if s.orders["s"].To != "v3" {
+		t.Error("an older order replaced a newer one")
+	}
+	s.apply(RolloutMoved{Progress: canary.Progress{Service: "s", Phase: canary.PhaseReverted}, Revision: 9}, 0)
+	s.apply(RolloutMoved{Progress: canary.Progress{Service: "s", Phase: canary.PhaseShift}, Revision: 8}, 0)
+	if s.progress["s"].Progress.Phase != canary.PhaseReverted {
+		t.Error("an older state replaced a newer one")
+	}
+}
+
+// Guards against upstreams dropped because their entries lapsed during an outage,
+// and against keeping those that really left.
+func TestGone(t *testing.T) {
+	tests := map[string]struct {
+		returned time.Duration // when the store returned; negative means no outage
+		draining bool
+		at       time.Duration
+		back     bool
+		kept     bool
+	}{
+		"no outage":                {-10 * time.Second, false, time.Second, false, false},
+		"right after an outage":    {0, false, time.Second, false, true},
+		"later than two seconds":   {0, false, 2300 * time.Millisecond, false, false},
+		"draining before":          {0, true, time.Second, false, false},
+		"returned in the meantime": {0, false, time.Second, true, true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newState()
+			u := &fleet.Upstream{ID: "u", Service: "s", Draining: c.draining}
+			s.apply(UpstreamChanged{Upstream: u}, -time.Minute)
+			s.returned(c.returned)
+			s.reset(nil, c.at)
+			if c.back {
+				s.apply(UpstreamChanged{Upstream: u}, c.at)
+			}
+			if _, ok := s.upstreams["u"]; ok != c.kept {
+				t.Errorf("kept %v, want %v", ok, c.kept)
+			}
+			s.expire(c.returned + 3*time.Second)
+			if _, ok := s.upstreams["u"]; ok != c.back {
+				t.Errorf("three seconds later: kept %v, want %v", ok, c.back)
+			}
+		})
+	}
+}
+
+// Guards against a stale answer that counts as fresh.
+func TestEvidence(t *testing.T) {
+	var e Evidence
+	ms := time.Millisecond
+	if got := e.AsOf(1000*ms, 1010*ms, 501_010*ms); got > 1000*ms {
+		t.Errorf("first answer: as of %v", got)
+	}
+	if got := e.AsOf(2000*ms, 2010*ms, 502_008*ms); got < 1990*ms || got > 2000*ms {
+		t.Errorf("fresh answer: as of %v", got)
+	}
+	if got := e.AsOf(9000*ms, 9010*ms, 506_010*ms); got > 6010*ms {
+		t.Errorf("answer three seconds behind: as of %v", got)
+	}
+	if got := e.AsOf(20_000*ms, 20_010*ms, 100*ms); got < 19_990*ms {
+		t.Errorf("after the store's clock began anew: as of %v", got)
+	}
+}
+
+// script is a store whose answers the test writes.
+type script struct {
+	snapshot func(t Topic) (Page, error)
+	follow   func(ctx context.Context, t Topic, after Revision) (Page, error)
+}
+
+func (s *script) Snapshot(_ context.Context, t Topic) (Page, error) { return s.snapshot(t) }
+
+func (s *script) Follow(ctx context.Context, t Topic, after Revision, _ time.Duration) (Page, error) {
+	return s.follow(ctx, t, after)
+}
+
+func (*script) SaveProgress(context.Context, canary.Progress, Revision) error { return nil }
+
+func (*script) SaveTally(context.Context, canary.Tally) error { return nil }
+
+// Guards against a watch that fell behind and is not read anew, and against
+// evidence of freshness while the store is silent.
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		now := func() time.Duration { return time.Since(began) + time.Hour }
+		var generation atomic.Int64
+		generation.Store(1)
+		var silent atomic.Bool
+		s := &script{
+			snapshot: func(Topic) (Page, error) {
+				if silent.Load() {
+					return Page{}, errors.New("no answer")
+				}
+				d := &routes.Document{Generation: ident.Generation(generation.Load())}
+				return Page{Changes: []Change{DocumentChanged{Document: d}}, Revision: Revision(generation.Load()), Clock: time.Since(began)}, nil
+			},
+			follow: func(ctx context.Context, _ Topic, after Revision) (Page, error) {
+				select {
+				case <-ctx.Done():
+					return Page{}, ctx.Err()
+				case <-time.After(900 * time.Millisecond):
+				}
+				switch {
+				case silent.Load():
+					<-ctx.Done()
+					return Page{}, ctx.Err()
+				case generation.Load() == 2 && after == 1:
+					return Page{}, &HistoryLostError{After: after}
+				}
+				return Page{Revision: after, Clock: time.Since(began)}, nil
+			},
+		}
+		n := New(s, now, zerolog.New(io.Discard))
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- n.Run(ctx) }()
+		if _, ok := n.Age(); ok {
+			t.Error("fresh before the first answer")
+		}
+		time.Sleep(2 * time.Second)
+		if a, ok := n.Age(); !ok || a > 1800*time.Millisecond {
+			t.Errorf("age %v %v", a, ok)
+		}
+		generation.Store(2)
+		time.Sleep(2 * time.Second)
+		if g := n.View().Document.Generation; g != 2 {
+			t.Errorf("generation %d after the history was lost", g)
+		}
+		silent.Store(true)
+		time.Sleep(5 * time.Second)
+		if a, _ := n.Age(); a < 4*time.Second {
+			t.Errorf("age %v after five silent seconds", a)
+		}
+		silent.Store(false)
+		time.Sleep(4 * time.Second)
+		if a, _ := n.Age(); a > 1800*time.Millisecond {
+			t.Errorf("age %v after the store returned", a)
+		}
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- /dev/null
+++ b/router/place/place_test.go
@@ -0,0 +1,191 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/place"
+)
+
+func upstreams(n int) []*fleet.Upstream {
+	var us []*fleet.Upstream
+	for i := range n {
+		us = append(us, &fleet.Upstream{
+			ID: ident.UpstreamID(fmt.Sprintf("u%d", i)), Service: "llm", Slots: 64,
+			Domain: ident.DomainID([]string{"a", "b", "c"}[i%3]),
+		})
+	}
+	return us
+}
+
+func engine() place.Query {
+	return place.Query{Service: "llm", Domain: "a", Engine: true, Input: 2000, Pace: 0.3, Bytes: 3000}
+}
+
+var start = time.Unix(1000, 0)
+
+// arrivals plays a pattern of requests that each take work, and returns how many each upstream got.
+func arrivals(t *testing.T, us []*fleet.Upstream, q place.Query, n int, gap time.Duration, work map[ident.UpstreamID]time.Duration) map[ident.UpstreamID]int {
+	t.Helper()
+	type running struct {
+		at *place.Attempt
+		to time.Time
+	}
+	b := place.New()
+	now := start
+	var open []running
+	got := map[ident.UpstreamID]int{}
+	for range n {
+		now = now.Add(gap)
+		rest := open[:0]
+		for _, r := range open {
+			if r.to.After(now) {
+				rest = append(rest, r)
+				continue
+			}
+			r.at.Answered(r.to)
+			r.at.End()
+		}
+		open = rest
+		c, ok := b.Pick(us, q, now)
+		if !ok {
+			t.Fatal("no upstream")
+		}
+		got[c.Upstream.ID]++
+		w := work[c.Upstream.ID]
+		if w == 0 {
+			w = 40 * time.Millisecond
+		}
+		open = append(open, running{b.Start(c, now), now.Add(w)})
+	}
+	return got
+}
+
+// Pattern: steady load, one of three upstreams of the domain turns ten times
+// slower. Who must be served: everyone, mostly by the others.
+func TestSlowUpstream(t *testing.T) {
+	us := upstreams(9)
+	got := arrivals(t, us, engine(), 600, 10*time.Millisecond, map[ident.UpstreamID]time.Duration{"u0": 400 * time.Millisecond})
+	if got["u0"] > 60 {
+		t.Errorf("the slow upstream got %d of 600: %v", got["u0"], got)
+	}
+	if got["u3"]+got["u6"] < 300 {
+		t.Errorf("the sound upstreams of the domain got %d and %d of 600", got["u3"], got["u6"])
+	}
+}
+
+// Pattern: a burst in one domain that its upstreams can't take in time. Work
+// must spill to other domains, and not before.
+func TestBurstLeavesDomain(t *testing.T) {
+	us := upstreams(9)
+	calm := arrivals(t, us, engine(), 200, 60*time.Millisecond, nil)
+	if n := calm["u0"] + calm["u3"] + calm["u6"]; n < 190 {
+		t.Errorf("calm: %d of 200 stayed in the domain", n)
+	}
+	work := map[ident.UpstreamID]time.Duration{}
+	for _, u := range us {
+		work[u.ID] = 500 * time.Millisecond
+	}
+	burst := arrivals(t, us, engine(), 200, 2*time.Millisecond, work)
+	if n := burst["u0"] + burst["u3"] + burst["u6"]; n > 150 {
+		t.Errorf("burst: %d of 200 stayed in the domain", n)
+	}
+}
+
+// Pattern: many requests about one thing. They must meet at the upstream that has
+// its prompt in memory, from all instances, until that is crowded.
+func TestPrefixHome(t *testing.T) {
+	us := upstreams(9)
+	q := engine()
+	q.Affinity, q.Cached, q.Input, q.Pace = "large/thing", 5000, 8000, 3
+	first, ok := place.New().Pick(us, q, start)
+	if !ok || !first.Affine {
+		t.Fatalf("got %+v", first)
+	}
+	for _, d := range []ident.DomainID{"b", "c"} {
+		q.Domain = d
+		if c, _ := place.New().Pick(us, q, start); c.Upstream != first.Upstream {
+			t.Errorf("domain %s: home %s, want %s", d, c.Upstream.ID, first.Upstream.ID)
+		}
+	}
+	b := place.New()
+	q.Domain = "a"
+	for range 12 {
+		c, _ := b.Pick(us, q, start)
+		b.Start(c, start)
+	}
+	if c, _ := b.Pick(us, q, start); c.Upstream == first.Upstream {
+		t.Error("a crowded home still gets everything")
+	}
+	q.Pace, q.Cached, q.Input = 0.3, 200, 800
+	if c, _ := place.New().Pick(us, q, start); c.Upstream.Domain != "a" {
+		t.Error("a short prefix left the domain")
+	}
+}
+
+// Pattern: an upstream is silent, draining, tried already or failing.
+func TestNotChosen(t *testing.T) {
+	us := upstreams(3)
+	for i := range us {
+		us[i].Domain = "a"
+	}
+	tests := map[string]func(b *place.Book, q *place.Query){
+		"silent":   func(b *place.Book, _ *place.Query) { b.SetSilent("u0", true) },
+		"draining": func(*place.Book, *place.Query) { us[0].Draining = true },
+		"tried":    func(_ *place.Book, q *place.Query) { q.Exclude = []ident.UpstreamID{"u0"} },
+		"refused":  func(_ *place.Book, q *place.Query) { q.Accept = func(u *fleet.Upstream) bool { return u.ID != "u0" } },
+		"failing": func(b *place.Book, _ *place.Query) {
+			for range 5 {
+				b.Judge("u0", false, 3, start)
+			}
+		},
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			us[0].Draining = false
+			b := place.New()
+			q := engine()
+			prepare(b, &q)
+			for range 50 {
+				c, ok := b.Pick(us, q, start)
+				if !ok || c.Upstream.ID == "u0" {
+					t.Fatalf("chose %+v", c.Upstream)
+				}
+				b.Start(c, start)
+			}
+		})
+	}
+	us[0].Draining = false
+	b := place.New()
+	for _, u := range us {
+		b.SetSilent(u.ID, true)
+	}
+	if _, ok := b.Pick(us, engine(), start); !ok {
+		t.Error("if all are silent, none is tried")
+	}
+}
+
+// Pattern: reports of other instances' work. A full upstream must not be chosen
+// though this instance sent it nothing; an old report must not count.
+func TestReports(t *testing.T) {
+	us := upstreams(2)
+	us[1].Domain = "a"
+	b := place.New()
+	q := engine()
+	c, _ := b.Pick(us, q, start)
+	a := b.Start(c, start)
+	a.Answered(start.Add(30 * time.Millisecond))
+	a.Reported(call.Load{Running: 64, Waiting: 10, Slots: 64}, start)
+	a.End()
+	if d, _ := b.Pick(us, q, start.Add(time.Second)); d.Upstream == c.Upstream {
+		t.Error("a full upstream was chosen")
+	}
+	d, _ := b.Pick(us, q, start.Add(time.Minute))
+	if d.Cost > 100 {
+		t.Errorf("an old report still counts: cost %.0f ms", d.Cost)
+	}
+}
--- /dev/null
+++ b/router/pulse/pulse_test.go
@@ -0,0 +1,135 @@
+package pulse
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/fleet"
+)
+
+type marks struct {
+	mu sync.Mutex
+	m  map[ident.UpstreamID]bool
+}
+
+func (k *marks) SetSilent(id ident.UpstreamID, silent bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.m[id] = silent
+}
+
+func (k *marks) silent(id ident.UpstreamID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.m[id]
+}
+
+// Guards against requests that wait for a machine without power, and against
+// attempts ended at an upstream that is only busy.
+func TestSilence(t *testing.T) {
+	tests := map[string]struct {
+		// every is the time between bytes before the upstream falls silent; 0 means none ever came.
+		every time.Duration
+		dead  bool
+		// ended is when the attempt must have been ended after the last byte; 0 means never.
+		ended time.Duration
+	}{
+		"dead before the answer": {0, true, 1100 * time.Millisecond},
+		"dead in the stream":     {50 * time.Millisecond, true, 900 * time.Millisecond},
+		"busy before the answer": {0, false, 0},
+		"stalled connection":     {50 * time.Millisecond, false, 1300 * time.Millisecond},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &fleet.Upstream{ID: "u", Address: "10.0.0.1:1"}
+				list := fleet.New(map[ident.UpstreamID]*fleet.Upstream{"u": u})
+				k := &marks{m: map[ident.UpstreamID]bool{}}
+				m := New(k, func() *fleet.List { return list }, zerolog.New(io.Discard))
+				m.dial = func(ctx context.Context, _ string) error {
+					if !c.dead {
+						return nil
+					}
+					ctx, stop := context.WithTimeout(ctx, checkLimit)
+					defer stop()
+					<-ctx.Done()
+					return ctx.Err()
+				}
+				ctx, stop := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go func() { done <- m.Run(ctx) }()
+				ended := make(chan time.Time, 100)
+				w := m.Begin(u, func(err error) {
+					if !errors.Is(err, ErrSilent) {
+						t.Errorf("ended with %v", err)
+					}
+					select {
+					case ended <- time.Now():
+					default:
+					}
+				}, time.Now())
+				last := time.Now()
+				if c.every > 0 {
+					for range 20 {
+						time.Sleep(c.every)
+						last = time.Now()
+						w.Heard(last)
+					}
+				}
+				time.Sleep(3 * time.Second)
+				select {
+				case at := <-ended:
+					if c.ended == 0 || at.Sub(last) > c.ended {
+						t.Errorf("ended %v after the last byte, want %v", at.Sub(last), c.ended)
+					}
+				default:
+					if c.ended != 0 {
+						t.Error("not ended")
+					}
+				}
+				if k.silent("u") != c.dead {
+					t.Errorf("marked silent: %v", k.silent("u"))
+				}
+				w.Done()
+				stop()
+				if err := <-done; err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an upstream that stays out of use after it came back.
+func TestReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &fleet.Upstream{ID: "u", Address: "10.0.0.1:1"}
+		list := fleet.New(map[ident.UpstreamID]*fleet.Upstream{"u": u})
+		k := &marks{m: map[ident.UpstreamID]bool{}}
+		m := New(k, func() *fleet.List { return list }, zerolog.New(io.Discard))
+		m.dial = func(context.Context, string) error { return nil }
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		m.Failed(u)
+		if !k.silent("u") {
+			t.Error("an upstream that took no connection is still used")
+		}
+		time.Sleep(2 * checkAgain)
+		if k.silent("u") {
+			t.Error("an upstream that takes connections again is not used")
+		}
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
