fix: count repeats of the oldest part of the window

Change: repeats count over 21 slots, requests over 20. After: go test -race -count=3 of budget, place and canary passes.

--- a/router/budget/budget.go
+++ b/router/budget/budget.go
@@ -13,6 +13,9 @@
 const (
 	// slots is the resolution of the window.
 	slots = 20
+	// kept is one more: the oldest slot may lie partly within a sliding window, so
+	// its repeats count and its requests don't.
+	kept = slots + 1
 	// reserve is the part of the ratio that is left unspent: requests are counted
 	// where they arrive, which differs from our count by those in flight.
 	reserve = 0.1
@@ -39,13 +42,13 @@
 	mu       sync.Mutex
 	rule     func() Rule
 	window   time.Duration
-	services map[ident.ServiceID]*[slots]counts
+	services map[ident.ServiceID]*[kept]counts
 }
 
 // New returns a budget without history. rule returns the bound in force; its
 // window is fixed at the first use.
 func New(rule func() Rule) *Budget {
-	return &Budget{rule: rule, window: rule().Window, services: map[ident.ServiceID]*[slots]counts{}}
+	return &Budget{rule: rule, window: rule().Window, services: map[ident.ServiceID]*[kept]counts{}}
 }
 
 // Request records the first attempt of a request.
@@ -61,13 +64,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.at(s, now)
-	first := b.slot(now) - slots
+	oldest := b.slot(now) - slots
 	requests, repeats := 0, 0
 	for _, x := range b.services[s] {
-		if x.slot > first {
-			requests += x.requests
+		if x.slot >= oldest {
 			repeats += x.repeats
 		}
+		if x.slot > oldest {
+			requests += x.requests
+		}
 	}
 	r := b.rule()
 	allowed := (r.Ratio*(1-reserve)*float64(requests) + r.Slack) * (1 - keep)
@@ -85,11 +90,11 @@
 func (b *Budget) at(s ident.ServiceID, now time.Duration) *counts {
 	w := b.services[s]
 	if w == nil {
-		w = &[slots]counts{}
+		w = &[kept]counts{}
 		b.services[s] = w
 	}
 	n := b.slot(now)
-	c := &w[n%slots]
+	c := &w[n%kept]
 	if c.slot != n {
 		*c = counts{slot: n}
 	}
