fix: notice a version that turns bad after many good answers

Change: beside it a detector that starts anew at each good phase. Ruled out: a larger false-alarm rate for the test itself, which reverts good versions.

--- a/router/canary/watch.go
+++ b/router/canary/watch.go
@@ -12,6 +12,10 @@
 const (
 	// falseAlarm is the probability of reverting a good version.
 	falseAlarm = 0.005
+	// lateAlarm is the inverse of the least number of answers, on average, until a
+	// good version is taken to have turned bad. A version's good answers must not
+	// hide that it fails from some moment on.
+	lateAlarm = 0.0005
 	// slowFactor is how many times slower than the old version's usual answers a
 	// new one may be: its caches are cold and its upstreams differ in speed.
 	slowFactor = 2
@@ -42,6 +46,7 @@
 	reference *guard.Reference
 	order     uint64
 	guard     *guard.Guard
+	late      *guard.Guard
 	answers   int
 	bad       int
 	verdict   string
@@ -69,8 +74,10 @@
 		s.bad++
 	}
 	o.Latency /= slowFactor
-	if b, ok := s.guard.Observe(s.reference, o).(guard.Bad); ok && s.verdict == "" {
-		s.verdict = fmt.Sprintf("%s: rate %.2f against %.2f", b.Signal, b.Rate, b.Reference)
+	for _, g := range []*guard.Guard{s.guard, s.late} {
+		if b, ok := g.Observe(s.reference, o).(guard.Bad); ok && s.verdict == "" {
+			s.verdict = fmt.Sprintf("%s: rate %.2f against %.2f", b.Signal, b.Rate, b.Reference)
+		}
 	}
 	if s.verdict == "" && s.bad >= plainBad && float64(s.bad) >= plainRate*float64(s.answers) {
 		s.verdict = fmt.Sprintf("%d of %d answers bad", s.bad, s.answers)
@@ -115,5 +122,6 @@
 	}
 	s.order = order
 	s.guard = guard.New(falseAlarm)
+	s.late = guard.NewDetector(lateAlarm)
 	s.answers, s.bad, s.verdict = 0, 0, ""
 }
