feat: share what one router read from the store

Evidence of freshness passes on as an age, so keys and draining are bound as before. Ruled out: longer waits at the store; keys must stop within 5 s.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -32,6 +32,7 @@
 	"tarragonvalve.example/router/pulse"
 	"tarragonvalve.example/router/relay"
 	"tarragonvalve.example/router/setup"
+	"tarragonvalve.example/router/share"
 )
 
 // Main runs the router with command-line arguments and returns its exit code.
@@ -88,11 +89,13 @@
 		func() clock.Func { return clock.Boot },
 		func() call.Codec { return heads.Codec{} },
 		func() known.Store { return rows.New(s.Store) },
+		newPeers,
 		known.New,
 		link.New,
 		place.New,
 		canary.NewWatch,
 		newMover,
+		newShare,
 		newBudget,
 		newPulse,
 		newRelay,
@@ -106,8 +109,12 @@
 		}
 	}
 	var steps []serve.Step
-	err := c.Invoke(func(v *setup.Live, b *place.Book, n *known.Node, p *link.Pool, m *mover.Mover, u *pulse.Monitor, a *admin, f *front.Server) {
-		steps = []serve.Step{v, n, p, m, u, &cleaner{book: b, node: n}, a, f}
+	err := c.Invoke(func(v *setup.Live, b *place.Book, n *known.Node, p *link.Pool, m *mover.Mover, u *pulse.Monitor, h *share.Server, a *admin, f *front.Server) {
+		steps = []serve.Step{v, n, p, m, u, &cleaner{book: b, node: n}, a}
+		if h != nil {
+			steps = append(steps, h)
+		}
+		steps = append(steps, f)
 	})
 	return steps, err
 }
--- /dev/null
+++ b/router/boot/share.go
@@ -0,0 +1,46 @@
+package boot
+
+import (
+	"net"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tarragonvalve.example/router/known"
+	"tarragonvalve.example/router/setup"
+	"tarragonvalve.example/router/share"
+)
+
+// newPeers returns the peers to read from. The first seed reads the store; the
+// other seeds ask those before them, all other instances any of them, so that
+// each seed gets a part of the questions.
+func newPeers(s *setup.Settings) ([]known.Peer, error) {
+	as := s.Seeds
+	if i := slices.Index(as, s.Share); i >= 0 {
+		as = as[:i]
+	} else if n := len(as); n > 0 {
+		first := int(xxhash.Sum64String(s.Instance) % uint64(n))
+		as = slices.Concat(as[first:], as[:first])
+	}
+	var ps []known.Peer
+	for _, a := range as {
+		c, err := share.NewClient(a)
+		if err != nil {
+			return nil, err
+		}
+		ps = append(ps, known.Peer{Address: a, Source: c})
+	}
+	return ps, nil
+}
+
+// newShare returns nil if peers can't reach this instance.
+func newShare(s *setup.Settings, n *known.Node) (*share.Server, error) {
+	if s.Share == "" {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", s.Share)
+	if err != nil {
+		return nil, err
+	}
+	return share.NewServer(l, n), nil
+}
--- a/router/known/known.go
+++ b/router/known/known.go
@@ -43,8 +43,11 @@
 // Node keeps the view current.
 type Node struct {
 	store Store
+	// peers are read before the store, which has a price for each call.
+	peers []Peer
 	now   clock.Func
 	log   zerolog.Logger
+	logs  map[Topic]*Log
 
 	view    atomic.Pointer[View]
 	proved  atomic.Int64 // local time, in ns, as of which the orders are known
@@ -55,17 +58,19 @@
 	evidence Evidence
 }
 
-// update is one answered or failed read, handed to the control goroutine.
+// update is one answered read, handed to the control goroutine.
 type update struct {
 	topic    Topic
-	page     Page
+	changes  []Change
 	snapshot bool
 	returned bool
 }
 
-// New returns a node that knows nothing yet.
-func New(s Store, now clock.Func, l zerolog.Logger) *Node {
-	n := &Node{store: s, now: now, log: l, updates: make(chan update)}
+// New returns a node that knows nothing yet. It reads from the first peer that
+// answers, and from the store if none does.
+func New(s Store, peers []Peer, now clock.Func, l zerolog.Logger) *Node {
+	n := &Node{store: s, peers: peers, now: now, log: l, updates: make(chan update)}
+	n.logs = map[Topic]*Log{TopicOrders: {}, TopicUpstreams: {}, TopicProgress: {}}
 	n.view.Store(newState().view())
 	c := make(chan struct{})
 	n.changed.Store(&c)
@@ -168,13 +173,13 @@
 	}
 	changed := false
 	if u.snapshot && u.topic == TopicUpstreams {
-		changed = s.reset(u.page.Changes, now)
+		changed = s.reset(u.changes, now)
 	}
 	if u.topic == TopicProgress && !s.progressRead {
 		s.progressRead = true
 		changed = true
 	}
-	for _, c := range u.page.Changes {
+	for _, c := range u.changes {
 		if s.apply(c, now) {
 			changed = true
 			n.record(c)
@@ -192,7 +197,7 @@
 // follow reads one topic until ctx ends. While needed is set and false it waits
 // for the view to change.
 func (n *Node) follow(ctx context.Context, t Topic, wait time.Duration, needed func() bool) {
-	f := follower{Node: n, topic: t, wait: wait}
+	f := follower{Node: n, topic: t, wait: wait, route: route{peers: len(n.peers)}}
 	f.pause = &backoff.ExponentialBackOff{
 		InitialInterval: retryFirst, MaxInterval: retryMost, Multiplier: 2, RandomizationFactor: backoff.DefaultRandomizationFactor,
 	}
@@ -219,6 +224,7 @@
 	after  Revision
 	lost   bool
 	pause  *backoff.ExponentialBackOff
+	route  route
 }
 
 func (f *follower) read(ctx context.Context) {
@@ -229,19 +235,14 @@
 		return
 	}
 	f.pause.Reset()
-	received := f.now()
-	if f.synced {
-		sent = max(sent, received-deafness)
-	}
-	f.mu.Lock()
-	asOf := f.evidence.AsOf(sent, received, p.Clock)
-	f.mu.Unlock()
-	if p.Revision < f.after || asOf < sent-staleAfter {
+	asOf := f.asOf(sent, p)
+	if p.Revision < f.after || asOf < sent-p.Age-staleAfter {
 		f.log.Warn().Stringer("topic", f.topic).Dur("behind", sent-asOf).Uint64("revision", uint64(p.Revision)).Msg("stale answer of the store ignored")
 		f.sleep(ctx, retryMost)
 		return
 	}
-	u := update{topic: f.topic, page: p, snapshot: !f.synced, returned: f.lost}
+	f.logs[f.topic].take(p, asOf)
+	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), snapshot: p.Snapshot, returned: f.lost}
 	select {
 	case <-ctx.Done():
 		return
@@ -251,17 +252,32 @@
 		f.lost = false
 		f.log.Info().Str("dependency", "store").Stringer("topic", f.topic).Msg("dependency regained")
 	}
-	if f.topic == TopicUpstreams && f.synced && len(p.Changes) > 0 {
+	if f.topic == TopicOrders {
+		f.proved.Store(max(f.proved.Load(), int64(asOf)))
+	}
+	if f.topic == TopicUpstreams && f.synced && len(p.Records) > 0 && f.route.direct() {
 		f.sleep(ctx, gather)
 	}
 	f.synced = true
 	f.after = p.Revision
-	if f.topic == TopicOrders {
-		f.proved.Store(max(f.proved.Load(), int64(asOf)))
+}
+
+// asOf returns the local time at which an answer was current at the latest.
+func (f *follower) asOf(sent time.Duration, p Page) time.Duration {
+	received := f.now()
+	if !p.Snapshot && p.Age == 0 {
+		// The store's watch answers at the end of its wait.
+		sent = max(sent, received-deafness)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evidence.AsOf(sent, received, p.Clock) - p.Age
 }
 
 func (f *follower) ask(ctx context.Context) (Page, error) {
+	if p, ok := f.askPeer(ctx); ok {
+		return p, nil
+	}
 	if !f.synced {
 		ctx, stop := context.WithTimeout(ctx, answerLimit)
 		defer stop()
--- a/router/known/known_test.go
+++ b/router/known/known_test.go
@@ -104,6 +104,15 @@
 	return s.follow(ctx, t, after)
 }
 
+// Decode takes a record's revision for the generation of the configuration.
+func (*script) Decode(_ Topic, rs []Record) []Change {
+	var cs []Change
+	for _, r := range rs {
+		cs = append(cs, DocumentChanged{Document: &routes.Document{Generation: ident.Generation(r.Revision)}})
+	}
+	return cs
+}
+
 func (*script) SaveProgress(context.Context, canary.Progress, Revision) error { return nil }
 
 func (*script) SaveTally(context.Context, canary.Tally) error { return nil }
@@ -122,8 +131,8 @@
 				if silent.Load() {
 					return Page{}, errors.New("no answer")
 				}
-				d := &routes.Document{Generation: ident.Generation(generation.Load())}
-				return Page{Changes: []Change{DocumentChanged{Document: d}}, Revision: Revision(generation.Load()), Clock: time.Since(began)}, nil
+				r := Record{Key: "config", Revision: Revision(generation.Load())}
+				return Page{Snapshot: true, Records: []Record{r}, Revision: Revision(generation.Load()), Clock: time.Since(began)}, nil
 			},
 			follow: func(ctx context.Context, _ Topic, after Revision) (Page, error) {
 				select {
@@ -141,7 +150,7 @@
 				return Page{Revision: after, Clock: time.Since(began)}, nil
 			},
 		}
-		n := New(s, now, zerolog.New(io.Discard))
+		n := New(s, nil, now, zerolog.New(io.Discard))
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- n.Run(ctx) }()
--- /dev/null
+++ b/router/known/log.go
@@ -0,0 +1,125 @@
+package known
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// maxGone bounds the removed rows that a log remembers.
+const maxGone = 1000
+
+// UnknownError reports a topic that an instance doesn't know itself.
+type UnknownError struct {
+	Topic Topic
+}
+
+func (e *UnknownError) Error() string {
+	return "topic " + e.Topic.String() + " is not known here"
+}
+
+// Log keeps the records of a topic for other instances. It is safe for concurrent use.
+type Log struct {
+	mu       sync.Mutex
+	rows     map[string]Record
+	gone     int
+	floor    Revision // changes up to here are no longer known one by one
+	revision Revision
+	asOf     time.Duration
+	known    bool
+	changed  chan struct{}
+}
+
+// take adds a page.
+func (l *Log) take(p Page, asOf time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rows == nil || p.Snapshot {
+		// Rows that vanished have no record of it, so earlier revisions can't be continued.
+		l.rows = map[string]Record{}
+		l.gone = 0
+		l.floor = p.Revision
+	}
+	for _, r := range p.Records {
+		if l.rows[r.Key].Gone {
+			l.gone--
+		}
+		if r.Gone {
+			l.gone++
+		}
+		l.rows[r.Key] = r
+	}
+	if l.gone > maxGone {
+		l.forgetGone(p.Revision)
+	}
+	news := len(p.Records) > 0 || !l.known
+	l.revision, l.asOf, l.known = p.Revision, max(l.asOf, asOf), true
+	if news && l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
+}
+
+func (l *Log) forgetGone(to Revision) {
+	for k, r := range l.rows {
+		if r.Gone {
+			delete(l.rows, k)
+		}
+	}
+	l.gone = 0
+	l.floor = to
+}
+
+// read returns what is known after a revision, without waiting.
+func (l *Log) read(t Topic, after Revision, snapshot bool) (Page, time.Duration, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.known {
+		return Page{}, 0, nil, &UnknownError{Topic: t}
+	}
+	if !snapshot && after < l.floor {
+		return Page{}, 0, nil, &HistoryLostError{Topic: t, After: after}
+	}
+	p := Page{Revision: l.revision, Snapshot: snapshot}
+	for _, r := range l.rows {
+		if (snapshot && !r.Gone) || (!snapshot && r.Revision > after) {
+			p.Records = append(p.Records, r)
+		}
+	}
+	if l.changed == nil {
+		l.changed = make(chan struct{})
+	}
+	return p, l.asOf, l.changed, nil
+}
+
+// Share returns what this instance knows of a topic after a revision, for
+// another instance; it waits for a change, at most for wait. It returns an
+// *UnknownError or a *HistoryLostError.
+func (n *Node) Share(ctx context.Context, t Topic, after Revision, snapshot bool, wait time.Duration) (Page, error) {
+	l, ok := n.logs[t]
+	if !ok {
+		return Page{}, &UnknownError{Topic: t}
+	}
+	p, asOf, changed, err := l.read(t, after, snapshot)
+	if err == nil && !snapshot && len(p.Records) == 0 {
+		w := time.NewTimer(wait)
+		defer w.Stop()
+		select {
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		case <-w.C:
+		case <-changed:
+		}
+		p, asOf, _, err = l.read(t, after, snapshot)
+	}
+	if err != nil {
+		return Page{}, err
+	}
+	p.Clock, ok = n.StoreClock()
+	if !ok {
+		return Page{}, &UnknownError{Topic: t}
+	}
+	// An age of 0 stands for the store itself.
+	p.Age = max(n.now()-asOf, 1)
+	return p, nil
+}
--- a/router/known/types.go
+++ b/router/known/types.go
@@ -72,23 +72,47 @@
 func (TallyChanged) change()    {}
 func (Unreadable) change()      {}
 
+// Record is a row as the store spells it; only a Decoder reads its data.
+type Record struct {
+	Key      string
+	Revision Revision
+	Data     []byte
+	// Gone marks a row that was removed at the revision.
+	Gone bool
+}
+
 // Page is what one read of a topic returned.
 type Page struct {
-	Changes []Change
+	Records []Record
+	// Snapshot is true if the records are the whole topic.
+	Snapshot bool
 	// Revision is the newest revision that the page covers.
 	Revision Revision
-	// Clock is the store's steady clock when it made the answer.
+	// Clock is the store's steady clock when the answer was made.
 	Clock time.Duration
+	// Age is how old the knowledge was when the answer was made; 0 if the store itself made it.
+	Age time.Duration
 }
 
-// Store reads and writes the platform's store.
-type Store interface {
+// Decoder turns records into changes.
+type Decoder interface {
+	Decode(t Topic, rs []Record) []Change
+}
+
+// Source answers reads of topics.
+type Source interface {
 	// Snapshot returns all rows of a topic as of one moment.
 	Snapshot(ctx context.Context, t Topic) (Page, error)
 	// Follow returns the changes of a topic after a revision. It waits for the
 	// first one, at most for wait. It returns a *HistoryLostError when the
-	// store no longer has the changes.
+	// changes are no longer known.
 	Follow(ctx context.Context, t Topic, after Revision, wait time.Duration) (Page, error)
+}
+
+// Store reads and writes the platform's store.
+type Store interface {
+	Source
+	Decoder
 	// SaveProgress writes the state of a roll-out if its row still has the
 	// revision seen; 0 means that no row exists. It returns a *ConflictError otherwise.
 	SaveProgress(ctx context.Context, p canary.Progress, seen Revision) error
--- a/router/mover/mover.go
+++ b/router/mover/mover.go
@@ -22,6 +22,9 @@
 	// usually is first and the others see it.
 	ranks     = 8
 	rankDelay = 120 * time.Millisecond
+	// secondDelay is added by instances that hear of the store from peers: those
+	// that read it themselves are the first to know.
+	secondDelay = 1200 * time.Millisecond
 	// tallyInterval is the shortest time between two writes of a tally.
 	tallyInterval = time.Second
 )
@@ -169,6 +172,9 @@
 	d, ok := m.due[a.Progress.Service]
 	if !ok || d.phase != a.Progress.Phase || d.order != a.Progress.Order {
 		delay := time.Duration(xxhash.Sum64String(m.instance)%ranks) * rankDelay
+		if !m.node.Direct() {
+			delay += secondDelay
+		}
 		if a.Progress.Phase == canary.PhaseReverted {
 			delay = 0
 		}
--- a/router/setup/setup.go
+++ b/router/setup/setup.go
@@ -16,6 +16,10 @@
 	// Clients is the address for clients, Admin the one for readiness and metrics.
 	Clients string
 	Admin   string
+	// Share is the address for peers; empty means that they can't reach this instance.
+	Share string
+	// Seeds are the addresses of peers that read the store, in the order in which they are asked.
+	Seeds []string
 	// Store is the address of the platform's store.
 	Store    string
 	LogLevel string
@@ -59,6 +63,8 @@
 		Domain:   ident.DomainID(r.Required("domain")),
 		Clients:  r.Addr("clients", ""),
 		Admin:    r.Addr("admin", ""),
+		Share:    r.Addr("share", ""),
+		Seeds:    r.List("seeds", nil),
 		LogLevel: r.Choice("log-level", "info", "debug", "info", "warn", "error"),
 		Memory:   int64(r.Int("memory-mb", 0)),
 		Store:    f.Section("store").Addr("address", ""),
--- /dev/null
+++ b/router/share/server.go
@@ -0,0 +1,80 @@
+package share
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"tarragonvalve.example/router/known"
+)
+
+const (
+	// maxWait bounds how long a peer's question is held.
+	maxWait = 2 * time.Second
+	// stopLimit bounds the end of open questions at a stop.
+	stopLimit = time.Second
+)
+
+// Server shares what a node knows with peers.
+type Server struct {
+	UnimplementedShareServer
+
+	listener net.Listener
+	node     *known.Node
+}
+
+// NewServer returns a server on a listener.
+func NewServer(l net.Listener, n *known.Node) *Server {
+	return &Server{listener: l, node: n}
+}
+
+// Name is the name of the step.
+func (s *Server) Name() string { return "share" }
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	g := grpc.NewServer()
+	RegisterShareServer(g, s)
+	failed := make(chan error, 1)
+	go func() { failed <- g.Serve(s.listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	t := time.AfterFunc(stopLimit, g.Stop)
+	defer t.Stop()
+	g.GracefulStop()
+	return nil
+}
+
+// Read answers a peer's question. Its codes are FailedPrecondition for a topic
+// that is not known here, OutOfRange for changes that are no longer known.
+func (s *Server) Read(ctx context.Context, q *ReadRequest) (*ReadReply, error) {
+	wait := min(time.Duration(q.GetWaitMs())*time.Millisecond, maxWait)
+	after := known.Revision(q.GetAfter())
+	p, err := s.node.Share(ctx, known.Topic(q.GetTopic()), after, after == 0, wait)
+	var h *known.HistoryLostError
+	var u *known.UnknownError
+	switch {
+	case errors.As(err, &h):
+		return nil, status.Error(codes.OutOfRange, err.Error())
+	case errors.As(err, &u):
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	case err != nil:
+		return nil, status.FromContextError(err).Err()
+	}
+	r := &ReadReply{
+		Snapshot: p.Snapshot, Revision: uint64(p.Revision),
+		AgeMs: uint64(p.Age.Milliseconds()) + 1, ClockMs: uint64(p.Clock.Milliseconds()),
+	}
+	for _, x := range p.Records {
+		r.Records = append(r.Records, &Record{Key: x.Key, Revision: uint64(x.Revision), Data: x.Data, Gone: x.Gone})
+	}
+	return r, nil
+}
