feat: explain a request from logs and metrics, trace one over several routers

Cause: a line said that a request ended, not what decided it; the router had no metrics. Change: the last line of a request names status, code, whether it ran, route, account, generation and the configuration's age; attempts name prediction and reason; package meter; tarragonvalve trace ID merges the lines of all routers.

--- a/router/boot/admin.go
+++ b/router/boot/admin.go
@@ -9,6 +9,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"tarragonvalve.example/router/front"
+	"tarragonvalve.example/router/meter"
 	"tarragonvalve.example/router/setup"
 )
 
@@ -21,7 +22,7 @@
 	server   *http.Server
 }
 
-func newAdmin(s *setup.Settings, g *front.Gate) (*admin, error) {
+func newAdmin(s *setup.Settings, g *front.Gate, t *meter.Meter) (*admin, error) {
 	i, err := net.Listen("tcp", s.Admin)
 	if err != nil {
 		return nil, err
@@ -34,6 +35,7 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	})
+	m.Handle("/metrics", t.Handler())
 	return &admin{listener: i, server: &http.Server{Handler: m, ReadHeaderTimeout: readHeader}}, nil
 }
 
--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -27,6 +27,7 @@
 	"tarragonvalve.example/router/front"
 	"tarragonvalve.example/router/known"
 	"tarragonvalve.example/router/link"
+	"tarragonvalve.example/router/meter"
 	"tarragonvalve.example/router/mover"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/pulse"
@@ -100,6 +101,7 @@
 		newPulse,
 		newRelay,
 		newGate,
+		newMeter,
 		front.New,
 		newClients,
 		newAdmin,
@@ -150,6 +152,7 @@
 	Pulse    *pulse.Monitor
 	Watch    *canary.Watch
 	Budget   *budget.Budget
+	Meter    *meter.Meter
 	Now      clock.Func
 	Log      zerolog.Logger
 }
@@ -157,10 +160,21 @@
 func newRelay(p relayParts) *relay.Relay {
 	return relay.New(relay.Options{
 		Node: p.Node, Links: p.Links, Codec: p.Codec, Book: p.Book, Pulse: p.Pulse, Watch: p.Watch,
-		Budget: p.Budget, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values,
+		Budget: p.Budget, Meter: p.Meter, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values,
 	})
 }
 
+func newMeter(n *known.Node, g *front.Gate) *meter.Meter {
+	age := func() float64 {
+		a, ok := n.Age()
+		if !ok {
+			return -1
+		}
+		return a.Seconds()
+	}
+	return meter.New(age, func() float64 { return float64(g.Open()) })
+}
+
 func newGate(v *setup.Live, n *known.Node, now clock.Func) *front.Gate {
 	return front.NewGate(n, now, func() time.Duration { return v.Bounds().Revoke })
 }
--- a/router/boot/router_test.go
+++ b/router/boot/router_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -469,3 +470,51 @@
 		t.Errorf("got %d %s", a.status, a.body)
 	}
 }
+
+// Guards against a failed request that neither logs nor metrics explain, and
+// against a key in either.
+func TestExplained(t *testing.T) {
+	t.Parallel()
+	w := start(t, standard())
+	w.server("desk", "s1", "v1", always(server.Reset{}))
+	w.knows(1)
+	a := w.call("POST", "/order/1", "caps")
+	if a.status != 502 {
+		t.Fatalf("got %d", a.status)
+	}
+	var line string
+	w.eventually("the request's last line", func() bool {
+		for l := range strings.Lines(w.logs.String()) {
+			if strings.Contains(l, `"message":"request ended"`) && strings.Contains(l, `"request":"`+a.id+`"`) {
+				line = l
+			}
+		}
+		return line != ""
+	})
+	for _, want := range []string{`"status":502`, `"code":"upstream-failed"`, `"ran":"unknown"`, `"route":"order"`, `"account":"ada"`, `"generation":1`, `"configuration-age":`} {
+		if !strings.Contains(line, want) {
+			t.Errorf("%s is missing in %s", want, line)
+		}
+	}
+	m, err := http.Get("http://" + w.admin + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Body.Close()
+	b, err := io.ReadAll(m.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`tarragonvalve_router_requests_total{code="upstream-failed",kind="once"} 1`,
+		`tarragonvalve_router_attempts_total{outcome="unknown"} 1`,
+		"tarragonvalve_router_configuration_age_seconds ",
+	} {
+		if !strings.Contains(string(b), want) {
+			t.Errorf("metrics lack %s", want)
+		}
+	}
+	if strings.Contains(w.logs.String()+string(b), "key-1") {
+		t.Error("a key was written")
+	}
+}
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -17,6 +17,7 @@
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/known"
+	"tarragonvalve.example/router/meter"
 	"tarragonvalve.example/router/relay"
 	"tarragonvalve.example/router/routes"
 )
@@ -37,12 +38,13 @@
 	relay *relay.Relay
 	codec call.Codec
 	gate  *Gate
+	meter *meter.Meter
 	log   zerolog.Logger
 }
 
 // New returns a handler.
-func New(n *known.Node, r *relay.Relay, c call.Codec, g *Gate, l zerolog.Logger) *Handler {
-	return &Handler{node: n, relay: r, codec: c, gate: g, log: l}
+func New(n *known.Node, r *relay.Relay, c call.Codec, g *Gate, m *meter.Meter, l zerolog.Logger) *Handler {
+	return &Handler{node: n, relay: r, codec: c, gate: g, meter: m, log: l}
 }
 
 // ServeHTTP answers one request.
@@ -54,22 +56,40 @@
 		w.Header().Set("Connection", "close")
 	}
 	m := h.codec.Request(q.Header)
-	err := h.serve(q.Context(), w, q, m, began)
-	h.record(q, m, err, time.Since(began))
-	if err == nil {
-		return
-	}
+	s := &statusWriter{ResponseWriter: w}
+	j := &relay.Job{}
+	err := h.serve(q.Context(), s, q, m, j)
 	var cut *relay.CutError
-	if errors.As(err, &cut) {
+	isCut := errors.As(err, &cut)
+	if err != nil && !isCut {
+		refused(s, refuse.From(err, refuse.Unknown))
+	}
+	h.record(j, m, s.status, err, time.Since(began))
+	if isCut {
 		// The connection must end without the mark of a complete answer.
 		panic(http.ErrAbortHandler)
 	}
-	refused(w, refuse.From(err, refuse.Unknown))
 }
 
-func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, q *http.Request, m call.Request, began time.Time) error {
-	j, err := h.admit(q, m, began)
-	if err != nil {
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// serve answers a request and fills in the job as far as it gets.
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, q *http.Request, m call.Request, j *relay.Job) error {
+	*j = relay.Job{Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: time.Now()}
+	if err := h.admit(q.URL.Path, j); err != nil {
 		return err
 	}
 	if err := h.body(w, q, j); err != nil {
@@ -77,48 +97,44 @@
 	}
 	// The body may have taken long; the configuration is checked again for what is sent now.
 	if j.Document != h.node.View().Document || !h.gate.Fresh() {
-		k, err := h.admit(q, m, began)
-		if err != nil {
+		if err := h.admit(q.URL.Path, j); err != nil {
 			return err
 		}
-		k.Body = j.Body
-		j = k
 	}
 	return h.relay.Serve(ctx, w, j)
 }
 
 // admit checks a request against the configuration in force.
-func (h *Handler) admit(q *http.Request, m call.Request, began time.Time) (*relay.Job, error) {
+func (h *Handler) admit(path string, j *relay.Job) error {
 	d := h.node.View().Document
 	if d == nil {
-		return nil, refuse.New(refuse.NoDocument, refuse.NotRun, "no configuration is known yet").After(retryUnknown)
+		return refuse.New(refuse.NoDocument, refuse.NotRun, "no configuration is known yet").After(retryUnknown)
 	}
-	r, ok := d.Match(q.Host, q.URL.Path)
+	j.Document = d
+	r, ok := d.Match(j.Host, path)
 	if !ok {
 		if !h.gate.Fresh() {
-			return nil, refuse.New(refuse.StaleGeneration, refuse.NotRun, "the route is unknown and the configuration is old").After(retryUnknown)
+			return refuse.New(refuse.StaleGeneration, refuse.NotRun, "the route is unknown and the configuration is old").After(retryUnknown)
 		}
-		return nil, refuse.New(refuse.NotFound, refuse.NotRun, "no route for %s%s", q.Host, q.URL.Path)
-	}
-	j := &relay.Job{
-		Document: d, Route: r, Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host,
-		Header: q.Header, Arrived: began, Priority: r.Priority,
+		return refuse.New(refuse.NotFound, refuse.NotRun, "no route for the host and path")
 	}
+	j.Route = r
+	j.Priority = r.Priority
 	if err := h.identify(j, d); err != nil {
-		return nil, err
+		return err
 	}
-	left := m.Left
+	left := j.Meta.Left
 	if left <= 0 {
 		left = defaultLeft
 	}
 	if r.Timeout > 0 {
 		left = min(left, r.Timeout)
 	}
-	j.Deadline = began.Add(left)
+	j.Deadline = j.Arrived.Add(left)
 	if h.gate.Closed() && r.Kind == routes.Stream {
-		return nil, refuse.New(refuse.Draining, refuse.NotRun, "the instance is stopping").After(retryStopping)
+		return refuse.New(refuse.Draining, refuse.NotRun, "the instance is stopping").After(retryStopping)
 	}
-	return j, nil
+	return nil
 }
 
 // identify finds the client account of a keyed request. A key is accepted only
@@ -196,10 +212,27 @@
 	w.Write(b)
 }
 
-func (h *Handler) record(q *http.Request, m call.Request, err error, took time.Duration) {
+// record logs and counts how a request ended, with what decided it.
+func (h *Handler) record(j *relay.Job, m call.Request, status int, err error, took time.Duration) {
 	e := h.log.Info()
+	code := strconv.Itoa(status)
 	if err != nil {
-		e = h.log.Warn().Err(err)
+		e = h.log.Warn().AnErr("reason", err)
+		r := refuse.From(err, refuse.Unknown)
+		code = string(r.Code)
+		e = e.Str("code", code).Str("ran", string(r.Ran)).Dur("retry-after", r.RetryAfter)
+	}
+	kind := "none"
+	if j.Route != nil {
+		kind = j.Route.Kind.String()
+		e = e.Str("route", string(j.Route.ID)).Str("account", string(j.Account))
+	}
+	if j.Document != nil {
+		e = e.Uint64("generation", uint64(j.Document.Generation))
+	}
+	if a, ok := h.node.Age(); ok {
+		e = e.Dur("configuration-age", a)
 	}
-	e.Str("request", string(m.ID)).Str("path", q.URL.Path).Dur("took", took).Msg("request ended")
+	h.meter.Request(kind, code, took)
+	e.Str("request", string(m.ID)).Int("status", status).Dur("took", took).Msg("request ended")
 }
--- a/router/relay/record.go
+++ b/router/relay/record.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"time"
 
 	"tarragonvalve.example/core/ident"
@@ -10,16 +11,20 @@
 // record logs one attempt with what decided its place.
 func (t *try) record(c place.Choice, model ident.ModelID, o outcome, took time.Duration) {
 	e := t.Log.Info()
+	outcome := "not-run"
 	switch o := o.(type) {
 	case answered:
-		e = e.Str("outcome", "answered").Int("status", o.Status).Int("confidence", o.Meta.Confidence)
+		outcome = "answered"
+		e = e.Int("status", o.Status).Int("confidence", o.Meta.Confidence)
 	case rejected:
-		e = e.Str("outcome", "not-run").Str("reason", o.reason)
+		e = t.Log.Warn().Str("reason", o.reason)
 	case lost:
-		e = e.Str("outcome", "unknown").AnErr("reason", o.err)
+		outcome = "unknown"
+		e = t.Log.Warn().AnErr("reason", o.err)
 	}
-	e.Str("request", string(t.Meta.ID)).Str("route", string(t.Route.ID)).Int("attempt", t.offers).
+	t.Meter.Attempt(outcome)
+	e.Str("request", string(t.Meta.ID)).Str("outcome", outcome).Str("route", string(t.Route.ID)).Int("attempt", t.offers).
 		Str("upstream", string(c.Upstream.ID)).Str("version", string(c.Upstream.Version)).Str("model", string(model)).
-		Float64("cost-ms", c.Cost).Int("candidates", c.Candidates).Bool("affine", c.Affine).
-		Dur("took", took).Msg("attempt")
+		Float64("cost", math.Round(c.Cost)).Dur("predicted", c.Delay.Round(time.Millisecond)).Int("candidates", c.Candidates).
+		Bool("prefix-home", c.Affine).Dur("took", took).Msg("attempt")
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -20,6 +20,7 @@
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/known"
 	"tarragonvalve.example/router/link"
+	"tarragonvalve.example/router/meter"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/pulse"
 	"tarragonvalve.example/router/routes"
@@ -71,6 +72,7 @@
 	Pulse  *pulse.Monitor
 	Watch  *canary.Watch
 	Budget *budget.Budget
+	Meter  *meter.Meter
 	Now    clock.Func
 	Log    zerolog.Logger
 	Domain ident.DomainID
@@ -373,7 +375,13 @@
 	if t.sent >= t.Route.Attempts || (t.ran && !t.Route.Repeatable()) {
 		return false
 	}
-	return t.Budget.Take(t.service, 0, t.Now())
+	if !t.Budget.Take(t.service, 0, t.Now()) {
+		t.Meter.Denied()
+		t.Log.Warn().Str("request", string(t.Meta.ID)).Str("service", string(t.service)).
+			Int("attempt", t.offers).Msg("repeat not allowed by the retry budget")
+		return false
+	}
+	return true
 }
 
 // failure is the final answer when no upstream gave one.
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -50,6 +50,9 @@
 			continue
 		default:
 			if _, ok := o.(none); !ok && t.mayResume(f) && t.again(ctx) {
+				if f.begun {
+					t.Meter.Resumed()
+				}
 				continue
 			}
 			if f.begun {
@@ -152,6 +155,7 @@
 	if !f.begun {
 		if m, yes := t.escalate(ctx, *model, a.Meta.Confidence); yes {
 			a.end(true)
+			t.Meter.Larger()
 			*model = m
 			return dropped{}
 		}
--- a/router/routes/routes.go
+++ b/router/routes/routes.go
@@ -25,6 +25,18 @@
 	Stream
 )
 
+// String returns the name used in logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	default:
+		return "once"
+	}
+}
+
 // Weighted is one of the services that share a route's traffic.
 type Weighted struct {
 	Service ident.ServiceID
--- a/tarragonvalve/verbs/args.go
+++ b/tarragonvalve/verbs/args.go
@@ -35,6 +35,7 @@
 	Status   *struct{}     `arg:"subcommand:status" help:"show instances, generations, halts and roll-outs"`
 	Events   *eventsArgs   `arg:"subcommand:events" help:"show the merged time line of all processes"`
 	Explain  *explainArgs  `arg:"subcommand:explain" help:"say what happened to a request"`
+	Trace    *traceArgs    `arg:"subcommand:trace" help:"tell the story of a request from the routers' logs on standard input"`
 	Bill     *billArgs     `arg:"subcommand:bill" help:"sum up what accounts are billed"`
 }
 
@@ -111,6 +112,10 @@
 	Request string `arg:"positional,required" placeholder:"REQUEST"`
 }
 
+type traceArgs struct {
+	Request string `arg:"positional,required" placeholder:"ID" help:"the id of the client's attempt"`
+}
+
 type billArgs struct {
 	From    string `arg:"--from" placeholder:"TIME" help:"start (2026-01-31T12:00:00Z) or age (24h); the start of the month when left out"`
 	To      string `arg:"--to" placeholder:"TIME" help:"end, not included; now when left out"`
--- a/tarragonvalve/verbs/run.go
+++ b/tarragonvalve/verbs/run.go
@@ -18,6 +18,7 @@
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/tarragonvalve/client"
 	"tarragonvalve.example/tarragonvalve/text"
+	"tarragonvalve.example/tarragonvalve/trace"
 )
 
 // usageError reports a command line or input that can't be used.
@@ -66,12 +67,29 @@
 		p.WriteHelp(c.err)
 		return exitUsage
 	}
+	if c.Trace != nil {
+		return c.exit(c.trace())
+	}
 	if err := c.connect(); err != nil {
 		return c.exit(err)
 	}
 	return c.exit(c.run(ctx))
 }
 
+// trace needs no entry: it reads logs.
+func (c *command) trace() error {
+	ls, err := trace.Read(c.in)
+	if err != nil {
+		return &usageError{message: err.Error()}
+	}
+	s := trace.Story(ls, c.Trace.Request)
+	if s == nil {
+		fmt.Fprintf(c.err, "no line names request %s\n", c.Trace.Request)
+		return &quietError{code: exitRefused}
+	}
+	return trace.Write(c.out, s)
+}
+
 // maxTimeout is the longest deadline that the API accepts.
 const maxTimeout = time.Minute
 
