fix: wait a moment for the first configuration, read the store first at a start

Routers asked peers that had just started too before they asked the store. Change: a request waits up to 1 s, or a quarter of its time, for the first configuration; the first read of a topic goes to the store, then to peers. Ruled out: a later listener; clients count a refused connection as a try.

--- a/router/boot/router_test.go
+++ b/router/boot/router_test.go
@@ -142,8 +142,17 @@
 	if w.ready() {
 		t.Error("ready without a configuration")
 	}
-	w.config(standard())
 	w.server("desk", "s1", "v1", always(fine))
+	w.eventually("listing", func() bool { return strings.Contains(w.logs.String(), `"upstream listed"`) })
+	// A request that meets an instance just before its first configuration is
+	// served (incident inc-2f8a of ilmek-nakis: 66 refused after a restart).
+	early := make(chan reply, 1)
+	go func() { early <- w.call("GET", "/read/1", "") }()
+	time.Sleep(50 * time.Millisecond)
+	w.config(standard())
+	if a := <-early; a.status != 200 {
+		t.Errorf("before the first configuration: got %d %s", a.status, a.body)
+	}
 	w.knows(1)
 	for name, c := range map[string]struct {
 		path, key string
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -28,6 +28,12 @@
 	// retryUnknown is when a client may come back to an instance that doesn't
 	// know a fresh configuration; another instance may take it at once.
 	retryUnknown = 200 * time.Millisecond
+	// startWait is how long a request waits for the first configuration of an
+	// instance that has just started: it comes within some 20 ms after a start,
+	// and a client repeats a refused request only once or twice.
+	startWait = time.Second
+	// startPart bounds the same by the client's time.
+	startPart = 0.25
 	// retryStopping sends clients to another instance; their next try uses a new connection.
 	retryStopping = 50 * time.Millisecond
 )
@@ -89,6 +95,7 @@
 // serve answers a request and fills in the job as far as it gets.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, q *http.Request, m call.Request, j *relay.Job) error {
 	*j = relay.Job{Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: time.Now()}
+	h.awaitStart(ctx, m)
 	if err := h.admit(q.URL.Path, j); err != nil {
 		return err
 	}
@@ -104,6 +111,32 @@
 	return h.relay.Serve(ctx, w, j)
 }
 
+// awaitStart waits until the instance knows a configuration and its upstreams,
+// for a bounded time.
+func (h *Handler) awaitStart(ctx context.Context, m call.Request) {
+	v := h.node.View()
+	if v.Document != nil && v.Listed {
+		return
+	}
+	limit := startWait
+	if m.Left > 0 {
+		limit = min(limit, time.Duration(float64(m.Left)*startPart))
+	}
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	for v.Document == nil || !v.Listed {
+		c := h.node.Changed()
+		if v = h.node.View(); v.Document != nil && v.Listed {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-c:
+		}
+	}
+}
+
 // admit checks a request against the configuration in force.
 func (h *Handler) admit(path string, j *relay.Job) error {
 	d := h.node.View().Document
--- a/router/known/known.go
+++ b/router/known/known.go
@@ -31,6 +31,8 @@
 	// answerLimit is how long an answer may take beyond the wait. A store
 	// slowed eighty times takes 0.4 s.
 	answerLimit = 1200 * time.Millisecond
+	// firstLimit is the same for the first question, before peers are asked.
+	firstLimit = 500 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed read.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
@@ -197,7 +199,7 @@
 // follow reads one topic until ctx ends. While needed is set and false it waits
 // for the view to change.
 func (n *Node) follow(ctx context.Context, t Topic, wait time.Duration, needed func() bool) {
-	f := follower{Node: n, topic: t, wait: wait, route: route{peers: len(n.peers)}}
+	f := follower{Node: n, topic: t, wait: wait, route: route{peers: len(n.peers)}, first: true}
 	f.pause = &backoff.ExponentialBackOff{
 		InitialInterval: retryFirst, MaxInterval: retryMost, Multiplier: 2, RandomizationFactor: backoff.DefaultRandomizationFactor,
 	}
@@ -225,6 +227,8 @@
 	lost   bool
 	pause  *backoff.ExponentialBackOff
 	route  route
+	// first is true until the topic was read once.
+	first bool
 }
 
 func (f *follower) read(ctx context.Context) {
@@ -258,7 +262,7 @@
 	if f.topic == TopicUpstreams && f.synced && len(p.Records) > 0 && f.route.direct() {
 		f.sleep(ctx, gather)
 	}
-	f.synced = true
+	f.synced, f.first = true, false
 	f.after = p.Revision
 }
 
@@ -275,19 +279,29 @@
 }
 
 func (f *follower) ask(ctx context.Context) (Page, error) {
+	if f.first {
+		// Peers may have started at the same moment; the store knows in any case.
+		if p, err := f.snapshot(ctx, firstLimit); err == nil {
+			return p, nil
+		}
+	}
 	if p, ok := f.askPeer(ctx); ok {
 		return p, nil
 	}
 	if !f.synced {
-		ctx, stop := context.WithTimeout(ctx, answerLimit)
-		defer stop()
-		return f.store.Snapshot(ctx, f.topic)
+		return f.snapshot(ctx, answerLimit)
 	}
 	ctx, stop := context.WithTimeout(ctx, f.wait+answerLimit)
 	defer stop()
 	return f.store.Follow(ctx, f.topic, f.after, f.wait)
 }
 
+func (f *follower) snapshot(ctx context.Context, limit time.Duration) (Page, error) {
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	return f.store.Snapshot(ctx, f.topic)
+}
+
 func (f *follower) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
