fix: wait a moment for a connection instead of refusing

Change: a request waits up to 120 ms for a connection that becomes idle; the reason of a cut stream is named. Ruled out: a larger share of the connections; the number of routers isn't known.

--- /dev/null
+++ b/router/link/link_test.go
@@ -0,0 +1,140 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"tarragonvalve.example/platform/heads"
+	"tarragonvalve.example/router/link"
+	"tarragonvalve.example/standin/server"
+)
+
+func message(s *server.Server, id string) *link.Message {
+	return &link.Message{
+		Address: s.Address(), Method: http.MethodPost, Target: "/x", Host: "h.example", ID: "a-1", Once: true,
+		Header: http.Header{"Tarragonvalve-Attempt-Id": {id}, "Tarragonvalve-Expect-Instance": {"s1"}},
+	}
+}
+
+func start(t *testing.T, script func(server.Request) server.Reply) (*server.Server, *link.Pool) {
+	t.Helper()
+	s, err := server.New("s1", script)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s, link.New(heads.Codec{})
+}
+
+// get sends a request and reads the answer.
+func get(p *link.Pool, m *link.Message) (string, error) {
+	a, err := p.Send(context.Background(), m)
+	if err != nil {
+		return "", err
+	}
+	defer a.End()
+	b, err := io.ReadAll(a)
+	return string(b), err
+}
+
+// Guards against connections that are used again after bytes that belong to no
+// request, after their end, or before the request was read.
+func TestReuse(t *testing.T) {
+	fine := server.Answer{Status: 200, Body: "fine"}
+	tests := map[string]struct {
+		reply  server.Reply
+		reused bool
+	}{
+		"whole answer":   {fine, true},
+		"second answer":  {server.Extra{Answer: fine}, false},
+		"foreign answer": {server.Foreign{Answer: fine}, false},
+		"early answer":   {server.Early{Answer: fine}, false},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, p := start(t, func(server.Request) server.Reply { return c.reply })
+			m := message(s, "a-1")
+			// Longer than what the loopback's buffers take, so that an early answer overtakes it.
+			m.Body = make([]byte, 8<<20)
+			for range 2 {
+				if b, err := get(p, m); err != nil || b != "fine" {
+					t.Fatalf("got %q %v", b, err)
+				}
+			}
+			if rs := s.Requests(); (rs[1].Connection == 1) != c.reused {
+				t.Errorf("second request on connection %d", rs[1].Connection)
+			}
+		})
+	}
+}
+
+// Guards against a request lost because its idle connection was closed meanwhile.
+func TestClosedWhileIdle(t *testing.T) {
+	s, p := start(t, func(server.Request) server.Reply { return server.Answer{Status: 200, Body: "fine"} })
+	for i := range 5 {
+		if b, err := get(p, message(s, "a-1")); err != nil || b != "fine" {
+			t.Fatalf("request %d: %q %v", i, b, err)
+		}
+		s.CloseConnections()
+		time.Sleep(50 * time.Millisecond) // the close has to arrive
+	}
+}
+
+// Guards against a promise that nothing was sent where bytes left, and the reverse.
+func TestProof(t *testing.T) {
+	s, p := start(t, func(server.Request) server.Reply { return server.Reset{} })
+	m := message(s, "a-1")
+	var lost *link.LostError
+	if _, err := get(p, m); !errors.As(err, &lost) {
+		t.Errorf("after a reset: %v", err)
+	}
+	s.Close()
+	var not *link.NotSentError
+	if _, err := get(p, m); !errors.As(err, &not) {
+		t.Errorf("without a listener: %v", err)
+	}
+}
+
+// Guards against more connections than the upstream accepts, and against a
+// refusal while one is about to become free.
+func TestLimit(t *testing.T) {
+	hold := make(chan struct{})
+	s, p := start(t, func(r server.Request) server.Reply {
+		if r.Body == "slow" {
+			<-hold
+		}
+		return server.Answer{Status: 200, Body: "fine"}
+	})
+	m := message(s, "a-1")
+	m.Connections, m.Body = 1, []byte("slow")
+	var g sync.WaitGroup
+	g.Go(func() {
+		if b, err := get(p, m); err != nil || b != "fine" {
+			t.Errorf("first: %q %v", b, err)
+		}
+	})
+	for len(s.Requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	n := *m
+	n.Body = nil
+	var full *link.FullError
+	if _, err := get(p, &n); !errors.As(err, &full) {
+		t.Errorf("beyond the limit: %v", err)
+	}
+	close(hold)
+	g.Wait()
+	if b, err := get(p, &n); err != nil || b != "fine" {
+		t.Errorf("after the first: %q %v", b, err)
+	}
+	for _, r := range s.Requests() {
+		if r.Connection > 1 {
+			t.Errorf("connection %d was opened", r.Connection)
+		}
+	}
+}
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -35,6 +35,10 @@
 	// onceIdle bounds the idle time of connections for requests that may run only
 	// once: their loss can't be repaired by a repeat.
 	onceIdle = 1 * time.Second
+	// freeWait is how long a request waits for a connection if all are in use; a
+	// plain service answers within 60 ms.
+	freeWait = 120 * time.Millisecond
+	freePoll = 10 * time.Millisecond
 	// sweepInterval is how often expired idle connections are closed.
 	sweepInterval = time.Second
 	readBuffer    = 4 << 10
@@ -88,13 +92,10 @@
 		}
 		p.drop(c)
 	}
-	p.mu.Lock()
-	if limit > 0 && p.open[address] >= limit {
-		p.mu.Unlock()
-		return nil, &FullError{Address: address, Limit: limit}
+	c, err := p.reserve(ctx, address, once, limit)
+	if c != nil || err != nil {
+		return c, err
 	}
-	p.open[address]++
-	p.mu.Unlock()
 	n, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.forget(address)
@@ -103,6 +104,31 @@
 	return &conn{Conn: n, r: bufio.NewReaderSize(n, readBuffer), address: address}, nil
 }
 
+// reserve counts a new connection. If the limit is reached it waits a moment for
+// a connection that becomes idle, and returns that, or for one that ends.
+func (p *Pool) reserve(ctx context.Context, address string, once bool, limit int) (*conn, error) {
+	for end := time.Now().Add(freeWait); ; {
+		p.mu.Lock()
+		if limit <= 0 || p.open[address] < limit {
+			p.open[address]++
+			p.mu.Unlock()
+			return nil, nil
+		}
+		p.mu.Unlock()
+		if !time.Now().Before(end) || ctx.Err() != nil {
+			return nil, &FullError{Address: address, Limit: limit}
+		}
+		time.Sleep(freePoll)
+		if c := p.takeIdle(address, once); c != nil {
+			if c.silent() == nil {
+				c.reused = true
+				return c, nil
+			}
+			p.drop(c)
+		}
+	}
+}
+
 func (p *Pool) takeIdle(address string, once bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -181,6 +181,10 @@
 		} else {
 			a.end(false)
 		}
+		if cause := context.Cause(ctx); cause != nil {
+			// The connection was closed for this reason.
+			err = cause
+		}
 		return lost{err: err}
 	}
 }
