test: soak routers as processes under seeded faults

Cause: the promises were checked one fault at a time. Change: module soak: three routers as processes, the stand-in store and servers behind toxiproxy, pauses, kills, restarts, reloads, store faults, silent links, spoilt answers, draining connections and keys taken away, in overlapping series; a ledger compares what clients and servers see. The stand-in server asked its script twice a request, which showed as second runs; it asks once now.

--- a/router/link/link_test.go
+++ b/router/link/link_test.go
@@ -103,26 +103,25 @@
 // Guards against more connections than the upstream accepts, and against a
 // refusal while one is about to become free.
 func TestLimit(t *testing.T) {
-	hold := make(chan struct{})
+	hold, started := make(chan struct{}), make(chan struct{}, 1)
 	s, p := start(t, func(r server.Request) server.Reply {
-		if r.Body == "slow" {
+		if r.Target == "/slow" {
+			started <- struct{}{}
 			<-hold
 		}
 		return server.Answer{Status: 200, Body: "fine"}
 	})
 	m := message(s, "a-1")
-	m.Connections, m.Body = 1, []byte("slow")
+	m.Connections, m.Target = 1, "/slow"
 	var g sync.WaitGroup
 	g.Go(func() {
 		if b, err := get(p, m); err != nil || b != "fine" {
 			t.Errorf("first: %q %v", b, err)
 		}
 	})
-	for len(s.Requests()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-started
 	n := *m
-	n.Body = nil
+	n.Target = "/x"
 	var full *link.FullError
 	if _, err := get(p, &n); !errors.As(err, &full) {
 		t.Errorf("beyond the limit: %v", err)
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,231 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"tarragonvalve.example/standin/tables"
+)
+
+// regressions are seeds that failed once, with the cause.
+var regressions = map[string]uint64{}
+
+// seeds reads FIRST-LAST.
+func seeds(t *testing.T) []uint64 {
+	t.Helper()
+	s := os.Getenv("SOAK_SEEDS")
+	if s == "" {
+		return []uint64{1, 2}
+	}
+	a, b, ok := strings.Cut(s, "-")
+	first, err := strconv.ParseUint(a, 10, 32)
+	last := first
+	if ok && err == nil {
+		last, err = strconv.ParseUint(b, 10, 32)
+	}
+	if err != nil {
+		t.Fatalf("SOAK_SEEDS %q: want FIRST-LAST", s)
+	}
+	var out []uint64
+	for i := first; i <= last; i++ {
+		out = append(out, i)
+	}
+	return out
+}
+
+func length(t *testing.T) time.Duration {
+	t.Helper()
+	s := os.Getenv("SOAK_TIME")
+	if s == "" {
+		return 8 * time.Second
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		t.Fatalf("SOAK_TIME: %v", err)
+	}
+	return d
+}
+
+// Guards against broken promises under faults that come in series and overlap.
+func TestSeeds(t *testing.T) {
+	for _, s := range seeds(t) {
+		t.Run(fmt.Sprint(s), func(t *testing.T) {
+			t.Parallel()
+			play(t, s, length(t))
+		})
+	}
+}
+
+// Guards against the return of faults that a seed once showed.
+func TestRegressions(t *testing.T) {
+	for cause, s := range regressions {
+		t.Run(cause, func(t *testing.T) {
+			t.Parallel()
+			play(t, s, length(t))
+		})
+	}
+}
+
+func play(t *testing.T, seed uint64, d time.Duration) {
+	t.Logf("seed %d for %v", seed, d)
+	l := newLedger(seed)
+	w := newWorld(t, l)
+	w.await("routers ready", time.Minute, w.allReady)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	var g sync.WaitGroup
+	for i := range 12 {
+		g.Go(func() { client(ctx, w, i, seed) })
+	}
+	disturb(w, rand.New(rand.NewPCG(seed, 1)), d)
+	w.await("routers ready after the faults", recovery, w.allReady)
+	w.await("whole answers after the faults", recovery, func() bool {
+		_, before := l.summary()
+		time.Sleep(200 * time.Millisecond)
+		_, after := l.summary()
+		return after > before+20
+	})
+	stop()
+	g.Wait()
+	sent, whole := l.summary()
+	t.Logf("%d requests, %d whole answers", sent, whole)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, f := range l.faults {
+		if i == 10 {
+			t.Errorf("and %d more", len(l.faults)-i)
+			break
+		}
+		t.Error(f)
+	}
+}
+
+func (w *world) await(what string, limit time.Duration, f func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	w.t.Errorf("%s: not within %v", what, limit)
+}
+
+func (w *world) allReady() bool {
+	for _, r := range w.routers {
+		if !r.ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// client sends requests over kept connections until ctx ends. It uses a router
+// until an answer fails, as a balancer's connections do.
+func client(ctx context.Context, w *world, n int, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, uint64(100+n)))
+	c := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: 20 * time.Second}
+	defer c.CloseIdleConnections()
+	at := n % routers
+	for i := 0; ctx.Err() == nil; i++ {
+		kind := []string{"read", "order", "chat"}[r.IntN(3)]
+		key := []string{"key-a", "key-b"}[r.IntN(2)]
+		id := fmt.Sprintf("%d-%d-%d", seed, n, i)
+		w.ledger.send(id, kind, key)
+		if !call(w, c, w.routers[at], id, kind, key) {
+			at = (at + 1) % routers
+		}
+		time.Sleep(time.Duration(r.IntN(20)) * time.Millisecond)
+	}
+}
+
+// call sends one request and reports whether it was answered by a server.
+func call(w *world, c *http.Client, r *router, id, kind, key string) bool {
+	method, body := http.MethodPost, "body of "+id
+	if kind == "read" {
+		method, body = http.MethodGet, ""
+	}
+	q, err := http.NewRequest(method, "http://"+r.clients+"/"+kind+"/1", strings.NewReader(body))
+	if err != nil {
+		w.t.Errorf("make request %s: %v", id, err)
+		return false
+	}
+	q.Host = "shop.example"
+	// net/http repeats some requests by itself unless they can't be rewound.
+	q.GetBody = nil
+	q.Header.Set("Tarragonvalve-Attempt-Id", id)
+	q.Header.Set("Tarragonvalve-Deadline-Ms", "3000")
+	q.Header.Set("Authorization", "Bearer "+key)
+	a, err := c.Do(q)
+	if err != nil {
+		w.ledger.answer(id, 0, "", true, "")
+		return false
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	w.ledger.answer(id, a.StatusCode, string(b), err != nil, a.Header.Get("Tarragonvalve-Server-Signature"))
+	return err == nil && a.StatusCode == http.StatusOK
+}
+
+// disturb injects faults for a time, in overlapping series, and ends them all.
+func disturb(w *world, r *rand.Rand, d time.Duration) {
+	var g sync.WaitGroup
+	version := 1
+	revoked := false
+	end := time.Now().Add(d)
+	for n := 0; time.Now().Before(end); n++ {
+		time.Sleep(time.Duration(150+r.IntN(500)) * time.Millisecond)
+		length := time.Duration(300+r.IntN(2200)) * time.Millisecond
+		x := w.routers[r.IntN(len(w.routers))]
+		u := w.upstreams[r.IntN(len(w.upstreams))]
+		switch r.IntN(10) {
+		case 0:
+			g.Go(func() { w.pause(x, length) })
+		case 1:
+			g.Go(func() { w.restart(x, syscall.SIGKILL) })
+		case 2:
+			g.Go(func() { w.restart(x, syscall.SIGTERM) })
+		case 3:
+			if err := x.signal(syscall.SIGHUP); err != nil {
+				w.t.Logf("signal %s: %v", x.name, err)
+			}
+		case 4:
+			f := []tables.Fault{tables.Busy{}, tables.Silent{}, tables.Stale{By: 3 * time.Second}, tables.LostWrites{}}[r.IntN(4)]
+			w.store.Set(f)
+			g.Go(func() {
+				time.Sleep(length)
+				w.store.Set(nil)
+			})
+		case 5:
+			g.Go(func() { w.silence(x.store, length) })
+		case 6:
+			g.Go(func() { w.silence(u.link, length) })
+		case 7:
+			u.CloseConnections()
+		case 8:
+			w.ledger.spoil.Store(int64(r.IntN(200)))
+		case 9:
+			version++
+			keys := []string{"key-a", "key-b"}
+			if revoked = revoked || r.IntN(3) == 0; revoked {
+				keys = keys[:1]
+			}
+			w.config(version, keys...)
+			if revoked {
+				w.ledger.revokeOnce("key-b")
+			}
+		}
+	}
+	g.Wait()
+	w.store.Set(nil)
+	w.ledger.spoil.Store(0)
+}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -78,7 +78,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   string
+	// Body is empty for a script, which decides before the body is read.
+	Body string
 	// Connection counts the server's connections from 1.
 	Connection int
 }
@@ -104,7 +105,8 @@
 	done  sync.WaitGroup
 }
 
-// New starts a server on loopback. script says what it does with each request.
+// New starts a server on loopback. script says what it does with each request;
+// it is asked once, before the body is read.
 func New(name string, script func(r Request) Reply) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -179,39 +181,32 @@
 			return
 		}
 		x := Request{Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Connection: n}
-		reply := s.answerBefore(x)
-		if reply == nil {
+		reply := s.reply(x)
+		early, ok := reply.(Early)
+		if ok {
+			reply = early.Answer
+		} else {
 			b, err := io.ReadAll(q.Body)
 			if err != nil {
 				return
 			}
 			x.Body = string(b)
-			s.mu.Lock()
-			s.requests = append(s.requests, x)
-			s.mu.Unlock()
-			reply = s.script(x)
-		}
-		if want := x.Header.Get("Tarragonvalve-Expect-Instance"); want != s.Name {
-			reply = Reject{Status: http.StatusMisdirectedRequest}
 		}
+		s.mu.Lock()
+		s.requests = append(s.requests, x)
+		s.mu.Unlock()
 		if !s.send(c, r, x, reply) {
 			return
 		}
 	}
 }
 
-// answerBefore returns the reply of a server that doesn't wait for the body.
-func (s *Server) answerBefore(x Request) Reply {
-	if x.Header.Get("Content-Length") == "" {
-		return nil
-	}
-	if e, ok := s.script(x).(Early); ok {
-		s.mu.Lock()
-		s.requests = append(s.requests, x)
-		s.mu.Unlock()
-		return e.Answer
+// reply refuses requests for another instance and asks the script about all others.
+func (s *Server) reply(x Request) Reply {
+	if x.Header.Get("Tarragonvalve-Expect-Instance") != s.Name {
+		return Reject{Status: http.StatusMisdirectedRequest}
 	}
-	return nil
+	return s.script(x)
 }
 
 // send carries out a reply and reports whether the connection goes on.
