test: cover the platform's headers and rows, split relay and its tests

Change: tables for headers, servers' rows, the configuration, follow and writes; relay/query.go and relay/repeat.go; stream tests in a file of their own.

--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -229,36 +228,6 @@
 	return r
 }
 
-// giveUp returns a function that ends the present attempt if, and only if, the
-// request may go on elsewhere: a server's silence alone is no reason to end an
-// answer. It returns nil if that is ruled out already. The function may be called
-// from any goroutine.
-func (t *try) giveUp(u *fleet.Upstream, cancel context.CancelCauseFunc) func(error) {
-	if !t.Route.Repeatable() || t.sent+1 >= t.Route.Attempts {
-		return nil
-	}
-	tried := slices.Clone(t.exclude)
-	return func(cause error) {
-		if time.Until(t.Deadline) < 2*answerReserve || !t.another(u, tried) || !t.Budget.Take(t.service, 0, t.Now()) {
-			return
-		}
-		t.granted.Store(true)
-		cancel(cause)
-	}
-}
-
-// another reports whether an upstream of the same version was not tried yet.
-func (t *try) another(u *fleet.Upstream, tried []ident.UpstreamID) bool {
-	for _, x := range t.Node.View().Fleet.Service(t.service) {
-		if !x.Draining && x.Version == u.Version && !slices.Contains(tried, x.ID) {
-			return true
-		}
-	}
-	return false
-}
-
-var errLate = errors.New("the answer did not begin in time")
-
 // judge says what an exchange proves, and ends the offer unless it was answered.
 func (t *try) judge(ctx context.Context, a *link.Answer, err error, o *offer) outcome {
 	var n *link.NotSentError
@@ -317,112 +286,6 @@
 // maxPriority is the least urgent rank that engines know.
 const maxPriority = 9
 
-// accept returns which upstreams' versions the request may use. If the roll-out
-// leaves no upstream, any version may answer.
-func (t *try) accept(v *known.View) func(u *fleet.Upstream) bool {
-	if t.version != "" {
-		return func(u *fleet.Upstream) bool { return u.Version == t.version }
-	}
-	r := t.rollout(v)
-	accept := func(u *fleet.Upstream) bool { return r.Accepts(u.Version) }
-	for _, u := range v.Fleet.Service(t.service) {
-		if !u.Draining && accept(u) {
-			return accept
-		}
-	}
-	return nil
-}
-
-// rollout returns which side of a roll-out the request belongs to.
-func (t *try) rollout(v *known.View) canary.Route {
-	o, ok := v.Orders[t.service]
-	if !ok {
-		return canary.Route{}
-	}
-	var p *canary.Progress
-	if m, ok := v.Progress[t.service]; ok {
-		p = &m.Progress
-	}
-	s := t.Meta.Session
-	if s == "" {
-		s = string(t.Meta.ID)
-	}
-	return canary.Choose(o, p, t.Watch.Verdict(t.service, o.Revision) != "", xxhash.Sum64String(s))
-}
-
-// observe tells the watch how an attempt ended; latency is 0 if it can't be compared.
-func (t *try) observe(u *fleet.Upstream, failed bool, latency time.Duration) {
-	o := t.Node.View().Orders[t.service]
-	t.Watch.Observe(canary.Answer{
-		Service: t.service, New: o.To != "" && u.Version == o.To, Failed: failed, Latency: latency,
-	}, o.Revision)
-}
-
-// engine reports whether the service's upstreams are model servers.
-func (t *try) engine() bool {
-	return t.Document.Services[t.service].Engine
-}
-
-func (t *try) query(v *known.View, model ident.ModelID) place.Query {
-	s := t.Document.Services[t.service]
-	if model == "" {
-		model = t.Meta.Model
-	}
-	q := place.Query{
-		Service: t.service, Domain: t.Domain, Accept: t.accept(v), Exclude: t.exclude,
-		Input: t.Meta.Input, Pace: pace(s, model), Engine: s.Engine, Plain: plainWork,
-		Bytes: len(t.Body) + int(t.Meta.Hint)*bytesPerToken + plainBytes,
-	}
-	if n := len(t.Meta.Prefix); n > 1 {
-		q.Affinity = string(model) + "/" + t.Meta.Prefix[n-2].ID
-		for _, p := range t.Meta.Prefix[:n-1] {
-			q.Cached += p.Tokens
-		}
-	}
-	return q
-}
-
-const (
-	// plainWork is the usual work, in ms, of a request to an upstream that is no model server.
-	plainWork = 50
-	// plainBytes is the usual size of the heads and of a short answer.
-	plainBytes = 800
-	// bytesPerToken is the usual size of a generated token in an event stream.
-	bytesPerToken = 10
-	// largestPace is the time of a token of a service's dearest model against the
-	// reference; the others' times follow their prices.
-	largestPace = 3.0
-)
-
-// pace estimates the time of a model's token relative to the reference model.
-func pace(s routes.Service, m ident.ModelID) float64 {
-	top := 0.0
-	for _, p := range s.Prices {
-		top = max(top, p)
-	}
-	if top == 0 {
-		return 1
-	}
-	return largestPace * s.Prices[m] / top
-}
-
-// again reports whether another upstream may be tried, and spends the budget for it.
-func (t *try) again(ctx context.Context) bool {
-	if ctx.Err() != nil || time.Until(t.Deadline) < 2*answerReserve {
-		return false
-	}
-	if t.sent >= t.Route.Attempts || (t.ran && !t.Route.Repeatable()) {
-		return false
-	}
-	if !t.granted.Swap(false) && !t.Budget.Take(t.service, 0, t.Now()) {
-		t.Meter.Denied()
-		t.Log.Warn().Str("request", string(t.Meta.ID)).Str("service", string(t.service)).
-			Int("attempt", t.offers).Msg("repeat not allowed by the retry budget")
-		return false
-	}
-	return true
-}
-
 // failure is the final answer when no upstream gave one.
 func (t *try) failure(ctx context.Context, o outcome) error {
 	ran := refuse.Unknown
