--- a/router/budget/budget.go
+++ b/router/budget/budget.go
@@ -59,8 +59,7 @@
 }
 
 // Take spends a repeat. It reports false if none is left, and counts nothing then.
-// keep is the part of the budget that the caller must leave to more important repeats.
-func (b *Budget) Take(s ident.ServiceID, keep float64, now time.Duration) bool {
+func (b *Budget) Take(s ident.ServiceID, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.at(s, now)
@@ -75,7 +74,7 @@
 		}
 	}
 	r := b.rule()
-	allowed := (r.Ratio*(1-reserve)*float64(requests) + r.Slack) * (1 - keep)
+	allowed := r.Ratio*(1-reserve)*float64(requests) + r.Slack
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/router/budget/budget_test.go
+++ b/router/budget/budget_test.go
@@ -25,7 +25,7 @@
 				requests = append(requests, now)
 				continue
 			}
-			if b.Take("llm", 0, now) {
+			if b.Take("llm", now) {
 				repeats = append(repeats, now)
 			}
 		}
@@ -55,10 +55,10 @@
 	for range 10 {
 		b.Request("llm", time.Second)
 	}
-	if b.Take("desk", 0, time.Second) {
+	if b.Take("desk", time.Second) {
 		t.Error("a repeat of a service without requests was allowed")
 	}
-	if !b.Take("llm", 0, time.Second) {
+	if !b.Take("llm", time.Second) {
 		t.Error("no repeat in ten requests was allowed")
 	}
 }
--- a/router/place/place.go
+++ b/router/place/place.go
@@ -39,8 +39,7 @@
 
 // Query describes the attempt to place.
 type Query struct {
-	Service ident.ServiceID
-	Domain  ident.DomainID
+	Domain ident.DomainID
 	// Accept reports whether an upstream may be used at all; nil accepts all.
 	Accept func(u *fleet.Upstream) bool
 	// Exclude names upstreams already tried.
@@ -109,7 +108,6 @@
 	// pending is the nominal work, in ms, of own attempts that have no answer yet.
 	pending      float64
 	pendingCount int
-	sent         int // sent since the report
 	reported     call.Load
 	at           time.Time
 	pace         speed
@@ -248,7 +246,6 @@
 		b.loads[c.Upstream.ID] = l
 	}
 	l.own++
-	l.sent++
 	l.pending += c.work
 	l.pendingCount++
 	return &Attempt{book: b, load: l, choice: c, began: now, pending: true}
@@ -288,7 +285,7 @@
 func (a *Attempt) Reported(r call.Load, now time.Time) {
 	a.book.mu.Lock()
 	defer a.book.mu.Unlock()
-	a.load.reported, a.load.at, a.load.sent = r, now, 0
+	a.load.reported, a.load.at = r, now
 }
 
 // End records the end of the attempt; it may be called again.
--- a/router/place/place_test.go
+++ b/router/place/place_test.go
@@ -23,7 +23,7 @@
 }
 
 func engine() place.Query {
-	return place.Query{Service: "llm", Domain: "a", Engine: true, Input: 2000, Pace: 0.3, Bytes: 3000}
+	return place.Query{Domain: "a", Engine: true, Input: 2000, Pace: 0.3, Bytes: 3000}
 }
 
 var start = time.Unix(1000, 0)
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -65,7 +65,7 @@
 		model = t.Meta.Model
 	}
 	q := place.Query{
-		Service: t.service, Domain: t.Domain, Accept: t.accept(v), Exclude: t.exclude,
+		Domain: t.Domain, Accept: t.accept(v), Exclude: t.exclude,
 		Input: t.Meta.Input, Pace: pace(s, model), Engine: s.Engine, Plain: plainWork,
 		Bytes: len(t.Body) + int(t.Meta.Hint)*bytesPerToken + plainBytes,
 	}
