test: start the second router of TestPeers after the first knows the store

Both routers started at the same instant of the test's clock; if the second asked first, the peer knew nothing, was left alone for 3 s as designed, and the store was asked meanwhile. Change: the test starts the routers a second apart; its bounds stay as they are. Ruled out: the product; real routers read the store once at a start in any case.

--- a/router/known/peer_test.go
+++ b/router/known/peer_test.go
@@ -74,7 +74,11 @@
 		b := New(second, []Peer{{Address: "a", Source: p}}, now, l)
 		done := make(chan error, 2)
 		go func() { done <- a.Run(ctx) }()
+		// A peer that starts at the same instant may know nothing yet, and is then
+		// left alone for three seconds.
+		time.Sleep(time.Second)
 		go func() { done <- b.Run(ctx) }()
+		time.Sleep(time.Second)
 		for range 600 {
 			time.Sleep(50 * time.Millisecond)
 			// Keys are accepted for 4.8 s; the users count requests for 3 s after contact was lost.
