feat: pass load, speed and backlog of upstreams between routers

Cause: on the grown sites a router meets each upstream about once in five seconds, and reports of load count for two. One prompt of 50,000 tokens blocks an upstream for seconds without an answer, and other routers kept sending there.

Change: routers exchange samples of answers (load, speed) and the nominal work that has no answer yet, with one peer every 250 ms, over the connections they have (package gossip). Among more than 16 upstreams each router compares the prefix's home and five drawn at random, as routers with equally old knowledge chose the same one (40 requests in 0.2 s).

TestBacklogOfOthers, TestSlowUpstreamOfOthers, TestSeedFails and TestNoHerd fail without it.

The Makefile builds the router, and generates its messages, too.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 build:
 	@mkdir -p bin
-	go build -o bin/ ./entry ./agent ./tarragonvalve ./standin ./bench
+	go build -o bin/ ./entry ./agent ./router ./tarragonvalve ./standin ./bench
 
 DEPLOYMENT ?= ilmek
 
@@ -20,3 +20,4 @@
 
 generate:
 	cd core/wire && GOWORK=off buf generate
+	cd router/share && GOWORK=off buf generate
--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -25,6 +25,7 @@
 	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/front"
+	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/known"
 	"tarragonvalve.example/router/link"
 	"tarragonvalve.example/router/meter"
@@ -90,7 +91,9 @@
 		func() clock.Func { return clock.Boot },
 		func() call.Codec { return heads.Codec{} },
 		func() known.Store { return rows.New(s.Store) },
+		newContacts,
 		newPeers,
+		newGossip,
 		known.New,
 		link.New,
 		place.New,
@@ -111,8 +114,8 @@
 		}
 	}
 	var steps []serve.Step
-	err := c.Invoke(func(v *setup.Live, b *place.Book, n *known.Node, p *link.Pool, m *mover.Mover, u *pulse.Monitor, h *share.Server, a *admin, f *front.Server) {
-		steps = []serve.Step{v, n, p, m, u, &cleaner{book: b, node: n}, a}
+	err := c.Invoke(func(v *setup.Live, b *place.Book, n *known.Node, p *link.Pool, m *mover.Mover, u *pulse.Monitor, g *gossip.Node, h *share.Server, a *admin, f *front.Server) {
+		steps = []serve.Step{v, n, p, m, u, g, &cleaner{book: b, node: n}, a}
 		if h != nil {
 			steps = append(steps, h)
 		}
--- a/router/boot/share.go
+++ b/router/boot/share.go
@@ -6,17 +6,20 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/known"
+	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/setup"
 	"tarragonvalve.example/router/share"
 )
 
-// newPeers returns the peers to read from. The first seed reads the store; the
+// newContacts returns clients of the peers to ask. The first seed reads the store; the
 // other seeds ask those before them, all other instances any of them, so that
 // each seed gets a part of the questions, one of the own network first: bytes
 // between failure domains have a price.
-func newPeers(s *setup.Settings) ([]known.Peer, error) {
+func newContacts(s *setup.Settings) ([]*share.Client, error) {
 	as := s.Seeds
 	if i := slices.Index(as, s.Share); i >= 0 {
 		as = as[:i]
@@ -25,15 +28,33 @@
 		as = slices.Concat(as[first:], as[:first])
 		slices.SortStableFunc(as, func(a, b string) int { return distance(s.Share, a) - distance(s.Share, b) })
 	}
-	var ps []known.Peer
+	var cs []*share.Client
 	for _, a := range as {
 		c, err := share.NewClient(a)
 		if err != nil {
 			return nil, err
 		}
-		ps = append(ps, known.Peer{Address: a, Source: c})
+		cs = append(cs, c)
+	}
+	return cs, nil
+}
+
+// newPeers returns the contacts as sources of what the store holds.
+func newPeers(cs []*share.Client) []known.Peer {
+	var ps []known.Peer
+	for _, c := range cs {
+		ps = append(ps, known.Peer{Address: c.Address(), Source: c})
+	}
+	return ps
+}
+
+// newGossip returns the exchange of samples with the same contacts.
+func newGossip(s *setup.Settings, cs []*share.Client, b *place.Book, l zerolog.Logger) *gossip.Node {
+	var ps []gossip.Peer
+	for _, c := range cs {
+		ps = append(ps, c)
 	}
-	return ps, nil
+	return gossip.New(s.Instance, b, ps, l)
 }
 
 // networkBits is the length of the address prefix that neighbours share.
@@ -57,7 +78,7 @@
 }
 
 // newShare returns nil if peers can't reach this instance.
-func newShare(s *setup.Settings, n *known.Node) (*share.Server, error) {
+func newShare(s *setup.Settings, n *known.Node, g *gossip.Node) (*share.Server, error) {
 	if s.Share == "" {
 		return nil, nil
 	}
@@ -65,5 +86,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return share.NewServer(l, n), nil
+	return share.NewServer(l, n, g), nil
 }
--- a/router/boot/share_test.go
+++ b/router/boot/share_test.go
@@ -24,13 +24,13 @@
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
-			ps, err := newPeers(&setup.Settings{Instance: "r", Share: c.share, Seeds: slices.Clone(seeds)})
+			ps, err := newContacts(&setup.Settings{Instance: "r", Share: c.share, Seeds: slices.Clone(seeds)})
 			if err != nil {
 				t.Fatal(err)
 			}
 			var got []string
 			for _, p := range ps {
-				got = append(got, p.Address)
+				got = append(got, p.Address())
 			}
 			if c.first != "" && got[0] != c.first {
 				t.Errorf("asks %v first, want %s", got, c.first)
--- /dev/null
+++ b/router/gossip/gossip_test.go
@@ -0,0 +1,260 @@
+package gossip_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/gossip"
+	"tarragonvalve.example/router/place"
+)
+
+// direct reaches a node of the test without a network.
+type direct struct {
+	name string
+	node *gossip.Node
+	down atomic.Bool
+}
+
+func (d *direct) Address() string { return d.name }
+
+func (d *direct) Trade(_ context.Context, m gossip.Message) (gossip.Answer, error) {
+	if d.down.Load() {
+		return gossip.Answer{}, errors.New("no answer")
+	}
+	return d.node.Take(m), nil
+}
+
+func upstreams(n int) []*fleet.Upstream {
+	var us []*fleet.Upstream
+	for i := range n {
+		us = append(us, &fleet.Upstream{ID: ident.UpstreamID(fmt.Sprintf("u%d", i)), Service: "llm", Slots: 64, Domain: "a"})
+	}
+	return us
+}
+
+// routers are nodes around two that the others ask, of which the second asks the first.
+type routers struct {
+	books []*place.Book
+	seeds []*direct
+}
+
+func newRouters(n int) (*routers, []*gossip.Node) {
+	r := &routers{}
+	var nodes []*gossip.Node
+	for i := range n {
+		b := place.New()
+		var ps []gossip.Peer
+		if i > 0 {
+			for _, s := range r.seeds {
+				ps = append(ps, s)
+			}
+		}
+		if i > 1 && i%2 == 1 {
+			slices.Reverse(ps)
+		}
+		node := gossip.New(fmt.Sprintf("r%d", i), b, ps, zerolog.New(io.Discard))
+		if i < 2 {
+			r.seeds = append(r.seeds, &direct{name: fmt.Sprintf("seed-%d", i), node: node})
+		}
+		r.books = append(r.books, b)
+		nodes = append(nodes, node)
+	}
+	return r, nodes
+}
+
+// play runs routers on a fake clock until f returns.
+func play(t *testing.T, n int, f func(r *routers)) {
+	synctest.Test(t, func(t *testing.T) {
+		r, nodes := newRouters(n)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, n)
+		for _, x := range nodes {
+			go func() { done <- x.Run(ctx) }()
+		}
+		f(r)
+		stop()
+		for range nodes {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
+// spread is the time in which what one router sees reaches all: three exchanges.
+const spread = time.Second
+
+// Pattern: one router sends an upstream a long prompt, which blocks it for seconds
+// without an answer. Who must be served: the others' requests, elsewhere. Guards
+// against routers that know only their own sends and pile up behind the prompt.
+func TestBacklogOfOthers(t *testing.T) {
+	us := upstreams(2)
+	play(t, 6, func(r *routers) {
+		long := place.Query{Domain: "a", Engine: true, Input: 50_000, Pace: 3}
+		c, _ := r.books[3].Pick(us, long, time.Now())
+		a := r.books[3].Start(c, time.Now())
+		time.Sleep(spread)
+		for i, b := range r.books {
+			d, ok := b.Pick(us, place.Query{Domain: "a", Engine: true, Input: 500, Pace: 0.3}, time.Now())
+			if !ok || d.Upstream == c.Upstream {
+				t.Errorf("router %d chose the blocked upstream", i)
+			}
+		}
+		a.End()
+		time.Sleep(spread)
+		for i, b := range r.books {
+			if d := cost(b, c.Upstream); d > 100 {
+				t.Errorf("router %d expects %.0f ms of an upstream that is idle again", i, d)
+			}
+		}
+	})
+}
+
+func cost(b *place.Book, u *fleet.Upstream) float64 {
+	c, _ := b.Pick([]*fleet.Upstream{u}, place.Query{Domain: "a", Engine: true, Input: 500, Pace: 0.3}, time.Now())
+	return c.Cost
+}
+
+// Pattern: an upstream is ten times slower; each router meets it once a second. All
+// must know it after a few answers, though none saw enough of them itself.
+func TestSlowUpstreamOfOthers(t *testing.T) {
+	us := upstreams(1)
+	play(t, 8, func(r *routers) {
+		for range 2 {
+			for _, b := range r.books {
+				c, _ := b.Pick(us, place.Query{Domain: "a", Engine: true, Input: 500, Pace: 0.3}, time.Now())
+				a := b.Start(c, time.Now())
+				time.Sleep(350 * time.Millisecond)
+				a.Answered(time.Now())
+				a.Reported(call.Load{Running: 3, Slots: 64}, time.Now())
+				a.End()
+			}
+		}
+		time.Sleep(spread)
+		for i, b := range r.books {
+			if d := cost(b, us[0]); d < 100 {
+				t.Errorf("router %d expects %.0f ms of an upstream that takes 350 ms", i, d)
+			}
+		}
+	})
+}
+
+// Guards against a fallen seed that cuts the exchange, and against backlog that
+// counts on after its router is gone.
+func TestSeedFails(t *testing.T) {
+	us := upstreams(1)
+	play(t, 4, func(r *routers) {
+		r.seeds[0].down.Store(true)
+		c, _ := r.books[2].Pick(us, place.Query{Domain: "a", Engine: true, Input: 50_000, Pace: 3}, time.Now())
+		a := r.books[2].Start(c, time.Now())
+		time.Sleep(spread)
+		if d := cost(r.books[3], us[0]); d < 1000 {
+			t.Errorf("with one seed the other router expects %.0f ms behind a long prompt", d)
+		}
+		r.seeds[1].down.Store(true)
+		time.Sleep(2 * spread)
+		if d := cost(r.books[3], us[0]); d > 100 {
+			t.Errorf("without a seed the router still expects %.0f ms", d)
+		}
+		a.End()
+	})
+}
+
+// Guards against samples that come back to where they came from, come twice, or
+// stay away after the other side started again.
+func TestLog(t *testing.T) {
+	now := time.Now()
+	l := gossip.NewLog()
+	l.Add("a", []place.Sample{{Upstream: "u", Answers: 1, Pace: 1, At: now}}, now)
+	l.Add("b", []place.Sample{{Upstream: "u", Answers: 3, Pace: 2, At: now}}, now)
+	ss, next := l.After(0, "c", now)
+	if len(ss) != 1 || ss[0].Answers != 4 || ss[0].Pace != 1.75 {
+		t.Errorf("sum %+v, want 4 answers with mean 1.75", ss)
+	}
+	if ss, _ := l.After(next, "c", now); len(ss) != 0 {
+		t.Errorf("the same samples came again: %+v", ss)
+	}
+	if ss, _ := l.After(0, "a", now); len(ss) != 1 || ss[0].Answers != 3 {
+		t.Errorf("a got %+v, want only what b saw", ss)
+	}
+	if ss, _ := l.After(900, "c", now); len(ss) != 1 {
+		t.Error("a position of an earlier start hides all samples")
+	}
+	if ss, _ := l.After(0, "c", now.Add(time.Minute)); len(ss) != 0 {
+		t.Errorf("a sample of a minute ago is passed on: %+v", ss)
+	}
+	for i := range 100_000 {
+		l.Add("a", []place.Sample{{Upstream: ident.UpstreamID(fmt.Sprint(i)), Answers: 1, At: now}}, now)
+	}
+	if ss, _ := l.After(0, "c", now); len(ss) > 10_000 {
+		t.Errorf("%d samples are kept", len(ss))
+	}
+}
+
+// Guards against messages that grow with the square of the routers.
+func TestPauseGrowsWithListeners(t *testing.T) {
+	now := time.Now()
+	l := gossip.NewLog()
+	var p time.Duration
+	for i := range 100 {
+		p = l.Pause(fmt.Sprint(i), now)
+	}
+	if p != 2*time.Second {
+		t.Errorf("with 100 listeners each waits %s, want 2s: 50 messages a second in all", p)
+	}
+	if p = l.Pause("x", now.Add(time.Minute)); p != 250*time.Millisecond {
+		t.Errorf("alone again a listener waits %s, want 250ms", p)
+	}
+}
+
+// Guards against work counted twice or not at all: in any tree of routers, each
+// must learn exactly the sum of what all others sent.
+func TestTotals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 12).Draw(t, "routers")
+		parent := make([]int, n)
+		own := make([]float64, n)
+		sums := make([]*gossip.Totals, n)
+		total := 0.0
+		now := time.Now()
+		name := func(i int) string { return fmt.Sprint(i) }
+		for i := range n {
+			if i > 0 {
+				parent[i] = rapid.IntRange(0, i-1).Draw(t, "parent")
+			}
+			own[i] = float64(rapid.IntRange(0, 50).Draw(t, "work"))
+			total += own[i]
+			sums[i] = gossip.NewTotals()
+			sums[i].Set(name(i), []place.Backlog{{Upstream: "u", Work: own[i], Attempts: 1}}, now)
+		}
+		for range n {
+			for i := 1; i < n; i++ {
+				p := parent[i]
+				sums[p].Set(name(i), sums[i].Without(name(p), now), now)
+				sums[i].Set(name(p), sums[p].Without(name(i), now), now)
+			}
+		}
+		for i := range n {
+			got := 0.0
+			for _, b := range sums[i].Without(name(i), now) {
+				got += b.Work
+			}
+			if got != total-own[i] {
+				t.Fatalf("router %d of %v learnt %.0f, want %.0f", i, parent, got, total-own[i])
+			}
+		}
+	})
+}
--- /dev/null
+++ b/router/gossip/log.go
@@ -0,0 +1,128 @@
+// Package gossip passes what routers see of upstreams on to the other routers. With
+// many routers each one meets an upstream seldom, and its own knowledge of the
+// upstream's load and speed is old when it is needed.
+package gossip
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/place"
+)
+
+const (
+	// sampleLife is how long a sample is passed on; reports of load count for 2 s.
+	sampleLife = 2 * time.Second
+	// maxEntries bounds the samples kept; the oldest yield.
+	maxEntries = 8192
+	// listenerLife is how long a router that has not asked counts as a listener.
+	listenerLife = 3 * time.Second
+	// tradesPerSecond bounds the messages that all listeners send to one router:
+	// each takes about a quarter of a millisecond, and the smallest has a tenth of a core.
+	tradesPerSecond = 50
+	// shortestPause is the time between two messages of a router with few neighbours.
+	shortestPause = 250 * time.Millisecond
+)
+
+// Cursor is a position in the samples of one router.
+type Cursor uint64
+
+// Message carries samples from one router to another.
+type Message struct {
+	// From names the router that sends it.
+	From    string
+	Samples []place.Sample
+	// Backlog is the sum of what the sender and the routers behind it have sent.
+	Backlog []place.Backlog
+	// After is the position up to which the sender knows the receiver's samples.
+	After Cursor
+}
+
+// Answer carries what a router learnt from others than the one that asks.
+type Answer struct {
+	Samples []place.Sample
+	// Backlog is the sum of what all others have sent.
+	Backlog []place.Backlog
+	// Next is the position to ask from next time.
+	Next Cursor
+	// Pause is how long the receiver should wait before it asks again.
+	Pause time.Duration
+}
+
+type entry struct {
+	from   string
+	sample place.Sample
+}
+
+// Log keeps the newest samples with the router that they came from. It is safe for
+// concurrent use.
+type Log struct {
+	mu      sync.Mutex
+	entries []entry
+	// first is the position of the first entry; positions start at 1.
+	first     Cursor
+	listeners map[string]time.Time
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log {
+	return &Log{first: 1, listeners: map[string]time.Time{}}
+}
+
+// Add adds samples that came from a router.
+func (l *Log) Add(from string, ss []place.Sample, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range ss {
+		l.entries = append(l.entries, entry{from: from, sample: s})
+	}
+	n := max(len(l.entries)-maxEntries, 0)
+	for n < len(l.entries) && now.Sub(l.entries[n].sample.At) > sampleLife {
+		n++
+	}
+	l.entries = slices.Delete(l.entries, 0, n)
+	l.first += Cursor(n)
+}
+
+// After returns the sum of all samples after a position that did not come from the
+// router itself, one for each upstream, and the position to go on from. A position
+// that the log has not reached yet belongs to an earlier start and counts as 0.
+func (l *Log) After(c Cursor, router string, now time.Time) ([]place.Sample, Cursor) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	end := l.first + Cursor(len(l.entries))
+	if c >= end {
+		c = 0
+	}
+	sums := map[ident.UpstreamID]place.Sample{}
+	for _, e := range l.entries[max(c+1, l.first)-l.first:] {
+		if e.from == router || now.Sub(e.sample.At) > sampleLife {
+			continue
+		}
+		if s, ok := sums[e.sample.Upstream]; ok {
+			e.sample = s.Join(e.sample)
+		}
+		sums[e.sample.Upstream] = e.sample
+	}
+	var out []place.Sample
+	for _, s := range sums {
+		out = append(out, s)
+	}
+	return out, end - 1
+}
+
+// Pause records that a router asked, and returns how long it should wait before
+// it asks again: longer with more listeners, so that their messages stay bounded.
+func (l *Log) Pause(router string, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listeners[router] = now
+	for r, t := range l.listeners {
+		if now.Sub(t) > listenerLife {
+			delete(l.listeners, r)
+		}
+	}
+	return max(shortestPause, time.Duration(len(l.listeners))*time.Second/tradesPerSecond)
+}
--- /dev/null
+++ b/router/gossip/trade.go
@@ -0,0 +1,133 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/router/place"
+)
+
+const (
+	// tradeLimit bounds one exchange; a later answer is worth little.
+	tradeLimit = 500 * time.Millisecond
+	// failedPause is when a peer that failed is asked again.
+	failedPause = 3 * time.Second
+)
+
+// Peer is a router that others exchange samples with.
+type Peer interface {
+	// Address names the peer.
+	Address() string
+	// Trade hands samples over and returns the peer's. Its errors are those of the connection.
+	Trade(ctx context.Context, m Message) (Answer, error)
+}
+
+// Book keeps the samples of own answers and learns from those of others.
+type Book interface {
+	Drain() []place.Sample
+	Merge(ss []place.Sample, now time.Time)
+	Backlog() []place.Backlog
+	SetOthers(bs []place.Backlog, now time.Time)
+}
+
+// Node exchanges samples with the first peer that answers. Peers are ordered so
+// that no exchange goes in a circle: each sample reaches a router once.
+type Node struct {
+	name  string
+	book  Book
+	peers []*contact
+	log   *Log
+	sums  *Totals
+	logs  zerolog.Logger
+}
+
+// contact is what is known of a peer.
+type contact struct {
+	Peer
+	// sent and seen are the positions up to which each side knows the other.
+	sent, seen Cursor
+	failed     time.Time
+}
+
+// New returns a node.
+func New(name string, b Book, peers []Peer, l zerolog.Logger) *Node {
+	n := &Node{name: name, book: b, log: NewLog(), sums: NewTotals(), logs: l}
+	for _, p := range peers {
+		n.peers = append(n.peers, &contact{Peer: p})
+	}
+	return n
+}
+
+// Name is the name of the step.
+func (n *Node) Name() string { return "gossip" }
+
+// Run exchanges samples until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	t := time.NewTimer(shortestPause)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			t.Reset(n.round(ctx))
+		}
+	}
+}
+
+// round publishes own samples, trades with one peer, and returns the time until the next round.
+func (n *Node) round(ctx context.Context) time.Duration {
+	now := time.Now()
+	n.log.Add(n.name, n.book.Drain(), now)
+	n.sums.Set(n.name, n.book.Backlog(), now)
+	for _, c := range n.peers {
+		if !c.failed.IsZero() && now.Sub(c.failed) < failedPause {
+			continue
+		}
+		return n.trade(ctx, c, now)
+	}
+	return shortestPause
+}
+
+func (n *Node) trade(ctx context.Context, c *contact, now time.Time) time.Duration {
+	ctx, stop := context.WithTimeout(ctx, tradeLimit)
+	defer stop()
+	ss, sent := n.log.After(c.sent, c.Address(), now)
+	a, err := c.Trade(ctx, Message{
+		From: n.name, Samples: ss, Backlog: n.sums.Without(c.Address(), now), After: c.seen,
+	})
+	if err != nil {
+		c.failed = now
+		n.logs.Info().Err(err).Str("peer", c.Address()).Msg("samples not exchanged, peer not used for a while")
+		return shortestPause
+	}
+	if !c.failed.IsZero() {
+		c.failed = time.Time{}
+		n.logs.Info().Str("peer", c.Address()).Msg("samples exchanged again")
+	}
+	c.sent, c.seen = sent, a.Next
+	n.learn(c.Address(), a.Samples, a.Backlog)
+	return max(a.Pause, shortestPause)
+}
+
+// Take answers a message of another router.
+func (n *Node) Take(m Message) Answer {
+	now := time.Now()
+	a := Answer{Pause: n.log.Pause(m.From, now)}
+	a.Samples, a.Next = n.log.After(m.After, m.From, now)
+	n.sums.Set(n.name, n.book.Backlog(), now)
+	a.Backlog = n.sums.Without(m.From, now)
+	n.learn(m.From, m.Samples, m.Backlog)
+	return a
+}
+
+// learn takes what a neighbour said.
+func (n *Node) learn(from string, ss []place.Sample, bs []place.Backlog) {
+	now := time.Now()
+	n.log.Add(from, ss, now)
+	n.book.Merge(ss, now)
+	n.sums.Set(from, bs, now)
+	n.book.SetOthers(n.sums.Without(n.name, now), now)
+}
--- a/router/place/place.go
+++ b/router/place/place.go
@@ -3,6 +3,7 @@
 package place
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,6 +36,15 @@
 	wideWork = 60.0
 	// prefillPerMs is the number of prompt tokens that the reference model reads in a ms.
 	prefillPerMs = 92.0
+	// scanAll is the number of upstreams of a service up to which all are compared.
+	// Among more, instances whose knowledge is equally old would all choose the
+	// same one: forty requests in 0.2 s went to one idle upstream of 42.
+	scanAll = 16
+	// drawNear and drawFar are the numbers of upstreams of the own failure domain and
+	// of others that are compared instead, maxDraws bounds the tries to find them.
+	drawNear = 3
+	drawFar  = 2
+	maxDraws = 32
 )
 
 // Query describes the attempt to place.
@@ -108,10 +118,12 @@
 	// pending is the nominal work, in ms, of own attempts that have no answer yet.
 	pending      float64
 	pendingCount int
-	reported     call.Load
-	at           time.Time
-	pace         speed
-	silent       bool
+	// others is the same of the other instances.
+	others   Backlog
+	reported call.Load
+	at       time.Time
+	pace     speed
+	silent   bool
 }
 
 // Book keeps the load of upstreams as this instance knows it. It is safe for
@@ -120,36 +132,89 @@
 	mu       sync.Mutex
 	loads    map[ident.UpstreamID]*load
 	outliers *retry.Outliers
+	// fresh holds what own answers showed and other instances were not told yet.
+	fresh map[ident.UpstreamID]Sample
+	// othersAt is when the backlog of other instances was known.
+	othersAt time.Time
+	rand     *rand.Rand
 }
 
 // New returns an empty book.
 func New() *Book {
-	return &Book{loads: map[ident.UpstreamID]*load{}, outliers: retry.NewOutliers()}
+	return &Book{
+		loads: map[ident.UpstreamID]*load{}, outliers: retry.NewOutliers(), fresh: map[ident.UpstreamID]Sample{},
+		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 }
 
-// Pick returns the upstream with the lowest predicted cost. It returns false if
-// none may be used. Upstreams that keep failing or are silent are used only if
-// no other is left.
+// Pick returns the upstream with the lowest predicted cost among the prefix's home
+// and a few others drawn at random. It returns false if none may be used.
+// Upstreams that keep failing or are silent are used only if no other is left.
 func (b *Book) Pick(us []*fleet.Upstream, q Query, now time.Time) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	home := b.home(us, &q)
-	best := Choice{}
-	rank := 0
-	n := 0
-	for _, u := range us {
-		if !q.allows(u) || excluded(q.Exclude, u.ID) {
-			continue
+	s := scan{Book: b, query: &q, home: b.home(us, &q), now: now}
+	if len(us) > scanAll {
+		s.draw(us)
+	}
+	if s.best.Upstream == nil || s.rank > 0 {
+		s.all(us)
+	}
+	s.best.Candidates = s.seen
+	return s.best, s.best.Upstream != nil
+}
+
+// scan is a search for the cheapest upstream.
+type scan struct {
+	*Book
+	query *Query
+	home  *fleet.Upstream
+	now   time.Time
+	best  Choice
+	rank  int
+	seen  int
+}
+
+// draw tries the home and upstreams drawn at random, more of them in the own failure domain.
+func (s *scan) draw(us []*fleet.Upstream) {
+	if s.home != nil {
+		s.try(s.home)
+	}
+	near, far := drawNear, drawFar
+	for range maxDraws {
+		u := us[s.rand.IntN(len(us))]
+		left := &far
+		if u.Domain == s.query.Domain {
+			left = &near
+		}
+		if *left > 0 && s.try(u) {
+			*left--
 		}
-		n++
-		c := b.choice(u, &q, home, now)
-		r := b.rank(u, now)
-		if best.Upstream == nil || r < rank || (r == rank && c.Cost < best.Cost) {
-			best, rank = c, r
+		if near+far == 0 {
+			return
 		}
 	}
-	best.Candidates = n
-	return best, best.Upstream != nil
+}
+
+func (s *scan) all(us []*fleet.Upstream) {
+	s.seen = 0
+	for _, u := range us {
+		s.try(u)
+	}
+}
+
+// try compares an upstream with the best so far; it returns false if it may not be used.
+func (s *scan) try(u *fleet.Upstream) bool {
+	if !s.query.allows(u) || excluded(s.query.Exclude, u.ID) {
+		return false
+	}
+	s.seen++
+	c := s.choice(u, s.query, s.home, s.now)
+	r := s.Book.rank(u, s.now)
+	if s.best.Upstream == nil || r < s.rank || (r == s.rank && c.Cost < s.best.Cost) {
+		s.best, s.rank = c, r
+	}
+	return true
 }
 
 func (q *Query) allows(u *fleet.Upstream) bool {
@@ -204,7 +269,11 @@
 	if l != nil {
 		s = l.pace.value(now)
 		c.Silent = l.silent
-		queue = l.queue(u, q, now)
+		o := l.others
+		if now.Sub(b.othersAt) > backlogLife {
+			o = Backlog{}
+		}
+		queue = l.queue(u, q, o, now)
 	}
 	c.nominal = baseDelay + queue + c.work
 	c.Cost = s * c.nominal
@@ -219,17 +288,19 @@
 	return c
 }
 
-// queue returns the nominal work, in ms, ahead of a new request.
-func (l *load) queue(u *fleet.Upstream, q *Query, now time.Time) float64 {
+// queue returns the nominal work, in ms, ahead of a new request; others is the
+// backlog of other instances.
+func (l *load) queue(u *fleet.Upstream, q *Query, others Backlog, now time.Time) float64 {
+	pending := l.pendingCount + others.Attempts
 	running, waiting := l.own-l.pendingCount, 0
 	if now.Sub(l.at) < reportLife {
 		running = max(running, l.reported.Running)
-		waiting = max(l.reported.Waiting-l.pendingCount, 0)
+		waiting = max(l.reported.Waiting-pending, 0)
 	}
 	if q.Engine {
-		return l.pending + float64(waiting)*waitingWork + float64(running)*runningCost
+		return l.pending + others.Work + float64(waiting)*waitingWork + float64(running)*runningCost
 	}
-	ahead := running + waiting + l.pendingCount + 1 - u.Slots
+	ahead := running + waiting + pending + 1 - u.Slots
 	if ahead <= 0 || u.Slots <= 0 {
 		return 0
 	}
@@ -240,11 +311,7 @@
 func (b *Book) Start(c Choice, now time.Time) *Attempt {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.loads[c.Upstream.ID]
-	if l == nil {
-		l = &load{}
-		b.loads[c.Upstream.ID] = l
-	}
+	l := b.load(c.Upstream.ID)
 	l.own++
 	l.pending += c.work
 	l.pendingCount++
@@ -269,7 +336,7 @@
 		return
 	}
 	a.settle()
-	a.load.pace.observe(now.Sub(a.began), a.choice.nominal, now)
+	a.observe(now)
 }
 
 // Late records that the attempt was given up without an answer.
@@ -277,15 +344,22 @@
 	a.book.mu.Lock()
 	defer a.book.mu.Unlock()
 	if a.pending {
-		a.load.pace.observe(now.Sub(a.began), a.choice.nominal, now)
+		a.observe(now)
 	}
 }
 
+func (a *Attempt) observe(now time.Time) {
+	p := logPace(now.Sub(a.began), a.choice.nominal)
+	a.load.pace.add(p, 1, now)
+	a.book.note(Sample{Upstream: a.choice.Upstream.ID, Answers: 1, Pace: p, At: now})
+}
+
 // Reported records the upstream's report of its load.
 func (a *Attempt) Reported(r call.Load, now time.Time) {
 	a.book.mu.Lock()
 	defer a.book.mu.Unlock()
 	a.load.reported, a.load.at = r, now
+	a.book.note(Sample{Upstream: a.choice.Upstream.ID, Load: r, Loaded: true, At: now})
 }
 
 // End records the end of the attempt; it may be called again.
@@ -324,12 +398,7 @@
 func (b *Book) SetSilent(id ident.UpstreamID, silent bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.loads[id]
-	if l == nil {
-		l = &load{}
-		b.loads[id] = l
-	}
-	l.silent = silent
+	b.load(id).silent = silent
 }
 
 // Forget drops what is known of upstreams that are gone and carry nothing of ours.
--- a/router/place/place_test.go
+++ b/router/place/place_test.go
@@ -193,3 +193,49 @@
 		t.Errorf("an old report still counts: cost %.0f ms", d.Cost)
 	}
 }
+
+// Pattern: thirty instances with the same, equally old knowledge of forty upstreams,
+// one of them a little less loaded. Guards against all of them choosing that one.
+func TestNoHerd(t *testing.T) {
+	us := upstreams(40)
+	got := map[ident.UpstreamID]int{}
+	for range 30 {
+		b := place.New()
+		var ss []place.Sample
+		for i, u := range us {
+			ss = append(ss, place.Sample{Upstream: u.ID, Load: call.Load{Running: min(i, 1), Slots: 64}, Loaded: true, At: start})
+		}
+		b.Merge(ss, start)
+		c, ok := b.Pick(us, engine(), start)
+		if !ok {
+			t.Fatal("no upstream")
+		}
+		got[c.Upstream.ID]++
+	}
+	if got["u0"] > 15 {
+		t.Errorf("%d of 30 instances chose the same upstream", got["u0"])
+	}
+	if len(got) < 5 {
+		t.Errorf("only %d upstreams were chosen: %v", len(got), got)
+	}
+}
+
+// Pattern: among many upstreams only one may be used, or only failing ones are
+// left. Guards against a random draw that misses them.
+func TestDrawMissesNone(t *testing.T) {
+	us := upstreams(200)
+	q := engine()
+	q.Accept = func(u *fleet.Upstream) bool { return u.ID == "u150" }
+	if c, ok := place.New().Pick(us, q, start); !ok || c.Upstream.ID != "u150" {
+		t.Errorf("got %+v, want the only permitted upstream", c.Upstream)
+	}
+	b := place.New()
+	for _, u := range us {
+		if u.ID != "u77" {
+			b.SetSilent(u.ID, true)
+		}
+	}
+	if c, ok := b.Pick(us, engine(), start); !ok || c.Upstream.ID != "u77" {
+		t.Errorf("got %+v, want the only upstream that is not silent", c.Upstream)
+	}
+}
--- a/router/place/speed.go
+++ b/router/place/speed.go
@@ -29,11 +29,19 @@
 	return math.Exp(s.log * math.Exp(-now.Sub(s.at).Seconds()/speedLife.Seconds()))
 }
 
-// observe adds the time of an answer against its nominal time in ms. Averaging
-// logarithms keeps one very late answer from hiding many normal ones.
-func (s *speed) observe(took time.Duration, nominal float64, now time.Time) {
+// logPace returns the logarithm of the time of an answer against its nominal time
+// in ms. Averaging logarithms keeps one very late answer from hiding many normal ones.
+func logPace(took time.Duration, nominal float64) float64 {
 	f := float64(took) / float64(time.Millisecond) / max(nominal, 1)
-	f = min(max(f, minSpeed), maxSpeed)
-	s.log = math.Log(s.value(now))*(1-speedWeight) + math.Log(f)*speedWeight
+	return math.Log(min(max(f, minSpeed), maxSpeed))
+}
+
+// add adds the mean logarithm of n answers' times.
+func (s *speed) add(pace float64, n int, now time.Time) {
+	if n <= 0 {
+		return
+	}
+	keep := math.Pow(1-speedWeight, float64(n))
+	s.log = math.Log(s.value(now))*keep + pace*(1-keep)
 	s.at = now
 }
--- a/router/share/client.go
+++ b/router/share/client.go
@@ -25,10 +25,11 @@
 	maxReply = 8 << 20
 )
 
-// Client reads from one peer; it implements known.Source.
+// Client speaks to one peer; it implements known.Source and gossip.Peer.
 type Client struct {
-	conn *grpc.ClientConn
-	rpc  ShareClient
+	address string
+	conn    *grpc.ClientConn
+	rpc     ShareClient
 }
 
 // NewClient returns a client of the peer at an address IP:PORT. It connects when
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("prepare the connection to peer %s: %w", address, err)
 	}
-	return &Client{conn: c, rpc: NewShareClient(c)}, nil
+	return &Client{address: address, conn: c, rpc: NewShareClient(c)}, nil
 }
 
 // Snapshot returns all that the peer knows of a topic.
--- a/router/share/server.go
+++ b/router/share/server.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/known"
 )
 
@@ -26,11 +27,12 @@
 
 	listener net.Listener
 	node     *known.Node
+	gossip   *gossip.Node
 }
 
 // NewServer returns a server on a listener.
-func NewServer(l net.Listener, n *known.Node) *Server {
-	return &Server{listener: l, node: n}
+func NewServer(l net.Listener, n *known.Node, g *gossip.Node) *Server {
+	return &Server{listener: l, node: n, gossip: g}
 }
 
 // Name is the name of the step.
--- /dev/null
+++ b/router/share/trade.go
@@ -0,0 +1,89 @@
+package share
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/gossip"
+	"tarragonvalve.example/router/place"
+)
+
+// Address returns the address IP:PORT of the peer.
+func (c *Client) Address() string { return c.address }
+
+// Trade hands samples over and returns those of other routers.
+func (c *Client) Trade(ctx context.Context, m gossip.Message) (gossip.Answer, error) {
+	now := time.Now()
+	r, err := c.rpc.Trade(ctx, &TradeRequest{From: m.From, After: uint64(m.After), Samples: encodeSamples(m.Samples, now), Backlog: encodeBacklog(m.Backlog)})
+	if err != nil {
+		return gossip.Answer{}, fmt.Errorf("trade samples with peer %s: %w", c.address, err)
+	}
+	return gossip.Answer{
+		Samples: decodeSamples(r.GetSamples(), now), Next: gossip.Cursor(r.GetNext()), Backlog: decodeBacklog(r.GetBacklog()),
+		Pause: time.Duration(r.GetPauseMs()) * time.Millisecond,
+	}, nil
+}
+
+// Trade answers a peer's samples with those of others.
+func (s *Server) Trade(_ context.Context, q *TradeRequest) (*TradeReply, error) {
+	now := time.Now()
+	a := s.gossip.Take(gossip.Message{
+		From: q.GetFrom(), After: gossip.Cursor(q.GetAfter()), Samples: decodeSamples(q.GetSamples(), now),
+		Backlog: decodeBacklog(q.GetBacklog()),
+	})
+	return &TradeReply{
+		Samples: encodeSamples(a.Samples, now), Next: uint64(a.Next), PauseMs: uint32(a.Pause.Milliseconds()),
+		Backlog: encodeBacklog(a.Backlog),
+	}, nil
+}
+
+// encodeSamples gives samples an age instead of a time: clocks of routers differ.
+func encodeSamples(ss []place.Sample, now time.Time) []*Sample {
+	out := make([]*Sample, 0, len(ss))
+	for _, s := range ss {
+		m := &Sample{
+			Upstream: string(s.Upstream), Answers: uint32(s.Answers), Pace: float32(s.Pace),
+			AgeMs: uint32(max(now.Sub(s.At), 0).Milliseconds()),
+		}
+		if s.Loaded {
+			m.Load = &Load{Running: uint32(s.Load.Running), Waiting: uint32(s.Load.Waiting), Slots: uint32(s.Load.Slots)}
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func decodeSamples(ms []*Sample, now time.Time) []place.Sample {
+	out := make([]place.Sample, 0, len(ms))
+	for _, m := range ms {
+		s := place.Sample{
+			Upstream: ident.UpstreamID(m.GetUpstream()), Answers: int(m.GetAnswers()), Pace: float64(m.GetPace()),
+			At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+		}
+		if l := m.GetLoad(); l != nil {
+			s.Loaded = true
+			s.Load = call.Load{Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Slots: int(l.GetSlots())}
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func encodeBacklog(bs []place.Backlog) []*Backlog {
+	out := make([]*Backlog, 0, len(bs))
+	for _, b := range bs {
+		out = append(out, &Backlog{Upstream: string(b.Upstream), Work: float32(b.Work), Attempts: uint32(b.Attempts)})
+	}
+	return out
+}
+
+func decodeBacklog(ms []*Backlog) []place.Backlog {
+	out := make([]place.Backlog, 0, len(ms))
+	for _, m := range ms {
+		out = append(out, place.Backlog{Upstream: ident.UpstreamID(m.GetUpstream()), Work: float64(m.GetWork()), Attempts: int(m.GetAttempts())})
+	}
+	return out
+}
--- /dev/null
+++ b/router/share/trade_test.go
@@ -0,0 +1,70 @@
+package share_test
+
+import (
+	"context"
+	"io"
+	"math"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/gossip"
+	"tarragonvalve.example/router/place"
+	"tarragonvalve.example/router/share"
+)
+
+// Guards against values that are lost or change on the way between two routers.
+func TestTrade(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hub := gossip.New("hub", place.New(), nil, zerolog.New(io.Discard))
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- share.NewServer(l, nil, hub).Run(ctx) }()
+	c, err := share.NewClient(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Close()
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	sample := place.Sample{
+		Upstream: "u1", Answers: 3, Pace: 0.5, Load: call.Load{Running: 4, Waiting: 2, Slots: 64}, Loaded: true,
+		At: time.Now().Add(-300 * time.Millisecond),
+	}
+	backlog := place.Backlog{Upstream: "u2", Work: 1250, Attempts: 2}
+	if _, err := c.Trade(ctx, gossip.Message{From: "a", Samples: []place.Sample{sample}, Backlog: []place.Backlog{backlog}}); err != nil {
+		t.Fatal(err)
+	}
+	a, err := c.Trade(ctx, gossip.Message{From: "b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(a.Samples) != 1 || len(a.Backlog) != 1 || a.Next == 0 || a.Pause <= 0 {
+		t.Fatalf("got %+v, want one sample and one backlog", a)
+	}
+	if a.Backlog[0] != backlog {
+		t.Errorf("backlog %+v, want %+v", a.Backlog[0], backlog)
+	}
+	got := a.Samples[0]
+	if d := got.At.Sub(sample.At); d.Abs() > 200*time.Millisecond {
+		t.Errorf("the sample's age changed by %s", d)
+	}
+	got.At = sample.At
+	if math.Abs(got.Pace-sample.Pace) > 1e-6 {
+		t.Errorf("pace %f, want %f", got.Pace, sample.Pace)
+	}
+	got.Pace = sample.Pace
+	if got != sample {
+		t.Errorf("sample %+v, want %+v", got, sample)
+	}
+}
