--- a/router/gossip/log.go
+++ b/router/gossip/log.go
@@ -21,9 +21,9 @@
 	listenerLife = 3 * time.Second
 	// tradesPerSecond bounds the messages that all listeners send to one router:
 	// each takes about a quarter of a millisecond, and the smallest has a tenth of a core.
-	tradesPerSecond = 50
+	tradesPerSecond = 70
 	// shortestPause is the time between two messages of a router with few neighbours.
-	shortestPause = 250 * time.Millisecond
+	shortestPause = 150 * time.Millisecond
 )
 
 // Cursor is a position in the samples of one router.
