perf: compare all upstreams for long prompts

Cause: among more than 16 upstreams five drawn at random are compared. A prompt that takes 400 ms or more of work delays everything behind it, and was placed behind other work while upstreams were idle.

Ruled out: more draws for all requests, which brings the herd back (TestNoHerd).

Conclusion: kept; TestLongPromptFindsIdle fails without it.

--- a/router/place/place.go
+++ b/router/place/place.go
@@ -40,6 +40,9 @@
 	// Among more, instances whose knowledge is equally old would all choose the
 	// same one: forty requests in 0.2 s went to one idle upstream of 42.
 	scanAll = 16
+	// longWork is the work, in ms, from which all are compared nevertheless: such
+	// requests are rare, delay what comes behind them, and need the idlest upstream.
+	longWork = 400.0
 	// drawNear and drawFar are the numbers of upstreams of the own failure domain and
 	// of others that are compared instead, maxDraws bounds the tries to find them.
 	drawNear = 3
@@ -154,7 +157,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := scan{Book: b, query: &q, home: b.home(us, &q), now: now}
-	if len(us) > scanAll {
+	if len(us) > scanAll && q.work(false) < longWork {
 		s.draw(us)
 	}
 	if s.best.Upstream == nil || s.rank > 0 {
--- a/router/place/place_test.go
+++ b/router/place/place_test.go
@@ -239,3 +239,31 @@
 		t.Errorf("got %+v, want the only upstream that is not silent", c.Upstream)
 	}
 }
+
+// Pattern: a prompt of 50,000 tokens while all upstreams but one work on something.
+// It must go to the idle one: it delays whatever it is placed behind.
+func TestLongPromptFindsIdle(t *testing.T) {
+	us := upstreams(60)
+	q := place.Query{Domain: "a", Engine: true, Input: 50_000, Pace: 3, Bytes: 3000}
+	b := place.New()
+	for _, u := range us {
+		if u.ID != "u30" {
+			b.Start(place.Choice{Upstream: u}, start)
+		}
+	}
+	b.SetOthers(backlog(us, "u30", 800), start)
+	if c, _ := b.Pick(us, q, start); c.Upstream.ID != "u30" {
+		t.Errorf("a long prompt went to %s, which has work", c.Upstream.ID)
+	}
+}
+
+// backlog states the same work of other instances for all upstreams but one.
+func backlog(us []*fleet.Upstream, idle ident.UpstreamID, work float64) []place.Backlog {
+	var bs []place.Backlog
+	for _, u := range us {
+		if u.ID != idle {
+			bs = append(bs, place.Backlog{Upstream: u.ID, Work: work, Attempts: 1})
+		}
+	}
+	return bs
+}
