feat: copy shared prompt parts between engines

Reading 5,000 tokens again takes the largest model 163 ms, and what waits behind it as well; copying takes 3 ms.

Change: routers remember for 10 s which upstreams read a prefix, and pass that on with their samples. Such an upstream is preferred; another one copies the parts from it, if the configuration states the rate of copies.

--- a/router/call/call.go
+++ b/router/call/call.go
@@ -52,6 +52,9 @@
 	// LastEvent is sent if Resumes.
 	LastEvent uint64
 	Resumes   bool
+	// Source is the address of an upstream that likely has the prompt's shared parts
+	// in memory; the receiver copies them from there. It is empty without one.
+	Source string
 }
 
 // Load is an upstream's own report of its work.
--- a/router/place/place.go
+++ b/router/place/place.go
@@ -31,6 +31,10 @@
 	// missPerToken is the price, in ms, of a prompt token that is read though
 	// another upstream has it cached, beside the time to read it.
 	missPerToken = 0.035
+	// copyPerToken is the price, in ms, of a prompt token copied from another upstream.
+	copyPerToken = 0.024
+	// copySetup is the time, in ms, until a copy begins.
+	copySetup = 2.0
 	// wideWork is the work, in ms, that a cached prefix saves from which one
 	// upstream of all failure domains keeps it; others are kept in each.
 	wideWork = 60.0
@@ -61,6 +65,9 @@
 	Affinity string
 	// Input and Cached are the prompt's tokens and how many of them a hit saves.
 	Input, Cached ident.Tokens
+	// CopyRate is the number of cached prompt tokens that an upstream copies from
+	// another in a ms; 0 if it can't.
+	CopyRate float64
 	// Pace is the time of a token relative to the reference model; 0 counts as 1.
 	Pace float64
 	// Bytes is the expected size of request and answer.
@@ -84,6 +91,16 @@
 	return max(n, 0) / prefillPerMs * q.pace()
 }
 
+// copying returns the work, in ms, of copying the shared parts, and whether that is
+// possible and shorter than reading them.
+func (q *Query) copying() (float64, bool) {
+	if q.CopyRate <= 0 {
+		return 0, false
+	}
+	w := copySetup + float64(q.Cached)/q.CopyRate
+	return w, w < q.saved()
+}
+
 // saved returns the work, in ms, that a cached prefix saves.
 func (q *Query) saved() float64 {
 	return float64(q.Cached) / prefillPerMs * q.pace()
@@ -107,11 +124,14 @@
 	Queue time.Duration
 	// Candidates is the number of upstreams that were compared.
 	Candidates int
-	// Affine is true for the upstream that the prefix prefers.
+	// Affine is true for an upstream that likely has the shared parts in memory.
 	Affine bool
+	// Source is an upstream from which the chosen one can copy them; nil without one.
+	Source *fleet.Upstream
 	// Silent is true if the upstream is suspected to be dead and no other was left.
 	Silent bool
 
+	prefix  Prefix
 	nominal float64
 	work    float64
 }
@@ -136,7 +156,8 @@
 	loads    map[ident.UpstreamID]*load
 	outliers *retry.Outliers
 	// fresh holds what own answers showed and other instances were not told yet.
-	fresh map[ident.UpstreamID]Sample
+	fresh   map[ident.UpstreamID]Sample
+	holders holders
 	// othersAt is when the backlog of other instances was known.
 	othersAt time.Time
 	rand     *rand.Rand
@@ -145,18 +166,18 @@
 // New returns an empty book.
 func New() *Book {
 	return &Book{
-		loads: map[ident.UpstreamID]*load{}, outliers: retry.NewOutliers(), fresh: map[ident.UpstreamID]Sample{},
+		loads: map[ident.UpstreamID]*load{}, outliers: retry.NewOutliers(), fresh: map[ident.UpstreamID]Sample{}, holders: holders{},
 		rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
-// Pick returns the upstream with the lowest predicted cost among the prefix's home
-// and a few others drawn at random. It returns false if none may be used.
+// Pick returns the upstream with the lowest predicted cost among those that have the
+// prompt's shared parts and a few others drawn at random. It returns false if none may be used.
 // Upstreams that keep failing or are silent are used only if no other is left.
 func (b *Book) Pick(us []*fleet.Upstream, q Query, now time.Time) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := scan{Book: b, query: &q, home: b.home(us, &q), now: now}
+	s := scan{Book: b, query: &q, cached: b.locate(us, &q, now), now: now}
 	if len(us) > scanAll && q.work(false) < longWork {
 		s.draw(us)
 	}
@@ -170,18 +191,22 @@
 // scan is a search for the cheapest upstream.
 type scan struct {
 	*Book
-	query *Query
-	home  *fleet.Upstream
-	now   time.Time
-	best  Choice
-	rank  int
-	seen  int
+	query  *Query
+	cached cached
+	now    time.Time
+	best   Choice
+	rank   int
+	seen   int
 }
 
-// draw tries the home and upstreams drawn at random, more of them in the own failure domain.
+// draw tries the upstreams that have the shared parts and others drawn at random, more
+// of them in the own failure domain.
 func (s *scan) draw(us []*fleet.Upstream) {
-	if s.home != nil {
-		s.try(s.home)
+	if s.cached.home != nil {
+		s.try(s.cached.home)
+	}
+	for _, u := range s.cached.held {
+		s.try(u)
 	}
 	near, far := drawNear, drawFar
 	for range maxDraws {
@@ -212,7 +237,7 @@
 		return false
 	}
 	s.seen++
-	c := s.choice(u, s.query, s.home, s.now)
+	c := s.choice(u, s.query, &s.cached, s.now)
 	r := s.Book.rank(u, s.now)
 	if s.best.Upstream == nil || r < s.rank || (r == s.rank && c.Cost < s.best.Cost) {
 		s.best, s.rank = c, r
@@ -263,9 +288,19 @@
 	return best
 }
 
-func (b *Book) choice(u *fleet.Upstream, q *Query, home *fleet.Upstream, now time.Time) Choice {
-	hit := u == home
-	c := Choice{Upstream: u, Affine: hit, work: q.work(hit)}
+func (b *Book) choice(u *fleet.Upstream, q *Query, k *cached, now time.Time) Choice {
+	hit := k.has(u)
+	c := Choice{Upstream: u, Affine: hit, prefix: prefixOf(q.Affinity), work: q.work(hit)}
+	price := 0.0
+	if !hit && q.Affinity != "" {
+		price = missPerToken * float64(q.Cached)
+		if w, ok := q.copying(); ok {
+			if c.Source = k.source(u); c.Source != nil {
+				c.work = q.work(true) + w
+				price = copyPerToken * float64(q.Cached)
+			}
+		}
+	}
 	l := b.loads[u.ID]
 	s := 1.0
 	queue := 0.0
@@ -285,9 +320,7 @@
 	if u.Domain != q.Domain {
 		c.Cost += domainBase + domainPerKB*float64(q.Bytes)/1024
 	}
-	if !hit && home != nil {
-		c.Cost += missPerToken * float64(q.Cached)
-	}
+	c.Cost += price
 	return c
 }
 
@@ -342,6 +375,19 @@
 	a.observe(now)
 }
 
+// Read records that the upstream has read the prompt.
+func (a *Attempt) Read(now time.Time) {
+	p := a.choice.prefix
+	if p == 0 {
+		return
+	}
+	a.book.mu.Lock()
+	defer a.book.mu.Unlock()
+	u := a.choice.Upstream.ID
+	a.book.holders.add(p, u, now)
+	a.book.note(Sample{Upstream: u, Prefixes: []Prefix{p}, At: now})
+}
+
 // Late records that the attempt was given up without an answer.
 func (a *Attempt) Late(now time.Time) {
 	a.book.mu.Lock()
@@ -404,10 +450,12 @@
 	b.load(id).silent = silent
 }
 
-// Forget drops what is known of upstreams that are gone and carry nothing of ours.
-func (b *Book) Forget(l *fleet.List) {
+// Forget drops what is known of upstreams that are gone and carry nothing of ours,
+// and of prefixes read long ago.
+func (b *Book) Forget(l *fleet.List, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.holders.expire(now)
 	listed := l.All()
 	for id, x := range b.loads {
 		if listed[id] == nil && x.own <= 0 {
--- a/router/place/place_test.go
+++ b/router/place/place_test.go
@@ -267,3 +267,46 @@
 	}
 	return bs
 }
+
+// Pattern: the shared parts of a prompt were read at an upstream that is busy now.
+// Guards against reading them again where they can be copied, and against copies
+// from other weights or between engines that can't.
+func TestCopiedPrefix(t *testing.T) {
+	us := upstreams(3)
+	q := engine()
+	q.Affinity, q.Cached, q.Input, q.Pace, q.CopyRate = "large/thing", 5000, 8000, 3, 3900
+	prepare := func() *place.Book {
+		b := place.New()
+		first := place.Choice{Upstream: us[1]}
+		for _, u := range us {
+			if c, _ := b.Pick([]*fleet.Upstream{u}, q, start); u == us[1] {
+				first = c
+			}
+		}
+		a := b.Start(first, start)
+		a.Answered(start)
+		a.Read(start)
+		return b
+	}
+	b := prepare()
+	if c, _ := b.Pick(us, q, start); c.Upstream != us[1] || !c.Affine || c.Source != nil {
+		t.Errorf("idle holder: chose %s, cached %v", c.Upstream.ID, c.Affine)
+	}
+	b.SetOthers([]place.Backlog{{Upstream: "u1", Work: 2000, Attempts: 3}}, start)
+	c, _ := b.Pick(us, q, start)
+	if c.Upstream == us[1] || c.Source != us[1] {
+		t.Errorf("busy holder: chose %s, source %v", c.Upstream.ID, c.Source)
+	}
+	if c, _ := b.Pick(us, q, start.Add(time.Minute)); c.Source != nil {
+		t.Error("a copy of what was read a minute ago")
+	}
+	q.CopyRate = 0
+	if c, _ := b.Pick(us, q, start); c.Source != nil {
+		t.Error("a copy between engines that can't")
+	}
+	q.CopyRate = 3900
+	us[1].Version = "other"
+	if c, _ := b.Pick(us, q, start); c.Source != nil {
+		t.Error("a copy from other weights")
+	}
+}
--- a/router/place/sample.go
+++ b/router/place/sample.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"tarragonvalve.example/core/ident"
@@ -17,6 +18,8 @@
 	// Load is the last reported load if Loaded is true.
 	Load   call.Load
 	Loaded bool
+	// Prefixes are shared parts of prompts that the upstream read.
+	Prefixes []Prefix
 	// At is when the newest of it was seen.
 	At time.Time
 }
@@ -34,6 +37,10 @@
 	if !o.Loaded {
 		o.Load, o.Loaded = s.Load, s.Loaded
 	}
+	if len(s.Prefixes) > 0 {
+		all := slices.Concat(s.Prefixes, o.Prefixes)
+		o.Prefixes = all[max(len(all)-maxSamplePrefixes, 0):]
+	}
 	return o
 }
 
@@ -60,6 +67,9 @@
 			l.reported, l.at = s.Load, s.At
 		}
 		l.pace.add(s.Pace, s.Answers, now)
+		for _, p := range s.Prefixes {
+			b.holders.add(p, s.Upstream, s.At)
+		}
 	}
 }
 
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -66,7 +66,7 @@
 	}
 	q := place.Query{
 		Domain: t.Domain, Accept: t.accept(v), Exclude: t.exclude,
-		Input: t.Meta.Input, Pace: pace(s, model), Engine: s.Engine, Plain: plainWork,
+		CopyRate: s.CopyRate, Input: t.Meta.Input, Pace: pace(s, model), Engine: s.Engine, Plain: plainWork,
 		Bytes: len(t.Body) + int(t.Meta.Hint)*bytesPerToken + plainBytes,
 	}
 	if n := len(t.Meta.Prefix); n > 1 {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -212,6 +212,9 @@
 	})
 	s.Left = time.Until(t.Deadline) - answerReserve
 	s.Upstream = u.ID
+	if c.Source != nil {
+		s.Source = c.Source.Address
+	}
 	s.Account = t.Account
 	s.Model = model
 	s.Priority = -1
@@ -267,6 +270,7 @@
 		return rejected{reason: t.reason}
 	}
 	t.ranOnce()
+	o.attempt.Read(time.Now())
 	if a.Meta.Encoded {
 		a.End()
 		o.end(false)
--- a/router/routes/routes.go
+++ b/router/routes/routes.go
@@ -83,6 +83,9 @@
 	Engine bool
 	// Prices are the models' prices for 1,000 generated tokens.
 	Prices map[ident.ModelID]float64
+	// CopyRate is the number of cached prompt tokens that one upstream copies from
+	// another in a ms; 0 if they can't.
+	CopyRate float64
 }
 
 // Limits bound what a client may send.
--- a/router/share/trade.go
+++ b/router/share/trade.go
@@ -48,6 +48,9 @@
 			Upstream: string(s.Upstream), Answers: uint32(s.Answers), Pace: float32(s.Pace),
 			AgeMs: uint32(max(now.Sub(s.At), 0).Milliseconds()),
 		}
+		for _, p := range s.Prefixes {
+			m.Prefixes = append(m.Prefixes, uint64(p))
+		}
 		if s.Loaded {
 			m.Load = &Load{Running: uint32(s.Load.Running), Waiting: uint32(s.Load.Waiting), Slots: uint32(s.Load.Slots)}
 		}
@@ -63,6 +66,9 @@
 			Upstream: ident.UpstreamID(m.GetUpstream()), Answers: int(m.GetAnswers()), Pace: float64(m.GetPace()),
 			At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 		}
+		for _, p := range m.GetPrefixes() {
+			s.Prefixes = append(s.Prefixes, place.Prefix(p))
+		}
 		if l := m.GetLoad(); l != nil {
 			s.Loaded = true
 			s.Load = call.Load{Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Slots: int(l.GetSlots())}
--- a/router/share/trade_test.go
+++ b/router/share/trade_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net"
+	"reflect"
 	"testing"
 	"time"
 
@@ -39,7 +40,8 @@
 	})
 	sample := place.Sample{
 		Upstream: "u1", Answers: 3, Pace: 0.5, Load: call.Load{Running: 4, Waiting: 2, Slots: 64}, Loaded: true,
-		At: time.Now().Add(-300 * time.Millisecond),
+		Prefixes: []place.Prefix{7, 1 << 60},
+		At:       time.Now().Add(-300 * time.Millisecond),
 	}
 	backlog := place.Backlog{Upstream: "u2", Work: 1250, Attempts: 2}
 	if _, err := c.Trade(ctx, gossip.Message{From: "a", Samples: []place.Sample{sample}, Backlog: []place.Backlog{backlog}}); err != nil {
@@ -64,7 +66,7 @@
 		t.Errorf("pace %f, want %f", got.Pace, sample.Pace)
 	}
 	got.Pace = sample.Pace
-	if got != sample {
+	if !reflect.DeepEqual(got, sample) {
 		t.Errorf("sample %+v, want %+v", got, sample)
 	}
 }
