fix: bound ejected upstreams by the whole service

Cause: since only a few upstreams are compared, the bound of a third that may be ejected was taken of those few: one at a time.

Ruled out: the bound itself; with ten of sixty failing it holds.

Conclusion: kept; TestManyFailing fails on the old code.

--- a/router/place/place.go
+++ b/router/place/place.go
@@ -122,8 +122,9 @@
 	Delay time.Duration
 	// Queue is the part of it that is spent behind other requests.
 	Queue time.Duration
-	// Candidates is the number of upstreams that were compared.
+	// Candidates is the number of upstreams that were compared, among all of the service.
 	Candidates int
+	All        int
 	// Affine is true for an upstream that likely has the shared parts in memory.
 	Affine bool
 	// Source is an upstream from which the chosen one can copy them; nil without one.
@@ -184,7 +185,7 @@
 	if s.best.Upstream == nil || s.rank > 0 {
 		s.all(us)
 	}
-	s.best.Candidates = s.seen
+	s.best.Candidates, s.best.All = s.seen, len(us)
 	return s.best, s.best.Upstream != nil
 }
 
--- a/router/place/place_test.go
+++ b/router/place/place_test.go
@@ -310,3 +310,22 @@
 		t.Error("a copy from other weights")
 	}
 }
+
+// Pattern: ten of sixty upstreams fail whatever they get. Guards against a bound on
+// ejected ones that is taken of the few that were compared.
+func TestManyFailing(t *testing.T) {
+	us := upstreams(60)
+	b := place.New()
+	for range 5 {
+		for _, u := range us[:10] {
+			c, _ := b.Pick(us, engine(), start)
+			b.Judge(u.ID, false, c.All, start)
+		}
+	}
+	for range 200 {
+		c, ok := b.Pick(us, engine(), start)
+		if !ok || c.Upstream.ID < "u10" && len(c.Upstream.ID) == 2 {
+			t.Fatalf("a failing upstream was chosen: %s", c.Upstream.ID)
+		}
+	}
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -202,7 +202,7 @@
 	t.exclude = append(t.exclude, u.ID)
 	t.offers++
 	began := time.Now()
-	o := &offer{try: t, upstream: u, attempt: t.Book.Start(c, began), among: c.Candidates}
+	o := &offer{try: t, upstream: u, attempt: t.Book.Start(c, began), among: c.All}
 	end := t.giveUp(u, cancel)
 	o.wait = t.Pulse.Begin(u, end, began)
 	o.first = time.AfterFunc(max(t.Route.Objective, minAttempt), func() {
