fix: forget what a peer said when turning to another

Cause: a router that turned to another peer passed on the backlog that the peer before had stated, and that one stated it again: a circle in which sums grew.

Ruled out: routers counted twice for a moment by both peers, which ends with the life of a statement and doesn't grow.

--- a/router/gossip/gossip_test.go
+++ b/router/gossip/gossip_test.go
@@ -286,3 +286,27 @@
 		}
 	})
 }
+
+// Guards against backlog counted again and again while routers turn from one peer to
+// another.
+func TestCountAfterSwitch(t *testing.T) {
+	us := upstreams(1)
+	play(t, 9, func(r *routers) {
+		c, _ := r.books[4].Pick(us, place.Query{Domain: "a", Engine: true, Input: 50_000, Pace: 3}, time.Now())
+		a := r.books[4].Start(c, time.Now())
+		time.Sleep(spread)
+		want := cost(r.books[5], us[0])
+		for i := range 12 {
+			r.seeds[i%2].down.Store(true)
+			time.Sleep(700 * time.Millisecond)
+			r.seeds[i%2].down.Store(false)
+			time.Sleep(200 * time.Millisecond)
+			for j, b := range r.books {
+				if got := cost(b, us[0]); got > 2.2*want {
+					t.Fatalf("round %d: router %d expects %.0f ms behind one prompt, %.0f at first", i, j, got, want)
+				}
+			}
+		}
+		a.End()
+	})
+}
--- a/router/gossip/totals.go
+++ b/router/gossip/totals.go
@@ -43,6 +43,14 @@
 	}
 }
 
+// Drop forgets what a neighbour stated. A router that turns to another peer must not
+// pass on what the one before said: both would be counted twice.
+func (t *Totals) Drop(neighbour string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.neighbours, neighbour)
+}
+
 // Without returns the sums over all neighbours but one, one for each upstream.
 func (t *Totals) Without(neighbour string, now time.Time) []place.Backlog {
 	t.mu.Lock()
--- a/router/gossip/trade.go
+++ b/router/gossip/trade.go
@@ -94,6 +94,11 @@
 func (n *Node) trade(ctx context.Context, c *contact, now time.Time) time.Duration {
 	ctx, stop := context.WithTimeout(ctx, tradeLimit)
 	defer stop()
+	for _, o := range n.peers {
+		if o != c {
+			n.sums.Drop(o.Address())
+		}
+	}
 	ss, sent := n.log.After(c.sent, c.Address(), now)
 	a, err := c.Trade(ctx, Message{
 		From: n.name, Samples: ss, Backlog: n.sums.Without(c.Address(), now), After: c.seen,
