feat: divide limits by the number of routers

Cause: connections were divided by 8 and the slack of the retry budget by 10, whatever the number of routers: 32 of them could open four times what an upstream accepts and spend three times the slack.

Change: exchanges of samples count the routers; the largest number of the last minute divides the limits, so that a router that is cut off doesn't take the shares of others.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -124,16 +124,16 @@
 	return steps, err
 }
 
-func newBudget(v *setup.Live) *budget.Budget {
+func newBudget(v *setup.Live, g *gossip.Node) *budget.Budget {
 	return budget.New(func() budget.Rule {
 		b := v.Bounds()
-		return budget.Rule{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack / slackShares}
+		return budget.Rule{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack / float64(max(g.Size(), leastShares))}
 	})
 }
 
-// slackShares is the number of parts into which the bound's slack is divided:
-// more than there are instances today, so that the sum holds without coordination.
-const slackShares = 10
+// leastShares is the least number of parts into which the bound's slack is divided:
+// instances that have just started don't know of all others yet.
+const leastShares = 10
 
 func newMover(s *setup.Settings, v *setup.Live, n *known.Node, w *canary.Watch, l zerolog.Logger) *mover.Mover {
 	return mover.New(n, w, s.Instance, func() float64 { return v.Bounds().CanaryShare }, l)
@@ -158,12 +158,13 @@
 	Meter    *meter.Meter
 	Now      clock.Func
 	Log      zerolog.Logger
+	Gossip   *gossip.Node
 }
 
 func newRelay(p relayParts) *relay.Relay {
 	return relay.New(relay.Options{
 		Node: p.Node, Links: p.Links, Codec: p.Codec, Book: p.Book, Pulse: p.Pulse, Watch: p.Watch,
-		Budget: p.Budget, Meter: p.Meter, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values,
+		Budget: p.Budget, Meter: p.Meter, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values, Size: p.Gossip.Size,
 	})
 }
 
--- a/router/gossip/gossip_test.go
+++ b/router/gossip/gossip_test.go
@@ -48,12 +48,12 @@
 // routers are nodes around two that the others ask, of which the second asks the first.
 type routers struct {
 	books []*place.Book
+	nodes []*gossip.Node
 	seeds []*direct
 }
 
-func newRouters(n int) (*routers, []*gossip.Node) {
+func newRouters(n int) *routers {
 	r := &routers{}
-	var nodes []*gossip.Node
 	for i := range n {
 		b := place.New("a")
 		var ps []gossip.Peer
@@ -70,23 +70,23 @@
 			r.seeds = append(r.seeds, &direct{name: fmt.Sprintf("seed-%d", i), node: node})
 		}
 		r.books = append(r.books, b)
-		nodes = append(nodes, node)
+		r.nodes = append(r.nodes, node)
 	}
-	return r, nodes
+	return r
 }
 
 // play runs routers on a fake clock until f returns.
 func play(t *testing.T, n int, f func(r *routers)) {
 	synctest.Test(t, func(t *testing.T) {
-		r, nodes := newRouters(n)
+		r := newRouters(n)
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan error, n)
-		for _, x := range nodes {
+		for _, x := range r.nodes {
 			go func() { done <- x.Run(ctx) }()
 		}
 		f(r)
 		stop()
-		for range nodes {
+		for range r.nodes {
 			if err := <-done; err != nil {
 				t.Error(err)
 			}
@@ -199,8 +199,8 @@
 	for i := range 100_000 {
 		l.Add("a", []place.Sample{{Upstream: ident.UpstreamID(fmt.Sprint(i)), Answers: 1, At: now}}, now)
 	}
-	if ss, _ := l.After(0, "c", now); len(ss) > 10_000 {
-		t.Errorf("%d samples are kept", len(ss))
+	if ss, _ := l.After(0, "c", now); len(ss) > 256 {
+		t.Errorf("%d samples in one message", len(ss))
 	}
 }
 
@@ -238,20 +238,26 @@
 			own[i] = float64(rapid.IntRange(0, 50).Draw(t, "work"))
 			total += own[i]
 			sums[i] = gossip.NewTotals()
-			sums[i].Set(name(i), []place.Backlog{{Upstream: "u", Work: own[i], Attempts: 1}}, now)
+			sums[i].Set(name(i), []place.Backlog{{Upstream: "u", Work: own[i], Attempts: 1}}, 1, now)
 		}
 		for range n {
 			for i := 1; i < n; i++ {
 				p := parent[i]
-				sums[p].Set(name(i), sums[i].Without(name(p), now), now)
-				sums[i].Set(name(p), sums[p].Without(name(i), now), now)
+				bs, k := sums[i].Without(name(p), now)
+				sums[p].Set(name(i), bs, k, now)
+				bs, k = sums[p].Without(name(i), now)
+				sums[i].Set(name(p), bs, k, now)
 			}
 		}
 		for i := range n {
 			got := 0.0
-			for _, b := range sums[i].Without(name(i), now) {
+			bs, k := sums[i].Without(name(i), now)
+			for _, b := range bs {
 				got += b.Work
 			}
+			if k != n-1 || sums[i].Size() != n {
+				t.Fatalf("router %d of %v knows of %d others of %d, size %d", i, parent, k, n-1, sums[i].Size())
+			}
 			if got != total-own[i] {
 				t.Fatalf("router %d of %v learnt %.0f, want %.0f", i, parent, got, total-own[i])
 			}
@@ -287,8 +293,29 @@
 	})
 }
 
-// Guards against backlog counted again and again while routers turn from one peer to
-// another.
+// Guards against a router that takes the limits of all when it is cut off, and against
+// shares that stay small for ever.
+func TestSize(t *testing.T) {
+	now := time.Now()
+	s := gossip.NewTotals()
+	s.Set("own", nil, 1, now)
+	s.Set("seed", nil, 30, now)
+	if n := s.Size(); n != 31 {
+		t.Errorf("size %d, want 31", n)
+	}
+	s.Set("own", nil, 1, now.Add(30*time.Second))
+	if n := s.Size(); n != 31 {
+		t.Errorf("half a minute after it was cut off: size %d, want 31", n)
+	}
+	s.Set("own", nil, 1, now.Add(2*time.Minute))
+	if n := s.Size(); n != 1 {
+		t.Errorf("two minutes later: size %d, want 1", n)
+	}
+}
+
+// Guards against routers and backlog counted again and again while routers turn from
+// one peer to another (a size of hundreds of 23 routers left none of an upstream's
+// connections to each).
 func TestCountAfterSwitch(t *testing.T) {
 	us := upstreams(1)
 	play(t, 9, func(r *routers) {
@@ -306,6 +333,11 @@
 					t.Fatalf("round %d: router %d expects %.0f ms behind one prompt, %.0f at first", i, j, got, want)
 				}
 			}
+			for j, x := range r.nodes {
+				if n := x.Size(); n > 2*len(r.nodes) {
+					t.Fatalf("round %d: router %d counts %d routers of %d", i, j, n, len(r.nodes))
+				}
+			}
 		}
 		a.End()
 	})
--- a/router/gossip/log.go
+++ b/router/gossip/log.go
@@ -17,6 +17,9 @@
 	sampleLife = 2 * time.Second
 	// maxEntries bounds the samples kept; the oldest yield.
 	maxEntries = 8192
+	// maxSamples bounds the samples in one message: with 256 of 60 bytes each, 70
+	// messages a second fill a tenth of a link of 100 Mbit/s. The newest stay.
+	maxSamples = 256
 	// listenerLife is how long a router that has not asked counts as a listener.
 	listenerLife = 3 * time.Second
 	// tradesPerSecond bounds the messages that all listeners send to one router:
@@ -34,8 +37,10 @@
 	// From names the router that sends it.
 	From    string
 	Samples []place.Sample
-	// Backlog is the sum of what the sender and the routers behind it have sent.
+	// Backlog is the sum of what the sender and the routers behind it have sent, and
+	// Routers their number.
 	Backlog []place.Backlog
+	Routers int
 	// After is the position up to which the sender knows the receiver's samples.
 	After Cursor
 }
@@ -43,8 +48,9 @@
 // Answer carries what a router learnt from others than the one that asks.
 type Answer struct {
 	Samples []place.Sample
-	// Backlog is the sum of what all others have sent.
+	// Backlog is the sum of what all others have sent, and Routers their number.
 	Backlog []place.Backlog
+	Routers int
 	// Next is the position to ask from next time.
 	Next Cursor
 	// Pause is how long the receiver should wait before it asks again.
@@ -103,15 +109,18 @@
 		c = 0
 	}
 	sums := map[source]place.Sample{}
-	for _, e := range l.entries[max(c+1, l.first)-l.first:] {
+	for _, e := range slices.Backward(l.entries[max(c+1, l.first)-l.first:]) {
 		if e.from == router || now.Sub(e.sample.At) > sampleLife {
 			continue
 		}
 		k := source{upstream: e.sample.Upstream, domain: e.sample.Domain}
-		if s, ok := sums[k]; ok {
-			e.sample = s.Join(e.sample)
+		s, ok := sums[k]
+		switch {
+		case ok:
+			sums[k] = e.sample.Join(s)
+		case len(sums) < maxSamples:
+			sums[k] = e.sample
 		}
-		sums[k] = e.sample
 	}
 	var out []place.Sample
 	for _, s := range sums {
--- a/router/gossip/trade.go
+++ b/router/gossip/trade.go
@@ -81,7 +81,7 @@
 func (n *Node) round(ctx context.Context) time.Duration {
 	now := time.Now()
 	n.log.Add(n.name, n.book.Drain(), now)
-	n.sums.Set(n.name, n.book.Backlog(), now)
+	n.sums.Set(n.name, n.book.Backlog(), 1, now)
 	for _, c := range n.peers {
 		if !c.failed.IsZero() && now.Sub(c.failed) < failedPause {
 			continue
@@ -100,8 +100,9 @@
 		}
 	}
 	ss, sent := n.log.After(c.sent, c.Address(), now)
+	bs, routers := n.sums.Without(c.Address(), now)
 	a, err := c.Trade(ctx, Message{
-		From: n.name, Samples: ss, Backlog: n.sums.Without(c.Address(), now), After: c.seen,
+		From: n.name, Samples: ss, Backlog: bs, Routers: routers, After: c.seen,
 	})
 	if err != nil {
 		c.failed = now
@@ -113,7 +114,7 @@
 		n.logs.Info().Str("peer", c.Address()).Msg("samples exchanged again")
 	}
 	c.sent, c.seen = sent, a.Next
-	n.learn(c.Address(), a.Samples, a.Backlog)
+	n.learn(c.Address(), a.Samples, a.Backlog, a.Routers)
 	return max(a.Pause, shortestPause)
 }
 
@@ -122,17 +123,24 @@
 	now := time.Now()
 	a := Answer{Pause: n.log.Pause(m.From, now)}
 	a.Samples, a.Next = n.log.After(m.After, m.From, now)
-	n.sums.Set(n.name, n.book.Backlog(), now)
-	a.Backlog = n.sums.Without(m.From, now)
-	n.learn(m.From, m.Samples, m.Backlog)
+	n.sums.Set(n.name, n.book.Backlog(), 1, now)
+	a.Backlog, a.Routers = n.sums.Without(m.From, now)
+	n.learn(m.From, m.Samples, m.Backlog, m.Routers)
 	return a
 }
 
 // learn takes what a neighbour said.
-func (n *Node) learn(from string, ss []place.Sample, bs []place.Backlog) {
+func (n *Node) learn(from string, ss []place.Sample, bs []place.Backlog, routers int) {
 	now := time.Now()
 	n.log.Add(from, ss, now)
 	n.book.Merge(ss, now)
-	n.sums.Set(from, bs, now)
-	n.book.SetOthers(n.sums.Without(n.name, now), now)
+	n.sums.Set(from, bs, routers, now)
+	others, _ := n.sums.Without(n.name, now)
+	n.book.SetOthers(others, now)
+}
+
+// Size returns the number of routers that share limits, this one among them: the
+// largest that was known in the last minute.
+func (n *Node) Size() int {
+	return n.sums.Size()
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -32,9 +32,13 @@
 	answerReserve = 20 * time.Millisecond
 	// maxWhole bounds an answer that is held until it is complete.
 	maxWhole = 4 << 20
-	// instances is the number of instances among which an upstream's
-	// connections are divided; the largest deployment of today has eight.
-	instances = 8
+	// leastInstances is the least number of instances among which an upstream's
+	// connections are divided: others may have started that are not known yet.
+	leastInstances = 8
+	// overcommit is how many times more connections all instances together may open
+	// than an upstream accepts: bursts meet few of them at a time. Without it payments
+	// of 23 instances waited for connections (60 late in place of 4).
+	overcommit = 3
 )
 
 // Job is one admitted request.
@@ -80,6 +84,8 @@
 	// Values are what 1,000 tokens of a right answer are worth, by the priority of
 	// the route, in the unit of the models' prices.
 	Values []float64
+	// Size returns the number of instances that share the upstreams' limits.
+	Size func() int
 }
 
 // Relay drives requests. It is safe for concurrent use.
@@ -224,7 +230,7 @@
 	a, err := t.Links.Send(ctx, &link.Message{
 		Address: u.Address, Method: t.Method, Target: t.Target, Host: t.Host,
 		Header: t.Codec.Outgoing(t.Header, s), Body: t.Body, ID: t.Meta.ID,
-		Once: !t.Route.Repeatable(), Connections: t.Document.Services[t.service].MaxConnections / instances,
+		Once: !t.Route.Repeatable(), Connections: t.connections(),
 	})
 	r := t.judge(ctx, a, err, o)
 	t.record(c, model, r, time.Since(began))
@@ -279,6 +285,16 @@
 	return answered{Answer: a, offer: o}
 }
 
+// connections returns this instance's part of the connections that an upstream
+// accepts; 0 means no bound.
+func (t *try) connections() int {
+	n := t.Document.Services[t.service].MaxConnections
+	if n <= 0 {
+		return 0
+	}
+	return max(min(n/leastInstances, overcommit*n/max(t.Size(), 1)), 1)
+}
+
 // ranOnce records that an upstream may have run the request.
 func (t *try) ranOnce() {
 	t.sent++
--- a/router/share/trade.go
+++ b/router/share/trade.go
@@ -17,12 +17,12 @@
 // Trade hands samples over and returns those of other routers.
 func (c *Client) Trade(ctx context.Context, m gossip.Message) (gossip.Answer, error) {
 	now := time.Now()
-	r, err := c.rpc.Trade(ctx, &TradeRequest{From: m.From, After: uint64(m.After), Samples: encodeSamples(m.Samples, now), Backlog: encodeBacklog(m.Backlog)})
+	r, err := c.rpc.Trade(ctx, &TradeRequest{From: m.From, After: uint64(m.After), Samples: encodeSamples(m.Samples, now), Backlog: encodeBacklog(m.Backlog), Routers: uint32(m.Routers)})
 	if err != nil {
 		return gossip.Answer{}, fmt.Errorf("trade samples with peer %s: %w", c.address, err)
 	}
 	return gossip.Answer{
-		Samples: decodeSamples(r.GetSamples(), now), Next: gossip.Cursor(r.GetNext()), Backlog: decodeBacklog(r.GetBacklog()),
+		Samples: decodeSamples(r.GetSamples(), now), Next: gossip.Cursor(r.GetNext()), Backlog: decodeBacklog(r.GetBacklog()), Routers: int(r.GetRouters()),
 		Pause: time.Duration(r.GetPauseMs()) * time.Millisecond,
 	}, nil
 }
@@ -32,11 +32,11 @@
 	now := time.Now()
 	a := s.gossip.Take(gossip.Message{
 		From: q.GetFrom(), After: gossip.Cursor(q.GetAfter()), Samples: decodeSamples(q.GetSamples(), now),
-		Backlog: decodeBacklog(q.GetBacklog()),
+		Backlog: decodeBacklog(q.GetBacklog()), Routers: int(q.GetRouters()),
 	})
 	return &TradeReply{
 		Samples: encodeSamples(a.Samples, now), Next: uint64(a.Next), PauseMs: uint32(a.Pause.Milliseconds()),
-		Backlog: encodeBacklog(a.Backlog),
+		Backlog: encodeBacklog(a.Backlog), Routers: uint32(a.Routers),
 	}, nil
 }
 
