fix: don't take an answer from before a suspension for fresh

Cause: an answer of the store's watch counts as made 0.8 s before it is received, since the watch answers at the end of its wait. After a suspension it is received much later than that. The store's clock shows it, but not beyond a minute, where it counts as started anew. So after more than a minute of suspension keys were accepted by a configuration from before it until the next read (0.65 s).

Ruled out: the clock, which counts suspension; the gate, which asks for the age each time.

Conclusion: an answer counts as made within the wait that was asked for.

--- a/router/known/known.go
+++ b/router/known/known.go
@@ -280,8 +280,9 @@
 func (f *follower) asOf(sent time.Duration, p Page) time.Duration {
 	received := f.now()
 	if !p.Snapshot && p.Age == 0 {
-		// The store's watch answers at the end of its wait.
-		sent = max(sent, received-deafness)
+		// The store's watch answers at the end of its wait. It may be received later:
+		// the machine may have been suspended meanwhile.
+		sent = max(sent, min(received, sent+f.wait)-deafness)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/router/known/known_test.go
+++ b/router/known/known_test.go
@@ -182,3 +182,56 @@
 		}
 	})
 }
+
+// Guards against keys accepted after a machine was suspended: its timers did not run,
+// so nothing looks late, and an answer that was asked for before proves nothing.
+func TestSuspension(t *testing.T) {
+	// Longer than the apparent age at which the store's clock counts as started anew.
+	const asleep = 2 * time.Minute
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		var jump atomic.Int64
+		now := func() time.Duration { return time.Since(began) + time.Duration(jump.Load()) + time.Hour }
+		s := &script{
+			snapshot: func(Topic) (Page, error) {
+				return Page{Snapshot: true, Records: []Record{{Key: "config", Revision: 1}}, Revision: 1, Clock: now()}, nil
+			},
+			follow: func(ctx context.Context, _ Topic, after Revision) (Page, error) {
+				made := now() + 100*time.Millisecond
+				select {
+				case <-ctx.Done():
+					return Page{}, ctx.Err()
+				case <-time.After(500 * time.Millisecond):
+				}
+				return Page{Revision: after, Clock: made}, nil
+			},
+		}
+		n := New(s, nil, now, zerolog.New(io.Discard))
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- n.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		if a, ok := n.Age(); !ok || a > 2*time.Second {
+			t.Errorf("age %v %v before the suspension", a, ok)
+		}
+		// Off the rhythm of the reads, so that one is under way.
+		time.Sleep(170 * time.Millisecond)
+		jump.Store(int64(asleep))
+		if a, _ := n.Age(); a < asleep {
+			t.Errorf("age %v right after %v of suspension", a, asleep)
+		}
+		for end := time.Now().Add(400 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if a, _ := n.Age(); a < asleep-2*time.Second {
+				t.Fatalf("age %v by an answer that was asked for before the suspension", a)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		if a, _ := n.Age(); a > 2*time.Second {
+			t.Errorf("age %v five seconds after the suspension", a)
+		}
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
