--- a/router/canary/canary_test.go
+++ b/router/canary/canary_test.go
@@ -195,3 +195,39 @@
 		t.Error("eight failures in a row are not found bad")
 	}
 }
+
+// Guards against a session that is sent to the new version early and back to the old
+// one later: requests of a session reach different instances, some of which hear of a
+// phase later than others. A good roll-out may move a session to the new version
+// once, and only the canary's share in the first half of the time.
+func TestSessionsMoveOnce(t *testing.T) {
+	phases := []canary.Phase{canary.PhaseCanary, canary.PhaseShift, canary.PhaseCompleted}
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "session")
+		share := ident.Share(rapid.IntRange(0, int(ident.FullShare)).Draw(t, "share"))
+		moved := false
+		known := 0
+		for range rapid.IntRange(1, 12).Draw(t, "requests") {
+			// The instance that gets the request may be one phase behind.
+			known = min(known+rapid.IntRange(0, 1).Draw(t, "moves on"), len(phases)-1)
+			p := progress(phases[known])
+			p.Share = share
+			got := canary.Choose(order, p, false, seed).New
+			if moved && !got {
+				t.Fatalf("session %d went back to the old version in phase %s", seed, p.Phase)
+			}
+			if early := seed%uint64(ident.FullShare) < uint64(share); got && !early && p.Phase == canary.PhaseCanary {
+				t.Fatalf("session %d outside of the canary's share was moved early", seed)
+			}
+			moved = moved || got
+		}
+		f := canary.Facts{
+			Order: order, Progress: progress(canary.PhaseCanary), MaxShare: 0.1,
+			Old: rapid.IntRange(0, 50).Draw(t, "old"), New: rapid.IntRange(0, 50).Draw(t, "new"),
+		}
+		f.Clock = f.Progress.Began + time.Duration(rapid.Int64Range(0, int64(order.Limit/2)).Draw(t, "age"))
+		if s, ok := canary.Decide(f).(canary.Save); ok && s.Progress.Phase == canary.PhaseShift {
+			t.Fatalf("sessions were moved %s after the order, in the first half of %s", f.Clock-f.Progress.Began, order.Limit)
+		}
+	})
+}
