refactor: remove settings and fields that nothing uses

Cause: canary-tolerance, session-life-s, the header limits of the configuration, fleet.List.Accepts and fleet.Upstream.Same had no user; whoever set one of them would wait for an effect.

Ruled out: Route.MaxPause, which has none either but will bound pauses in package pulse; Upstream.Born, which the tests of the decoder check.

--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -23,11 +23,6 @@
 	Born int64
 }
 
-// Same reports whether two entries describe the same run of a server at the same address.
-func (u *Upstream) Same(v *Upstream) bool {
-	return u.ID == v.ID && u.Born == v.Born && u.Address == v.Address
-}
-
 // List holds upstreams by service. It is immutable after New.
 type List struct {
 	byID      map[ident.UpstreamID]*Upstream
@@ -48,12 +43,6 @@
 	return l.byService[s]
 }
 
-// Accepts reports whether an upstream is still listed and takes new work.
-func (l *List) Accepts(u *Upstream) bool {
-	v := l.byID[u.ID]
-	return v != nil && !v.Draining && v.Same(u)
-}
-
 // All returns the upstreams by id; don't modify it.
 func (l *List) All() map[ident.UpstreamID]*Upstream {
 	return l.byID
--- a/router/routes/routes.go
+++ b/router/routes/routes.go
@@ -90,10 +90,8 @@
 
 // Limits bound what a client may send.
 type Limits struct {
-	Header        int
-	Body          int64
-	HeaderTimeout time.Duration
-	Idle          time.Duration
+	Body int64
+	Idle time.Duration
 }
 
 // Account is a client account with its keys.
--- a/router/setup/setup.go
+++ b/router/setup/setup.go
@@ -43,11 +43,8 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
-	// CanaryShare and CanaryTolerance bound what a bad version may get.
-	CanaryShare     float64
-	CanaryTolerance int
-	// SessionLife is how long after a request its session still exists.
-	SessionLife time.Duration
+	// CanaryShare bounds the part of the requests that a bad version may get.
+	CanaryShare float64
 }
 
 // Read reads the settings. It returns a *config.ProblemsError with all faults.
@@ -69,14 +66,12 @@
 		Memory:   int64(r.Int("memory-mb", 0)),
 		Store:    f.Section("store").Addr("address", ""),
 		Bounds: Bounds{
-			Grace:           seconds(b.Float("grace-s", 8)),
-			Revoke:          milliseconds(b.Float("revoke-ms", 5000)),
-			RetryRatio:      b.Float("retry-ratio", 0.9),
-			RetryWindow:     seconds(b.Float("retry-window-s", 10)),
-			RetrySlack:      b.Float("retry-slack", 0),
-			CanaryShare:     b.Float("canary-share", 0.1),
-			CanaryTolerance: b.IntIn("canary-tolerance", 0, 0, maxTolerance),
-			SessionLife:     seconds(b.Float("session-life-s", 5)),
+			Grace:       seconds(b.Float("grace-s", 8)),
+			Revoke:      milliseconds(b.Float("revoke-ms", 5000)),
+			RetryRatio:  b.Float("retry-ratio", 0.9),
+			RetryWindow: seconds(b.Float("retry-window-s", 10)),
+			RetrySlack:  b.Float("retry-slack", 0),
+			CanaryShare: b.Float("canary-share", 0.1),
 		},
 	}
 	s.Values = values(f, f.Section("cascade"))
@@ -107,9 +102,6 @@
 	return out
 }
 
-// maxTolerance bounds a number of requests that a roll-out may expose.
-const maxTolerance = 1_000_000
-
 // check rejects values that can't work, apart from their defaults.
 func check(f *config.File, s *Settings) {
 	if s.Clients == "" {
