--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -168,7 +168,7 @@
 	})
 }
 
-func newMeter(n *known.Node, g *front.Gate) *meter.Meter {
+func newMeter(n *known.Node, g *front.Gate, o *gossip.Node) *meter.Meter {
 	age := func() float64 {
 		a, ok := n.Age()
 		if !ok {
@@ -176,7 +176,7 @@
 		}
 		return a.Seconds()
 	}
-	return meter.New(age, func() float64 { return float64(g.Open()) })
+	return meter.New(age, func() float64 { return float64(g.Open()) }, func() float64 { return float64(o.Size()) })
 }
 
 func newGate(v *setup.Live, n *known.Node, now clock.Func) *front.Gate {
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -27,9 +27,9 @@
 	resumed  prometheus.Counter
 }
 
-// New returns metrics at zero. age returns the age of the configuration in
-// seconds, open the number of requests in progress.
-func New(age, open func() float64) *Meter {
+// New returns metrics at zero. age returns the age of the configuration in seconds,
+// open the number of requests in progress, size the number of routers that share limits.
+func New(age, open, size func() float64) *Meter {
 	m := &Meter{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -58,6 +58,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "open_requests", Help: "Requests in progress.",
 		}, open),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "instances", Help: "Routers that share limits: the largest number known in the last minute.",
+		}, size),
 	)
 	return m
 }
