--- a/router/share/client.go
+++ b/router/share/client.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/status"
 
 	"tarragonvalve.example/router/known"
@@ -47,9 +48,11 @@
 	return &Client{address: address, conn: c, rpc: NewShareClient(c)}, nil
 }
 
-// Snapshot returns all that the peer knows of a topic.
+// Snapshot returns all that the peer knows of a topic. It is compressed: the rows of
+// 3,000 upstreams take about a megabyte, and each of 300 routers reads them at its
+// start, most of them from another failure domain.
 func (c *Client) Snapshot(ctx context.Context, t known.Topic) (known.Page, error) {
-	return c.read(ctx, t, 0, 0)
+	return c.read(ctx, t, 0, 0, grpc.UseCompressor(gzip.Name))
 }
 
 // Follow returns the changes after a revision.
@@ -57,8 +60,8 @@
 	return c.read(ctx, t, after, wait)
 }
 
-func (c *Client) read(ctx context.Context, t known.Topic, after known.Revision, wait time.Duration) (known.Page, error) {
-	r, err := c.rpc.Read(ctx, &ReadRequest{Topic: int32(t), After: uint64(after), WaitMs: uint32(wait.Milliseconds())})
+func (c *Client) read(ctx context.Context, t known.Topic, after known.Revision, wait time.Duration, os ...grpc.CallOption) (known.Page, error) {
+	r, err := c.rpc.Read(ctx, &ReadRequest{Topic: int32(t), After: uint64(after), WaitMs: uint32(wait.Milliseconds())}, os...)
 	if status.Code(err) == codes.OutOfRange {
 		return known.Page{}, &known.HistoryLostError{Topic: t, After: after}
 	}
