fix: leave a peer that has lost the store for all topics

Cause: the list of upstreams is watched for 2.5 s at a time, so a peer's list counted up to 4.2 s old.

Change: a peer whose configuration is older than 1.7 s counts as old for all topics for a second; the configuration is watched for 0.45 s at a time in place of 0.65, so that 1.7 s are never normal.

--- a/router/known/known.go
+++ b/router/known/known.go
@@ -19,8 +19,10 @@
 	// ordersWait, upstreamsWait and progressWait bound how long the store holds a
 	// question without news. A key taken away must stop within 5 s, and requests
 	// count for 3 s after contact was lost: the answers that prove freshness must
-	// come often, also by way of two peers. Only one router asks the store.
-	ordersWait    = 650 * time.Millisecond
+	// come often, also by way of two peers. The same answers show others that a
+	// peer has lost the store, which they must know before a draining upstream's
+	// 2 s are over. Only one router asks the store.
+	ordersWait    = 450 * time.Millisecond
 	upstreamsWait = 2500 * time.Millisecond
 	progressWait  = 1500 * time.Millisecond
 	// deafness is how long the store's watch may miss changes before it ends
@@ -59,6 +61,9 @@
 
 	mu       sync.Mutex // guards evidence
 	evidence Evidence
+	// old says for each peer until when, in ns of the local clock, its knowledge
+	// counts as old for all topics.
+	old []atomic.Int64
 }
 
 // update is one answered read, handed to the control goroutine.
@@ -72,7 +77,7 @@
 // New returns a node that knows nothing yet. It reads from the first peer that
 // answers, and from the store if none does.
 func New(s Store, peers []Peer, now clock.Func, l zerolog.Logger) *Node {
-	n := &Node{store: s, peers: peers, now: now, log: l, updates: make(chan update)}
+	n := &Node{store: s, peers: peers, now: now, log: l, updates: make(chan update), old: make([]atomic.Int64, len(peers))}
 	n.logs = map[Topic]*Log{TopicOrders: {}, TopicUpstreams: {}, TopicProgress: {}}
 	n.view.Store(newState().view())
 	c := make(chan struct{})
--- a/router/known/peer.go
+++ b/router/known/peer.go
@@ -19,6 +19,9 @@
 	// peerOld is the pause after a peer whose knowledge was too old: it hears of the
 	// store's return first.
 	peerOld = 300 * time.Millisecond
+	// oldLife is how long a peer whose orders were too old is left alone by the other
+	// topics: longer than the time between two questions for its orders.
+	oldLife = time.Second
 	// peerPoll is how often it is checked whether a peer may be asked again.
 	peerPoll = 50 * time.Millisecond
 	// startLimit bounds the time of a peer's answer to an instance that starts.
@@ -30,8 +33,9 @@
 
 // peerAge is the age of a peer's knowledge from which another source is asked: the
 // wait of the topic at the store, what a watch may miss, and the way through a peer.
+// A peer whose orders are too old has lost the store, whatever its other topics say.
 var peerAge = map[Topic]time.Duration{
-	TopicOrders:    2200 * time.Millisecond,
+	TopicOrders:    1700 * time.Millisecond,
 	TopicUpstreams: 4200 * time.Millisecond,
 	TopicProgress:  3200 * time.Millisecond,
 }
@@ -103,10 +107,16 @@
 		if !ok {
 			return Page{}, false
 		}
+		if f.topic != TopicOrders && f.isOld(i) {
+			f.reached = time.Now()
+			f.route.hold(i, peerOld, f.reached)
+			continue
+		}
 		p, err := f.askOne(ctx, f.peers[i])
 		if err == nil && p.Age < peerAge[f.topic] && p.Revision >= f.after {
 			f.route.worked(i)
 			f.whole = false
+			f.setOld(i, false)
 			return p, true
 		}
 		var h *HistoryLostError
@@ -118,6 +128,7 @@
 		if err == nil {
 			f.reached = time.Now()
 			f.route.hold(i, peerOld, f.reached)
+			f.setOld(i, true)
 		} else {
 			f.route.fail(i, time.Now())
 		}
@@ -127,6 +138,22 @@
 	return Page{}, false
 }
 
+// setOld records whether a peer's orders are too old.
+func (f *follower) setOld(i int, old bool) {
+	switch {
+	case f.topic != TopicOrders:
+	case old:
+		f.old[i].Store(int64(f.now() + oldLife))
+	default:
+		f.old[i].Store(0)
+	}
+}
+
+// isOld reports whether a peer's orders were too old of late.
+func (f *follower) isOld(i int) bool {
+	return f.now() < time.Duration(f.old[i].Load())
+}
+
 // awaitPeer waits a moment for a peer. It reports false once the store must be asked.
 func (f *follower) awaitPeer(ctx context.Context) bool {
 	if len(f.peers) == 0 || !f.synced || f.now() >= f.storeDue {
--- a/router/known/peer_test.go
+++ b/router/known/peer_test.go
@@ -16,14 +16,19 @@
 type calm struct {
 	script
 	calls atomic.Int64
-	// away makes all calls fail.
-	away atomic.Bool
+	// away makes all calls fail, silent leaves them without an answer.
+	away, silent atomic.Bool
+	// listed is when upstreams were asked for last, in ns of the test's clock.
+	listed atomic.Int64
 }
 
 func newCalm(began time.Time) *calm {
 	c := &calm{}
-	c.snapshot = func(Topic) (Page, error) {
+	c.snapshot = func(t Topic) (Page, error) {
 		c.calls.Add(1)
+		if t == TopicUpstreams {
+			c.listed.Store(int64(time.Since(began)))
+		}
 		if c.away.Load() {
 			return Page{}, errors.New("no answer")
 		}
@@ -36,11 +41,18 @@
 			return Page{}, errors.New("no answer")
 		}
 		wait := map[Topic]time.Duration{TopicOrders: ordersWait, TopicUpstreams: upstreamsWait, TopicProgress: progressWait}[t]
+		if t == TopicUpstreams {
+			c.listed.Store(int64(time.Since(began)))
+		}
 		select {
 		case <-ctx.Done():
 			return Page{}, ctx.Err()
 		case <-time.After(wait):
 		}
+		if c.silent.Load() {
+			<-ctx.Done()
+			return Page{}, ctx.Err()
+		}
 		return Page{Revision: after, Clock: time.Since(began)}, nil
 	}
 	return c
@@ -212,6 +224,42 @@
 	})
 }
 
+// Guards against a router that hears of upstreams from a peer that has lost the store
+// without a word: an upstream that drains must get nothing after 2 s (a request came
+// 3.1 s after the word on Ilmek grown, trouble-1, seed 235969400788).
+func TestPeerLosesStore(t *testing.T) {
+	for name, at := range map[string]time.Duration{"one moment": 0, "another": 370 * time.Millisecond, "a third": 1210 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now().Add(-time.Hour)
+				now := func() time.Duration { return time.Since(began) }
+				l := zerolog.New(io.Discard)
+				ctx, stop := context.WithCancel(t.Context())
+				first, second := newCalm(began), newCalm(began)
+				a := New(first, nil, now, l)
+				b := New(second, []Peer{{Address: "a", Source: &peer{node: a}}}, now, l)
+				done := make(chan error, 2)
+				go func() { done <- a.Run(ctx) }()
+				time.Sleep(time.Second)
+				go func() { done <- b.Run(ctx) }()
+				time.Sleep(8*time.Second + at)
+				first.silent.Store(true)
+				lost := now()
+				time.Sleep(3 * time.Second)
+				if d := time.Duration(second.listed.Load()) - lost; d < 0 || d > 1900*time.Millisecond {
+					t.Errorf("upstreams were asked for %v after the peer lost the store", d)
+				}
+				stop()
+				for range 2 {
+					if err := <-done; err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		})
+	}
+}
+
 // Guards against changes that are lost on the way through a peer.
 func TestShareLog(t *testing.T) {
 	var l Log
