test: take ports that no outgoing connection uses

Ruled out: two routers of one world with one port, as the settings show; a fault of the router, which said what it tried and ended.

Conclusion: ports from 12000 to 31999, none handed out twice in the soak.

--- a/router/boot/world_test.go
+++ b/router/boot/world_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -134,16 +135,21 @@
 	}
 }
 
-// free returns an address that the kernel chose. Another process may take it
-// before it is used; the listen then fails and says so.
+// free returns an address that nobody listens on. Its port lies below those that the
+// kernel gives to outgoing connections (from 32768 on), one of which took a port
+// between this check and the start of a process.
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const first, count, tries = 12_000, 20_000, 100
+	for range tries {
+		a := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+		if l, err := net.Listen("tcp", a); err == nil {
+			l.Close()
+			return a
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatalf("no port free from %d to %d", first, first+count)
+	return ""
 }
 
 func (w *world) config(d map[string]any) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -255,14 +256,27 @@
 	}
 }
 
+// given are the ports handed out so far. A router that was killed needs its own again.
+var given sync.Map
+
+// free returns an address that nobody listens on. Its port lies below those that the
+// kernel gives to outgoing connections (from 32768 on), one of which took a port
+// between this check and the start of a process.
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const first, count, tries = 12_000, 20_000, 100
+	for range tries {
+		a := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+		if _, used := given.LoadOrStore(a, true); used {
+			continue
+		}
+		if l, err := net.Listen("tcp", a); err == nil {
+			l.Close()
+			return a
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatalf("no port free from %d to %d", first, first+count)
+	return ""
 }
 
 // pause stops a router for a time, as a suspended machine would.
