test: guard a router whose peer falls silent

Cause: connections between machines that are silent for good were tested by the soak only.

Figures: for ten seconds the configuration stays proved as of at most 2.5 s ago (TestSilentPeer, on a fake clock).

--- a/router/known/peer_test.go
+++ b/router/known/peer_test.go
@@ -61,19 +61,32 @@
 // peer reads from a node of the test without a network.
 type peer struct {
 	node *Node
-	down atomic.Bool
+	// down makes questions fail at once, mute leaves them without an answer.
+	down, mute atomic.Bool
 }
 
-func (p *peer) Snapshot(ctx context.Context, t Topic) (Page, error) {
+// lost returns the error of a question that gets no answer, or nil.
+func (p *peer) lost(ctx context.Context) error {
+	if p.mute.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if p.down.Load() {
-		return Page{}, errors.New("no answer")
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+func (p *peer) Snapshot(ctx context.Context, t Topic) (Page, error) {
+	if err := p.lost(ctx); err != nil {
+		return Page{}, err
 	}
 	return p.node.Share(ctx, t, 0, true, 0)
 }
 
 func (p *peer) Follow(ctx context.Context, t Topic, after Revision, wait time.Duration) (Page, error) {
-	if p.down.Load() {
-		return Page{}, errors.New("no answer")
+	if err := p.lost(ctx); err != nil {
+		return Page{}, err
 	}
 	return p.node.Share(ctx, t, after, false, wait)
 }
@@ -260,6 +273,42 @@
 	}
 }
 
+// Guards against a router that waits for a peer whose connections fell silent: a link
+// between two machines was cut, and no reset tells it.
+func TestSilentPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now().Add(-time.Hour)
+		now := func() time.Duration { return time.Since(began) }
+		l := zerolog.New(io.Discard)
+		ctx, stop := context.WithCancel(t.Context())
+		first, second := newCalm(began), newCalm(began)
+		a := New(first, nil, now, l)
+		p := &peer{node: a}
+		b := New(second, []Peer{{Address: "a", Source: p}}, now, l)
+		done := make(chan error, 2)
+		go func() { done <- a.Run(ctx) }()
+		time.Sleep(time.Second)
+		go func() { done <- b.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		p.mute.Store(true)
+		for range 400 {
+			time.Sleep(25 * time.Millisecond)
+			if x, ok := b.Age(); !ok || x > 2500*time.Millisecond {
+				t.Fatalf("configuration proved as of %v ago (%v)", x, ok)
+			}
+		}
+		if d := now() - time.Duration(second.listed.Load()); d > 4*time.Second {
+			t.Errorf("upstreams were asked for last %v ago", d)
+		}
+		stop()
+		for range 2 {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
 // Guards against changes that are lost on the way through a peer.
 func TestShareLog(t *testing.T) {
 	var l Log
