refactor: name the parts of gossip by what they hold

Cause: log, logs and sums beside each other, two methods judge and Judge, and Affine for a cache hit stopped a reader new to the packages; a comment gave a cost of a message that was not measured.

Ruled out: nothing.

Conclusion: names and comments only.

--- a/router/gossip/log.go
+++ b/router/gossip/log.go
@@ -22,8 +22,8 @@
 	maxSamples = 256
 	// listenerLife is how long a router that has not asked counts as a listener.
 	listenerLife = 3 * time.Second
-	// tradesPerSecond bounds the messages that all listeners send to one router:
-	// each takes about a quarter of a millisecond, and the smallest has a tenth of a core.
+	// tradesPerSecond bounds the messages that all listeners send to one router; the
+	// smallest routers of the grown sites have a tenth of a core.
 	tradesPerSecond = 70
 	// shortestPause is the time between two messages of a router with few neighbours.
 	shortestPause = 150 * time.Millisecond
@@ -45,7 +45,7 @@
 	After Cursor
 }
 
-// Answer carries what a router learnt from others than the one that asks.
+// Answer carries what a router knows from others than the one that asks.
 type Answer struct {
 	Samples []place.Sample
 	// Backlog is the sum of what all others have sent, and Routers their number.
@@ -98,9 +98,10 @@
 	l.first += Cursor(n)
 }
 
-// After returns the sum of all samples after a position that did not come from the
-// router itself, one for each upstream and failure domain, and the position to go on from. A position
-// that the log has not reached yet belongs to an earlier start and counts as 0.
+// After returns the sums of all samples after a position that did not come from the
+// router that asks, one for each upstream and failure domain, and the position to go
+// on from. A position that the log has not reached yet belongs to an earlier start
+// and counts as 0.
 func (l *Log) After(c Cursor, router string, now time.Time) ([]place.Sample, Cursor) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/router/gossip/trade.go
+++ b/router/gossip/trade.go
@@ -35,12 +35,12 @@
 // Node exchanges samples with the first peer that answers. Peers are ordered so
 // that no exchange goes in a circle: each sample reaches a router once.
 type Node struct {
-	name  string
-	book  Book
-	peers []*contact
-	log   *Log
-	sums  *Totals
-	logs  zerolog.Logger
+	name    string
+	book    Book
+	peers   []*contact
+	samples *Log
+	totals  *Totals
+	log     zerolog.Logger
 }
 
 // contact is what is known of a peer.
@@ -53,7 +53,7 @@
 
 // New returns a node.
 func New(name string, b Book, peers []Peer, l zerolog.Logger) *Node {
-	n := &Node{name: name, book: b, log: NewLog(), sums: NewTotals(), logs: l}
+	n := &Node{name: name, book: b, samples: NewLog(), totals: NewTotals(), log: l}
 	for _, p := range peers {
 		n.peers = append(n.peers, &contact{Peer: p})
 	}
@@ -80,8 +80,8 @@
 // round publishes own samples, trades with one peer, and returns the time until the next round.
 func (n *Node) round(ctx context.Context) time.Duration {
 	now := time.Now()
-	n.log.Add(n.name, n.book.Drain(), now)
-	n.sums.Set(n.name, n.book.Backlog(), 1, now)
+	n.samples.Add(n.name, n.book.Drain(), now)
+	n.totals.Set(n.name, n.book.Backlog(), 1, now)
 	for _, c := range n.peers {
 		if !c.failed.IsZero() && now.Sub(c.failed) < failedPause {
 			continue
@@ -91,27 +91,28 @@
 	return shortestPause
 }
 
+// trade exchanges with one peer and returns the time until the next round.
 func (n *Node) trade(ctx context.Context, c *contact, now time.Time) time.Duration {
 	ctx, stop := context.WithTimeout(ctx, tradeLimit)
 	defer stop()
 	for _, o := range n.peers {
 		if o != c {
-			n.sums.Drop(o.Address())
+			n.totals.Drop(o.Address())
 		}
 	}
-	ss, sent := n.log.After(c.sent, c.Address(), now)
-	bs, routers := n.sums.Without(c.Address(), now)
+	ss, sent := n.samples.After(c.sent, c.Address(), now)
+	bs, routers := n.totals.Without(c.Address(), now)
 	a, err := c.Trade(ctx, Message{
 		From: n.name, Samples: ss, Backlog: bs, Routers: routers, After: c.seen,
 	})
 	if err != nil {
 		c.failed = now
-		n.logs.Info().Err(err).Str("peer", c.Address()).Msg("samples not exchanged, peer not used for a while")
+		n.log.Info().Err(err).Str("peer", c.Address()).Msg("samples not exchanged, peer not used for a while")
 		return shortestPause
 	}
 	if !c.failed.IsZero() {
 		c.failed = time.Time{}
-		n.logs.Info().Str("peer", c.Address()).Msg("samples exchanged again")
+		n.log.Info().Str("peer", c.Address()).Msg("samples exchanged again")
 	}
 	c.sent, c.seen = sent, a.Next
 	n.learn(c.Address(), a.Samples, a.Backlog, a.Routers)
@@ -121,10 +122,10 @@
 // Take answers a message of another router.
 func (n *Node) Take(m Message) Answer {
 	now := time.Now()
-	a := Answer{Pause: n.log.Pause(m.From, now)}
-	a.Samples, a.Next = n.log.After(m.After, m.From, now)
-	n.sums.Set(n.name, n.book.Backlog(), 1, now)
-	a.Backlog, a.Routers = n.sums.Without(m.From, now)
+	a := Answer{Pause: n.samples.Pause(m.From, now)}
+	a.Samples, a.Next = n.samples.After(m.After, m.From, now)
+	n.totals.Set(n.name, n.book.Backlog(), 1, now)
+	a.Backlog, a.Routers = n.totals.Without(m.From, now)
 	n.learn(m.From, m.Samples, m.Backlog, m.Routers)
 	return a
 }
@@ -132,15 +133,15 @@
 // learn takes what a neighbour said.
 func (n *Node) learn(from string, ss []place.Sample, bs []place.Backlog, routers int) {
 	now := time.Now()
-	n.log.Add(from, ss, now)
+	n.samples.Add(from, ss, now)
 	n.book.Merge(ss, now)
-	n.sums.Set(from, bs, routers, now)
-	others, _ := n.sums.Without(n.name, now)
+	n.totals.Set(from, bs, routers, now)
+	others, _ := n.totals.Without(n.name, now)
 	n.book.SetOthers(others, now)
 }
 
 // Size returns the number of routers that share limits, this one among them: the
 // largest that was known in the last minute.
 func (n *Node) Size() int {
-	return n.sums.Size()
+	return n.totals.Size()
 }
--- a/router/place/place.go
+++ b/router/place/place.go
@@ -29,7 +29,8 @@
 	domainBase  = 15.0
 	domainPerKB = 7.0
 	// missPerToken is the price, in ms, of a prompt token that is read though
-	// another upstream has it cached, beside the time to read it.
+	// another upstream has it cached, beside the time to read it. It and copyPerToken
+	// follow from the users' prices, a ms standing for a thousandth of a unit.
 	missPerToken = 0.035
 	// copyPerToken is the price, in ms, of a prompt token copied from another upstream.
 	copyPerToken = 0.024
@@ -122,11 +123,10 @@
 	Delay time.Duration
 	// Queue is the part of it that is spent behind other requests.
 	Queue time.Duration
-	// Candidates is the number of upstreams that were compared, among all of the service.
-	Candidates int
-	All        int
-	// Affine is true for an upstream that likely has the shared parts in memory.
-	Affine bool
+	// Candidates is the number of upstreams that were compared, All that of the service.
+	Candidates, All int
+	// Hit is true for an upstream that likely has the shared parts in memory.
+	Hit bool
 	// Source is an upstream from which the chosen one can copy them; nil without one.
 	Source *fleet.Upstream
 	// Silent is true if the upstream is suspected to be dead and no other was left.
@@ -178,8 +178,8 @@
 }
 
 // Pick returns the upstream with the lowest predicted cost among those that have the
-// prompt's shared parts and a few others drawn at random. It returns false if none may be used.
-// Upstreams that keep failing or are silent are used only if no other is left.
+// prompt's shared parts and a few others drawn at random. It returns false if none may
+// be used. Upstreams that keep failing or are silent are used only if no other is left.
 func (b *Book) Pick(us []*fleet.Upstream, q Query, now time.Time) (Choice, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -268,7 +268,7 @@
 	}
 }
 
-// home returns the upstream that a prefix prefers. All instances choose the same
+// home returns the upstream where a prefix is read first. All instances choose the same
 // one by rendezvous hashing, without a message. Long prefixes have one home; the
 // way to it costs less than reading them again. Others have one in each domain.
 func (b *Book) home(us []*fleet.Upstream, q *Query) *fleet.Upstream {
@@ -296,7 +296,7 @@
 
 func (b *Book) choice(u *fleet.Upstream, q *Query, k *cached, now time.Time) Choice {
 	hit := k.has(u)
-	c := Choice{Upstream: u, Affine: hit, prefix: prefixOf(q.Affinity), work: q.work(hit)}
+	c := Choice{Upstream: u, Hit: hit, prefix: prefixOf(q.Affinity), work: q.work(hit)}
 	price := 0.0
 	if !hit && q.Affinity != "" {
 		price = missPerToken * float64(q.Cached)
--- a/router/place/place_test.go
+++ b/router/place/place_test.go
@@ -103,7 +103,7 @@
 	q := engine()
 	q.Affinity, q.Cached, q.Input, q.Pace = "large/thing", 5000, 8000, 3
 	first, ok := place.New("a").Pick(us, q, start)
-	if !ok || !first.Affine {
+	if !ok || !first.Hit {
 		t.Fatalf("got %+v", first)
 	}
 	for _, d := range []ident.DomainID{"b", "c"} {
@@ -289,8 +289,8 @@
 		return b
 	}
 	b := prepare()
-	if c, _ := b.Pick(us, q, start); c.Upstream != us[1] || !c.Affine || c.Source != nil {
-		t.Errorf("idle holder: chose %s, cached %v", c.Upstream.ID, c.Affine)
+	if c, _ := b.Pick(us, q, start); c.Upstream != us[1] || !c.Hit || c.Source != nil {
+		t.Errorf("idle holder: chose %s, cached %v", c.Upstream.ID, c.Hit)
 	}
 	b.SetOthers([]place.Backlog{{Upstream: "u1", Work: 2000, Attempts: 3}}, start)
 	c, _ := b.Pick(us, q, start)
--- a/router/place/sample.go
+++ b/router/place/sample.go
@@ -78,14 +78,14 @@
 			b.holders.add(p, s.Upstream, s.At)
 		}
 		if s.Domain == b.domain {
-			b.judge(s, now)
+			b.mergeOutcomes(s, now)
 		}
 	}
 }
 
-// judge counts the outcomes that another instance saw. Their order is unknown: a
+// mergeOutcomes counts the outcomes that another instance saw. Their order is unknown: a
 // success among them ends a row of failures.
-func (b *Book) judge(s Sample, now time.Time) {
+func (b *Book) mergeOutcomes(s Sample, now time.Time) {
 	if s.Good > 0 {
 		b.outliers.Success(s.Upstream)
 		return
