test: let the stand-in read on after an early answer

Cause: after an early answer the stand-in took the rest of the body for the next request and closed the connection with bytes unread.

Ruled out: the router, which gives up such a connection itself; the users' page says that a server may answer early, keep the connection and read on later.

--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -56,7 +56,7 @@
 	Foreign struct{ Answer }
 	// Encoded sends an answer with a content coding.
 	Encoded struct{}
-	// Early answers before the body was read.
+	// Early answers before the body was read, and reads on a moment later.
 	Early struct{ Answer }
 )
 
@@ -198,9 +198,23 @@
 		if !s.send(c, r, x, reply) {
 			return
 		}
+		if ok && !readOn(q.Body) {
+			return
+		}
 	}
 }
 
+// readPause is the time between an early answer and the rest of the request.
+const readPause = 200 * time.Millisecond
+
+// readOn reads the rest of a request that was answered early. Closing the connection
+// in its place would reset it, and the caller might lose the answer.
+func readOn(body io.Reader) bool {
+	time.Sleep(readPause)
+	_, err := io.Copy(io.Discard, body)
+	return err == nil
+}
+
 // reply refuses requests for another instance and asks the script about all others.
 func (s *Server) reply(x Request) Reply {
 	if x.Header.Get("Tarragonvalve-Expect-Instance") != s.Name {
