fix: keep a connection whose body was written whole

Cause: a body over 4 KiB is written by a goroutine of its own.

Conclusion: the report is awaited for at most 10 ms.

--- a/router/link/send.go
+++ b/router/link/send.go
@@ -21,6 +21,9 @@
 	maxForeign = 2
 	// maxSkipped bounds the body of a skipped answer.
 	maxSkipped = 64 << 10
+	// writeLag is how long the goroutine that writes a long body may take to report
+	// that it is done, after the answer was read: on a busy machine it runs later.
+	writeLag = 10 * time.Millisecond
 )
 
 // Message is a request to an upstream.
@@ -234,7 +237,7 @@
 		select {
 		case err := <-e.written:
 			keep = err == nil
-		default:
+		case <-time.After(writeLag):
 			// The upstream answered before it read the whole request.
 			keep = false
 		}
