refactor: share small pieces of the router

Cause: read as a whole, the change had the same step twice: headers copied by hand in three places (maps.Copy), an idle connection checked in two (Pool.reuse), silent upstreams asked for in three (Book.silent), the life of a backlog as two constants (place.BacklogLife). The name of a prefix was hashed again for each upstream that was compared; the search keeps it now.

Ruled out: one choice of peers for known and gossip, whose pauses differ, so that behaviour would change; relay.accept, which ends at the first upstream it accepts.

Conclusion: behaviour as before.

--- a/router/boot/clean.go
+++ b/router/boot/clean.go
@@ -9,10 +9,11 @@
 	"tarragonvalve.example/router/place"
 )
 
-// cleanInterval is how often records of upstreams that are gone are dropped.
+// cleanInterval is how often the book of upstreams takes the list in force.
 const cleanInterval = 5 * time.Second
 
-// cleaner bounds the memory that upstreams of the past take.
+// cleaner tells the book how many upstreams each service has, and bounds the memory that
+// those of the past take.
 type cleaner struct {
 	book *place.Book
 	node *known.Node
--- a/router/gossip/totals.go
+++ b/router/gossip/totals.go
@@ -10,9 +10,6 @@
 	"tarragonvalve.example/router/place"
 )
 
-// backlogLife is how long a neighbour's backlog counts without a newer one.
-const backlogLife = 1500 * time.Millisecond
-
 const (
 	// maxBacklog bounds the upstreams stated in one message; those with the most work stay.
 	maxBacklog = 256
@@ -50,7 +47,7 @@
 	defer t.mu.Unlock()
 	t.neighbours[neighbour] = stated{backlog: bs, routers: routers, at: now}
 	for n, s := range t.neighbours {
-		if now.Sub(s.at) > backlogLife {
+		if now.Sub(s.at) > place.BacklogLife {
 			delete(t.neighbours, n)
 		}
 	}
@@ -85,7 +82,7 @@
 	defer t.mu.Unlock()
 	sums := map[ident.UpstreamID]place.Backlog{}
 	for n, s := range t.neighbours {
-		if n == neighbour || now.Sub(s.at) > backlogLife {
+		if n == neighbour || now.Sub(s.at) > place.BacklogLife {
 			continue
 		}
 		routers += s.routers
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -85,12 +85,8 @@
 
 // get returns a connection, an idle one if possible. A limit of 0 means no bound.
 func (p *Pool) get(ctx context.Context, address string, once bool, limit int) (*conn, error) {
-	for c := p.takeIdle(address, once); c != nil; c = p.takeIdle(address, once) {
-		if c.silent() == nil {
-			c.reused = true
-			return c, nil
-		}
-		p.drop(c)
+	if c := p.reuse(address, once); c != nil {
+		return c, nil
 	}
 	c, err := p.reserve(ctx, address, once, limit)
 	if c != nil || err != nil {
@@ -119,16 +115,24 @@
 			return nil, &FullError{Address: address, Limit: limit}
 		}
 		time.Sleep(freePoll)
-		if c := p.takeIdle(address, once); c != nil {
-			if c.silent() == nil {
-				c.reused = true
-				return c, nil
-			}
-			p.drop(c)
+		if c := p.reuse(address, once); c != nil {
+			return c, nil
 		}
 	}
 }
 
+// reuse returns an idle connection that is still usable, or nil; it drops others.
+func (p *Pool) reuse(address string, once bool) *conn {
+	for c := p.takeIdle(address, once); c != nil; c = p.takeIdle(address, once) {
+		if c.silent() == nil {
+			c.reused = true
+			return c
+		}
+		p.drop(c)
+	}
+	return nil
+}
+
 func (p *Pool) takeIdle(address string, once bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/router/place/hold.go
+++ b/router/place/hold.go
@@ -82,6 +82,7 @@
 
 // cached says where the shared parts of a prompt are.
 type cached struct {
+	prefix Prefix
 	// held are the upstreams that read them lately.
 	held []*fleet.Upstream
 	// home is where to read them first; it is nil if there are none, or some hold them.
@@ -107,20 +108,16 @@
 
 // locate returns where the shared parts of a query's prompt are.
 func (b *Book) locate(us []*fleet.Upstream, q *Query, now time.Time) cached {
-	var c cached
-	p := prefixOf(q.Affinity)
-	if p == 0 {
+	c := cached{prefix: prefixOf(q.Affinity)}
+	if c.prefix == 0 {
 		return c
 	}
-	for _, h := range b.holders[p] {
-		if now.Sub(h.at) > holdLife {
+	for _, h := range b.holders[c.prefix] {
+		if now.Sub(h.at) > holdLife || b.silent(h.upstream) {
 			continue
 		}
 		i := slices.IndexFunc(us, func(u *fleet.Upstream) bool { return u.ID == h.upstream })
-		if i < 0 {
-			continue
-		}
-		if l := b.loads[h.upstream]; l == nil || !l.silent {
+		if i >= 0 {
 			c.held = append(c.held, us[i])
 		}
 	}
--- a/router/place/place.go
+++ b/router/place/place.go
@@ -257,9 +257,8 @@
 
 // rank orders upstreams by trust: sound, failing, silent.
 func (b *Book) rank(u *fleet.Upstream, now time.Time) int {
-	l := b.loads[u.ID]
 	switch {
-	case l != nil && l.silent:
+	case b.silent(u.ID):
 		return 2
 	case b.outliers.Ejected(u.ID, now):
 		return 1
@@ -268,21 +267,21 @@
 	}
 }
 
+// silent reports whether an upstream is suspected to be dead.
+func (b *Book) silent(id ident.UpstreamID) bool {
+	l := b.loads[id]
+	return l != nil && l.silent
+}
+
 // home returns the upstream where a prefix is read first. All instances choose the same
 // one by rendezvous hashing, without a message. Long prefixes have one home; the
 // way to it costs less than reading them again. Others have one in each domain.
 func (b *Book) home(us []*fleet.Upstream, q *Query) *fleet.Upstream {
-	if q.Affinity == "" {
-		return nil
-	}
 	var best *fleet.Upstream
 	var top uint64
 	near := false
 	for _, u := range us {
-		if !q.allows(u) {
-			continue
-		}
-		if l := b.loads[u.ID]; l != nil && l.silent {
+		if !q.allows(u) || b.silent(u.ID) {
 			continue
 		}
 		n := u.Domain == q.Domain || q.saved() >= wideWork
@@ -296,9 +295,9 @@
 
 func (b *Book) choice(u *fleet.Upstream, q *Query, k *cached, now time.Time) Choice {
 	hit := k.has(u)
-	c := Choice{Upstream: u, Hit: hit, prefix: prefixOf(q.Affinity), work: q.work(hit)}
+	c := Choice{Upstream: u, Hit: hit, prefix: k.prefix, work: q.work(hit)}
 	price := 0.0
-	if !hit && q.Affinity != "" {
+	if !hit && k.prefix != 0 {
 		price = missPerToken * float64(q.Cached)
 		if w, ok := q.copying(); ok {
 			if c.Source = k.source(u); c.Source != nil {
@@ -314,7 +313,7 @@
 		s = l.pace.value(now)
 		c.Silent = l.silent
 		o := l.others
-		if now.Sub(b.othersAt) > backlogLife {
+		if now.Sub(b.othersAt) > BacklogLife {
 			o = Backlog{}
 		}
 		queue = l.queue(u, q, o, now)
--- a/router/place/sample.go
+++ b/router/place/sample.go
@@ -122,8 +122,8 @@
 	Attempts int
 }
 
-// backlogLife is how long the backlog of other instances counts without a newer one.
-const backlogLife = 1500 * time.Millisecond
+// BacklogLife is how long the backlog of other instances counts without a newer one.
+const BacklogLife = 1500 * time.Millisecond
 
 // Backlog returns own attempts without an answer, one entry for each upstream.
 func (b *Book) Backlog() []Backlog {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"time"
 
@@ -198,10 +199,7 @@
 	if err != nil {
 		return lost{err: err}
 	}
-	h := f.w.Header()
-	for k, v := range t.Codec.Reply(a.Header) {
-		h[k] = v
-	}
+	maps.Copy(f.w.Header(), t.Codec.Reply(a.Header))
 	f.w.WriteHeader(a.Status)
 	if _, err := f.w.Write(b); err != nil {
 		return lost{err: err}
@@ -218,10 +216,7 @@
 		f.last, f.any = e.ID, true
 	}
 	if !f.begun {
-		h := f.w.Header()
-		for k, v := range t.Codec.Reply(a.Header) {
-			h[k] = v
-		}
+		maps.Copy(f.w.Header(), t.Codec.Reply(a.Header))
 		f.w.WriteHeader(a.Status)
 		f.begun = true
 		t.version = a.upstream.Version
--- a/router/relay/whole.go
+++ b/router/relay/whole.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -39,9 +40,7 @@
 		return t.failure(ctx, o)
 	}
 	h := w.Header()
-	for k, v := range t.Codec.Reply(best.header) {
-		h[k] = v
-	}
+	maps.Copy(h, t.Codec.Reply(best.header))
 	h.Set("Content-Length", strconv.Itoa(len(best.body)))
 	w.WriteHeader(best.status)
 	if _, err := w.Write(best.body); err != nil {
