test: share the set-up of routers and of ports

Cause: five tests of package known repeated the same set-up on a fake clock, and two modules the same search for a port.

Ruled out: other tests with a listener of their own, which need no port chosen before.

Figures: 18 lines fewer in peer_test.go; no assertion changed. TestFree guards the ports (standin/ports).

Conclusion: cluster in package known, ports.Free for soak and router.

--- a/router/boot/world_test.go
+++ b/router/boot/world_test.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,6 +16,7 @@
 	"time"
 
 	"tarragonvalve.example/router/setup"
+	"tarragonvalve.example/standin/ports"
 	"tarragonvalve.example/standin/server"
 	"tarragonvalve.example/standin/tables"
 )
@@ -135,21 +134,14 @@
 	}
 }
 
-// free returns an address that nobody listens on. Its port lies below those that the
-// kernel gives to outgoing connections (from 32768 on), one of which took a port
-// between this check and the start of a process.
+// free returns an address for a process.
 func free(t *testing.T) string {
 	t.Helper()
-	const first, count, tries = 12_000, 20_000, 100
-	for range tries {
-		a := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
-		if l, err := net.Listen("tcp", a); err == nil {
-			l.Close()
-			return a
-		}
+	a, err := ports.Free()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatalf("no port free from %d to %d", first, first+count)
-	return ""
+	return a
 }
 
 func (w *world) config(d map[string]any) {
--- a/router/known/peer_test.go
+++ b/router/known/peer_test.go
@@ -58,6 +58,43 @@
 	return c
 }
 
+// cluster runs nodes on a fake clock.
+type cluster struct {
+	began time.Time
+	ctx   context.Context
+	done  chan error
+	count int
+}
+
+// play runs f with a cluster and ends its nodes afterwards.
+func play(t *testing.T, f func(t *testing.T, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		c := &cluster{began: time.Now().Add(-time.Hour), ctx: ctx, done: make(chan error)}
+		defer func() {
+			stop()
+			for range c.count {
+				if err := <-c.done; err != nil {
+					t.Error(err)
+				}
+			}
+		}()
+		f(t, c)
+	})
+}
+
+func (c *cluster) now() time.Duration { return time.Since(c.began) }
+
+func (c *cluster) node(s Store, peers ...Peer) *Node {
+	return New(s, peers, c.now, zerolog.New(io.Discard))
+}
+
+func (c *cluster) run(n *Node) {
+	c.count++
+	go func() { c.done <- n.Run(c.ctx) }()
+}
+
 // peer reads from a node of the test without a network.
 type peer struct {
 	node *Node
@@ -96,21 +133,16 @@
 // too old), against keys refused by those that hear from peers, and against a
 // router that is lost with its peer.
 func TestPeers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		began := time.Now().Add(-time.Hour)
-		now := func() time.Duration { return time.Since(began) }
-		l := zerolog.New(io.Discard)
-		ctx, stop := context.WithCancel(t.Context())
-		first, second := newCalm(began), newCalm(began)
-		a := New(first, nil, now, l)
+	play(t, func(t *testing.T, c *cluster) {
+		first, second := newCalm(c.began), newCalm(c.began)
+		a := c.node(first)
 		p := &peer{node: a}
-		b := New(second, []Peer{{Address: "a", Source: p}}, now, l)
-		done := make(chan error, 2)
-		go func() { done <- a.Run(ctx) }()
+		b := c.node(second, Peer{Address: "a", Source: p})
+		c.run(a)
 		// A peer that starts at the same instant may know nothing yet, and is then
 		// left alone for three seconds.
 		time.Sleep(time.Second)
-		go func() { done <- b.Run(ctx) }()
+		c.run(b)
 		time.Sleep(time.Second)
 		for range 600 {
 			time.Sleep(50 * time.Millisecond)
@@ -136,12 +168,6 @@
 		if n := second.calls.Load() - before; n > 12 {
 			t.Errorf("after its peer's return: %d calls in 30 s", n)
 		}
-		stop()
-		for range 2 {
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		}
 	})
 }
 
@@ -149,19 +175,14 @@
 // moment and then read the store for three seconds (grown site of Ilmek: 417 of 625
 // calls of a quiet day were made before its first request).
 func TestPeersStartTogether(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		began := time.Now().Add(-time.Hour)
-		now := func() time.Duration { return time.Since(began) }
-		l := zerolog.New(io.Discard)
-		ctx, stop := context.WithCancel(t.Context())
-		first, second := newCalm(began), newCalm(began)
-		a := New(first, nil, now, l)
+	play(t, func(t *testing.T, c *cluster) {
+		first, second := newCalm(c.began), newCalm(c.began)
+		a := c.node(first)
 		p := &peer{node: a}
 		p.down.Store(true)
-		b := New(second, []Peer{{Address: "a", Source: p}}, now, l)
-		done := make(chan error, 2)
-		go func() { done <- b.Run(ctx) }()
-		go func() { done <- a.Run(ctx) }()
+		b := c.node(second, Peer{Address: "a", Source: p})
+		c.run(b)
+		c.run(a)
 		time.Sleep(300 * time.Millisecond)
 		p.down.Store(false)
 		time.Sleep(10 * time.Second)
@@ -170,22 +191,16 @@
 			t.Errorf("the second router made %d calls in 10 s", n)
 		}
 		// One that starts later finds everything at its peer.
-		third := newCalm(began)
-		c := New(third, []Peer{{Address: "a", Source: p}}, now, l)
-		go func() { done <- c.Run(ctx) }()
+		third := newCalm(c.began)
+		late := c.node(third, Peer{Address: "a", Source: p})
+		c.run(late)
 		time.Sleep(time.Second)
 		if n := third.calls.Load(); n > 0 {
 			t.Errorf("a router that started later made %d calls", n)
 		}
-		if x, ok := c.Age(); !ok || x > 1800*time.Millisecond {
+		if x, ok := late.Age(); !ok || x > 1800*time.Millisecond {
 			t.Errorf("a router that started later: age %v %v", x, ok)
 		}
-		stop()
-		for range 3 {
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		}
 	})
 }
 
@@ -193,18 +208,13 @@
 // routers in 8 s), against instances that hear late of its return, and against
 // those that the store still serves but that only trust a peer that it turned away.
 func TestPeersDuringOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		began := time.Now().Add(-time.Hour)
-		now := func() time.Duration { return time.Since(began) }
-		l := zerolog.New(io.Discard)
-		ctx, stop := context.WithCancel(t.Context())
-		first, second := newCalm(began), newCalm(began)
-		a := New(first, nil, now, l)
-		b := New(second, []Peer{{Address: "a", Source: &peer{node: a}}}, now, l)
-		done := make(chan error, 2)
-		go func() { done <- a.Run(ctx) }()
+	play(t, func(t *testing.T, c *cluster) {
+		first, second := newCalm(c.began), newCalm(c.began)
+		a := c.node(first)
+		b := c.node(second, Peer{Address: "a", Source: &peer{node: a}})
+		c.run(a)
 		time.Sleep(time.Second)
-		go func() { done <- b.Run(ctx) }()
+		c.run(b)
 		time.Sleep(5 * time.Second)
 
 		first.away.Store(true)
@@ -228,12 +238,6 @@
 				t.Fatalf("age %v though the store serves this router", x)
 			}
 		}
-		stop()
-		for range 2 {
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		}
 	})
 }
 
@@ -243,31 +247,20 @@
 func TestPeerLosesStore(t *testing.T) {
 	for name, at := range map[string]time.Duration{"one moment": 0, "another": 370 * time.Millisecond, "a third": 1210 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				began := time.Now().Add(-time.Hour)
-				now := func() time.Duration { return time.Since(began) }
-				l := zerolog.New(io.Discard)
-				ctx, stop := context.WithCancel(t.Context())
-				first, second := newCalm(began), newCalm(began)
-				a := New(first, nil, now, l)
-				b := New(second, []Peer{{Address: "a", Source: &peer{node: a}}}, now, l)
-				done := make(chan error, 2)
-				go func() { done <- a.Run(ctx) }()
+			play(t, func(t *testing.T, c *cluster) {
+				first, second := newCalm(c.began), newCalm(c.began)
+				a := c.node(first)
+				b := c.node(second, Peer{Address: "a", Source: &peer{node: a}})
+				c.run(a)
 				time.Sleep(time.Second)
-				go func() { done <- b.Run(ctx) }()
+				c.run(b)
 				time.Sleep(8*time.Second + at)
 				first.silent.Store(true)
-				lost := now()
+				lost := c.now()
 				time.Sleep(3 * time.Second)
 				if d := time.Duration(second.listed.Load()) - lost; d < 0 || d > 1900*time.Millisecond {
 					t.Errorf("upstreams were asked for %v after the peer lost the store", d)
 				}
-				stop()
-				for range 2 {
-					if err := <-done; err != nil {
-						t.Error(err)
-					}
-				}
 			})
 		})
 	}
@@ -276,19 +269,14 @@
 // Guards against a router that waits for a peer whose connections fell silent: a link
 // between two machines was cut, and no reset tells it.
 func TestSilentPeer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		began := time.Now().Add(-time.Hour)
-		now := func() time.Duration { return time.Since(began) }
-		l := zerolog.New(io.Discard)
-		ctx, stop := context.WithCancel(t.Context())
-		first, second := newCalm(began), newCalm(began)
-		a := New(first, nil, now, l)
+	play(t, func(t *testing.T, c *cluster) {
+		first, second := newCalm(c.began), newCalm(c.began)
+		a := c.node(first)
 		p := &peer{node: a}
-		b := New(second, []Peer{{Address: "a", Source: p}}, now, l)
-		done := make(chan error, 2)
-		go func() { done <- a.Run(ctx) }()
+		b := c.node(second, Peer{Address: "a", Source: p})
+		c.run(a)
 		time.Sleep(time.Second)
-		go func() { done <- b.Run(ctx) }()
+		c.run(b)
 		time.Sleep(5 * time.Second)
 		p.mute.Store(true)
 		for range 400 {
@@ -297,15 +285,9 @@
 				t.Fatalf("configuration proved as of %v ago (%v)", x, ok)
 			}
 		}
-		if d := now() - time.Duration(second.listed.Load()); d > 4*time.Second {
+		if d := c.now() - time.Duration(second.listed.Load()); d > 4*time.Second {
 			t.Errorf("upstreams were asked for last %v ago", d)
 		}
-		stop()
-		for range 2 {
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		}
 	})
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -17,6 +15,7 @@
 	"time"
 
 	"tarragonvalve.example/proof/links"
+	"tarragonvalve.example/standin/ports"
 	"tarragonvalve.example/standin/server"
 	"tarragonvalve.example/standin/tables"
 )
@@ -256,27 +255,14 @@
 	}
 }
 
-// given are the ports handed out so far. A router that was killed needs its own again.
-var given sync.Map
-
-// free returns an address that nobody listens on. Its port lies below those that the
-// kernel gives to outgoing connections (from 32768 on), one of which took a port
-// between this check and the start of a process.
+// free returns an address for a process.
 func free(t *testing.T) string {
 	t.Helper()
-	const first, count, tries = 12_000, 20_000, 100
-	for range tries {
-		a := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
-		if _, used := given.LoadOrStore(a, true); used {
-			continue
-		}
-		if l, err := net.Listen("tcp", a); err == nil {
-			l.Close()
-			return a
-		}
+	a, err := ports.Free()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatalf("no port free from %d to %d", first, first+count)
-	return ""
+	return a
 }
 
 // pause stops a router for a time, as a suspended machine would.
--- /dev/null
+++ b/standin/ports/ports_test.go
@@ -0,0 +1,24 @@
+package ports_test
+
+import (
+	"net"
+	"testing"
+
+	"tarragonvalve.example/standin/ports"
+)
+
+// Guards against a port that two processes get, or that an outgoing connection may take.
+func TestFree(t *testing.T) {
+	seen := map[string]bool{}
+	for range 500 {
+		a, err := ports.Free()
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := net.ResolveTCPAddr("tcp", a)
+		if err != nil || p.Port >= 32768 || seen[a] {
+			t.Fatalf("got %s, %v, seen before: %v", a, err, seen[a])
+		}
+		seen[a] = true
+	}
+}
