feat: heed upstreams that leave or want no requests for a time

Cause: Server-Leaving was decoded nowhere, and the Retry-After of an upstream's 503 was ignored. While the store was away a router went on sending to an upstream that had said in its answers that it leaves.

Change: package notice keeps both by incarnation; the choice of an upstream, the repeats and the version of a roll-out leave such upstreams out. A request asks once more, right before its first byte is written, whether its upstream, its key and its time still permit it: making a connection takes time and the process may be paused. If all upstreams want no requests, the refusal says when the first one opens again.

Ruled out: notices by id alone, which take out an upstream that started again; a newer start only, as the clock of an upstream may go back.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -30,6 +30,7 @@
 	"tarragonvalve.example/router/link"
 	"tarragonvalve.example/router/meter"
 	"tarragonvalve.example/router/mover"
+	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/pulse"
 	"tarragonvalve.example/router/relay"
@@ -97,6 +98,7 @@
 		known.New,
 		link.New,
 		func() *place.Book { return place.New(s.Domain) },
+		notice.New,
 		canary.NewWatch,
 		newMover,
 		newShare,
@@ -114,8 +116,8 @@
 		}
 	}
 	var steps []serve.Step
-	err := c.Invoke(func(v *setup.Live, b *place.Book, n *known.Node, p *link.Pool, m *mover.Mover, u *pulse.Monitor, g *gossip.Node, h *share.Server, a *admin, f *front.Server) {
-		steps = []serve.Step{v, n, p, m, u, g, &cleaner{book: b, node: n}, a}
+	err := c.Invoke(func(v *setup.Live, b *place.Book, t *notice.Board, n *known.Node, p *link.Pool, m *mover.Mover, u *pulse.Monitor, g *gossip.Node, h *share.Server, a *admin, f *front.Server) {
+		steps = []serve.Step{v, n, p, m, u, g, &cleaner{book: b, notices: t, node: n}, a}
 		if h != nil {
 			steps = append(steps, h)
 		}
@@ -153,6 +155,7 @@
 	Codec    call.Codec
 	Book     *place.Book
 	Pulse    *pulse.Monitor
+	Notices  *notice.Board
 	Watch    *canary.Watch
 	Budget   *budget.Budget
 	Meter    *meter.Meter
@@ -163,7 +166,7 @@
 
 func newRelay(p relayParts) *relay.Relay {
 	return relay.New(relay.Options{
-		Node: p.Node, Links: p.Links, Codec: p.Codec, Book: p.Book, Pulse: p.Pulse, Watch: p.Watch,
+		Node: p.Node, Links: p.Links, Codec: p.Codec, Book: p.Book, Pulse: p.Pulse, Notices: p.Notices, Watch: p.Watch,
 		Budget: p.Budget, Meter: p.Meter, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values, Size: p.Gossip.Size,
 	})
 }
--- a/router/boot/clean.go
+++ b/router/boot/clean.go
@@ -6,6 +6,7 @@
 
 	"tarragonvalve.example/core/serve"
 	"tarragonvalve.example/router/known"
+	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
 )
 
@@ -13,10 +14,11 @@
 const cleanInterval = 5 * time.Second
 
 // cleaner tells the book how many upstreams each service has, and bounds the memory that
-// those of the past take.
+// those of the past and their notices take.
 type cleaner struct {
-	book *place.Book
-	node *known.Node
+	book    *place.Book
+	notices *notice.Board
+	node    *known.Node
 }
 
 // Name is the name of the step.
@@ -25,6 +27,8 @@
 // Run works until ctx ends.
 func (c *cleaner) Run(ctx context.Context) error {
 	return serve.Every(ctx, cleanInterval, func(context.Context) {
-		c.book.Update(c.node.View().Fleet, time.Now())
+		now := time.Now()
+		c.book.Update(c.node.View().Fleet, now)
+		c.notices.Expire(now)
 	})
 }
--- a/router/boot/world_test.go
+++ b/router/boot/world_test.go
@@ -164,9 +164,20 @@
 }
 
 func (w *world) register(s *server.Server, service, version, state string) {
+	w.t.Helper()
+	w.list(s, service, version, state, 1)
+}
+
+// again registers a server of the desk that started again under its id.
+func (w *world) again(s *server.Server, born int) {
+	w.t.Helper()
+	w.list(s, "desk", "v1", "ready", born)
+}
+
+func (w *world) list(s *server.Server, service, version, state string, born int) {
 	w.t.Helper()
 	err := w.store.PutJSON("servers", s.Name, map[string]any{
-		"service": service, "address": s.Address(), "zone": "a", "version": version, "slots": 8, "state": state, "born": 1,
+		"service": service, "address": s.Address(), "zone": "a", "version": version, "slots": 8, "state": state, "born": born,
 	})
 	if err != nil {
 		w.t.Fatal(err)
--- a/router/call/call.go
+++ b/router/call/call.go
@@ -80,6 +80,10 @@
 	Encoded bool
 	// Idle is how long the upstream keeps an idle connection; 0 means unstated.
 	Idle time.Duration
+	// Leaving is true if the upstream ends soon.
+	Leaving bool
+	// Quiet is how long the upstream wants no requests from this instance; 0 means unstated.
+	Quiet time.Duration
 }
 
 // Codec reads and writes the platform's headers.
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -23,6 +23,17 @@
 	Born int64
 }
 
+// Incarnation is one start of an upstream.
+type Incarnation struct {
+	ID   ident.UpstreamID
+	Born int64
+}
+
+// Incarnation returns which start of the upstream this is.
+func (u *Upstream) Incarnation() Incarnation {
+	return Incarnation{ID: u.ID, Born: u.Born}
+}
+
 // List holds upstreams by service. It is immutable after New.
 type List struct {
 	byID      map[ident.UpstreamID]*Upstream
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -108,9 +108,23 @@
 			return err
 		}
 	}
+	j.Valid = func() error { return h.valid(j) }
 	return h.relay.Serve(ctx, w, j)
 }
 
+// valid checks again, when a request is sent, what its key permits. The process may
+// have been paused since the request was admitted.
+func (h *Handler) valid(j *relay.Job) error {
+	k := *j
+	if err := h.identify(&k, h.node.View().Document); err != nil {
+		return err
+	}
+	if k.Account != j.Account {
+		return refuse.New(refuse.StaleGeneration, refuse.NotRun, "the key was given to another client account").After(retryUnknown)
+	}
+	return nil
+}
+
 // awaitStart waits until the instance knows a configuration and its upstreams,
 // for a bounded time.
 func (h *Handler) awaitStart(ctx context.Context, m call.Request) {
--- a/router/link/link_test.go
+++ b/router/link/link_test.go
@@ -100,6 +100,26 @@
 	}
 }
 
+// Guards against a request that is sent on a permission that ran out while its
+// connection was made.
+func TestPermit(t *testing.T) {
+	s, p := start(t, func(server.Request) server.Reply { return server.Answer{Status: 200, Body: "fine"} })
+	m := message(s, "a-1")
+	over := errors.New("no longer permitted")
+	m.Permit = func() error { return over }
+	var not *link.NotSentError
+	if _, err := get(p, m); !errors.As(err, &not) || !errors.Is(err, over) {
+		t.Errorf("got %v", err)
+	}
+	m.Permit = func() error { return nil }
+	if b, err := get(p, m); err != nil || b != "fine" {
+		t.Errorf("got %q %v", b, err)
+	}
+	if n := len(s.Requests()); n != 1 {
+		t.Errorf("the upstream got %d requests, want only the permitted one", n)
+	}
+}
+
 // Guards against more connections than the upstream accepts, and against a
 // refusal while one is about to become free.
 func TestLimit(t *testing.T) {
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -166,6 +166,17 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// Leave closes the idle connections to an upstream that gets nothing new.
+func (p *Pool) Leave(address string) {
+	p.mu.Lock()
+	cs := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range cs {
+		p.drop(c)
+	}
+}
+
 func (p *Pool) drop(c *conn) {
 	c.Close()
 	p.forget(c.address)
--- a/router/link/send.go
+++ b/router/link/send.go
@@ -40,6 +40,9 @@
 	Once bool
 	// Connections bounds this instance's connections to the upstream; 0 means no bound.
 	Connections int
+	// Permit is asked right before the first byte is written; its error keeps the
+	// request from being sent. It may be nil.
+	Permit func() error
 }
 
 // NotSentError reports that no byte of a request left, so it did not run.
@@ -111,9 +114,9 @@
 	if err != nil {
 		return nil, &NotSentError{Address: m.Address, Err: err}
 	}
-	if ctx.Err() != nil {
+	if err := m.permitted(ctx); err != nil {
 		p.drop(c)
-		return nil, &NotSentError{Address: m.Address, Err: ctx.Err()}
+		return nil, &NotSentError{Address: m.Address, Err: err}
 	}
 	e := &exchange{pool: p, conn: c}
 	e.stop = context.AfterFunc(ctx, func() {
@@ -131,6 +134,18 @@
 	return a, nil
 }
 
+// permitted says why a request must not be sent after all. Getting a connection takes
+// time, and the process may have been paused meanwhile.
+func (m *Message) permitted(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if m.Permit == nil {
+		return nil
+	}
+	return m.Permit()
+}
+
 func (e *exchange) run(m *Message) (*Answer, error) {
 	if err := e.write(m); err != nil {
 		return nil, err
--- /dev/null
+++ b/router/notice/notice.go
@@ -0,0 +1,166 @@
+// Package notice keeps what upstreams say of themselves in their answers: that they
+// are leaving, and until when they want no requests from this instance.
+package notice
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tarragonvalve.example/router/fleet"
+)
+
+const (
+	// LongestQuiet bounds the time for which an upstream can keep requests off: a
+	// wrong value must not take it out for good.
+	LongestQuiet = 10 * time.Minute
+	// leaveLife is how long an incarnation that left is remembered. Its entry may lapse
+	// and return while the store is away.
+	leaveLife = 10 * time.Minute
+	// maxMarks bounds the incarnations remembered; what comes beyond is not.
+	maxMarks = 1024
+	// passLife is how long other instances are told of an upstream that leaves: a few
+	// exchanges with the largest number of listeners.
+	passLife = 5 * time.Second
+	// maxPassed bounds the upstreams in one message to another instance.
+	maxPassed = 64
+)
+
+// State says whether an upstream may get requests; the sealed cases are below.
+type State interface{ state() }
+
+type (
+	// Open upstreams may get requests.
+	Open struct{}
+	// Leaving upstreams end soon and get nothing new.
+	Leaving struct{}
+	// Quiet upstreams want no requests from this instance for a time.
+	Quiet struct{ Until time.Time }
+)
+
+func (Open) state()    {}
+func (Leaving) state() {}
+func (Quiet) state()   {}
+
+// mark is what is known of one incarnation. The zero value says nothing.
+type mark struct {
+	leaving bool
+	// heardAt is when it was first heard that the incarnation leaves.
+	heardAt time.Time
+	// until is when a quiet time ends.
+	until time.Time
+}
+
+func (m mark) expired(now time.Time) bool {
+	return (!m.leaving || now.Sub(m.heardAt) > leaveLife) && !now.Before(m.until)
+}
+
+// Board holds the notices of all upstreams. A notice concerns one incarnation: an
+// upstream that starts again under its id is free of it, also if its clock went back.
+// A Board is safe for concurrent use; State takes no lock.
+type Board struct {
+	mu    sync.Mutex // guards writes
+	marks atomic.Pointer[map[fleet.Incarnation]mark]
+}
+
+// New returns a board without notices.
+func New() *Board {
+	b := &Board{}
+	b.marks.Store(&map[fleet.Incarnation]mark{})
+	return b
+}
+
+// State returns whether an upstream may get requests now.
+func (b *Board) State(u *fleet.Upstream, now time.Time) State {
+	m := (*b.marks.Load())[u.Incarnation()]
+	switch {
+	case m.leaving:
+		return Leaving{}
+	case now.Before(m.until):
+		return Quiet{Until: m.until}
+	default:
+		return Open{}
+	}
+}
+
+// Leave records that an incarnation leaves, and reports whether that is news.
+func (b *Board) Leave(i fleet.Incarnation, now time.Time) bool {
+	return b.change(i, now, func(m *mark) bool {
+		if m.leaving {
+			return false
+		}
+		m.leaving, m.heardAt = true, now
+		return true
+	})
+}
+
+// Quiet records that an incarnation wants no requests for a time, and reports whether
+// that ends later than what was known.
+func (b *Board) Quiet(i fleet.Incarnation, d time.Duration, now time.Time) bool {
+	until := now.Add(min(d, LongestQuiet))
+	return b.change(i, now, func(m *mark) bool {
+		if !until.After(m.until) {
+			return false
+		}
+		m.until = until
+		return true
+	})
+}
+
+// change replaces the mark of an incarnation if f changes it.
+func (b *Board) change(i fleet.Incarnation, now time.Time, f func(m *mark) bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := *b.marks.Load()
+	m, ok := old[i]
+	if !f(&m) {
+		return false
+	}
+	next := maps.Clone(old)
+	if !ok && len(next) >= maxMarks {
+		drop(next, now)
+		if len(next) >= maxMarks {
+			return false
+		}
+	}
+	next[i] = m
+	b.marks.Store(&next)
+	return true
+}
+
+func drop(ms map[fleet.Incarnation]mark, now time.Time) {
+	maps.DeleteFunc(ms, func(_ fleet.Incarnation, m mark) bool { return m.expired(now) })
+}
+
+// Recent returns the incarnations that were first heard to leave a short time ago, for
+// other instances.
+func (b *Board) Recent(now time.Time) []fleet.Incarnation {
+	var out []fleet.Incarnation
+	for i, m := range *b.marks.Load() {
+		if m.leaving && now.Sub(m.heardAt) <= passLife && len(out) < maxPassed {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Heard records incarnations that another instance heard to leave. What is known already
+// keeps its time, so that no notice goes round for ever.
+func (b *Board) Heard(is []fleet.Incarnation, now time.Time) {
+	for _, i := range is {
+		b.Leave(i, now)
+	}
+}
+
+// Expire drops notices whose time is over.
+func (b *Board) Expire(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := *b.marks.Load()
+	next := maps.Clone(old)
+	drop(next, now)
+	if len(next) < len(old) {
+		b.marks.Store(&next)
+	}
+}
--- /dev/null
+++ b/router/notice/notice_test.go
@@ -0,0 +1,130 @@
+package notice_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/notice"
+)
+
+func upstream(id string, born int64) *fleet.Upstream {
+	return &fleet.Upstream{ID: ident.UpstreamID(id), Born: born}
+}
+
+// model is what an instance must hold of one incarnation.
+type model struct {
+	leaves bool
+	quiet  time.Time
+}
+
+// Guards against requests to an upstream that leaves or asked for none, and against an
+// upstream left out without its word: by a word on an earlier start of it, by one that
+// comes twice, late or from another instance, or after its time.
+func TestStates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, peer := notice.New(), notice.New()
+		now := time.Unix(1_800_000_000, 0)
+		want := map[fleet.Incarnation]model{}
+		draw := func() fleet.Incarnation {
+			id := rapid.SampledFrom([]string{"u1", "u2", "u3"}).Draw(t, "id")
+			return fleet.Incarnation{ID: ident.UpstreamID(id), Born: rapid.Int64Range(0, 3).Draw(t, "born")}
+		}
+		change := func(i fleet.Incarnation, f func(m *model)) {
+			m := want[i]
+			f(&m)
+			want[i] = m
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"leave": func(*rapid.T) {
+				i := draw()
+				b.Leave(i, now)
+				change(i, func(m *model) { m.leaves = true })
+			},
+			"another instance hears": func(*rapid.T) {
+				i := draw()
+				peer.Leave(i, now)
+			},
+			"exchange": func(*rapid.T) {
+				for _, i := range peer.Recent(now) {
+					change(i, func(m *model) { m.leaves = true })
+				}
+				b.Heard(peer.Recent(now), now)
+				peer.Heard(b.Recent(now), now)
+			},
+			"quiet": func(*rapid.T) {
+				i := draw()
+				d := time.Duration(rapid.IntRange(1, 20_000).Draw(t, "ms")) * time.Millisecond
+				b.Quiet(i, d, now)
+				change(i, func(m *model) {
+					if e := now.Add(d); e.After(m.quiet) {
+						m.quiet = e
+					}
+				})
+			},
+			"time": func(*rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 9_000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"expire": func(*rapid.T) { b.Expire(now) },
+			"": func(t *rapid.T) {
+				for _, id := range []string{"u1", "u2", "u3"} {
+					for born := range int64(4) {
+						u := upstream(id, born)
+						m := want[u.Incarnation()]
+						s := b.State(u, now)
+						ok := false
+						switch s := s.(type) {
+						case notice.Leaving:
+							ok = m.leaves
+						case notice.Quiet:
+							ok = !m.leaves && s.Until.Equal(m.quiet) && now.Before(m.quiet)
+						case notice.Open:
+							ok = !m.leaves && !now.Before(m.quiet)
+						}
+						if !ok {
+							t.Fatalf("%s born %d is %#v, want %+v", id, born, s, m)
+						}
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against notices that go round between instances for ever, and against memory
+// and messages that grow with the number of upstreams that left.
+func TestBounds(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	a, b := notice.New(), notice.New()
+	a.Leave(fleet.Incarnation{ID: "u"}, now)
+	for range 60 {
+		now = now.Add(time.Second)
+		b.Heard(a.Recent(now), now)
+		a.Heard(b.Recent(now), now)
+	}
+	if is := slices.Concat(a.Recent(now), b.Recent(now)); len(is) > 0 {
+		t.Errorf("after a minute %v is still passed on", is)
+	}
+	for i := range 2_000 {
+		a.Leave(fleet.Incarnation{ID: ident.UpstreamID(fmt.Sprint(i))}, now)
+	}
+	if n := len(a.Recent(now)); n > 64 {
+		t.Errorf("%d upstreams in one message", n)
+	}
+	if _, ok := a.State(upstream("1999", 0), now).(notice.Open); !ok {
+		t.Error("more upstreams than the bound are remembered")
+	}
+	now = now.Add(time.Hour)
+	if !a.Leave(fleet.Incarnation{ID: "1999"}, now) {
+		t.Error("old notices keep new ones out")
+	}
+	a.Quiet(fleet.Incarnation{ID: "q"}, 1e9*time.Second, now)
+	if _, ok := a.State(upstream("q", 0), now.Add(notice.LongestQuiet)).(notice.Open); !ok {
+		t.Error("a wrong Retry-After takes an upstream out for good")
+	}
+}
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -13,20 +13,27 @@
 	"tarragonvalve.example/router/routes"
 )
 
-// accept returns which upstreams' versions the request may use. If the roll-out
-// leaves no upstream, any version may answer.
+// accept returns which upstreams the request may use now.
 func (t *try) accept(v *known.View) func(u *fleet.Upstream) bool {
+	now := time.Now()
+	version := t.acceptVersion(v, now)
+	return func(u *fleet.Upstream) bool { return t.open(u, now) && version(u) }
+}
+
+// acceptVersion returns which upstreams' versions the request may use. If the roll-out
+// leaves no upstream, any version may answer.
+func (t *try) acceptVersion(v *known.View, now time.Time) func(u *fleet.Upstream) bool {
 	if t.version != "" {
 		return func(u *fleet.Upstream) bool { return u.Version == t.version }
 	}
 	r := t.rollout(v)
 	accept := func(u *fleet.Upstream) bool { return r.Accepts(u.Version) }
 	for _, u := range v.Fleet.Service(t.service) {
-		if !u.Draining && accept(u) {
+		if t.stays(u, now) && accept(u) {
 			return accept
 		}
 	}
-	return nil
+	return func(*fleet.Upstream) bool { return true }
 }
 
 // rollout returns which side of a roll-out the request belongs to.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -22,6 +22,7 @@
 	"tarragonvalve.example/router/known"
 	"tarragonvalve.example/router/link"
 	"tarragonvalve.example/router/meter"
+	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/pulse"
 	"tarragonvalve.example/router/routes"
@@ -57,6 +58,9 @@
 	Arrived  time.Time
 	// Deadline is when the client, or the route's time, is over.
 	Deadline time.Time
+	// Valid returns a *refuse.Error if the request would no longer be admitted. It is
+	// asked before a request that has not run is sent; nil admits always.
+	Valid func() error
 }
 
 // CutError reports an answer that was broken off after its head was sent.
@@ -75,6 +79,8 @@
 	Codec  call.Codec
 	Book   *place.Book
 	Pulse  *pulse.Monitor
+	// Notices holds what upstreams said of themselves.
+	Notices *notice.Board
 	Watch  *canary.Watch
 	Budget *budget.Budget
 	Meter  *meter.Meter
@@ -150,12 +156,15 @@
 	lost struct{ err error }
 	// none means that no upstream is left to try.
 	none struct{}
+	// invalid means that the request is no longer admitted; nothing was sent.
+	invalid struct{ err *refuse.Error }
 )
 
 func (answered) outcome() {}
 func (rejected) outcome() {}
 func (lost) outcome()     {}
 func (none) outcome()     {}
+func (invalid) outcome()  {}
 
 // offer is a request on its way to one upstream.
 type offer struct {
@@ -231,6 +240,7 @@
 		Address: u.Address, Method: t.Method, Target: t.Target, Host: t.Host,
 		Header: t.Codec.Outgoing(t.Header, s), Body: t.Body, ID: t.Meta.ID,
 		Once: !t.Route.Repeatable(), Connections: t.connections(),
+		Permit: func() error { return t.permit(u) },
 	})
 	r := t.judge(ctx, a, err, o)
 	t.record(c, model, r, time.Since(began))
@@ -241,7 +251,16 @@
 func (t *try) judge(ctx context.Context, a *link.Answer, err error, o *offer) outcome {
 	var n *link.NotSentError
 	var f *link.FullError
+	var v *refuse.Error
+	var l *ClosedError
 	switch {
+	case errors.As(err, &v):
+		o.left()
+		return invalid{err: v}
+	case errors.As(err, &l):
+		o.left()
+		t.reason = l.Error()
+		return rejected{reason: t.reason}
 	case errors.As(err, &f):
 		o.left()
 		t.reason = f.Error()
@@ -265,6 +284,7 @@
 		return lost{err: err}
 	}
 	o.heard()
+	o.notices(a)
 	if a.Meta.Loaded {
 		o.attempt.Reported(a.Meta.Load, time.Now())
 	}
@@ -317,10 +337,17 @@
 		if t.ran {
 			break
 		}
+		if d, ok := t.opening(time.Now()); ok {
+			return refuse.New(refuse.Overloaded, ran, "all upstreams of service %s want no requests now", t.service).After(d)
+		}
 		if t.reason != "" {
 			return refuse.New(refuse.Overloaded, ran, "no upstream took the request: %s", t.reason).After(retryFull)
 		}
 		return refuse.New(refuse.NoUpstream, ran, "no upstream of service %s is known", t.service).After(retryNone)
+	case invalid:
+		if !t.ran {
+			return o.err
+		}
 	case lost:
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return refuse.New(refuse.DeadlineExceeded, ran, "no answer of an upstream in time")
--- a/router/relay/repeat.go
+++ b/router/relay/repeat.go
@@ -27,6 +27,16 @@
 	return true
 }
 
+// final reports whether an outcome leaves nothing to repeat.
+func final(o outcome) bool {
+	switch o.(type) {
+	case none, invalid:
+		return true
+	default:
+		return false
+	}
+}
+
 // giveUp returns a function that ends the present attempt if, and only if, the
 // request may go on elsewhere: a server's silence alone is no reason to end an
 // answer. It returns nil if that is ruled out already. The function may be called
@@ -47,8 +57,9 @@
 
 // another reports whether an upstream of the same version was not tried yet.
 func (t *try) another(u *fleet.Upstream, tried []ident.UpstreamID) bool {
+	now := time.Now()
 	for _, x := range t.Node.View().Fleet.Service(t.service) {
-		if !x.Draining && x.Version == u.Version && !slices.Contains(tried, x.ID) {
+		if !x.Draining && t.open(x, now) && x.Version == u.Version && !slices.Contains(tried, x.ID) {
 			return true
 		}
 	}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -50,7 +50,7 @@
 			// The next larger model answers; the choice was made in streamOnce.
 			continue
 		default:
-			if _, ok := o.(none); !ok && t.mayResume(f) && t.again(ctx) {
+			if !final(o) && t.mayResume(f) && t.again(ctx) {
 				if f.begun {
 					t.Meter.Resumed()
 				}
--- a/router/relay/whole.go
+++ b/router/relay/whole.go
@@ -32,7 +32,7 @@
 		if a != nil && (a.status < http.StatusInternalServerError || !t.Route.Repeatable()) {
 			break
 		}
-		if _, ok := o.(none); ok || !t.again(ctx) {
+		if final(o) || !t.again(ctx) {
 			break
 		}
 	}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -40,8 +40,15 @@
 		// SkipID is the id of an event to leave out.
 		SkipID int
 	}
-	// Reject is a promise that the request was not run.
-	Reject struct{ Status int }
+	// Reject is a promise that the request was not run. RetryAfter is sent unless it is empty.
+	Reject struct {
+		Status     int
+		RetryAfter string
+	}
+	// Leaving is a whole answer of a server that leaves.
+	Leaving struct{ Answer }
+	// Endless sends a head and then a unit again and again until the caller closes.
+	Endless struct{ Head, Unit string }
 	// Cut closes the connection in the middle of the answer's body.
 	Cut struct{}
 	// Reset closes the connection without an answer.
@@ -63,6 +70,8 @@
 func (Answer) reply()  {}
 func (Events) reply()  {}
 func (Reject) reply()  {}
+func (Leaving) reply() {}
+func (Endless) reply() {}
 func (Cut) reply()     {}
 func (Reset) reply()   {}
 func (Hang) reply()    {}
@@ -235,7 +244,19 @@
 		y.Header = http.Header{"Tarragonvalve-Attempt-Id": {"of-another-request"}}
 		return write(c, whole(y, a.Answer)+whole(x, a.Answer))
 	case Reject:
-		return write(c, fmt.Sprintf("HTTP/1.1 %d Rejected\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", a.Status, x.ID()))
+		later := ""
+		if a.RetryAfter != "" {
+			later = "Retry-After: " + a.RetryAfter + "\r\n"
+		}
+		return write(c, fmt.Sprintf("HTTP/1.1 %d Rejected\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", a.Status, x.ID(), later))
+	case Leaving:
+		write(c, head(x, a.Status, a.Confidence)+fmt.Sprintf("Server-Leaving: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(a.Body), a.Body))
+		return false
+	case Endless:
+		for ok := write(c, a.Head); ok; {
+			ok = write(c, a.Unit)
+		}
+		return false
 	case Cut:
 		write(c, head(x, http.StatusOK, -1)+"Content-Length: 100\r\n\r\nonly a part")
 		return false
