feat: tell other routers of upstreams that leave

Cause: each of 103 routers meets an upstream about once in many seconds, so while the store is away each sends one more request to an upstream that another router knows to leave.

What is known already keeps its time, so nothing goes round; a word on an earlier start does not touch a newer one.

Ruled out: quiet times, which an upstream asks of one instance only.

--- a/router/boot/share.go
+++ b/router/boot/share.go
@@ -10,6 +10,7 @@
 
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/known"
+	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/setup"
 	"tarragonvalve.example/router/share"
@@ -49,12 +50,12 @@
 }
 
 // newGossip returns the exchange of samples with the same contacts.
-func newGossip(s *setup.Settings, cs []*share.Client, b *place.Book, l zerolog.Logger) *gossip.Node {
+func newGossip(s *setup.Settings, cs []*share.Client, b *place.Book, t *notice.Board, l zerolog.Logger) *gossip.Node {
 	var ps []gossip.Peer
 	for _, c := range cs {
 		ps = append(ps, c)
 	}
-	return gossip.New(s.Instance, b, ps, l)
+	return gossip.New(s.Instance, b, t, ps, l)
 }
 
 // networkBits is the length of the address prefix that neighbours share.
--- a/router/gossip/log.go
+++ b/router/gossip/log.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/place"
 )
 
@@ -41,6 +42,8 @@
 	// Routers their number.
 	Backlog []place.Backlog
 	Routers int
+	// Leaving are upstreams that said a short time ago that they leave.
+	Leaving []fleet.Incarnation
 	// After is the position up to which the sender knows the receiver's samples.
 	After Cursor
 }
@@ -51,6 +54,8 @@
 	// Backlog is the sum of what all others have sent, and Routers their number.
 	Backlog []place.Backlog
 	Routers int
+	// Leaving are upstreams that said a short time ago that they leave.
+	Leaving []fleet.Incarnation
 	// Next is the position to ask from next time.
 	Next Cursor
 	// Pause is how long the receiver should wait before it asks again.
--- a/router/gossip/trade.go
+++ b/router/gossip/trade.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/place"
 )
 
@@ -32,11 +33,18 @@
 	SetOthers(bs []place.Backlog, now time.Time)
 }
 
+// Notices keeps the upstreams that said that they leave.
+type Notices interface {
+	Recent(now time.Time) []fleet.Incarnation
+	Heard(is []fleet.Incarnation, now time.Time)
+}
+
 // Node exchanges samples with the first peer that answers. Peers are ordered so
 // that no exchange goes in a circle: each sample reaches a router once.
 type Node struct {
 	name    string
 	book    Book
+	notices Notices
 	peers   []*contact
 	samples *Log
 	totals  *Totals
@@ -52,8 +60,8 @@
 }
 
 // New returns a node.
-func New(name string, b Book, peers []Peer, l zerolog.Logger) *Node {
-	n := &Node{name: name, book: b, samples: NewLog(), totals: NewTotals(), log: l}
+func New(name string, b Book, t Notices, peers []Peer, l zerolog.Logger) *Node {
+	n := &Node{name: name, book: b, notices: t, samples: NewLog(), totals: NewTotals(), log: l}
 	for _, p := range peers {
 		n.peers = append(n.peers, &contact{Peer: p})
 	}
@@ -103,7 +111,7 @@
 	ss, sent := n.samples.After(c.sent, c.Address(), now)
 	bs, routers := n.totals.Without(c.Address(), now)
 	a, err := c.Trade(ctx, Message{
-		From: n.name, Samples: ss, Backlog: bs, Routers: routers, After: c.seen,
+		From: n.name, Samples: ss, Backlog: bs, Routers: routers, After: c.seen, Leaving: n.notices.Recent(now),
 	})
 	if err != nil {
 		c.failed = now
@@ -115,6 +123,7 @@
 		n.log.Info().Str("peer", c.Address()).Msg("samples exchanged again")
 	}
 	c.sent, c.seen = sent, a.Next
+	n.notices.Heard(a.Leaving, now)
 	n.learn(c.Address(), a.Samples, a.Backlog, a.Routers)
 	return max(a.Pause, shortestPause)
 }
@@ -122,7 +131,8 @@
 // Take answers a message of another router.
 func (n *Node) Take(m Message) Answer {
 	now := time.Now()
-	a := Answer{Pause: n.samples.Pause(m.From, now)}
+	a := Answer{Pause: n.samples.Pause(m.From, now), Leaving: n.notices.Recent(now)}
+	n.notices.Heard(m.Leaving, now)
 	a.Samples, a.Next = n.samples.After(m.After, m.From, now)
 	n.totals.Set(n.name, n.book.Backlog(), 1, now)
 	a.Backlog, a.Routers = n.totals.Without(m.From, now)
--- a/router/share/trade.go
+++ b/router/share/trade.go
@@ -7,6 +7,7 @@
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/place"
 )
@@ -17,13 +18,13 @@
 // Trade hands samples over and returns those of other routers.
 func (c *Client) Trade(ctx context.Context, m gossip.Message) (gossip.Answer, error) {
 	now := time.Now()
-	r, err := c.rpc.Trade(ctx, &TradeRequest{From: m.From, After: uint64(m.After), Samples: encodeSamples(m.Samples, now), Backlog: encodeBacklog(m.Backlog), Routers: uint32(m.Routers)})
+	r, err := c.rpc.Trade(ctx, &TradeRequest{From: m.From, After: uint64(m.After), Samples: encodeSamples(m.Samples, now), Backlog: encodeBacklog(m.Backlog), Routers: uint32(m.Routers), Leaving: encodeIncarnations(m.Leaving)})
 	if err != nil {
 		return gossip.Answer{}, fmt.Errorf("trade samples with peer %s: %w", c.address, err)
 	}
 	return gossip.Answer{
 		Samples: decodeSamples(r.GetSamples(), now), Next: gossip.Cursor(r.GetNext()), Backlog: decodeBacklog(r.GetBacklog()), Routers: int(r.GetRouters()),
-		Pause: time.Duration(r.GetPauseMs()) * time.Millisecond,
+		Pause: time.Duration(r.GetPauseMs()) * time.Millisecond, Leaving: decodeIncarnations(r.GetLeaving()),
 	}, nil
 }
 
@@ -33,10 +34,12 @@
 	a := s.gossip.Take(gossip.Message{
 		From: q.GetFrom(), After: gossip.Cursor(q.GetAfter()), Samples: decodeSamples(q.GetSamples(), now),
 		Backlog: decodeBacklog(q.GetBacklog()), Routers: int(q.GetRouters()),
+		Leaving: decodeIncarnations(q.GetLeaving()),
 	})
 	return &TradeReply{
 		Samples: encodeSamples(a.Samples, now), Next: uint64(a.Next), PauseMs: uint32(a.Pause.Milliseconds()),
 		Backlog: encodeBacklog(a.Backlog), Routers: uint32(a.Routers),
+		Leaving: encodeIncarnations(a.Leaving),
 	}, nil
 }
 
@@ -95,3 +98,19 @@
 	}
 	return out
 }
+
+func encodeIncarnations(is []fleet.Incarnation) []*Incarnation {
+	out := make([]*Incarnation, 0, len(is))
+	for _, i := range is {
+		out = append(out, &Incarnation{Upstream: string(i.ID), Born: i.Born})
+	}
+	return out
+}
+
+func decodeIncarnations(ms []*Incarnation) []fleet.Incarnation {
+	out := make([]fleet.Incarnation, 0, len(ms))
+	for _, m := range ms {
+		out = append(out, fleet.Incarnation{ID: ident.UpstreamID(m.GetUpstream()), Born: m.GetBorn()})
+	}
+	return out
+}
