fix: bound the bytes that upstreams may send

Cause: heads, interim answers and the bodies of foreign answers were read without a bound, answers that are no stream were cut at 4 MiB and passed on as whole, and the bodies held at a time had no bound in all. Comments counted as progress of a stream.

Change: package quota bounds the bytes of a head (16 KiB with interim answers), of a foreign answer, of an event (64 KiB) and of all messages held at a time (a quarter of memory-mb). Over a bound the connection closes, the attempt counts as one that may have run, and a log line and answers_exceeded_total name the bound. A request does not go over a connection whose last request had the same id, where a late copy of that answer could not be told from the answer.

Ruled out: chunk extensions and trailers, which net/http bounds (TestEndlessHead).

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -33,6 +33,7 @@
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/pulse"
+	"tarragonvalve.example/router/quota"
 	"tarragonvalve.example/router/relay"
 	"tarragonvalve.example/router/setup"
 	"tarragonvalve.example/router/share"
@@ -99,6 +100,7 @@
 		link.New,
 		func() *place.Book { return place.New(s.Domain) },
 		notice.New,
+		newMemory,
 		canary.NewWatch,
 		newMover,
 		newShare,
@@ -159,6 +161,7 @@
 	Watch    *canary.Watch
 	Budget   *budget.Budget
 	Meter    *meter.Meter
+	Memory   *quota.Memory
 	Now      clock.Func
 	Log      zerolog.Logger
 	Gossip   *gossip.Node
@@ -167,10 +170,17 @@
 func newRelay(p relayParts) *relay.Relay {
 	return relay.New(relay.Options{
 		Node: p.Node, Links: p.Links, Codec: p.Codec, Book: p.Book, Pulse: p.Pulse, Notices: p.Notices, Watch: p.Watch,
-		Budget: p.Budget, Meter: p.Meter, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values, Size: p.Gossip.Size,
+		Budget: p.Budget, Meter: p.Meter, Memory: p.Memory, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values, Size: p.Gossip.Size,
 	})
 }
 
+// messageShare is the part of the allowed memory that messages in progress may take.
+const messageShare = 0.25
+
+func newMemory(s *setup.Settings) *quota.Memory {
+	return quota.NewMemory(int64(float64(s.Memory*megabyte) * messageShare))
+}
+
 func newMeter(n *known.Node, g *front.Gate, o *gossip.Node) *meter.Meter {
 	age := func() float64 {
 		a, ok := n.Age()
--- a/router/events/events.go
+++ b/router/events/events.go
@@ -7,13 +7,12 @@
 	"errors"
 	"io"
 	"strconv"
-)
 
-// maxEvent bounds one event; the largest are a few hundred bytes.
-const maxEvent = 256 << 10
+	"tarragonvalve.example/router/quota"
+)
 
-// ErrTooLong reports an event over the bound.
-var ErrTooLong = errors.New("event longer than 256 KiB")
+// maxEvent bounds one event, in bytes; the largest are a few hundred.
+const maxEvent = 64 << 10
 
 // Event is one event with the blank line that ends it.
 type Event struct {
@@ -21,6 +20,8 @@
 	// ID is valid if Numbered.
 	ID       uint64
 	Numbered bool
+	// Blank events hold nothing but comments.
+	Blank bool
 }
 
 // Reader reads events from a body.
@@ -34,10 +35,10 @@
 }
 
 // Next returns the next whole event. It returns io.EOF after the last one and
-// io.ErrUnexpectedEOF if the stream ends within an event. The event's bytes are
-// the caller's.
+// io.ErrUnexpectedEOF if the stream ends within an event, and a *quota.LongError for an
+// event without end. The event's bytes are the caller's.
 func (r *Reader) Next() (Event, error) {
-	var e Event
+	e := Event{Blank: true}
 	for {
 		line, err := r.r.ReadSlice('\n')
 		e.Raw = append(e.Raw, line...)
@@ -52,7 +53,7 @@
 			return Event{}, err
 		}
 		if len(e.Raw) > maxEvent {
-			return Event{}, ErrTooLong
+			return Event{}, &quota.LongError{What: "event", Limit: maxEvent}
 		}
 		if err != nil {
 			continue
@@ -66,6 +67,9 @@
 }
 
 func (e *Event) field(line []byte) {
+	if line[0] != ':' {
+		e.Blank = false
+	}
 	v, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
 		return
--- a/router/events/events_test.go
+++ b/router/events/events_test.go
@@ -1,13 +1,14 @@
 package events_test
 
 import (
-	"errors"
 	"io"
+	"reflect"
 	"strings"
 	"testing"
 	"testing/iotest"
 
 	"tarragonvalve.example/router/events"
+	"tarragonvalve.example/router/quota"
 )
 
 // Guards against events that are joined, changed, or passed on in part.
@@ -24,7 +25,7 @@
 		"cut at its end":    {"id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF},
 		"empty":             {"", nil, io.EOF},
 		"long":              {"id: 1\ndata: " + strings.Repeat("x", 20_000) + "\n\n", []uint64{1}, io.EOF},
-		"too long":          {"data: " + strings.Repeat("x", 300<<10), nil, events.ErrTooLong},
+		"too long":          {"data: " + strings.Repeat("x", 300<<10), nil, &quota.LongError{What: "event", Limit: 64 << 10}},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -34,7 +35,7 @@
 			for {
 				e, err := r.Next()
 				if err != nil {
-					if !errors.Is(err, c.end) {
+					if !reflect.DeepEqual(err, c.end) {
 						t.Errorf("ended with %v, want %v", err, c.end)
 					}
 					break
--- a/router/gossip/gossip_test.go
+++ b/router/gossip/gossip_test.go
@@ -50,8 +50,8 @@
 type routers struct {
 	books   []*place.Book
 	notices []*notice.Board
-	nodes []*gossip.Node
-	seeds []*direct
+	nodes   []*gossip.Node
+	seeds   []*direct
 }
 
 func newRouters(n int) *routers {
--- a/router/link/conn.go
+++ b/router/link/conn.go
@@ -7,17 +7,29 @@
 	"net"
 	"syscall"
 	"time"
+
+	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/quota"
 )
 
 // conn is one connection to an upstream. It is used by one goroutine at a time.
 type conn struct {
 	net.Conn
+	// bytes bounds what r reads from the connection.
+	bytes   *quota.Reader
 	r       *bufio.Reader
 	address string
 	// usedAt is when the connection became idle; idle is how long the upstream keeps it then.
 	usedAt time.Time
 	idle   time.Duration
 	reused bool
+	// last is the id of the request before.
+	last call.ID
+}
+
+func newConn(n net.Conn, address string) *conn {
+	b := quota.NewReader(n)
+	return &conn{Conn: n, bytes: b, r: bufio.NewReaderSize(b, readBuffer), address: address}
 }
 
 // errUnexpected reports bytes on a connection that waits for no answer.
--- a/router/link/link_test.go
+++ b/router/link/link_test.go
@@ -3,20 +3,24 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"tarragonvalve.example/platform/heads"
+	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/link"
 	"tarragonvalve.example/standin/server"
 )
 
 func message(s *server.Server, id string) *link.Message {
 	return &link.Message{
-		Address: s.Address(), Method: http.MethodPost, Target: "/x", Host: "h.example", ID: "a-1", Once: true,
+		Address: s.Address(), Method: http.MethodPost, Target: "/x", Host: "h.example", ID: call.ID(id), Once: true,
 		Header: http.Header{"Tarragonvalve-Attempt-Id": {id}, "Tarragonvalve-Expect-Instance": {"s1"}},
 	}
 }
@@ -58,10 +62,10 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			s, p := start(t, func(server.Request) server.Reply { return c.reply })
-			m := message(s, "a-1")
-			// Longer than what the loopback's buffers take, so that an early answer overtakes it.
-			m.Body = make([]byte, 8<<20)
-			for range 2 {
+			for i := range 2 {
+				m := message(s, fmt.Sprint("a-", i))
+				// Longer than what the loopback's buffers take, so that an early answer overtakes it.
+				m.Body = make([]byte, 8<<20)
 				if b, err := get(p, m); err != nil || b != "fine" {
 					t.Fatalf("got %q %v", b, err)
 				}
@@ -77,7 +81,7 @@
 func TestClosedWhileIdle(t *testing.T) {
 	s, p := start(t, func(server.Request) server.Reply { return server.Answer{Status: 200, Body: "fine"} })
 	for i := range 5 {
-		if b, err := get(p, message(s, "a-1")); err != nil || b != "fine" {
+		if b, err := get(p, message(s, fmt.Sprint("a-", i))); err != nil || b != "fine" {
 			t.Fatalf("request %d: %q %v", i, b, err)
 		}
 		s.CloseConnections()
@@ -100,6 +104,51 @@
 	}
 }
 
+// Guards against memory taken by a server that sends bytes without end where the head
+// of an answer is due (forty such answers took 5.2 GB of a router's memory).
+func TestEndlessHead(t *testing.T) {
+	tests := map[string]server.Endless{
+		"status line":       {Head: "HTTP/1.1 200 ", Unit: strings.Repeat("O", 4096)},
+		"header line":       {Head: "HTTP/1.1 200 OK\r\nX-Long: ", Unit: strings.Repeat("x", 4096)},
+		"header lines":      {Head: "HTTP/1.1 200 OK\r\n", Unit: "X-Some: thing\r\n"},
+		"interim answers":   {Unit: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"another's answers": {Unit: "HTTP/1.1 200 OK\r\nTarragonvalve-Attempt-Id: other\r\nContent-Length: 2\r\n\r\nno"},
+		"another's body":    {Head: "HTTP/1.1 200 OK\r\nTarragonvalve-Attempt-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", Unit: "4\r\nmore\r\n"},
+		"chunk line":        {Head: "HTTP/1.1 200 OK\r\nTarragonvalve-Attempt-Id: a-1\r\nTransfer-Encoding: chunked\r\n\r\n4;", Unit: strings.Repeat("x", 4096)},
+		"chunk extensions":  {Head: "HTTP/1.1 200 OK\r\nTarragonvalve-Attempt-Id: a-1\r\nTransfer-Encoding: chunked\r\n\r\n", Unit: "1;" + strings.Repeat("x", 2000) + "\r\nx\r\n"},
+		"trailers":          {Head: "HTTP/1.1 200 OK\r\nTarragonvalve-Attempt-Id: a-1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", Unit: "X-Some: thing\r\n"},
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, p := start(t, func(server.Request) server.Reply { return r })
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			if _, err := get(p, message(s, "a-1")); err == nil {
+				t.Error("bytes without end are an answer")
+			}
+			runtime.ReadMemStats(&after)
+			// The bound on a head is 16 KiB; what reads it may copy it several times.
+			if d := after.TotalAlloc - before.TotalAlloc; d > 4<<20 {
+				t.Errorf("%d bytes were allocated", d)
+			}
+		})
+	}
+}
+
+// Guards against an answer to the request before, sent twice, that is taken for the
+// answer to a request with the same id on the same connection.
+func TestSameIDAgain(t *testing.T) {
+	s, p := start(t, func(server.Request) server.Reply { return server.Answer{Status: 200, Body: "fine"} })
+	for range 2 {
+		if b, err := get(p, message(s, "a-1")); err != nil || b != "fine" {
+			t.Fatalf("got %q %v", b, err)
+		}
+	}
+	if rs := s.Requests(); rs[1].Connection == rs[0].Connection {
+		t.Error("both went over one connection, where a late copy can't be told from the answer")
+	}
+}
+
 // Guards against a request that is sent on a permission that ran out while its
 // connection was made.
 func TestPermit(t *testing.T) {
@@ -141,7 +190,8 @@
 	})
 	<-started
 	n := *m
-	n.Target = "/x"
+	n.Target, n.ID = "/x", "a-2"
+	n.Header = http.Header{"Tarragonvalve-Attempt-Id": {"a-2"}, "Tarragonvalve-Expect-Instance": {"s1"}}
 	var full *link.FullError
 	if _, err := get(p, &n); !errors.As(err, &full) {
 		t.Errorf("beyond the limit: %v", err)
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -4,7 +4,6 @@
 package link
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -83,12 +82,13 @@
 	return "connect to " + e.Address + ": all connections of this instance are in use"
 }
 
-// get returns a connection, an idle one if possible. A limit of 0 means no bound.
-func (p *Pool) get(ctx context.Context, address string, once bool, limit int) (*conn, error) {
-	if c := p.reuse(address, once); c != nil {
+// get returns a connection for a request, an idle one if possible.
+func (p *Pool) get(ctx context.Context, m *Message) (*conn, error) {
+	address := m.Address
+	if c := p.reuse(m); c != nil {
 		return c, nil
 	}
-	c, err := p.reserve(ctx, address, once, limit)
+	c, err := p.reserve(ctx, m)
 	if c != nil || err != nil {
 		return c, err
 	}
@@ -97,12 +97,13 @@
 		p.forget(address)
 		return nil, err
 	}
-	return &conn{Conn: n, r: bufio.NewReaderSize(n, readBuffer), address: address}, nil
+	return newConn(n, address), nil
 }
 
 // reserve counts a new connection. If the limit is reached it waits a moment for
 // a connection that becomes idle, and returns that, or for one that ends.
-func (p *Pool) reserve(ctx context.Context, address string, once bool, limit int) (*conn, error) {
+func (p *Pool) reserve(ctx context.Context, m *Message) (*conn, error) {
+	address, limit := m.Address, m.Connections
 	for end := time.Now().Add(freeWait); ; {
 		p.mu.Lock()
 		if limit <= 0 || p.open[address] < limit {
@@ -115,16 +116,18 @@
 			return nil, &FullError{Address: address, Limit: limit}
 		}
 		time.Sleep(freePoll)
-		if c := p.reuse(address, once); c != nil {
+		if c := p.reuse(m); c != nil {
 			return c, nil
 		}
 	}
 }
 
-// reuse returns an idle connection that is still usable, or nil; it drops others.
-func (p *Pool) reuse(address string, once bool) *conn {
-	for c := p.takeIdle(address, once); c != nil; c = p.takeIdle(address, once) {
-		if c.silent() == nil {
+// reuse returns an idle connection that is still usable, or nil; it drops others. A
+// connection whose last request had the same id is not: a late copy of that answer could
+// not be told from the answer.
+func (p *Pool) reuse(m *Message) *conn {
+	for c := p.takeIdle(m.Address, m.Once); c != nil; c = p.takeIdle(m.Address, m.Once) {
+		if c.last != m.ID && c.silent() == nil {
 			c.reused = true
 			return c
 		}
--- a/router/link/send.go
+++ b/router/link/send.go
@@ -19,6 +19,9 @@
 	inlineBody = 4 << 10
 	// maxForeign bounds the answers to other requests that are skipped on one connection.
 	maxForeign = 2
+	// maxHead bounds an answer's head with the interim answers before it, in bytes;
+	// heads of the users' servers take under 1 KiB.
+	maxHead = 16 << 10
 	// maxSkipped bounds the body of a skipped answer.
 	maxSkipped = 64 << 10
 	// writeLag is how long the goroutine that writes a long body may take to report
@@ -110,7 +113,7 @@
 // closes the connection, also while the body is read. Errors are
 // *NotSentError, *LostError.
 func (p *Pool) Send(ctx context.Context, m *Message) (*Answer, error) {
-	c, err := p.get(ctx, m.Address, m.Once, m.Connections)
+	c, err := p.get(ctx, m)
 	if err != nil {
 		return nil, &NotSentError{Address: m.Address, Err: err}
 	}
@@ -118,6 +121,7 @@
 		p.drop(c)
 		return nil, &NotSentError{Address: m.Address, Err: err}
 	}
+	c.last = m.ID
 	e := &exchange{pool: p, conn: c}
 	e.stop = context.AfterFunc(ctx, func() {
 		// Closing is what tells the upstream to stop; it also ends a blocked read or write.
@@ -162,8 +166,8 @@
 		if !a.Framed {
 			return nil, &ForeignError{ID: a.Meta.ID}
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(a.body, maxSkipped))
-		if err != nil || n == maxSkipped {
+		e.conn.bytes.Limit("body of another request's answer", maxSkipped)
+		if _, err := io.Copy(io.Discard, a.body); err != nil {
 			return nil, errors.Join(&ForeignError{ID: a.Meta.ID}, err)
 		}
 		e.keep = false
@@ -205,6 +209,8 @@
 
 func (e *exchange) read(m *Message) (*Answer, error) {
 	q := &http.Request{Method: m.Method}
+	e.conn.bytes.Limit("head of an answer", maxHead)
+	defer e.conn.bytes.Unlimit()
 	for {
 		//nolint:bodyclose // the body is the rest of the connection, which Answer.End closes or keeps
 		r, err := http.ReadResponse(e.conn.r, q)
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -25,6 +25,7 @@
 	denied   prometheus.Counter
 	larger   prometheus.Counter
 	resumed  prometheus.Counter
+	exceeded *prometheus.CounterVec
 }
 
 // New returns metrics at zero. age returns the age of the configuration in seconds,
@@ -50,8 +51,11 @@
 		resumed: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "streams_resumed_total", Help: "Streams that went on at another upstream.",
 		}),
+		exceeded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "answers_exceeded_total", Help: "Answers of upstreams given up at a bound, by the bound.",
+		}, []string{"bound"}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.denied, m.larger, m.resumed,
+	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.denied, m.larger, m.resumed, m.exceeded,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_age_seconds", Help: "How old the configuration may be at most; -1 if none is known.",
 		}, age),
@@ -85,6 +89,9 @@
 // Resumed counts a stream that went on at another upstream.
 func (m *Meter) Resumed() { m.resumed.Inc() }
 
+// Exceeded counts an answer given up at a bound.
+func (m *Meter) Exceeded(bound string) { m.exceeded.WithLabelValues(bound).Inc() }
+
 // Handler serves the metrics as text.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
--- /dev/null
+++ b/router/quota/quota_test.go
@@ -0,0 +1,78 @@
+package quota_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+
+	"tarragonvalve.example/router/quota"
+)
+
+// endless gives the same byte for ever.
+type endless struct{}
+
+func (endless) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = 'x'
+	}
+	return len(b), nil
+}
+
+// Guards against messages that together take more memory than they may, memory that
+// is not given back, and a message that is cut without an error.
+func TestReadAll(t *testing.T) {
+	m := quota.NewMemory(64 << 10)
+	a := m.Message()
+	want := strings.Repeat("a", 20_000)
+	if b, err := a.ReadAll(strings.NewReader(want), "answer", 20_000); err != nil || string(b) != want {
+		t.Errorf("got %d bytes, %v", len(b), err)
+	}
+	var long *quota.LongError
+	b := m.Message()
+	if _, err := b.ReadAll(bytes.NewReader(make([]byte, 20_001)), "answer", 20_000); !errors.As(err, &long) {
+		t.Errorf("one byte too many: %v", err)
+	}
+	b.Free()
+	var full *quota.FullError
+	c := m.Message()
+	if _, err := c.ReadAll(endless{}, "answer", 1<<40); !errors.As(err, &full) {
+		t.Errorf("without end: %v", err)
+	}
+	if u := m.Used(); u > 64<<10 {
+		t.Errorf("%d bytes are held", u)
+	}
+	for range 2 {
+		a.Free()
+		c.Free()
+	}
+	if u := m.Used(); u != 0 {
+		t.Errorf("%d bytes are held after all messages", u)
+	}
+	cut := errors.New("cut")
+	d := m.Message()
+	defer d.Free()
+	if _, err := d.ReadAll(io.MultiReader(strings.NewReader("a"), failing{cut}), "answer", 10); !errors.Is(err, cut) {
+		t.Errorf("cut message: %v", err)
+	}
+}
+
+type failing struct{ err error }
+
+func (f failing) Read([]byte) (int, error) { return 0, f.err }
+
+// Guards against a head that is read beyond its bound, and a body bounded by it.
+func TestReader(t *testing.T) {
+	r := quota.NewReader(endless{})
+	r.Limit("head", 100)
+	n, err := io.Copy(io.Discard, r)
+	var long *quota.LongError
+	if n != 100 || !errors.As(err, &long) || long.What != "head" {
+		t.Errorf("read %d bytes: %v", n, err)
+	}
+	r.Unlimit()
+	if n, err := io.CopyN(io.Discard, r, 1000); n != 1000 || err != nil {
+		t.Errorf("without a bound: %d bytes, %v", n, err)
+	}
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -25,6 +25,7 @@
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/pulse"
+	"tarragonvalve.example/router/quota"
 	"tarragonvalve.example/router/routes"
 )
 
@@ -74,22 +75,24 @@
 
 // Options are the parts that a Relay uses.
 type Options struct {
-	Node   *known.Node
-	Links  *link.Pool
-	Codec  call.Codec
-	Book   *place.Book
-	Pulse  *pulse.Monitor
+	Node  *known.Node
+	Links *link.Pool
+	Codec call.Codec
+	Book  *place.Book
+	Pulse *pulse.Monitor
 	// Notices holds what upstreams said of themselves.
 	Notices *notice.Board
-	Watch  *canary.Watch
-	Budget *budget.Budget
-	Meter  *meter.Meter
-	Now    clock.Func
-	Log    zerolog.Logger
-	Domain ident.DomainID
+	Watch   *canary.Watch
+	Budget  *budget.Budget
+	Meter   *meter.Meter
+	Now     clock.Func
+	Log     zerolog.Logger
+	Domain  ident.DomainID
 	// Values are what 1,000 tokens of a right answer are worth, by the priority of
 	// the route, in the unit of the models' prices.
 	Values []float64
+	// Memory bounds the answers that are held until they are complete.
+	Memory *quota.Memory
 	// Size returns the number of instances that share the upstreams' limits.
 	Size func() int
 }
@@ -273,6 +276,7 @@
 		t.reason = n.Err.Error()
 		return rejected{reason: t.reason}
 	case err != nil:
+		t.exceeded(err, o.upstream)
 		t.ranOnce()
 		if errors.Is(context.Cause(ctx), context.Canceled) {
 			// The client left; that says nothing about the upstream.
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -170,13 +170,16 @@
 			return finished{}
 		}
 		if err == nil {
-			a.first.Stop()
-			a.heard()
+			if !e.Blank {
+				a.first.Stop()
+				a.heard()
+			}
 			err = f.pass(t, a, e)
 		}
 		if err == nil {
 			continue
 		}
+		t.exceeded(err, a.upstream)
 		if errors.Is(context.Cause(ctx), context.Canceled) {
 			a.left()
 		} else {
@@ -195,8 +198,11 @@
 	if f.begun || !a.Meta.Signed || a.Status >= http.StatusInternalServerError || a.Status == http.StatusTooManyRequests {
 		return lost{err: fmt.Errorf("the upstream answered %d", a.Status)}
 	}
-	b, err := io.ReadAll(io.LimitReader(a, maxWhole))
+	m := t.Memory.Message()
+	defer m.Free()
+	b, err := t.readAll(a.Answer, m)
 	if err != nil {
+		t.exceeded(err, a.upstream)
 		return lost{err: err}
 	}
 	maps.Copy(f.w.Header(), t.Codec.Reply(a.Header))
--- a/router/relay/whole.go
+++ b/router/relay/whole.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"maps"
 	"net/http"
 	"strconv"
 	"time"
 
 	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/quota"
 )
 
 // wholeAnswer is a complete answer of an upstream.
@@ -17,6 +17,7 @@
 	status int
 	header http.Header
 	body   []byte
+	memory *quota.Message
 }
 
 // whole answers a request whose answer is passed on when it is complete.
@@ -26,6 +27,9 @@
 	for {
 		a, last := t.wholeOnce(ctx)
 		o = last
+		if a != nil {
+			defer a.memory.Free()
+		}
 		if a != nil && (a.status < http.StatusInternalServerError || best == nil) {
 			best = a
 		}
@@ -59,27 +63,25 @@
 	if !ok {
 		return nil, o
 	}
-	b, err := io.ReadAll(io.LimitReader(a, maxWhole+1))
+	m := t.Memory.Message()
+	b, err := t.readAll(a.Answer, m)
 	a.End()
-	if err == nil && len(b) > maxWhole {
-		err = errTooLong
-	}
 	a.latency = time.Since(began)
 	a.end(err == nil && a.Status < http.StatusInternalServerError)
 	if err != nil {
+		m.Free()
+		t.exceeded(err, a.upstream)
 		return nil, lost{err: err}
 	}
 	if !a.Meta.Signed || (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests) {
 		// Without a receipt, or with a promise that isn't proved, the answer can't be passed on.
+		m.Free()
 		return nil, lost{err: errUnproved}
 	}
-	return &wholeAnswer{status: a.Status, header: a.Header, body: b}, o
+	return &wholeAnswer{status: a.Status, header: a.Header, body: b, memory: m}, o
 }
 
-var (
-	errTooLong  = errors.New("the answer is longer than 4 MiB")
-	errUnproved = errors.New("the answer carries no receipt, or promises without proof that nothing ran")
-)
+var errUnproved = errors.New("the answer carries no receipt, or promises without proof that nothing ran")
 
 // minAttempt is the shortest time that an attempt gets before another upstream is
 // tried; it is the objective otherwise, since a server that hangs would take all
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -49,6 +49,11 @@
 	Leaving struct{ Answer }
 	// Endless sends a head and then a unit again and again until the caller closes.
 	Endless struct{ Head, Unit string }
+	// Slow is the same with a pause before each unit.
+	Slow struct {
+		Endless
+		Pause time.Duration
+	}
 	// Cut closes the connection in the middle of the answer's body.
 	Cut struct{}
 	// Reset closes the connection without an answer.
@@ -72,6 +77,7 @@
 func (Reject) reply()  {}
 func (Leaving) reply() {}
 func (Endless) reply() {}
+func (Slow) reply()    {}
 func (Cut) reply()     {}
 func (Reset) reply()   {}
 func (Hang) reply()    {}
@@ -253,9 +259,10 @@
 		write(c, head(x, a.Status, a.Confidence)+fmt.Sprintf("Server-Leaving: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(a.Body), a.Body))
 		return false
 	case Endless:
-		for ok := write(c, a.Head); ok; {
-			ok = write(c, a.Unit)
-		}
+		repeat(c, a, 0)
+		return false
+	case Slow:
+		repeat(c, a.Endless, a.Pause)
 		return false
 	case Cut:
 		write(c, head(x, http.StatusOK, -1)+"Content-Length: 100\r\n\r\nonly a part")
@@ -277,6 +284,14 @@
 	}
 }
 
+// repeat sends a unit again and again until the caller closes the connection.
+func repeat(c net.Conn, e Endless, pause time.Duration) {
+	for ok := write(c, e.Head); ok; {
+		time.Sleep(pause)
+		ok = write(c, e.Unit)
+	}
+}
+
 // untilLeft waits until the caller closes the connection.
 func (s *Server) untilLeft(c net.Conn, r *bufio.Reader) {
 	_, err := r.Peek(1)
