fix: end requests of clients that send or take too little

Cause: no read or write deadline was set for clients, so one that sends a byte now and then, or takes nothing of its answer, held its request, memory and upstream without end.

Change: the body must arrive, and the answer be taken, within the client's own time and a second; a body that does not is answered 408, which is true as nothing was sent.

Ruled out: a least rate, which would cut slow but sound clients (TestSlowBody/sound, TestSlowReader).

--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -49,6 +49,7 @@
 	RateLimited             Code = "rate-limited"
 	Overloaded              Code = "overloaded"
 	DeadlineExceeded        Code = "deadline-exceeded"
+	RequestTimeout          Code = "request-timeout"
 	Cancelled               Code = "cancelled"
 	NoUpstream              Code = "no-upstream"
 	UpstreamFailed          Code = "upstream-failed"
--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -196,10 +196,10 @@
 	return front.NewGate(n, now, func() time.Duration { return v.Bounds().Revoke })
 }
 
-func newClients(s *setup.Settings, v *setup.Live, h *front.Handler, g *front.Gate, n *known.Node, l zerolog.Logger) (*front.Server, error) {
+func newClients(s *setup.Settings, v *setup.Live, h *front.Handler, g *front.Gate, n *known.Node, m *meter.Meter, l zerolog.Logger) (*front.Server, error) {
 	i, err := net.Listen("tcp", s.Clients)
 	if err != nil {
 		return nil, err
 	}
-	return &front.Server{Listener: i, Handler: h, Gate: g, Node: n, Grace: func() time.Duration { return v.Bounds().Grace }, Log: l}, nil
+	return &front.Server{Listener: i, Handler: h, Gate: g, Node: n, Grace: func() time.Duration { return v.Bounds().Grace }, Refused: m.Refused, Log: l}, nil
 }
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -6,9 +6,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -18,6 +18,7 @@
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/known"
 	"tarragonvalve.example/router/meter"
+	"tarragonvalve.example/router/quota"
 	"tarragonvalve.example/router/relay"
 	"tarragonvalve.example/router/routes"
 )
@@ -34,6 +35,10 @@
 	startWait = time.Second
 	// startPart bounds the same by the client's time.
 	startPart = 0.25
+	// writeMargin is how long after the end of its time a client may take what is left of
+	// its answer. A client that takes nothing would else hold its answer and, if that is
+	// a stream, its upstream for as long as it likes.
+	writeMargin = time.Second
 	// retryStopping sends clients to another instance; their next try uses a new connection.
 	retryStopping = 50 * time.Millisecond
 )
@@ -45,12 +50,14 @@
 	codec call.Codec
 	gate  *Gate
 	meter *meter.Meter
-	log   zerolog.Logger
+	// memory bounds the bodies of requests and answers in progress.
+	memory *quota.Memory
+	log    zerolog.Logger
 }
 
 // New returns a handler.
-func New(n *known.Node, r *relay.Relay, c call.Codec, g *Gate, m *meter.Meter, l zerolog.Logger) *Handler {
-	return &Handler{node: n, relay: r, codec: c, gate: g, meter: m, log: l}
+func New(n *known.Node, r *relay.Relay, c call.Codec, g *Gate, m *meter.Meter, q *quota.Memory, l zerolog.Logger) *Handler {
+	return &Handler{node: n, relay: r, codec: c, gate: g, meter: m, memory: q, log: l}
 }
 
 // ServeHTTP answers one request.
@@ -64,7 +71,9 @@
 	m := h.codec.Request(q.Header)
 	s := &statusWriter{ResponseWriter: w}
 	j := &relay.Job{}
-	err := h.serve(q.Context(), s, q, m, j)
+	held := h.memory.Message()
+	defer held.Free()
+	err := h.serve(q.Context(), s, q, m, j, held)
 	var cut *relay.CutError
 	isCut := errors.As(err, &cut)
 	if err != nil && !isCut {
@@ -93,13 +102,24 @@
 func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // serve answers a request and fills in the job as far as it gets.
-func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, q *http.Request, m call.Request, j *relay.Job) error {
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, q *http.Request, m call.Request, j *relay.Job, held *quota.Message) error {
 	*j = relay.Job{Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: time.Now()}
+	c := http.NewResponseController(w)
+	if err := limit(c, j.Arrived, left(m)); err != nil {
+		return err
+	}
 	h.awaitStart(ctx, m)
 	if err := h.admit(q.URL.Path, j); err != nil {
 		return err
 	}
-	if err := h.body(w, q, j); err != nil {
+	if err := limit(c, j.Arrived, j.Deadline.Sub(j.Arrived)); err != nil {
+		return err
+	}
+	if err := h.body(w, q, j, held); err != nil {
+		return err
+	}
+	// While the answer is made, net/http reads on to notice that the client leaves.
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
 		return err
 	}
 	// The body may have taken long; the configuration is checked again for what is sent now.
@@ -112,6 +132,19 @@
 	return h.relay.Serve(ctx, w, j)
 }
 
+// left returns how long the client waits from the request's arrival.
+func left(m call.Request) time.Duration {
+	if m.Left <= 0 {
+		return defaultLeft
+	}
+	return m.Left
+}
+
+// limit bounds the time in which the client sends its body and takes its answer.
+func limit(c *http.ResponseController, arrived time.Time, left time.Duration) error {
+	return errors.Join(c.SetReadDeadline(arrived.Add(left)), c.SetWriteDeadline(arrived.Add(left+writeMargin)))
+}
+
 // valid checks again, when a request is sent, what its key permits. The process may
 // have been paused since the request was admitted.
 func (h *Handler) valid(j *relay.Job) error {
@@ -170,10 +203,7 @@
 	if err := h.identify(j, d); err != nil {
 		return err
 	}
-	left := j.Meta.Left
-	if left <= 0 {
-		left = defaultLeft
-	}
+	left := left(j.Meta)
 	if r.Timeout > 0 {
 		left = min(left, r.Timeout)
 	}
@@ -204,7 +234,7 @@
 	return nil
 }
 
-func (h *Handler) body(w http.ResponseWriter, q *http.Request, j *relay.Job) error {
+func (h *Handler) body(w http.ResponseWriter, q *http.Request, j *relay.Job, held *quota.Message) error {
 	if q.Body == nil || q.Body == http.NoBody {
 		return nil
 	}
@@ -212,12 +242,18 @@
 	if limit <= 0 {
 		limit = math.MaxInt32
 	}
-	b, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
+	b, err := held.ReadAll(http.MaxBytesReader(w, q.Body, limit), "body", limit)
 	var long *http.MaxBytesError
-	if errors.As(err, &long) {
+	var full *quota.FullError
+	switch {
+	case errors.As(err, &long):
 		return refuse.New(refuse.BodyTooLarge, refuse.NotRun, "the body is longer than %d bytes", long.Limit)
-	}
-	if err != nil {
+	case errors.As(err, &full):
+		return refuse.New(refuse.Overloaded, refuse.NotRun, "%v", full).After(retryUnknown)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return refuse.New(refuse.RequestTimeout, refuse.NotRun, "the body did not arrive in the client's time")
+	case err != nil:
 		return refuse.New(refuse.BadRequest, refuse.NotRun, "read the body: %v", err)
 	}
 	j.Body = b
@@ -230,6 +266,7 @@
 	refuse.Unauthenticated:  http.StatusUnauthorized,
 	refuse.BodyTooLarge:     http.StatusRequestEntityTooLarge,
 	refuse.BadRequest:       http.StatusBadRequest,
+	refuse.RequestTimeout:   http.StatusRequestTimeout,
 	refuse.DeadlineExceeded: http.StatusGatewayTimeout,
 }
 
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -41,7 +41,9 @@
 	Node     *known.Node
 	// Grace returns the time between the signal to stop and the kill.
 	Grace func() time.Duration
-	Log   zerolog.Logger
+	// Refused counts a connection that is turned away.
+	Refused func()
+	Log     zerolog.Logger
 
 	conns connections
 }
@@ -56,8 +58,12 @@
 		Handler: s.conns.guard(s.Handler), ReadHeaderTimeout: headerLimit, MaxHeaderBytes: maxHeader,
 		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(io.Discard, "", 0),
 	}
+	l, err := limitClients(s.Listener, s.Refused)
+	if err != nil {
+		return err
+	}
 	failed := make(chan error, 1)
-	go func() { failed <- h.Serve(s.Listener) }()
+	go func() { failed <- h.Serve(l) }()
 	t := time.NewTicker(idleSweep)
 	defer t.Stop()
 	for {
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -26,6 +26,7 @@
 	larger   prometheus.Counter
 	resumed  prometheus.Counter
 	exceeded *prometheus.CounterVec
+	refused  prometheus.Counter
 }
 
 // New returns metrics at zero. age returns the age of the configuration in seconds,
@@ -54,8 +55,11 @@
 		exceeded: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "answers_exceeded_total", Help: "Answers of upstreams given up at a bound, by the bound.",
 		}, []string{"bound"}),
+		refused: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "connections_refused_total", Help: "Connections of clients turned away, as too many were open.",
+		}),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.denied, m.larger, m.resumed, m.exceeded,
+	m.registry.MustRegister(m.requests, m.seconds, m.attempts, m.denied, m.larger, m.resumed, m.exceeded, m.refused,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_age_seconds", Help: "How old the configuration may be at most; -1 if none is known.",
 		}, age),
@@ -92,6 +96,9 @@
 // Exceeded counts an answer given up at a bound.
 func (m *Meter) Exceeded(bound string) { m.exceeded.WithLabelValues(bound).Inc() }
 
+// Refused counts a client's connection that was turned away.
+func (m *Meter) Refused() { m.refused.Inc() }
+
 // Handler serves the metrics as text.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
