fix: let streams pause as long as their route allows

Cause: a stream was moved after 1.1 s without an event, and that began with the answer's head. Where a route allows pauses of 2 s, or the objective of the first event is 3 to 8 s, sound streams of a large model in a full batch were broken off and began again elsewhere.

Change: an answer stands still after its route's pause, at least 1.1 s; before the first event its objective is the bound.

Ruled out: dead servers, which a check of the connection finds within 0.7 s as before.

--- a/router/pulse/pulse.go
+++ b/router/pulse/pulse.go
@@ -26,8 +26,9 @@
 	// patience is the same for upstreams whose attempts have no answer yet: a
 	// long prompt keeps an idle engine busy that long.
 	patience = 700 * time.Millisecond
-	// stall is the pause after which a stream goes on elsewhere though its
-	// upstream is heard: its own connection may have gone silent.
+	// stall is the least pause after which a stream goes on elsewhere though its
+	// upstream is heard: its own connection may have gone silent. Pauses that are still
+	// on time are none: a large model in a full batch makes an event a second.
 	stall = 1100 * time.Millisecond
 	// checkAgain is the pause between checks of one upstream.
 	checkAgain = 500 * time.Millisecond
@@ -87,13 +88,17 @@
 	state   *state
 	began   time.Time
 	last    time.Time
+	// flowing is true once the answer's content came.
 	flowing bool
-	end     func(error)
+	// pause is how long the content may stand still.
+	pause time.Duration
+	end   func(error)
 }
 
 // Begin records an attempt. end is called with ErrSilent if the upstream falls
-// silent; it may be nil for attempts that can't go on elsewhere.
-func (m *Monitor) Begin(u *fleet.Upstream, end func(error), now time.Time) *Wait {
+// silent, or its answer stands still for longer than pause; it may be nil for attempts
+// that can't go on elsewhere.
+func (m *Monitor) Begin(u *fleet.Upstream, pause time.Duration, end func(error), now time.Time) *Wait {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.upstreams[u.ID]
@@ -101,12 +106,19 @@
 		s = &state{address: u.Address, waits: map[*Wait]struct{}{}}
 		m.upstreams[u.ID] = s
 	}
-	w := &Wait{monitor: m, state: s, began: now, end: end}
+	w := &Wait{monitor: m, state: s, began: now, pause: max(pause, stall), end: end}
 	s.waits[w] = struct{}{}
 	return w
 }
 
-// Heard records that bytes of the answer arrived.
+// Began records that the answer's head arrived. Its content may take longer.
+func (w *Wait) Began(now time.Time) {
+	w.monitor.mu.Lock()
+	defer w.monitor.mu.Unlock()
+	w.state.heard = now
+}
+
+// Heard records that content of the answer arrived.
 func (w *Wait) Heard(now time.Time) {
 	w.monitor.mu.Lock()
 	defer w.monitor.mu.Unlock()
@@ -170,7 +182,7 @@
 // endStalled ends streams that stand still for too long.
 func (s *state) endStalled(now time.Time) {
 	for w := range s.waits {
-		if w.flowing && w.end != nil && now.Sub(w.last) >= stall {
+		if w.flowing && w.end != nil && now.Sub(w.last) >= w.pause {
 			w.end(ErrSilent)
 			// If it may not go on elsewhere now, it may after another pause.
 			w.last = now
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -182,13 +182,18 @@
 	latency time.Duration
 }
 
-// heard records bytes of the answer.
-func (o *offer) heard() {
+// began records the answer's head.
+func (o *offer) began() {
 	now := time.Now()
-	o.wait.Heard(now)
+	o.wait.Began(now)
 	o.attempt.Answered(now)
 }
 
+// heard records content of the answer.
+func (o *offer) heard() {
+	o.wait.Heard(time.Now())
+}
+
 // end records how the offer ended. It must be called once.
 func (o *offer) end(ok bool) {
 	o.left()
@@ -222,7 +227,7 @@
 	began := time.Now()
 	o := &offer{try: t, upstream: u, attempt: t.Book.Start(c, began), among: c.All}
 	end := t.giveUp(u, cancel)
-	o.wait = t.Pulse.Begin(u, end, began)
+	o.wait = t.Pulse.Begin(u, t.Route.MaxPause, end, began)
 	o.first = time.AfterFunc(max(t.Route.Objective, minAttempt), func() {
 		if end != nil {
 			end(errLate)
@@ -287,7 +292,7 @@
 		}
 		return lost{err: err}
 	}
-	o.heard()
+	o.began()
 	o.notices(a)
 	if a.Meta.Loaded {
 		o.attempt.Reported(a.Meta.Load, time.Now())
