refactor: name the failed dial in place of its exceptions

Cause: every reason for which nothing was sent counted as an upstream that takes no connection, but for two that were excepted one by one before it (no free connection, no longer permitted), each with the same steps.

Change: link.DialError marks the one reason that says something of the upstream; all others take one path. A reason added later is harmless by default.

Ruled out: a flag of NotSentError, which each of its makers would have to set.

Conclusion: behaviour as before.

--- a/router/link/link_test.go
+++ b/router/link/link_test.go
@@ -99,7 +99,8 @@
 	}
 	s.Close()
 	var not *link.NotSentError
-	if _, err := get(p, m); !errors.As(err, &not) {
+	var dial *link.DialError
+	if _, err := get(p, m); !errors.As(err, &not) || !errors.As(err, &dial) {
 		t.Errorf("without a listener: %v", err)
 	}
 }
@@ -193,7 +194,8 @@
 	n.Target, n.ID = "/x", "a-2"
 	n.Header = http.Header{"Tarragonvalve-Attempt-Id": {"a-2"}, "Tarragonvalve-Expect-Instance": {"s1"}}
 	var full *link.FullError
-	if _, err := get(p, &n); !errors.As(err, &full) {
+	var dial *link.DialError
+	if _, err := get(p, &n); !errors.As(err, &full) || errors.As(err, &dial) {
 		t.Errorf("beyond the limit: %v", err)
 	}
 	close(hold)
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -82,6 +82,16 @@
 	return "connect to " + e.Address + ": all connections of this instance are in use"
 }
 
+// DialError reports an upstream that took no new connection.
+type DialError struct {
+	Address string
+	Err     error
+}
+
+func (e *DialError) Error() string { return e.Err.Error() }
+
+func (e *DialError) Unwrap() error { return e.Err }
+
 // get returns a connection for a request, an idle one if possible.
 func (p *Pool) get(ctx context.Context, m *Message) (*conn, error) {
 	address := m.Address
@@ -95,7 +105,7 @@
 	n, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.forget(address)
-		return nil, err
+		return nil, &DialError{Address: address, Err: err}
 	}
 	return newConn(n, address), nil
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -258,23 +258,14 @@
 // judge says what an exchange proves, and ends the offer unless it was answered.
 func (t *try) judge(ctx context.Context, a *link.Answer, err error, o *offer) outcome {
 	var n *link.NotSentError
-	var f *link.FullError
+	var d *link.DialError
 	var v *refuse.Error
-	var l *ClosedError
 	switch {
 	case errors.As(err, &v):
 		o.left()
 		return invalid{err: v}
-	case errors.As(err, &l):
-		o.left()
-		t.reason = l.Error()
-		return rejected{reason: t.reason}
-	case errors.As(err, &f):
-		o.left()
-		t.reason = f.Error()
-		return rejected{reason: t.reason}
 	case errors.As(err, &n):
-		if ctx.Err() == nil {
+		if errors.As(err, &d) && ctx.Err() == nil {
 			t.Pulse.Failed(o.upstream)
 		}
 		o.left()
