refactor: derive and share small state of notices, pulse and front

Ruled out: the two checks of a key after the body and at the write. The first also covers routes, and the second holds after a pause of the process.

Conclusion: behaviour as before.

--- a/router/front/front.go
+++ b/router/front/front.go
@@ -105,14 +105,14 @@
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, q *http.Request, m call.Request, j *relay.Job, held *quota.Message) error {
 	*j = relay.Job{Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: time.Now()}
 	c := http.NewResponseController(w)
-	if err := limit(c, j.Arrived, left(m)); err != nil {
+	if err := setDeadlines(c, j.Arrived, clientTime(m)); err != nil {
 		return err
 	}
 	h.awaitStart(ctx, m)
 	if err := h.admit(q.URL.Path, j); err != nil {
 		return err
 	}
-	if err := limit(c, j.Arrived, j.Deadline.Sub(j.Arrived)); err != nil {
+	if err := setDeadlines(c, j.Arrived, j.Deadline.Sub(j.Arrived)); err != nil {
 		return err
 	}
 	if err := h.body(w, q, j, held); err != nil {
@@ -132,16 +132,16 @@
 	return h.relay.Serve(ctx, w, j)
 }
 
-// left returns how long the client waits from the request's arrival.
-func left(m call.Request) time.Duration {
+// clientTime returns how long the client waits from the request's arrival.
+func clientTime(m call.Request) time.Duration {
 	if m.Left <= 0 {
 		return defaultLeft
 	}
 	return m.Left
 }
 
-// limit bounds the time in which the client sends its body and takes its answer.
-func limit(c *http.ResponseController, arrived time.Time, left time.Duration) error {
+// setDeadlines bounds the time in which the client sends its body and takes its answer.
+func setDeadlines(c *http.ResponseController, arrived time.Time, left time.Duration) error {
 	return errors.Join(c.SetReadDeadline(arrived.Add(left)), c.SetWriteDeadline(arrived.Add(left+writeMargin)))
 }
 
@@ -203,7 +203,7 @@
 	if err := h.identify(j, d); err != nil {
 		return err
 	}
-	left := left(j.Meta)
+	left := clientTime(j.Meta)
 	if r.Timeout > 0 {
 		left = min(left, r.Timeout)
 	}
--- a/router/notice/notice.go
+++ b/router/notice/notice.go
@@ -45,15 +45,19 @@
 
 // mark is what is known of one incarnation. The zero value says nothing.
 type mark struct {
-	leaving bool
-	// heardAt is when it was first heard that the incarnation leaves.
-	heardAt time.Time
+	// leftAt is when it was first heard that the incarnation leaves.
+	leftAt time.Time
 	// until is when a quiet time ends.
 	until time.Time
 }
 
+// leaving reports whether the incarnation said that it leaves, at most life ago.
+func (m mark) leaving(now time.Time, life time.Duration) bool {
+	return !m.leftAt.IsZero() && now.Sub(m.leftAt) <= life
+}
+
 func (m mark) expired(now time.Time) bool {
-	return (!m.leaving || now.Sub(m.heardAt) > leaveLife) && !now.Before(m.until)
+	return !m.leaving(now, leaveLife) && !now.Before(m.until)
 }
 
 // Board holds the notices of all upstreams. A notice concerns one incarnation: an
@@ -75,7 +79,7 @@
 func (b *Board) State(u *fleet.Upstream, now time.Time) State {
 	m := (*b.marks.Load())[u.Incarnation()]
 	switch {
-	case m.leaving:
+	case !m.leftAt.IsZero():
 		return Leaving{}
 	case now.Before(m.until):
 		return Quiet{Until: m.until}
@@ -87,10 +91,10 @@
 // Leave records that an incarnation leaves, and reports whether that is news.
 func (b *Board) Leave(i fleet.Incarnation, now time.Time) bool {
 	return b.change(i, now, func(m *mark) bool {
-		if m.leaving {
+		if !m.leftAt.IsZero() {
 			return false
 		}
-		m.leaving, m.heardAt = true, now
+		m.leftAt = now
 		return true
 	})
 }
@@ -138,7 +142,7 @@
 func (b *Board) Recent(now time.Time) []fleet.Incarnation {
 	var out []fleet.Incarnation
 	for i, m := range *b.marks.Load() {
-		if m.leaving && now.Sub(m.heardAt) <= passLife && len(out) < maxPassed {
+		if m.leaving(now, passLife) && len(out) < maxPassed {
 			out = append(out, i)
 		}
 	}
--- a/router/pulse/pulse.go
+++ b/router/pulse/pulse.go
@@ -101,11 +101,7 @@
 func (m *Monitor) Begin(u *fleet.Upstream, pause time.Duration, end func(error), now time.Time) *Wait {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.upstreams[u.ID]
-	if s == nil || s.address != u.Address {
-		s = &state{address: u.Address, waits: map[*Wait]struct{}{}}
-		m.upstreams[u.ID] = s
-	}
+	s := m.state(u)
 	w := &Wait{monitor: m, state: s, began: now, pause: max(pause, stall), end: end}
 	s.waits[w] = struct{}{}
 	return w
@@ -138,12 +134,18 @@
 func (m *Monitor) Failed(u *fleet.Upstream) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.mark(u.ID, m.state(u), true)
+}
+
+// state returns the state of an upstream, a new one if it has another address than
+// before. The caller holds the lock.
+func (m *Monitor) state(u *fleet.Upstream) *state {
 	s := m.upstreams[u.ID]
 	if s == nil || s.address != u.Address {
 		s = &state{address: u.Address, waits: map[*Wait]struct{}{}}
 		m.upstreams[u.ID] = s
 	}
-	m.mark(u.ID, s, true)
+	return s
 }
 
 // Name is the name of the step.
