test: share the set-up of peers and of routers' servers

Cause: four tests of package known and two of package share repeated their set-up, and the stand-in had two replies that differ in a pause.

Ruled out: TestPeersStartTogether, which starts its routers in another order.

Conclusion: cluster.pair, serve, and Endless with a pause.

--- a/router/boot/hostile_test.go
+++ b/router/boot/hostile_test.go
@@ -83,9 +83,10 @@
 	var n atomic.Int64
 	script := func(r server.Request) server.Reply {
 		if n.Add(1) == 1 {
-			return server.Slow{Endless: server.Endless{
+			return server.Endless{
 				Head: strings.ReplaceAll(signed, "ID", r.ID()) + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: event 1\n\n", Unit: ": still here\n\n",
-			}, Pause: 100 * time.Millisecond}
+				Pause: 100 * time.Millisecond,
+			}
 		}
 		return server.Events{Count: 9}
 	}
--- a/router/known/peer_test.go
+++ b/router/known/peer_test.go
@@ -95,6 +95,26 @@
 	go func() { c.done <- n.Run(c.ctx) }()
 }
 
+// pair is a node that reads the store and one that reads from it.
+type pair struct {
+	// first and second are the stores that the two would ask.
+	first, second *calm
+	peer          *peer
+	node          *Node
+}
+
+// pair runs two nodes. The second starts a second later: a peer that starts at the same
+// instant may know nothing yet, and is then left alone for a while.
+func (c *cluster) pair() pair {
+	p := pair{first: newCalm(c.began), second: newCalm(c.began)}
+	p.peer = &peer{node: c.node(p.first)}
+	p.node = c.node(p.second, Peer{Address: "a", Source: p.peer})
+	c.run(p.peer.node)
+	time.Sleep(time.Second)
+	c.run(p.node)
+	return p
+}
+
 // peer reads from a node of the test without a network.
 type peer struct {
 	node *Node
@@ -134,15 +154,8 @@
 // router that is lost with its peer.
 func TestPeers(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
-		first, second := newCalm(c.began), newCalm(c.began)
-		a := c.node(first)
-		p := &peer{node: a}
-		b := c.node(second, Peer{Address: "a", Source: p})
-		c.run(a)
-		// A peer that starts at the same instant may know nothing yet, and is then
-		// left alone for three seconds.
-		time.Sleep(time.Second)
-		c.run(b)
+		r := c.pair()
+		first, second, p, b := r.first, r.second, r.peer, r.node
 		time.Sleep(time.Second)
 		for range 600 {
 			time.Sleep(50 * time.Millisecond)
@@ -209,12 +222,8 @@
 // those that the store still serves but that only trust a peer that it turned away.
 func TestPeersDuringOutage(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
-		first, second := newCalm(c.began), newCalm(c.began)
-		a := c.node(first)
-		b := c.node(second, Peer{Address: "a", Source: &peer{node: a}})
-		c.run(a)
-		time.Sleep(time.Second)
-		c.run(b)
+		r := c.pair()
+		first, second, b := r.first, r.second, r.node
 		time.Sleep(5 * time.Second)
 
 		first.away.Store(true)
@@ -248,12 +257,8 @@
 	for name, at := range map[string]time.Duration{"one moment": 0, "another": 370 * time.Millisecond, "a third": 1210 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			play(t, func(t *testing.T, c *cluster) {
-				first, second := newCalm(c.began), newCalm(c.began)
-				a := c.node(first)
-				b := c.node(second, Peer{Address: "a", Source: &peer{node: a}})
-				c.run(a)
-				time.Sleep(time.Second)
-				c.run(b)
+				r := c.pair()
+				first, second := r.first, r.second
 				time.Sleep(8*time.Second + at)
 				first.silent.Store(true)
 				lost := c.now()
@@ -270,13 +275,8 @@
 // between two machines was cut, and no reset tells it.
 func TestSilentPeer(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
-		first, second := newCalm(c.began), newCalm(c.began)
-		a := c.node(first)
-		p := &peer{node: a}
-		b := c.node(second, Peer{Address: "a", Source: p})
-		c.run(a)
-		time.Sleep(time.Second)
-		c.run(b)
+		r := c.pair()
+		second, p, b := r.second, r.peer, r.node
 		time.Sleep(5 * time.Second)
 		p.mute.Store(true)
 		for range 400 {
--- a/router/share/snapshot_test.go
+++ b/router/share/snapshot_test.go
@@ -13,11 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/router/canary"
-	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/known"
-	"tarragonvalve.example/router/notice"
-	"tarragonvalve.example/router/place"
-	"tarragonvalve.example/router/share"
 )
 
 // rows is a store that holds many similar rows.
@@ -80,24 +76,7 @@
 		t.Fatal(err)
 	}
 	wire := &counter{Listener: l}
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 2)
-	go func() { done <- node.Run(ctx) }()
-	g := gossip.New("hub", place.New("a"), notice.New(), nil, zerolog.New(io.Discard))
-	go func() { done <- share.NewServer(wire, node, g).Run(ctx) }()
-	c, err := share.NewClient(l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		c.Close()
-		stop()
-		for range 2 {
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		}
-	})
+	ctx, c := serve(t, wire, node, node.Run)
 	var p known.Page
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		before := wire.written.Load()
--- a/router/share/trade_test.go
+++ b/router/share/trade_test.go
@@ -14,21 +14,23 @@
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/gossip"
+	"tarragonvalve.example/router/known"
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/share"
 )
 
-// Guards against values that are lost or change on the way between two routers.
-func TestTrade(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+// serve runs a router's server on a listener and returns a client of it. Steps that run
+// beside the server end with it.
+func serve(t *testing.T, l net.Listener, n *known.Node, steps ...func(context.Context) error) (context.Context, *share.Client) {
+	t.Helper()
 	hub := gossip.New("hub", place.New("a"), notice.New(), nil, zerolog.New(io.Discard))
 	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- share.NewServer(l, nil, hub).Run(ctx) }()
+	steps = append(steps, share.NewServer(l, n, hub).Run)
+	done := make(chan error, len(steps))
+	for _, s := range steps {
+		go func() { done <- s(ctx) }()
+	}
 	c, err := share.NewClient(l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -36,10 +38,22 @@
 	t.Cleanup(func() {
 		c.Close()
 		stop()
-		if err := <-done; err != nil {
-			t.Error(err)
+		for range steps {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
 		}
 	})
+	return ctx, c
+}
+
+// Guards against values that are lost or change on the way between two routers.
+func TestTrade(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, c := serve(t, l, nil)
 	sample := place.Sample{
 		Upstream: "u1", Answers: 3, Pace: 0.5, Load: call.Load{Running: 4, Waiting: 2, Slots: 64}, Loaded: true,
 		Prefixes: []place.Prefix{7, 1 << 60}, Good: 1, Bad: 2, Domain: "a",
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -47,12 +47,11 @@
 	}
 	// Leaving is a whole answer of a server that leaves.
 	Leaving struct{ Answer }
-	// Endless sends a head and then a unit again and again until the caller closes.
-	Endless struct{ Head, Unit string }
-	// Slow is the same with a pause before each unit.
-	Slow struct {
-		Endless
-		Pause time.Duration
+	// Endless sends a head and then, each after a pause, a unit again and again until the
+	// caller closes.
+	Endless struct {
+		Head, Unit string
+		Pause      time.Duration
 	}
 	// Cut closes the connection in the middle of the answer's body.
 	Cut struct{}
@@ -77,7 +76,6 @@
 func (Reject) reply()  {}
 func (Leaving) reply() {}
 func (Endless) reply() {}
-func (Slow) reply()    {}
 func (Cut) reply()     {}
 func (Reset) reply()   {}
 func (Hang) reply()    {}
@@ -259,10 +257,7 @@
 		write(c, head(x, a.Status, a.Confidence)+fmt.Sprintf("Server-Leaving: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(a.Body), a.Body))
 		return false
 	case Endless:
-		repeat(c, a, 0)
-		return false
-	case Slow:
-		repeat(c, a.Endless, a.Pause)
+		repeat(c, a)
 		return false
 	case Cut:
 		write(c, head(x, http.StatusOK, -1)+"Content-Length: 100\r\n\r\nonly a part")
@@ -285,9 +280,9 @@
 }
 
 // repeat sends a unit again and again until the caller closes the connection.
-func repeat(c net.Conn, e Endless, pause time.Duration) {
+func repeat(c net.Conn, e Endless) {
 	for ok := write(c, e.Head); ok; {
-		time.Sleep(pause)
+		time.Sleep(e.Pause)
 		ok = write(c, e.Unit)
 	}
 }
