feat(notice): read and log the rates that upstreams state

Change: Server-Limit is decoded, its newest statement is kept for each incarnation, a change is logged once, and the gauge limited_upstreams counts limits in force. Nothing is sent differently.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -188,9 +188,9 @@
 	return quota.NewMemoryLimit(int64(float64(s.MemoryMB*megabyte) * messageShare))
 }
 
-// newMeter returns metrics that read the configuration's age, the requests in progress and
-// the number of instances when they are scraped.
-func newMeter(n *mirror.Syncer, g *front.Gate, o *gossip.Exchanger) *meter.Meter {
+// newMeter returns metrics that read the configuration's age, the requests in progress, the
+// number of instances and of limited upstreams when they are scraped.
+func newMeter(n *mirror.Syncer, g *front.Gate, o *gossip.Exchanger, t *notice.Registry) *meter.Meter {
 	age := func() float64 {
 		a, ok := n.ConfigAge()
 		if !ok {
@@ -198,7 +198,8 @@
 		}
 		return a.Seconds()
 	}
-	return meter.New(age, func() float64 { return float64(g.InFlight()) }, func() float64 { return float64(o.RouterCount()) })
+	return meter.New(age, func() float64 { return float64(g.InFlight()) }, func() float64 { return float64(o.RouterCount()) },
+		func() float64 { return float64(t.LimitedCount()) })
 }
 
 func newGate(v *setup.Live, n *mirror.Syncer, now clock.Func) *front.Gate {
--- a/router/call/call.go
+++ b/router/call/call.go
@@ -72,6 +72,23 @@
 	Slots   int
 }
 
+// Rate is a number of requests per second.
+type Rate float64
+
+// LimitStatement is what a response says about the requests that its upstream takes from all
+// instances together. Its cases are the types below; nil means that it says nothing.
+type LimitStatement interface{ limitStatement() }
+
+type (
+	// Limited states the largest rate of requests.
+	Limited struct{ Rate Rate }
+	// Unlimited states that there is no limit.
+	Unlimited struct{}
+)
+
+func (Limited) limitStatement()   {}
+func (Unlimited) limitStatement() {}
+
 // Response holds the values of an upstream's response headers.
 type Response struct {
 	ID ID
@@ -92,6 +109,8 @@
 	Leaving bool
 	// RetryAfter is how long the upstream wants no requests from this instance; 0 means unstated.
 	RetryAfter time.Duration
+	// Limit is what the upstream states about its rate of requests.
+	Limit LimitStatement
 }
 
 // Codec reads and writes the platform's headers.
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -31,9 +31,9 @@
 }
 
 // New returns metrics at zero. age returns the largest possible age of the configuration in
-// seconds, or -1 before one was read, open the number of requests in progress, and size the
-// number of routers that share limits.
-func New(age, open, size func() float64) *Meter {
+// seconds, or -1 before one was read, open the number of requests in progress, size the number
+// of routers that share limits, and limited the number of upstreams that limit their requests.
+func New(age, open, size, limited func() float64) *Meter {
 	m := &Meter{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -71,6 +71,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "instances", Help: "Largest number of routers in the last minute that share limits, including this one.",
 		}, size),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "limited_upstreams", Help: "Upstreams that limit the requests per second that they take from all routers.",
+		}, limited),
 	)
 	return m
 }
--- a/router/notice/notice.go
+++ b/router/notice/notice.go
@@ -1,5 +1,6 @@
 // Package notice records what upstreams announce in their responses: that they are
-// leaving, or until when they want no requests from this instance.
+// leaving, until when they want no requests from this instance, or which rate of requests they take
+// from all instances together.
 package notice
 
 import (
@@ -51,6 +52,8 @@
 	leavingSince time.Time
 	// pausedUntil is the time from which the incarnation takes requests again.
 	pausedUntil time.Time
+	// limit is the newest statement of the incarnation about its rate of requests.
+	limit Limit
 }
 
 // leaving reports whether the first notice that the incarnation is leaving was received at
@@ -61,7 +64,7 @@
 
 // expired reports whether the record no longer has a notice that counts.
 func (m record) expired(now time.Time) bool {
-	return !m.leaving(now, leavingTTL) && !now.Before(m.pausedUntil)
+	return !m.leaving(now, leavingTTL) && !now.Before(m.pausedUntil) && m.limit.expired(now)
 }
 
 // Registry holds the notices of all upstreams. A notice applies to one incarnation: it
--- a/router/relay/notice.go
+++ b/router/relay/notice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/link"
 	"tarragonvalve.example/router/notice"
@@ -21,8 +22,8 @@
 	return "send to upstream " + string(e.Upstream) + ": " + e.Reason
 }
 
-// recordNotices records a response's announcement that its upstream shuts down, or that
-// it wants no requests for a time.
+// recordNotices records a response's announcement that its upstream shuts down, that it wants no
+// requests for a time, or which rate of requests it takes.
 func (o *attempt) recordNotices(a *link.Response) {
 	now := time.Now()
 	i := o.upstream.Incarnation()
@@ -35,6 +36,18 @@
 		o.Log.Info().Str("upstream", string(i.ID)).Dur("quiet", a.Meta.RetryAfter).Str("request", string(o.Meta.ID)).
 			Msg("upstream asked for a pause by Retry-After, no requests are sent to it until then")
 	}
+	switch l := a.Meta.Limit.(type) {
+	case call.Limited:
+		if o.Notices.RecordLimit(i, notice.Limit{Rate: l.Rate, At: now}, now) {
+			o.Log.Info().Str("upstream", string(i.ID)).Int64("born", i.StartedMs).Float64("rate", float64(l.Rate)).Str("request", string(o.Meta.ID)).
+				Msg("upstream limits the requests per second that it takes from all routers")
+		}
+	case call.Unlimited:
+		if o.Notices.RecordLimit(i, notice.Limit{Lifted: true, At: o.began}, now) {
+			o.Log.Info().Str("upstream", string(i.ID)).Int64("born", i.StartedMs).Str("request", string(o.Meta.ID)).
+				Msg("upstream no longer limits its requests")
+		}
+	}
 }
 
 // accepting reports whether u has announced neither a shutdown nor a pause that is still
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -187,6 +187,8 @@
 type attempt struct {
 	*request
 	upstream *fleet.Upstream
+	// began is when the upstream was chosen, before the request was sent.
+	began time.Time
 	// placement counts the attempt as a part of the upstream's load.
 	placement *place.Attempt
 	// progress watches for an unresponsive upstream and for long pauses between events.
@@ -246,7 +248,7 @@
 	t.excluded = append(t.excluded, u.ID)
 	t.attempts++
 	began := time.Now()
-	o := &attempt{request: t, upstream: u, placement: t.Balancer.Start(c, began), serviceSize: c.ServiceSize}
+	o := &attempt{request: t, upstream: u, began: began, placement: t.Balancer.Start(c, began), serviceSize: c.ServiceSize}
 	cancelAttempt := t.cancelForRetry(u, cancel)
 	o.progress = t.Probe.Start(u, t.Route.MaxPause, cancelAttempt, began)
 	o.responseTimer = time.AfterFunc(max(t.Route.Objective, minAttemptTime), func() {
