--- a/router/boot/harness_test.go
+++ b/router/boot/harness_test.go
@@ -35,6 +35,9 @@
 	// reload triggers a reload of the settings file at path.
 	reload chan os.Signal
 	path   string
+	// name is the instance's name, router holds further lines of the section [router].
+	name   string
+	router string
 }
 
 // lockedBuffer is a buffer that is safe for concurrent use.
@@ -96,15 +99,41 @@
 // startRouter runs a router with the configuration d, or none if d is nil, until the test ends.
 func startRouter(t *testing.T, d map[string]any) *harness {
 	t.Helper()
-	w := &harness{t: t, store: tables.New(), logs: &lockedBuffer{}, reload: make(chan os.Signal, 1)}
-	if d != nil {
-		w.writeConfig(d)
-	}
-	s := httptest.NewServer(w.store)
+	return startRouters(t, d, 1)[0]
+}
+
+// startRouters runs n routers that read one store until the test ends. The first two are seeds.
+func startRouters(t *testing.T, d map[string]any, n int) []*harness {
+	t.Helper()
+	store := tables.New()
+	s := httptest.NewServer(store)
 	t.Cleanup(s.Close)
+	seeds := []string{freeAddress(t), freeAddress(t)}
+	var ws []*harness
+	for i := range n {
+		w := &harness{t: t, store: store, logs: &lockedBuffer{}, reload: make(chan os.Signal, 1), name: fmt.Sprintf("r%d", i+1)}
+		if d != nil && i == 0 {
+			w.writeConfig(d)
+		}
+		if n > 1 {
+			w.router = "seeds = " + strings.Join(seeds, ", ") + "\n"
+			if i < len(seeds) {
+				w.router += "share = " + seeds[i] + "\n"
+			}
+		}
+		w.run(s.Listener.Addr().String())
+		ws = append(ws, w)
+	}
+	return ws
+}
+
+// run runs the router until the test ends. store is the store's address.
+func (w *harness) run(store string) {
+	t := w.t
+	t.Helper()
 	w.clients, w.admin = freeAddress(t), freeAddress(t)
 	w.path = filepath.Join(t.TempDir(), "router.ini")
-	w.writeSettings(s.Listener.Addr().String(), "5000")
+	w.writeSettings(store, "5000")
 	v, err := setup.Read(w.path, nil, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -120,10 +149,9 @@
 			t.Errorf("router: %v", err)
 		}
 		if t.Failed() {
-			t.Logf("last logs:\n%s", w.tail())
+			t.Logf("last logs of %s:\n%s", w.name, w.tail())
 		}
 	})
-	return w
 }
 
 // tail returns the end of the logs, up to 6000 bytes.
@@ -136,8 +164,8 @@
 // writeSettings writes the settings file. store is the store's address; revoke is in ms.
 func (w *harness) writeSettings(store, revoke string) {
 	w.t.Helper()
-	text := fmt.Sprintf("[router]\ninstance = r1\ndomain = a\nclients = %s\nadmin = %s\n[store]\naddress = %s\n[bounds]\ngrace-s = 2\nrevoke-ms = %s\nretry-slack = 50\ncanary-share = 0.5\n",
-		w.clients, w.admin, store, revoke)
+	text := fmt.Sprintf("[router]\ninstance = %s\ndomain = a\nclients = %s\nadmin = %s\n%s[store]\naddress = %s\n[bounds]\ngrace-s = 2\nrevoke-ms = %s\nretry-slack = 50\ncanary-share = 0.5\n",
+		w.name, w.clients, w.admin, w.router, store, revoke)
 	if err := os.WriteFile(w.path, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -186,11 +214,23 @@
 	w.writeEntry(s, "desk", "v1", "ready", born)
 }
 
-// writeEntry writes an upstream's entry to the store.
+// moveTo moves the entry of a ready upstream to another failure domain.
+func (w *harness) moveTo(domain string, s *server.Server, service string) {
+	w.t.Helper()
+	w.writeEntryIn(domain, s, service, "v1", "ready", 1)
+}
+
+// writeEntry writes the entry of an upstream in the routers' failure domain to the store.
 func (w *harness) writeEntry(s *server.Server, service, version, state string, born int) {
+	w.t.Helper()
+	w.writeEntryIn("a", s, service, version, state, born)
+}
+
+// writeEntryIn writes the entry of an upstream in a failure domain to the store.
+func (w *harness) writeEntryIn(domain string, s *server.Server, service, version, state string, born int) {
 	w.t.Helper()
 	err := w.store.PutJSON("servers", s.Name, map[string]any{
-		"service": service, "address": s.Address(), "zone": "a", "version": version, "slots": 8, "state": state, "born": born,
+		"service": service, "address": s.Address(), "zone": domain, "version": version, "slots": 8, "state": state, "born": born,
 	})
 	if err != nil {
 		w.t.Fatal(err)
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -100,6 +100,8 @@
 	Body string
 	// Connection is the number of the request's connection, counted from 1 per server.
 	Connection int
+	// At is when the request's headers had been read.
+	At time.Time
 }
 
 // ID returns the attempt id that the client sent.
@@ -116,6 +118,8 @@
 
 	mu       sync.Mutex
 	requests []Request
+	// limit is sent in Server-Limit with Answer, Events and Reject unless it is empty.
+	limit string
 	// clientAborts is the count that ClientAborts returns.
 	clientAborts int
 	conns        map[net.Conn]bool
@@ -140,6 +144,24 @@
 	return s.listener.Addr().String()
 }
 
+// SetLimit makes the server state the rate of requests, per second, that it takes from all
+// routers together, from its next response on. It doesn't enforce it. Empty states none.
+func (s *Server) SetLimit(rate string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = rate
+}
+
+// limitHeader returns the header line that states the limit, or "" without one.
+func (s *Server) limitHeader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit == "" {
+		return ""
+	}
+	return "Server-Limit: " + s.limit + "\r\n"
+}
+
 // Requests returns the requests read so far.
 func (s *Server) Requests() []Request {
 	s.mu.Lock()
@@ -200,7 +222,7 @@
 		if err != nil {
 			return
 		}
-		x := Request{Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Connection: n}
+		x := Request{Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Connection: n, At: time.Now()}
 		reply := s.chooseReply(x)
 		early, ok := reply.(Early)
 		if ok {
@@ -248,7 +270,7 @@
 func (s *Server) send(c net.Conn, r *bufio.Reader, x Request, reply Reply) bool {
 	switch a := reply.(type) {
 	case Answer:
-		return write(c, responseText(x, a))
+		return write(c, responseHead(x, a.Status, a.Confidence)+s.limitHeader()+bodyText(a))
 	case Duplicate:
 		return write(c, responseText(x, a.Answer)+responseText(x, a.Answer))
 	case Mismatched:
@@ -260,7 +282,7 @@
 		if a.RetryAfter != "" {
 			later = "Retry-After: " + a.RetryAfter + "\r\n"
 		}
-		return write(c, fmt.Sprintf("HTTP/1.1 %d Rejected\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", a.Status, x.ID(), later))
+		return write(c, fmt.Sprintf("HTTP/1.1 %d Rejected\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Not-Executed: 1\r\n%s%sContent-Length: 0\r\n\r\n", a.Status, x.ID(), later, s.limitHeader()))
 	case Leaving:
 		write(c, responseHead(x, a.Status, a.Confidence)+fmt.Sprintf("Server-Leaving: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(a.Body), a.Body))
 		return false
@@ -326,7 +348,12 @@
 
 // responseText returns a complete response.
 func responseText(x Request, a Answer) string {
-	return responseHead(x, a.Status, a.Confidence) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(a.Body), a.Body)
+	return responseHead(x, a.Status, a.Confidence) + bodyText(a)
+}
+
+// bodyText returns the body of a response with its length and the end of the headers before it.
+func bodyText(a Answer) string {
+	return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(a.Body), a.Body)
 }
 
 // EventText returns the server-sent event with id n as it is sent.
@@ -350,7 +377,7 @@
 	if n, err := strconv.Atoi(x.Header.Get("Last-Event-Id")); err == nil {
 		first = n + 1
 	}
-	if !write(c, responseHead(x, http.StatusOK, e.Confidence)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
+	if !write(c, responseHead(x, http.StatusOK, e.Confidence)+s.limitHeader()+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
 		return false
 	}
 	for n := first; n <= e.Count; n++ {
