fix(relay): keep the rates of requests that upstreams state

Seen by the users: two servers in need stated 2.1 and 1.1 requests a second and got 30 and 14 in 4 s (allowed 18 and 12).

Cause: nothing read the statement; upstreams got what the predicted delay gave them. Ruled out: a limit that each router kept by itself (one router sent five attempts within 10 ms), and retries that bypass a limit (21 of 29 were first attempts). Class of fault: a wish of an upstream that concerns all routers together, which no decision of a single router can keep.

Change: pacer divides a rate into slots of one request, and each router owns every n-th. gossip tells routers their rank, and passes statements on for 20 s, the newest one counting. notice hands out a permit for each slot; relay takes one when it chooses an upstream, waits for the next one up to a quarter of the objective if all are limited, and checks the permit where the request is written. First attempts, retries, resumed streams and larger models use the same permits.

TestRateOfAll holds the rule for 1 to 400 instances whose clocks differ by up to 5 s, and finds the rate used up under load; TestRanks and TestLimitReachesAll cover the exchange.

--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/notice"
+	"tarragonvalve.example/router/pacer"
 	"tarragonvalve.example/router/place"
 )
 
@@ -16,6 +21,9 @@
 	exchangeTimeout = 500 * time.Millisecond
 	// failedPeerPause is how long a peer isn't asked after a failure.
 	failedPeerPause = 3 * time.Second
+	// unnumberedRanks is the number of ranks among which a router without a rank chooses by its
+	// name: many more than there are routers.
+	unnumberedRanks = 1 << 20
 )
 
 // Peer is a router with which others exchange samples.
@@ -35,10 +43,14 @@
 	SetRemoteBacklog(bs []place.Backlog, now time.Time)
 }
 
-// LeavingSet holds the upstreams that announced that they leave.
-type LeavingSet interface {
+// NoticeSet holds what upstreams announced: that they leave, and which rate of requests they take
+// from all routers. It needs this router's share of these rates.
+type NoticeSet interface {
 	RecentlyLeaving(now time.Time) []fleet.Incarnation
 	MergeLeaving(is []fleet.Incarnation, now time.Time)
+	RecentLimits(now time.Time) []notice.StatedLimit
+	MergeLimits(ls []notice.StatedLimit, now time.Time)
+	SetShare(s pacer.Share)
 }
 
 // Exchanger exchanges samples with the first peer that responds. Each router's peers are
@@ -46,11 +58,14 @@
 type Exchanger struct {
 	name    string
 	store   SampleStore
-	leaving LeavingSet
+	notices NoticeSet
 	peers   []*peerState
 	samples *SampleLog
 	totals  *Totals
-	log     zerolog.Logger
+	// rank is the number of this router among all. The router without a peer is the first; each
+	// router numbers those that exchange with it.
+	rank atomic.Int64
+	log  zerolog.Logger
 }
 
 // peerState is a peer with the state of the exchange with it.
@@ -64,11 +79,15 @@
 
 // New returns an exchanger. name identifies this router; peers are in the order of
 // preference.
-func New(name string, b SampleStore, t LeavingSet, peers []Peer, l zerolog.Logger) *Exchanger {
-	n := &Exchanger{name: name, store: b, leaving: t, samples: NewSampleLog(), totals: NewTotals(), log: l}
+func New(name string, b SampleStore, t NoticeSet, peers []Peer, l zerolog.Logger) *Exchanger {
+	n := &Exchanger{name: name, store: b, notices: t, samples: NewSampleLog(), totals: NewTotals(), log: l}
 	for _, p := range peers {
 		n.peers = append(n.peers, &peerState{Peer: p})
 	}
+	if len(peers) > 0 {
+		// Until a peer numbers this router, and with peers of an earlier version, which don't.
+		n.rank.Store(int64(xxhash.Sum64String(name) % unnumberedRanks))
+	}
 	return n
 }
 
@@ -116,7 +135,8 @@
 	ss, sent := n.samples.After(c.sent, c.Address(), now)
 	bs, routers := n.totals.Without(c.Address(), now)
 	a, err := c.Exchange(ctx, Message{
-		Sender: n.name, Samples: ss, Backlog: bs, Routers: routers, After: c.seen, Leaving: n.leaving.RecentlyLeaving(now),
+		Sender: n.name, Samples: ss, Backlog: bs, Routers: routers, After: c.seen, Leaving: n.notices.RecentlyLeaving(now),
+		Limits: n.notices.RecentLimits(now),
 	})
 	if err != nil {
 		c.failedAt = now
@@ -128,7 +148,11 @@
 		n.log.Info().Str("peer", c.Address()).Msg("samples exchanged again")
 	}
 	c.sent, c.seen = sent, a.Next
-	n.leaving.MergeLeaving(a.Leaving, now)
+	if a.Rank != UnknownRank {
+		n.rank.Store(int64(a.Rank))
+	}
+	n.notices.MergeLeaving(a.Leaving, now)
+	n.notices.MergeLimits(a.Limits, now)
 	n.merge(c.Address(), a.Samples, a.Backlog, a.Routers)
 	return max(a.Pause, minPause)
 }
@@ -136,11 +160,13 @@
 // HandleMessage merges the message of another router and returns the reply.
 func (n *Exchanger) HandleMessage(m Message) Reply {
 	now := time.Now()
-	a := Reply{Pause: n.samples.Pause(m.Sender, now), Leaving: n.leaving.RecentlyLeaving(now)}
-	n.leaving.MergeLeaving(m.Leaving, now)
+	a := Reply{Pause: n.samples.Pause(m.Sender, now), Leaving: n.notices.RecentlyLeaving(now), Limits: n.notices.RecentLimits(now)}
+	n.notices.MergeLeaving(m.Leaving, now)
+	n.notices.MergeLimits(m.Limits, now)
 	a.Samples, a.Next = n.samples.After(m.After, m.Sender, now)
 	n.totals.Set(n.name, n.store.Backlog(), 1, now)
 	a.Backlog, a.Routers = n.totals.Without(m.Sender, now)
+	a.Rank = int(n.rank.Load()) + 1 + n.totals.Before(m.Sender, n.numbersItself, now)
 	n.merge(m.Sender, m.Samples, m.Backlog, m.Routers)
 	return a
 }
@@ -153,6 +179,13 @@
 	n.totals.Set(sender, bs, routers, now)
 	others, _ := n.totals.Without(n.name, now)
 	n.store.SetRemoteBacklog(others, now)
+	n.notices.SetShare(pacer.Share{Rank: int(n.rank.Load()), Size: n.RouterCount()})
+}
+
+// numbersItself reports whether an entry of the totals has a rank that this router doesn't assign:
+// its own entry and those of its peers.
+func (n *Exchanger) numbersItself(neighbour string) bool {
+	return neighbour == n.name || slices.ContainsFunc(n.peers, func(p *peerState) bool { return p.Address() == neighbour })
 }
 
 // RouterCount returns the number of routers that share limits, including this one: the
--- a/router/gossip/log.go
+++ b/router/gossip/log.go
@@ -10,6 +10,7 @@
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
 )
 
@@ -46,6 +47,8 @@
 	Routers int
 	// Leaving lists the upstreams that announced a short time ago that they leave.
 	Leaving []fleet.Incarnation
+	// Limits are the newest statements of upstreams about the requests that they take.
+	Limits []notice.StatedLimit
 	// After is the position in the receiver's log up to which the sender has the samples.
 	After Cursor
 }
@@ -59,12 +62,19 @@
 	Routers int
 	// Leaving lists the upstreams that announced a short time ago that they leave.
 	Leaving []fleet.Incarnation
+	// Limits are the newest statements of upstreams about the requests that they take.
+	Limits []notice.StatedLimit
+	// Rank is the number of the message's sender among the routers, or UnknownRank.
+	Rank int
 	// Next is the value of After in the next message.
 	Next Cursor
 	// Pause is how long the router that gets the reply should wait until its next message.
 	Pause time.Duration
 }
 
+// UnknownRank is the rank in the reply of a router that numbers no others.
+const UnknownRank = -1
+
 // sampleKey identifies the samples that are merged into one.
 type sampleKey struct {
 	upstream ident.UpstreamID
--- a/router/gossip/totals.go
+++ b/router/gossip/totals.go
@@ -77,6 +77,20 @@
 	return max(t.size, 1)
 }
 
+// Before returns the number of routers behind the neighbours with lower names than the given one,
+// without those for which skip returns true.
+func (t *Totals) Before(neighbour string, skip func(neighbour string) bool, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for x, s := range t.neighbours {
+		if x < neighbour && !skip(x) && now.Sub(s.at) <= place.BacklogTTL {
+			n += s.routers
+		}
+	}
+	return n
+}
+
 // Without returns the backlog of all neighbours but one, summed up for each upstream, and
 // the number of routers that it includes.
 func (t *Totals) Without(neighbour string, now time.Time) (bs []place.Backlog, routers int) {
--- a/router/notice/notice.go
+++ b/router/notice/notice.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/pacer"
 )
 
 const (
@@ -39,11 +40,14 @@
 	Leaving struct{}
 	// Paused upstreams want no requests from this instance until a given time.
 	Paused struct{ Until time.Time }
+	// Limited upstreams limit their requests, and this instance has used its share until a given time.
+	Limited struct{ Until time.Time }
 )
 
 func (Available) availability() {}
 func (Leaving) availability()   {}
 func (Paused) availability()    {}
+func (Limited) availability()   {}
 
 // record holds the notices of one incarnation. The zero value has none.
 type record struct {
@@ -54,6 +58,8 @@
 	pausedUntil time.Time
 	// limit is the newest statement of the incarnation about its rate of requests.
 	limit Limit
+	// taken is the slot of the limit that this instance used last.
+	taken time.Time
 }
 
 // leaving reports whether the first notice that the incarnation is leaving was received at
@@ -73,12 +79,15 @@
 type Registry struct {
 	mu      sync.Mutex // guards writes
 	records atomic.Pointer[map[fleet.Incarnation]record]
+	// share is this instance's share of the limits.
+	share atomic.Pointer[pacer.Share]
 }
 
 // New returns a registry without notices.
 func New() *Registry {
 	b := &Registry{}
 	b.records.Store(&map[fleet.Incarnation]record{})
+	b.share.Store(&pacer.Share{})
 	return b
 }
 
@@ -90,6 +99,11 @@
 		return Leaving{}
 	case now.Before(m.pausedUntil):
 		return Paused{Until: m.pausedUntil}
+	case m.limit.inForce():
+		if next := b.slots(u.Incarnation(), m).Next(m.taken, now); next.After(now) {
+			return Limited{Until: next}
+		}
+		return Available{}
 	default:
 		return Available{}
 	}
--- a/router/relay/notice.go
+++ b/router/relay/notice.go
@@ -43,22 +43,29 @@
 				Msg("upstream limits the requests per second that it takes from all routers")
 		}
 	case call.Unlimited:
-		if o.Notices.RecordLimit(i, notice.Limit{Lifted: true, At: o.began}, now) {
+		if o.Notices.HasLimit(i) && o.Notices.RecordLimit(i, notice.Limit{Lifted: true, At: o.began}, now) {
 			o.Log.Info().Str("upstream", string(i.ID)).Int64("born", i.StartedMs).Str("request", string(o.Meta.ID)).
 				Msg("upstream no longer limits its requests")
 		}
 	}
 }
 
-// accepting reports whether u has announced neither a shutdown nor a pause that is still
-// in force at now.
+// accepting reports whether u takes a request at now: it has announced neither a shutdown nor a
+// pause that is still in force, and either this instance's share of its limit isn't used up or the
+// request has a permit.
 func (t *request) accepting(u *fleet.Upstream, now time.Time) bool {
-	_, ok := t.Notices.Availability(u, now).(notice.Available)
-	return ok
+	switch t.Notices.Availability(u, now).(type) {
+	case notice.Available:
+		return true
+	case notice.Limited:
+		return t.permit.Allows(u.Incarnation(), now)
+	default:
+		return false
+	}
 }
 
 // remains reports whether u is neither registered as draining nor has announced its shutdown. A
-// paused upstream remains.
+// paused or limited upstream remains.
 func (t *request) remains(u *fleet.Upstream, now time.Time) bool {
 	_, leaving := t.Notices.Availability(u, now).(notice.Leaving)
 	return !u.Draining && !leaving
@@ -86,9 +93,8 @@
 		return &UnavailableError{Upstream: u.ID, Reason: "it leaves"}
 	case notice.Paused:
 		return &UnavailableError{Upstream: u.ID, Reason: "it wants no requests for " + s.Until.Sub(now).String()}
-	default:
-		return nil
 	}
+	return t.usePermit(u, now)
 }
 
 const (
@@ -99,21 +105,26 @@
 	pauseJitterFraction = 0.25
 )
 
-// untilPauseEnd returns the time, with jitter, until the first upstream of the service
+// untilAccepting returns the time, with jitter, until the first upstream of the service
 // accepts requests again. It returns false unless there is a remaining upstream and all
-// remaining ones have asked for a pause.
-func (t *request) untilPauseEnd(now time.Time) (time.Duration, bool) {
+// remaining ones have asked for a pause or have a limit that is used up.
+func (t *request) untilAccepting(now time.Time) (time.Duration, bool) {
 	var first time.Time
 	for _, u := range t.Syncer.View().Fleet.Service(t.service) {
 		if !t.remains(u, now) {
 			continue
 		}
-		q, ok := t.Notices.Availability(u, now).(notice.Paused)
-		if !ok {
+		var until time.Time
+		switch q := t.Notices.Availability(u, now).(type) {
+		case notice.Paused:
+			until = q.Until
+		case notice.Limited:
+			until = q.Until
+		default:
 			return 0, false
 		}
-		if first.IsZero() || q.Until.Before(first) {
-			first = q.Until
+		if first.IsZero() || until.Before(first) {
+			first = until
 		}
 	}
 	if first.IsZero() {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -148,8 +148,10 @@
 	mayHaveRun bool
 	// excluded holds the upstreams that have been tried with the present model.
 	excluded []ident.UpstreamID
-	// retryGranted is true while a retry has been taken from the budget and not been used.
-	retryGranted atomic.Bool
+	// retryGranted is a retry that has been taken from the budget and not been used, or nil.
+	retryGranted atomic.Pointer[retryGrant]
+	// permit allows the next attempt if its upstream limits its requests.
+	permit notice.Permit
 	// rejection is why the last attempt that did not run was rejected or not sent.
 	rejection string
 	// streamVersion is the version of the upstream that began the stream; it is set once the
@@ -240,7 +242,7 @@
 // called if the attempt is to end early in favor of a retry. s needs only the fields of a
 // resumed stream; send sets the others.
 func (t *request) send(ctx context.Context, cancel context.CancelCauseFunc, model ident.ModelID, s call.Outbound) outcome {
-	c, ok := t.pick(model)
+	c, ok := t.choose(ctx, model)
 	if !ok {
 		return noUpstream{}
 	}
@@ -362,8 +364,8 @@
 		if t.mayHaveRun {
 			break
 		}
-		if d, ok := t.untilPauseEnd(time.Now()); ok {
-			return refuse.New(refuse.Overloaded, ran, "all upstreams of service %s want no requests now", t.service).WithRetryAfter(d)
+		if d, ok := t.untilAccepting(time.Now()); ok {
+			return refuse.New(refuse.Overloaded, ran, "all upstreams of service %s want no more requests now", t.service).WithRetryAfter(d)
 		}
 		if t.rejection != "" {
 			return refuse.New(refuse.Overloaded, ran, "no upstream took the request: %s", t.rejection).WithRetryAfter(retryAfterRejection)
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -8,6 +8,7 @@
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/notice"
 )
 
 // takeRetry reports whether the request may be sent once more: enough of the client's time
@@ -20,7 +21,11 @@
 	if t.runs >= t.Route.Attempts || (t.mayHaveRun && !t.Route.Retryable()) {
 		return false
 	}
-	if !t.retryGranted.Swap(false) && !t.Budget.TakeRetry(t.service, t.Now()) {
+	if g := t.retryGranted.Swap(nil); g != nil {
+		t.permit = g.permit
+		return true
+	}
+	if !t.Budget.TakeRetry(t.service, t.Now()) {
 		t.Meter.RetryDenied()
 		t.Log.Warn().Str("request", string(t.Meta.ID)).Str("service", string(t.service)).
 			Int("attempt", t.attempts).Msg("repeat not allowed by the retry budget")
@@ -49,25 +54,45 @@
 	}
 	tried := slices.Clone(t.excluded)
 	return func(cause error) {
-		if time.Until(t.Deadline) < 2*responseReserve || !t.hasAlternative(u, tried) || !t.Budget.TakeRetry(t.service, t.Now()) {
+		if time.Until(t.Deadline) < 2*responseReserve {
 			return
 		}
-		t.retryGranted.Store(true)
+		p, ok := t.takeAlternative(u, tried)
+		if !ok || !t.Budget.TakeRetry(t.service, t.Now()) {
+			return
+		}
+		t.retryGranted.Store(&retryGrant{permit: p})
 		cancel(cause)
 	}
 }
 
-// hasAlternative reports whether the service has an upstream of u's version that accepts
-// requests and is not in tried.
-func (t *request) hasAlternative(u *fleet.Upstream, tried []ident.UpstreamID) bool {
+// takeAlternative reports whether the service has an upstream of u's version that accepts
+// requests and is not in tried. The permit is for it, if it limits its requests.
+func (t *request) takeAlternative(u *fleet.Upstream, tried []ident.UpstreamID) (notice.Permit, bool) {
 	now := time.Now()
+	var limited []*fleet.Upstream
 	for _, x := range t.Syncer.View().Fleet.Service(t.service) {
-		if !x.Draining && t.accepting(x, now) && x.Version == u.Version && !slices.Contains(tried, x.ID) {
-			return true
+		if x.Draining || x.Version != u.Version || slices.Contains(tried, x.ID) {
+			continue
+		}
+		if _, ok := t.Notices.Availability(x, now).(notice.Available); !ok {
+			continue
+		}
+		if !t.Notices.HasLimit(x.Incarnation()) {
+			return notice.Permit{}, true
+		}
+		limited = append(limited, x)
+	}
+	for _, x := range limited {
+		if p, ok := t.Notices.TakePermit(x.Incarnation(), 0, now); ok {
+			return p, true
 		}
 	}
-	return false
+	return notice.Permit{}, false
 }
 
+// retryGrant is a retry taken from the budget, with a permit if its upstream limits its requests.
+type retryGrant struct{ permit notice.Permit }
+
 // errLate is the cause of an attempt canceled by responseTimer.
 var errLate = errors.New("the answer did not begin in time")
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -114,7 +114,7 @@
 	exclude := t.excluded
 	t.excluded = nil
 	c, ok := t.pick(larger)
-	if !ok || !t.worthEscalating(larger, confidence, c) || !t.takeRetry(ctx) {
+	if !ok || !t.worthEscalating(larger, confidence, c) || !t.takePermit(c.Upstream) || !t.takeRetry(ctx) {
 		t.excluded = exclude
 		return m, false
 	}
--- a/router/share/exchange.go
+++ b/router/share/exchange.go
@@ -9,6 +9,7 @@
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/gossip"
+	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
 )
 
@@ -18,28 +19,38 @@
 // Exchange sends samples to the peer and returns those of other routers.
 func (c *Client) Exchange(ctx context.Context, m gossip.Message) (gossip.Reply, error) {
 	now := time.Now()
-	r, err := c.rpc.Trade(ctx, &TradeRequest{From: m.Sender, After: uint64(m.After), Samples: encodeSamples(m.Samples, now), Backlog: encodeBacklog(m.Backlog), Routers: uint32(m.Routers), Leaving: encodeIncarnations(m.Leaving)})
+	r, err := c.rpc.Trade(ctx, &TradeRequest{From: m.Sender, After: uint64(m.After), Samples: encodeSamples(m.Samples, now), Backlog: encodeBacklog(m.Backlog), Routers: uint32(m.Routers), Leaving: encodeIncarnations(m.Leaving), Limits: encodeLimits(m.Limits, now)})
 	if err != nil {
 		return gossip.Reply{}, fmt.Errorf("exchange samples with peer %s: %w", c.address, err)
 	}
 	return gossip.Reply{
 		Samples: decodeSamples(r.GetSamples(), now), Next: gossip.Cursor(r.GetNext()), Backlog: decodeBacklog(r.GetBacklog()), Routers: int(r.GetRouters()),
 		Pause: time.Duration(r.GetPauseMs()) * time.Millisecond, Leaving: decodeIncarnations(r.GetLeaving()),
+		Limits: decodeLimits(r.GetLimits(), now), Rank: decodeRank(r),
 	}, nil
 }
 
+// decodeRank returns the rank in a reply, which peers of an earlier version don't send.
+func decodeRank(r *TradeReply) int {
+	if r.Rank == nil {
+		return gossip.UnknownRank
+	}
+	return int(r.GetRank())
+}
+
 // Trade merges a peer's samples and returns those of other routers.
 func (s *Server) Trade(_ context.Context, q *TradeRequest) (*TradeReply, error) {
 	now := time.Now()
 	a := s.exchanger.HandleMessage(gossip.Message{
 		Sender: q.GetFrom(), After: gossip.Cursor(q.GetAfter()), Samples: decodeSamples(q.GetSamples(), now),
 		Backlog: decodeBacklog(q.GetBacklog()), Routers: int(q.GetRouters()),
-		Leaving: decodeIncarnations(q.GetLeaving()),
+		Leaving: decodeIncarnations(q.GetLeaving()), Limits: decodeLimits(q.GetLimits(), now),
 	})
+	rank := uint32(a.Rank)
 	return &TradeReply{
 		Samples: encodeSamples(a.Samples, now), Next: uint64(a.Next), PauseMs: uint32(a.Pause.Milliseconds()),
 		Backlog: encodeBacklog(a.Backlog), Routers: uint32(a.Routers),
-		Leaving: encodeIncarnations(a.Leaving),
+		Leaving: encodeIncarnations(a.Leaving), Limits: encodeLimits(a.Limits, now), Rank: &rank,
 	}, nil
 }
 
@@ -115,3 +126,33 @@
 	}
 	return out
 }
+
+// encodeLimits encodes the time of a statement as its age, like encodeSamples.
+func encodeLimits(ls []notice.StatedLimit, now time.Time) []*Limit {
+	out := make([]*Limit, 0, len(ls))
+	for _, l := range ls {
+		m := &Limit{
+			Upstream: encodeIncarnations([]fleet.Incarnation{l.Upstream})[0],
+			AgeMs:    uint32(max(now.Sub(l.At), 0).Milliseconds()),
+		}
+		if !l.Lifted {
+			rate := float64(l.Rate)
+			m.Rate = &rate
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func decodeLimits(ms []*Limit, now time.Time) []notice.StatedLimit {
+	out := make([]notice.StatedLimit, 0, len(ms))
+	for _, m := range ms {
+		out = append(out, notice.StatedLimit{
+			Upstream: decodeIncarnations([]*Incarnation{m.GetUpstream()})[0],
+			Limit: notice.Limit{
+				Rate: call.Rate(m.GetRate()), Lifted: m.Rate == nil, At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+			},
+		})
+	}
+	return out
+}
--- a/router/share/exchange_test.go
+++ b/router/share/exchange_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -60,8 +61,14 @@
 		At: time.Now().Add(-300 * time.Millisecond),
 	}
 	left := fleet.Incarnation{ID: "u3", StartedMs: 1_800_000_000_000}
+	at := time.Now().Add(-2 * time.Second)
+	limits := []notice.StatedLimit{
+		{Upstream: left, Limit: notice.Limit{Rate: 2.5, At: at}},
+		{Upstream: fleet.Incarnation{ID: "u4"}, Limit: notice.Limit{Rate: 0, At: at}},
+		{Upstream: fleet.Incarnation{ID: "u5", StartedMs: 7}, Limit: notice.Limit{Lifted: true, At: at}},
+	}
 	backlog := place.Backlog{Upstream: "u2", Work: 1250, Attempts: 2}
-	if _, err := c.Exchange(ctx, gossip.Message{Sender: "a", Samples: []place.Sample{sample}, Backlog: []place.Backlog{backlog}, Leaving: []fleet.Incarnation{left}}); err != nil {
+	if _, err := c.Exchange(ctx, gossip.Message{Sender: "a", Routers: 1, Samples: []place.Sample{sample}, Backlog: []place.Backlog{backlog}, Leaving: []fleet.Incarnation{left}, Limits: limits}); err != nil {
 		t.Fatal(err)
 	}
 	a, err := c.Exchange(ctx, gossip.Message{Sender: "b"})
@@ -77,6 +84,18 @@
 	if len(a.Leaving) != 1 || a.Leaving[0] != left {
 		t.Errorf("leaving %+v, want %+v", a.Leaving, left)
 	}
+	if a.Rank != 2 {
+		t.Errorf("rank %d, want 2, after the hub and the sender a", a.Rank)
+	}
+	if len(a.Limits) != len(limits) {
+		t.Errorf("limits %+v, want %+v", a.Limits, limits)
+	}
+	for _, l := range a.Limits {
+		i := slices.IndexFunc(limits, func(x notice.StatedLimit) bool { return x.Upstream == l.Upstream })
+		if i < 0 || l.Rate != limits[i].Rate || l.Lifted != limits[i].Lifted || l.At.Sub(at).Abs() > 100*time.Millisecond {
+			t.Errorf("got %+v, want one of %+v", l, limits)
+		}
+	}
 	got := a.Samples[0]
 	if d := got.At.Sub(sample.At); d.Abs() > 200*time.Millisecond {
 		t.Errorf("the sample's age changed by %s", d)
