fix(canary): compare times that don't depend on a request's size

Cause: the time until the head of a response follows the length of its prompt. A tenth of the old version's took over 367 ms, half of the new one's under 119 ms, and each router had some nine of them, reported at the end of the stream. Ruled out: a missing reference (each router had over 80 times of the old version) and a late order (written after 0.5 s).

Change: the time to the head counts as a multiple of its prediction, and the interval between the first three events counts as well. A time is slow above twice the old version's median; the rates of both versions are compared over the last 100 times. Routers share the counts through their tally rows while the version is a canary, and evidence over all reverts it. TestMonitor feeds the same times through ObserveTiming, with the same bounds, and has one more case.

--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -87,7 +87,7 @@
 // compared with. It is not safe for concurrent use.
 type Reference struct {
 	rates   map[Signal]rate
-	latency quantile
+	latency Quantile
 }
 
 type rate struct {
@@ -97,19 +97,24 @@
 
 // NewReference returns a reference without observations.
 func NewReference() *Reference {
-	return &Reference{rates: map[Signal]rate{}}
+	return &Reference{rates: map[Signal]rate{}, latency: NewQuantile(latencyQuantile)}
 }
 
 // Observe adds an answer, or a rating, of the reference version.
 func (r *Reference) Observe(o Observation) {
-	for s, x := range indicators(o, r.latency.value()) {
+	for s, x := range indicators(o, r.slow()) {
 		r.rates[s] = r.rates[s].add(x)
 	}
 	if o.Latency > 0 && !o.Failed {
-		r.latency = r.latency.observe(o.Latency)
+		r.latency.Observe(float64(o.Latency))
 	}
 }
 
+// slow returns the latency above which an answer is slow, 0 as long as it is unknown.
+func (r *Reference) slow() time.Duration {
+	return time.Duration(r.latency.Value())
+}
+
 // Count returns the weighted number of answers observed, at most referenceWindow.
 func (r *Reference) Count() int {
 	return int(r.rates[SignalError].n)
@@ -180,7 +185,7 @@
 // Observe adds an answer, or a rating, of the version under test and returns the
 // verdict.
 func (g *Guard) Observe(r *Reference, o Observation) Verdict {
-	a := indicators(o, r.latency.value())
+	a := indicators(o, r.slow())
 	for _, s := range signals {
 		x, ok := a[s]
 		if !ok || r.rates[s].n < minReference || (g.restart && s == SignalLatency) {
@@ -236,35 +241,3 @@
 	}
 	return a
 }
-
-// quantile estimates latencyQuantile in constant memory: each observation moves the
-// estimate by a factor.
-type quantile struct {
-	estimate float64
-	n        float64
-}
-
-func (q quantile) observe(d time.Duration) quantile {
-	q.n++
-	if q.estimate == 0 {
-		q.estimate = float64(d)
-		return q
-	}
-	// The step shrinks with the number of observations to a minimum that follows slow
-	// changes.
-	s := max(0.5/math.Sqrt(q.n), 0.01)
-	if float64(d) > q.estimate {
-		q.estimate *= 1 + s*latencyQuantile
-	} else {
-		q.estimate *= 1 - s*(1-latencyQuantile)
-	}
-	return q
-}
-
-// value returns the estimate, 0 with fewer than minReference observations.
-func (q quantile) value() time.Duration {
-	if q.n < minReference {
-		return 0
-	}
-	return time.Duration(q.estimate)
-}
--- a/router/canary/canary_test.go
+++ b/router/canary/canary_test.go
@@ -148,31 +148,43 @@
 
 // Guards against a bad version that is detected late and a good one that is reverted.
 func TestMonitor(t *testing.T) {
+	type response struct {
+		failed bool
+		// latency is the time of the response; 0 means none.
+		latency time.Duration
+	}
 	tests := map[string]struct {
-		respond func(i int) canary.Response
+		respond func(i int) response
 		// within is the number of responses within which the version must be found bad; 0
 		// means never.
 		within int
 	}{
-		"good":             {func(int) canary.Response { return canary.Response{Latency: 110 * time.Millisecond} }, 0},
-		"cold caches":      {func(int) canary.Response { return canary.Response{Latency: 180 * time.Millisecond} }, 0},
-		"half fail":        {func(i int) canary.Response { return canary.Response{Failed: i%2 == 0} }, 10},
-		"eight times slow": {func(int) canary.Response { return canary.Response{Latency: 800 * time.Millisecond} }, 20},
-		"bad after 100 responses": {func(i int) canary.Response {
-			return canary.Response{Failed: i > 100 && i%2 == 0, Latency: 100 * time.Millisecond}
+		"good":             {func(int) response { return response{latency: 110 * time.Millisecond} }, 0},
+		"cold caches":      {func(int) response { return response{latency: 180 * time.Millisecond} }, 0},
+		"half fail":        {func(i int) response { return response{failed: i%2 == 0} }, 10},
+		"eight times slow": {func(int) response { return response{latency: 800 * time.Millisecond} }, 20},
+		"bad after 100 responses": {func(i int) response {
+			return response{failed: i > 100 && i%2 == 0, latency: 100 * time.Millisecond}
 		}, 130},
+		"slow after 100 responses": {func(i int) response {
+			return response{latency: time.Duration(100+300*(i/100)) * time.Millisecond}
+		}, 160},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			w := canary.NewMonitor()
+			observe := func(r response, isNew bool) {
+				w.Observe(canary.Response{Service: "llm", New: isNew, Failed: r.failed}, 7)
+				if r.latency > 0 {
+					w.ObserveTiming(canary.Timing{Service: "llm", New: isNew, Measure: canary.FirstResponse, Value: r.latency.Seconds()}, 7)
+				}
+			}
 			for i := range 60 {
-				w.Observe(canary.Response{Service: "llm", Latency: time.Duration(90+i%20) * time.Millisecond}, 7)
+				observe(response{latency: time.Duration(90+i%20) * time.Millisecond}, false)
 			}
 			found := 0
 			for i := 1; i <= 300 && found == 0; i++ {
-				a := c.respond(i)
-				a.Service, a.New = "llm", true
-				w.Observe(a, 7)
+				observe(c.respond(i), true)
 				if w.Verdict("llm", 7) != "" {
 					found = i
 				}
@@ -187,6 +199,35 @@
 	}
 }
 
+// The day hasty: a canary's few responses are spread over many instances. Guards against a slow
+// version that none of them can judge alone, and against a good one that is reverted because a
+// fifth of all responses are slow.
+func TestSlowAcrossInstances(t *testing.T) {
+	for name, c := range map[string]struct {
+		instances int
+		slow      canary.Slowness
+		bad       bool
+	}{
+		"slow at 5 instances":      {5, canary.Slowness{Slow: 4, Timed: 5}, true},
+		"slow at 103 instances":    {30, canary.Slowness{Slow: 1, Timed: 1}, true},
+		"good at 5 instances":      {5, canary.Slowness{Slow: 1, Timed: 5}, false},
+		"good at 103 instances":    {103, canary.Slowness{Slow: 1, Timed: 4}, false},
+		"busy, but like the other": {5, canary.Slowness{Slow: 6, Timed: 20}, false},
+		"first responses are slow": {3, canary.Slowness{Slow: 1, Timed: 1}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := canary.Inputs{Order: order, Progress: progress(canary.PhaseCanary), StoreClock: 101 * time.Second}
+			for range c.instances {
+				f.Tallies = append(f.Tallies, canary.Tally{Order: 7, Responses: c.slow.Timed, Slowness: c.slow, SlownessBefore: canary.Slowness{Slow: 20, Timed: 100}})
+			}
+			s, saves := canary.Decide(f).(canary.Save)
+			if bad := saves && s.Progress.Phase == canary.PhaseReverted; bad != c.bad {
+				t.Errorf("found bad: %v, want %v", bad, c.bad)
+			}
+		})
+	}
+}
+
 // Guards against a bad version that stays because a restarted instance has no reference
 // yet.
 func TestMonitorWithoutReference(t *testing.T) {
--- a/router/canary/decide.go
+++ b/router/canary/decide.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/entry/guard"
 	"tarragonvalve.example/router/fleet"
 )
 
@@ -87,6 +88,9 @@
 	if failsAcrossInstances(f) {
 		return transition(*p, PhaseReverted, "too many failed responses across instances")
 	}
+	if slowAcrossInstances(f) {
+		return transition(*p, PhaseReverted, "too many slow responses across instances")
+	}
 	age := f.StoreClock - p.StartedAt
 	part := age.Seconds() / max(f.Order.MaxDuration.Seconds(), 1)
 	enough := f.NewUpstreams > 0 && float64(f.NewUpstreams) >= minCapacity*float64(f.OldUpstreams)
@@ -132,6 +136,18 @@
 	return failed >= minSharedFailures && float64(failed) >= minSharedFailureRate*float64(responses)
 }
 
+// slowAcrossInstances reports whether the times of all instances together call for a reversion.
+func slowAcrossInstances(f Inputs) bool {
+	var after, before guard.Counts
+	for _, t := range f.Tallies {
+		if t.Order == f.Order.Revision {
+			after = after.Plus(t.Slowness.counts())
+			before = before.Plus(t.SlownessBefore.counts())
+		}
+	}
+	return guard.Excess(guard.SignalLatency, after, before) >= slowEvidence
+}
+
 // Route selects the versions that a request may use.
 type Route struct {
 	// To is the version that the order names; it is empty without an order.
--- a/router/canary/monitor.go
+++ b/router/canary/monitor.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"math"
 	"sync"
-	"time"
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/entry/guard"
@@ -17,9 +17,15 @@
 	// good version is falsely found to have turned bad. A version's good responses must
 	// not hide that it fails from some time on.
 	lateFalseAlarmRate = 0.0005
-	// slowFactor is how many times longer than the old version's usual responses a new
-	// one's may take: its caches are cold and its upstreams differ in speed.
+	// slowFactor is how many times the median of the old version's times makes a time slow: the
+	// caches of new upstreams are cold, and upstreams differ in speed.
 	slowFactor = 2
+	// timingWindow is the number of times that are compared. It is small, so that a burst of
+	// requests, which slows both versions down, shows in both.
+	timingWindow = 100
+	// slowEvidence is the evidence from which a version is slow. Its inverse bounds the
+	// probability that a good one is found slow.
+	slowEvidence = 500
 	// minFailures and minFailureRate are the number of failures and their part of the
 	// responses from which a version is bad if there is no reference, such as after a
 	// restart.
@@ -33,8 +39,29 @@
 	// New is true for responses of the version that is being rolled out.
 	New    bool
 	Failed bool
-	// Latency is the response time if it can be compared with others, else 0.
-	Latency time.Duration
+}
+
+// Measure is a kind of time that is compared between versions.
+type Measure int
+
+// Both measures hardly depend on the size of a request.
+const (
+	// FirstResponse is the time until a response started, as a multiple of the time that was
+	// predicted for an upstream of usual speed.
+	FirstResponse Measure = iota
+	// EventInterval is the mean time, in seconds, between the first events of a stream.
+	EventInterval
+
+	measureCount
+)
+
+// Timing is a time of a response.
+type Timing struct {
+	Service ident.ServiceID
+	// New is true for responses of the version that is being rolled out.
+	New     bool
+	Measure Measure
+	Value   float64
 }
 
 // Monitor judges new versions by the responses that this instance saw. It is safe for
@@ -57,6 +84,10 @@
 	responses int
 	failed    int
 	verdict   string
+	// medians are those of the old version's times, by measure. oldTimings and newTimings count
+	// the slow ones of both versions, which are those above slowFactor times the median.
+	medians                [measureCount]guard.Quantile
+	oldTimings, newTimings guard.Counts
 }
 
 // NewMonitor returns a monitor without observations.
@@ -70,7 +101,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.stateOf(a.Service)
-	o := guard.Observation{Failed: a.Failed, Latency: a.Latency}
+	o := guard.Observation{Failed: a.Failed}
 	if !a.New {
 		s.reference.Observe(o)
 		return
@@ -80,7 +111,6 @@
 	if a.Failed {
 		s.failed++
 	}
-	o.Latency /= slowFactor
 	for _, g := range []*guard.Guard{s.guard, s.detector} {
 		if b, ok := g.Observe(s.reference, o).(guard.Degraded); ok && s.verdict == "" {
 			s.verdict = fmt.Sprintf("%s: rate %.2f against %.2f", b.Signal, b.Rate, b.Reference)
@@ -91,6 +121,32 @@
 	}
 }
 
+// ObserveTiming adds a time of a response. order is the revision of the service's order; it is 0
+// without a roll-out.
+func (w *Monitor) ObserveTiming(t Timing, order uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := w.stateOf(t.Service)
+	m := &s.medians[t.Measure]
+	median := m.Value()
+	slow := t.Value > slowFactor*median
+	if !t.New {
+		m.Observe(t.Value)
+		if median > 0 {
+			s.oldTimings.Add(slow, timingWindow)
+		}
+		return
+	}
+	s.reset(order)
+	if median == 0 {
+		return
+	}
+	s.newTimings.Add(slow, timingWindow)
+	if s.verdict == "" && guard.Excess(guard.SignalLatency, s.newTimings, s.oldTimings) >= slowEvidence {
+		s.verdict = fmt.Sprintf("slow: %.0f of %.0f times against %.0f of %.0f", s.newTimings.Bad, s.newTimings.All, s.oldTimings.Bad, s.oldTimings.All)
+	}
+}
+
 // Verdict returns why this instance found the version of an order bad; it is empty if it
 // didn't.
 func (w *Monitor) Verdict(s ident.ServiceID, order uint64) string {
@@ -103,16 +159,29 @@
 	return x.verdict
 }
 
-// Tally returns the numbers of responses and of failures of the version of an order at
-// this instance.
-func (w *Monitor) Tally(s ident.ServiceID, order uint64) (responses, failed int) {
+// Tally returns what this instance counted for the version of an order. Its field Instance is
+// empty.
+func (w *Monitor) Tally(s ident.ServiceID, order uint64) Tally {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	t := Tally{Service: s, Order: order}
 	x := w.services[s]
 	if x == nil || x.order != order {
-		return 0, 0
+		return t
 	}
-	return x.responses, x.failed
+	t.Responses, t.Failed = x.responses, x.failed
+	t.Slowness, t.SlownessBefore = slowness(x.newTimings), slowness(x.oldTimings)
+	return t
+}
+
+// slowness rounds weighted counts.
+func slowness(c guard.Counts) Slowness {
+	return Slowness{Slow: int(math.Round(c.Bad)), Timed: int(math.Round(c.All))}
+}
+
+// counts is the reverse of slowness.
+func (s Slowness) counts() guard.Counts {
+	return guard.Counts{Bad: float64(s.Slow), All: float64(s.Timed)}
 }
 
 // stateOf returns the observations of a service; it creates them if there are none.
@@ -120,6 +189,9 @@
 	x := w.services[s]
 	if x == nil {
 		x = &serviceState{reference: guard.NewReference()}
+		for i := range x.medians {
+			x.medians[i] = guard.NewQuantile(0.5)
+		}
 		w.services[s] = x
 	}
 	return x
@@ -134,4 +206,5 @@
 	s.guard = guard.New(falseAlarmProbability)
 	s.detector = guard.NewDetector(lateFalseAlarmRate)
 	s.responses, s.failed, s.verdict = 0, 0, ""
+	s.newTimings = guard.Counts{}
 }
--- a/router/canary/types.go
+++ b/router/canary/types.go
@@ -74,4 +74,12 @@
 	Order     uint64
 	Responses int
 	Failed    int
+	// Slowness counts the times of the new version's responses, SlownessBefore those of the old one's
+	// in the same period.
+	Slowness, SlownessBefore Slowness
+}
+
+// Slowness counts times of responses, and those of them that were slow.
+type Slowness struct {
+	Slow, Timed int
 }
--- a/router/mirror/logchange.go
+++ b/router/mirror/logchange.go
@@ -14,7 +14,8 @@
 			Stringer("phase", c.Progress.Phase).Uint64("revision", uint64(c.Revision)).Msg("roll-out progress changed")
 	case TallyChanged:
 		n.log.Info().Str("service", string(c.Tally.Service)).Str("by", c.Tally.Instance).
-			Int("answers", c.Tally.Responses).Int("bad", c.Tally.Failed).Msg("failed responses of a new version reported")
+			Int("answers", c.Tally.Responses).Int("bad", c.Tally.Failed).
+			Int("timed", c.Tally.Slowness.Timed).Int("slow", c.Tally.Slowness.Slow).Msg("responses of a new version reported")
 	case UpstreamChanged:
 		n.log.Info().Str("upstream", string(c.Upstream.ID)).Str("service", string(c.Upstream.Service)).
 			Str("version", string(c.Upstream.Version)).Str("address", c.Upstream.Address).
--- a/router/place/place.go
+++ b/router/place/place.go
@@ -138,6 +138,8 @@
 	CopySource *fleet.Upstream
 	// Unresponsive is true if the upstream is suspected to be dead and no other was left.
 	Unresponsive bool
+	// Nominal is the predicted delay without the upstream's slowdown.
+	Nominal time.Duration
 
 	prefix Prefix
 	// nominal is the predicted delay, in ms, without a slowdown, work the request's own part of it.
@@ -330,6 +332,7 @@
 		queue = l.queueWork(u, q, o, now)
 	}
 	c.nominal = idleDelay + queue + c.work
+	c.Nominal = time.Duration(c.nominal * float64(time.Millisecond))
 	c.Cost = s * c.nominal
 	c.Delay = time.Duration(c.Cost * float64(time.Millisecond))
 	c.QueueDelay = time.Duration(s * queue * float64(time.Millisecond))
--- a/router/relay/buffered.go
+++ b/router/relay/buffered.go
@@ -60,7 +60,6 @@
 func (t *request) sendBuffered(ctx context.Context) (*bufferedResponse, outcome) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	began := time.Now()
 	o := t.send(ctx, cancel, "", call.Outbound{})
 	a, ok := o.(answered)
 	if !ok {
@@ -69,7 +68,9 @@
 	m := t.Memory.NewReservation()
 	b, err := t.readBody(a.Response, m)
 	a.End()
-	a.latency = time.Since(began)
+	if err == nil {
+		a.reportFirstResponse()
+	}
 	a.finish(err == nil && a.Status < http.StatusInternalServerError)
 	if err != nil {
 		m.Free()
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -56,13 +56,26 @@
 	return canary.RouteFor(o, p, t.Canary.Verdict(t.service, o.Revision) != "", xxhash.Sum64String(s))
 }
 
-// reportResult reports the result of an attempt to the canary analysis. latency is 0 if it
-// can't be compared with other requests' times.
-func (t *request) reportResult(u *fleet.Upstream, failed bool, latency time.Duration) {
+// reportResult reports the result of an attempt to the canary analysis.
+func (t *request) reportResult(u *fleet.Upstream, failed bool) {
 	o := t.Syncer.View().Orders[t.service]
-	t.Canary.Observe(canary.Response{
-		Service: t.service, New: o.To != "" && u.Version == o.To, Failed: failed, Latency: latency,
-	}, o.Revision)
+	t.Canary.Observe(canary.Response{Service: t.service, New: isNew(o, u), Failed: failed}, o.Revision)
+}
+
+// reportTiming reports a time of the attempt's response to the canary analysis.
+func (o *attempt) reportTiming(m canary.Measure, value float64) {
+	x := o.Syncer.View().Orders[o.service]
+	o.Canary.ObserveTiming(canary.Timing{Service: o.service, New: isNew(x, o.upstream), Measure: m, Value: value}, x.Revision)
+}
+
+// reportFirstResponse reports the time until the attempt's response started.
+func (o *attempt) reportFirstResponse() {
+	o.reportTiming(canary.FirstResponse, float64(time.Since(o.began))/float64(max(o.nominal, time.Millisecond)))
+}
+
+// isNew reports whether u has the version that an order rolls out.
+func isNew(o canary.Order, u *fleet.Upstream) bool {
+	return o.To != "" && u.Version == o.To
 }
 
 // isEngine reports whether the service's upstreams are model engines.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -200,8 +200,8 @@
 	responseTimer *time.Timer
 	// serviceSize is the number of the service's upstreams.
 	serviceSize int
-	// latency is the response time if it can be compared with other requests' times, or 0.
-	latency time.Duration
+	// nominal is the predicted time until the response for an upstream of usual speed.
+	nominal time.Duration
 }
 
 // headersReceived records the arrival of the response's headers.
@@ -221,7 +221,7 @@
 func (o *attempt) finish(ok bool) {
 	o.release()
 	o.Balancer.RecordOutcome(o.upstream.ID, ok, o.serviceSize, time.Now())
-	o.reportResult(o.upstream, !ok, o.latency)
+	o.reportResult(o.upstream, !ok)
 }
 
 // release ends the attempt without a verdict on the upstream, such as when the client leaves.
@@ -250,7 +250,7 @@
 	t.excluded = append(t.excluded, u.ID)
 	t.attempts++
 	began := time.Now()
-	o := &attempt{request: t, upstream: u, began: began, placement: t.Balancer.Start(c, began), serviceSize: c.ServiceSize}
+	o := &attempt{request: t, upstream: u, began: began, placement: t.Balancer.Start(c, began), serviceSize: c.ServiceSize, nominal: c.Nominal}
 	cancelAttempt := t.cancelForRetry(u, cancel)
 	o.progress = t.Probe.Start(u, t.Route.MaxPause, cancelAttempt, began)
 	o.responseTimer = time.AfterFunc(max(t.Route.Objective, minAttemptTime), func() {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -11,6 +11,7 @@
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/choose"
 	"tarragonvalve.example/router/events"
 	"tarragonvalve.example/router/place"
@@ -95,13 +96,6 @@
 	return ms[0]
 }
 
-// isSmallest reports whether m is the route's smallest model, or the route has no choice of
-// models. Only then can response times be compared: larger models serve other requests and
-// take several times as long.
-func (t *request) isSmallest(m ident.ModelID) bool {
-	return len(t.Route.Models) == 0 || m == t.Route.Models[0]
-}
-
 // escalate decides by the confidence that model m reported whether the route's largest
 // model is to serve the request instead. It returns true with that model if it is worth its
 // price and the retry budget allows it, and then also clears the excluded upstreams.
@@ -150,7 +144,6 @@
 func (t *request) sendStream(ctx context.Context, f *clientStream, model *ident.ModelID) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	began := time.Now()
 	o := t.send(ctx, cancel, *model, call.Outbound{LastEvent: f.lastEvent, Resumes: f.hasEvent})
 	a, ok := o.(answered)
 	if !ok {
@@ -161,6 +154,7 @@
 		a.finish(a.Status < http.StatusInternalServerError)
 		return t.handleNonStream(f, a)
 	}
+	a.reportFirstResponse()
 	if !f.headersSent {
 		if m, yes := t.escalate(ctx, *model, a.Meta.Confidence); yes {
 			a.finish(true)
@@ -169,10 +163,8 @@
 			return escalated{}
 		}
 	}
-	if t.isSmallest(*model) {
-		a.latency = time.Since(began)
-	}
 	r := events.NewReader(a)
+	pace := pacing{attempt: a.attempt}
 	for {
 		e, err := r.Next()
 		if errors.Is(err, io.EOF) && f.headersSent {
@@ -183,6 +175,7 @@
 			if !e.CommentOnly {
 				a.responseTimer.Stop()
 				a.eventReceived()
+				pace.eventReceived()
 			}
 			err = f.forward(t, a, e)
 		}
@@ -245,3 +238,25 @@
 	}
 	return f.rc.Flush()
 }
+
+// pacedEvents is the number of events whose mean interval is reported: few, so that a slow version
+// shows before its streams end.
+const pacedEvents = 3
+
+// pacing measures the interval between the first events of a stream.
+type pacing struct {
+	*attempt
+	count int
+	first time.Time
+}
+
+// eventReceived records an event and reports the mean interval after pacedEvents.
+func (p *pacing) eventReceived() {
+	p.count++
+	switch p.count {
+	case 1:
+		p.first = time.Now()
+	case pacedEvents:
+		p.reportTiming(canary.EventInterval, time.Since(p.first).Seconds()/(pacedEvents-1))
+	}
+}
--- a/router/stager/stager.go
+++ b/router/stager/stager.go
@@ -112,7 +112,7 @@
 
 // advance writes the tally and the next progress of a roll-out if they are due.
 func (m *Controller) advance(ctx context.Context, v *mirror.View, o canary.Order) {
-	m.saveTally(ctx, o)
+	m.saveTally(ctx, v, o)
 	f, ok := m.inputs(v, o)
 	if !ok {
 		return
@@ -193,20 +193,28 @@
 	return !now.Before(d.at)
 }
 
-// saveTally writes the number of failures for the other instances, since each instance
-// alone sees few. It writes nothing if the number hasn't changed.
-func (m *Controller) saveTally(ctx context.Context, o canary.Order) {
-	responses, failed := m.monitor.Tally(o.Service, o.Revision)
+// saveTally writes what this instance counted for the other instances, since each instance alone
+// sees few responses. It writes nothing if the failures haven't changed nor, while the version is a
+// canary, the times: after that each instance sees enough.
+func (m *Controller) saveTally(ctx context.Context, v *mirror.View, o canary.Order) {
+	t := m.monitor.Tally(o.Service, o.Revision)
+	t.Instance = m.instance
 	last := m.saved[o.Service]
-	if failed == 0 || (last.Order == o.Revision && last.Failed == failed) || time.Since(last.at) < tallyInterval {
+	if last.Order != o.Revision {
+		last.Tally = canary.Tally{}
+	}
+	p := v.Progress[o.Service].Progress
+	isCanary := p.Order == o.Revision && p.Phase == canary.PhaseCanary
+	changed := t.Failed != last.Failed || (isCanary && t.Slowness != last.Slowness)
+	if !changed || time.Since(last.at) < tallyInterval {
 		return
 	}
-	t := canary.Tally{Service: o.Service, Instance: m.instance, Order: o.Revision, Responses: responses, Failed: failed}
+	saved := savedTally{Tally: t, at: time.Now()}
 	if err := m.syncer.SaveTally(ctx, t); err != nil {
 		m.log.Warn().Err(err).Str("service", string(o.Service)).Msg("tally not written")
 		// The previous tally stays recorded, so that the write is repeated after
 		// tallyInterval.
-		t = last.Tally
+		saved.Tally = last.Tally
 	}
-	m.saved[o.Service] = savedTally{Tally: t, at: time.Now()}
+	m.saved[o.Service] = saved
 }
