fix(logger): write the last line at once

Cause: the waiter of zerolog/diode loses the wake-up of its reader if a line comes between the reader's look at the empty buffer and its wait. Its poller has no such gap, but wakes a tenth-of-a-core router all the time.

Change: a channel with a goroutine takes the buffer's place; beyond 2,000 lines the oldest are dropped and counted, as before.

--- a/core/logger/decide.go
+++ b/core/logger/decide.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 	"golang.org/x/time/rate"
 )
 
@@ -33,7 +32,7 @@
 // number of omitted lines in the field left-out.
 func Decisions(w io.Writer, level zerolog.Level, instance string) (zerolog.Logger, func() error) {
 	o := &rateLimitHook{kinds: map[kind]*lineLimiter{}}
-	d := diode.NewWriter(w, bufferLines, 0, o.addDropped)
+	d := newLineQueue(w, o.addDropped)
 	l := zerolog.New(d).Level(level).Hook(o).With().Str("instance", instance).Logger()
 	return l, d.Close
 }
