fix(gossip): number routers alike at hundreds of them

Found by TestRanks with 103 routers: after a seed failed, two routers had the same slot of a limit in dozens of cases, so that the server could get bursts, and other slots had no owner.

Cause: a router that is asked by a hundred others hears of each only every 1.5 s, which is as long as a neighbour counts, so that ranks moved with each message; and each router divided the limit by its own count of routers, the largest of a minute, which differs between routers after a change of seed. Ruled out: the order of names (5 routers had no overlap).

Change: a neighbour keeps its place for 4 s, and the number of routers travels with the rank from the router that has no peer, for at most 10 s.

Result: with 103 routers no two have the same slot, before, during and after the outage of a seed; up to half of the slots have no owner for a minute after it, as routers that change their seed are counted twice (go test ./gossip, three runs, and once with -race).

--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,9 +20,6 @@
 	exchangeTimeout = 500 * time.Millisecond
 	// failedPeerPause is how long a peer isn't asked after a failure.
 	failedPeerPause = 3 * time.Second
-	// unnumberedRanks is the number of ranks among which a router without a rank chooses by its
-	// name: many more than there are routers.
-	unnumberedRanks = 1 << 20
 )
 
 // Peer is a router with which others exchange samples.
@@ -62,10 +58,8 @@
 	peers   []*peerState
 	samples *SampleLog
 	totals  *Totals
-	// rank is the number of this router among all. The router without a peer is the first; each
-	// router numbers those that exchange with it.
-	rank atomic.Int64
-	log  zerolog.Logger
+	ranking ranking
+	log     zerolog.Logger
 }
 
 // peerState is a peer with the state of the exchange with it.
@@ -86,7 +80,7 @@
 	}
 	if len(peers) > 0 {
 		// Until a peer numbers this router, and with peers of an earlier version, which don't.
-		n.rank.Store(int64(xxhash.Sum64String(name) % unnumberedRanks))
+		n.ranking.rank = int(xxhash.Sum64String(name) % unnumberedRanks)
 	}
 	return n
 }
@@ -148,8 +142,8 @@
 		n.log.Info().Str("peer", c.Address()).Msg("samples exchanged again")
 	}
 	c.sent, c.seen = sent, a.Next
-	if a.Rank != UnknownRank {
-		n.rank.Store(int64(a.Rank))
+	if a.Share != nil {
+		n.ranking.set(*a.Share, now)
 	}
 	n.notices.MergeLeaving(a.Leaving, now)
 	n.notices.MergeLimits(a.Limits, now)
@@ -166,7 +160,8 @@
 	a.Samples, a.Next = n.samples.After(m.After, m.Sender, now)
 	n.totals.Set(n.name, n.store.Backlog(), 1, now)
 	a.Backlog, a.Routers = n.totals.Without(m.Sender, now)
-	a.Rank = int(n.rank.Load()) + 1 + n.totals.Before(m.Sender, n.numbersItself, now)
+	own := n.share(now)
+	a.Share = &pacer.Share{Rank: own.Rank + 1 + n.totals.Before(m.Sender, n.numbersItself, now), Size: own.Size}
 	n.merge(m.Sender, m.Samples, m.Backlog, m.Routers)
 	return a
 }
@@ -179,7 +174,12 @@
 	n.totals.Set(sender, bs, routers, now)
 	others, _ := n.totals.Without(n.name, now)
 	n.store.SetRemoteBacklog(others, now)
-	n.notices.SetShare(pacer.Share{Rank: int(n.rank.Load()), Size: n.RouterCount()})
+	n.notices.SetShare(n.share(now))
+}
+
+// share returns this router's place among all routers.
+func (n *Exchanger) share(now time.Time) pacer.Share {
+	return n.ranking.share(n.RouterCount(), now)
 }
 
 // numbersItself reports whether an entry of the totals has a rank that this router doesn't assign:
--- a/router/gossip/log.go
+++ b/router/gossip/log.go
@@ -11,6 +11,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/notice"
+	"tarragonvalve.example/router/pacer"
 	"tarragonvalve.example/router/place"
 )
 
@@ -64,17 +65,15 @@
 	Leaving []fleet.Incarnation
 	// Limits are the newest statements of upstreams about the requests that they take.
 	Limits []notice.StatedLimit
-	// Rank is the number of the message's sender among the routers, or UnknownRank.
-	Rank int
+	// Share is the place of the message's sender among all routers; nil if the router that
+	// replies doesn't number others.
+	Share *pacer.Share
 	// Next is the value of After in the next message.
 	Next Cursor
 	// Pause is how long the router that gets the reply should wait until its next message.
 	Pause time.Duration
 }
 
-// UnknownRank is the rank in the reply of a router that numbers no others.
-const UnknownRank = -1
-
 // sampleKey identifies the samples that are merged into one.
 type sampleKey struct {
 	upstream ident.UpstreamID
--- a/router/gossip/totals.go
+++ b/router/gossip/totals.go
@@ -17,6 +17,9 @@
 	// sizeTTL is how long the largest number of routers is used: a router that was cut
 	// off must not use the shares of the others.
 	sizeTTL = time.Minute
+	// neighbourTTL is how long a neighbour that sends nothing keeps its place in the numbers of
+	// routers: longer than the longest pause between its messages.
+	neighbourTTL = 4 * time.Second
 )
 
 // Totals sums up the work that routers have sent and that has no response yet. Each
@@ -47,15 +50,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.neighbours[neighbour] = neighbourTotal{backlog: bs, routers: routers, at: now}
+	all := 0
 	for n, s := range t.neighbours {
-		if now.Sub(s.at) > place.BacklogTTL {
+		switch age := now.Sub(s.at); {
+		case age > neighbourTTL:
 			delete(t.neighbours, n)
+		case age <= place.BacklogTTL:
+			all += s.routers
 		}
 	}
-	all := 0
-	for _, s := range t.neighbours {
-		all += s.routers
-	}
 	if all >= t.size || now.Sub(t.sizeAt) > sizeTTL {
 		t.size, t.sizeAt = all, now
 	}
@@ -84,7 +87,7 @@
 	defer t.mu.Unlock()
 	n := 0
 	for x, s := range t.neighbours {
-		if x < neighbour && !skip(x) && now.Sub(s.at) <= place.BacklogTTL {
+		if x < neighbour && !skip(x) && now.Sub(s.at) <= neighbourTTL {
 			n += s.routers
 		}
 	}
--- a/router/share/exchange.go
+++ b/router/share/exchange.go
@@ -10,6 +10,7 @@
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/notice"
+	"tarragonvalve.example/router/pacer"
 	"tarragonvalve.example/router/place"
 )
 
@@ -26,16 +27,16 @@
 	return gossip.Reply{
 		Samples: decodeSamples(r.GetSamples(), now), Next: gossip.Cursor(r.GetNext()), Backlog: decodeBacklog(r.GetBacklog()), Routers: int(r.GetRouters()),
 		Pause: time.Duration(r.GetPauseMs()) * time.Millisecond, Leaving: decodeIncarnations(r.GetLeaving()),
-		Limits: decodeLimits(r.GetLimits(), now), Rank: decodeRank(r),
+		Limits: decodeLimits(r.GetLimits(), now), Share: decodePlace(r.GetPlace()),
 	}, nil
 }
 
-// decodeRank returns the rank in a reply, which peers of an earlier version don't send.
-func decodeRank(r *TradeReply) int {
-	if r.Rank == nil {
-		return gossip.UnknownRank
+// decodePlace returns nil without a place, which peers of an earlier version don't send.
+func decodePlace(p *Place) *pacer.Share {
+	if p == nil {
+		return nil
 	}
-	return int(r.GetRank())
+	return &pacer.Share{Rank: int(p.GetRank()), Size: int(p.GetSize())}
 }
 
 // Trade merges a peer's samples and returns those of other routers.
@@ -46,11 +47,11 @@
 		Backlog: decodeBacklog(q.GetBacklog()), Routers: int(q.GetRouters()),
 		Leaving: decodeIncarnations(q.GetLeaving()), Limits: decodeLimits(q.GetLimits(), now),
 	})
-	rank := uint32(a.Rank)
 	return &TradeReply{
 		Samples: encodeSamples(a.Samples, now), Next: uint64(a.Next), PauseMs: uint32(a.Pause.Milliseconds()),
 		Backlog: encodeBacklog(a.Backlog), Routers: uint32(a.Routers),
-		Leaving: encodeIncarnations(a.Leaving), Limits: encodeLimits(a.Limits, now), Rank: &rank,
+		Leaving: encodeIncarnations(a.Leaving), Limits: encodeLimits(a.Limits, now),
+		Place: &Place{Rank: uint32(a.Share.Rank), Size: uint32(a.Share.Size)},
 	}, nil
 }
 
