test(soak): let servers state limits during the faults

The check is the users' rule; a router that was paused or restarted is excused until 5 s later, a server that was cut off is left out. The stand-in states the limit in all proper responses.

--- a/proof/links/links.go
+++ b/proof/links/links.go
@@ -32,6 +32,9 @@
 	return l
 }
 
+// Name returns the name that the link was created with.
+func (l *Link) Name() string { return l.proxy.Name }
+
 // Addr returns the address on which the proxy listens.
 func (l *Link) Addr() string {
 	return l.proxy.Listen
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -20,7 +20,9 @@
 	// kind is the name of the request's route: read, order or chat.
 	kind string
 	key  string
-	sent time.Time
+	// router is the name of the router that got the request.
+	router string
+	sent   time.Time
 	// runs is how often servers ran the request.
 	runs int
 	// status is the status that the client got; 0 means none yet, or an incomplete response.
@@ -55,10 +57,20 @@
 }
 
 // recordSend records that a client is about to send a request.
-func (l *checker) recordSend(id, kind, key string) {
+func (l *checker) recordSend(id, kind, key, router string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.observations[id] = &observation{kind: kind, key: key, sent: time.Now()}
+	l.observations[id] = &observation{kind: kind, key: key, router: router, sent: time.Now()}
+}
+
+// routerOf returns the name of the router that got a request, or "".
+func (l *checker) routerOf(id string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o := l.observations[id]; o != nil {
+		return o.router
+	}
+	return ""
 }
 
 // revokeOnce records the time at which a key was revoked; later calls change nothing.
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -163,6 +163,7 @@
 	routers   []*router
 	upstreams []*upstream
 	checker   *checker
+	limits    limits
 
 	// silentMu guards silent, the links that pass no bytes at present.
 	silentMu sync.Mutex
@@ -174,6 +175,7 @@
 func newCluster(t *testing.T, l *checker) *cluster {
 	t.Helper()
 	w := &cluster{t: t, store: tables.New(), checker: l, silent: map[*links.Link]bool{}}
+	w.limits = limits{excused: map[string][]span{}, disturbed: map[string]bool{}}
 	s := httptest.NewServer(w.store)
 	t.Cleanup(s.Close)
 	w.config(1, "key-a", "key-b")
@@ -289,6 +291,8 @@
 	if r.signal(syscall.SIGSTOP) != nil {
 		return
 	}
+	began := time.Now()
+	defer func() { w.limits.excuse(r.name, began) }()
 	time.Sleep(d)
 	if err := r.signal(syscall.SIGCONT); err != nil {
 		w.t.Logf("continue %s: %v", r.name, err)
@@ -303,6 +307,8 @@
 		return
 	}
 	defer r.restarting.Store(false)
+	began := time.Now()
+	defer func() { w.limits.excuse(r.name, began) }()
 	if err := r.signal(s); err != nil {
 		w.t.Errorf("signal %s: %v", r.name, err)
 		return
@@ -326,6 +332,7 @@
 	}
 	w.silent[l] = true
 	w.silentMu.Unlock()
+	w.limits.cutOff(l.Name())
 	l.Silence(w.t)
 	time.Sleep(d)
 	l.Restore(w.t)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -146,7 +146,7 @@
 		kind := []string{"read", "order", "chat"}[r.IntN(3)]
 		key := []string{"key-a", "key-b"}[r.IntN(2)]
 		id := fmt.Sprintf("%d-%d-%d", seed, n, i)
-		w.checker.recordSend(id, kind, key)
+		w.checker.recordSend(id, kind, key, w.routers[at].name)
 		if !sendRequest(w, c, w.routers[at], id, kind, key) {
 			at = (at + 1) % routerCount
 		}
@@ -184,11 +184,13 @@
 
 // injectFaults injects random faults for d, which may overlap: paused and restarted routers,
 // a faulty store, network links that pass no bytes, closed connections, broken responses and changed
-// configurations. It ends all faults before it returns.
+// configurations. All the while some servers state a limit of requests. It ends all faults before it
+// returns.
 func injectFaults(w *cluster, r *rand.Rand, d time.Duration) {
 	var g sync.WaitGroup
 	version := 1
 	revoked := false
+	w.limits.state(w, r)
 	end := time.Now().Add(d)
 	for n := 0; time.Now().Before(end); n++ {
 		time.Sleep(time.Duration(150+r.IntN(500)) * time.Millisecond)
@@ -234,6 +236,7 @@
 		}
 	}
 	g.Wait()
+	w.limits.check(w)
 	w.store.SetFault(nil)
 	w.checker.brokenPerMille.Store(0)
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -118,7 +118,7 @@
 
 	mu       sync.Mutex
 	requests []Request
-	// limit is sent in Server-Limit with Answer, Events and Reject unless it is empty.
+	// limit is sent in Server-Limit with all proper responses unless it is empty.
 	limit string
 	// clientAborts is the count that ClientAborts returns.
 	clientAborts int
@@ -270,13 +270,13 @@
 func (s *Server) send(c net.Conn, r *bufio.Reader, x Request, reply Reply) bool {
 	switch a := reply.(type) {
 	case Answer:
-		return write(c, responseHead(x, a.Status, a.Confidence)+s.limitHeader()+bodyText(a))
+		return write(c, s.responseText(x, a))
 	case Duplicate:
-		return write(c, responseText(x, a.Answer)+responseText(x, a.Answer))
+		return write(c, s.responseText(x, a.Answer)+s.responseText(x, a.Answer))
 	case Mismatched:
 		y := x
 		y.Header = http.Header{"Tarragonvalve-Attempt-Id": {"of-another-request"}}
-		return write(c, responseText(y, a.Answer)+responseText(x, a.Answer))
+		return write(c, s.responseText(y, a.Answer)+s.responseText(x, a.Answer))
 	case Reject:
 		later := ""
 		if a.RetryAfter != "" {
@@ -284,16 +284,16 @@
 		}
 		return write(c, fmt.Sprintf("HTTP/1.1 %d Rejected\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Not-Executed: 1\r\n%s%sContent-Length: 0\r\n\r\n", a.Status, x.ID(), later, s.limitHeader()))
 	case Leaving:
-		write(c, responseHead(x, a.Status, a.Confidence)+fmt.Sprintf("Server-Leaving: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(a.Body), a.Body))
+		write(c, s.responseHead(x, a.Status, a.Confidence)+fmt.Sprintf("Server-Leaving: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(a.Body), a.Body))
 		return false
 	case Endless:
 		sendEndless(c, a)
 		return false
 	case Truncated:
-		write(c, responseHead(x, http.StatusOK, -1)+"Content-Length: 100\r\n\r\nonly a part")
+		write(c, s.responseHead(x, http.StatusOK, -1)+"Content-Length: 100\r\n\r\nonly a part")
 		return false
 	case Encoded:
-		return write(c, responseHead(x, http.StatusOK, -1)+"Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nzip!")
+		return write(c, s.responseHead(x, http.StatusOK, -1)+"Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nzip!")
 	case Malformed:
 		write(c, "\x00\x01 this is no answer\r\n\r\n")
 		return false
@@ -336,24 +336,20 @@
 
 // responseHead returns the status line and the headers that all responses have, without the
 // empty line.
-func responseHead(x Request, status, confidence int) string {
+func (s *Server) responseHead(x Request, status, confidence int) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	fmt.Fprintf(&b, "Tarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Server-Signature: receipt-of-%s\r\nTarragonvalve-Server-Load: 1,0,8\r\n", x.ID(), x.ID())
 	if confidence >= 0 {
 		fmt.Fprintf(&b, "Tarragonvalve-Route-Confidence: %d\r\n", confidence)
 	}
+	b.WriteString(s.limitHeader())
 	return b.String()
 }
 
 // responseText returns a complete response.
-func responseText(x Request, a Answer) string {
-	return responseHead(x, a.Status, a.Confidence) + bodyText(a)
-}
-
-// bodyText returns the body of a response with its length and the end of the headers before it.
-func bodyText(a Answer) string {
-	return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(a.Body), a.Body)
+func (s *Server) responseText(x Request, a Answer) string {
+	return s.responseHead(x, a.Status, a.Confidence) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(a.Body), a.Body)
 }
 
 // EventText returns the server-sent event with id n as it is sent.
@@ -377,7 +373,7 @@
 	if n, err := strconv.Atoi(x.Header.Get("Last-Event-Id")); err == nil {
 		first = n + 1
 	}
-	if !write(c, responseHead(x, http.StatusOK, e.Confidence)+s.limitHeader()+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
+	if !write(c, s.responseHead(x, http.StatusOK, e.Confidence)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
 		return false
 	}
 	for n := first; n <= e.Count; n++ {
