fix(gossip): keep the number of routers while a seed restarts

Found by TestLimitDuringRestart, written for the question whether a router in a chain of restarts may exceed a limit: with 40 routers, whose first seed restarts, the others sent 79 to 138 requests in 4 s where the users' rule allows 65.

Cause: a seed that has just started counts the routers only as they ask it again, within 3 s. Each took over the small number and with it a large part of the limit: the first a half, the next a third.

Change: a router divides by the largest number that it heard within 10 s, and one that has just started counts at least ten for 4 s. To others the newest number is passed on, so that a large one isn't held twice.

--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -75,6 +75,7 @@
 // preference.
 func New(name string, b SampleStore, t NoticeSet, peers []Peer, l zerolog.Logger) *Exchanger {
 	n := &Exchanger{name: name, store: b, notices: t, samples: NewSampleLog(), totals: NewTotals(), log: l}
+	n.ranking.startedAt = time.Now()
 	for _, p := range peers {
 		n.peers = append(n.peers, &peerState{Peer: p})
 	}
@@ -160,7 +161,7 @@
 	a.Samples, a.Next = n.samples.After(m.After, m.Sender, now)
 	n.totals.Set(n.name, n.store.Backlog(), 1, now)
 	a.Backlog, a.Routers = n.totals.Without(m.Sender, now)
-	own := n.share(now)
+	own := n.ranking.state(n.RouterCount(), now)
 	a.Share = &pacer.Share{Rank: own.Rank + 1 + n.totals.Before(m.Sender, n.numbersItself, now), Size: own.Size}
 	n.merge(m.Sender, m.Samples, m.Backlog, m.Routers)
 	return a
@@ -174,12 +175,7 @@
 	n.totals.Set(sender, bs, routers, now)
 	others, _ := n.totals.Without(n.name, now)
 	n.store.SetRemoteBacklog(others, now)
-	n.notices.SetShare(n.share(now))
-}
-
-// share returns this router's place among all routers.
-func (n *Exchanger) share(now time.Time) pacer.Share {
-	return n.ranking.share(n.RouterCount(), now)
+	n.notices.SetShare(n.ranking.share(n.RouterCount(), now))
 }
 
 // numbersItself reports whether an entry of the totals has a rank that this router doesn't assign:
--- a/router/gossip/gossip_test.go
+++ b/router/gossip/gossip_test.go
@@ -25,17 +25,20 @@
 // direct exchanges with a router of the test without a network.
 type direct struct {
 	name      string
-	exchanger *gossip.Exchanger
+	exchanger atomic.Pointer[gossip.Exchanger]
 	failing   atomic.Bool
 }
 
+// replace makes another exchanger answer, like a restarted router at the same address.
+func (d *direct) replace(x *gossip.Exchanger) { d.exchanger.Store(x) }
+
 func (d *direct) Address() string { return d.name }
 
 func (d *direct) Exchange(_ context.Context, m gossip.Message) (gossip.Reply, error) {
 	if d.failing.Load() {
 		return gossip.Reply{}, errors.New("no response")
 	}
-	return d.exchanger.HandleMessage(m), nil
+	return d.exchanger.Load().HandleMessage(m), nil
 }
 
 func upstreams(n int) []*fleet.Upstream {
@@ -70,7 +73,9 @@
 		}
 		exchanger := gossip.New(fmt.Sprintf("r%d", i), b, o, ps, zerolog.New(io.Discard))
 		if i < 2 {
-			r.seeds = append(r.seeds, &direct{name: fmt.Sprintf("seed-%d", i), exchanger: exchanger})
+			s := &direct{name: fmt.Sprintf("seed-%d", i)}
+			s.replace(exchanger)
+			r.seeds = append(r.seeds, s)
 		}
 		r.balancers = append(r.balancers, b)
 		r.registries = append(r.registries, o)
--- a/router/gossip/limit_test.go
+++ b/router/gossip/limit_test.go
@@ -1,12 +1,18 @@
 package gossip_test
 
 import (
+	"context"
+	"io"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/notice"
+	"tarragonvalve.example/router/place"
 )
 
 // Guards against routers that use a limited upstream before they learn of its limit from others,
@@ -108,3 +114,58 @@
 		}
 	})
 }
+
+// The first seed restarts and knows no other router at first. Guards against routers that take over
+// its number of routers and so use a larger part of a limit until all have asked it again.
+func TestLimitDuringRestart(t *testing.T) {
+	const (
+		size = 40
+		rate = 10.0
+		// The users' rule.
+		window  = 4 * time.Second
+		allowed = 1.5*rate*4 + 5
+	)
+	i := fleet.Incarnation{ID: "u0", StartedMs: 1}
+	withRouters(t, size, func(r *routers) {
+		time.Sleep(5 * time.Second)
+		now := time.Now()
+		for _, o := range r.registries {
+			o.RecordLimit(i, notice.Limit{Rate: rate, At: now}, now)
+		}
+		var sent []time.Time
+		spend := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				// The seed itself doesn't count: it restarts.
+				for _, o := range r.registries[1:] {
+					if _, ok := o.TakePermit(i, 0, time.Now()); ok {
+						sent = append(sent, time.Now())
+					}
+				}
+			}
+		}
+		spend(5 * time.Second)
+		r.seeds[0].failing.Store(true)
+		spend(2 * time.Second)
+		restarted := gossip.New("r0", place.New("a"), notice.New(), nil, zerolog.New(io.Discard))
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- restarted.Run(ctx) }()
+		r.seeds[0].replace(restarted)
+		r.seeds[0].failing.Store(false)
+		spend(20 * time.Second)
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		for k, at := range sent {
+			end, _ := slices.BinarySearchFunc(sent, at.Add(window), time.Time.Compare)
+			if float64(end-k) > allowed {
+				t.Errorf("%d requests in %s, allowed %.0f", end-k, window, allowed)
+				break
+			}
+		}
+		if want := int(rate * 15); len(sent) < want {
+			t.Errorf("%d requests in 27 s, want at least %d", len(sent), want)
+		}
+	})
+}
--- a/router/gossip/rank.go
+++ b/router/gossip/rank.go
@@ -11,9 +11,13 @@
 	// unnumberedRanks is the number of ranks among which a router without a rank chooses by its
 	// name: many more than there are routers.
 	unnumberedRanks = 1 << 20
-	// placeTTL is how long a router uses the number of routers that a peer stated. A router that no
-	// peer numbers any longer counts itself.
+	// placeTTL is how long a router uses the number of routers that a peer stated, also if a peer
+	// states a smaller one: a peer that has just started doesn't know the others yet.
 	placeTTL = 10 * time.Second
+	// startupTime is how long a router that has started counts at least minRouters: after
+	// failedPeerPause, those that asked it before its restart ask it again.
+	startupTime = failedPeerPause + time.Second
+	minRouters  = 10
 )
 
 // ranking is a router's place among all routers. Each router numbers those that exchange with it,
@@ -21,26 +25,50 @@
 // routers would divide limits differently and use the same slots. The router that has no peer has
 // rank 0 and counts the routers. It is safe for concurrent use.
 type ranking struct {
-	mu   sync.Mutex
-	rank int
-	// size is what the peer stated at numberedAt.
-	size       int
-	numberedAt time.Time
+	mu        sync.Mutex
+	startedAt time.Time
+	rank      int
+	// stated is what the peer stated last, at numberedAt. size is the largest number that it stated
+	// within placeTTL, at sizeAt.
+	stated, size       int
+	numberedAt, sizeAt time.Time
 }
 
 // set takes over a place that a peer stated.
 func (p *ranking) set(s pacer.Share, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rank, p.size, p.numberedAt = s.Rank, s.Size, now
+	p.rank, p.stated, p.numberedAt = s.Rank, s.Size, now
+	if s.Size >= p.size || now.Sub(p.sizeAt) > placeTTL {
+		p.size, p.sizeAt = s.Size, now
+	}
 }
 
-// share returns the place. count is the number of routers as this router counts them.
+// share returns the place by which this router divides limits. count is the number of routers as
+// this router counts them.
 func (p *ranking) share(count int, now time.Time) pacer.Share {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.numberedAt) > placeTTL {
-		return pacer.Share{Rank: p.rank, Size: count}
+	return pacer.Share{Rank: p.rank, Size: p.number(p.size, count, now)}
+}
+
+// state returns the place from which this router numbers others. They keep a larger number
+// themselves.
+func (p *ranking) state(count int, now time.Time) pacer.Share {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return pacer.Share{Rank: p.rank, Size: p.number(p.stated, count, now)}
+}
+
+// number returns the number of routers by a peer, or the own count if no peer stated one. The
+// caller holds the lock.
+func (p *ranking) number(byPeer, count int, now time.Time) int {
+	switch {
+	case now.Sub(p.numberedAt) <= placeTTL:
+		return byPeer
+	case now.Sub(p.startedAt) <= startupTime:
+		return max(count, minRouters)
+	default:
+		return count
 	}
-	return pacer.Share{Rank: p.rank, Size: p.size}
 }
