fix(front): refuse requests that can be read in two ways

Cause: net/http drops the length and keeps the connection, and headers were read by their first value.

Change: the codec checks the headers that decide who sends a request and how long it may run; the answer is 400 and the connection ends. After a request with a transfer coding the connection ends with the answer.

--- a/router/call/call.go
+++ b/router/call/call.go
@@ -113,8 +113,20 @@
 	Limit LimitStatement
 }
 
+// HeaderError reports a header of a client's request that other readers could understand
+// differently.
+type HeaderError struct {
+	Name   string
+	Reason string
+}
+
+func (e *HeaderError) Error() string { return "header " + e.Name + ": " + e.Reason }
+
 // Codec reads and writes the platform's headers.
 type Codec interface {
+	// CheckRequest returns a *HeaderError if a header that decides who sends a request, or
+	// whether and how long it may run, is ambiguous or out of range.
+	CheckRequest(h http.Header) error
 	// ParseRequest reads a client's request headers. Malformed values count as absent.
 	ParseRequest(h http.Header) Request
 	// UpstreamHeaders returns the headers of the request to an upstream. It doesn't modify
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -110,6 +110,9 @@
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, q *http.Request, m call.Request, j *relay.Job, reservation *quota.Reservation) error {
 	*j = relay.Job{Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: time.Now()}
 	c := http.NewResponseController(w)
+	if err := h.checkHeaders(w, q); err != nil {
+		return err
+	}
 	if err := setDeadlines(c, j.Arrived, clientTimeout(m)); err != nil {
 		return err
 	}
@@ -138,6 +141,21 @@
 	return h.relay.Serve(ctx, w, j)
 }
 
+// checkHeaders refuses a request with ambiguous headers and ends its connection, as a program
+// before this one may have read it differently. It also ends the connection after a request with a
+// transfer coding, as net/http doesn't tell whether there was a Content-Length too, after which
+// the connection must not be used again (RFC 9112, section 6.1).
+func (h *Handler) checkHeaders(w http.ResponseWriter, q *http.Request) error {
+	if len(q.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
+	}
+	if err := h.codec.CheckRequest(q.Header); err != nil {
+		w.Header().Set("Connection", "close")
+		return refuse.New(refuse.BadRequest, refuse.NotRun, "%v", err)
+	}
+	return nil
+}
+
 // clientTimeout returns how long the client waits from the request's arrival.
 func clientTimeout(m call.Request) time.Duration {
 	if m.Timeout <= 0 {
