fix(relay): serve requests by the old version while the new wants none

Found while limits were built: the few upstreams of a canary that ask for a pause, or have used up their limit, take the requests of its share with them, which get 503 although the old version has room.

Cause: the version of a request follows from the roll-out alone, as long as any of its upstreams is listed. Ruled out: a missing upstream, which has had a fallback.

Change: a request without a session goes to the old version meanwhile, until the roll-out is final. Sessions keep their version.

--- a/router/boot/rollout_test.go
+++ b/router/boot/rollout_test.go
@@ -94,3 +94,28 @@
 	}
 	wg.Wait()
 }
+
+// The only upstream of a new version wants no requests for a time. Guards against requests without a
+// session that are refused although the old version can serve them.
+func TestCanaryPaused(t *testing.T) {
+	t.Parallel()
+	w := startRouter(t, standardDocument())
+	w.server("desk", "s1", "v1", always(fine))
+	w.awaitUpstreams(1)
+	s := w.server("desk", "s2", "v2", always(server.Reject{Status: 503, RetryAfter: "500"}))
+	if err := w.store.PutJSON("op", "rollout/desk", map[string]any{"service": "desk", "to": "v2", "duration_s": 60}); err != nil {
+		t.Fatal(err)
+	}
+	w.eventually("a request to the canary", func() bool {
+		w.send("GET", "/read/1", "")
+		return len(s.Requests()) > 0
+	})
+	for i := range 60 {
+		if a := w.send("GET", "/read/1", ""); a.status != 200 {
+			t.Errorf("request %d: got %d %s", i, a.status, a.code())
+		}
+	}
+	if n := len(s.Requests()); n != 1 {
+		t.Errorf("the paused upstream got %d requests, want only the first", n)
+	}
+}
--- a/router/canary/canary_test.go
+++ b/router/canary/canary_test.go
@@ -139,6 +139,9 @@
 			if r.Accepts("v1") != c.old || r.Accepts("v2") != c.new {
 				t.Errorf("accepts v1 %v, v2 %v", r.Accepts("v1"), r.Accepts("v2"))
 			}
+			if final := c.progress != nil && c.progress.Phase.Final(); r.Replaceable != (c.new && !final) {
+				t.Errorf("the old version may serve it instead: %v", r.Replaceable)
+			}
 		})
 	}
 	if !(canary.Route{}).Accepts("v9") {
--- a/router/canary/decide.go
+++ b/router/canary/decide.go
@@ -155,6 +155,9 @@
 	// New is true if the request goes to version To, false if it goes to any other
 	// version.
 	New bool
+	// Replaceable is true if the request goes to version To and the old one still runs, so that it
+	// can serve the request as well.
+	Replaceable bool
 }
 
 // Accepts reports whether a version may get the request.
@@ -179,5 +182,6 @@
 		r.New = true
 	case PhaseReverted:
 	}
+	r.Replaceable = r.New && !p.Phase.Final()
 	return r
 }
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -23,7 +23,8 @@
 
 // versionFilter returns a filter for the upstreams whose version may serve the request. A
 // stream that has begun stays with its version. If no remaining upstream has a version
-// that the roll-out allows, any version is accepted.
+// that the roll-out allows, any version is accepted. A request without a session, which no other
+// request expects at the new version, doesn't wait for it while its upstreams accept none.
 func (t *request) versionFilter(v *mirror.View, now time.Time) func(u *fleet.Upstream) bool {
 	if t.streamVersion != "" {
 		return func(u *fleet.Upstream) bool { return u.Version == t.streamVersion }
@@ -31,7 +32,7 @@
 	r := t.rolloutRoute(v)
 	accept := func(u *fleet.Upstream) bool { return r.Accepts(u.Version) }
 	for _, u := range v.Fleet.Service(t.service) {
-		if t.remains(u, now) && accept(u) {
+		if accept(u) && t.remains(u, now) && (t.Meta.Session != "" || !r.Replaceable || t.accepting(u, now)) {
 			return accept
 		}
 	}
