fix(gossip): take a part of a limit from the start on

Found on reading the change: until its first exchange a router divided limits by one. TestLimitAtStart: 61 requests in 2 s at 20 a second, from the first seed and from a router whose peer doesn't answer; at most 7 wanted, as every other router uses its own part meanwhile.

Cause: the share was set only when a message had arrived. Change: it is set when the exchanger is made and in each round.

--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -83,6 +83,7 @@
 		// Until a peer numbers this router, and with peers of an earlier version, which don't.
 		n.ranking.rank = int(xxhash.Sum64String(name) % unnumberedRanks)
 	}
+	n.updateShare(n.ranking.startedAt)
 	return n
 }
 
@@ -109,6 +110,7 @@
 	now := time.Now()
 	n.samples.Add(n.name, n.store.DrainSamples(), now)
 	n.totals.Set(n.name, n.store.Backlog(), 1, now)
+	n.updateShare(now)
 	for _, c := range n.peers {
 		if !c.failedAt.IsZero() && now.Sub(c.failedAt) < failedPeerPause {
 			continue
@@ -161,7 +163,7 @@
 	a.Samples, a.Next = n.samples.After(m.After, m.Sender, now)
 	n.totals.Set(n.name, n.store.Backlog(), 1, now)
 	a.Backlog, a.Routers = n.totals.Without(m.Sender, now)
-	own := n.ranking.state(n.RouterCount(), now)
+	own := n.ranking.statedShare(n.RouterCount(), now)
 	a.Share = &pacer.Share{Rank: own.Rank + 1 + n.totals.Before(m.Sender, n.numbersItself, now), Size: own.Size}
 	n.merge(m.Sender, m.Samples, m.Backlog, m.Routers)
 	return a
@@ -175,7 +177,12 @@
 	n.totals.Set(sender, bs, routers, now)
 	others, _ := n.totals.Without(n.name, now)
 	n.store.SetRemoteBacklog(others, now)
-	n.notices.SetShare(n.ranking.share(n.RouterCount(), now))
+	n.updateShare(now)
+}
+
+// updateShare sets this router's share of the rates that upstreams state.
+func (n *Exchanger) updateShare(now time.Time) {
+	n.notices.SetShare(n.ranking.ownShare(n.RouterCount(), now))
 }
 
 // numbersItself reports whether an entry of the totals has a rank that this router doesn't assign:
--- a/router/gossip/limit_test.go
+++ b/router/gossip/limit_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -169,3 +170,41 @@
 		}
 	})
 }
+
+// Guards against a router that uses a whole limit from its start until its first exchange, while
+// the others use their shares.
+func TestLimitAtStart(t *testing.T) {
+	const rate, parts = 20.0, 10
+	i := fleet.Incarnation{ID: "u0", StartedMs: 1}
+	synctest.Test(t, func(t *testing.T) {
+		for name, peers := range map[string][]gossip.Peer{
+			"first seed":           nil,
+			"peer does not answer": {&direct{name: "seed-0"}},
+		} {
+			if len(peers) > 0 {
+				peers[0].(*direct).failing.Store(true)
+			}
+			o := notice.New()
+			x := gossip.New("r0", place.New("a"), o, peers, zerolog.New(io.Discard))
+			ctx, stop := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- x.Run(ctx) }()
+			now := time.Now()
+			o.RecordLimit(i, notice.Limit{Rate: rate, At: now}, now)
+			sent := 0
+			for end := now.Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				if _, ok := o.TakePermit(i, 0, time.Now()); ok {
+					sent++
+				}
+			}
+			// The slots of two seconds, and those of the second before that are still usable.
+			if most := int(3*rate/parts) + 1; sent > most {
+				t.Errorf("%s: %d requests in 2 s, want at most %d", name, sent, most)
+			}
+			stop()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
--- a/router/gossip/rank.go
+++ b/router/gossip/rank.go
@@ -44,17 +44,17 @@
 	}
 }
 
-// share returns the place by which this router divides limits. count is the number of routers as
+// ownShare returns the place by which this router divides limits. count is the number of routers as
 // this router counts them.
-func (p *ranking) share(count int, now time.Time) pacer.Share {
+func (p *ranking) ownShare(count int, now time.Time) pacer.Share {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return pacer.Share{Rank: p.rank, Size: p.number(p.size, count, now)}
 }
 
-// state returns the place from which this router numbers others. They keep a larger number
-// themselves.
-func (p *ranking) state(count int, now time.Time) pacer.Share {
+// statedShare returns the place from which this router numbers others, with the newest number of
+// routers: the others keep a larger one themselves.
+func (p *ranking) statedShare(count int, now time.Time) pacer.Share {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return pacer.Share{Rank: p.rank, Size: p.number(p.stated, count, now)}
