refactor(place): hold the nominal delay once

No change of behaviour: a nominal time below a millisecond counts as one, as before. go test ./place: ok.

--- a/router/place/place.go
+++ b/router/place/place.go
@@ -142,9 +142,8 @@
 	Nominal time.Duration
 
 	prefix Prefix
-	// nominal is the predicted delay, in ms, without a slowdown, work the request's own part of it.
-	nominal float64
-	work    float64
+	// work is the request's own part, in ms, of the nominal delay.
+	work float64
 }
 
 // upstreamLoad is the load and the slowdown of one upstream as observed and reported.
@@ -331,9 +330,9 @@
 		}
 		queue = l.queueWork(u, q, o, now)
 	}
-	c.nominal = idleDelay + queue + c.work
-	c.Nominal = time.Duration(c.nominal * float64(time.Millisecond))
-	c.Cost = s * c.nominal
+	nominal := idleDelay + queue + c.work
+	c.Nominal = time.Duration(nominal * float64(time.Millisecond))
+	c.Cost = s * nominal
 	c.Delay = time.Duration(c.Cost * float64(time.Millisecond))
 	c.QueueDelay = time.Duration(s * queue * float64(time.Millisecond))
 	if u.Domain != q.Domain {
@@ -416,7 +415,7 @@
 }
 
 func (a *Attempt) observeDelay(now time.Time) {
-	p := logSlowdown(now.Sub(a.began), a.choice.nominal)
+	p := logSlowdown(now.Sub(a.began), a.choice.Nominal)
 	a.load.slowdown.add(p, 1, now)
 	a.balancer.addSample(Sample{Upstream: a.choice.Upstream.ID, Responses: 1, LogSlowdown: p, At: now})
 }
--- a/router/place/slowdown.go
+++ b/router/place/slowdown.go
@@ -32,10 +32,10 @@
 }
 
 // logSlowdown returns the natural logarithm of the time of a response divided by its
-// nominal time in ms, bounded by minSlowdown and maxSlowdown. The mean of logarithms
+// nominal time, bounded by minSlowdown and maxSlowdown. The mean of logarithms
 // keeps one very late response from outweighing many normal ones.
-func logSlowdown(took time.Duration, nominal float64) float64 {
-	f := float64(took) / float64(time.Millisecond) / max(nominal, 1)
+func logSlowdown(took, nominal time.Duration) float64 {
+	f := float64(took) / float64(max(nominal, time.Millisecond))
 	return math.Log(min(max(f, minSlowdown), maxSlowdown))
 }
 
