fix(relay): look further when permits are lost to other requests

On reading the change: of requests that come at once, each loses the permit of the best upstream to another and tries the next; after four tries it was refused as if no upstream were known, although others had room. Now it tries sixteen and then waits for the next permit.

TestLimitedBurst sends twelve requests at once to twelve limited servers; it passes on the code before too (three runs), as the choices of the test hardly overlap, so it guards the path and doesn't show the fault.

--- a/router/boot/limit_test.go
+++ b/router/boot/limit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -132,3 +133,33 @@
 	wg.Wait()
 	return served, refused
 }
+
+// All servers of a service limit their requests, and each has room for some. Guards against requests
+// that come at once, lose the places at the same few servers to each other, and are refused although
+// others have room.
+func TestLimitedBurst(t *testing.T) {
+	t.Parallel()
+	const servers, burst = 12, 12
+	w := startRouter(t, standardDocument())
+	for i := range servers {
+		w.server("desk", fmt.Sprintf("s%d", i), "v1", always(fine)).SetLimit("1")
+	}
+	w.awaitUpstreams(servers)
+	// Each server states its limit, and the router knows that it is alone.
+	for i := range servers {
+		w.eventually(fmt.Sprintf("limit %d", i+1), func() bool {
+			w.send("POST", "/order/1", "")
+			return strings.Count(w.logs.String(), `"message":"upstream limits the requests`) > i
+		})
+	}
+	time.Sleep(5 * time.Second)
+	var wg sync.WaitGroup
+	for range burst {
+		wg.Go(func() {
+			if a := w.send("POST", "/order/1", ""); a.status != 200 {
+				t.Errorf("got %d %s", a.status, a.code())
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/router/relay/permit.go
+++ b/router/relay/permit.go
@@ -15,9 +15,9 @@
 	// permitWaitShare is the part of a route's objective that a request may wait until an upstream
 	// that limits its requests takes it, so that it can still be answered within the objective.
 	permitWaitShare = 0.25
-	// maxChoices bounds how often an upstream is chosen for one attempt: other requests may have
-	// used the permits at the upstreams chosen before.
-	maxChoices = 4
+	// maxChoices bounds how often an upstream is chosen for one attempt: of requests that come at
+	// once, all but one lose the permit of the upstream that suits them best.
+	maxChoices = 16
 )
 
 // choose picks an upstream for an attempt and takes a permit if that upstream limits its requests.
@@ -26,14 +26,18 @@
 func (t *request) choose(ctx context.Context, model ident.ModelID) (place.Choice, bool) {
 	for range maxChoices {
 		c, ok := t.pick(model)
-		if ok && t.takePermit(c.Upstream) {
-			return c, true
-		}
-		if !ok && !t.awaitPermit(ctx) {
+		if !ok {
 			break
 		}
+		if t.takePermit(c.Upstream) {
+			return c, true
+		}
+	}
+	if !t.awaitPermit(ctx) {
+		return place.Choice{}, false
 	}
-	return place.Choice{}, false
+	c, ok := t.pick(model)
+	return c, ok && t.takePermit(c.Upstream)
 }
 
 // takePermit reports whether u takes a request now, and keeps the permit for it.
