--- a/router/share/exchange_test.go
+++ b/router/share/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -11,7 +12,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
+	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/gossip"
@@ -109,3 +112,25 @@
 		t.Errorf("sample %+v, want %+v", got, sample)
 	}
 }
+
+// Guards against statements about limits that take more than the users allow a node for control: 29
+// KB a second, at one exchange each 150 ms.
+func TestLimitsSize(t *testing.T) {
+	const most = 29_000 * 150 / 1000
+	now := time.Now()
+	o := notice.New()
+	for i := range 600 {
+		u := fleet.Incarnation{ID: ident.UpstreamID(fmt.Sprintf("i-%010x", i)), StartedMs: now.UnixMilli()}
+		o.RecordLimit(u, notice.Limit{Rate: 2.1, At: now}, now)
+	}
+	x := gossip.New("hub", place.New("a"), o, nil, zerolog.New(io.Discard))
+	m, err := share.NewServer(nil, nil, x).Trade(t.Context(), &share.TradeRequest{From: "edge-ege-a-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := proto.Size(m)
+	t.Logf("%d bytes for %d limits", n, len(m.GetLimits()))
+	if n > most {
+		t.Errorf("%d bytes for %d limits, want at most %d", n, len(m.GetLimits()), most)
+	}
+}
