fix(relay): tell a deadline from a lost upstream

Cause: the agent has the request's deadline too and ends the stream at that moment. If the entry reads that before its own timer has fired, the attempt counts as lost: the caller gets upstream-failed, and the upstream a failure that it didn't have.

Change: an error of the stream after the deadline stops the attempt, and the refusal follows the deadline, not the timer alone.

--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -278,12 +278,15 @@
 	}
 }
 
-// failed returns the outcome for an error of the stream: stopped if ctx has ended,
-// otherwise broken.
+// failed returns the outcome for an error of the stream: stopped if ctx has ended or its
+// deadline has passed, otherwise broken.
 func (a *attempt) failed(ctx context.Context, err error) outcome {
 	if ctx.Err() != nil {
 		return stopped{err: ctx.Err()}
 	}
+	if timeOver(ctx) {
+		return stopped{err: context.DeadlineExceeded}
+	}
 	if errors.Is(err, io.EOF) {
 		return broken{why: "stream ended without an end frame"}
 	}
