test(boot): disconnect a client once the upstream has its request

The log shows why: the client left after 100 ms of a busy machine, while the router still connected to the upstream, so that there was no connection to end.

The test now cancels when the upstream has read the request. It checks as much as before: the same end of the connection and the same one request. go test -race -count=5: ok.

--- a/router/boot/stream_test.go
+++ b/router/boot/stream_test.go
@@ -109,10 +109,13 @@
 	w := startRouter(t, standardDocument())
 	s := w.server("llm", "s1", "v1", always(server.Events{Count: 1000, Pause: 5 * time.Millisecond, Confidence: 100}))
 	w.awaitUpstreams(1)
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	a := w.sendCtx(ctx, "POST", "/chat/1", "prompt", "Tarragonvalve-Model-Name", "*")
-	if !errors.Is(a.err, context.DeadlineExceeded) {
+	done := make(chan response, 1)
+	go func() { done <- w.sendCtx(ctx, "POST", "/chat/1", "prompt", "Tarragonvalve-Model-Name", "*") }()
+	w.eventually("request at the upstream", func() bool { return len(s.Requests()) == 1 })
+	cancel()
+	if a := <-done; !errors.Is(a.err, context.Canceled) {
 		t.Fatalf("got %v", a.err)
 	}
 	w.eventually("end of the upstream's connection", func() bool { return s.ClientAborts() == 1 })
