fix(mirror): read the store although stale peers keep answering

Cause: a stale peer holds its answer for 150 ms and is then left alone for 300 ms. With three peers the first one's pause is over when the third has answered, so that there is always one to ask and never a read of the store. Peers that don't respond delay it the same way. Ruled out: the store's absence (these routers read the list of upstreams from it meanwhile).

Change: after a peer that failed, the store is read if its time has come, and no peer is asked twice in one go.

Result: TestAllPeersLoseStore failed with three and five seeds, stale or without response, and passes; the other tests of ./mirror, which bound the calls to the store, pass.

--- a/router/mirror/peer.go
+++ b/router/mirror/peer.go
@@ -102,9 +102,14 @@
 }
 
 // readPeer reads from the first peer whose content is fresh. It returns false if none is
-// left and the store must be read.
+// left and the store must be read. It asks each peer once, and one of them for a snapshot, and none
+// after one that failed if it is time to read the store: the pauses of failed peers may end while
+// others hold their responses, so that there would always be one to ask.
 func (f *topicWatcher) readPeer(ctx context.Context) (ReadResult, bool) {
-	for ctx.Err() == nil {
+	for range len(f.peers) + 1 {
+		if ctx.Err() != nil {
+			break
+		}
 		i, ok := f.peerChoice.next(time.Now())
 		if !ok {
 			return ReadResult{}, false
@@ -136,6 +141,9 @@
 		}
 		f.log.Info().AnErr("reason", err).Str("peer", f.peers[i].Address).Stringer("topic", f.topic).
 			Dur("age", p.Age).Msg("peer paused, its read failed or returned stale content")
+		if f.synced && f.now() >= f.storeReadAt {
+			break
+		}
 	}
 	return ReadResult{}, false
 }
--- a/router/mirror/peer_test.go
+++ b/router/mirror/peer_test.go
@@ -335,3 +335,47 @@
 		t.Errorf("%d removed rows are kept", len(l.rows))
 	}
 }
+
+// All seeds lose the store, and hold each read for a while or don't respond. Guards against a router
+// that asks one of them after the other and doesn't read the store itself.
+func TestAllPeersLoseStore(t *testing.T) {
+	// maxAge is half of the users' revoke_timeout_ms, as in TestHangingPeer.
+	const maxAge = 2500 * time.Millisecond
+	for name, x := range map[string]struct {
+		seeds   int
+		hanging bool
+	}{
+		"one": {1, false}, "two": {2, false}, "three": {3, false}, "five": {5, false},
+		"one hangs": {1, true}, "three hang": {3, true}, "five hang": {5, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, func(t *testing.T, c *cluster) {
+				var stores []*countingStore
+				var peers []Peer
+				var hosts []*localPeer
+				for range x.seeds {
+					s := newCountingStore(c.began)
+					p := &localPeer{syncer: c.newSyncer(s)}
+					c.run(p.syncer)
+					stores, hosts, peers = append(stores, s), append(hosts, p), append(peers, Peer{Address: name, Source: p})
+				}
+				time.Sleep(time.Second)
+				n := c.newSyncer(newCountingStore(c.began), peers...)
+				c.run(n)
+				time.Sleep(5 * time.Second)
+				for _, s := range stores {
+					s.failing.Store(true)
+				}
+				for _, p := range hosts {
+					p.hanging.Store(x.hanging)
+				}
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					if a, ok := n.ConfigAge(); !ok || a > maxAge {
+						t.Fatalf("the configuration is proved as of %s ago, want at most %s", a, maxAge)
+					}
+				}
+			})
+		})
+	}
+}
