refactor(guard): keep one type for counts of observations

Found on reading the change once more: Counts, added with the comparison of times, repeated the decay and the fields of rate. rate is gone; Counts has its upper bound, and the reference's window applies as before. In share, one function encodes an incarnation, alone or in a list.

--- a/entry/guard/excess.go
+++ b/entry/guard/excess.go
@@ -7,10 +7,10 @@
 	Bad, All float64
 }
 
-// Add counts an observation. With a window above 0, All stays below it and older observations
+// Add returns the counts with one more observation. All stays at most window: older observations
 // lose weight.
-func (c *Counts) Add(bad bool, window float64) {
-	if window > 0 && c.All > window-1 {
+func (c Counts) Add(bad bool, window float64) Counts {
+	if c.All >= window {
 		f := (window - 1) / c.All
 		c.Bad *= f
 		c.All *= f
@@ -19,6 +19,7 @@
 	if bad {
 		c.Bad++
 	}
+	return c
 }
 
 // Plus returns the sum of two counts.
@@ -31,7 +32,7 @@
 // observations. Unlike a Guard it doesn't depend on their order, so that counts of several
 // instances can be added.
 func Excess(s Signal, c, r Counts) float64 {
-	p := rate{bad: r.Bad, n: r.All}.upper(s)
+	p := r.upper(s)
 	sum := 0.0
 	for _, b := range betFractions {
 		l := b / p
--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -86,24 +86,19 @@
 // Reference holds the rates and the latency quantile of the version that others are
 // compared with. It is not safe for concurrent use.
 type Reference struct {
-	rates   map[Signal]rate
+	rates   map[Signal]Counts
 	latency Quantile
 }
 
-type rate struct {
-	bad float64
-	n   float64
-}
-
 // NewReference returns a reference without observations.
 func NewReference() *Reference {
-	return &Reference{rates: map[Signal]rate{}, latency: NewQuantile(latencyQuantile)}
+	return &Reference{rates: map[Signal]Counts{}, latency: NewQuantile(latencyQuantile)}
 }
 
 // Observe adds an answer, or a rating, of the reference version.
 func (r *Reference) Observe(o Observation) {
 	for s, x := range indicators(o, r.slow()) {
-		r.rates[s] = r.rates[s].add(x)
+		r.rates[s] = r.rates[s].Add(x, referenceWindow)
 	}
 	if o.Latency > 0 && !o.Failed {
 		r.latency.Observe(float64(o.Latency))
@@ -117,27 +112,14 @@
 
 // Count returns the weighted number of answers observed, at most referenceWindow.
 func (r *Reference) Count() int {
-	return int(r.rates[SignalError].n)
-}
-
-func (q rate) add(bad bool) rate {
-	if q.n >= referenceWindow {
-		f := (referenceWindow - 1) / q.n
-		q.n *= f
-		q.bad *= f
-	}
-	q.n++
-	if bad {
-		q.bad++
-	}
-	return q
+	return int(r.rates[SignalError].All)
 }
 
 // upper returns the rate that a version must exceed to count as worse: the estimate
 // plus a margin for its uncertainty and the tolerance.
-func (q rate) upper(s Signal) float64 {
-	m := (q.bad + 0.5) / (q.n + 1)
-	d := math.Sqrt(m * (1 - m) / (q.n + 1))
+func (q Counts) upper(s Signal) float64 {
+	m := (q.Bad + 0.5) / (q.All + 1)
+	d := math.Sqrt(m * (1 - m) / (q.All + 1))
 	return min(m+rateDeviations*d+tolerance[s], 0.95)
 }
 
@@ -151,7 +133,7 @@
 
 type test struct {
 	eValues [len(betFractions)]float64
-	rate    rate
+	rate    Counts
 }
 
 // New returns a guard for a version in roll-out. alpha is the probability of a
@@ -188,14 +170,14 @@
 	a := indicators(o, r.slow())
 	for _, s := range signals {
 		x, ok := a[s]
-		if !ok || r.rates[s].n < minReference || (g.restart && s == SignalLatency) {
+		if !ok || r.rates[s].All < minReference || (g.restart && s == SignalLatency) {
 			continue
 		}
 		t := g.tests[s]
 		p := r.rates[s].upper(s)
-		t.rate = t.rate.add(x)
+		t.rate = t.rate.Add(x, referenceWindow)
 		if e := t.update(p, x, g.restart); e >= float64(len(signals))/g.alpha {
-			return Degraded{Signal: s, Evidence: e, Rate: t.rate.bad / t.rate.n, Reference: p}
+			return Degraded{Signal: s, Evidence: e, Rate: t.rate.Bad / t.rate.All, Reference: p}
 		}
 	}
 	return Healthy{}
@@ -204,7 +186,7 @@
 // Count returns the weighted number of answers that were compared with the reference,
 // at most referenceWindow.
 func (g *Guard) Count() int {
-	return int(g.tests[SignalError].rate.n)
+	return int(g.tests[SignalError].rate.All)
 }
 
 func (t *test) update(p float64, bad, restart bool) float64 {
--- a/router/canary/monitor.go
+++ b/router/canary/monitor.go
@@ -133,7 +133,7 @@
 	if !t.New {
 		m.Observe(t.Value)
 		if median > 0 {
-			s.oldTimings.Add(slow, timingWindow)
+			s.oldTimings = s.oldTimings.Add(slow, timingWindow)
 		}
 		return
 	}
@@ -141,7 +141,7 @@
 	if median == 0 {
 		return
 	}
-	s.newTimings.Add(slow, timingWindow)
+	s.newTimings = s.newTimings.Add(slow, timingWindow)
 	if s.verdict == "" && guard.Excess(guard.SignalLatency, s.newTimings, s.oldTimings) >= slowEvidence {
 		s.verdict = fmt.Sprintf("slow: %.0f of %.0f times against %.0f of %.0f", s.newTimings.Bad, s.newTimings.All, s.oldTimings.Bad, s.oldTimings.All)
 	}
--- a/router/share/exchange.go
+++ b/router/share/exchange.go
@@ -112,10 +112,18 @@
 	return out
 }
 
+func encodeIncarnation(i fleet.Incarnation) *Incarnation {
+	return &Incarnation{Upstream: string(i.ID), Born: i.StartedMs}
+}
+
+func decodeIncarnation(m *Incarnation) fleet.Incarnation {
+	return fleet.Incarnation{ID: ident.UpstreamID(m.GetUpstream()), StartedMs: m.GetBorn()}
+}
+
 func encodeIncarnations(is []fleet.Incarnation) []*Incarnation {
 	out := make([]*Incarnation, 0, len(is))
 	for _, i := range is {
-		out = append(out, &Incarnation{Upstream: string(i.ID), Born: i.StartedMs})
+		out = append(out, encodeIncarnation(i))
 	}
 	return out
 }
@@ -123,7 +131,7 @@
 func decodeIncarnations(ms []*Incarnation) []fleet.Incarnation {
 	out := make([]fleet.Incarnation, 0, len(ms))
 	for _, m := range ms {
-		out = append(out, fleet.Incarnation{ID: ident.UpstreamID(m.GetUpstream()), StartedMs: m.GetBorn()})
+		out = append(out, decodeIncarnation(m))
 	}
 	return out
 }
@@ -133,7 +141,7 @@
 	out := make([]*Limit, 0, len(ls))
 	for _, l := range ls {
 		m := &Limit{
-			Upstream: encodeIncarnations([]fleet.Incarnation{l.Upstream})[0],
+			Upstream: encodeIncarnation(l.Upstream),
 			AgeMs:    uint32(max(now.Sub(l.At), 0).Milliseconds()),
 		}
 		if !l.Lifted {
@@ -149,7 +157,7 @@
 	out := make([]notice.StatedLimit, 0, len(ms))
 	for _, m := range ms {
 		out = append(out, notice.StatedLimit{
-			Upstream: decodeIncarnations([]*Incarnation{m.GetUpstream()})[0],
+			Upstream: decodeIncarnation(m.GetUpstream()),
 			Limit: notice.Limit{
 				Rate: call.Rate(m.GetRate()), Lifted: m.Rate == nil, At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 			},
