feat(crash): relate the crashes of upstreams to the requests that they had begun

An attempt waits for a verdict until its upstream is seen alive a second after it began to answer, also if the router has given the attempt up. An upstream that refuses connections before that is logged with these requests and their shared parts. A connection that is lost has its upstream checked within a scan interval instead of by the next request.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
+	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/launch"
 	"tarragonvalve.example/core/logger"
 	"tarragonvalve.example/core/serve"
@@ -24,6 +25,7 @@
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/router/crash"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/front"
 	"tarragonvalve.example/router/gossip"
@@ -104,6 +106,7 @@
 		link.New,
 		func() *place.Balancer { return place.New(s.Domain) },
 		notice.New,
+		newCrashes,
 		newMemory,
 		canary.NewMonitor,
 		newStager,
@@ -122,8 +125,8 @@
 		}
 	}
 	var steps []serve.Component
-	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, n *mirror.Syncer, p *link.Pool, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
-		steps = []serve.Component{v, n, p, m, u, g, &cleaner{balancer: b, notices: t, syncer: n}, a}
+	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, n *mirror.Syncer, p *link.Pool, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
+		steps = []serve.Component{v, n, p, m, u, g, &cleaner{balancer: b, notices: t, crashes: r, syncer: n}, a}
 		if h != nil {
 			steps = append(steps, h)
 		}
@@ -149,8 +152,26 @@
 	return stager.New(n, w, s.Instance, func() float64 { return v.Bounds().CanaryShare }, l)
 }
 
-func newProbe(b *place.Balancer, n *mirror.Syncer, l zerolog.Logger) *probe.Monitor {
-	return probe.New(b, func() *fleet.List { return n.View().Fleet }, l)
+func newCrashes(l zerolog.Logger) *crash.Monitor {
+	return crash.New(crash.Ignore{}, l)
+}
+
+// marker tells the balancer and the crash monitor which upstreams are unresponsive.
+type marker struct {
+	*place.Balancer
+	crashes *crash.Monitor
+}
+
+// SetUnresponsive implements probe.Marker.
+func (m marker) SetUnresponsive(id ident.UpstreamID, unresponsive bool) {
+	m.Balancer.SetUnresponsive(id, unresponsive)
+	if unresponsive {
+		m.crashes.Down(id, time.Now())
+	}
+}
+
+func newProbe(b *place.Balancer, c *crash.Monitor, n *mirror.Syncer, l zerolog.Logger) *probe.Monitor {
+	return probe.New(marker{Balancer: b, crashes: c}, func() *fleet.List { return n.View().Fleet }, l)
 }
 
 // relayParts are the dependencies of a relay, as dig injects them.
@@ -164,6 +185,7 @@
 	Balancer *place.Balancer
 	Probe    *probe.Monitor
 	Notices  *notice.Registry
+	Crashes  *crash.Monitor
 	Canary   *canary.Monitor
 	Budget   *budget.Budget
 	Meter    *meter.Meter
@@ -175,7 +197,7 @@
 
 func newRelay(p relayParts) *relay.Relay {
 	return relay.New(relay.Options{
-		Syncer: p.Syncer, Links: p.Links, Codec: p.Codec, Balancer: p.Balancer, Probe: p.Probe, Notices: p.Notices, Canary: p.Canary,
+		Syncer: p.Syncer, Links: p.Links, Codec: p.Codec, Balancer: p.Balancer, Probe: p.Probe, Notices: p.Notices, Crashes: p.Crashes, Canary: p.Canary,
 		Budget: p.Budget, Meter: p.Meter, Memory: p.Memory, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values, Size: p.Gossip.RouterCount,
 	})
 }
--- a/router/boot/cleaner.go
+++ b/router/boot/cleaner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tarragonvalve.example/core/serve"
+	"tarragonvalve.example/router/crash"
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
@@ -14,10 +15,11 @@
 const cleanInterval = 5 * time.Second
 
 // cleaner updates the balancer from the list of upstreams in force, and removes expired
-// notices. This bounds the memory for upstreams that no longer exist. It is a serve.Component.
+// notices and attempts. This bounds the memory for upstreams that no longer exist. It is a serve.Component.
 type cleaner struct {
 	balancer *place.Balancer
 	notices  *notice.Registry
+	crashes  *crash.Monitor
 	syncer   *mirror.Syncer
 }
 
@@ -30,5 +32,6 @@
 		now := time.Now()
 		c.balancer.UpdateUpstreams(c.syncer.View().Fleet, now)
 		c.notices.Expire(now)
+		c.crashes.Expire(now)
 	})
 }
--- a/router/probe/probe.go
+++ b/router/probe/probe.go
@@ -66,7 +66,9 @@
 	checkedAt    time.Time
 	checking     bool
 	unresponsive bool
-	attempts     map[*Attempt]struct{}
+	// lost is true if a connection has ended early since the last check.
+	lost     bool
+	attempts map[*Attempt]struct{}
 }
 
 // New returns a monitor that marks unresponsive upstreams at m. listed returns the
@@ -145,6 +147,14 @@
 	m.setUnresponsive(u.ID, m.state(u), true)
 }
 
+// ConnectionLost records that an upstream ended a connection before its answer was complete. It is
+// checked soon, as the upstream itself may have ended.
+func (m *Monitor) ConnectionLost(u *fleet.Upstream) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state(u).lost = true
+}
+
 // state returns the state of an upstream. It creates a new one if there is none or the
 // address has changed. The caller holds the lock.
 func (m *Monitor) state(u *fleet.Upstream) *upstreamState {
@@ -185,6 +195,7 @@
 			continue
 		}
 		s.checking = true
+		s.lost = false
 		out[id] = s.address
 	}
 	return out
@@ -203,7 +214,7 @@
 
 // overdue reports whether the upstream should have sent something by now.
 func (s *upstreamState) overdue(now time.Time) bool {
-	if s.unresponsive {
+	if s.unresponsive || s.lost {
 		return true
 	}
 	for w := range s.attempts {
--- a/router/relay/buffered.go
+++ b/router/relay/buffered.go
@@ -70,6 +70,8 @@
 	a.End()
 	if err == nil {
 		a.reportFirstResponse()
+	} else if context.Cause(ctx) == nil {
+		a.connectionLost()
 	}
 	a.finish(err == nil && a.Status < http.StatusInternalServerError)
 	if err != nil {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -18,6 +18,7 @@
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/router/crash"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/link"
 	"tarragonvalve.example/router/meter"
@@ -88,6 +89,8 @@
 	Probe    *probe.Monitor
 	// Notices holds the upstreams' announcements of shutdowns and pauses.
 	Notices *notice.Registry
+	// Crashes relates the crashes of upstreams to requests.
+	Crashes *crash.Monitor
 	// Canary collects the results that decide on a roll-out.
 	Canary *canary.Monitor
 	// Budget limits retries.
@@ -127,7 +130,7 @@
 	if !ok {
 		return refuse.New(refuse.NoUpstream, refuse.NotRun, "route %s has no service", j.Route.ID).WithRetryAfter(time.Second)
 	}
-	t := &request{Relay: r, Job: j, service: s}
+	t := &request{Relay: r, Job: j, service: s, prompt: crash.NewPrompt(s, j.Meta)}
 	r.Budget.RecordRequest(s, r.Now())
 	if j.Route.Kind == routes.Stream {
 		return t.serveStream(ctx, w)
@@ -140,6 +143,7 @@
 	*Relay
 	*Job
 	service ident.ServiceID
+	prompt  crash.Prompt
 	// runs counts the attempts in which an upstream may have run the request.
 	runs int
 	// attempts counts all attempts, also those that an upstream rejected.
@@ -195,6 +199,8 @@
 	placement *place.Attempt
 	// progress watches for an unresponsive upstream and for long pauses between events.
 	progress *probe.Attempt
+	// verdict tracks whether the upstream survives the request.
+	verdict *crash.Attempt
 	// responseTimer ends the attempt if its response doesn't begin in time and the request can be
 	// retried elsewhere.
 	responseTimer *time.Timer
@@ -213,7 +219,16 @@
 
 // eventReceived records the arrival of an event of the response.
 func (o *attempt) eventReceived() {
-	o.progress.BodyReceived(time.Now())
+	now := time.Now()
+	o.progress.BodyReceived(now)
+	o.verdict.Received(now)
+}
+
+// connectionLost records that the upstream ended the connection before its answer was complete,
+// and has the upstream checked.
+func (o *attempt) connectionLost() {
+	o.verdict.Lost(time.Now())
+	o.Probe.ConnectionLost(o.upstream)
 }
 
 // finish releases the attempt and records whether its upstream served it well. It must be
@@ -228,6 +243,7 @@
 func (o *attempt) release() {
 	o.responseTimer.Stop()
 	o.progress.Done()
+	o.verdict.End(time.Now())
 	o.placement.End()
 }
 
@@ -253,6 +269,7 @@
 	o := &attempt{request: t, upstream: u, began: began, placement: t.Balancer.Start(c, began), serviceSize: c.ServiceSize, nominal: c.Nominal}
 	cancelAttempt := t.cancelForRetry(u, cancel)
 	o.progress = t.Probe.Start(u, t.Route.MaxPause, cancelAttempt, began)
+	o.verdict = t.Crashes.Start(u.Incarnation(), t.prompt)
 	o.responseTimer = time.AfterFunc(max(t.Route.Objective, minAttemptTime), func() {
 		if cancelAttempt != nil {
 			cancelAttempt(errLate)
@@ -304,6 +321,9 @@
 			// The client closed its connection, which is no fault of the upstream.
 			o.release()
 		} else {
+			if context.Cause(ctx) == nil {
+				o.connectionLost()
+			}
 			o.placement.TimedOut(time.Now())
 			o.finish(false)
 		}
@@ -315,6 +335,7 @@
 		o.placement.LoadReported(a.Meta.Load, time.Now())
 	}
 	if a.Meta.NotRun {
+		o.verdict.Received(time.Now())
 		drain(a)
 		// A rejection under load doesn't count as a failure of the upstream.
 		o.release()
@@ -322,6 +343,7 @@
 		return notRun{reason: t.rejection}
 	}
 	t.markRun()
+	o.verdict.Began(time.Now())
 	o.placement.PromptProcessed(time.Now())
 	if a.Meta.Encoded {
 		a.End()
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -171,6 +171,9 @@
 			a.finish(true)
 			return completed{}
 		}
+		if err != nil && context.Cause(ctx) == nil {
+			a.connectionLost()
+		}
 		if err == nil {
 			if !e.CommentOnly {
 				a.responseTimer.Stop()
