--- /dev/null
+++ b/router/boot/poison_test.go
@@ -0,0 +1,187 @@
+package boot
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"tarragonvalve.example/standin/server"
+)
+
+const (
+	// poisonGrace is the users' stability_window_ms: how long after the fifth crash requests with
+	// the part may still reach servers.
+	poisonGrace = 3 * time.Second
+	// crashesKnown and poisonTolerance are the users' rule: after poisonGrace from this crash on, at
+	// most so many requests with the part reach servers.
+	crashesKnown    = 5
+	poisonTolerance = 3
+	// soundShare is the users' rule for sound requests with the same key or first part, from twice
+	// poisonGrace on.
+	soundShare = 0.5
+)
+
+// crashingFleet runs upstreams that crash under a prompt part and start again under a new id some
+// time later.
+type crashingFleet struct {
+	w    *harness
+	part string
+	mu   sync.Mutex
+	// started counts the upstreams, all holds them.
+	started int
+	all     []*server.Server
+	crashes []time.Time
+}
+
+// slot runs one upstream after the other until ctx ends.
+func (c *crashingFleet) slot(ctx context.Context, crash server.Crash) {
+	const restart = 1500 * time.Millisecond
+	for {
+		c.mu.Lock()
+		c.started++
+		name := fmt.Sprintf("s%d", c.started)
+		c.mu.Unlock()
+		s, err := server.New(name, func(r server.Request) server.Reply {
+			if strings.Contains(r.Header.Get("Tarragonvalve-Prompt-Prefix"), c.part+":") {
+				return crash
+			}
+			return server.Events{Count: 4, Pause: 80 * time.Millisecond}
+		})
+		if err != nil {
+			c.w.t.Error(err)
+			return
+		}
+		c.mu.Lock()
+		c.all = append(c.all, s)
+		c.mu.Unlock()
+		c.w.register(s, "llm", "v1", "ready")
+		select {
+		case <-ctx.Done():
+			s.Close()
+			return
+		case <-s.Crashed():
+		}
+		c.mu.Lock()
+		c.crashes = append(c.crashes, time.Now())
+		c.mu.Unlock()
+		s.Close()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(restart):
+		}
+		c.w.store.Delete("servers", name)
+	}
+}
+
+// arrivals returns when requests with the part reached an upstream.
+func (c *crashingFleet) arrivals() []time.Time {
+	var ts []time.Time
+	for _, s := range c.all {
+		for _, q := range s.Requests() {
+			if strings.Contains(q.Header.Get("Tarragonvalve-Prompt-Prefix"), c.part+":") {
+				ts = append(ts, q.At)
+			}
+		}
+	}
+	slices.SortFunc(ts, time.Time.Compare)
+	return ts
+}
+
+// Incident BUDGET: each upstream that begins to answer a prompt with a certain part crashes, and the
+// requests, each a new one, come through all routers. Guards against routers that take each crash for
+// a fault of the upstream and send such requests to the next one, and against routers that also keep
+// the sound requests away that share the key and the first part.
+func TestCrashingPart(t *testing.T) {
+	t.Parallel()
+	const part = "bad0"
+	tests := map[string]struct {
+		crash server.Crash
+		// prefix returns the shared parts of the n-th request that crashes upstreams.
+		prefix func(n int) string
+	}{
+		"after the head": {server.Crash{Head: true, Delay: 100 * time.Millisecond}, func(int) string { return "a0:100," + part + ":50" }},
+		"without a head": {server.Crash{Delay: 50 * time.Millisecond}, func(int) string { return "a0:100," + part + ":50" }},
+		"first part":     {server.Crash{Head: true, Delay: 100 * time.Millisecond}, func(n int) string { return fmt.Sprintf("%s:100,b%d:50", part, n%7) }},
+		"several first":  {server.Crash{Head: true, Delay: 50 * time.Millisecond}, func(n int) string { return fmt.Sprintf("a%d:100,%s:50", n%3, part) }},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const upstreams, calm, length = 6, 2 * time.Second, 12 * time.Second
+			ws := startRouters(t, standardDocument(), 4)
+			f := &crashingFleet{w: ws[0], part: part}
+			ctx, stop := context.WithCancel(context.Background())
+			var slots, clients sync.WaitGroup
+			for range upstreams {
+				slots.Go(func() { f.slot(ctx, c.crash) })
+			}
+			for _, w := range ws {
+				w.awaitUpstreams(upstreams)
+			}
+			began := time.Now()
+			var mu sync.Mutex
+			var served, failed []time.Time
+			for i, w := range ws {
+				clients.Go(func() {
+					for n := i * 1000; time.Since(began) < length; n++ {
+						time.Sleep(100 * time.Millisecond)
+						if n%2 == 0 && time.Since(began) > calm {
+							clients.Go(func() { w.send("POST", "/chat/1", "", promptOf(c.prefix(n), 2*n)...) })
+						}
+						clients.Go(func() {
+							at := time.Now()
+							a := w.send("POST", "/chat/1", "", promptOf(fmt.Sprintf("a%d:100,c%d:50", n%3, n%20), 2*n+1)...)
+							mu.Lock()
+							defer mu.Unlock()
+							if a.err == nil && a.status == 200 {
+								served = append(served, at)
+							} else {
+								failed = append(failed, at)
+							}
+						})
+					}
+				})
+			}
+			clients.Wait()
+			stop()
+			slots.Wait()
+			if len(f.crashes) < crashesKnown {
+				t.Fatalf("%d crashes, want at least %d", len(f.crashes), crashesKnown)
+			}
+			known := f.crashes[crashesKnown-1]
+			if n := countAfter(f.arrivals(), known.Add(poisonGrace)); n > poisonTolerance {
+				t.Errorf("%d requests with the part reached upstreams later than %s after crash %d, allowed %d; %d crashes in all",
+					n, poisonGrace, crashesKnown, poisonTolerance, len(f.crashes))
+			}
+			ok, bad := countAfter(served, known.Add(2*poisonGrace)), countAfter(failed, known.Add(2*poisonGrace))
+			if float64(ok) < soundShare*float64(ok+bad) || ok == 0 {
+				t.Errorf("%d of %d sound requests served later than %s after crash %d", ok, ok+bad, 2*poisonGrace, crashesKnown)
+			}
+			t.Logf("%d crashes, %d sound requests served and %d not after crash %d", len(f.crashes), countAfter(served, known), countAfter(failed, known), crashesKnown)
+		})
+	}
+}
+
+// promptOf returns the headers of a request with the given shared parts. n numbers its own part.
+func promptOf(shared string, n int) []string {
+	return []string{
+		"Tarragonvalve-Model-Name", "*", "Tarragonvalve-Token-Usage", "200,20",
+		"Tarragonvalve-Prompt-Prefix", fmt.Sprintf("%s,d%x:50", shared, n),
+	}
+}
+
+// countAfter returns how many of ts are after t.
+func countAfter(ts []time.Time, t time.Time) int {
+	n := 0
+	for _, x := range ts {
+		if x.After(t) {
+			n++
+		}
+	}
+	return n
+}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -60,6 +60,12 @@
 	Truncated struct{}
 	// Reset closes the connection without a response.
 	Reset struct{}
+	// Crash closes the listener and all connections of the server after a delay. Head is true if
+	// the head of an event stream is sent before.
+	Crash struct {
+		Head  bool
+		Delay time.Duration
+	}
 	// Hang sends nothing and waits until the client closes the connection.
 	Hang struct{}
 	// Malformed sends bytes that are not an HTTP response and closes the connection.
@@ -82,6 +88,7 @@
 func (Endless) reply()    {}
 func (Truncated) reply()  {}
 func (Reset) reply()      {}
+func (Crash) reply()      {}
 func (Hang) reply()       {}
 func (Malformed) reply()  {}
 func (Duplicate) reply()  {}
@@ -125,6 +132,8 @@
 	conns        map[net.Conn]bool
 	accepted     int
 	tasks        sync.WaitGroup
+	crashOnce    sync.Once
+	crashed      chan struct{}
 }
 
 // New starts a server on a loopback port chosen by the kernel. script selects the reply to
@@ -134,7 +143,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for server %s: %w", name, err)
 	}
-	s := &Server{Name: name, listener: l, script: script, conns: map[net.Conn]bool{}}
+	s := &Server{Name: name, listener: l, script: script, conns: map[net.Conn]bool{}, crashed: make(chan struct{})}
 	s.tasks.Go(s.accept)
 	return s, nil
 }
@@ -184,6 +193,16 @@
 	s.tasks.Wait()
 }
 
+// crash ends the server from within a reply.
+func (s *Server) crash() {
+	s.listener.Close()
+	s.CloseConnections()
+	s.crashOnce.Do(func() { close(s.crashed) })
+}
+
+// Crashed is closed when the server has carried out a Crash.
+func (s *Server) Crashed() <-chan struct{} { return s.crashed }
+
 // CloseConnections closes all open connections, as a server does on an idle timeout.
 func (s *Server) CloseConnections() {
 	s.mu.Lock()
@@ -299,6 +318,13 @@
 		return false
 	case Reset:
 		return false
+	case Crash:
+		if a.Head {
+			write(c, s.responseHead(x, http.StatusOK, -1)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		}
+		time.Sleep(a.Delay)
+		s.crash()
+		return false
 	case Hang:
 		s.awaitAbort(c, r)
 		return false
