fix(poison): keep prompts that crash upstreams from the next one

Callers saw requests refused or cut for seconds at a time: each request with one part in its prompt crashed up to three upstreams, and clients repeated it, until none was left.

Cause: a lost connection counted as a fault of the upstream only. Nothing related crashes to the content of requests, so that a request that crashes its upstream was sent to the next one, and every router had to see it for itself. Class: retries that spread a fault by content.

Routers collect under which requests upstreams crash shortly after they begin to answer, and which they survive, tell each other, and refuse requests whose prompts hold the parts that explain the crashes.

--- a/core/refuse/refuse.go
+++ b/core/refuse/refuse.go
@@ -56,6 +56,7 @@
 	Cancelled               Code = "cancelled"
 	NoUpstream              Code = "no-upstream"
 	UpstreamFailed          Code = "upstream-failed"
+	PromptQuarantined       Code = "prompt-quarantined"
 	StreamBroken            Code = "stream-broken"
 	UnknownAttempt          Code = "unknown-attempt"
 	Draining                Code = "draining"
--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -34,6 +34,7 @@
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
+	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/probe"
 	"tarragonvalve.example/router/quota"
 	"tarragonvalve.example/router/relay"
@@ -106,6 +107,7 @@
 		link.New,
 		func() *place.Balancer { return place.New(s.Domain) },
 		notice.New,
+		poison.New,
 		newCrashes,
 		newMemory,
 		canary.NewMonitor,
@@ -125,8 +127,8 @@
 		}
 	}
 	var steps []serve.Component
-	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, n *mirror.Syncer, p *link.Pool, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
-		steps = []serve.Component{v, n, p, m, u, g, &cleaner{balancer: b, notices: t, crashes: r, syncer: n}, a}
+	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, q *poison.Registry, n *mirror.Syncer, p *link.Pool, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
+		steps = []serve.Component{v, n, p, m, u, g, &cleaner{balancer: b, notices: t, crashes: r, poison: q, syncer: n}, &poison.Component{Registry: q, Attempts: r}, a}
 		if h != nil {
 			steps = append(steps, h)
 		}
@@ -152,8 +154,8 @@
 	return stager.New(n, w, s.Instance, func() float64 { return v.Bounds().CanaryShare }, l)
 }
 
-func newCrashes(l zerolog.Logger) *crash.Monitor {
-	return crash.New(crash.Ignore{}, l)
+func newCrashes(r *poison.Registry, l zerolog.Logger) *crash.Monitor {
+	return crash.New(r, l)
 }
 
 // marker tells the balancer and the crash monitor which upstreams are unresponsive.
@@ -186,6 +188,7 @@
 	Probe    *probe.Monitor
 	Notices  *notice.Registry
 	Crashes  *crash.Monitor
+	Poison   *poison.Registry
 	Canary   *canary.Monitor
 	Budget   *budget.Budget
 	Meter    *meter.Meter
@@ -197,7 +200,7 @@
 
 func newRelay(p relayParts) *relay.Relay {
 	return relay.New(relay.Options{
-		Syncer: p.Syncer, Links: p.Links, Codec: p.Codec, Balancer: p.Balancer, Probe: p.Probe, Notices: p.Notices, Crashes: p.Crashes, Canary: p.Canary,
+		Syncer: p.Syncer, Links: p.Links, Codec: p.Codec, Balancer: p.Balancer, Probe: p.Probe, Notices: p.Notices, Crashes: p.Crashes, Poison: p.Poison, Canary: p.Canary,
 		Budget: p.Budget, Meter: p.Meter, Memory: p.Memory, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values, Size: p.Gossip.RouterCount,
 	})
 }
@@ -211,8 +214,8 @@
 }
 
 // newMeter returns metrics that read the configuration's age, the requests in progress, the
-// number of instances and of limited upstreams when they are scraped.
-func newMeter(n *mirror.Syncer, g *front.Gate, o *gossip.Exchanger, t *notice.Registry) *meter.Meter {
+// number of instances, of limited upstreams and of quarantined prompts when they are scraped.
+func newMeter(n *mirror.Syncer, g *front.Gate, o *gossip.Exchanger, t *notice.Registry, q *poison.Registry) *meter.Meter {
 	age := func() float64 {
 		a, ok := n.ConfigAge()
 		if !ok {
@@ -221,7 +224,7 @@
 		return a.Seconds()
 	}
 	return meter.New(age, func() float64 { return float64(g.InFlight()) }, func() float64 { return float64(o.RouterCount()) },
-		func() float64 { return float64(t.LimitedCount()) })
+		func() float64 { return float64(t.LimitedCount()) }, func() float64 { return float64(q.Count()) })
 }
 
 func newGate(v *setup.Live, n *mirror.Syncer, now clock.Func) *front.Gate {
--- a/router/boot/cleaner.go
+++ b/router/boot/cleaner.go
@@ -9,17 +9,19 @@
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
+	"tarragonvalve.example/router/poison"
 )
 
 // cleanInterval is how often the cleaner runs.
 const cleanInterval = 5 * time.Second
 
 // cleaner updates the balancer from the list of upstreams in force, and removes expired
-// notices and attempts. This bounds the memory for upstreams that no longer exist. It is a serve.Component.
+// notices and evidence. This bounds the memory for upstreams that no longer exist. It is a serve.Component.
 type cleaner struct {
 	balancer *place.Balancer
 	notices  *notice.Registry
 	crashes  *crash.Monitor
+	poison   *poison.Registry
 	syncer   *mirror.Syncer
 }
 
@@ -33,5 +35,6 @@
 		c.balancer.UpdateUpstreams(c.syncer.View().Fleet, now)
 		c.notices.Expire(now)
 		c.crashes.Expire(now)
+		c.poison.Expire(now)
 	})
 }
--- a/router/crash/crash.go
+++ b/router/crash/crash.go
@@ -3,6 +3,7 @@
 package crash
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -47,15 +48,6 @@
 	Survived(p Prompt, began time.Time)
 }
 
-// Ignore is an Observer that takes no notice.
-type Ignore struct{}
-
-// Crashed implements Observer.
-func (Ignore) Crashed(Report, time.Time) {}
-
-// Survived implements Observer.
-func (Ignore) Survived(Prompt, time.Time) {}
-
 // Monitor tracks the attempts at upstreams until it is known whether the upstream survives them.
 // It is safe for concurrent use.
 type Monitor struct {
@@ -81,6 +73,8 @@
 	monitor  *Monitor
 	upstream *upstream
 	prompt   Prompt
+	// cancel ends the attempt.
+	cancel context.CancelCauseFunc
 	// beganAt is when the answer began, endedAt when the attempt ended; zero if it hasn't.
 	beganAt, endedAt time.Time
 	// lost is true if the connection ended before the answer was complete.
@@ -92,9 +86,9 @@
 	return &Monitor{observer: o, log: l, upstreams: map[fleet.Incarnation]*upstream{}}
 }
 
-// Start records an attempt. It returns nil, which is a valid Attempt, if the prompt shares no part
+// Start records an attempt, which cancel ends. It returns nil, which is a valid Attempt, if the prompt shares no part
 // with other requests.
-func (m *Monitor) Start(i fleet.Incarnation, p Prompt) *Attempt {
+func (m *Monitor) Start(i fleet.Incarnation, p Prompt, cancel context.CancelCauseFunc) *Attempt {
 	if len(p.Parts) == 0 {
 		return nil
 	}
@@ -105,7 +99,7 @@
 		u = &upstream{incarnation: i, attempts: map[*Attempt]struct{}{}}
 		m.upstreams[i] = u
 	}
-	a := &Attempt{monitor: m, upstream: u, prompt: p}
+	a := &Attempt{monitor: m, upstream: u, prompt: p, cancel: cancel}
 	u.attempts[a] = struct{}{}
 	return a
 }
@@ -218,6 +212,20 @@
 	}
 }
 
+// CancelWaiting ends the attempts with prompts for which match returns true and whose answer hasn't
+// begun.
+func (m *Monitor) CancelWaiting(match func(p Prompt) bool, cause error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, u := range m.upstreams {
+		for a := range u.attempts {
+			if a.beganAt.IsZero() && a.endedAt.IsZero() && match(a.prompt) {
+				a.cancel(cause)
+			}
+		}
+	}
+}
+
 // logCrash logs a crash with the requests whose answers had begun, as ID:PART,PART.
 func (m *Monitor) logCrash(r Report) {
 	var begun []string
--- a/router/crash/crash_test.go
+++ b/router/crash/crash_test.go
@@ -34,6 +34,8 @@
 	slices.Sort(r.survived)
 }
 
+func ignore(error) {}
+
 func prompt(id string) crash.Prompt {
 	return crash.NewPrompt("llm", call.Request{ID: call.ID(id), Prefix: []call.PromptPart{{ID: "p"}, {ID: id}}})
 }
@@ -51,60 +53,60 @@
 		crashed, survived string
 	}{
 		"begun shortly before": {func(m *crash.Monitor) {
-			m.Start(u, prompt("a")).Began(at(0))
+			m.Start(u, prompt("a"), ignore).Began(at(0))
 			m.Down("u", at(200*ms))
 		}, "a!", ""},
 		"given up for a larger model": {func(m *crash.Monitor) {
-			a := m.Start(u, prompt("a"))
+			a := m.Start(u, prompt("a"), ignore)
 			a.Began(at(0))
 			a.End(at(1 * ms))
 			m.Down("u", at(200*ms))
 		}, "a!", ""},
 		"waiting": {func(m *crash.Monitor) {
-			m.Start(u, prompt("a"))
+			m.Start(u, prompt("a"), ignore)
 			m.Down("u", at(200*ms))
 		}, "a", ""},
 		"waiting, connection lost before": {func(m *crash.Monitor) {
-			a := m.Start(u, prompt("a"))
+			a := m.Start(u, prompt("a"), ignore)
 			a.Lost(at(100 * ms))
 			a.End(at(100 * ms))
 			m.Down("u", at(200*ms))
 		}, "a", ""},
 		"waiting, canceled": {func(m *crash.Monitor) {
-			m.Start(u, prompt("a")).End(at(100 * ms))
+			m.Start(u, prompt("a"), ignore).End(at(100 * ms))
 			m.Down("u", at(200*ms))
 		}, "", ""},
 		"survived by its own events": {func(m *crash.Monitor) {
-			a := m.Start(u, prompt("a"))
+			a := m.Start(u, prompt("a"), ignore)
 			a.Began(at(0))
 			a.Received(at(1100 * ms))
 			m.Down("u", at(1200*ms))
 		}, "", "a"},
 		"survived by another answer": {func(m *crash.Monitor) {
-			a := m.Start(u, prompt("a"))
+			a := m.Start(u, prompt("a"), ignore)
 			a.Began(at(0))
 			a.End(at(1 * ms))
-			m.Start(u, prompt("b")).Began(at(1500 * ms))
+			m.Start(u, prompt("b"), ignore).Began(at(1500 * ms))
 			m.Down("u", at(1600*ms))
 		}, "b!", "a"},
 		"crash noticed late": {func(m *crash.Monitor) {
-			m.Start(u, prompt("a")).Began(at(0))
+			m.Start(u, prompt("a"), ignore).Began(at(0))
 			m.Down("u", at(5000*ms))
 		}, "a!", ""},
 		"long stream": {func(m *crash.Monitor) {
-			a := m.Start(u, prompt("a"))
+			a := m.Start(u, prompt("a"), ignore)
 			a.Began(at(0))
-			b := m.Start(u, prompt("b"))
+			b := m.Start(u, prompt("b"), ignore)
 			b.Began(at(1900 * ms))
 			b.Lost(at(2000 * ms))
 			m.Down("u", at(2100*ms))
 		}, "b!", "a"},
 		"another upstream": {func(m *crash.Monitor) {
-			m.Start(u, prompt("a")).Began(at(0))
+			m.Start(u, prompt("a"), ignore).Began(at(0))
 			m.Down("v", at(200*ms))
 		}, "", ""},
 		"no verdict for long": {func(m *crash.Monitor) {
-			a := m.Start(u, prompt("a"))
+			a := m.Start(u, prompt("a"), ignore)
 			a.Began(at(0))
 			a.End(at(1 * ms))
 			m.Expire(at(time.Minute))
@@ -130,3 +132,22 @@
 	fmt.Println(p, len(p.Parts))
 	// Output: 9c41:5c1e,91bd 2
 }
+
+// Guards against a quarantine that lets requests crash upstreams that are in their queues already,
+// and against one that ends sound requests.
+func TestCancelWaiting(t *testing.T) {
+	m := crash.New(&recorder{}, zerolog.New(io.Discard))
+	u := fleet.Incarnation{ID: "u", StartedMs: 1}
+	var canceled []string
+	start := func(id string) *crash.Attempt {
+		return m.Start(u, prompt(id), func(error) { canceled = append(canceled, id) })
+	}
+	start("waiting")
+	start("other")
+	start("begun").Began(time.Unix(1000, 0))
+	start("ended").End(time.Unix(1000, 0))
+	m.CancelWaiting(func(p crash.Prompt) bool { return p.ID != "other" }, io.EOF)
+	if got := strings.Join(canceled, " "); got != "waiting" {
+		t.Errorf("canceled %q, want the waiting one", got)
+	}
+}
--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -12,6 +12,7 @@
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/pacer"
 	"tarragonvalve.example/router/place"
+	"tarragonvalve.example/router/poison"
 )
 
 const (
@@ -49,12 +50,19 @@
 	SetShare(s pacer.Share)
 }
 
+// CrashSet holds what is known of prompts that crash upstreams.
+type CrashSet interface {
+	Report(now time.Time) poison.Report
+	Merge(r poison.Report, now time.Time)
+}
+
 // Exchanger exchanges samples with the first peer that responds. Each router's peers are
 // ordered so that exchanges form no cycle: each sample reaches a router once.
 type Exchanger struct {
 	name    string
 	store   SampleStore
 	notices NoticeSet
+	crashes CrashSet
 	peers   []*peerState
 	samples *SampleLog
 	totals  *Totals
@@ -73,8 +81,8 @@
 
 // New returns an exchanger. name identifies this router; peers are in the order of
 // preference.
-func New(name string, b SampleStore, t NoticeSet, peers []Peer, l zerolog.Logger) *Exchanger {
-	n := &Exchanger{name: name, store: b, notices: t, samples: NewSampleLog(), totals: NewTotals(), log: l}
+func New(name string, b SampleStore, t NoticeSet, c CrashSet, peers []Peer, l zerolog.Logger) *Exchanger {
+	n := &Exchanger{name: name, store: b, notices: t, crashes: c, samples: NewSampleLog(), totals: NewTotals(), log: l}
 	n.ranking.startedAt = time.Now()
 	for _, p := range peers {
 		n.peers = append(n.peers, &peerState{Peer: p})
@@ -133,7 +141,7 @@
 	bs, routers := n.totals.Without(c.Address(), now)
 	a, err := c.Exchange(ctx, Message{
 		Sender: n.name, Samples: ss, Backlog: bs, Routers: routers, After: c.seen, Leaving: n.notices.RecentlyLeaving(now),
-		Limits: n.notices.RecentLimits(now),
+		Limits: n.notices.RecentLimits(now), Crashes: n.crashes.Report(now),
 	})
 	if err != nil {
 		c.failedAt = now
@@ -150,6 +158,7 @@
 	}
 	n.notices.MergeLeaving(a.Leaving, now)
 	n.notices.MergeLimits(a.Limits, now)
+	n.crashes.Merge(a.Crashes, now)
 	n.merge(c.Address(), a.Samples, a.Backlog, a.Routers)
 	return max(a.Pause, minPause)
 }
@@ -157,9 +166,10 @@
 // HandleMessage merges the message of another router and returns the reply.
 func (n *Exchanger) HandleMessage(m Message) Reply {
 	now := time.Now()
-	a := Reply{Pause: n.samples.Pause(m.Sender, now), Leaving: n.notices.RecentlyLeaving(now), Limits: n.notices.RecentLimits(now)}
+	a := Reply{Pause: n.samples.Pause(m.Sender, now), Leaving: n.notices.RecentlyLeaving(now), Limits: n.notices.RecentLimits(now), Crashes: n.crashes.Report(now)}
 	n.notices.MergeLeaving(m.Leaving, now)
 	n.notices.MergeLimits(m.Limits, now)
+	n.crashes.Merge(m.Crashes, now)
 	a.Samples, a.Next = n.samples.After(m.After, m.Sender, now)
 	n.totals.Set(n.name, n.store.Backlog(), 1, now)
 	a.Backlog, a.Routers = n.totals.Without(m.Sender, now)
--- a/router/gossip/gossip_test.go
+++ b/router/gossip/gossip_test.go
@@ -20,6 +20,7 @@
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
+	"tarragonvalve.example/router/poison"
 )
 
 // direct exchanges with a router of the test without a network.
@@ -54,6 +55,7 @@
 type routers struct {
 	balancers  []*place.Balancer
 	registries []*notice.Registry
+	poisons    []*poison.Registry
 	exchangers []*gossip.Exchanger
 	seeds      []*direct
 }
@@ -61,7 +63,7 @@
 func newRouters(n int) *routers {
 	r := &routers{}
 	for i := range n {
-		b, o := place.New("a"), notice.New()
+		b, o, c := place.New("a"), notice.New(), poison.New(zerolog.New(io.Discard))
 		var ps []gossip.Peer
 		if i > 0 {
 			for _, s := range r.seeds {
@@ -71,7 +73,7 @@
 		if i > 1 && i%2 == 1 {
 			slices.Reverse(ps)
 		}
-		exchanger := gossip.New(fmt.Sprintf("r%d", i), b, o, ps, zerolog.New(io.Discard))
+		exchanger := gossip.New(fmt.Sprintf("r%d", i), b, o, c, ps, zerolog.New(io.Discard))
 		if i < 2 {
 			s := &direct{name: fmt.Sprintf("seed-%d", i)}
 			s.replace(exchanger)
@@ -79,6 +81,7 @@
 		}
 		r.balancers = append(r.balancers, b)
 		r.registries = append(r.registries, o)
+		r.poisons = append(r.poisons, c)
 		r.exchangers = append(r.exchangers, exchanger)
 	}
 	return r
--- a/router/gossip/log.go
+++ b/router/gossip/log.go
@@ -13,6 +13,7 @@
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/pacer"
 	"tarragonvalve.example/router/place"
+	"tarragonvalve.example/router/poison"
 )
 
 const (
@@ -50,6 +51,8 @@
 	Leaving []fleet.Incarnation
 	// Limits are the newest statements of upstreams about the requests that they take.
 	Limits []notice.StatedLimit
+	// Crashes is what the sender knows of prompts that crash upstreams.
+	Crashes poison.Report
 	// After is the position in the receiver's log up to which the sender has the samples.
 	After Cursor
 }
@@ -65,6 +68,8 @@
 	Leaving []fleet.Incarnation
 	// Limits are the newest statements of upstreams about the requests that they take.
 	Limits []notice.StatedLimit
+	// Crashes is what the router that replies knows of prompts that crash upstreams.
+	Crashes poison.Report
 	// Share is the place of the message's sender among all routers; nil if the router that
 	// replies doesn't number others.
 	Share *pacer.Share
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -32,8 +32,9 @@
 
 // New returns metrics at zero. age returns the largest possible age of the configuration in
 // seconds, or -1 before one was read, open the number of requests in progress, size the number
-// of routers that share limits, and limited the number of upstreams that limit their requests.
-func New(age, open, size, limited func() float64) *Meter {
+// of routers that share limits, limited the number of upstreams that limit their requests, and
+// quarantined the number of sets of prompt parts that are refused.
+func New(age, open, size, limited, quarantined func() float64) *Meter {
 	m := &Meter{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -74,6 +75,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "limited_upstreams", Help: "Upstreams that limit the requests per second that they take from all routers.",
 		}, limited),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "quarantined_prompts", Help: "Sets of prompt parts that crash upstreams, so that requests with them are refused.",
+		}, quarantined),
 	)
 	return m
 }
--- /dev/null
+++ b/router/poison/decide.go
@@ -0,0 +1,150 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tarragonvalve.example/router/crash"
+	"tarragonvalve.example/router/fleet"
+)
+
+// candidate is a part with the crashes that may be due to it.
+type candidate struct {
+	part  crash.Part
+	known bool
+	// settled is true if other routers have had time to report on the part.
+	settled bool
+	// requests are those in progress at the crashes; if enough of them had begun to be answered,
+	// only these.
+	requests map[crashKey]struct{}
+	// crashes is the number of upstreams that crashed, or of the different requests under which they
+	// did, if that is less; begun counts only requests whose answer had begun.
+	crashes, begun int
+	last           time.Time
+}
+
+// decide returns a quarantine that follows from the evidence and is not among those in force, if
+// there is one. The parts that explain the most crashes come first, since they leave fewer crashes
+// to be explained by others, and of these the most specific ones.
+func (e *evidence) decide(qs []Quarantine, now time.Time) (Quarantine, bool) {
+	if len(e.suspects) == 0 {
+		return Quarantine{}, false
+	}
+	var active []Quarantine
+	for _, q := range qs {
+		if q = e.withoutHarmless(q); q.active(now) && len(q.Parts) > 0 {
+			active = append(active, q)
+		}
+	}
+	cs := e.candidates(active, now)
+	for _, c := range cs {
+		if !c.settled || !c.guilty(remembered(qs, c.part)) {
+			continue
+		}
+		q := Quarantine{At: c.last}
+		for _, x := range cs {
+			// Of parts that came together each time, any may be the cause.
+			if x.known == c.known && x.includes(c) {
+				q.Parts = append(q.Parts, x.part)
+			}
+		}
+		slices.Sort(q.Parts)
+		if !slices.ContainsFunc(active, func(a Quarantine) bool { return containsAll(q.Parts, a.Parts) }) {
+			return q, true
+		}
+	}
+	return Quarantine{}, false
+}
+
+// candidates returns the suspected parts, the most suspected ones first.
+func (e *evidence) candidates(active []Quarantine, now time.Time) []candidate {
+	var cs []candidate
+	for p, x := range e.suspects {
+		c := candidate{part: p, known: e.known(p, now), settled: now.Sub(x.since) >= judgeDelay}
+		all, begun := map[crashKey]struct{}{}, map[crashKey]struct{}{}
+		for k, s := range x.suspicions {
+			if (c.known && !s.Began) || !s.At.After(e.survived[p]) || e.explained(s, active) {
+				continue
+			}
+			all[k] = struct{}{}
+			if s.Began {
+				begun[k] = struct{}{}
+			}
+			if s.At.After(c.last) {
+				c.last = s.At
+			}
+		}
+		if len(all) == 0 {
+			continue
+		}
+		c.crashes, c.begun, c.requests = countCrashes(all), countCrashes(begun), all
+		if c.begun >= begunCrashes {
+			c.requests = begun
+		}
+		cs = append(cs, c)
+	}
+	slices.SortFunc(cs, func(a, b candidate) int {
+		if a.known != b.known {
+			if a.known {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(b.begun, a.begun), cmp.Compare(b.crashes, a.crashes), cmp.Compare(len(a.requests), len(b.requests)), cmp.Compare(a.part, b.part))
+	})
+	return cs
+}
+
+// guilty reports whether the crashes show that the part causes them. again is true if it was
+// quarantined before.
+func (c candidate) guilty(again bool) bool {
+	switch {
+	case c.known:
+		return c.begun >= knownCrashes
+	case again:
+		return c.begun > 0
+	default:
+		return c.begun >= begunCrashes || c.crashes >= waitingCrashes
+	}
+}
+
+// explained reports whether a quarantine without the suspicion's part explains the crash at least as
+// well: requests with its parts were in progress too.
+func (e *evidence) explained(s Suspicion, active []Quarantine) bool {
+	return slices.ContainsFunc(active, func(q Quarantine) bool {
+		return !slices.Contains(q.Parts, s.Part) && !slices.ContainsFunc(q.Parts, func(x crash.Part) bool {
+			return !e.suspects[x].inProgress(s.Upstream, s.Began)
+		})
+	})
+}
+
+// countCrashes returns the number of different upstreams, or of different requests if that is less.
+func countCrashes(ks map[crashKey]struct{}) int {
+	us, rs := map[fleet.Incarnation]struct{}{}, map[crash.RequestHash]struct{}{}
+	for k := range ks {
+		us[k.upstream] = struct{}{}
+		rs[k.request] = struct{}{}
+	}
+	return min(len(us), len(rs))
+}
+
+// includes reports whether all requests of another candidate held this one's part too.
+func (c candidate) includes(o candidate) bool {
+	for k := range o.requests {
+		if _, ok := c.requests[k]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// remembered reports whether a quarantine, in force or not, consists of the part.
+func remembered(qs []Quarantine, p crash.Part) bool {
+	return slices.ContainsFunc(qs, func(q Quarantine) bool { return len(q.Parts) == 1 && q.Parts[0] == p })
+}
+
+// containsAll reports whether ps holds all of xs.
+func containsAll(ps, xs []crash.Part) bool {
+	return !slices.ContainsFunc(xs, func(x crash.Part) bool { return !slices.Contains(ps, x) })
+}
--- /dev/null
+++ b/router/poison/evidence.go
@@ -0,0 +1,159 @@
+package poison
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tarragonvalve.example/router/crash"
+	"tarragonvalve.example/router/fleet"
+)
+
+const (
+	// evidenceTTL is how long a crash, or an answer that an upstream survived, counts.
+	evidenceTTL = time.Minute
+	// begunCrashes is the number of crashes, under as many different requests that the upstreams
+	// had just begun to answer, that show that a part causes them. Two may be a coincidence.
+	begunCrashes = 3
+	// waitingCrashes is the same if upstreams crash before they begin to answer: then all requests
+	// in progress are suspects.
+	waitingCrashes = 5
+	// knownCrashes is the number of crashes in a row that are needed for a part that upstreams
+	// survived within evidenceTTL: a part that many prompts share is often in progress at a crash.
+	knownCrashes = 6
+	// judgeDelay is the time from the first crash under a part to a decision on it. Until then
+	// other routers report whether upstreams survived it.
+	judgeDelay = time.Second
+	// timeTolerance is the least difference by which a time that another router states replaces an
+	// earlier one. Times are sent as ages and get later by each transfer.
+	timeTolerance = time.Second
+	// maxSuspicions and maxSurvived bound the evidence.
+	maxSuspicions = 4096
+	maxSurvived   = 16384
+)
+
+// Suspicion states that an upstream crashed with a request in progress whose prompt holds a part.
+type Suspicion struct {
+	Part     crash.Part
+	Upstream fleet.Incarnation
+	Request  crash.RequestHash
+	// Began is true if the upstream had just begun to answer the request.
+	Began bool
+	At    time.Time
+}
+
+// crashKey identifies a request in progress at a crash.
+type crashKey struct {
+	upstream fleet.Incarnation
+	request  crash.RequestHash
+}
+
+// suspect holds the suspicions of one part.
+type suspect struct {
+	// since is when the first of them became known to this router.
+	since      time.Time
+	suspicions map[crashKey]Suspicion
+}
+
+// inProgress reports whether a request with the part was in progress at a crash, and if began is
+// true, whether its answer had begun.
+func (x *suspect) inProgress(i fleet.Incarnation, began bool) bool {
+	if x == nil {
+		return false
+	}
+	for k, s := range x.suspicions {
+		if k.upstream == i && (s.Began || !began) {
+			return true
+		}
+	}
+	return false
+}
+
+// evidence is what speaks for and against the parts of prompts.
+type evidence struct {
+	suspects map[crash.Part]*suspect
+	// count is the number of all suspicions.
+	count int
+	// changedAt is when a suspicion was added last.
+	changedAt time.Time
+	// survived holds when the latest answer began that an upstream survived.
+	survived map[crash.Part]time.Time
+}
+
+func newEvidence() evidence {
+	return evidence{suspects: map[crash.Part]*suspect{}, survived: map[crash.Part]time.Time{}}
+}
+
+// known reports whether an upstream survived a part within evidenceTTL.
+func (e *evidence) known(p crash.Part, now time.Time) bool {
+	at, ok := e.survived[p]
+	return ok && now.Sub(at) <= evidenceTTL
+}
+
+// suspect records a suspicion. Requests that had not begun count only for parts that aren't known.
+func (e *evidence) suspect(s Suspicion, now time.Time) {
+	if now.Sub(s.At) > evidenceTTL || (!s.Began && e.known(s.Part, now)) {
+		return
+	}
+	x := e.suspects[s.Part]
+	if x == nil {
+		x = &suspect{since: now, suspicions: map[crashKey]Suspicion{}}
+	}
+	k := crashKey{upstream: s.Upstream, request: s.Request}
+	old, ok := x.suspicions[k]
+	if ok && (old.Began || !s.Began) {
+		return
+	}
+	if !ok {
+		if e.count >= maxSuspicions {
+			return
+		}
+		e.count++
+	}
+	e.changedAt = now
+	x.suspicions[k] = s
+	e.suspects[s.Part] = x
+}
+
+// survive records that an upstream survived an answer to a prompt with a part.
+func (e *evidence) survive(p crash.Part, began time.Time) {
+	old, ok := e.survived[p]
+	if ok && !began.After(old) {
+		return
+	}
+	if !ok && len(e.survived) >= maxSurvived {
+		for x := range e.survived {
+			delete(e.survived, x)
+			break
+		}
+	}
+	e.survived[p] = began
+}
+
+// expire drops evidence that no longer counts.
+func (e *evidence) expire(now time.Time) {
+	for p, x := range e.suspects {
+		maps.DeleteFunc(x.suspicions, func(_ crashKey, s Suspicion) bool {
+			old := now.Sub(s.At) > evidenceTTL
+			if old {
+				e.count--
+			}
+			return old
+		})
+		if len(x.suspicions) == 0 {
+			delete(e.suspects, p)
+		}
+	}
+	// A harmless part is needed for as long as a quarantine with it, which then ends at once.
+	maps.DeleteFunc(e.survived, func(_ crash.Part, at time.Time) bool { return now.Sub(at) > quarantineTTL })
+}
+
+// withoutHarmless returns the quarantine without the parts that upstreams survived after its latest
+// crash.
+func (e *evidence) withoutHarmless(q Quarantine) Quarantine {
+	harmless := func(p crash.Part) bool { return e.survived[p].After(q.At) }
+	if slices.ContainsFunc(q.Parts, harmless) {
+		q.Parts = slices.DeleteFunc(slices.Clone(q.Parts), harmless)
+	}
+	return q
+}
--- /dev/null
+++ b/router/poison/poison_test.go
@@ -0,0 +1,233 @@
+package poison_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/crash"
+	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/poison"
+)
+
+// scene drives a registry on a clock of its own.
+type scene struct {
+	*poison.Registry
+	now time.Time
+	n   int
+}
+
+func newScene() *scene {
+	return &scene{Registry: poison.New(zerolog.New(io.Discard)), now: time.Unix(1000, 0)}
+}
+
+// prompt returns a prompt with the given shared parts and a part of its own.
+func (s *scene) prompt(shared ...string) crash.Prompt {
+	s.n++
+	q := call.Request{ID: call.ID(fmt.Sprint(s.n))}
+	for _, p := range append(shared, fmt.Sprintf("own-%d", s.n)) {
+		q.Prefix = append(q.Prefix, call.PromptPart{ID: p})
+	}
+	return crash.NewPrompt("llm", q)
+}
+
+// begun returns a suspect whose answer had begun, waiting one whose answer had not.
+func (s *scene) begun(shared ...string) crash.Suspect {
+	return crash.Suspect{Prompt: s.prompt(shared...), Began: true}
+}
+
+func (s *scene) waiting(shared ...string) crash.Suspect {
+	return crash.Suspect{Prompt: s.prompt(shared...)}
+}
+
+// crash reports the crash of a new upstream 100 ms later.
+func (s *scene) crash(xs ...crash.Suspect) {
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.n++
+	s.Crashed(crash.Report{Upstream: fleet.Incarnation{ID: ident.UpstreamID(fmt.Sprint("u", s.n)), StartedMs: 1}, Suspects: xs}, s.now)
+}
+
+// survive reports an answer that an upstream survived.
+func (s *scene) survive(shared ...string) {
+	s.Survived(s.prompt(shared...), s.now)
+}
+
+// wait lets time pass and judges the evidence.
+func (s *scene) wait(d time.Duration) {
+	s.now = s.now.Add(d)
+	s.Update(s.now)
+	s.Expire(s.now)
+}
+
+// refuses reports whether requests with the given parts are refused.
+func (s *scene) refuses(shared ...string) bool {
+	return s.Check(s.prompt(shared...), s.now) > 0
+}
+
+// Guards against sound requests that are refused since they were in progress at crashes, and against
+// a part that goes on crashing upstreams because other parts came with it.
+func TestDecisions(t *testing.T) {
+	const settled = 1100 * time.Millisecond
+	tests := map[string]struct {
+		run func(s *scene)
+		// refused and served are the shared parts of requests that must and must not be refused.
+		refused, served [][]string
+	}{
+		"two crashes": {func(s *scene) {
+			s.crash(s.begun("a", "x"))
+			s.crash(s.begun("a", "x"))
+		}, nil, [][]string{{"a", "x"}}},
+		"three crashes, first part sound": {func(s *scene) {
+			s.survive("a", "b")
+			for range 3 {
+				s.crash(s.begun("a", "x"), s.begun("a", "b"), s.waiting("a", "c"))
+			}
+		}, [][]string{{"a", "x"}, {"c", "x"}, {"x"}}, [][]string{{"a", "b"}, {"a", "c"}, {"a"}}},
+		"first part": {func(s *scene) {
+			for i := range 3 {
+				s.crash(s.begun("x", fmt.Sprint("b", i)))
+			}
+		}, [][]string{{"x", "b0"}, {"x", "c"}}, [][]string{{"a", "b0"}, {"a"}}},
+		"two parts that came together": {func(s *scene) {
+			for range 3 {
+				s.crash(s.begun("a", "x"))
+			}
+		}, [][]string{{"a", "x"}}, [][]string{{"a", "b"}, {"c", "x"}}},
+		"two parts, one of which comes alone later": {func(s *scene) {
+			for range 3 {
+				s.crash(s.begun("a", "x"))
+			}
+			s.wait(settled)
+			s.crash(s.begun("c", "x"))
+		}, [][]string{{"a", "x"}, {"c", "x"}, {"d", "x"}}, [][]string{{"a", "b"}, {"c", "b"}}},
+		"one request, sent again and again": {func(s *scene) {
+			x := s.begun("a", "x")
+			for range 6 {
+				s.crash(x)
+			}
+		}, nil, [][]string{{"a", "x"}, {"a"}}},
+		"crashes before an answer": {func(s *scene) {
+			s.survive("a", "b")
+			for i := range 5 {
+				s.crash(s.waiting("a", "x"), s.waiting("a", "b"), s.waiting("a", fmt.Sprint("c", i)))
+			}
+		}, [][]string{{"a", "x"}}, [][]string{{"a", "b"}, {"a", "c0"}}},
+		"power failure of a third": {func(s *scene) {
+			s.survive("a", "b")
+			for i := range 50 {
+				s.crash(s.begun("a", fmt.Sprint("b", i)), s.waiting("a", fmt.Sprint("c", i)), s.waiting("a", fmt.Sprint("d", i%20)))
+				if i%4 == 0 {
+					s.survive("a", "b")
+				}
+			}
+		}, nil, [][]string{{"a", "b0"}, {"a", "d0"}}},
+		"sound part that turns bad": {func(s *scene) {
+			s.survive("a", "x")
+			for range 6 {
+				s.crash(s.begun("a", "x"), s.begun("a", "b"))
+				s.survive("a", "b")
+			}
+		}, [][]string{{"a", "x"}}, [][]string{{"a", "b"}}},
+		"survived after the crashes": {func(s *scene) {
+			for range 3 {
+				s.crash(s.begun("a", "x"))
+			}
+			s.wait(settled)
+			s.survive("a", "x")
+		}, nil, [][]string{{"a", "x"}}},
+		"two bad parts": {func(s *scene) {
+			s.survive("a", "b")
+			for range 3 {
+				s.crash(s.begun("a", "x"), s.waiting("a", "y"))
+				s.crash(s.begun("a", "y"), s.waiting("a", "x"))
+			}
+		}, [][]string{{"a", "x"}, {"a", "y"}}, [][]string{{"a", "b"}}},
+		"after the quarantine": {func(s *scene) {
+			s.survive("a", "b")
+			for range 3 {
+				s.crash(s.begun("a", "x"))
+			}
+			s.wait(settled)
+			s.wait(10 * time.Minute)
+		}, nil, [][]string{{"a", "x"}}},
+		"again after the quarantine": {func(s *scene) {
+			s.survive("a", "b")
+			for range 3 {
+				s.crash(s.begun("a", "x"))
+			}
+			s.wait(settled)
+			s.wait(10 * time.Minute)
+			s.survive("a", "b")
+			s.crash(s.begun("a", "x"))
+		}, [][]string{{"a", "x"}}, [][]string{{"a", "b"}}},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScene()
+			c.run(s)
+			s.wait(settled)
+			for _, ps := range c.refused {
+				if !s.refuses(ps...) {
+					t.Errorf("%v is served", ps)
+				}
+			}
+			for _, ps := range c.served {
+				if s.refuses(ps...) {
+					t.Errorf("%v is refused", ps)
+				}
+			}
+		})
+	}
+}
+
+// Two routers exchange a quarantine for an hour. Guards against times that get later by each
+// transfer, so that the quarantine never ends.
+func TestQuarantineEnds(t *testing.T) {
+	const latency = 20 * time.Millisecond
+	a, b := newScene(), newScene()
+	a.survive("a", "b")
+	for range 3 {
+		a.crash(a.begun("a", "x"))
+	}
+	a.wait(2 * time.Second)
+	if !a.refuses("a", "x") {
+		t.Fatal("no quarantine")
+	}
+	b.now = a.now
+	pass := func(from, to *scene) {
+		r := from.Report(from.now)
+		for i := range r.Quarantines {
+			r.Quarantines[i].At = r.Quarantines[i].At.Add(latency)
+		}
+		to.Merge(r, to.now)
+	}
+	for range 11 * 60 {
+		pass(a, b)
+		pass(b, a)
+		a.wait(time.Second)
+		b.wait(time.Second)
+	}
+	if a.refuses("a", "x") || b.refuses("a", "x") {
+		t.Error("still refused after 11 min")
+	}
+}
+
+func ExampleRegistry_Check() {
+	now := time.Unix(1000, 0)
+	r := poison.New(zerolog.New(io.Discard))
+	for i := range 3 {
+		p := crash.NewPrompt("llm", call.Request{Prefix: []call.PromptPart{{ID: "bad"}, {ID: fmt.Sprint(i)}}})
+		u := fleet.Incarnation{ID: ident.UpstreamID(fmt.Sprint("u", i))}
+		r.Crashed(crash.Report{Upstream: u, Suspects: []crash.Suspect{{Prompt: p, Began: true}}}, now)
+	}
+	r.Update(now)
+	r.Update(now.Add(time.Second))
+	p := crash.NewPrompt("llm", call.Request{Prefix: []call.PromptPart{{ID: "bad"}, {ID: "3"}}})
+	fmt.Println(r.Check(p, now.Add(time.Minute)))
+	// Output: 9m0s
+}
--- a/router/relay/notice.go
+++ b/router/relay/notice.go
@@ -72,13 +72,16 @@
 }
 
 // recheck returns why the request must no longer be sent to u, or nil: an
-// *UnavailableError, or the error of Job.Recheck if no upstream may have run the request
-// yet. Since u was picked, a connection had to be made and the process may have been paused.
+// *UnavailableError, a *refuse.Error if its prompt crashes upstreams, or the error of Job.Recheck if
+// no upstream may have run the request yet. Since u was picked, a connection had to be made and the process may have been paused.
 func (t *request) recheck(u *fleet.Upstream) error {
 	now := time.Now()
 	if t.Deadline.Sub(now) <= responseReserve {
 		return &UnavailableError{Upstream: u.ID, Reason: "the client's time is over"}
 	}
+	if err := t.checkPrompt(t.ran()); err != nil {
+		return err
+	}
 	if !t.mayHaveRun && t.Recheck != nil {
 		if err := t.Recheck(); err != nil {
 			return err
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -25,6 +25,7 @@
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
+	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/probe"
 	"tarragonvalve.example/router/quota"
 	"tarragonvalve.example/router/routes"
@@ -91,6 +92,8 @@
 	Notices *notice.Registry
 	// Crashes relates the crashes of upstreams to requests.
 	Crashes *crash.Monitor
+	// Poison knows the prompts that crash upstreams.
+	Poison *poison.Registry
 	// Canary collects the results that decide on a roll-out.
 	Canary *canary.Monitor
 	// Budget limits retries.
@@ -132,6 +135,9 @@
 	}
 	t := &request{Relay: r, Job: j, service: s, prompt: crash.NewPrompt(s, j.Meta)}
 	r.Budget.RecordRequest(s, r.Now())
+	if err := t.checkPrompt(refuse.NotRun); err != nil {
+		return err
+	}
 	if j.Route.Kind == routes.Stream {
 		return t.serveStream(ctx, w)
 	}
@@ -269,7 +275,7 @@
 	o := &attempt{request: t, upstream: u, began: began, placement: t.Balancer.Start(c, began), serviceSize: c.ServiceSize, nominal: c.Nominal}
 	cancelAttempt := t.cancelForRetry(u, cancel)
 	o.progress = t.Probe.Start(u, t.Route.MaxPause, cancelAttempt, began)
-	o.verdict = t.Crashes.Start(u.Incarnation(), t.prompt)
+	o.verdict = t.Crashes.Start(u.Incarnation(), t.prompt, cancel)
 	o.responseTimer = time.AfterFunc(max(t.Route.Objective, minAttemptTime), func() {
 		if cancelAttempt != nil {
 			cancelAttempt(errLate)
@@ -317,8 +323,9 @@
 	case err != nil:
 		t.recordLimit(err, o.upstream)
 		t.markRun()
-		if errors.Is(context.Cause(ctx), context.Canceled) {
-			// The client closed its connection, which is no fault of the upstream.
+		if cause := context.Cause(ctx); errors.Is(cause, context.Canceled) || errors.Is(cause, poison.ErrQuarantined) {
+			// The client closed its connection, or the request must not run anywhere: neither is
+			// a fault of the upstream.
 			o.release()
 		} else {
 			if context.Cause(ctx) == nil {
@@ -363,6 +370,24 @@
 	return max(min(n/minInstances, overcommit*n/max(t.Size(), 1)), 1)
 }
 
+// checkPrompt returns a *refuse.Error if the prompt is known to crash upstreams. ran states whether
+// the request has run.
+func (t *request) checkPrompt(ran refuse.Ran) error {
+	d := t.Poison.Check(t.prompt, time.Now())
+	if d <= 0 {
+		return nil
+	}
+	return refuse.New(refuse.PromptQuarantined, ran, "a part of the prompt crashes upstreams: %s", t.prompt.Labels()).WithRetryAfter(d)
+}
+
+// ran states whether the request has run.
+func (t *request) ran() refuse.Ran {
+	if t.mayHaveRun {
+		return refuse.Unknown
+	}
+	return refuse.NotRun
+}
+
 // markRun records that an upstream may have run the request.
 func (t *request) markRun() {
 	t.runs++
@@ -377,10 +402,7 @@
 // refusal returns the refusal of a request without a usable response. o is the last
 // attempt's outcome.
 func (t *request) refusal(ctx context.Context, o outcome) error {
-	ran := refuse.Unknown
-	if !t.mayHaveRun {
-		ran = refuse.NotRun
-	}
+	ran := t.ran()
 	switch o := o.(type) {
 	case notRun, noUpstream:
 		if t.mayHaveRun {
@@ -398,6 +420,9 @@
 			return o.err
 		}
 	case unknown:
+		if err, ok := refuse.As(t.checkPrompt(ran)); ok {
+			return err
+		}
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return refuse.New(refuse.DeadlineExceeded, ran, "no answer of an upstream in time")
 		}
