--- a/router/boot/harness_test.go
+++ b/router/boot/harness_test.go
@@ -25,6 +25,8 @@
 type harness struct {
 	t     *testing.T
 	store *tables.Store
+	// address is that of the store.
+	address string
 	// clients and admin are addresses of the router.
 	clients string
 	admin   string
@@ -121,19 +123,27 @@
 				w.router += "share = " + seeds[i] + "\n"
 			}
 		}
-		w.run(s.Listener.Addr().String())
+		w.address = s.Listener.Addr().String()
+		w.run()
 		ws = append(ws, w)
 	}
 	return ws
 }
 
-// run runs the router until the test ends. store is the store's address.
-func (w *harness) run(store string) {
+// startAgain starts another router with the settings of w.
+func (w *harness) startAgain() *harness {
+	x := &harness{t: w.t, store: w.store, address: w.address, logs: &lockedBuffer{}, reload: make(chan os.Signal, 1), name: w.name + "-again", router: w.router}
+	x.run()
+	return x
+}
+
+// run runs the router until the test ends.
+func (w *harness) run() {
 	t := w.t
 	t.Helper()
 	w.clients, w.admin = freeAddress(t), freeAddress(t)
 	w.path = filepath.Join(t.TempDir(), "router.ini")
-	w.writeSettings(store, "5000")
+	w.writeSettings(w.address, "5000")
 	v, err := setup.Read(w.path, nil, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/standin/tables/tables.go
+++ b/standin/tables/tables.go
@@ -57,11 +57,13 @@
 	fault           Fault
 	startTime       time.Time
 	calls           int
+	// era is the number of times that the store was restored, from 1.
+	era int
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{changed: make(chan struct{}), startTime: time.Now()}
+	return &Store{changed: make(chan struct{}), startTime: time.Now(), era: 1}
 }
 
 // SetFault sets the active fault; nil clears it.
@@ -126,6 +128,25 @@
 	s.notify()
 }
 
+// Version returns the version of the newest transaction.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// Restore brings the store back to a version, as from a copy: later transactions are lost, and their
+// versions are given out again.
+func (s *Store) Restore(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > version })
+	s.history = s.history[:n:n]
+	s.version = version
+	s.era++
+	s.notify()
+}
+
 // notify wakes the feed calls that wait. The caller holds the lock.
 func (s *Store) notify() {
 	close(s.changed)
@@ -154,6 +175,7 @@
 	s.mu.Lock()
 	s.calls++
 	f := s.fault
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
 	s.mu.Unlock()
 	switch f.(type) {
 	case Busy:
@@ -228,7 +250,9 @@
 	defer stop()
 	for {
 		s.mu.Lock()
-		rs, version, lost, f, c := s.changesAfter(v.Get("table_name"), after), s.version, after < s.compactedBefore, s.fault, s.changed
+		rs, version, f, c := s.changesAfter(v.Get("table_name"), after), s.version, s.fault, s.changed
+		lost := after < s.compactedBefore || after > s.version
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
 		clock := time.Since(s.startTime)
 		s.mu.Unlock()
 		switch f.(type) {
