fix(mirror): order the store's versions by its era

After the store came back from a copy, callers were refused for seconds (stale-generation), and a route that had been added was not served by routers that knew the version under which it was written.

Cause: versions were taken for positions that only rise. An answer with a lower version than the last one was ignored as stale, one with the same version held nothing new. Class: another system's number used as an order, although it can start anew.

A position is the store's era (Store-Era) and the version within it.

TestStoreRestored failed in both cases and passes.

--- a/router/boot/restored_test.go
+++ b/router/boot/restored_test.go
@@ -97,7 +97,8 @@
 	t.Parallel()
 	ws := startRouters(t, routesOf(1, "a"), 3)
 	w := ws[0]
-	w.server("desk", "s1", "v1", always(fine))
+	// The upstreams in the routers' own failure domain are preferred.
+	w.moveTo("b", w.server("desk", "s1", "v1", always(fine)), "desk")
 	draining := w.server("desk", "s2", "v1", always(fine))
 	gone := w.server("desk", "s3", "v1", always(fine))
 	for _, x := range ws {
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -74,6 +74,8 @@
 	changes     []Change
 	snapshot    bool
 	afterOutage bool
+	// restored is true for the first content of a new era of the store.
+	restored bool
 }
 
 // New returns a syncer that has read nothing yet. It reads from the first peer that
@@ -182,7 +184,7 @@
 // changed.
 func (n *Syncer) applyUpdate(s *storeState, u update) bool {
 	now := n.now()
-	if u.afterOutage {
+	if u.afterOutage || u.restored {
 		s.outageEnded(now)
 	}
 	changed := false
@@ -267,12 +269,18 @@
 	f.pause.Reset()
 	asOf := f.asOf(f.sentAt, p)
 	if p.Revision < f.after || asOf < f.sentAt-p.Age-maxStaleness {
-		f.log.Warn().Stringer("topic", f.topic).Dur("behind", f.sentAt-asOf).Uint64("revision", uint64(p.Revision)).Msg("stale response ignored")
+		f.log.Warn().Stringer("topic", f.topic).Dur("behind", f.sentAt-asOf).Uint32("era", uint32(p.Revision.Era())).
+			Uint64("version", p.Revision.Version()).Msg("stale response ignored")
 		f.sleep(ctx, retryMax)
 		return
 	}
 	f.logs[f.topic].add(p, asOf)
 	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), snapshot: p.Snapshot, afterOutage: f.storeLost}
+	if f.after != 0 && p.Revision.Era() > f.after.Era() {
+		u.restored = true
+		f.log.Warn().Str("dependency", "store").Stringer("topic", f.topic).Uint32("era", uint32(p.Revision.Era())).
+			Uint64("version", p.Revision.Version()).Uint64("known", f.after.Version()).Msg("the store came back from an older copy")
+	}
 	select {
 	case <-ctx.Done():
 		return
@@ -347,7 +355,7 @@
 	var h *HistoryLostError
 	if errors.As(err, &h) {
 		f.synced = false
-		f.log.Info().Stringer("topic", f.topic).Uint64("after", uint64(f.after)).Msg("store history lost, reading a snapshot")
+		f.log.Info().Stringer("topic", f.topic).Uint32("era", uint32(f.after.Era())).Uint64("after", f.after.Version()).Msg("store history lost, reading a snapshot")
 		return
 	}
 	if !f.storeLost {
--- a/router/mirror/recordlog.go
+++ b/router/mirror/recordlog.go
@@ -43,6 +43,10 @@
 	} else if p.Snapshot {
 		l.markRemoved(p)
 	}
+	if p.Revision.Era() > l.revision.Era() {
+		// Revisions of different eras are not positions in one history.
+		l.compacted = p.Revision
+	}
 	for _, r := range p.Records {
 		if l.rows[r.Key].Removed {
 			l.removed--
--- a/router/mirror/types.go
+++ b/router/mirror/types.go
@@ -36,9 +36,28 @@
 	}
 }
 
-// Revision is a position in the store's history of changes.
+// Revision is a position in the store's history of changes: the store's era, and the version within
+// it in the lower versionBits. Later positions are greater.
 type Revision uint64
 
+// versionBits leaves room for 8,192 eras in the numbers that JSON carries exactly.
+const versionBits = 40
+
+// Era is the number of a store's history. It rises when the store comes back from an older copy: the
+// changes since the copy are gone, and their versions are given out again.
+type Era uint32
+
+// NewRevision returns the position of a version in an era.
+func NewRevision(e Era, version uint64) Revision {
+	return Revision(uint64(e)<<versionBits | version)
+}
+
+// Era returns the era of the position.
+func (r Revision) Era() Era { return Era(r >> versionBits) }
+
+// Version returns the version within the era.
+func (r Revision) Version() uint64 { return uint64(r) & (1<<versionBits - 1) }
+
 // Change is one changed row. Its cases are the types below.
 type Change interface{ change() }
 
@@ -123,7 +142,8 @@
 	SaveTally(ctx context.Context, t canary.Tally) error
 }
 
-// HistoryLostError reports that the changes after a revision are no longer available.
+// HistoryLostError reports that the changes after a revision are no longer available, or are those of
+// another era.
 type HistoryLostError struct {
 	Topic Topic
 	After Revision
