fix(mirror): hand on no older configuration after a restore

A router that started while the store lacked a configuration that had been acknowledged got the copy's from its peers, and served what that allows: routes were missing, keys that had been taken away were valid.

Cause: routers keep the newest configuration for themselves, but hand on the store's rows as read.

TestStartAfterRestore failed (404 for a route of the lost configuration) and passes. A router without a peer that starts at that moment can't know better.

--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -274,10 +274,13 @@
 		f.sleep(ctx, retryMax)
 		return
 	}
+	restored := f.after != 0 && p.Revision.Era() > f.after.Era()
+	if restored && f.topic == TopicOrders {
+		f.logs[f.topic].keepDocuments(&p, f.store)
+	}
 	f.logs[f.topic].add(p, asOf)
-	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), snapshot: p.Snapshot, afterOutage: f.storeLost}
-	if f.after != 0 && p.Revision.Era() > f.after.Era() {
-		u.restored = true
+	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), snapshot: p.Snapshot, afterOutage: f.storeLost, restored: restored}
+	if restored {
 		f.log.Warn().Str("dependency", "store").Stringer("topic", f.topic).Uint32("era", uint32(p.Revision.Era())).
 			Uint64("version", p.Revision.Version()).Uint64("known", f.after.Version()).Msg("the store came back from an older copy")
 	}
--- a/router/mirror/recordlog.go
+++ b/router/mirror/recordlog.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"tarragonvalve.example/core/ident"
 )
 
 // maxRemoved bounds the removed rows that a log keeps.
@@ -67,6 +69,42 @@
 	}
 }
 
+// keepDocuments puts the log's configurations into the first snapshot of an era where it lacks them or
+// holds older ones: the store has come back from a copy, and the operator writes again what the copy
+// lacks. Until then a peer that starts must not get an older configuration.
+func (l *recordLog) keepDocuments(p *ReadResult, d Decoder) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	index := make(map[string]int, len(p.Records))
+	for i, r := range p.Records {
+		index[r.Key] = i
+	}
+	for k, r := range l.rows {
+		known, ok := generation(d, r)
+		if !ok || r.Removed {
+			continue
+		}
+		i, ok := index[k]
+		if !ok {
+			p.Records = append(p.Records, Record{Key: k, Revision: p.Revision, Data: r.Data})
+			continue
+		}
+		if g, ok := generation(d, p.Records[i]); !ok || g < known {
+			p.Records[i].Data = r.Data
+		}
+	}
+}
+
+// generation returns the generation of the configuration in a record, or false if it holds none.
+func generation(d Decoder, r Record) (ident.Generation, bool) {
+	for _, c := range d.Decode(TopicOrders, []Record{r}) {
+		if c, ok := c.(DocumentChanged); ok {
+			return c.Document.Generation, true
+		}
+	}
+	return 0, false
+}
+
 // markRemoved records the removal of rows that are missing in a new snapshot, so that
 // other instances need to read only the changes.
 func (l *recordLog) markRemoved(p ReadResult) {
