fix(mirror): use no upstream again that a copy of the store brings back

After a restore, requests went to upstreams that had announced their shutdown or had ended, since the copy lists them as ready.

Content of a copy that contradicts newer knowledge counts only if the store still holds it 5 s later; what is written again counts at once.

TestUpstreamsAfterRestore failed (237 requests to upstreams that had left) and passes. Its last step waited for a request that the placement had no reason to make; it now removes the other upstreams first. TestUpstreamsOfCopy covers restarts, expiry and rewriting.

--- a/router/boot/restored_test.go
+++ b/router/boot/restored_test.go
@@ -117,6 +117,8 @@
 		t.Errorf("%d requests to upstreams that had left", n)
 	}
 	// An upstream that the store lists for long is there.
+	w.store.Delete("servers", "s2")
+	w.store.Delete("servers", "s1")
 	w.eventually("a request to the upstream that was not removed", func() bool {
 		w.send("GET", "/a/1", "")
 		return len(gone.Requests()) > 0
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -195,7 +195,11 @@
 		s.progressRead = true
 		changed = true
 	}
-	for _, c := range u.changes {
+	changes := u.changes
+	if u.restored {
+		changes = s.withoutDoubted(changes, now)
+	}
+	for _, c := range changes {
 		if s.apply(c, now) {
 			changed = true
 			n.logChange(c)
--- a/router/mirror/restored_test.go
+++ b/router/mirror/restored_test.go
@@ -1,6 +1,15 @@
 package mirror
 
-import "testing"
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/router/fleet"
+)
 
 // Guards against a peer that hands on the changes of a new era of the store as a continuation of the
 // history before it: removals would be missing.
@@ -41,3 +50,59 @@
 		t.Errorf("era %d, version %d", r.Era(), r.Version())
 	}
 }
+
+// Guards against upstreams that a copy brings back although they have ended, announced their shutdown
+// or restarted since, and against upstreams that are kept out for good.
+func TestUpstreamsOfCopy(t *testing.T) {
+	ready := &fleet.Upstream{ID: "u", StartedMs: 5}
+	draining := &fleet.Upstream{ID: "u", StartedMs: 5, Draining: true}
+	next := &fleet.Upstream{ID: "u", StartedMs: 9}
+	tests := map[string]struct {
+		before, copied, after Change
+		// soon and later describe the upstream right after the restore and when the doubt is over.
+		soon, later string
+	}{
+		"ended":                         {UpstreamRemoved{ID: "u"}, UpstreamChanged{Upstream: ready}, nil, "", "5"},
+		"ended, entry expires":          {UpstreamRemoved{ID: "u"}, UpstreamChanged{Upstream: ready}, UpstreamRemoved{ID: "u"}, "", ""},
+		"ended, writes again":           {UpstreamRemoved{ID: "u"}, UpstreamChanged{Upstream: ready}, UpstreamChanged{Upstream: ready}, "5", "5"},
+		"draining":                      {UpstreamChanged{Upstream: draining}, UpstreamChanged{Upstream: ready}, nil, "5 draining", "5"},
+		"draining, writes again":        {UpstreamChanged{Upstream: draining}, UpstreamChanged{Upstream: ready}, UpstreamChanged{Upstream: draining}, "5 draining", "5 draining"},
+		"draining, entry expires":       {UpstreamChanged{Upstream: draining}, UpstreamChanged{Upstream: ready}, UpstreamRemoved{ID: "u"}, "", ""},
+		"restarted":                     {UpstreamChanged{Upstream: next}, UpstreamChanged{Upstream: ready}, UpstreamChanged{Upstream: next}, "9", "9"},
+		"started again after an ending": {UpstreamRemoved{ID: "u"}, UpstreamChanged{Upstream: next}, nil, "9", "9"},
+		"known":                         {nil, UpstreamChanged{Upstream: ready}, nil, "5", "5"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := New(nil, nil, func() time.Duration { return 0 }, zerolog.New(io.Discard))
+			s := newStoreState()
+			apply := func(x Change, restored bool) {
+				if x != nil {
+					n.applyUpdate(s, update{topic: TopicUpstreams, changes: []Change{x}, snapshot: restored, restored: restored})
+				}
+			}
+			got := func() string {
+				u := s.upstreams["u"]
+				switch {
+				case u == nil:
+					return ""
+				case u.Draining:
+					return fmt.Sprint(u.StartedMs, " draining")
+				default:
+					return fmt.Sprint(u.StartedMs)
+				}
+			}
+			apply(UpstreamChanged{Upstream: ready}, false)
+			apply(c.before, false)
+			apply(c.copied, true)
+			apply(c.after, false)
+			if got() != c.soon {
+				t.Errorf("%q after the restore, want %q", got(), c.soon)
+			}
+			s.expire(time.Minute)
+			if got() != c.later {
+				t.Errorf("%q later, want %q", got(), c.later)
+			}
+		})
+	}
+}
--- a/router/mirror/state.go
+++ b/router/mirror/state.go
@@ -4,6 +4,7 @@
 package mirror
 
 import (
+	"maps"
 	"time"
 
 	"tarragonvalve.example/core/ident"
@@ -17,6 +18,18 @@
 // seconds (see the users' letter).
 const outageGrace = 2200 * time.Millisecond
 
+const (
+	// endedTTL is how long an upstream that ended is remembered, so that a store that comes back from
+	// a copy doesn't bring it back. Copies are some seconds old.
+	endedTTL = 5 * time.Minute
+	// maxEnded bounds the ended upstreams that are remembered; beyond it, further ones are not.
+	maxEnded = 4096
+	// doubtTime is how long the content of a copy that contradicts newer knowledge must stay in the
+	// store until it counts: the operator and the upstreams write again what the copy lacks, and the
+	// entries of upstreams that ended expire after three heartbeat intervals of 1.2 s.
+	doubtTime = 5 * time.Second
+)
+
 // View is an immutable snapshot of the store's content.
 type View struct {
 	// Document is nil until the configuration was read.
@@ -51,6 +64,10 @@
 	upstreamsRead bool
 	// progressRead is true once the progress of roll-outs was read.
 	progressRead bool
+	// ended holds the upstreams that ended and when.
+	ended map[fleet.Incarnation]time.Duration
+	// doubted holds content of a copy that contradicts newer knowledge, by what it is about.
+	doubted map[doubtKey]doubt
 	// graceEnd is the time until which vanished upstreams are kept after an outage.
 	graceEnd time.Duration
 }
@@ -62,6 +79,8 @@
 		orders:    map[ident.ServiceID]canary.Order{},
 		progress:  map[ident.ServiceID]ProgressChanged{},
 		tallies:   map[tallyKey]canary.Tally{},
+		ended:     map[fleet.Incarnation]time.Duration{},
+		doubted:   map[doubtKey]doubt{},
 	}
 }
 
@@ -91,6 +110,8 @@
 	case TallyChanged:
 		s.tallies[tallyKey{c.Tally.Service, c.Tally.Instance}] = c.Tally
 	case UpstreamChanged:
+		delete(s.doubted, doubtKey{upstream: c.Upstream.ID})
+		delete(s.ended, c.Upstream.Incarnation())
 		s.upstreams[c.Upstream.ID] = c.Upstream
 		delete(s.missing, c.Upstream.ID)
 	case UpstreamRemoved:
@@ -104,6 +125,7 @@
 // removeUpstream removes an upstream, at the end of the grace time if there was an outage
 // and it isn't draining. It reports whether the view changed.
 func (s *storeState) removeUpstream(id ident.UpstreamID, now time.Duration) bool {
+	delete(s.doubted, doubtKey{upstream: id})
 	u := s.upstreams[id]
 	if u == nil {
 		return false
@@ -114,11 +136,19 @@
 		}
 		return false
 	}
-	delete(s.upstreams, id)
-	delete(s.missing, id)
+	s.drop(u, now)
 	return true
 }
 
+// drop removes an upstream and remembers that it ended.
+func (s *storeState) drop(u *fleet.Upstream, now time.Duration) {
+	delete(s.upstreams, u.ID)
+	delete(s.missing, u.ID)
+	if len(s.ended) < maxEnded {
+		s.ended[u.Incarnation()] = now
+	}
+}
+
 // reset removes the upstreams that are missing in a snapshot. It reports whether the view
 // changed.
 func (s *storeState) reset(cs []Change, now time.Duration) bool {
@@ -138,18 +168,18 @@
 	return changed
 }
 
-// expire drops missing upstreams whose grace time is over. It reports whether it dropped
-// any.
+// expire drops missing upstreams whose grace time is over, and applies what was in doubt for long
+// enough. It reports whether the view changed.
 func (s *storeState) expire(now time.Duration) bool {
 	changed := false
 	for id, t := range s.missing {
 		if now >= t {
-			delete(s.upstreams, id)
-			delete(s.missing, id)
+			s.drop(s.upstreams[id], now)
 			changed = true
 		}
 	}
-	return changed
+	maps.DeleteFunc(s.ended, func(_ fleet.Incarnation, at time.Duration) bool { return now-at > endedTTL })
+	return s.applyDoubted(now) || changed
 }
 
 // view returns a copy of the state.
