fix(mirror): write roll-outs again that the store has lost

After a restore a roll-out that was completed stayed unknown to the store, and one whose order the operator wrote again would begin anew, so that sessions went back to the old version.

Cause: an order was identified by the store's version, and the progress that routers had written was believed to be in the store for good. An order that the operator writes again goes on under its new position; progress that the store lacks or holds in an earlier phase is written again, by the usual condition. The progress is read once after a restore although no roll-out is under way.

Not covered: the counts that speak for or against a version begin anew with the order's position.

--- a/router/canary/decide.go
+++ b/router/canary/decide.go
@@ -59,6 +59,8 @@
 	Order Order
 	// Progress is nil until an instance has started the order.
 	Progress *Progress
+	// Lost is true if the store has lost the progress.
+	Lost bool
 	// StoreClock is the current time of the store's clock.
 	StoreClock time.Duration
 	// Verdict is this instance's reason to call the new version bad, or empty.
@@ -79,6 +81,9 @@
 	if p == nil || p.Order != f.Order.Revision {
 		return start(f)
 	}
+	if f.Lost {
+		return Save{Progress: *p, Reason: "lost by the store"}
+	}
 	if p.Phase.Final() {
 		return Wait{}
 	}
--- a/router/mirror/doubt.go
+++ b/router/mirror/doubt.go
@@ -4,11 +4,13 @@
 	"time"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/fleet"
 )
 
-// doubtKey names what a doubted change is about.
+// doubtKey names what a doubted change is about: an upstream or the roll-out order of a service.
 type doubtKey struct {
 	upstream ident.UpstreamID
+	order    ident.ServiceID
 }
 
 // doubt is a change that contradicts newer knowledge. It counts if the store still holds it at until.
@@ -32,21 +34,31 @@
 	return out
 }
 
-// contradiction returns what a change of a copy is about if it takes back what was known before.
+// contradiction returns what a change of a copy is about, and whether it takes back what was known
+// before.
 func (s *storeState) contradiction(c Change) (doubtKey, bool) {
-	u, ok := c.(UpstreamChanged)
-	if !ok {
+	switch c := c.(type) {
+	case UpstreamChanged:
+		return doubtKey{upstream: c.Upstream.ID}, s.isOutdated(c.Upstream)
+	case RolloutOrdered:
+		o, ok := s.orders[c.Order.Service]
+		return doubtKey{order: c.Order.Service}, ok && !sameContent(o, c.Order)
+	default:
 		return doubtKey{}, false
 	}
-	k := doubtKey{upstream: u.Upstream.ID}
-	if _, ok := s.ended[u.Upstream.Incarnation()]; ok {
-		return k, true
+}
+
+// isOutdated reports whether an upstream has ended, announced its shutdown or restarted since its
+// entry was written.
+func (s *storeState) isOutdated(u *fleet.Upstream) bool {
+	if _, ok := s.ended[u.Incarnation()]; ok {
+		return true
 	}
-	x := s.upstreams[u.Upstream.ID]
+	x := s.upstreams[u.ID]
 	if x == nil {
-		return k, false
+		return false
 	}
-	return k, x.StartedMs > u.Upstream.StartedMs || (x.StartedMs == u.Upstream.StartedMs && x.Draining && !u.Upstream.Draining)
+	return x.StartedMs > u.StartedMs || (x.StartedMs == u.StartedMs && x.Draining && !u.Draining)
 }
 
 // applyDoubted applies the changes that the store still holds after doubtTime. It reports whether the
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -58,8 +58,10 @@
 
 	view       atomic.Pointer[View]
 	ordersAsOf atomic.Int64 // local time, in ns, as of which the orders are current; -1 before the first read
-	updates    chan update
-	changed    atomic.Pointer[chan struct{}]
+	// era is the newest era of the store, progressEra that in which the progress was read last.
+	era, progressEra atomic.Uint32
+	updates          chan update
+	changed          atomic.Pointer[chan struct{}]
 
 	mu       sync.Mutex // guards estimate
 	estimate clockEstimate
@@ -147,12 +149,16 @@
 	return nil
 }
 
-// rolloutInProgress reports whether an ordered roll-out has no final progress in the view.
+// rolloutInProgress reports whether an ordered roll-out has no final progress in the store, or whether
+// that is unknown since the store came back from a copy.
 func (n *Syncer) rolloutInProgress() bool {
 	v := n.View()
+	if len(v.Orders) > 0 && n.progressEra.Load() < n.era.Load() {
+		return true
+	}
 	for s, o := range v.Orders {
 		p, ok := v.Progress[s]
-		if !ok || p.Progress.Order != o.Revision || !p.Progress.Phase.Final() {
+		if !ok || p.Progress.Order != o.Revision || !p.Progress.Phase.Final() || p.Lost {
 			return true
 		}
 	}
@@ -197,7 +203,11 @@
 	}
 	changes := u.changes
 	if u.restored {
+		changed = true
 		changes = s.withoutDoubted(changes, now)
+		if u.topic == TopicProgress {
+			s.markLost(changes)
+		}
 	}
 	for _, c := range changes {
 		if s.apply(c, now) {
@@ -278,6 +288,7 @@
 		f.sleep(ctx, retryMax)
 		return
 	}
+	f.setEra(p.Revision.Era())
 	restored := f.after != 0 && p.Revision.Era() > f.after.Era()
 	if restored && f.topic == TopicOrders {
 		f.logs[f.topic].keepDocuments(&p, f.store)
@@ -308,6 +319,15 @@
 	f.storeReadAt = asOf + maxOwnAge[f.topic]
 }
 
+// setEra records the era of a result. The topics are read by different goroutines.
+func (f *topicWatcher) setEra(e Era) {
+	for old := f.era.Load(); uint32(e) > old && !f.era.CompareAndSwap(old, uint32(e)); old = f.era.Load() {
+	}
+	if f.topic == TopicProgress {
+		f.progressEra.Store(uint32(e))
+	}
+}
+
 // asOf returns the local time as of which a response is current.
 func (f *topicWatcher) asOf(sent time.Duration, p ReadResult) time.Duration {
 	received := f.now()
--- a/router/mirror/restored_test.go
+++ b/router/mirror/restored_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/fleet"
 )
 
@@ -106,3 +107,55 @@
 		})
 	}
 }
+
+// Guards against a roll-out that begins once more, or whose phase goes back, since the store lost its
+// order or its progress.
+func TestRolloutOfCopy(t *testing.T) {
+	order := func(e Era, version uint64, to fleet.Version) RolloutOrdered {
+		return RolloutOrdered{Order: canary.Order{Service: "s", To: to, MaxDuration: time.Minute, Revision: uint64(NewRevision(e, version))}}
+	}
+	progress := func(e Era, version uint64, of RolloutOrdered, p canary.Phase) ProgressChanged {
+		return ProgressChanged{Revision: NewRevision(e, version), Progress: canary.Progress{Service: "s", To: of.Order.To, Order: of.Order.Revision, Phase: p}}
+	}
+	known := order(1, 57, "v3")
+	tests := map[string]struct {
+		// orders and progress are the first snapshots after the restore, after is what is written later.
+		orders, progress, after []Change
+		want                    string
+	}{
+		"nothing lost":              {[]Change{order(2, 57, "v3")}, []Change{progress(2, 60, known, canary.PhaseCompleted)}, nil, "v3 2/57 completed at 2/60, lost"},
+		"progress lost":             {[]Change{order(2, 57, "v3")}, nil, nil, "v3 2/57 completed at 0/0, lost"},
+		"progress lost and written": {[]Change{order(2, 57, "v3")}, nil, []Change{progress(2, 61, order(2, 57, "v3"), canary.PhaseCompleted)}, "v3 2/57 completed at 2/61"},
+		"phase of the copy":         {[]Change{order(2, 57, "v3")}, []Change{progress(2, 58, known, canary.PhaseCanary)}, nil, "v3 2/57 completed at 2/58, lost"},
+		"begun anew by another":     {[]Change{order(2, 57, "v3")}, nil, []Change{progress(2, 61, order(2, 57, "v3"), canary.PhaseCanary)}, "v3 2/57 completed at 2/61, lost"},
+		"order lost":                {nil, nil, nil, "v3 1/57 completed at 0/0, lost"},
+		"order lost and written":    {nil, nil, []Change{order(2, 44, "v3")}, "v3 2/44 completed at 0/0, lost"},
+		"order of the copy":         {[]Change{order(2, 12, "v2")}, nil, []Change{order(2, 44, "v3")}, "v3 2/44 completed at 0/0, lost"},
+		"new order":                 {nil, nil, []Change{order(2, 44, "v4")}, "v4 2/44 completed of another at 0/0, lost"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := New(nil, nil, func() time.Duration { return 0 }, zerolog.New(io.Discard))
+			s := newStoreState()
+			for _, x := range []Change{known, progress(1, 60, known, canary.PhaseCompleted)} {
+				s.apply(x, 0)
+			}
+			n.applyUpdate(s, update{topic: TopicOrders, changes: c.orders, snapshot: true, restored: true})
+			n.applyUpdate(s, update{topic: TopicProgress, changes: c.progress, snapshot: true, restored: true})
+			n.applyUpdate(s, update{changes: c.after})
+			o, p := s.orders["s"], s.progress["s"]
+			at := func(r Revision) string { return fmt.Sprintf("%d/%d", r.Era(), r.Version()) }
+			got := fmt.Sprintf("%s %s %s", o.To, at(Revision(o.Revision)), p.Progress.Phase)
+			if p.Progress.Order != o.Revision {
+				got += " of another"
+			}
+			got += " at " + at(p.Revision)
+			if p.Lost {
+				got += ", lost"
+			}
+			if got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/router/mirror/state.go
+++ b/router/mirror/state.go
@@ -98,15 +98,9 @@
 		}
 		s.document = c.Document
 	case RolloutOrdered:
-		if o, ok := s.orders[c.Order.Service]; ok && c.Order.Revision <= o.Revision {
-			return false
-		}
-		s.orders[c.Order.Service] = c.Order
+		return s.applyOrder(c.Order)
 	case ProgressChanged:
-		if p, ok := s.progress[c.Progress.Service]; ok && c.Revision <= p.Revision {
-			return false
-		}
-		s.progress[c.Progress.Service] = c
+		return s.applyProgress(c)
 	case TallyChanged:
 		s.tallies[tallyKey{c.Tally.Service, c.Tally.Instance}] = c.Tally
 	case UpstreamChanged:
--- a/router/mirror/types.go
+++ b/router/mirror/types.go
@@ -74,6 +74,9 @@
 	ProgressChanged struct {
 		Progress canary.Progress
 		Revision Revision
+		// Lost is true if the store holds no progress or an earlier one, and must get this one
+		// again. Revision is that of the row that it holds, or 0.
+		Lost bool
 	}
 	// TallyChanged carries what an instance counted for a new version.
 	TallyChanged struct{ Tally canary.Tally }
--- a/router/stager/stager.go
+++ b/router/stager/stager.go
@@ -98,7 +98,7 @@
 	inProgress := false
 	for s, o := range v.Orders {
 		p, ok := v.Progress[s]
-		if ok && p.Progress.Order == o.Revision && p.Progress.Phase.Final() {
+		if ok && p.Progress.Order == o.Revision && p.Progress.Phase.Final() && !p.Lost {
 			delete(m.scheduled, s)
 			continue
 		}
@@ -148,7 +148,7 @@
 	}
 	f := canary.Inputs{Order: o, StoreClock: c, MaxShare: m.maxShare(), Verdict: m.monitor.Verdict(o.Service, o.Revision)}
 	if p, ok := v.Progress[o.Service]; ok {
-		f.Progress = &p.Progress
+		f.Progress, f.Lost = &p.Progress, p.Lost
 	}
 	f.OldUpstreams, f.NewUpstreams = countUpstreams(v.Fleet.Service(o.Service), o.To)
 	for _, t := range v.Tallies {
