fix(mirror): keep a phase that was written under an order's former revision

Progress of a former revision of the order counts as the order's. TestRolloutOfCopy, written before rebinding, failed and passes.

--- a/router/mirror/restored_test.go
+++ b/router/mirror/restored_test.go
@@ -128,6 +128,7 @@
 		"progress lost and written": {[]Change{order(2, 57, "v3")}, nil, []Change{progress(2, 61, order(2, 57, "v3"), canary.PhaseCompleted)}, "v3 2/57 completed at 2/61"},
 		"phase of the copy":         {[]Change{order(2, 57, "v3")}, []Change{progress(2, 58, known, canary.PhaseCanary)}, nil, "v3 2/57 completed at 2/58, lost"},
 		"begun anew by another":     {[]Change{order(2, 57, "v3")}, nil, []Change{progress(2, 61, order(2, 57, "v3"), canary.PhaseCanary)}, "v3 2/57 completed at 2/61, lost"},
+		"written before rebinding":  {[]Change{order(2, 57, "v3")}, nil, []Change{progress(2, 61, known, canary.PhaseReverted)}, "v3 2/57 reverted at 2/61, lost"},
 		"order lost":                {nil, nil, nil, "v3 1/57 completed at 0/0, lost"},
 		"order lost and written":    {nil, nil, []Change{order(2, 44, "v3")}, "v3 2/44 completed at 0/0, lost"},
 		"order of the copy":         {[]Change{order(2, 12, "v2")}, nil, []Change{order(2, 44, "v3")}, "v3 2/44 completed at 0/0, lost"},
--- a/router/mirror/rollout.go
+++ b/router/mirror/rollout.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"slices"
+
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/canary"
 )
@@ -14,6 +16,9 @@
 	}
 	delete(s.doubted, doubtKey{order: o.Service})
 	s.orders[o.Service] = o
+	if !ok || !sameContent(o, old) {
+		delete(s.former, o.Service)
+	}
 	if ok && Revision(o.Revision).Era() > Revision(old.Revision).Era() && sameContent(o, old) {
 		s.rebind(old, o.Revision)
 	}
@@ -28,6 +33,7 @@
 
 // rebind makes the progress and the tallies of an order those of a revision.
 func (s *storeState) rebind(old canary.Order, to uint64) {
+	s.former[old.Service] = append(s.former[old.Service], old.Revision)
 	if p, ok := s.progress[old.Service]; ok && p.Progress.Order == old.Revision {
 		p.Progress.Order = to
 		p.Lost = true
@@ -48,6 +54,11 @@
 	if ok && c.Revision <= p.Revision {
 		return false
 	}
+	if o := s.orders[c.Progress.Service]; slices.Contains(s.former[c.Progress.Service], c.Progress.Order) {
+		// A router wrote it before it knew the order's new revision.
+		c.Progress.Order = o.Revision
+		c.Lost = true
+	}
 	if ok && isAhead(p.Progress, c.Progress) {
 		c = ProgressChanged{Progress: p.Progress, Revision: c.Revision, Lost: true}
 	}
--- a/router/mirror/state.go
+++ b/router/mirror/state.go
@@ -68,6 +68,8 @@
 	ended map[fleet.Incarnation]time.Duration
 	// doubted holds content of a copy that contradicts newer knowledge, by what it is about.
 	doubted map[doubtKey]doubt
+	// former holds the revisions that the order of a service had before restores.
+	former map[ident.ServiceID][]uint64
 	// graceEnd is the time until which vanished upstreams are kept after an outage.
 	graceEnd time.Duration
 }
@@ -81,6 +83,7 @@
 		tallies:   map[tallyKey]canary.Tally{},
 		ended:     map[fleet.Incarnation]time.Duration{},
 		doubted:   map[doubtKey]doubt{},
+		former:    map[ident.ServiceID][]uint64{},
 	}
 }
 
