--- a/router/boot/stream_test.go
+++ b/router/boot/stream_test.go
@@ -14,11 +14,13 @@
 func TestStreamContinues(t *testing.T) {
 	t.Parallel()
 	for name, first := range map[string]server.Reply{
-		"truncated event":    server.Events{Count: 9, TruncateAfter: 4, Confidence: 100},
-		"missing event":      server.Events{Count: 9, SkipID: 3, Confidence: 100},
-		"reset at the start": server.Reset{},
-		"rejected":           server.Reject{Status: 503},
-		"no response":        server.Hang{},
+		"truncated event":     server.Events{Count: 9, TruncateAfter: 4, Confidence: 100},
+		"unframed, truncated": server.Events{Count: 9, TruncateAfter: 4, Confidence: 100, Unframed: true},
+		"unframed, whole":     server.Events{Count: 9, Confidence: 100, Unframed: true},
+		"missing event":       server.Events{Count: 9, SkipID: 3, Confidence: 100},
+		"reset at the start":  server.Reset{},
+		"rejected":            server.Reject{Status: 503},
+		"no response":         server.Hang{},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -57,18 +59,23 @@
 }
 
 // Guards against a truncated stream that looks complete to the client when no upstream can
-// continue it.
+// continue it, also if nothing but the end of the connection marks the end of the stream.
 func TestStreamTruncated(t *testing.T) {
 	t.Parallel()
-	w := startRouter(t, document(1, route("chat", "streaming", "llm", "resumable", false, "attempts", 3)))
-	s := w.server("llm", "s1", "v1", always(server.Events{Count: 9, TruncateAfter: 4}))
-	w.awaitUpstreams(1)
-	a := w.send("POST", "/chat/1", "prompt", "Tarragonvalve-Model-Name", "small")
-	if a.err == nil || a.body != events(4) {
-		t.Errorf("got %v %q, want an error after four complete events", a.err, a.body)
-	}
-	if n := len(s.Requests()); n != 1 {
-		t.Errorf("the upstream got %d requests, want 1", n)
+	for name, unframed := range map[string]bool{"chunks": false, "unframed": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := startRouter(t, document(1, route("chat", "streaming", "llm", "resumable", false, "attempts", 3)))
+			s := w.server("llm", "s1", "v1", always(server.Events{Count: 9, TruncateAfter: 4, Unframed: unframed}))
+			w.awaitUpstreams(1)
+			a := w.send("POST", "/chat/1", "prompt", "Tarragonvalve-Model-Name", "small")
+			if a.err == nil || a.body != events(4) {
+				t.Errorf("got %v %q, want an error after four complete events", a.err, a.body)
+			}
+			if n := len(s.Requests()); n != 1 {
+				t.Errorf("the upstream got %d requests, want 1", n)
+			}
+		})
 	}
 }
 
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -40,6 +40,8 @@
 		Confidence int
 		// SkipID is the id of an event to leave out; 0 leaves none out.
 		SkipID int
+		// Unframed streams have neither a length nor chunks and end with the connection.
+		Unframed bool
 	}
 	// Reject is a response that marks the request as not executed. RetryAfter is sent unless
 	// it is empty.
@@ -399,7 +401,11 @@
 	if n, err := strconv.Atoi(x.Header.Get("Last-Event-Id")); err == nil {
 		first = n + 1
 	}
-	if !write(c, s.responseHead(x, http.StatusOK, e.Confidence)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n") {
+	framing, chunk := "Transfer-Encoding: chunked\r\n", func(t string, n int) string { return fmt.Sprintf("%x\r\n%s", n, t) }
+	if e.Unframed {
+		framing, chunk = "", func(t string, _ int) string { return strings.TrimSuffix(t, "\r\n") }
+	}
+	if !write(c, s.responseHead(x, http.StatusOK, e.Confidence)+"Content-Type: text/event-stream\r\n"+framing+"\r\n") {
 		return false
 	}
 	for n := first; n <= e.Count; n++ {
@@ -408,10 +414,10 @@
 		}
 		t := EventText(n)
 		if e.TruncateAfter > 0 && n == e.TruncateAfter+1 {
-			write(c, fmt.Sprintf("%x\r\n%s", len(t), t[:len(t)/2]))
+			write(c, chunk(t[:len(t)/2], len(t)))
 			return false
 		}
-		if !write(c, fmt.Sprintf("%x\r\n%s\r\n", len(t), t)) {
+		if !write(c, chunk(t+"\r\n", len(t))) {
 			return false
 		}
 		select {
@@ -420,7 +426,7 @@
 		case <-time.After(e.Pause):
 		}
 	}
-	write(c, "0\r\n\r\n")
+	write(c, chunk("\r\n", 0))
 	// The goroutine above still reads from r, so no further request can be read from it.
 	return false
 }
