--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -164,6 +164,12 @@
 	upstreams []*upstream
 	checker   *checker
 	limits    limits
+	// seed is that of the run.
+	seed uint64
+
+	// configMu guards configured, which writes the newest configuration.
+	configMu   sync.Mutex
+	configured func() error
 
 	// silentMu guards silent, the links that pass no bytes at present.
 	silentMu sync.Mutex
@@ -262,7 +268,7 @@
 	for _, k := range keys {
 		accounts = append(accounts, map[string]any{"name": "of-" + k, "api_keys": []string{k}})
 	}
-	err := w.store.PutJSON("op", "config", map[string]any{
+	document := map[string]any{
 		"version": version, "tenants": accounts,
 		"routes": []any{route("read", "idempotent", "desk"), route("order", "non_idempotent", "desk"), route("chat", "streaming", "llm")},
 		"services": []any{
@@ -270,8 +276,11 @@
 			map[string]any{"name": "llm", "max_connections": 400, "runtime": map[string]any{"model_list": []any{}}},
 		},
 		"limits": map[string]any{"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
-	})
-	if err != nil {
+	}
+	w.configMu.Lock()
+	defer w.configMu.Unlock()
+	w.configured = func() error { return w.store.PutJSON("op", "config", document) }
+	if err := w.configured(); err != nil {
 		w.t.Fatal(err)
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -83,6 +83,7 @@
 	t.Logf("seed %d for %v", seed, d)
 	l := newChecker(seed)
 	w := newCluster(t, l)
+	w.seed = seed
 	w.await("routers ready", time.Minute, w.allReady)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -183,7 +184,7 @@
 }
 
 // injectFaults injects random faults for d, which may overlap: paused and restarted routers,
-// a faulty store, network links that pass no bytes, closed connections, broken responses and changed
+// a faulty store or one that comes back from a copy, network links that pass no bytes, closed connections, broken responses and changed
 // configurations. All the while some servers state a limit of requests. It ends all faults before it
 // returns.
 func injectFaults(w *cluster, r *rand.Rand, d time.Duration) {
@@ -192,6 +193,7 @@
 	revoked := false
 	w.limits.state(w, r)
 	end := time.Now().Add(d)
+	g.Go(func() { w.restoreStore(end) })
 	for n := 0; time.Now().Before(end); n++ {
 		time.Sleep(time.Duration(150+r.IntN(500)) * time.Millisecond)
 		duration := time.Duration(300+r.IntN(2200)) * time.Millisecond
