fix(pins): keep sessions with the version that serves them during a canary

Cause: the canary's share is a hash of the session, whatever served it before; requests of one session come through several routers, none of which knew that. Each router now remembers which version served a session lately, pins those that the share covers when a canary starts, and tells the others; until they have heard of it, 1.5 s, no session moves.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -33,6 +33,7 @@
 	"tarragonvalve.example/router/meter"
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/notice"
+	"tarragonvalve.example/router/pins"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/probe"
@@ -108,6 +109,7 @@
 		func() *place.Balancer { return place.New(s.Domain) },
 		notice.New,
 		poison.New,
+		pins.New,
 		newCrashes,
 		newMemory,
 		canary.NewMonitor,
@@ -127,8 +129,8 @@
 		}
 	}
 	var steps []serve.Component
-	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, q *poison.Registry, n *mirror.Syncer, p *link.Pool, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
-		steps = []serve.Component{v, n, p, m, u, g, &cleaner{balancer: b, notices: t, crashes: r, poison: q, syncer: n}, &poison.Component{Registry: q, Attempts: r}, a}
+	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, q *poison.Registry, e *pins.Registry, n *mirror.Syncer, p *link.Pool, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
+		steps = []serve.Component{v, n, p, m, u, g, &cleaner{balancer: b, notices: t, crashes: r, poison: q, syncer: n}, &poison.Component{Registry: q, Attempts: r}, &pins.Component{Registry: e, Syncer: n}, a}
 		if h != nil {
 			steps = append(steps, h)
 		}
@@ -189,6 +191,7 @@
 	Notices  *notice.Registry
 	Crashes  *crash.Monitor
 	Poison   *poison.Registry
+	Pins     *pins.Registry
 	Canary   *canary.Monitor
 	Budget   *budget.Budget
 	Meter    *meter.Meter
@@ -200,7 +203,7 @@
 
 func newRelay(p relayParts) *relay.Relay {
 	return relay.New(relay.Options{
-		Syncer: p.Syncer, Links: p.Links, Codec: p.Codec, Balancer: p.Balancer, Probe: p.Probe, Notices: p.Notices, Crashes: p.Crashes, Poison: p.Poison, Canary: p.Canary,
+		Syncer: p.Syncer, Links: p.Links, Codec: p.Codec, Balancer: p.Balancer, Probe: p.Probe, Notices: p.Notices, Crashes: p.Crashes, Poison: p.Poison, Pins: p.Pins, Canary: p.Canary,
 		Budget: p.Budget, Meter: p.Meter, Memory: p.Memory, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values, Size: p.Gossip.RouterCount,
 	})
 }
--- a/router/boot/share.go
+++ b/router/boot/share.go
@@ -11,6 +11,7 @@
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/notice"
+	"tarragonvalve.example/router/pins"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/setup"
@@ -52,12 +53,12 @@
 }
 
 // newGossip returns an exchanger of samples, backlogs and notices with the same peers.
-func newGossip(s *setup.Settings, cs []*share.Client, b *place.Balancer, t *notice.Registry, q *poison.Registry, l zerolog.Logger) *gossip.Exchanger {
+func newGossip(s *setup.Settings, cs []*share.Client, b *place.Balancer, t *notice.Registry, q *poison.Registry, e *pins.Registry, l zerolog.Logger) *gossip.Exchanger {
 	var ps []gossip.Peer
 	for _, c := range cs {
 		ps = append(ps, c)
 	}
-	return gossip.New(s.Instance, b, t, q, ps, l)
+	return gossip.New(s.Instance, b, t, q, e, ps, l)
 }
 
 // networkBits is the length of the address prefix that the machines of one network share.
--- a/router/canary/decide.go
+++ b/router/canary/decide.go
@@ -170,6 +170,11 @@
 	return r.To == "" || (v == r.To) == r.New
 }
 
+// Covers reports whether a share covers what a seed stands for.
+func Covers(share ident.Share, seed uint64) bool {
+	return seed%uint64(ident.FullShare) < uint64(share)
+}
+
 // RouteFor returns the route of a request. Equal seeds give the same route at all
 // instances, so that a session keeps its version without communication. halted is true if
 // this instance found the new version bad, which counts before the reversion is written.
@@ -180,7 +185,7 @@
 	}
 	switch p.Phase {
 	case PhaseCanary:
-		r.New = !halted && seed%uint64(ident.FullShare) < uint64(p.Share)
+		r.New = !halted && Covers(p.Share, seed)
 	case PhaseShift:
 		r.New = !halted
 	case PhaseCompleted:
--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -11,6 +11,7 @@
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/pacer"
+	"tarragonvalve.example/router/pins"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/poison"
 )
@@ -56,6 +57,12 @@
 	Merge(r poison.Report, now time.Time)
 }
 
+// PinSet holds the sessions that stay with the old version of a roll-out.
+type PinSet interface {
+	Report(now time.Time) []pins.Pinned
+	Merge(ps []pins.Pinned, now time.Time)
+}
+
 // Exchanger exchanges samples with the first peer that responds. Each router's peers are
 // ordered so that exchanges form no cycle: each sample reaches a router once.
 type Exchanger struct {
@@ -63,6 +70,7 @@
 	store   SampleStore
 	notices NoticeSet
 	crashes CrashSet
+	pins    PinSet
 	peers   []*peerState
 	samples *SampleLog
 	totals  *Totals
@@ -81,8 +89,8 @@
 
 // New returns an exchanger. name identifies this router; peers are in the order of
 // preference.
-func New(name string, b SampleStore, t NoticeSet, c CrashSet, peers []Peer, l zerolog.Logger) *Exchanger {
-	n := &Exchanger{name: name, store: b, notices: t, crashes: c, samples: NewSampleLog(), totals: NewTotals(), log: l}
+func New(name string, b SampleStore, t NoticeSet, c CrashSet, e PinSet, peers []Peer, l zerolog.Logger) *Exchanger {
+	n := &Exchanger{name: name, store: b, notices: t, crashes: c, pins: e, samples: NewSampleLog(), totals: NewTotals(), log: l}
 	n.ranking.startedAt = time.Now()
 	for _, p := range peers {
 		n.peers = append(n.peers, &peerState{Peer: p})
@@ -142,6 +150,7 @@
 	a, err := c.Exchange(ctx, Message{
 		Sender: n.name, Samples: ss, Backlog: bs, Routers: routers, After: c.seen, Leaving: n.notices.RecentlyLeaving(now),
 		Limits: n.notices.RecentLimits(now), Crashes: n.crashes.Report(now),
+		Pinned: n.pins.Report(now),
 	})
 	if err != nil {
 		c.failedAt = now
@@ -159,6 +168,7 @@
 	n.notices.MergeLeaving(a.Leaving, now)
 	n.notices.MergeLimits(a.Limits, now)
 	n.crashes.Merge(a.Crashes, now)
+	n.pins.Merge(a.Pinned, now)
 	n.merge(c.Address(), a.Samples, a.Backlog, a.Routers)
 	return max(a.Pause, minPause)
 }
@@ -166,10 +176,11 @@
 // HandleMessage merges the message of another router and returns the reply.
 func (n *Exchanger) HandleMessage(m Message) Reply {
 	now := time.Now()
-	a := Reply{Pause: n.samples.Pause(m.Sender, now), Leaving: n.notices.RecentlyLeaving(now), Limits: n.notices.RecentLimits(now), Crashes: n.crashes.Report(now)}
+	a := Reply{Pause: n.samples.Pause(m.Sender, now), Leaving: n.notices.RecentlyLeaving(now), Limits: n.notices.RecentLimits(now), Crashes: n.crashes.Report(now), Pinned: n.pins.Report(now)}
 	n.notices.MergeLeaving(m.Leaving, now)
 	n.notices.MergeLimits(m.Limits, now)
 	n.crashes.Merge(m.Crashes, now)
+	n.pins.Merge(m.Pinned, now)
 	a.Samples, a.Next = n.samples.After(m.After, m.Sender, now)
 	n.totals.Set(n.name, n.store.Backlog(), 1, now)
 	a.Backlog, a.Routers = n.totals.Without(m.Sender, now)
--- a/router/gossip/gossip_test.go
+++ b/router/gossip/gossip_test.go
@@ -19,6 +19,7 @@
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/notice"
+	"tarragonvalve.example/router/pins"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/poison"
 )
@@ -56,6 +57,7 @@
 	balancers  []*place.Balancer
 	registries []*notice.Registry
 	poisons    []*poison.Registry
+	pins       []*pins.Registry
 	exchangers []*gossip.Exchanger
 	seeds      []*direct
 }
@@ -63,7 +65,7 @@
 func newRouters(n int) *routers {
 	r := &routers{}
 	for i := range n {
-		b, o, c := place.New("a"), notice.New(), poison.New(zerolog.New(io.Discard))
+		b, o, c, e := place.New("a"), notice.New(), poison.New(zerolog.New(io.Discard)), pins.New()
 		var ps []gossip.Peer
 		if i > 0 {
 			for _, s := range r.seeds {
@@ -73,7 +75,7 @@
 		if i > 1 && i%2 == 1 {
 			slices.Reverse(ps)
 		}
-		exchanger := gossip.New(fmt.Sprintf("r%d", i), b, o, c, ps, zerolog.New(io.Discard))
+		exchanger := gossip.New(fmt.Sprintf("r%d", i), b, o, c, e, ps, zerolog.New(io.Discard))
 		if i < 2 {
 			s := &direct{name: fmt.Sprintf("seed-%d", i)}
 			s.replace(exchanger)
@@ -82,6 +84,7 @@
 		r.balancers = append(r.balancers, b)
 		r.registries = append(r.registries, o)
 		r.poisons = append(r.poisons, c)
+		r.pins = append(r.pins, e)
 		r.exchangers = append(r.exchangers, exchanger)
 	}
 	return r
--- a/router/gossip/limit_test.go
+++ b/router/gossip/limit_test.go
@@ -13,6 +13,7 @@
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/notice"
+	"tarragonvalve.example/router/pins"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/poison"
 )
@@ -148,7 +149,7 @@
 		spend(5 * time.Second)
 		r.seeds[0].failing.Store(true)
 		spend(2 * time.Second)
-		restarted := gossip.New("r0", place.New("a"), notice.New(), poison.New(zerolog.New(io.Discard)), nil, zerolog.New(io.Discard))
+		restarted := gossip.New("r0", place.New("a"), notice.New(), poison.New(zerolog.New(io.Discard)), pins.New(), nil, zerolog.New(io.Discard))
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan error, 1)
 		go func() { done <- restarted.Run(ctx) }()
@@ -186,7 +187,7 @@
 				peers[0].(*direct).failing.Store(true)
 			}
 			o := notice.New()
-			x := gossip.New("r0", place.New("a"), o, poison.New(zerolog.New(io.Discard)), peers, zerolog.New(io.Discard))
+			x := gossip.New("r0", place.New("a"), o, poison.New(zerolog.New(io.Discard)), pins.New(), peers, zerolog.New(io.Discard))
 			ctx, stop := context.WithCancel(t.Context())
 			done := make(chan error, 1)
 			go func() { done <- x.Run(ctx) }()
--- a/router/gossip/log.go
+++ b/router/gossip/log.go
@@ -12,6 +12,7 @@
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/pacer"
+	"tarragonvalve.example/router/pins"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/poison"
 )
@@ -53,6 +54,8 @@
 	Limits []notice.StatedLimit
 	// Crashes is what the sender knows of prompts that crash upstreams.
 	Crashes poison.Report
+	// Pinned are sessions that stay with the old version of a roll-out.
+	Pinned []pins.Pinned
 	// After is the position in the receiver's log up to which the sender has the samples.
 	After Cursor
 }
@@ -70,6 +73,8 @@
 	Limits []notice.StatedLimit
 	// Crashes is what the router that replies knows of prompts that crash upstreams.
 	Crashes poison.Report
+	// Pinned are sessions that stay with the old version of a roll-out.
+	Pinned []pins.Pinned
 	// Share is the place of the message's sender among all routers; nil if the router that
 	// replies doesn't number others.
 	Share *pacer.Share
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -9,6 +9,7 @@
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/mirror"
+	"tarragonvalve.example/router/pins"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/routes"
 )
@@ -54,7 +55,16 @@
 	if s == "" {
 		s = string(t.Meta.ID)
 	}
-	return canary.RouteFor(o, p, t.Canary.Verdict(t.service, o.Revision) != "", xxhash.Sum64String(s))
+	r := canary.RouteFor(o, p, t.Canary.Verdict(t.service, o.Revision) != "", xxhash.Sum64String(s))
+	if r.New && p.Phase == canary.PhaseCanary && t.Meta.Session != "" && t.Pins.Keeps(t.service, o.Revision, t.session(), time.Now()) {
+		return canary.Route{To: o.To}
+	}
+	return r
+}
+
+// session returns the hash of the request's session. RouteFor goes by the same one.
+func (t *request) session() pins.Session {
+	return pins.Session(xxhash.Sum64String(t.Meta.Session))
 }
 
 // reportResult reports the result of an attempt to the canary analysis.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -24,6 +24,7 @@
 	"tarragonvalve.example/router/meter"
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/notice"
+	"tarragonvalve.example/router/pins"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/probe"
@@ -94,6 +95,8 @@
 	Crashes *crash.Monitor
 	// Poison knows the prompts that crash upstreams.
 	Poison *poison.Registry
+	// Pins keeps sessions with the version that serves them.
+	Pins *pins.Registry
 	// Canary collects the results that decide on a roll-out.
 	Canary *canary.Monitor
 	// Budget limits retries.
@@ -272,6 +275,9 @@
 	t.excluded = append(t.excluded, u.ID)
 	t.attempts++
 	began := time.Now()
+	if t.Meta.Session != "" {
+		t.Pins.Served(t.service, t.session(), u.Version, began)
+	}
 	o := &attempt{request: t, upstream: u, began: began, placement: t.Balancer.Start(c, began), serviceSize: c.ServiceSize, nominal: c.Nominal}
 	cancelAttempt := t.cancelForRetry(u, cancel)
 	o.progress = t.Probe.Start(u, t.Route.MaxPause, cancelAttempt, began)
--- a/router/share/exchange.go
+++ b/router/share/exchange.go
@@ -20,14 +20,14 @@
 // Exchange sends samples to the peer and returns those of other routers.
 func (c *Client) Exchange(ctx context.Context, m gossip.Message) (gossip.Reply, error) {
 	now := time.Now()
-	r, err := c.rpc.Trade(ctx, &TradeRequest{From: m.Sender, After: uint64(m.After), Samples: encodeSamples(m.Samples, now), Backlog: encodeBacklog(m.Backlog), Routers: uint32(m.Routers), Leaving: encodeIncarnations(m.Leaving), Limits: encodeLimits(m.Limits, now), Crashes: encodeCrashes(m.Crashes, now)})
+	r, err := c.rpc.Trade(ctx, &TradeRequest{From: m.Sender, After: uint64(m.After), Samples: encodeSamples(m.Samples, now), Backlog: encodeBacklog(m.Backlog), Routers: uint32(m.Routers), Leaving: encodeIncarnations(m.Leaving), Limits: encodeLimits(m.Limits, now), Crashes: encodeCrashes(m.Crashes, now), Pinned: encodePinned(m.Pinned)})
 	if err != nil {
 		return gossip.Reply{}, fmt.Errorf("exchange samples with peer %s: %w", c.address, err)
 	}
 	return gossip.Reply{
 		Samples: decodeSamples(r.GetSamples(), now), Next: gossip.Cursor(r.GetNext()), Backlog: decodeBacklog(r.GetBacklog()), Routers: int(r.GetRouters()),
 		Pause: time.Duration(r.GetPauseMs()) * time.Millisecond, Leaving: decodeIncarnations(r.GetLeaving()),
-		Limits: decodeLimits(r.GetLimits(), now), Share: decodePlace(r.GetPlace()), Crashes: decodeCrashes(r.GetCrashes(), now),
+		Limits: decodeLimits(r.GetLimits(), now), Share: decodePlace(r.GetPlace()), Crashes: decodeCrashes(r.GetCrashes(), now), Pinned: decodePinned(r.GetPinned()),
 	}, nil
 }
 
@@ -46,12 +46,12 @@
 		Sender: q.GetFrom(), After: gossip.Cursor(q.GetAfter()), Samples: decodeSamples(q.GetSamples(), now),
 		Backlog: decodeBacklog(q.GetBacklog()), Routers: int(q.GetRouters()),
 		Leaving: decodeIncarnations(q.GetLeaving()), Limits: decodeLimits(q.GetLimits(), now),
-		Crashes: decodeCrashes(q.GetCrashes(), now),
+		Crashes: decodeCrashes(q.GetCrashes(), now), Pinned: decodePinned(q.GetPinned()),
 	})
 	return &TradeReply{
 		Samples: encodeSamples(a.Samples, now), Next: uint64(a.Next), PauseMs: uint32(a.Pause.Milliseconds()),
 		Backlog: encodeBacklog(a.Backlog), Routers: uint32(a.Routers),
-		Leaving: encodeIncarnations(a.Leaving), Limits: encodeLimits(a.Limits, now), Crashes: encodeCrashes(a.Crashes, now),
+		Leaving: encodeIncarnations(a.Leaving), Limits: encodeLimits(a.Limits, now), Crashes: encodeCrashes(a.Crashes, now), Pinned: encodePinned(a.Pinned),
 		Place: &Place{Rank: uint32(a.Share.Rank), Size: uint32(a.Share.Size)},
 	}, nil
 }
--- a/router/share/exchange_test.go
+++ b/router/share/exchange_test.go
@@ -20,6 +20,7 @@
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/notice"
+	"tarragonvalve.example/router/pins"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/share"
@@ -29,7 +30,7 @@
 // long as the server.
 func serve(t *testing.T, l net.Listener, n *mirror.Syncer, steps ...func(context.Context) error) (context.Context, *share.Client) {
 	t.Helper()
-	exchanger := gossip.New("hub", place.New("a"), notice.New(), poison.New(zerolog.New(io.Discard)), nil, zerolog.New(io.Discard))
+	exchanger := gossip.New("hub", place.New("a"), notice.New(), poison.New(zerolog.New(io.Discard)), pins.New(), nil, zerolog.New(io.Discard))
 	ctx, stop := context.WithCancel(context.Background())
 	steps = append(steps, share.NewServer(l, n, exchanger).Run)
 	done := make(chan error, len(steps))
@@ -124,7 +125,7 @@
 		u := fleet.Incarnation{ID: ident.UpstreamID(fmt.Sprintf("i-%010x", i)), StartedMs: now.UnixMilli()}
 		o.RecordLimit(u, notice.Limit{Rate: 2.1, At: now}, now)
 	}
-	x := gossip.New("hub", place.New("a"), o, poison.New(zerolog.New(io.Discard)), nil, zerolog.New(io.Discard))
+	x := gossip.New("hub", place.New("a"), o, poison.New(zerolog.New(io.Discard)), pins.New(), nil, zerolog.New(io.Discard))
 	m, err := share.NewServer(nil, nil, x).Trade(t.Context(), &share.TradeRequest{From: "edge-ege-a-1"})
 	if err != nil {
 		t.Fatal(err)
