--- a/router/stager/stager.go
+++ b/router/stager/stager.go
@@ -132,7 +132,7 @@
 		m.log.Info().Str("service", string(o.Service)).Str("version", string(o.To)).
 			Stringer("phase", a.Progress.Phase).Str("reason", a.Reason).Dur("age", f.StoreClock-a.Progress.StartedAt).Msg("roll-out state written")
 	case errors.As(err, &c):
-		m.log.Info().Str("service", string(o.Service)).Stringer("phase", a.Progress.Phase).Msg("roll-out state was written by another instance")
+		m.log.Info().Str("service", string(o.Service)).Stringer("phase", a.Progress.Phase).Str("reason", a.Reason).Msg("roll-out state was written by another instance")
 	default:
 		m.log.Warn().Err(err).Str("service", string(o.Service)).Stringer("phase", a.Progress.Phase).Msg("roll-out state not written")
 	}
