--- a/router/canary/types.go
+++ b/router/canary/types.go
@@ -17,6 +17,9 @@
 	MaxDuration time.Duration
 	// Revision identifies the order, also among those to the same version.
 	Revision uint64
+	// Origin is the first of the order's revisions: it gets another one if the store loses it and the
+	// operator writes it again. What an instance observes belongs to it.
+	Origin uint64
 }
 
 // Phase is the phase of a roll-out. Phases only advance.
--- a/router/mirror/restored_test.go
+++ b/router/mirror/restored_test.go
@@ -112,7 +112,7 @@
 // order or its progress.
 func TestRolloutOfCopy(t *testing.T) {
 	order := func(e Era, version uint64, to fleet.Version) RolloutOrdered {
-		return RolloutOrdered{Order: canary.Order{Service: "s", To: to, MaxDuration: time.Minute, Revision: uint64(NewRevision(e, version))}}
+		return RolloutOrdered{Order: canary.Order{Service: "s", To: to, MaxDuration: time.Minute, Revision: uint64(NewRevision(e, version)), Origin: uint64(NewRevision(e, version))}}
 	}
 	progress := func(e Era, version uint64, of RolloutOrdered, p canary.Phase) ProgressChanged {
 		return ProgressChanged{Revision: NewRevision(e, version), Progress: canary.Progress{Service: "s", To: of.Order.To, Order: of.Order.Revision, Phase: p}}
@@ -157,6 +157,9 @@
 			if got != c.want {
 				t.Errorf("got %q, want %q", got, c.want)
 			}
+			if again := o.To == known.Order.To; again != (o.Origin == known.Order.Origin) {
+				t.Errorf("the order to %s has the origin %s", o.To, at(Revision(o.Origin)))
+			}
 		})
 	}
 }
--- a/router/mirror/rollout.go
+++ b/router/mirror/rollout.go
@@ -15,19 +15,19 @@
 		return false
 	}
 	delete(s.doubted, doubtKey{order: o.Service})
-	s.orders[o.Service] = o
-	if !ok || !sameContent(o, old) {
-		delete(s.former, o.Service)
-	}
 	if ok && Revision(o.Revision).Era() > Revision(old.Revision).Era() && sameContent(o, old) {
+		o.Origin = old.Origin
 		s.rebind(old, o.Revision)
+	} else {
+		delete(s.former, o.Service)
 	}
+	s.orders[o.Service] = o
 	return true
 }
 
 // sameContent reports whether two orders ask for the same.
 func sameContent(a, b canary.Order) bool {
-	a.Revision = b.Revision
+	a.Revision, a.Origin = b.Revision, b.Origin
 	return a == b
 }
 
--- a/router/pins/pins.go
+++ b/router/pins/pins.go
@@ -120,7 +120,7 @@
 		if !ok || m.Progress.Order != o.Revision || m.Progress.Phase != canary.PhaseCanary {
 			continue
 		}
-		k := rollout{service: s, order: o.Revision}
+		k := rollout{service: s, order: o.Origin}
 		current[k] = true
 		r.start(k, o, m.Progress.Share, now)
 	}
--- a/router/pins/pins_test.go
+++ b/router/pins/pins_test.go
@@ -12,7 +12,7 @@
 
 // view returns a view with a roll-out to v2 in a phase, with a share of all sessions.
 func view(p canary.Phase) *mirror.View {
-	o := canary.Order{Service: "s", To: "v2", MaxDuration: time.Minute, Revision: 7}
+	o := canary.Order{Service: "s", To: "v2", MaxDuration: time.Minute, Revision: 7, Origin: 7}
 	return &mirror.View{
 		Orders:   map[ident.ServiceID]canary.Order{"s": o},
 		Progress: map[ident.ServiceID]mirror.ProgressChanged{"s": {Progress: canary.Progress{Service: "s", To: "v2", Order: 7, Phase: p, Share: ident.FullShare}}},
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -55,8 +55,8 @@
 	if s == "" {
 		s = string(t.Meta.ID)
 	}
-	r := canary.RouteFor(o, p, t.Canary.Verdict(t.service, o.Revision) != "", xxhash.Sum64String(s))
-	if r.New && p.Phase == canary.PhaseCanary && t.Meta.Session != "" && t.Pins.Keeps(t.service, o.Revision, t.session(), time.Now()) {
+	r := canary.RouteFor(o, p, t.Canary.Verdict(t.service, o.Origin) != "", xxhash.Sum64String(s))
+	if r.New && p.Phase == canary.PhaseCanary && t.Meta.Session != "" && t.Pins.Keeps(t.service, o.Origin, t.session(), time.Now()) {
 		return canary.Route{To: o.To}
 	}
 	return r
@@ -70,13 +70,13 @@
 // reportResult reports the result of an attempt to the canary analysis.
 func (t *request) reportResult(u *fleet.Upstream, failed bool) {
 	o := t.Syncer.View().Orders[t.service]
-	t.Canary.Observe(canary.Response{Service: t.service, New: isNew(o, u), Failed: failed}, o.Revision)
+	t.Canary.Observe(canary.Response{Service: t.service, New: isNew(o, u), Failed: failed}, o.Origin)
 }
 
 // reportTiming reports a time of the attempt's response to the canary analysis.
 func (o *attempt) reportTiming(m canary.Measure, value float64) {
 	x := o.Syncer.View().Orders[o.service]
-	o.Canary.ObserveTiming(canary.Timing{Service: o.service, New: isNew(x, o.upstream), Measure: m, Value: value}, x.Revision)
+	o.Canary.ObserveTiming(canary.Timing{Service: o.service, New: isNew(x, o.upstream), Measure: m, Value: value}, x.Origin)
 }
 
 // reportFirstResponse reports the time until the attempt's response started.
--- a/router/stager/stager.go
+++ b/router/stager/stager.go
@@ -146,7 +146,7 @@
 	if !ok {
 		return canary.Inputs{}, false
 	}
-	f := canary.Inputs{Order: o, StoreClock: c, MaxShare: m.maxShare(), Verdict: m.monitor.Verdict(o.Service, o.Revision)}
+	f := canary.Inputs{Order: o, StoreClock: c, MaxShare: m.maxShare(), Verdict: m.monitor.Verdict(o.Service, o.Origin)}
 	if p, ok := v.Progress[o.Service]; ok {
 		f.Progress, f.Lost = &p.Progress, p.Lost
 	}
@@ -197,8 +197,8 @@
 // sees few responses. It writes nothing if the failures haven't changed nor, while the version is a
 // canary, the times: after that each instance sees enough.
 func (m *Controller) saveTally(ctx context.Context, v *mirror.View, o canary.Order) {
-	t := m.monitor.Tally(o.Service, o.Revision)
-	t.Instance = m.instance
+	t := m.monitor.Tally(o.Service, o.Origin)
+	t.Instance, t.Order = m.instance, o.Revision
 	last := m.saved[o.Service]
 	if last.Order != o.Revision {
 		last.Tally = canary.Tally{}
--- a/router/stager/stager_test.go
+++ b/router/stager/stager_test.go
@@ -61,7 +61,7 @@
 	var cs []mirror.Change
 	for _, r := range rs {
 		if t == mirror.TopicOrders {
-			cs = append(cs, mirror.RolloutOrdered{Order: canary.Order{Service: "s", To: "v2", MaxDuration: 20 * time.Second, Revision: 1}})
+			cs = append(cs, mirror.RolloutOrdered{Order: canary.Order{Service: "s", To: "v2", MaxDuration: 20 * time.Second, Revision: 1, Origin: 1}})
 			continue
 		}
 		cs = append(cs, mirror.ProgressChanged{Progress: s.progress, Revision: r.Revision})
