--- a/router/crash/crash_test.go
+++ b/router/crash/crash_test.go
@@ -46,7 +46,7 @@
 func TestMonitor(t *testing.T) {
 	const ms = time.Millisecond
 	start := time.Unix(1000, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	u := fleet.Incarnation{ID: "u", StartedMs: 1}
 	tests := map[string]struct {
 		run               func(m *crash.Monitor)
