fix(poison): report the parts first that no upstream survived

Cause: a message holds 64 suspicions, those under requests that had begun first. If upstreams crash before they begin to answer, these are sound ones only, some twenty at a crash, so that routers under load told each other nothing of the part that causes the crashes. Load alone is ruled out: TestReportOfManySuspicions shows the same without a clock.

Parts that aren't known come first, then those with the most suspicions.

--- a/router/poison/poison_test.go
+++ b/router/poison/poison_test.go
@@ -231,3 +231,27 @@
 	fmt.Println(r.Check(p, now.Add(time.Minute)))
 	// Output: 9m0s
 }
+
+// Upstreams crash before they begin to answer, while they serve many sound requests. Found by
+// TestCrashingPart beside the other tests: guards against reports that are filled by parts that many
+// prompts share, so that routers don't hear of the part that causes the crashes.
+func TestReportOfManySuspicions(t *testing.T) {
+	a, b := newScene(), newScene()
+	a.survive("a", "b")
+	for range 5 {
+		var xs []crash.Suspect
+		for range 20 {
+			xs = append(xs, a.begun("a", "b"))
+		}
+		a.crash(append(xs, a.waiting("a", "x"))...)
+	}
+	b.now = a.now
+	b.Merge(a.Report(a.now), b.now)
+	b.wait(1100 * time.Millisecond)
+	if !b.refuses("a", "x") {
+		t.Error("the other router serves the part")
+	}
+	if b.refuses("a", "b") {
+		t.Error("the other router refuses a sound part")
+	}
+}
--- a/router/poison/report.go
+++ b/router/poison/report.go
@@ -35,15 +35,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := Report{Quarantines: slices.Clone(r.quarantines)}
-	for p, x := range r.evidence.suspects {
-		recent := false
+	for _, p := range r.evidence.recent(now) {
+		x := r.evidence.suspects[p]
 		for _, s := range x.suspicions {
-			if now.Sub(s.At) <= forwardTTL {
+			if now.Sub(s.At) <= forwardTTL && len(out.Suspicions) < maxForwarded {
 				out.Suspicions = append(out.Suspicions, s)
-				recent = true
 			}
 		}
-		if at, ok := r.evidence.survived[p]; ok && recent && len(out.Survived) < maxForwarded {
+		if at, ok := r.evidence.survived[p]; ok && len(out.Survived) < maxForwarded {
 			out.Survived = append(out.Survived, SurvivedPart{Part: p, At: at})
 		}
 	}
@@ -54,19 +53,31 @@
 			}
 		}
 	}
-	if len(out.Suspicions) > maxForwarded {
-		slices.SortFunc(out.Suspicions, func(a, b Suspicion) int {
-			if a.Began != b.Began {
-				if a.Began {
-					return -1
-				}
-				return 1
+	return out
+}
+
+// recent returns the parts with suspicions that are passed on, the most telling ones first: those that
+// aren't known and those with the most suspicions.
+func (e *evidence) recent(now time.Time) []crash.Part {
+	var ps []crash.Part
+	for p, x := range e.suspects {
+		for _, s := range x.suspicions {
+			if now.Sub(s.At) <= forwardTTL {
+				ps = append(ps, p)
+				break
 			}
-			return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Part, b.Part))
-		})
-		out.Suspicions = out.Suspicions[:maxForwarded]
+		}
 	}
-	return out
+	slices.SortFunc(ps, func(a, b crash.Part) int {
+		if k := e.known(a, now); k != e.known(b, now) {
+			if k {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(len(e.suspects[b].suspicions), len(e.suspects[a].suspicions)), cmp.Compare(a, b))
+	})
+	return ps
 }
 
 // Merge takes over another router's report.
