--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -130,7 +130,13 @@
 	}
 	var steps []serve.Component
 	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, q *poison.Registry, e *pins.Registry, n *mirror.Syncer, p *link.Pool, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
-		steps = []serve.Component{v, n, p, m, u, g, &cleaner{balancer: b, notices: t, crashes: r, poison: q, syncer: n}, &poison.Component{Registry: q, Attempts: r}, &pins.Component{Registry: e, Syncer: n}, a}
+		steps = []serve.Component{
+			v, n, p, m, u, g,
+			&cleaner{balancer: b, notices: t, crashes: r, poison: q, syncer: n},
+			&poison.Component{Registry: q, Attempts: r},
+			&pins.Component{Registry: e, Syncer: n},
+			a,
+		}
 		if h != nil {
 			steps = append(steps, h)
 		}
--- a/router/boot/cleaner.go
+++ b/router/boot/cleaner.go
@@ -16,7 +16,8 @@
 const cleanInterval = 5 * time.Second
 
 // cleaner updates the balancer from the list of upstreams in force, and removes expired
-// notices and evidence. This bounds the memory for upstreams that no longer exist. It is a serve.Component.
+// notices, attempts and evidence. This bounds the memory for upstreams that no longer exist. It is a
+// serve.Component.
 type cleaner struct {
 	balancer *place.Balancer
 	notices  *notice.Registry
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -59,7 +59,7 @@
 	view       atomic.Pointer[View]
 	ordersAsOf atomic.Int64 // local time, in ns, as of which the orders are current; -1 before the first read
 	// era is the newest era of the store, progressEra that in which the progress was read last.
-	era, progressEra atomic.Uint32
+	era, progressEra LatestEra
 	updates          chan update
 	changed          atomic.Pointer[chan struct{}]
 
@@ -153,7 +153,7 @@
 // that is unknown since the store came back from a copy.
 func (n *Syncer) rolloutInProgress() bool {
 	v := n.View()
-	if len(v.Orders) > 0 && n.progressEra.Load() < n.era.Load() {
+	if len(v.Orders) > 0 && n.progressEra.Get() < n.era.Get() {
 		return true
 	}
 	for s, o := range v.Orders {
@@ -288,7 +288,10 @@
 		f.sleep(ctx, retryMax)
 		return
 	}
-	f.setEra(p.Revision.Era())
+	f.era.Record(p.Revision.Era())
+	if f.topic == TopicProgress {
+		f.progressEra.Record(p.Revision.Era())
+	}
 	restored := f.after != 0 && p.Revision.Era() > f.after.Era()
 	if restored && f.topic == TopicOrders {
 		f.logs[f.topic].keepDocuments(&p, f.store)
@@ -319,15 +322,6 @@
 	f.storeReadAt = asOf + maxOwnAge[f.topic]
 }
 
-// setEra records the era of a result. The topics are read by different goroutines.
-func (f *topicWatcher) setEra(e Era) {
-	for old := f.era.Load(); uint32(e) > old && !f.era.CompareAndSwap(old, uint32(e)); old = f.era.Load() {
-	}
-	if f.topic == TopicProgress {
-		f.progressEra.Store(uint32(e))
-	}
-}
-
 // asOf returns the local time as of which a response is current.
 func (f *topicWatcher) asOf(sent time.Duration, p ReadResult) time.Duration {
 	received := f.now()
--- a/router/mirror/types.go
+++ b/router/mirror/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"tarragonvalve.example/core/ident"
@@ -47,6 +48,18 @@
 // changes since the copy are gone, and their versions are given out again.
 type Era uint32
 
+// LatestEra is the newest of the eras that were recorded, at first 0. It is safe for concurrent use.
+type LatestEra struct{ era atomic.Uint32 }
+
+// Record records an era.
+func (l *LatestEra) Record(e Era) {
+	for old := l.era.Load(); uint32(e) > old && !l.era.CompareAndSwap(old, uint32(e)); old = l.era.Load() {
+	}
+}
+
+// Get returns the newest era.
+func (l *LatestEra) Get() Era { return Era(l.era.Load()) }
+
 // NewRevision returns the position of a version in an era.
 func NewRevision(e Era, version uint64) Revision {
 	return Revision(uint64(e)<<versionBits | version)
--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -85,13 +85,7 @@
 		cs = append(cs, c)
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
-		if a.known != b.known {
-			if a.known {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(b.begun, a.begun), cmp.Compare(b.crashes, a.crashes), cmp.Compare(len(a.requests), len(b.requests)), cmp.Compare(a.part, b.part))
+		return cmp.Or(compareKnown(a.known, b.known), cmp.Compare(b.begun, a.begun), cmp.Compare(b.crashes, a.crashes), cmp.Compare(len(a.requests), len(b.requests)), cmp.Compare(a.part, b.part))
 	})
 	return cs
 }
--- a/router/poison/evidence.go
+++ b/router/poison/evidence.go
@@ -90,6 +90,18 @@
 	return ok && now.Sub(at) <= evidenceTTL
 }
 
+// compareKnown orders parts that aren't known before those that are.
+func compareKnown(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // suspect records a suspicion. Requests that had not begun count only for parts that aren't known.
 func (e *evidence) suspect(s Suspicion, now time.Time) {
 	if now.Sub(s.At) > evidenceTTL || (!s.Began && e.known(s.Part, now)) {
--- a/router/poison/report.go
+++ b/router/poison/report.go
@@ -69,13 +69,7 @@
 		}
 	}
 	slices.SortFunc(ps, func(a, b crash.Part) int {
-		if k := e.known(a, now); k != e.known(b, now) {
-			if k {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(len(e.suspects[b].suspicions), len(e.suspects[a].suspicions)), cmp.Compare(a, b))
+		return cmp.Or(compareKnown(e.known(a, now), e.known(b, now)), cmp.Compare(len(e.suspects[b].suspicions), len(e.suspects[a].suspicions)), cmp.Compare(a, b))
 	})
 	return ps
 }
--- a/router/relay/notice.go
+++ b/router/relay/notice.go
@@ -73,7 +73,8 @@
 
 // recheck returns why the request must no longer be sent to u, or nil: an
 // *UnavailableError, a *refuse.Error if its prompt crashes upstreams, or the error of Job.Recheck if
-// no upstream may have run the request yet. Since u was picked, a connection had to be made and the process may have been paused.
+// no upstream may have run the request yet. Since u was picked, a connection had to be made and the
+// process may have been paused.
 func (t *request) recheck(u *fleet.Upstream) error {
 	now := time.Now()
 	if t.Deadline.Sub(now) <= responseReserve {
--- a/router/share/exchange_test.go
+++ b/router/share/exchange_test.go
@@ -16,6 +16,7 @@
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/crash"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/mirror"
@@ -136,3 +137,29 @@
 		t.Errorf("%d bytes for %d limits, want at most %d", n, len(m.GetLimits()), most)
 	}
 }
+
+// Guards against suspicions that take more than the users allow a node for control, like
+// TestLimitsSize: they are sent for seconds after a crash.
+func TestCrashesSize(t *testing.T) {
+	const most = 29_000 * 150 / 1000
+	now := time.Now()
+	c := poison.New(zerolog.New(io.Discard))
+	for i := range 40 {
+		r := crash.Report{Upstream: fleet.Incarnation{ID: ident.UpstreamID(fmt.Sprintf("i-%010x", i)), StartedMs: now.UnixMilli()}}
+		for j := range 5 {
+			p := crash.NewPrompt("llm", call.Request{Prefix: []call.PromptPart{{ID: fmt.Sprint("a", j)}, {ID: "b"}, {ID: fmt.Sprint("own", i, j)}}})
+			r.Suspects = append(r.Suspects, crash.Suspect{Prompt: p, Began: true})
+		}
+		c.Crashed(r, now)
+	}
+	x := gossip.New("hub", place.New("a"), notice.New(), c, pins.New(), nil, zerolog.New(io.Discard))
+	m, err := share.NewServer(nil, nil, x).Trade(t.Context(), &share.TradeRequest{From: "edge-ege-a-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, got := proto.Size(m), len(m.GetCrashes().GetSuspicions())
+	t.Logf("%d bytes for %d suspicions", n, got)
+	if n > most || got == 0 {
+		t.Errorf("%d bytes for %d suspicions, want at most %d bytes", n, got, most)
+	}
+}
