fix(poison): blame no part for crashes that it doesn't explain

Cause: three crashes sufficed however many upstreams crashed meanwhile, statements of survival were cut at 64 in the order of suspicions, and the decision came after a second, in which the statements of a hundred routers don't arrive.

A part must explain a third of all crashes that no quarantine explains; survivals of the most suspected parts come first; with over 40 routers a decision waits for two seconds. TestDecisions, power failure under parts that nobody knows, failed and passes; TestCrashingPart and TestCrashesOfOthers pass.

--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -55,6 +55,7 @@
 type CrashSet interface {
 	Report(now time.Time) poison.Report
 	Merge(r poison.Report, now time.Time)
+	SetRouters(n int)
 }
 
 // PinSet holds the sessions that stay with the old version of a roll-out.
@@ -201,9 +202,11 @@
 	n.updateShare(now)
 }
 
-// updateShare sets this router's share of the rates that upstreams state.
+// updateShare sets this router's share of the rates that upstreams state, and the number of routers.
 func (n *Exchanger) updateShare(now time.Time) {
-	n.notices.SetShare(n.ranking.ownShare(n.RouterCount(), now))
+	s := n.ranking.ownShare(n.RouterCount(), now)
+	n.notices.SetShare(s)
+	n.crashes.SetRouters(s.Size)
 }
 
 // numbersItself reports whether an entry of the totals has a rank that this router doesn't assign:
--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,7 +22,11 @@
 	// crashes is the number of upstreams that crashed, or of the different requests under which they
 	// did, if that is less; begun counts only requests whose answer had begun.
 	crashes, begun int
-	last           time.Time
+	// upstreams is the number of upstreams that crashed.
+	upstreams int
+	// hit are all requests in progress at the crashes.
+	hit  map[crashKey]struct{}
+	last time.Time
 }
 
 // decide returns a quarantine that follows from the evidence and is not among those in force, if
@@ -38,8 +43,9 @@
 		}
 	}
 	cs := e.candidates(active, now)
+	all := crashed(cs)
 	for _, c := range cs {
-		if !c.settled || !c.guilty(remembered(qs, c.part)) {
+		if !c.settled || !c.guilty(remembered(qs, c.part)) || float64(c.upstreams) < explainedShare*float64(all) {
 			continue
 		}
 		q := Quarantine{At: c.last}
@@ -61,7 +67,7 @@
 func (e *evidence) candidates(active []Quarantine, now time.Time) []candidate {
 	var cs []candidate
 	for p, x := range e.suspects {
-		c := candidate{part: p, known: e.known(p, now), settled: now.Sub(x.since) >= judgeDelay}
+		c := candidate{part: p, known: e.known(p, now), settled: now.Sub(x.since) >= e.judgeDelay()}
 		all, begun := map[crashKey]struct{}{}, map[crashKey]struct{}{}
 		for k, s := range x.suspicions {
 			if (c.known && !s.Began) || !s.At.After(e.survived[p]) || e.explained(s, active) {
@@ -82,6 +88,7 @@
 		if c.begun >= begunCrashes {
 			c.requests = begun
 		}
+		c.hit, c.upstreams = all, len(upstreamsOf(all))
 		cs = append(cs, c)
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
@@ -115,12 +122,29 @@
 
 // countCrashes returns the number of different upstreams, or of different requests if that is less.
 func countCrashes(ks map[crashKey]struct{}) int {
-	us, rs := map[fleet.Incarnation]struct{}{}, map[crash.RequestHash]struct{}{}
+	rs := map[crash.RequestHash]struct{}{}
 	for k := range ks {
-		us[k.upstream] = struct{}{}
 		rs[k.request] = struct{}{}
 	}
-	return min(len(us), len(rs))
+	return min(len(upstreamsOf(ks)), len(rs))
+}
+
+// upstreamsOf returns the upstreams that crashed under requests.
+func upstreamsOf(ks map[crashKey]struct{}) map[fleet.Incarnation]struct{} {
+	us := map[fleet.Incarnation]struct{}{}
+	for k := range ks {
+		us[k.upstream] = struct{}{}
+	}
+	return us
+}
+
+// crashed returns the number of all upstreams whose crashes no quarantine explains.
+func crashed(cs []candidate) int {
+	us := map[fleet.Incarnation]struct{}{}
+	for _, c := range cs {
+		maps.Copy(us, upstreamsOf(c.hit))
+	}
+	return len(us)
 }
 
 // includes reports whether all requests of another candidate held this one's part too.
--- a/router/poison/evidence.go
+++ b/router/poison/evidence.go
@@ -21,9 +21,16 @@
 	// knownCrashes is the number of crashes in a row that are needed for a part that upstreams
 	// survived within evidenceTTL: a part that many prompts share is often in progress at a crash.
 	knownCrashes = 6
-	// judgeDelay is the time from the first crash under a part to a decision on it. Until then
-	// other routers report whether upstreams survived it.
-	judgeDelay = time.Second
+	// explainedShare is the least share of all crashes that a part must explain: if many upstreams
+	// end for another reason, such as the power of a rack, parts that are often in progress are so
+	// at several of them.
+	explainedShare = 1.0 / 3
+	// fewDelay and manyDelay are the time from the first crash under a part to a decision on it, up
+	// to manyRouters and beyond. Until then other routers report whether upstreams survived it: the
+	// suspicion has to reach them and their report to come back.
+	fewDelay    = time.Second
+	manyDelay   = 2 * time.Second
+	manyRouters = 40
 	// timeTolerance is the least difference by which a time that another router states replaces an
 	// earlier one. Times are sent as ages and get later by each transfer.
 	timeTolerance = time.Second
@@ -74,6 +81,8 @@
 	suspects map[crash.Part]*suspect
 	// count is the number of all suspicions.
 	count int
+	// routers is the number of routers.
+	routers int
 	// changedAt is when a suspicion was added last.
 	changedAt time.Time
 	// survived holds when the latest answer began that an upstream survived.
@@ -84,6 +93,14 @@
 	return evidence{suspects: map[crash.Part]*suspect{}, survived: map[crash.Part]time.Time{}}
 }
 
+// judgeDelay returns how long a decision on a part waits for other routers.
+func (e *evidence) judgeDelay() time.Duration {
+	if e.routers > manyRouters {
+		return manyDelay
+	}
+	return fewDelay
+}
+
 // known reports whether an upstream survived a part within evidenceTTL.
 func (e *evidence) known(p crash.Part, now time.Time) bool {
 	at, ok := e.survived[p]
--- a/router/poison/poison.go
+++ b/router/poison/poison.go
@@ -112,6 +112,13 @@
 	return 0
 }
 
+// SetRouters sets the number of routers that report to each other.
+func (r *Registry) SetRouters(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evidence.routers = n
+}
+
 // Count returns the number of quarantines in force.
 func (r *Registry) Count() int { return len(*r.inForce.Load()) }
 
@@ -140,7 +147,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	// Evidence that doesn't change leads to no other decision once it has settled.
-	for r.judgedAt.Sub(r.evidence.changedAt) <= judgeDelay {
+	for r.judgedAt.Sub(r.evidence.changedAt) <= r.evidence.judgeDelay() {
 		q, ok := r.evidence.decide(r.quarantines, now)
 		if !ok {
 			break
--- a/router/poison/poison_test.go
+++ b/router/poison/poison_test.go
@@ -126,6 +126,14 @@
 				}
 			}
 		}, nil, [][]string{{"a", "b0"}, {"a", "d0"}}},
+		"power failure under parts that nobody knows": {func(s *scene) {
+			for i := range 40 {
+				s.crash(s.begun("a", fmt.Sprint("b", i%8)), s.waiting("a", fmt.Sprint("c", i%5)))
+				if i%4 == 0 {
+					s.survive("a")
+				}
+			}
+		}, nil, [][]string{{"a", "b0"}, {"a", "b3"}, {"a", "c2"}}},
 		"sound part that turns bad": {func(s *scene) {
 			s.survive("a", "x")
 			for range 6 {
--- a/router/poison/report.go
+++ b/router/poison/report.go
@@ -12,8 +12,9 @@
 	// forwardTTL is how long a suspicion is passed on to other routers: a few exchanges with the
 	// largest number of listeners.
 	forwardTTL = 4 * time.Second
-	// maxForwarded bounds the suspicions in one message, and the survived parts.
-	maxForwarded = 64
+	// maxForwarded bounds the suspicions in one message, maxForwardedSurvived the survived parts.
+	maxForwarded         = 64
+	maxForwardedSurvived = 128
 )
 
 // SurvivedPart states when the latest answer began that an upstream survived.
@@ -35,20 +36,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := Report{Quarantines: slices.Clone(r.quarantines)}
-	for _, p := range r.evidence.recent(now) {
+	parts := r.evidence.recent(now)
+	for _, p := range parts {
 		x := r.evidence.suspects[p]
 		for _, s := range x.suspicions {
 			if now.Sub(s.At) <= forwardTTL && len(out.Suspicions) < maxForwarded {
 				out.Suspicions = append(out.Suspicions, s)
 			}
 		}
-		if at, ok := r.evidence.survived[p]; ok && len(out.Survived) < maxForwarded {
-			out.Survived = append(out.Survived, SurvivedPart{Part: p, At: at})
-		}
 	}
+	out.Survived = r.evidence.survivedOf(parts)
 	for _, q := range r.quarantines {
 		for _, p := range q.Parts {
-			if at, ok := r.evidence.survived[p]; ok && at.After(q.At) && len(out.Survived) < maxForwarded {
+			if at, ok := r.evidence.survived[p]; ok && at.After(q.At) && len(out.Survived) < maxForwardedSurvived {
 				out.Survived = append(out.Survived, SurvivedPart{Part: p, At: at})
 			}
 		}
@@ -74,6 +74,22 @@
 	return ps
 }
 
+// survivedOf returns when the latest answers to prompts with parts began that upstreams survived. The
+// parts with the most suspicions come first, as decisions on them are near.
+func (e *evidence) survivedOf(ps []crash.Part) []SurvivedPart {
+	ps = slices.Clone(ps)
+	slices.SortStableFunc(ps, func(a, b crash.Part) int {
+		return cmp.Compare(len(e.suspects[b].suspicions), len(e.suspects[a].suspicions))
+	})
+	var out []SurvivedPart
+	for _, p := range ps {
+		if at, ok := e.survived[p]; ok && len(out) < maxForwardedSurvived {
+			out = append(out, SurvivedPart{Part: p, At: at})
+		}
+	}
+	return out
+}
+
 // Merge takes over another router's report.
 func (r *Registry) Merge(x Report, now time.Time) {
 	if len(x.Suspicions)+len(x.Survived)+len(x.Quarantines) == 0 {
