--- a/router/boot/restored_test.go
+++ b/router/boot/restored_test.go
@@ -24,6 +24,17 @@
 	return document(version, rs...)
 }
 
+// startWithDesk runs n routers with the route a and the upstream s1 of its service.
+func startWithDesk(t *testing.T, n int) []*harness {
+	t.Helper()
+	ws := startRouters(t, routesOf(1, "a"), n)
+	ws[0].server("desk", "s1", "v1", always(fine))
+	for _, w := range ws {
+		w.awaitUpstreams(1)
+	}
+	return ws
+}
+
 // expectRoutes checks that all routers serve the routes.
 func expectRoutes(t *testing.T, ws []*harness, when string, names ...string) {
 	t.Helper()
@@ -45,12 +56,8 @@
 	for name, lost := range map[string]int{"change under a known version": 0, "change under a lower version": 12} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			ws := startRouters(t, routesOf(1, "a"), 4)
+			ws := startWithDesk(t, 4)
 			w := ws[0]
-			w.server("desk", "s1", "v1", always(fine))
-			for _, x := range ws {
-				x.awaitUpstreams(1)
-			}
 			copied := w.store.Version()
 			w.writeConfig(routesOf(2, "a", "b"))
 			for i := range lost {
@@ -75,12 +82,8 @@
 // peers that hand on the copy's configuration, by which keys and routes of an older version count.
 func TestStartAfterRestore(t *testing.T) {
 	t.Parallel()
-	ws := startRouters(t, routesOf(1, "a"), 4)
+	ws := startWithDesk(t, 4)
 	w := ws[0]
-	w.server("desk", "s1", "v1", always(fine))
-	for _, x := range ws {
-		x.awaitUpstreams(1)
-	}
 	copied := w.store.Version()
 	w.writeConfig(routesOf(2, "a", "b"))
 	time.Sleep(restoredPropagation)
--- a/router/crash/crash.go
+++ b/router/crash/crash.go
@@ -62,8 +62,7 @@
 
 // upstream holds the attempts at an upstream that have no verdict yet.
 type upstream struct {
-	incarnation fleet.Incarnation
-	attempts    map[*Attempt]struct{}
+	attempts map[*Attempt]struct{}
 	// due is when the first of the attempts settles; zero if none has begun to be answered.
 	due time.Time
 }
@@ -86,8 +85,8 @@
 	return &Monitor{observer: o, log: l, upstreams: map[fleet.Incarnation]*upstream{}}
 }
 
-// Start records an attempt, which cancel ends. It returns nil, which is a valid Attempt, if the prompt shares no part
-// with other requests.
+// Start records an attempt, which cancel ends. It returns nil, which is a valid Attempt, if the prompt
+// shares no part with other requests.
 func (m *Monitor) Start(i fleet.Incarnation, p Prompt, cancel context.CancelCauseFunc) *Attempt {
 	if len(p.Parts) == 0 {
 		return nil
@@ -96,7 +95,7 @@
 	defer m.mu.Unlock()
 	u := m.upstreams[i]
 	if u == nil {
-		u = &upstream{incarnation: i, attempts: map[*Attempt]struct{}{}}
+		u = &upstream{attempts: map[*Attempt]struct{}{}}
 		m.upstreams[i] = u
 	}
 	a := &Attempt{monitor: m, upstream: u, prompt: p, cancel: cancel}
--- a/router/crash/prompt.go
+++ b/router/crash/prompt.go
@@ -39,7 +39,7 @@
 	p := Prompt{ID: q.ID, Request: RequestHash(xxhash.Sum64String(q.Prefix[n].ID))}
 	var ids []string
 	for _, x := range q.Prefix[:n] {
-		p.Parts = append(p.Parts, NewPart(s, x.ID))
+		p.Parts = append(p.Parts, newPart(s, x.ID))
 		ids = append(ids, x.ID)
 	}
 	p.labels = strings.Join(ids, ",")
@@ -47,8 +47,8 @@
 	return p
 }
 
-// NewPart returns the part with an id of prompts to a service.
-func NewPart(s ident.ServiceID, id string) Part {
+// newPart returns the part with an id of prompts to a service.
+func newPart(s ident.ServiceID, id string) Part {
 	return Part(xxhash.Sum64String(string(s) + "/" + id))
 }
 
--- a/router/pins/pins.go
+++ b/router/pins/pins.go
@@ -61,8 +61,8 @@
 	at      time.Time
 }
 
-// Registry holds the sessions that were served lately and those pinned to the old version. It is safe for concurrent
-// use.
+// Registry holds the sessions that were served lately and those pinned to the old version. It is safe
+// for concurrent use.
 type Registry struct {
 	mu sync.Mutex
 	// seen holds how sessions were served last.
--- a/router/poison/poison.go
+++ b/router/poison/poison.go
@@ -45,14 +45,7 @@
 func (q Quarantine) active(now time.Time) bool { return now.Sub(q.At) < quarantineTTL }
 
 // blocks reports whether a prompt holds all parts.
-func (q Quarantine) blocks(p crash.Prompt) bool {
-	for _, x := range q.Parts {
-		if !slices.Contains(p.Parts, x) {
-			return false
-		}
-	}
-	return true
-}
+func (q Quarantine) blocks(p crash.Prompt) bool { return containsAll(p.Parts, q.Parts) }
 
 // Canceler ends attempts at upstreams.
 type Canceler interface {
@@ -61,7 +54,7 @@
 }
 
 // Registry holds the evidence and the quarantines that follow from it. It is safe for concurrent
-// use; Check takes no lock. It implements crash.Observer and serve.Component.
+// use; Check takes no lock. It implements crash.Observer.
 type Registry struct {
 	log zerolog.Logger
 
@@ -122,7 +115,7 @@
 // Count returns the number of quarantines in force.
 func (r *Registry) Count() int { return len(*r.inForce.Load()) }
 
-// Component judges the evidence of a Registry at intervals.
+// Component judges the evidence of a Registry at intervals. It implements serve.Component.
 type Component struct {
 	*Registry
 	// Attempts ends the attempts that a new quarantine concerns.
--- a/router/relay/notice.go
+++ b/router/relay/notice.go
@@ -80,7 +80,7 @@
 	if t.Deadline.Sub(now) <= responseReserve {
 		return &UnavailableError{Upstream: u.ID, Reason: "the client's time is over"}
 	}
-	if err := t.checkPrompt(t.ran()); err != nil {
+	if err := t.checkPrompt(); err != nil {
 		return err
 	}
 	if !t.mayHaveRun && t.Recheck != nil {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -138,7 +138,7 @@
 	}
 	t := &request{Relay: r, Job: j, service: s, prompt: crash.NewPrompt(s, j.Meta)}
 	r.Budget.RecordRequest(s, r.Now())
-	if err := t.checkPrompt(refuse.NotRun); err != nil {
+	if err := t.checkPrompt(); err != nil {
 		return err
 	}
 	if j.Route.Kind == routes.Stream {
@@ -376,14 +376,13 @@
 	return max(min(n/minInstances, overcommit*n/max(t.Size(), 1)), 1)
 }
 
-// checkPrompt returns a *refuse.Error if the prompt is known to crash upstreams. ran states whether
-// the request has run.
-func (t *request) checkPrompt(ran refuse.Ran) error {
+// checkPrompt returns a *refuse.Error if the prompt is known to crash upstreams.
+func (t *request) checkPrompt() error {
 	d := t.Poison.Check(t.prompt, time.Now())
 	if d <= 0 {
 		return nil
 	}
-	return refuse.New(refuse.PromptQuarantined, ran, "a part of the prompt crashes upstreams: %s", t.prompt.Labels()).WithRetryAfter(d)
+	return refuse.New(refuse.PromptQuarantined, t.ran(), "a part of the prompt crashes upstreams: %s", t.prompt.Labels()).WithRetryAfter(d)
 }
 
 // ran states whether the request has run.
@@ -426,7 +425,7 @@
 			return o.err
 		}
 	case unknown:
-		if err, ok := refuse.As(t.checkPrompt(ran)); ok {
+		if err, ok := refuse.As(t.checkPrompt()); ok {
 			return err
 		}
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -18,7 +18,7 @@
 	if ctx.Err() != nil || time.Until(t.Deadline) < 2*responseReserve {
 		return false
 	}
-	if t.checkPrompt(t.ran()) != nil {
+	if t.checkPrompt() != nil {
 		return false
 	}
 	if t.runs >= t.Route.Attempts || (t.mayHaveRun && !t.Route.Retryable()) {
--- a/router/share/crashes.go
+++ b/router/share/crashes.go
@@ -50,13 +50,3 @@
 	}
 	return r
 }
-
-// ageMs returns the age of something at now, in ms.
-func ageMs(at, now time.Time) uint32 {
-	return uint32(max(now.Sub(at), 0).Milliseconds())
-}
-
-// timeOf returns the time of something with an age in ms at now.
-func timeOf(ageMs uint32, now time.Time) time.Time {
-	return now.Add(-time.Duration(ageMs) * time.Millisecond)
-}
--- a/router/share/exchange.go
+++ b/router/share/exchange.go
@@ -63,7 +63,7 @@
 	for _, s := range ss {
 		m := &Sample{
 			Upstream: string(s.Upstream), Answers: uint32(s.Responses), Pace: float32(s.LogSlowdown),
-			AgeMs: uint32(max(now.Sub(s.At), 0).Milliseconds()),
+			AgeMs: ageMs(s.At, now),
 			Good:  uint32(s.Successes), Bad: uint32(s.Failures), Domain: string(s.Domain),
 		}
 		for _, p := range s.Prefixes {
@@ -82,7 +82,7 @@
 	for _, m := range ms {
 		s := place.Sample{
 			Upstream: ident.UpstreamID(m.GetUpstream()), Responses: int(m.GetAnswers()), LogSlowdown: float64(m.GetPace()),
-			At:        now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+			At:        timeOf(m.GetAgeMs(), now),
 			Successes: int(m.GetGood()), Failures: int(m.GetBad()), Domain: ident.DomainID(m.GetDomain()),
 		}
 		for _, p := range m.GetPrefixes() {
@@ -143,7 +143,7 @@
 	for _, l := range ls {
 		m := &Limit{
 			Upstream: encodeIncarnation(l.Upstream),
-			AgeMs:    uint32(max(now.Sub(l.At), 0).Milliseconds()),
+			AgeMs:    ageMs(l.At, now),
 		}
 		if !l.Lifted {
 			rate := float64(l.Rate)
@@ -160,9 +160,19 @@
 		out = append(out, notice.StatedLimit{
 			Upstream: decodeIncarnation(m.GetUpstream()),
 			Limit: notice.Limit{
-				Rate: call.Rate(m.GetRate()), Lifted: m.Rate == nil, At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+				Rate: call.Rate(m.GetRate()), Lifted: m.Rate == nil, At: timeOf(m.GetAgeMs(), now),
 			},
 		})
 	}
 	return out
 }
+
+// ageMs returns the age of something at now, in ms.
+func ageMs(at, now time.Time) uint32 {
+	return uint32(max(now.Sub(at), 0).Milliseconds())
+}
+
+// timeOf returns the time of something with an age in ms at now.
+func timeOf(ageMs uint32, now time.Time) time.Time {
+	return now.Add(-time.Duration(ageMs) * time.Millisecond)
+}
