feat(relay): log how an attempt's version was assigned

The logs can't tell a version that was chosen by the roll-out from one that was chosen since no upstream of the assigned version was left, nor on which counts a phase was decided.

Change: each attempt's line has the assignment; the line of a roll-out's phase has the upstreams and the responses and failures of both versions. No decision changes. Tests of canary, stager and guard pass.

--- a/entry/guard/guard.go
+++ b/entry/guard/guard.go
@@ -115,6 +115,9 @@
 	return int(r.rates[SignalError].All)
 }
 
+// Errors returns the weighted numbers of answers and of failed ones, at most referenceWindow.
+func (r *Reference) Errors() Counts { return r.rates[SignalError] }
+
 // upper returns the rate that a version must exceed to count as worse: the estimate
 // plus a margin for its uncertainty and the tolerance.
 func (q Counts) upper(s Signal) float64 {
--- a/router/canary/decide.go
+++ b/router/canary/decide.go
@@ -131,14 +131,20 @@
 
 // failsAcrossInstances reports whether the failures of all instances together call for a reversion.
 func failsAcrossInstances(f Inputs) bool {
-	responses, failed := 0, 0
+	t := f.Total()
+	return t.Failed >= minSharedFailures && float64(t.Failed) >= minSharedFailureRate*float64(t.Responses)
+}
+
+// Total returns the responses and failures of the new version at all instances.
+func (f Inputs) Total() Tally {
+	s := Tally{Service: f.Order.Service, Order: f.Order.Revision}
 	for _, t := range f.Tallies {
 		if t.Order == f.Order.Revision {
-			responses += t.Responses
-			failed += t.Failed
+			s.Responses += t.Responses
+			s.Failed += t.Failed
 		}
 	}
-	return failed >= minSharedFailures && float64(failed) >= minSharedFailureRate*float64(responses)
+	return s
 }
 
 // slowAcrossInstances reports whether the times of all instances together call for a reversion.
--- a/router/canary/monitor.go
+++ b/router/canary/monitor.go
@@ -174,6 +174,17 @@
 	return t
 }
 
+// OldErrors returns the weighted numbers of responses and failures that this instance saw of versions
+// that are not being rolled out.
+func (w *Monitor) OldErrors(s ident.ServiceID) guard.Counts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if x := w.services[s]; x != nil {
+		return x.reference.Errors()
+	}
+	return guard.Counts{}
+}
+
 // slowness rounds weighted counts.
 func slowness(c guard.Counts) Slowness {
 	return Slowness{Slow: int(math.Round(c.Bad)), Timed: int(math.Round(c.All))}
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -28,18 +28,47 @@
 // request expects at the new version, doesn't wait for it while its upstreams accept none.
 func (t *request) versionFilter(v *mirror.View, now time.Time) func(u *fleet.Upstream) bool {
 	if t.streamVersion != "" {
+		t.assignment = assignedBegun
 		return func(u *fleet.Upstream) bool { return u.Version == t.streamVersion }
 	}
 	r := t.rolloutRoute(v)
+	t.assignment = assignmentOf(r)
 	accept := func(u *fleet.Upstream) bool { return r.Accepts(u.Version) }
 	for _, u := range v.Fleet.Service(t.service) {
 		if accept(u) && t.remains(u, now) && (t.Meta.Session != "" || !r.Replaceable || t.accepting(u, now)) {
 			return accept
 		}
 	}
+	t.assignment = assignedNoneLeft
 	return func(*fleet.Upstream) bool { return true }
 }
 
+// assignment is why an attempt may use the versions that it may use, for the log.
+type assignment string
+
+const (
+	// assignedAny means that there is no roll-out, or that a session may stay where it is.
+	assignedAny assignment = "any"
+	assignedOld assignment = "old"
+	assignedNew assignment = "new"
+	// assignedBegun means that a stream continues with the version that began it.
+	assignedBegun assignment = "begun"
+	// assignedNoneLeft means that no upstream of the assigned version is left.
+	assignedNoneLeft assignment = "none-left"
+)
+
+// assignmentOf returns the assignment of a route.
+func assignmentOf(r canary.Route) assignment {
+	switch {
+	case r.To == "":
+		return assignedAny
+	case r.New:
+		return assignedNew
+	default:
+		return assignedOld
+	}
+}
+
 // rolloutRoute returns which version a roll-out of the service assigns to the request. All
 // requests of a session get the same one; a request without a session goes by its id.
 func (t *request) rolloutRoute(v *mirror.View) canary.Route {
--- a/router/relay/record.go
+++ b/router/relay/record.go
@@ -25,7 +25,7 @@
 	}
 	t.Meter.Attempt(outcome)
 	e.Str("request", string(t.Meta.ID)).Str("outcome", outcome).Str("route", string(t.Route.ID)).Int("attempt", t.attempts).
-		Str("upstream", string(c.Upstream.ID)).Str("version", string(c.Upstream.Version)).Str("model", string(model)).
+		Str("upstream", string(c.Upstream.ID)).Str("version", string(c.Upstream.Version)).Str("assigned", string(t.assignment)).Str("model", string(model)).
 		Float64("cost", math.Round(c.Cost)).Dur("predicted", c.Delay.Round(time.Millisecond)).Dur("nominal", c.Nominal.Round(time.Millisecond)).Int("candidates", c.Candidates).
 		Bool("prefix-cached", c.CacheHit).Str("prefix-source", sourceID(c)).Dur("took", took).
 		Str("prompt", t.prompt.Labels()).Msg("attempt")
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -170,6 +170,8 @@
 	// streamVersion is the version of the upstream that began the stream; it is set once the
 	// headers were sent to the client. Only upstreams of the same version can continue it.
 	streamVersion fleet.Version
+	// assignment is how the last attempt's version was assigned.
+	assignment assignment
 }
 
 // outcome is the result of one attempt. The cases are listed below and in stream.go.
--- a/router/stager/stager.go
+++ b/router/stager/stager.go
@@ -130,7 +130,8 @@
 	switch {
 	case err == nil:
 		m.log.Info().Str("service", string(o.Service)).Str("version", string(o.To)).
-			Stringer("phase", a.Progress.Phase).Str("reason", a.Reason).Dur("age", f.StoreClock-a.Progress.StartedAt).Msg("roll-out state written")
+			Stringer("phase", a.Progress.Phase).Str("reason", a.Reason).Dur("age", f.StoreClock-a.Progress.StartedAt).
+			Func(m.counts(f)).Msg("roll-out state written")
 	case errors.As(err, &c):
 		m.log.Info().Str("service", string(o.Service)).Stringer("phase", a.Progress.Phase).Str("reason", a.Reason).Msg("roll-out state was written by another instance")
 	default:
@@ -140,6 +141,20 @@
 	m.scheduled[o.Service] = scheduledWrite{phase: a.Progress.Phase, order: o.Revision, at: time.Now().Add(writeSlots * writeSlotDelay)}
 }
 
+// counts returns a function that adds what a decision is based on to a log line: the upstreams of both
+// versions, this instance's responses of both, and those of the new version at all instances.
+func (m *Controller) counts(f canary.Inputs) func(e *zerolog.Event) {
+	t := m.monitor.Tally(f.Order.Service, f.Order.Origin)
+	before := m.monitor.OldErrors(f.Order.Service)
+	all := f.Total()
+	return func(e *zerolog.Event) {
+		e.Int("old-upstreams", f.OldUpstreams).Int("new-upstreams", f.NewUpstreams).
+			Int("responses", t.Responses).Int("failed", t.Failed).
+			Int("old-responses", int(before.All)).Int("old-failed", int(before.Bad)).
+			Int("all-responses", all.Responses).Int("all-failed", all.Failed)
+	}
+}
+
 // inputs returns the inputs of a decision. It returns false until the store's clock was read.
 func (m *Controller) inputs(v *mirror.View, o canary.Order) (canary.Inputs, bool) {
 	c, ok := m.syncer.StoreClock()
