fix(relay): keep a canary's share while the old version has no upstream

Callers saw a bad version answer most of their requests although it was a canary, or had been reverted.

Cause: relay.versionFilter accepted any version if no upstream of the assigned one remained, in every phase of a roll-out. With four upstreams a few crashes at a time leave none. Class: a fallback for missing capacity that overrides a limit on risk.

Change: requests of the old version are refused, not run, with a Retry-After, while its upstreams are away. The other direction stays: the old version replaces the new one at once.

Ruled out: a limit by count at each router, which has to know how many requests the others send; and the time of absence alone, which a series of crashes exceeds within the order's time.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -113,6 +113,7 @@
 		newCrashes,
 		newMemory,
 		canary.NewMonitor,
+		canary.NewPresence,
 		newStager,
 		newShare,
 		newBudget,
@@ -158,8 +159,8 @@
 // instances that have just started don't count all others yet.
 const minInstances = 10
 
-func newStager(s *setup.Settings, v *setup.Live, n *mirror.Syncer, w *canary.Monitor, l zerolog.Logger) *stager.Controller {
-	return stager.New(n, w, s.Instance, func() float64 { return v.Bounds().CanaryShare }, l)
+func newStager(s *setup.Settings, v *setup.Live, n *mirror.Syncer, w *canary.Monitor, p *canary.Presence, l zerolog.Logger) *stager.Controller {
+	return stager.New(n, w, p, s.Instance, func() float64 { return v.Bounds().CanaryShare }, l)
 }
 
 func newCrashes(r *poison.Registry, l zerolog.Logger) *crash.Monitor {
@@ -199,6 +200,7 @@
 	Poison   *poison.Registry
 	Pins     *pins.Registry
 	Canary   *canary.Monitor
+	Presence *canary.Presence
 	Budget   *budget.Budget
 	Meter    *meter.Meter
 	Memory   *quota.MemoryLimit
@@ -209,7 +211,7 @@
 
 func newRelay(p relayParts) *relay.Relay {
 	return relay.New(relay.Options{
-		Syncer: p.Syncer, Links: p.Links, Codec: p.Codec, Balancer: p.Balancer, Probe: p.Probe, Notices: p.Notices, Crashes: p.Crashes, Poison: p.Poison, Pins: p.Pins, Canary: p.Canary,
+		Syncer: p.Syncer, Links: p.Links, Codec: p.Codec, Balancer: p.Balancer, Probe: p.Probe, Notices: p.Notices, Crashes: p.Crashes, Poison: p.Poison, Pins: p.Pins, Canary: p.Canary, Presence: p.Presence,
 		Budget: p.Budget, Meter: p.Meter, Memory: p.Memory, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values, Size: p.Gossip.RouterCount,
 	})
 }
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -23,9 +23,10 @@
 }
 
 // versionFilter returns a filter for the upstreams whose version may serve the request. A
-// stream that has begun stays with its version. If no remaining upstream has a version
-// that the roll-out allows, any version is accepted. A request without a session, which no other
-// request expects at the new version, doesn't wait for it while its upstreams accept none.
+// stream that has begun stays with its version. If no remaining upstream has the version that the
+// roll-out assigns, the old one may replace the new one at once, and the new one the old one once
+// that counts as gone. A request without a session, which no other request expects at the new
+// version, doesn't wait for it while its upstreams accept none.
 func (t *request) versionFilter(v *mirror.View, now time.Time) func(u *fleet.Upstream) bool {
 	if t.streamVersion != "" {
 		t.assignment = assignedBegun
@@ -39,10 +40,35 @@
 			return accept
 		}
 	}
+	if !r.New && !t.mayReplaceOld(v, now) {
+		return accept
+	}
 	t.assignment = assignedNoneLeft
 	return func(*fleet.Upstream) bool { return true }
 }
 
+// mayReplaceOld reports whether the version that is being rolled out may get requests of the old one,
+// which has no upstream left.
+func (t *request) mayReplaceOld(v *mirror.View, now time.Time) bool {
+	o, ok := v.Orders[t.service]
+	if !ok {
+		return true
+	}
+	c, ok := t.Syncer.StoreClock()
+	if !ok {
+		return false
+	}
+	return t.Presence.OldAbsence(o, now).MayReplace(o, t.progress(v), c)
+}
+
+// progress returns the progress of the service's roll-out, or nil.
+func (t *request) progress(v *mirror.View) *canary.Progress {
+	if m, ok := v.Progress[t.service]; ok {
+		return &m.Progress
+	}
+	return nil
+}
+
 // assignment is why an attempt may use the versions that it may use, for the log.
 type assignment string
 
@@ -76,10 +102,7 @@
 	if !ok {
 		return canary.Route{}
 	}
-	var p *canary.Progress
-	if m, ok := v.Progress[t.service]; ok {
-		p = &m.Progress
-	}
+	p := t.progress(v)
 	s := t.Meta.Session
 	if s == "" {
 		s = string(t.Meta.ID)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -99,6 +99,8 @@
 	Pins *pins.Registry
 	// Canary collects the results that decide on a roll-out.
 	Canary *canary.Monitor
+	// Presence tracks whether the old versions have upstreams during roll-outs.
+	Presence *canary.Presence
 	// Budget limits retries.
 	Budget *budget.Budget
 	Meter  *meter.Meter
@@ -421,6 +423,9 @@
 		if t.rejection != "" {
 			return refuse.New(refuse.Overloaded, ran, "no upstream took the request: %s", t.rejection).WithRetryAfter(retryAfterRejection)
 		}
+		if t.assignment == assignedOld {
+			return refuse.New(refuse.NoUpstream, ran, "no upstream of the old version of service %s is known, and the new one is not proven", t.service).WithRetryAfter(retryNoUpstream)
+		}
 		return refuse.New(refuse.NoUpstream, ran, "no upstream of service %s is known", t.service).WithRetryAfter(retryNoUpstream)
 	case inadmissible:
 		if !t.mayHaveRun {
--- a/router/stager/stager.go
+++ b/router/stager/stager.go
@@ -34,6 +34,7 @@
 type Controller struct {
 	syncer   *mirror.Syncer
 	monitor  *canary.Monitor
+	presence *canary.Presence
 	instance string
 	maxShare func() float64
 	log      zerolog.Logger
@@ -57,11 +58,11 @@
 	at time.Time
 }
 
-// New returns a controller for an instance. maxShare returns the largest share of the
+// New returns a controller for an instance. It keeps p up to date. maxShare returns the largest share of the
 // traffic that a canary may get.
-func New(n *mirror.Syncer, w *canary.Monitor, instance string, maxShare func() float64, l zerolog.Logger) *Controller {
+func New(n *mirror.Syncer, w *canary.Monitor, p *canary.Presence, instance string, maxShare func() float64, l zerolog.Logger) *Controller {
 	return &Controller{
-		syncer: n, monitor: w, instance: instance, maxShare: maxShare, log: l,
+		syncer: n, monitor: w, presence: p, instance: instance, maxShare: maxShare, log: l,
 		scheduled: map[ident.ServiceID]scheduledWrite{}, saved: map[ident.ServiceID]savedTally{},
 	}
 }
@@ -95,6 +96,9 @@
 // step examines all roll-outs once and reports whether one is in progress.
 func (m *Controller) step(ctx context.Context) bool {
 	v := m.syncer.View()
+	if v.UpstreamsRead {
+		m.presence.Update(v.Orders, v.Fleet, time.Now())
+	}
 	inProgress := false
 	for s, o := range v.Orders {
 		p, ok := v.Progress[s]
--- a/router/stager/stager_test.go
+++ b/router/stager/stager_test.go
@@ -103,7 +103,7 @@
 		l := zerolog.New(io.Discard)
 		n := mirror.New(s, nil, func() time.Duration { return time.Since(s.began) }, l)
 		w := canary.NewMonitor()
-		m := stager.New(n, w, "r1", func() float64 { return 0.15 }, l)
+		m := stager.New(n, w, canary.NewPresence(), "r1", func() float64 { return 0.15 }, l)
 		ctx, stop := context.WithCancel(t.Context())
 		var g sync.WaitGroup
 		for _, run := range []func(context.Context) error{n.Run, m.Run} {
