--- a/router/boot/exposure_test.go
+++ b/router/boot/exposure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,26 +29,26 @@
 			t.Parallel()
 			// phase is a third of the canary: the old upstreams are there, gone, and back.
 			const phase, duration = 2600 * time.Millisecond, 16 * time.Second
-			const upstreams = 6
+			const upstreams, pause = 6, 50 * time.Millisecond
 			ws := startRouters(t, standardDocument(), 4)
 			olds := startUpstreams(ws[0], "s", upstreams)
 			for _, w := range ws {
 				w.awaitUpstreams(upstreams)
 			}
-			sendReads(ws, time.Second)
+			sendReads(ws, time.Second, pause)
 			n := ws[0].server("desk", "n1", "v2", always(answer))
 			before := requestsOf(olds...)
 			if err := ws[0].store.PutJSON("op", "rollout/desk", map[string]any{"service": "desk", "to": "v2", "duration_s": duration.Seconds()}); err != nil {
 				t.Fatal(err)
 			}
-			sendReads(ws, phase)
+			sendReads(ws, phase, pause)
 			for _, s := range olds {
 				s.Close()
 				ws[0].store.Delete("servers", s.Name)
 			}
-			sendReads(ws, phase)
+			sendReads(ws, phase, pause)
 			olds = append(olds, startUpstreams(ws[0], "t", upstreams)...)
-			sendReads(ws, phase)
+			sendReads(ws, phase, pause)
 			bad := requestsOf(n)
 			all := bad + requestsOf(olds...) - before
 			if allowed := int(exposureShare*float64(all)) + exposureTolerance; bad > allowed {
@@ -66,15 +67,62 @@
 	return ss
 }
 
-// sendReads sends idempotent requests to the plain service through all routers for d and waits for
-// their ends.
-func sendReads(ws []*harness, d time.Duration) {
-	const pause = 50 * time.Millisecond
+// sendReads sends an idempotent request to the plain service through each router, in every pause for
+// d, and waits for their ends.
+func sendReads(ws []*harness, d, pause time.Duration) {
 	var wg sync.WaitGroup
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(pause) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
 		for _, w := range ws {
+			time.Sleep(pause / time.Duration(len(ws)))
 			wg.Go(func() { w.send("GET", "/read/1", "") })
 		}
 	}
 	wg.Wait()
 }
+
+// Incident EXPOSURE: many routers get few requests of a service each, and the new version of it turns
+// bad, or is slow from its start. Guards against routers that each judge by their own few responses, so
+// that the version is found bad only after it has got all requests for seconds.
+func TestExposureOfFewRequestsPerRouter(t *testing.T) {
+	t.Parallel()
+	const work = 40 * time.Millisecond
+	for name, script := range map[string]func(since time.Duration, n int64) server.Reply{
+		"turns bad": func(since time.Duration, n int64) server.Reply {
+			if since > 6*time.Second && n%2 == 0 {
+				return server.Answer{Status: http.StatusInternalServerError}
+			}
+			return server.Delayed{Answer: fine, Delay: work}
+		},
+		"slow": func(time.Duration, int64) server.Reply { return server.Delayed{Answer: fine, Delay: 8 * work} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const routers, upstreams, duration, pause = 12, 6, 16 * time.Second, 500 * time.Millisecond
+			ws := startRouters(t, standardDocument(), routers)
+			var olds, news []*server.Server
+			for i := range upstreams {
+				olds = append(olds, ws[0].server("desk", fmt.Sprint("s", i), "v1", always(server.Delayed{Answer: fine, Delay: work})))
+			}
+			for _, w := range ws {
+				w.awaitUpstreams(upstreams)
+			}
+			sendReads(ws, 2*time.Second, pause)
+			before := requestsOf(olds...)
+			ordered := time.Now()
+			var n atomic.Int64
+			for i := range upstreams {
+				news = append(news, ws[0].server("desk", fmt.Sprint("n", i), "v2", func(server.Request) server.Reply { return script(time.Since(ordered), n.Add(1)) }))
+			}
+			if err := ws[0].store.PutJSON("op", "rollout/desk", map[string]any{"service": "desk", "to": "v2", "duration_s": duration.Seconds()}); err != nil {
+				t.Fatal(err)
+			}
+			sendReads(ws, duration, pause)
+			bad := requestsOf(news...)
+			all := bad + requestsOf(olds...) - before
+			if allowed := int(exposureShare*float64(all)) + exposureTolerance; bad > allowed {
+				t.Errorf("the new version got %d of %d requests, allowed %d", bad, all, allowed)
+			}
+			t.Logf("%d of %d requests", bad, all)
+		})
+	}
+}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -27,6 +27,11 @@
 		// Confidence is sent in Tarragonvalve-Route-Confidence unless it is negative.
 		Confidence int
 	}
+	// Delayed sends the response after a delay.
+	Delayed struct {
+		Answer
+		Delay time.Duration
+	}
 	// Events is a stream of server-sent events with consecutive ids. It starts at 1, or
 	// after the request's Last-Event-Id.
 	Events struct {
@@ -84,6 +89,7 @@
 )
 
 func (Answer) reply()     {}
+func (Delayed) reply()    {}
 func (Events) reply()     {}
 func (Reject) reply()     {}
 func (Leaving) reply()    {}
@@ -292,6 +298,9 @@
 	switch a := reply.(type) {
 	case Answer:
 		return write(c, s.responseText(x, a))
+	case Delayed:
+		time.Sleep(a.Delay)
+		return write(c, s.responseText(x, a.Answer))
 	case Duplicate:
 		return write(c, s.responseText(x, a.Answer)+s.responseText(x, a.Answer))
 	case Mismatched:
