fix(canary): judge a new version by the responses of all routers

Callers saw a version that was eight times slower answer 40 % of their requests in the time of its roll-out, and be completed.

Cause: each router compared the times of a new version with its own median of the old one, which takes 30 responses. With 2 or 3 requests a second for each router these are there too late, and what routers shared were counts of times judged in this way.

Change: routers already exchange samples with outcomes and times for each upstream. The canary analysis takes those of all routers, this one included, in windows of 3 and 8 s. A crash of one upstream must not revert a version, so the upstream with more than half of all bad responses is left out. Times count for a canary only: later the old version has none to compare with.

--- a/entry/guard/excess.go
+++ b/entry/guard/excess.go
@@ -27,6 +27,11 @@
 	return Counts{Bad: c.Bad + o.Bad, All: c.All + o.All}
 }
 
+// Minus returns the counts without those of o.
+func (c Counts) Minus(o Counts) Counts {
+	return Counts{Bad: c.Bad - o.Bad, All: c.All - o.All}
+}
+
 // Excess returns the evidence, the value of the e-process, that c has a higher rate of bad
 // observations than the reference r has, with its margin for signal s. It is 1 without
 // observations. Unlike a Guard it doesn't depend on their order, so that counts of several
--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -103,6 +103,7 @@
 		func() mirror.Store { return rows.New(s.Store) },
 		newPeerClients,
 		newPeers,
+		newJudgedSamples,
 		newGossip,
 		mirror.New,
 		link.New,
--- a/router/boot/share.go
+++ b/router/boot/share.go
@@ -4,10 +4,13 @@
 	"net"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/notice"
@@ -53,7 +56,7 @@
 }
 
 // newGossip returns an exchanger of samples, backlogs and notices with the same peers.
-func newGossip(s *setup.Settings, cs []*share.Client, b *place.Balancer, t *notice.Registry, q *poison.Registry, e *pins.Registry, l zerolog.Logger) *gossip.Exchanger {
+func newGossip(s *setup.Settings, cs []*share.Client, b judgedSamples, t *notice.Registry, q *poison.Registry, e *pins.Registry, l zerolog.Logger) *gossip.Exchanger {
 	var ps []gossip.Peer
 	for _, c := range cs {
 		ps = append(ps, c)
@@ -61,6 +64,59 @@
 	return gossip.New(s.Instance, b, t, q, e, ps, l)
 }
 
+// judgedSamples passes the samples of this instance and of others to the canary analysis.
+type judgedSamples struct {
+	*place.Balancer
+	monitor *canary.Monitor
+	syncer  *mirror.Syncer
+}
+
+func newJudgedSamples(b *place.Balancer, w *canary.Monitor, n *mirror.Syncer) judgedSamples {
+	return judgedSamples{Balancer: b, monitor: w, syncer: n}
+}
+
+// DrainSamples implements gossip.SampleStore.
+func (j judgedSamples) DrainSamples() []place.Sample {
+	ss := j.Balancer.DrainSamples()
+	j.judge(ss, time.Now())
+	return ss
+}
+
+// MergeSamples implements gossip.SampleStore.
+func (j judgedSamples) MergeSamples(ss []place.Sample, now time.Time) {
+	j.Balancer.MergeSamples(ss, now)
+	j.judge(ss, now)
+}
+
+// judge passes on the samples of services with a roll-out in progress.
+func (j judgedSamples) judge(ss []place.Sample, now time.Time) {
+	v := j.syncer.View()
+	if len(v.Orders) == 0 {
+		return
+	}
+	us := v.Fleet.All()
+	var out []canary.Sample
+	for _, s := range ss {
+		u := us[s.Upstream]
+		if u == nil {
+			continue
+		}
+		if o, ok := v.Orders[u.Service]; ok {
+			out = append(out, canary.Sample{
+				Service: u.Service, Upstream: s.Upstream, New: u.Version == o.To,
+				Successes: s.Successes, Failures: s.Failures, Timed: s.Responses, LogSlowdown: s.LogSlowdown,
+			})
+		}
+	}
+	j.monitor.ObserveSamples(out, func(s ident.ServiceID) (uint64, bool) {
+		o, p := v.Orders[s], v.Progress[s].Progress
+		if p.Order != o.Revision || p.Phase.Final() {
+			return 0, false
+		}
+		return o.Origin, p.Phase == canary.PhaseCanary
+	}, now)
+}
+
 // networkBits is the length of the address prefix that the machines of one network share.
 const networkBits = 16
 
--- a/router/canary/decide.go
+++ b/router/canary/decide.go
@@ -156,7 +156,7 @@
 			before = before.Plus(t.SlownessBefore.counts())
 		}
 	}
-	return guard.Excess(guard.SignalLatency, after, before) >= slowEvidence
+	return guard.Excess(guard.SignalLatency, after, before) >= minEvidence
 }
 
 // Route selects the versions that a request may use.
--- a/router/canary/monitor.go
+++ b/router/canary/monitor.go
@@ -23,9 +23,9 @@
 	// timingWindow is the number of times that are compared. It is small, so that a burst of
 	// requests, which slows both versions down, shows in both.
 	timingWindow = 100
-	// slowEvidence is the evidence from which a version is slow. Its inverse bounds the
-	// probability that a good one is found slow.
-	slowEvidence = 500
+	// minEvidence is the evidence from which a version is bad. Its inverse bounds the probability
+	// that a good one is found bad.
+	minEvidence = 500
 	// minFailures and minFailureRate are the number of failures and their part of the
 	// responses from which a version is bad if there is no reference, such as after a
 	// restart.
@@ -88,6 +88,8 @@
 	// the slow ones of both versions, which are those above slowFactor times the median.
 	medians                [measureCount]guard.Quantile
 	oldTimings, newTimings guard.Counts
+	// shared is what all instances together observed.
+	shared *sharedState
 }
 
 // NewMonitor returns a monitor without observations.
@@ -142,7 +144,7 @@
 		return
 	}
 	s.newTimings = s.newTimings.Add(slow, timingWindow)
-	if s.verdict == "" && guard.Excess(guard.SignalLatency, s.newTimings, s.oldTimings) >= slowEvidence {
+	if s.verdict == "" && guard.Excess(guard.SignalLatency, s.newTimings, s.oldTimings) >= minEvidence {
 		s.verdict = fmt.Sprintf("slow: %.0f of %.0f times against %.0f of %.0f", s.newTimings.Bad, s.newTimings.All, s.oldTimings.Bad, s.oldTimings.All)
 	}
 }
@@ -218,4 +220,5 @@
 	s.detector = guard.NewDetector(lateFalseAlarmRate)
 	s.responses, s.failed, s.verdict = 0, 0, ""
 	s.newTimings = guard.Counts{}
+	s.shared = newSharedState()
 }
--- /dev/null
+++ b/router/canary/shared.go
@@ -0,0 +1,194 @@
+package canary
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/entry/guard"
+)
+
+const (
+	// sharedWindow is the number of recent seconds whose samples are kept. A canary of a service with
+	// 94 requests a second gets some 50 responses in this time.
+	sharedWindow = 8
+	// shortWindow is the number of recent seconds that are also judged alone, so that earlier good
+	// responses don't hide that a version has turned bad.
+	shortWindow = 3
+	// dominantShare is the share of all bad responses from which an upstream is left out.
+	dominantShare = 0.5
+	// sharedReference bounds the weight of the old version's past outcomes: after the shift the old
+	// version gets no more requests to compare with.
+	sharedReference = 1000
+)
+
+// Sample aggregates recent responses of one upstream at one or more instances.
+type Sample struct {
+	Service  ident.ServiceID
+	Upstream ident.UpstreamID
+	// New is true for an upstream of the version that is being rolled out.
+	New bool
+	// Successes and Failures count responses by outcome.
+	Successes, Failures int
+	// Timed is the number of responses whose time is in LogSlowdown, the mean natural logarithm of
+	// their times divided by the predicted ones.
+	Timed       int
+	LogSlowdown float64
+}
+
+// outcomes counts responses.
+type outcomes struct{ errors, times guard.Counts }
+
+func (o outcomes) plus(x outcomes) outcomes {
+	return outcomes{errors: o.errors.Plus(x.errors), times: o.times.Plus(x.times)}
+}
+
+// window holds outcomes by the second, for the last sharedWindow seconds.
+type window struct {
+	buckets [sharedWindow]outcomes
+	// seconds are the times that the buckets stand for, in Unix seconds.
+	seconds [sharedWindow]int64
+}
+
+// add adds outcomes at a time.
+func (w *window) add(o outcomes, now time.Time) {
+	s := now.Unix()
+	i := s % sharedWindow
+	if w.seconds[i] != s {
+		w.seconds[i], w.buckets[i] = s, outcomes{}
+	}
+	w.buckets[i] = w.buckets[i].plus(o)
+}
+
+// sum returns the outcomes of the last seconds, the present one included.
+func (w *window) sum(seconds int64, now time.Time) outcomes {
+	var o outcomes
+	for i, s := range w.seconds {
+		if now.Unix()-s < seconds {
+			o = o.plus(w.buckets[i])
+		}
+	}
+	return o
+}
+
+// sharedState is what all instances together observed of one service during a roll-out.
+type sharedState struct {
+	old  window
+	news map[ident.UpstreamID]*window
+	// reference counts the old version's outcomes, the older ones with less weight.
+	reference guard.Counts
+	// median is that of the old version's times divided by the predicted ones.
+	median guard.Quantile
+}
+
+func newSharedState() *sharedState {
+	return &sharedState{news: map[ident.UpstreamID]*window{}, median: guard.NewQuantile(0.5)}
+}
+
+// ObserveSamples adds samples of any instance, this one included, and judges the new version by the
+// recent ones of all: with many instances each sees few responses. orders returns the revision of the
+// order that a service's new version is judged for, 0 without one, and whether that version is a canary.
+// Times count for a canary only, as later the old version has no times to compare with.
+func (w *Monitor) ObserveSamples(ss []Sample, orders func(ident.ServiceID) (order uint64, isCanary bool), now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	touched := map[ident.ServiceID]bool{}
+	for _, s := range ss {
+		order, isCanary := orders(s.Service)
+		if order == 0 {
+			continue
+		}
+		x := w.stateOf(s.Service)
+		x.reset(order)
+		x.shared.add(s, now)
+		touched[s.Service] = isCanary
+	}
+	for s, isCanary := range touched {
+		if x := w.services[s]; x.verdict == "" {
+			x.verdict = x.shared.judge(isCanary, now)
+		}
+	}
+}
+
+// add adds a sample.
+func (x *sharedState) add(s Sample, now time.Time) {
+	o := outcomes{errors: guard.Counts{Bad: float64(s.Failures), All: float64(s.Successes + s.Failures)}}
+	factor := math.Exp(s.LogSlowdown)
+	if m := x.median.Value(); m > 0 {
+		o.times.All = float64(s.Timed)
+		if factor > slowFactor*m {
+			o.times.Bad = o.times.All
+		}
+	}
+	if s.New {
+		u := x.news[s.Upstream]
+		if u == nil {
+			u = &window{}
+			x.news[s.Upstream] = u
+		}
+		u.add(o, now)
+		return
+	}
+	x.old.add(o, now)
+	x.reference = x.reference.Plus(o.errors)
+	if f := sharedReference / max(x.reference.All, 1); f < 1 {
+		x.reference.Bad *= f
+		x.reference.All *= f
+	}
+	for range s.Timed {
+		x.median.Observe(factor)
+	}
+}
+
+// judge returns why the new version is bad, or "".
+func (x *sharedState) judge(isCanary bool, now time.Time) string {
+	for u, w := range x.news {
+		if w.sum(sharedWindow, now) == (outcomes{}) {
+			delete(x.news, u)
+		}
+	}
+	for _, n := range []int64{shortWindow, sharedWindow} {
+		if v := x.judgeLast(n, isCanary, now); v != "" {
+			return v
+		}
+	}
+	return ""
+}
+
+// judgeLast judges the responses of the last seconds.
+func (x *sharedState) judgeLast(seconds int64, isCanary bool, now time.Time) string {
+	var errors, times tally
+	for _, w := range x.news {
+		o := w.sum(seconds, now)
+		errors.add(o.errors)
+		times.add(o.times)
+	}
+	if e := errors.typical(); x.reference.All > 0 && e.Bad >= minSharedFailures && guard.Excess(guard.SignalError, e, x.reference) >= minEvidence {
+		return fmt.Sprintf("errors at all instances: %.0f of %.0f against %.0f of %.0f", e.Bad, e.All, x.reference.Bad, x.reference.All)
+	}
+	old := x.old.sum(seconds, now).times
+	if t := times.typical(); isCanary && old.All > 0 && guard.Excess(guard.SignalLatency, t, old) >= minEvidence {
+		return fmt.Sprintf("slow at all instances: %.0f of %.0f against %.0f of %.0f", t.Bad, t.All, old.Bad, old.All)
+	}
+	return ""
+}
+
+// tally sums up counts of several upstreams.
+type tally struct{ all, worst guard.Counts }
+
+func (t *tally) add(c guard.Counts) {
+	t.all = t.all.Plus(c)
+	if c.Bad > t.worst.Bad {
+		t.worst = c
+	}
+}
+
+// typical returns the sum, without an upstream that most bad responses are of if there are others: a
+// version is not bad since one of its upstreams has crashed.
+func (t *tally) typical() guard.Counts {
+	if t.worst.Bad <= dominantShare*t.all.Bad || t.worst.All == t.all.All {
+		return t.all
+	}
+	return t.all.Minus(t.worst)
+}
