fix(canary): move requests only to upstreams that have been up for long

Cause: a canary ended by the age of the order alone. A fault that shows some seconds after an upstream's start was hidden again by each start, so that the version had been good for 9 s by three lives of its upstreams. Class: a trial period counted from the order and not from what is tried.

Change: at least half of the new upstreams must have been up for 0.4 of the order's time when all requests move, else the roll-out waits, and is reverted at 0.93 of it: callers are better off with the version that they had.

Ruled out: failures of the old version hide the new one's. When the version failed, the other routers and the shared counts showed it within a second.

--- a/router/canary/decide.go
+++ b/router/canary/decide.go
@@ -16,11 +16,17 @@
 	// time to end before the old upstreams stop, and some time for the write itself.
 	completeAt = 0.85
 	// forceShiftAt is the part after which all requests move even if few new upstreams
-	// are listed.
+	// are listed, if these are proven; otherwise the roll-out is reverted.
 	forceShiftAt = 0.93
 	// minCapacity is the number of new upstreams, relative to the old ones, that is
 	// needed to move all requests.
 	minCapacity = 0.5
+	// provenPart is the part of an order's time for which most new upstreams must have been up before
+	// all requests move: some faults show only some seconds after an upstream's start, and an
+	// upstream that crashes and starts again hides them once more.
+	provenPart = 0.4
+	// maxYoung is the largest part of the new upstreams that may have been up for less.
+	maxYoung = 0.5
 	// canaryUpstreams is the traffic of a canary as a multiple of that of one old
 	// upstream: enough to judge it, and so little that hardly any session changes its
 	// version.
@@ -69,11 +75,35 @@
 	Tallies []Tally
 	// OldUpstreams and NewUpstreams are the numbers of upstreams that take requests.
 	OldUpstreams, NewUpstreams int
+	// YoungUpstreams are the new ones that have been up for less than ProvenAge of the order.
+	YoungUpstreams int
 	// MaxShare is the permitted exposure: the largest share of the requests that a canary
 	// may get.
 	MaxShare float64
 }
 
+// ProvenAge returns how long an upstream of the new version must have been up to count as proven.
+func (o Order) ProvenAge() time.Duration {
+	return time.Duration(provenPart * float64(o.MaxDuration))
+}
+
+// CountUpstreams sets the numbers of upstreams of both versions, without draining ones.
+func (f *Inputs) CountUpstreams(us []*fleet.Upstream, now time.Time) {
+	f.OldUpstreams, f.NewUpstreams, f.YoungUpstreams = 0, 0, 0
+	for _, u := range us {
+		switch {
+		case u.Draining:
+		case u.Version != f.Order.To:
+			f.OldUpstreams++
+		default:
+			f.NewUpstreams++
+			if u.StartedMs > 0 && now.Sub(time.UnixMilli(u.StartedMs)) < f.Order.ProvenAge() {
+				f.YoungUpstreams++
+			}
+		}
+	}
+}
+
 // Decide returns the next action for a roll-out. The first instance to write it decides
 // for all, since the others then see a changed row. A phase never goes back.
 func Decide(f Inputs) Action {
@@ -99,8 +129,11 @@
 	age := f.StoreClock - p.StartedAt
 	part := age.Seconds() / max(f.Order.MaxDuration.Seconds(), 1)
 	enough := f.NewUpstreams > 0 && float64(f.NewUpstreams) >= minCapacity*float64(f.OldUpstreams)
+	proven := float64(f.YoungUpstreams) <= maxYoung*float64(f.NewUpstreams)
 	switch {
-	case p.Phase == PhaseCanary && part >= shiftAt && (enough || (part >= forceShiftAt && f.NewUpstreams > 0)):
+	case p.Phase == PhaseCanary && part >= forceShiftAt && !proven:
+		return transition(*p, PhaseReverted, "not proven: the new upstreams have started again too lately")
+	case p.Phase == PhaseCanary && part >= shiftAt && proven && (enough || (part >= forceShiftAt && f.NewUpstreams > 0)):
 		return transition(*p, PhaseShift, "no fault seen")
 	case p.Phase == PhaseShift && part >= completeAt:
 		return transition(*p, PhaseCompleted, "no fault seen")
--- a/router/stager/stager.go
+++ b/router/stager/stager.go
@@ -12,7 +12,6 @@
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/canary"
-	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/mirror"
 )
 
@@ -152,7 +151,7 @@
 	before := m.monitor.OldErrors(f.Order.Service)
 	all := f.Total()
 	return func(e *zerolog.Event) {
-		e.Int("old-upstreams", f.OldUpstreams).Int("new-upstreams", f.NewUpstreams).
+		e.Int("old-upstreams", f.OldUpstreams).Int("new-upstreams", f.NewUpstreams).Int("young-upstreams", f.YoungUpstreams).
 			Int("responses", t.Responses).Int("failed", t.Failed).
 			Int("old-responses", int(before.All)).Int("old-failed", int(before.Bad)).
 			Int("all-responses", all.Responses).Int("all-failed", all.Failed)
@@ -169,7 +168,7 @@
 	if p, ok := v.Progress[o.Service]; ok {
 		f.Progress, f.Lost = &p.Progress, p.Lost
 	}
-	f.OldUpstreams, f.NewUpstreams = countUpstreams(v.Fleet.Service(o.Service), o.To)
+	f.CountUpstreams(v.Fleet.Service(o.Service), time.Now())
 	for _, t := range v.Tallies {
 		if t.Service == o.Service {
 			f.Tallies = append(f.Tallies, t)
@@ -178,21 +177,6 @@
 	return f, true
 }
 
-// countUpstreams returns the numbers of upstreams of other versions and of a version, without
-// draining ones.
-func countUpstreams(us []*fleet.Upstream, to fleet.Version) (old, current int) {
-	for _, u := range us {
-		switch {
-		case u.Draining:
-		case u.Version == to:
-			current++
-		default:
-			old++
-		}
-	}
-	return old, current
-}
-
 // isDue reports whether this instance may write now. A reversion is written at once by
 // every instance that finds it necessary.
 func (m *Controller) isDue(a canary.Save) bool {
