fix(canary): leave time between the move of all requests and completion

Callers got a bad version for as long as it ran: it had been completed, so that no old upstream was left.

Cause: a roll-out was completed when its age said so, also if its requests had moved only 0.2 s before, as they do when new upstreams come late. Class: a step that is timed by the start of the whole, not by the end of the step before it; the move had the same (provenPart).

TestDecide/shifted lately fails before this. Change: progress holds when the requests moved; completion takes 0.15 of the order's time from then on. A roll-out that is not proven at 0.8 of its time is reverted, so that this fits in.

--- a/router/canary/canary_test.go
+++ b/router/canary/canary_test.go
@@ -16,6 +16,13 @@
 	return &canary.Progress{Service: "llm", To: "v2", Order: 7, Phase: p, StartedAt: 100 * time.Second, Share: 800}
 }
 
+// shifted returns the progress of a roll-out whose requests moved at a time.
+func shifted(at time.Duration) *canary.Progress {
+	p := progress(canary.PhaseShift)
+	p.ShiftedAt = at
+	return p
+}
+
 // Guards against a roll-out that advances too early, too late or backwards, or although
 // its version is bad.
 func TestDecide(t *testing.T) {
@@ -37,6 +44,8 @@
 		"new upstreams start again after the shift": {canary.Inputs{Progress: progress(canary.PhaseShift), StoreClock: 118 * time.Second, OldUpstreams: 9, NewUpstreams: 9, YoungUpstreams: 9}, canary.PhaseCompleted, true},
 		"old requests end":                          {canary.Inputs{Progress: progress(canary.PhaseShift), StoreClock: 115 * time.Second, OldUpstreams: 9, NewUpstreams: 9}, 0, false},
 		"completed":                                 {canary.Inputs{Progress: progress(canary.PhaseShift), StoreClock: 117500 * time.Millisecond, OldUpstreams: 9, NewUpstreams: 9}, canary.PhaseCompleted, true},
+		"shifted lately":                            {canary.Inputs{Progress: shifted(116 * time.Second), StoreClock: 118 * time.Second, OldUpstreams: 9, NewUpstreams: 9}, 0, false},
+		"shifted for enough":                        {canary.Inputs{Progress: shifted(115 * time.Second), StoreClock: 118 * time.Second, OldUpstreams: 9, NewUpstreams: 9}, canary.PhaseCompleted, true},
 		"bad as a canary":                           {canary.Inputs{Progress: progress(canary.PhaseCanary), StoreClock: 103 * time.Second, Verdict: "errors"}, canary.PhaseReverted, true},
 		"bad after the shift":                       {canary.Inputs{Progress: progress(canary.PhaseShift), StoreClock: 118 * time.Second, Verdict: "errors"}, canary.PhaseReverted, true},
 		"bad after the end":                         {canary.Inputs{Progress: progress(canary.PhaseCompleted), Verdict: "errors"}, 0, false},
--- a/router/canary/decide.go
+++ b/router/canary/decide.go
@@ -15,8 +15,12 @@
 	// completeAt is the part after which a roll-out is completed. It leaves old requests
 	// time to end before the old upstreams stop, and some time for the write itself.
 	completeAt = 0.85
+	// minShiftPart is the least part of an order's time between the move of all requests and
+	// completion. Until then a version that the canary's few requests didn't show to be bad can
+	// still be reverted; afterwards the old upstreams have stopped.
+	minShiftPart = 0.15
 	// forceShiftAt is the part after which all requests move even if few new upstreams
-	// are listed, if these are proven; otherwise the roll-out is reverted.
+	// are listed.
 	forceShiftAt = 0.93
 	// minCapacity is the number of new upstreams, relative to the old ones, that is
 	// needed to move all requests.
@@ -25,6 +29,9 @@
 	// all requests move: some faults show only some seconds after an upstream's start, and an
 	// upstream that crashes and starts again hides them once more.
 	provenPart = 0.4
+	// provenBy is the part after which a roll-out whose upstreams are not proven is reverted: the rest
+	// is needed to move all requests and to complete it.
+	provenBy = 0.8
 	// maxYoung is the largest part of the new upstreams that may have been up for less.
 	maxYoung = 0.5
 	// canaryUpstreams is the traffic of a canary as a multiple of that of one old
@@ -84,7 +91,12 @@
 
 // ProvenAge returns how long an upstream of the new version must have been up to count as proven.
 func (o Order) ProvenAge() time.Duration {
-	return time.Duration(provenPart * float64(o.MaxDuration))
+	return partOf(o, provenPart)
+}
+
+// partOf returns a part of an order's time.
+func partOf(o Order, part float64) time.Duration {
+	return time.Duration(part * float64(o.MaxDuration))
 }
 
 // CountUpstreams sets the numbers of upstreams of both versions, without draining ones.
@@ -131,11 +143,13 @@
 	enough := f.NewUpstreams > 0 && float64(f.NewUpstreams) >= minCapacity*float64(f.OldUpstreams)
 	proven := float64(f.YoungUpstreams) <= maxYoung*float64(f.NewUpstreams)
 	switch {
-	case p.Phase == PhaseCanary && part >= forceShiftAt && !proven:
+	case p.Phase == PhaseCanary && part >= provenBy && !proven:
 		return transition(*p, PhaseReverted, "not proven: the new upstreams have started again too lately")
 	case p.Phase == PhaseCanary && part >= shiftAt && proven && (enough || (part >= forceShiftAt && f.NewUpstreams > 0)):
-		return transition(*p, PhaseShift, "no fault seen")
-	case p.Phase == PhaseShift && part >= completeAt:
+		s := transition(*p, PhaseShift, "no fault seen")
+		s.Progress.ShiftedAt = f.StoreClock
+		return s
+	case p.Phase == PhaseShift && part >= completeAt && f.StoreClock-p.ShiftedAt >= partOf(f.Order, minShiftPart):
 		return transition(*p, PhaseCompleted, "no fault seen")
 	}
 	return Wait{}
@@ -157,7 +171,7 @@
 }
 
 // transition returns progress with another phase.
-func transition(p Progress, to Phase, reason string) Action {
+func transition(p Progress, to Phase, reason string) Save {
 	p.Phase = to
 	return Save{Progress: p, Reason: reason}
 }
--- a/router/canary/types.go
+++ b/router/canary/types.go
@@ -65,6 +65,8 @@
 	Phase Phase
 	// StartedAt is the store's clock when the first instance started the order.
 	StartedAt time.Duration
+	// ShiftedAt is the store's clock when all requests moved; 0 before that.
+	ShiftedAt time.Duration
 	// Share is the canary's share of the sessions, in hundredths of a percent. All
 	// instances use the same one.
 	Share ident.Share
