--- a/router/canary/decide.go
+++ b/router/canary/decide.go
@@ -33,7 +33,7 @@
 	// is needed to move all requests and to complete it.
 	provenBy = 0.8
 	// maxYoung is the largest part of the new upstreams that may have been up for less.
-	maxYoung = 0.5
+	maxYoung = 0.25
 	// canaryUpstreams is the traffic of a canary as a multiple of that of one old
 	// upstream: enough to judge it, and so little that hardly any session changes its
 	// version.
