fix(canary): compare the times of engines at each router only

The times of prompts depend on caches and queues and come in groups, so they are not the independent observations that the test takes them for.

Change: times of all routers are compared for services without an engine only. TestExposureOfFewRequestsPerRouter holds.

--- a/router/boot/share.go
+++ b/router/boot/share.go
@@ -108,12 +108,12 @@
 			})
 		}
 	}
-	j.monitor.ObserveSamples(out, func(s ident.ServiceID) (uint64, bool) {
+	j.monitor.ObserveSamples(out, func(s ident.ServiceID) canary.Judged {
 		o, p := v.Orders[s], v.Progress[s].Progress
-		if p.Order != o.Revision || p.Phase.Final() {
-			return 0, false
+		if p.Order != o.Revision || p.Phase.Final() || v.Document == nil {
+			return canary.Judged{}
 		}
-		return o.Origin, p.Phase == canary.PhaseCanary
+		return canary.Judged{Order: o.Origin, Times: p.Phase == canary.PhaseCanary && !v.Document.Services[s].Engine}
 	}, now)
 }
 
--- a/router/canary/shared.go
+++ b/router/canary/shared.go
@@ -37,6 +37,16 @@
 	LogSlowdown float64
 }
 
+// Judged states for what a new version is judged by the samples of all instances.
+type Judged struct {
+	// Order is the revision of the order, 0 without one.
+	Order uint64
+	// Times is true if times count. They do while the version is a canary, as later the old version has
+	// none to compare with, and not for model engines: the times of their prompts differ by the content
+	// of caches, so that ten slow ones are no evidence.
+	Times bool
+}
+
 // outcomes counts responses.
 type outcomes struct{ errors, times guard.Counts }
 
@@ -87,26 +97,25 @@
 }
 
 // ObserveSamples adds samples of any instance, this one included, and judges the new version by the
-// recent ones of all: with many instances each sees few responses. orders returns the revision of the
-// order that a service's new version is judged for, 0 without one, and whether that version is a canary.
-// Times count for a canary only, as later the old version has no times to compare with.
-func (w *Monitor) ObserveSamples(ss []Sample, orders func(ident.ServiceID) (order uint64, isCanary bool), now time.Time) {
+// recent ones of all: with many instances each sees few responses. judged returns for what a service's
+// new version is judged.
+func (w *Monitor) ObserveSamples(ss []Sample, judged func(ident.ServiceID) Judged, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	touched := map[ident.ServiceID]bool{}
+	touched := map[ident.ServiceID]Judged{}
 	for _, s := range ss {
-		order, isCanary := orders(s.Service)
-		if order == 0 {
+		j := judged(s.Service)
+		if j.Order == 0 {
 			continue
 		}
 		x := w.stateOf(s.Service)
-		x.reset(order)
+		x.reset(j.Order)
 		x.shared.add(s, now)
-		touched[s.Service] = isCanary
+		touched[s.Service] = j
 	}
-	for s, isCanary := range touched {
+	for s, j := range touched {
 		if x := w.services[s]; x.verdict == "" {
-			x.verdict = x.shared.judge(isCanary, now)
+			x.verdict = x.shared.judge(j.Times, now)
 		}
 	}
 }
@@ -142,14 +151,14 @@
 }
 
 // judge returns why the new version is bad, or "".
-func (x *sharedState) judge(isCanary bool, now time.Time) string {
+func (x *sharedState) judge(byTimes bool, now time.Time) string {
 	for u, w := range x.news {
 		if w.sum(sharedWindow, now) == (outcomes{}) {
 			delete(x.news, u)
 		}
 	}
 	for _, n := range []int64{shortWindow, sharedWindow} {
-		if v := x.judgeLast(n, isCanary, now); v != "" {
+		if v := x.judgeLast(n, byTimes, now); v != "" {
 			return v
 		}
 	}
@@ -157,7 +166,7 @@
 }
 
 // judgeLast judges the responses of the last seconds.
-func (x *sharedState) judgeLast(seconds int64, isCanary bool, now time.Time) string {
+func (x *sharedState) judgeLast(seconds int64, byTimes bool, now time.Time) string {
 	var errors, times tally
 	for _, w := range x.news {
 		o := w.sum(seconds, now)
@@ -168,7 +177,7 @@
 		return fmt.Sprintf("errors at all instances: %.0f of %.0f against %.0f of %.0f", e.Bad, e.All, x.reference.Bad, x.reference.All)
 	}
 	old := x.old.sum(seconds, now).times
-	if t := times.typical(); isCanary && old.All > 0 && guard.Excess(guard.SignalLatency, t, old) >= minEvidence {
+	if t := times.typical(); byTimes && old.All > 0 && guard.Excess(guard.SignalLatency, t, old) >= minEvidence {
 		return fmt.Sprintf("slow at all instances: %.0f of %.0f against %.0f of %.0f", t.Bad, t.All, old.Bad, old.All)
 	}
 	return ""
