feat(crash): log the content of requests that were in progress at a crash

The logs can't tell whether two requests have the same content, and the crash of a service without prompts isn't logged at all.

Change: a request has a hash of its caller, path and body, which attempts and crashes log. Crashes are tracked for requests without a prompt as well. No decision changes: evidence comes from parts of prompts, which these don't have.

--- a/router/crash/crash.go
+++ b/router/crash/crash.go
@@ -85,12 +85,8 @@
 	return &Monitor{observer: o, log: l, upstreams: map[fleet.Incarnation]*upstream{}}
 }
 
-// Start records an attempt, which cancel ends. It returns nil, which is a valid Attempt, if the prompt
-// shares no part with other requests.
+// Start records an attempt, which cancel ends.
 func (m *Monitor) Start(i fleet.Incarnation, p Prompt, cancel context.CancelCauseFunc) *Attempt {
-	if len(p.Parts) == 0 {
-		return nil
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	u := m.upstreams[i]
@@ -105,9 +101,6 @@
 
 // Began records that the upstream began to answer the request.
 func (a *Attempt) Began(now time.Time) {
-	if a == nil {
-		return
-	}
 	a.monitor.mu.Lock()
 	defer a.monitor.mu.Unlock()
 	a.beganAt = now
@@ -119,9 +112,6 @@
 
 // Received records that bytes of the answer arrived, which shows that the upstream goes on.
 func (a *Attempt) Received(now time.Time) {
-	if a == nil {
-		return
-	}
 	a.monitor.mu.Lock()
 	defer a.monitor.mu.Unlock()
 	a.monitor.settle(a.upstream, now)
@@ -130,9 +120,6 @@
 // Lost records that the connection ended before the answer was complete. The upstream has been
 // there until about now.
 func (a *Attempt) Lost(now time.Time) {
-	if a == nil {
-		return
-	}
 	a.monitor.mu.Lock()
 	defer a.monitor.mu.Unlock()
 	a.monitor.settle(a.upstream, now)
@@ -142,9 +129,6 @@
 // End records the end of the attempt; further calls do nothing. An attempt whose answer began, or
 // whose connection was lost, still waits for its verdict.
 func (a *Attempt) End(now time.Time) {
-	if a == nil {
-		return
-	}
 	m := a.monitor
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -225,19 +209,22 @@
 	}
 }
 
-// logCrash logs a crash with the requests whose answers had begun, as ID:PART,PART.
+// logCrash logs a crash with the requests whose answers had begun, as ID:PART,PART:CONTENT, and the
+// content of others.
 func (m *Monitor) logCrash(r Report) {
-	var begun []string
+	var begun, contents []string
 	waiting := 0
 	for _, s := range r.Suspects {
 		switch {
 		case !s.Began:
-			waiting++
+			if waiting++; waiting <= maxLogged {
+				contents = append(contents, s.Content.String())
+			}
 		case len(begun) < maxLogged:
 			begun = append(begun, s.String())
 		}
 	}
-	m.log.Warn().Str("upstream", string(r.Upstream.ID)).Int64("born", r.Upstream.StartedMs).Strs("begun", begun).Int("waiting", waiting).
+	m.log.Warn().Str("upstream", string(r.Upstream.ID)).Int64("born", r.Upstream.StartedMs).Strs("begun", begun).Int("waiting", waiting).Strs("waiting-contents", contents).
 		Msg("upstream ended with requests in progress")
 }
 
--- a/router/crash/crash_test.go
+++ b/router/crash/crash_test.go
@@ -37,7 +37,7 @@
 func ignore(error) {}
 
 func prompt(id string) crash.Prompt {
-	return crash.NewPrompt("llm", call.Request{ID: call.ID(id), Prefix: []call.PromptPart{{ID: "p"}, {ID: id}}})
+	return crash.NewPrompt("llm", call.Request{ID: call.ID(id), Prefix: []call.PromptPart{{ID: "p"}, {ID: id}}}, crash.Content{})
 }
 
 // Guards against crashes that are related to requests whose upstream went on for long after it began
@@ -128,9 +128,9 @@
 }
 
 func ExampleNewPrompt() {
-	p := crash.NewPrompt("llm", call.Request{ID: "9c41", Prefix: []call.PromptPart{{ID: "5c1e"}, {ID: "91bd"}, {ID: "e440"}}})
-	fmt.Println(p, len(p.Parts))
-	// Output: 9c41:5c1e,91bd 2
+	p := crash.NewPrompt("llm", call.Request{ID: "9c41", Prefix: []call.PromptPart{{ID: "5c1e"}, {ID: "91bd"}, {ID: "e440"}}}, crash.Content{Target: "/plan"})
+	fmt.Println(p.ID, p.Labels(), len(p.Parts), p.Content.IsContent())
+	// Output: 9c41 5c1e,91bd 2 true
 }
 
 // Guards against a quarantine that lets requests crash upstreams that are in their queues already,
--- a/router/gossip/poison_test.go
+++ b/router/gossip/poison_test.go
@@ -13,7 +13,7 @@
 
 // sharedPrompt returns a prompt with two shared parts and one of its own.
 func sharedPrompt(first, second string, n int) crash.Prompt {
-	return crash.NewPrompt("llm", call.Request{ID: call.ID(fmt.Sprint(n)), Prefix: []call.PromptPart{{ID: first}, {ID: second}, {ID: fmt.Sprint("own-", n)}}})
+	return crash.NewPrompt("llm", call.Request{ID: call.ID(fmt.Sprint(n)), Prefix: []call.PromptPart{{ID: first}, {ID: second}, {ID: fmt.Sprint("own-", n)}}}, crash.Content{})
 }
 
 // Each crash is seen by another router, and the sound requests that share the first part are served
--- a/router/poison/poison_test.go
+++ b/router/poison/poison_test.go
@@ -33,7 +33,7 @@
 	for _, p := range append(shared, fmt.Sprintf("own-%d", s.n)) {
 		q.Prefix = append(q.Prefix, call.PromptPart{ID: p})
 	}
-	return crash.NewPrompt("llm", q)
+	return crash.NewPrompt("llm", q, crash.Content{})
 }
 
 // begun returns a suspect whose answer had begun, waiting one whose answer had not.
@@ -229,13 +229,13 @@
 	now := time.Unix(1000, 0)
 	r := poison.New(zerolog.New(io.Discard))
 	for i := range 3 {
-		p := crash.NewPrompt("llm", call.Request{Prefix: []call.PromptPart{{ID: "bad"}, {ID: fmt.Sprint(i)}}})
+		p := crash.NewPrompt("llm", call.Request{Prefix: []call.PromptPart{{ID: "bad"}, {ID: fmt.Sprint(i)}}}, crash.Content{})
 		u := fleet.Incarnation{ID: ident.UpstreamID(fmt.Sprint("u", i))}
 		r.Crashed(crash.Report{Upstream: u, Suspects: []crash.Suspect{{Prompt: p, Began: true}}}, now)
 	}
 	r.Update(now)
 	r.Update(now.Add(time.Second))
-	p := crash.NewPrompt("llm", call.Request{Prefix: []call.PromptPart{{ID: "bad"}, {ID: "3"}}})
+	p := crash.NewPrompt("llm", call.Request{Prefix: []call.PromptPart{{ID: "bad"}, {ID: "3"}}}, crash.Content{})
 	fmt.Println(r.Check(p, now.Add(time.Minute)))
 	// Output: 9m0s
 }
--- a/router/relay/record.go
+++ b/router/relay/record.go
@@ -28,7 +28,7 @@
 		Str("upstream", string(c.Upstream.ID)).Str("version", string(c.Upstream.Version)).Str("assigned", string(t.assignment)).Str("model", string(model)).
 		Float64("cost", math.Round(c.Cost)).Dur("predicted", c.Delay.Round(time.Millisecond)).Dur("nominal", c.Nominal.Round(time.Millisecond)).Int("candidates", c.Candidates).
 		Bool("prefix-cached", c.CacheHit).Str("prefix-source", sourceID(c)).Dur("took", took).
-		Str("prompt", t.prompt.Labels()).Msg("attempt")
+		Str("prompt", t.prompt.Labels()).Stringer("content", t.prompt.Content).Msg("attempt")
 }
 
 // sourceID returns the id of the upstream from which the chosen one was asked to copy the
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -138,7 +138,7 @@
 	if !ok {
 		return refuse.New(refuse.NoUpstream, refuse.NotRun, "route %s has no service", j.Route.ID).WithRetryAfter(time.Second)
 	}
-	t := &request{Relay: r, Job: j, service: s, prompt: crash.NewPrompt(s, j.Meta)}
+	t := &request{Relay: r, Job: j, service: s, prompt: crash.NewPrompt(s, j.Meta, crash.Content{Account: j.Account, Method: j.Method, Target: j.Target, Body: j.Body})}
 	r.Budget.RecordRequest(s, r.Now())
 	if err := t.checkPrompt(); err != nil {
 		return err
--- a/router/share/exchange_test.go
+++ b/router/share/exchange_test.go
@@ -147,7 +147,7 @@
 	for i := range 40 {
 		r := crash.Report{Upstream: fleet.Incarnation{ID: ident.UpstreamID(fmt.Sprintf("i-%010x", i)), StartedMs: now.UnixMilli()}}
 		for j := range 5 {
-			p := crash.NewPrompt("llm", call.Request{Prefix: []call.PromptPart{{ID: fmt.Sprint("a", j)}, {ID: "b"}, {ID: fmt.Sprint("own", i, j)}}})
+			p := crash.NewPrompt("llm", call.Request{Prefix: []call.PromptPart{{ID: fmt.Sprint("a", j)}, {ID: "b"}, {ID: fmt.Sprint("own", i, j)}}}, crash.Content{})
 			r.Suspects = append(r.Suspects, crash.Suspect{Prompt: p, Began: true})
 		}
 		c.Crashed(r, now)
