test(boot): show that one request crashes upstream after upstream

TestCrashingRequest sends requests with the same path, caller and body through four routers; each upstream that runs one ends and is back 1.5 s later.

--- a/router/boot/poison_test.go
+++ b/router/boot/poison_test.go
@@ -25,12 +25,15 @@
 	soundShare = 0.5
 )
 
-// crashingFleet runs upstreams that crash under a prompt part and start again under a new id some
-// time later.
+// crashingFleet runs upstreams of a service that crash under certain requests and start again under a
+// new id some time later.
 type crashingFleet struct {
-	w    *harness
-	part string
-	mu   sync.Mutex
+	w       *harness
+	service string
+	// crashes under these requests; the others get reply.
+	guilty func(r server.Request) bool
+	reply  server.Reply
+	mu     sync.Mutex
 	// started counts the upstreams, all holds them.
 	started int
 	all     []*server.Server
@@ -46,10 +49,10 @@
 		name := fmt.Sprintf("s%d", c.started)
 		c.mu.Unlock()
 		s, err := server.New(name, func(r server.Request) server.Reply {
-			if strings.Contains(r.Header.Get("Tarragonvalve-Prompt-Prefix"), c.part+":") {
+			if c.guilty(r) {
 				return crash
 			}
-			return server.Events{Count: 4, Pause: 80 * time.Millisecond}
+			return c.reply
 		})
 		if err != nil {
 			c.w.t.Error(err)
@@ -58,7 +61,7 @@
 		c.mu.Lock()
 		c.all = append(c.all, s)
 		c.mu.Unlock()
-		c.w.register(s, "llm", "v1", "ready")
+		c.w.register(s, c.service, "v1", "ready")
 		select {
 		case <-ctx.Done():
 			s.Close()
@@ -78,12 +81,12 @@
 	}
 }
 
-// arrivals returns when requests with the part reached an upstream.
+// arrivals returns when requests that crash upstreams reached one.
 func (c *crashingFleet) arrivals() []time.Time {
 	var ts []time.Time
 	for _, s := range c.all {
 		for _, q := range s.Requests() {
-			if strings.Contains(q.Header.Get("Tarragonvalve-Prompt-Prefix"), c.part+":") {
+			if c.guilty(q) {
 				ts = append(ts, q.At)
 			}
 		}
@@ -114,7 +117,7 @@
 			t.Parallel()
 			const upstreams, calm, length = 6, 2 * time.Second, 12 * time.Second
 			ws := startRouters(t, standardDocument(), 4)
-			f := &crashingFleet{w: ws[0], part: part}
+			f := &crashingFleet{w: ws[0], service: "llm", guilty: holdsPart(part), reply: server.Events{Count: 4, Pause: 80 * time.Millisecond}}
 			ctx, stop := context.WithCancel(context.Background())
 			var slots, clients sync.WaitGroup
 			for range upstreams {
@@ -167,6 +170,94 @@
 	}
 }
 
+// holdsPart returns a filter for requests whose prompt holds a part.
+func holdsPart(part string) func(server.Request) bool {
+	return func(r server.Request) bool {
+		return strings.Contains(r.Header.Get("Tarragonvalve-Prompt-Prefix"), part+":")
+	}
+}
+
+// Incident BUDGET of issue 31: a request without a prompt crashes each upstream that runs it, and comes
+// again and again, with the same path, caller and body, through all routers. Guards against routers that
+// send it to the next upstream, and against routers that also refuse the sound requests of its route.
+func TestCrashingRequest(t *testing.T) {
+	t.Parallel()
+	// crashesCounted is the number of crashes after which the users count, from poisonGrace on.
+	const crashesCounted = 3
+	tests := map[string]struct {
+		method, path, body string
+		// pause is the time between two such requests at a router.
+		pause time.Duration
+	}{
+		"idempotent":     {"GET", "/read/bad", "", 600 * time.Millisecond},
+		"runs once":      {"POST", "/order/bad", "a", 600 * time.Millisecond},
+		"ten a second":   {"GET", "/read/bad", "", 400 * time.Millisecond},
+		"one in seconds": {"POST", "/order/bad", "a", 5 * time.Second},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const upstreams, calm, length = 3, 2 * time.Second, 20 * time.Second
+			ws := startRouters(t, standardDocument(), 4)
+			f := &crashingFleet{w: ws[0], service: "desk", guilty: func(r server.Request) bool { return r.Target == c.path }, reply: worked}
+			ctx, stop := context.WithCancel(context.Background())
+			var slots, clients sync.WaitGroup
+			for range upstreams {
+				slots.Go(func() { f.slot(ctx, server.Crash{Delay: 50 * time.Millisecond}) })
+			}
+			for _, w := range ws {
+				w.awaitUpstreams(upstreams)
+			}
+			began := time.Now()
+			var mu sync.Mutex
+			var served, failed []time.Time
+			for i, w := range ws {
+				clients.Go(func() {
+					time.Sleep(calm + c.pause*time.Duration(i)/time.Duration(len(ws)))
+					for time.Since(began) < length {
+						clients.Go(func() { w.send(c.method, c.path, c.body) })
+						time.Sleep(c.pause)
+					}
+				})
+				clients.Go(func() {
+					for n := 0; time.Since(began) < length; n++ {
+						time.Sleep(100 * time.Millisecond)
+						clients.Go(func() {
+							at := time.Now()
+							a := w.send(c.method, strings.TrimSuffix(c.path, "bad")+fmt.Sprint(n%40), c.body)
+							mu.Lock()
+							defer mu.Unlock()
+							if a.err == nil && a.status == 200 {
+								served = append(served, at)
+							} else {
+								failed = append(failed, at)
+							}
+						})
+					}
+				})
+			}
+			clients.Wait()
+			stop()
+			slots.Wait()
+			if len(f.crashes) < crashesCounted {
+				t.Fatalf("%d crashes, want at least %d", len(f.crashes), crashesCounted)
+			}
+			known := f.crashes[crashesCounted-1]
+			if n := countAfter(f.arrivals(), known.Add(poisonGrace)); n > poisonTolerance {
+				t.Errorf("the request reached upstreams %d times later than %s after crash %d, allowed %d; %d crashes in all",
+					n, poisonGrace, crashesCounted, poisonTolerance, len(f.crashes))
+			}
+			last := f.crashes[len(f.crashes)-1]
+			from := f.crashes[min(crashesKnown, len(f.crashes))-1].Add(2 * poisonGrace)
+			ok, bad := countAfter(served, from), countAfter(failed, from)
+			if float64(ok) < soundShare*float64(ok+bad) || ok == 0 {
+				t.Errorf("%d of %d sound requests served later than %s after crash %d", ok, ok+bad, 2*poisonGrace, crashesKnown)
+			}
+			t.Logf("%d crashes, the last %s after the first, %d of %d sound requests served", len(f.crashes), last.Sub(f.crashes[0]), len(served), len(served)+len(failed))
+		})
+	}
+}
+
 // promptOf returns the headers of a request with the given shared parts. n numbers its own part.
 func promptOf(shared string, n int) []string {
 	return []string{
