fix(poison): keep requests that crash upstreams from the next one

Callers saw nine of ten orders and look-ups fail for as long as one request came again and again: each of its attempts ended an upstream, up to three a request, and the service has three.

Cause: only parts of prompts were related to crashes. A request without a prompt has none, so each crash counted as a fault of the upstream alone.

Change: the content of a request, a hash of caller, path and body, is a part like those of prompts. A request whose upstream is known to have ended under its content is not sent to the next one. After two lost connections a request waits 0.15 s for the check of the upstreams.

Ruled out: the rush after a restart, since the fleet stays up once the request is refused; and power, since the engines went on.

--- a/router/crash/crash.go
+++ b/router/crash/crash.go
@@ -30,7 +30,8 @@
 // Suspect is a request that an upstream had when it crashed.
 type Suspect struct {
 	Prompt
-	// Began is true if the upstream had begun to answer it at most settleTime before.
+	// Began is true if the upstream had begun to answer it at most settleTime before, and for requests
+	// without a prompt: their answers begin when they have been run.
 	Began bool
 }
 
@@ -117,13 +118,26 @@
 	a.monitor.settle(a.upstream, now)
 }
 
+// Completed records that the answer is complete, so that the upstream survived the request.
+func (a *Attempt) Completed() {
+	m := a.monitor
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := a.upstream.attempts[a]; ok {
+		m.forget(a)
+		m.observer.Survived(a.prompt, a.beganAt)
+	}
+}
+
 // Lost records that the connection ended before the answer was complete. The upstream has been
-// there until about now.
-func (a *Attempt) Lost(now time.Time) {
+// there until about now. It reports whether the request may have been the cause: its answer had not
+// begun, or only just.
+func (a *Attempt) Lost(now time.Time) bool {
 	a.monitor.mu.Lock()
 	defer a.monitor.mu.Unlock()
 	a.monitor.settle(a.upstream, now)
 	a.lost = true
+	return a.beganAt.IsZero() || now.Sub(a.beganAt) < settleTime
 }
 
 // End records the end of the attempt; further calls do nothing. An attempt whose answer began, or
@@ -185,7 +199,7 @@
 		r := Report{Upstream: i}
 		for a := range u.attempts {
 			m.forget(a)
-			r.Suspects = append(r.Suspects, Suspect{Prompt: a.prompt, Began: !a.beganAt.IsZero()})
+			r.Suspects = append(r.Suspects, Suspect{Prompt: a.prompt, Began: !a.beganAt.IsZero() || len(a.prompt.Parts) == 0})
 		}
 		delete(m.upstreams, i)
 		if len(r.Suspects) > 0 {
--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -50,8 +50,9 @@
 		}
 		q := Quarantine{At: c.last}
 		for _, x := range cs {
-			// Of parts that came together each time, any may be the cause.
-			if x.known == c.known && x.includes(c) {
+			// Of parts that came together each time, any may be the cause. No request has the content
+			// of two.
+			if x.part == c.part || (!x.part.IsContent() && !c.part.IsContent() && x.known == c.known && x.includes(c)) {
 				q.Parts = append(q.Parts, x.part)
 			}
 		}
@@ -111,9 +112,13 @@
 }
 
 // explained reports whether a quarantine without the suspicion's part explains the crash at least as
-// well: requests with its parts were in progress too.
+// well: requests with its parts were in progress too. Content doesn't explain that of other requests:
+// if two came together each time, either may be the cause.
 func (e *evidence) explained(s Suspicion, active []Quarantine) bool {
 	return slices.ContainsFunc(active, func(q Quarantine) bool {
+		if s.Part.IsContent() && q.Parts[0].IsContent() {
+			return false
+		}
 		return !slices.Contains(q.Parts, s.Part) && !slices.ContainsFunc(q.Parts, func(x crash.Part) bool {
 			return !e.suspects[x].inProgress(s.Upstream, s.Began)
 		})
--- a/router/poison/evidence.go
+++ b/router/poison/evidence.go
@@ -101,10 +101,11 @@
 	return fewDelay
 }
 
-// known reports whether an upstream survived a part within evidenceTTL.
+// known reports whether an upstream survived a part within evidenceTTL. Content counts as unknown: it
+// isn't often in progress by chance.
 func (e *evidence) known(p crash.Part, now time.Time) bool {
 	at, ok := e.survived[p]
-	return ok && now.Sub(at) <= evidenceTTL
+	return ok && now.Sub(at) <= evidenceTTL && !p.IsContent()
 }
 
 // compareKnown orders parts that aren't known before those that are.
--- a/router/poison/poison.go
+++ b/router/poison/poison.go
@@ -1,5 +1,5 @@
-// Package poison finds the parts of prompts that crash upstreams, from the crashes that all routers
-// report, and keeps requests with such parts from upstreams.
+// Package poison finds the parts of prompts, and the whole requests, that crash upstreams, from the
+// crashes that all routers report, and keeps such requests from upstreams.
 package poison
 
 import (
@@ -10,10 +10,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/serve"
 	"tarragonvalve.example/router/crash"
+	"tarragonvalve.example/router/fleet"
 )
 
 const (
@@ -44,8 +46,10 @@
 // active reports whether the quarantine is in force unless a part of it proves to be harmless.
 func (q Quarantine) active(now time.Time) bool { return now.Sub(q.At) < quarantineTTL }
 
-// blocks reports whether a prompt holds all parts.
-func (q Quarantine) blocks(p crash.Prompt) bool { return containsAll(p.Parts, q.Parts) }
+// blocks reports whether a request holds all parts.
+func (q Quarantine) blocks(p crash.Prompt) bool {
+	return !slices.ContainsFunc(q.Parts, func(x crash.Part) bool { return x != p.Content && !slices.Contains(p.Parts, x) })
+}
 
 // Canceler ends attempts at upstreams.
 type Canceler interface {
@@ -83,19 +87,47 @@
 		for _, p := range s.Parts {
 			r.evidence.suspect(Suspicion{Part: p, Upstream: x.Upstream, Request: s.Request, Began: s.Began, At: now}, now)
 		}
+		r.evidence.suspect(Suspicion{Part: s.Content, Upstream: x.Upstream, Request: contentRequest(x.Upstream), Began: s.Began, At: now}, now)
 	}
 }
 
-// Survived implements crash.Observer.
+// contentRequest stands for the request in a suspicion of content: each crash under the same content
+// counts, be it by a repeat of one request or by another one.
+func contentRequest(i fleet.Incarnation) crash.RequestHash {
+	return crash.RequestHash(xxhash.Sum64String(string(i.ID)) + uint64(i.StartedMs))
+}
+
+// Survived implements crash.Observer. Survivals of content count only if it is suspected: it is of use
+// for nothing else, and there is much of it.
 func (r *Registry) Survived(p crash.Prompt, began time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, x := range p.Parts {
 		r.evidence.survive(x, began)
 	}
+	if r.evidence.suspects[p.Content] != nil || remembered(r.quarantines, p.Content) {
+		r.evidence.survive(p.Content, began)
+	}
+}
+
+// Suspected reports whether an upstream crashed with the same content in progress and none has survived
+// it since.
+func (r *Registry) Suspected(p crash.Prompt) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.evidence.suspects[p.Content]
+	if x == nil {
+		return false
+	}
+	for _, s := range x.suspicions {
+		if s.At.After(r.evidence.survived[p.Content]) {
+			return true
+		}
+	}
+	return false
 }
 
-// Check returns how long requests with a prompt are still refused, or 0 if they aren't.
+// Check returns how long a request is still refused, or 0 if it isn't.
 func (r *Registry) Check(p crash.Prompt, now time.Time) time.Duration {
 	for _, q := range *r.inForce.Load() {
 		if q.blocks(p) {
@@ -192,12 +224,12 @@
 		next = append(next, q)
 		if !slices.ContainsFunc(old, func(x Quarantine) bool { return slices.Equal(x.Parts, q.Parts) }) {
 			added = append(added, q)
-			r.log.Warn().Uints64("parts", hashes(q.Parts)).Dur("age", now.Sub(q.At)).Msg("prompt parts crash upstreams, requests with them are refused")
+			r.log.Warn().Uints64("parts", hashes(q.Parts)).Dur("age", now.Sub(q.At)).Msg("prompt parts or requests crash upstreams and are refused")
 		}
 	}
 	for _, q := range old {
 		if !slices.ContainsFunc(next, func(x Quarantine) bool { return slices.Equal(x.Parts, q.Parts) }) {
-			r.log.Warn().Uints64("parts", hashes(q.Parts)).Msg("prompt parts are allowed again")
+			r.log.Warn().Uints64("parts", hashes(q.Parts)).Msg("prompt parts or requests are allowed again")
 		}
 	}
 	r.inForce.Store(&next)
--- a/router/poison/poison_test.go
+++ b/router/poison/poison_test.go
@@ -193,6 +193,83 @@
 	}
 }
 
+// plain returns a request without a prompt.
+func (s *scene) plain(target string) crash.Prompt {
+	s.n++
+	return crash.NewPrompt("desk", call.Request{ID: call.ID(fmt.Sprint(s.n))}, crash.Content{Method: "GET", Target: target})
+}
+
+// running returns suspects that an upstream ran when it crashed.
+func (s *scene) running(targets ...string) []crash.Suspect {
+	var xs []crash.Suspect
+	for _, t := range targets {
+		xs = append(xs, crash.Suspect{Prompt: s.plain(t), Began: true})
+	}
+	return xs
+}
+
+// Incident BUDGET of issue 31: guards against requests without a prompt that go on crashing upstreams,
+// and against sound ones that are refused since they ran beside them.
+func TestContents(t *testing.T) {
+	const settled = 1100 * time.Millisecond
+	tests := map[string]struct {
+		run             func(s *scene)
+		refused, served []string
+	}{
+		"two crashes": {func(s *scene) {
+			s.crash(s.running("x")...)
+			s.crash(s.running("x")...)
+		}, nil, []string{"x"}},
+		"three crashes beside others": {func(s *scene) {
+			s.crash(s.running("x", "a", "b")...)
+			s.crash(s.running("x", "a", "c")...)
+			s.Survived(s.plain("a"), s.now)
+			s.crash(s.running("x", "a", "d")...)
+		}, []string{"x"}, []string{"a", "b", "c", "d"}},
+		"two that came together": {func(s *scene) {
+			for range 3 {
+				s.crash(s.running("x", "y")...)
+			}
+		}, []string{"x", "y"}, []string{"a"}},
+		"one upstream, many repeats": {func(s *scene) {
+			s.crash(s.running("x", "x", "x", "x")...)
+		}, nil, []string{"x"}},
+		"power failure, repeated at three of twelve": {func(s *scene) {
+			for i := range 12 {
+				if i < 3 {
+					s.crash(s.running("a", fmt.Sprint("b", i))...)
+				} else {
+					s.crash(s.running(fmt.Sprint("b", i))...)
+				}
+			}
+		}, nil, []string{"a", "b1"}},
+		"survived after the crashes": {func(s *scene) {
+			for range 3 {
+				s.crash(s.running("x")...)
+			}
+			s.wait(settled)
+			s.Survived(s.plain("x"), s.now)
+		}, nil, []string{"x"}},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newScene()
+			c.run(s)
+			s.wait(settled)
+			for _, x := range c.refused {
+				if s.Check(s.plain(x), s.now) <= 0 {
+					t.Errorf("%s is served", x)
+				}
+			}
+			for _, x := range c.served {
+				if s.Check(s.plain(x), s.now) > 0 {
+					t.Errorf("%s is refused", x)
+				}
+			}
+		})
+	}
+}
+
 // Two routers exchange a quarantine for an hour. Guards against times that get later by each
 // transfer, so that the quarantine never ends.
 func TestQuarantineEnds(t *testing.T) {
--- a/router/relay/buffered.go
+++ b/router/relay/buffered.go
@@ -70,6 +70,7 @@
 	a.End()
 	if err == nil {
 		a.reportFirstResponse()
+		a.verdict.Completed()
 	} else if context.Cause(ctx) == nil {
 		a.connectionLost()
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -165,6 +165,8 @@
 	excluded []ident.UpstreamID
 	// retryGranted is a retry that has been taken from the budget and not been used, or nil.
 	retryGranted atomic.Pointer[retryGrant]
+	// crashes counts the attempts whose upstream may have ended because of the request.
+	crashes int
 	// permit allows the next attempt if its upstream limits its requests.
 	permit notice.Permit
 	// rejection is why the last attempt that did not run was rejected or not sent.
@@ -240,7 +242,9 @@
 // connectionLost records that the upstream ended the connection before its answer was complete,
 // and has the upstream checked.
 func (o *attempt) connectionLost() {
-	o.verdict.Lost(time.Now())
+	if o.verdict.Lost(time.Now()) {
+		o.crashes++
+	}
 	o.Probe.ConnectionLost(o.upstream)
 }
 
@@ -386,7 +390,7 @@
 	if d <= 0 {
 		return nil
 	}
-	return refuse.New(refuse.PromptQuarantined, t.ran(), "a part of the prompt crashes upstreams: %s", t.prompt.Labels()).WithRetryAfter(d)
+	return refuse.New(refuse.PromptQuarantined, t.ran(), "the request or a part of its prompt crashes upstreams: %s", t.prompt).WithRetryAfter(d)
 }
 
 // ran states whether the request has run.
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -21,6 +21,13 @@
 	if t.checkPrompt() != nil {
 		return false
 	}
+	if t.crashes >= maxCrashes {
+		t.awaitCheck(ctx)
+	}
+	if t.crashes > 0 && t.Poison.Suspected(t.prompt) {
+		t.Log.Warn().Str("request", string(t.Meta.ID)).Int("crashes", t.crashes).Msg("not repeated, upstreams may crash under it")
+		return false
+	}
 	if t.runs >= t.Route.Attempts || (t.mayHaveRun && !t.Route.Retryable()) {
 		return false
 	}
@@ -37,6 +44,25 @@
 	return true
 }
 
+const (
+	// maxCrashes is the number of attempts that lost their connections before an answer began from
+	// which it is waited until it is known whether their upstreams ended.
+	maxCrashes = 2
+	// checkTime is the time from the loss of a connection until it is known whether its upstream
+	// ended: the monitor examines upstreams every 100 ms, and a refused connection takes some ms.
+	checkTime = 150 * time.Millisecond
+)
+
+// awaitCheck waits until it is known whether the upstream of the last attempt ended.
+func (t *request) awaitCheck(ctx context.Context) {
+	timer := time.NewTimer(checkTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // isFinal reports whether a retry after this outcome is pointless.
 func isFinal(o outcome) bool {
 	switch o.(type) {
