fix(relay): continue a stream only by events that continue it

Reported by operators of similar systems: a stream broke off, the next server answered with an error, and clients found its text, or its whole head, in the middle of their stream, or the stream ended as if complete.

TestErrorInsteadOfContinuation: of eight answers to the request to continue, a success with an error's text and one with a head as its body were passed on as events without an id, and the stream ended as complete. The other six (statuses 204, 404, 500 and 503, a rejection, malformed bytes) ended the stream as truncated before, too.

Cause: only events with an id were checked against the last one. Change: an attempt to continue a stream has to begin with an event that has an id.

--- a/router/boot/stream_test.go
+++ b/router/boot/stream_test.go
@@ -79,6 +79,41 @@
 	}
 }
 
+// A stream breaks off and the next upstream answers with an error. Guards against the text or the
+// head of that error in the middle of the stream, and against a stream that seems to be complete.
+func TestErrorInsteadOfContinuation(t *testing.T) {
+	t.Parallel()
+	const text = "{\"error\":\"no such stream\"}\n\n"
+	for name, next := range map[string]server.Reply{
+		"error of the server":   server.Answer{Status: 500, Body: text},
+		"overload":              server.Answer{Status: 503, Body: text},
+		"error of the request":  server.Answer{Status: 404, Body: text},
+		"rejected":              server.Reject{Status: 503},
+		"no answer of the kind": server.Answer{Status: 204},
+		"success that is none":  server.Answer{Status: 200, Body: text},
+		"head as a body":        server.Answer{Status: 200, Body: "HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nno\n\n"},
+		"malformed":             server.Malformed{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := startRouter(t, document(1, route("chat", "streaming", "llm", "resumable", true, "attempts", 2)))
+			script := func(r server.Request) server.Reply {
+				if r.Header.Get("Last-Event-Id") != "" {
+					return next
+				}
+				return server.Events{Count: 9, TruncateAfter: 4}
+			}
+			w.server("llm", "s1", "v1", script)
+			w.server("llm", "s2", "v1", script)
+			w.awaitUpstreams(2)
+			a := w.send("POST", "/chat/1", "prompt", "Tarragonvalve-Model-Name", "small")
+			if a.err == nil || a.body != events(4) {
+				t.Errorf("got %v %q, want an error after four complete events", a.err, a.body)
+			}
+		})
+	}
+}
+
 // Guards against a response of the small model that is kept despite its low confidence, and
 // against a second, larger model for a response with high confidence.
 func TestModelEscalation(t *testing.T) {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -38,6 +38,8 @@
 	// hasEvent is true.
 	lastEvent uint64
 	hasEvent  bool
+	// continues is true until the first event of an attempt that continues after lastEvent.
+	continues bool
 }
 
 // serveStream serves a request of a streaming route: it passes on each event when it is
@@ -163,6 +165,7 @@
 			return escalated{}
 		}
 	}
+	f.continues = f.hasEvent
 	r := events.NewReader(a)
 	pace := pacing{attempt: a.attempt}
 	for {
@@ -222,8 +225,15 @@
 }
 
 // forward writes one event to the client and flushes it, with the headers before the first.
-// It returns an *OrderError if the event doesn't follow the last one.
+// It returns an *OrderError if the event doesn't follow the last one, and errNotContinued if an attempt
+// to continue the stream begins with something else than an event with an id, such as an error's text.
 func (f *clientStream) forward(t *request, a answered, e events.Event) error {
+	if f.continues && !e.CommentOnly {
+		if !e.HasID {
+			return errNotContinued
+		}
+		f.continues = false
+	}
 	if e.HasID {
 		if f.hasEvent && e.ID != f.lastEvent+1 {
 			return &OrderError{After: f.lastEvent, Got: e.ID}
@@ -242,6 +252,9 @@
 	return f.rc.Flush()
 }
 
+// errNotContinued reports a response to a continued stream that doesn't continue it.
+var errNotContinued = errors.New("the answer doesn't continue the stream")
+
 // pacedEvents is the number of events whose mean interval is reported: few, so that a slow version
 // shows before its streams end.
 const pacedEvents = 3
