test(boot): show that a refusal written twice misleads no client

Reported by operators of similar systems: a server wrote an earlier refusal once more on a kept connection, and clients were told that requests did not run that a server had run.

Not possible here: a response counts only with the id of the request that was sent, and a connection on which another one came isn't used again. TestRefusalWrittenTwice shows it for 503, 429 and 421: ten requests after ten repeated refusals each run once and are answered.

--- a/router/boot/router_test.go
+++ b/router/boot/router_test.go
@@ -444,3 +444,39 @@
 		t.Error("the log or the metrics contain a key")
 	}
 }
+
+// A server writes an earlier refusal once more on a kept connection. Guards against a client that is told
+// that its request did not run although the server runs it, and against a second run elsewhere.
+func TestRefusalWrittenTwice(t *testing.T) {
+	t.Parallel()
+	for name, refusal := range map[string]server.Reject{
+		"overloaded":     {Status: 503},
+		"too many":       {Status: 429},
+		"other instance": {Status: 421},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := startRouter(t, standardDocument())
+			var ran atomic.Int64
+			script := func(r server.Request) server.Reply {
+				if strings.HasSuffix(r.Target, "refused") {
+					return server.RejectTwice{Reject: refusal}
+				}
+				ran.Add(1)
+				return worked
+			}
+			w.server("desk", "s1", "v1", script)
+			w.awaitUpstreams(1)
+			const requests = 10
+			for i := range requests {
+				w.send("POST", "/order/refused", "a")
+				if a := w.send("POST", fmt.Sprint("/order/", i), "a"); a.status != 200 {
+					t.Errorf("request %d: got %d %s %v", i, a.status, a.code(), a.err)
+				}
+			}
+			if n := ran.Load(); n != requests {
+				t.Errorf("%d requests ran, want %d", n, requests)
+			}
+		})
+	}
+}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -54,6 +54,9 @@
 		Status     int
 		RetryAfter string
 	}
+	// RejectTwice sends a Reject, and the same once more after a moment, when the next request may
+	// already be on its way.
+	RejectTwice struct{ Reject }
 	// Leaving is a complete response that announces the server's shutdown and closes the
 	// connection.
 	Leaving struct{ Answer }
@@ -88,21 +91,22 @@
 	Early struct{ Answer }
 )
 
-func (Answer) reply()     {}
-func (Delayed) reply()    {}
-func (Events) reply()     {}
-func (Reject) reply()     {}
-func (Leaving) reply()    {}
-func (Endless) reply()    {}
-func (Truncated) reply()  {}
-func (Reset) reply()      {}
-func (Crash) reply()      {}
-func (Hang) reply()       {}
-func (Malformed) reply()  {}
-func (Duplicate) reply()  {}
-func (Mismatched) reply() {}
-func (Encoded) reply()    {}
-func (Early) reply()      {}
+func (Answer) reply()      {}
+func (Delayed) reply()     {}
+func (Events) reply()      {}
+func (Reject) reply()      {}
+func (RejectTwice) reply() {}
+func (Leaving) reply()     {}
+func (Endless) reply()     {}
+func (Truncated) reply()   {}
+func (Reset) reply()       {}
+func (Crash) reply()       {}
+func (Hang) reply()        {}
+func (Malformed) reply()   {}
+func (Duplicate) reply()   {}
+func (Mismatched) reply()  {}
+func (Encoded) reply()     {}
+func (Early) reply()       {}
 
 // Request is a request as the server read it.
 type Request struct {
@@ -308,11 +312,11 @@
 		y.Header = http.Header{"Tarragonvalve-Attempt-Id": {"of-another-request"}}
 		return write(c, s.responseText(y, a.Answer)+s.responseText(x, a.Answer))
 	case Reject:
-		later := ""
-		if a.RetryAfter != "" {
-			later = "Retry-After: " + a.RetryAfter + "\r\n"
-		}
-		return write(c, fmt.Sprintf("HTTP/1.1 %d Rejected\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Not-Executed: 1\r\n%s%sContent-Length: 0\r\n\r\n", a.Status, x.ID(), later, s.limitHeader()))
+		return write(c, s.rejection(x, a))
+	case RejectTwice:
+		ok := write(c, s.rejection(x, a.Reject))
+		time.Sleep(repeatDelay)
+		return ok && write(c, s.rejection(x, a.Reject))
 	case Leaving:
 		write(c, s.responseHead(x, a.Status, a.Confidence)+fmt.Sprintf("Server-Leaving: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(a.Body), a.Body))
 		return false
@@ -384,6 +388,18 @@
 	return b.String()
 }
 
+// repeatDelay is the time between the two responses of a RejectTwice.
+const repeatDelay = 5 * time.Millisecond
+
+// rejection returns the text of a Reject.
+func (s *Server) rejection(x Request, a Reject) string {
+	later := ""
+	if a.RetryAfter != "" {
+		later = "Retry-After: " + a.RetryAfter + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %d Rejected\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Not-Executed: 1\r\n%s%sContent-Length: 0\r\n\r\n", a.Status, x.ID(), later, s.limitHeader())
+}
+
 // responseText returns a complete response.
 func (s *Server) responseText(x Request, a Answer) string {
 	return s.responseHead(x, a.Status, a.Confidence) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(a.Body), a.Body)
