feat(poison): try a quarantined request again, one at a time

Cause: what is refused reaches no server, so nothing can clear it.

Change: one request is sent on, 2.5 s after the latest crash and once more 45 s later, by the router that is first to write so to the store.

--- a/router/boot/poison_test.go
+++ b/router/boot/poison_test.go
@@ -258,6 +258,74 @@
 	}
 }
 
+// A wrong quarantine: all upstreams end within two seconds under requests with one part, while sound
+// requests that share the first part are in progress at each of them. Guards against sound parts that
+// stay in quarantine since nothing with them reaches an upstream, and against trials that exceed the
+// users' bound.
+func TestWrongQuarantine(t *testing.T) {
+	t.Parallel()
+	for name, guilty := range map[string][]string{"one guilty part": {"bad00001"}, "two guilty parts": {"bad00001", "bad00002"}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const upstreams, length = 10, 22 * time.Second
+			ws := startRouters(t, standardDocument(), 4)
+			f := &crashingFleet{w: ws[0], service: "llm", reply: server.Events{Count: 4, Pause: 80 * time.Millisecond}}
+			f.guilty = func(r server.Request) bool {
+				return strings.Contains(r.Header.Get("Tarragonvalve-Prompt-Prefix"), "bad0000")
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			var slots, clients sync.WaitGroup
+			for range upstreams {
+				slots.Go(func() { f.slot(ctx, server.Crash{Head: true, Delay: 30 * time.Millisecond}) })
+			}
+			for _, w := range ws {
+				w.awaitUpstreams(upstreams)
+			}
+			began := time.Now()
+			var mu sync.Mutex
+			var served, failed []time.Time
+			for i, w := range ws {
+				clients.Go(func() {
+					for n := i * 1000; time.Since(began) < length; n++ {
+						time.Sleep(100 * time.Millisecond)
+						if n%4 == 0 {
+							clients.Go(func() {
+								w.send("POST", "/chat/1", "", promptOf("aaaa0001:100,"+guilty[n/4%len(guilty)]+":50", 2*n)...)
+							})
+						}
+						clients.Go(func() {
+							at := time.Now()
+							a := w.send("POST", "/chat/1", "", promptOf("aaaa0001:100,cccc0001:50", 2*n+1)...)
+							mu.Lock()
+							defer mu.Unlock()
+							if a.err == nil && a.status == 200 {
+								served = append(served, at)
+							} else {
+								failed = append(failed, at)
+							}
+						})
+					}
+				})
+			}
+			clients.Wait()
+			stop()
+			slots.Wait()
+			if len(f.crashes) < crashesKnown {
+				t.Fatalf("%d crashes, want at least %d", len(f.crashes), crashesKnown)
+			}
+			known := f.crashes[crashesKnown-1]
+			if n, most := countAfter(f.arrivals(), known.Add(poisonGrace)), poisonTolerance*len(guilty); n > most {
+				t.Errorf("%d requests with guilty parts reached upstreams later than %s after crash %d, allowed %d", n, poisonGrace, crashesKnown, most)
+			}
+			ok, bad := countAfter(served, known.Add(2*poisonGrace)), countAfter(failed, known.Add(2*poisonGrace))
+			if float64(ok) < soundShare*float64(ok+bad) || ok == 0 {
+				t.Errorf("%d of %d sound requests served later than %s after crash %d", ok, ok+bad, 2*poisonGrace, crashesKnown)
+			}
+			t.Logf("%d crashes, the last %s after the first; %d of %d sound requests served after 6 s", len(f.crashes), f.crashes[len(f.crashes)-1].Sub(f.crashes[0]), ok, ok+bad)
+		})
+	}
+}
+
 // promptOf returns the headers of a request with the given shared parts. n numbers its own part.
 func promptOf(shared string, n int) []string {
 	return []string{
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -28,6 +28,7 @@
 	resumed   prometheus.Counter
 	exceeded  *prometheus.CounterVec
 	refused   prometheus.Counter
+	trials    *prometheus.CounterVec
 }
 
 // New returns metrics at zero. age returns the largest possible age of the configuration in
@@ -62,7 +63,10 @@
 			Namespace: namespace, Name: "connections_refused_total", Help: "Connections of clients closed at once because too many were open.",
 		}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.denied, m.escalated, m.resumed, m.exceeded, m.refused,
+	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "quarantine_trials_total", Help: "Quarantined requests that were sent to see whether upstreams survive them: started, and then answered or failed.",
+	}, []string{"outcome"})
+	m.registry.MustRegister(m.trials, m.requests, m.latency, m.attempts, m.denied, m.escalated, m.resumed, m.exceeded, m.refused,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_age_seconds", Help: "Largest possible age of the configuration in seconds; -1 before one was read.",
 		}, age),
@@ -100,6 +104,9 @@
 // Escalated counts a response that was abandoned for one of a larger model.
 func (m *Meter) Escalated() { m.escalated.Inc() }
 
+// Trial counts a trial of a quarantined request by its outcome.
+func (m *Meter) Trial(outcome string) { m.trials.WithLabelValues(outcome).Inc() }
+
 // StreamResumed counts a stream that was continued at another upstream.
 func (m *Meter) StreamResumed() { m.resumed.Inc() }
 
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -13,6 +13,7 @@
 
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/router/poison"
 )
 
 const (
@@ -128,6 +129,14 @@
 	return n.store.SaveProgress(ctx, p, seen)
 }
 
+// SaveTrials writes the trials of quarantines if their row still has the revision seen. It returns a
+// *ConflictError if it hasn't.
+func (n *Syncer) SaveTrials(ctx context.Context, t poison.Trials, seen Revision) error {
+	ctx, stop := context.WithTimeout(ctx, responseTimeout)
+	defer stop()
+	return n.store.SaveTrials(ctx, t, seen)
+}
+
 // SaveTally writes what this instance counted for a new version.
 func (n *Syncer) SaveTally(ctx context.Context, t canary.Tally) error {
 	ctx, stop := context.WithTimeout(ctx, responseTimeout)
--- a/router/mirror/mirror_test.go
+++ b/router/mirror/mirror_test.go
@@ -14,6 +14,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/routes"
 )
 
@@ -237,3 +238,7 @@
 		}
 	})
 }
+
+func (*fakeStore) SaveTrials(context.Context, poison.Trials, Revision) error {
+	return errors.New("not expected")
+}
--- a/router/mirror/rollout.go
+++ b/router/mirror/rollout.go
@@ -71,14 +71,22 @@
 	return a.Order > b.Order || (a.Order == b.Order && a.Phase > b.Phase)
 }
 
-// markLost marks the progress of roll-outs that the first snapshot after a restore lacks.
+// markLost marks the progress of roll-outs, and the trials, that the first snapshot after a restore
+// lacks.
 func (s *storeState) markLost(cs []Change) {
 	held := map[ident.ServiceID]bool{}
+	trials := false
 	for _, c := range cs {
-		if p, ok := c.(ProgressChanged); ok {
-			held[p.Progress.Service] = true
+		switch c := c.(type) {
+		case ProgressChanged:
+			held[c.Progress.Service] = true
+		case TrialsChanged:
+			trials = true
 		}
 	}
+	if !trials {
+		s.trials.Revision = 0
+	}
 	for id, p := range s.progress {
 		if !held[id] {
 			p.Revision, p.Lost = 0, true
--- a/router/mirror/state.go
+++ b/router/mirror/state.go
@@ -38,6 +38,8 @@
 	Orders   map[ident.ServiceID]canary.Order
 	Progress map[ident.ServiceID]ProgressChanged
 	Tallies  []canary.Tally
+	// Trials are the trials of quarantines.
+	Trials TrialsChanged
 	// ProgressRead is true once the progress of roll-outs was read.
 	ProgressRead bool
 	// UpstreamsRead is true once the upstreams were read.
@@ -61,6 +63,7 @@
 	orders        map[ident.ServiceID]canary.Order
 	progress      map[ident.ServiceID]ProgressChanged
 	tallies       map[tallyKey]canary.Tally
+	trials        TrialsChanged
 	upstreamsRead bool
 	// progressRead is true once the progress of roll-outs was read.
 	progressRead bool
@@ -106,6 +109,12 @@
 		return s.applyProgress(c)
 	case TallyChanged:
 		s.tallies[tallyKey{c.Tally.Service, c.Tally.Instance}] = c.Tally
+	case TrialsChanged:
+		if c.Revision <= s.trials.Revision {
+			return false
+		}
+		c.Trials = c.Trials.Merge(s.trials.Trials)
+		s.trials = c
 	case UpstreamChanged:
 		delete(s.doubted, doubtKey{upstream: c.Upstream.ID})
 		delete(s.ended, c.Upstream.Incarnation())
@@ -195,7 +204,7 @@
 	}
 	v := &View{
 		Document: s.document, Fleet: fleet.New(us), Orders: os, Progress: ps,
-		UpstreamsRead: s.upstreamsRead, ProgressRead: s.progressRead,
+		Trials: s.trials, UpstreamsRead: s.upstreamsRead, ProgressRead: s.progressRead,
 	}
 	for _, t := range s.tallies {
 		v.Tallies = append(v.Tallies, t)
--- a/router/mirror/types.go
+++ b/router/mirror/types.go
@@ -8,6 +8,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/routes"
 )
 
@@ -93,6 +94,11 @@
 	}
 	// TallyChanged carries what an instance counted for a new version.
 	TallyChanged struct{ Tally canary.Tally }
+	// TrialsChanged carries the trials of quarantines with the revision of their row.
+	TrialsChanged struct {
+		Trials   poison.Trials
+		Revision Revision
+	}
 	// InvalidRecord reports a row that can't be decoded, and why.
 	InvalidRecord struct {
 		Key    string
@@ -106,6 +112,7 @@
 func (UpstreamRemoved) change() {}
 func (ProgressChanged) change() {}
 func (TallyChanged) change()    {}
+func (TrialsChanged) change()   {}
 func (InvalidRecord) change()   {}
 
 // Record is a row with its data as encoded by the store. Only a Decoder reads the data.
@@ -156,6 +163,9 @@
 	// SaveTally writes what an instance counted for a new version; no other instance
 	// writes this row.
 	SaveTally(ctx context.Context, t canary.Tally) error
+	// SaveTrials writes the trials of quarantines if their row still has the revision seen; 0
+	// means that there is no row yet. It returns a *ConflictError otherwise.
+	SaveTrials(ctx context.Context, t poison.Trials, seen Revision) error
 }
 
 // HistoryLostError reports that the changes after a revision are no longer available, or are those of
--- a/router/poison/poison.go
+++ b/router/poison/poison.go
@@ -68,6 +68,8 @@
 	judgedAt time.Time
 	// quarantines are those that are remembered, without the effect of survived answers.
 	quarantines []Quarantine
+	// trialAt is when this router began its latest trial, or tried to.
+	trialAt time.Time
 	// inForce are the quarantines in force, without the parts that have proved to be harmless.
 	inForce atomic.Pointer[[]Quarantine]
 }
--- /dev/null
+++ b/router/poison/trial.go
@@ -0,0 +1,158 @@
+package poison
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tarragonvalve.example/router/crash"
+)
+
+const (
+	// trialTime is the least time between two trials of all routers, of whatever quarantines: an
+	// upstream is known to have survived settleTime of package crash after it began to answer, or to
+	// have crashed, and other routers hear of it.
+	trialTime = 2 * time.Second
+	// maxTrials bounds the trials of one quarantine. The users allow three more requests after the
+	// grace; one of them is left for a request that was on its way.
+	maxTrials = 2
+	// trialsTTL is how long a trial counts for maxTrials.
+	trialsTTL = quarantineTTL
+	// maxTried bounds the quarantines whose trials are kept; beyond it, the oldest is dropped.
+	maxTried = maxQuarantines
+)
+
+// trialDelays are the times from the latest crash or trial to the next trial: the first one when the
+// upstreams that crashed have mostly started again, which ends a wrong quarantine soon, the second one
+// within a minute of a mend.
+var trialDelays = [maxTrials]time.Duration{2500 * time.Millisecond, 45 * time.Second}
+
+// Key identifies a quarantine by its parts, the same at all routers.
+type Key string
+
+// Key returns the quarantine's key.
+func (q Quarantine) Key() Key {
+	h := xxhash.New()
+	for _, p := range q.Parts {
+		_, _ = h.WriteString(p.String() + ",")
+	}
+	return Key(strconv.FormatUint(h.Sum64(), 16))
+}
+
+// Tried counts the trials of one quarantine.
+type Tried struct {
+	Count int
+	// At is the store's clock at the latest one.
+	At time.Duration
+}
+
+// Trials are the trials of all quarantines. The routers share them through one row of the store that is
+// only written under the condition that no other router wrote it since: so the bounds hold for all of
+// them, also when they are cut off from one another. It is immutable.
+type Trials struct {
+	// LastAt is the store's clock at the latest trial.
+	LastAt time.Duration
+	Tried  map[Key]Tried
+}
+
+// Next returns the time from now until the next trial of a quarantine may begin, or false if there is
+// none before the quarantine ends. clock is the store's clock at now.
+func (t Trials) Next(q Quarantine, now time.Time, clock time.Duration) (time.Duration, bool) {
+	x, ok := t.Tried[q.Key()]
+	if ok && clock-x.At >= trialsTTL {
+		x, ok = Tried{}, false
+	}
+	if x.Count >= maxTrials {
+		return 0, false
+	}
+	wait := trialDelays[x.Count] - now.Sub(q.At)
+	if ok {
+		wait = max(wait, trialDelays[x.Count]-(clock-x.At))
+	}
+	if len(t.Tried) > 0 {
+		wait = max(wait, trialTime-(clock-t.LastAt))
+	}
+	return max(wait, 0), true
+}
+
+// With returns the trials with one more of a quarantine.
+func (t Trials) With(q Quarantine, clock time.Duration) Trials {
+	out := Trials{LastAt: clock, Tried: maps.Clone(t.Tried)}
+	if out.Tried == nil {
+		out.Tried = map[Key]Tried{}
+	}
+	k := q.Key()
+	x := out.Tried[k]
+	if clock-x.At >= trialsTTL {
+		x = Tried{}
+	}
+	out.Tried[k] = Tried{Count: x.Count + 1, At: clock}
+	for len(out.Tried) > maxTried {
+		oldest := k
+		for i, y := range out.Tried {
+			if y.At < out.Tried[oldest].At {
+				oldest = i
+			}
+		}
+		delete(out.Tried, oldest)
+	}
+	return out
+}
+
+// Merge returns the later trials of both: a store that comes back from a copy may lack some.
+func (t Trials) Merge(o Trials) Trials {
+	out := Trials{LastAt: max(t.LastAt, o.LastAt), Tried: maps.Clone(o.Tried)}
+	if out.Tried == nil {
+		out.Tried = map[Key]Tried{}
+	}
+	for k, x := range t.Tried {
+		if x.At >= out.Tried[k].At {
+			out.Tried[k] = x
+		}
+	}
+	return out
+}
+
+// Blocking returns the quarantines in force that refuse a request.
+func (r *Registry) Blocking(p crash.Prompt, now time.Time) []Quarantine {
+	var qs []Quarantine
+	for _, q := range *r.inForce.Load() {
+		if q.active(now) && q.blocks(p) {
+			qs = append(qs, q)
+		}
+	}
+	return qs
+}
+
+// BeginTrial reports whether this router may begin a trial: it begins one at a time, so that a crowd of
+// requests that come when one is due writes to the store once.
+func (r *Registry) BeginTrial(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.trialAt) < trialTime {
+		return false
+	}
+	r.trialAt = now
+	return true
+}
+
+// until returns the time until the last of the quarantines ends by itself.
+func until(qs []Quarantine, now time.Time) time.Duration {
+	last := slices.MaxFunc(qs, func(a, b Quarantine) int { return a.At.Compare(b.At) })
+	return max(last.At.Add(quarantineTTL).Sub(now), 0)
+}
+
+// RetryAfter returns when a request that quarantines refuse may be tried again: at the next trial of one
+// of them, or when they end.
+func (t Trials) RetryAfter(qs []Quarantine, now time.Time, clock time.Duration) time.Duration {
+	d := until(qs, now)
+	for _, q := range qs {
+		if next, ok := t.Next(q, now, clock); ok {
+			d = min(d, next)
+		}
+	}
+	return d
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -140,7 +140,7 @@
 	}
 	t := &request{Relay: r, Job: j, service: s, prompt: crash.NewPrompt(s, j.Meta, crash.Content{Account: j.Account, Method: j.Method, Target: j.Target, Body: j.Body})}
 	r.Budget.RecordRequest(s, r.Now())
-	if err := t.checkPrompt(); err != nil {
+	if err := t.checkPrompt(); err != nil && !t.startTrial(ctx) {
 		return err
 	}
 	if j.Route.Kind == routes.Stream {
@@ -165,6 +165,8 @@
 	excluded []ident.UpstreamID
 	// retryGranted is a retry that has been taken from the budget and not been used, or nil.
 	retryGranted atomic.Pointer[retryGrant]
+	// trial is true if the request is sent although a quarantine refuses it.
+	trial bool
 	// crashes counts the attempts whose upstream may have ended because of the request.
 	crashes int
 	// permit allows the next attempt if its upstream limits its requests.
@@ -253,6 +255,9 @@
 func (o *attempt) finish(ok bool) {
 	o.release()
 	o.Balancer.RecordOutcome(o.upstream.ID, ok, o.serviceSize, time.Now())
+	if o.trial {
+		o.Meter.Trial(map[bool]string{true: "answered", false: "failed"}[ok])
+	}
 	o.reportResult(o.upstream, !ok)
 }
 
@@ -384,15 +389,6 @@
 	return max(min(n/minInstances, overcommit*n/max(t.Size(), 1)), 1)
 }
 
-// checkPrompt returns a *refuse.Error if the prompt is known to crash upstreams.
-func (t *request) checkPrompt() error {
-	d := t.Poison.Check(t.prompt, time.Now())
-	if d <= 0 {
-		return nil
-	}
-	return refuse.New(refuse.PromptQuarantined, t.ran(), "the request or a part of its prompt crashes upstreams: %s", t.prompt).WithRetryAfter(d)
-}
-
 // ran states whether the request has run.
 func (t *request) ran() refuse.Ran {
 	if t.mayHaveRun {
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -18,7 +18,7 @@
 	if ctx.Err() != nil || time.Until(t.Deadline) < 2*responseReserve {
 		return false
 	}
-	if t.checkPrompt() != nil {
+	if t.checkPrompt() != nil || (t.trial && t.mayHaveRun) {
 		return false
 	}
 	if t.crashes >= maxCrashes {
--- /dev/null
+++ b/router/relay/trial.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"tarragonvalve.example/core/refuse"
+)
+
+// maxTrialJitter bounds the random delay that is added to the Retry-After of a quarantined request, so
+// that clients don't all return at the moment of the next trial.
+const maxTrialJitter = 500 * time.Millisecond
+
+// checkPrompt returns a *refuse.Error if the request is known to crash upstreams and is no trial.
+func (t *request) checkPrompt() error {
+	now := time.Now()
+	if t.trial || t.Poison.Check(t.prompt, now) <= 0 {
+		return nil
+	}
+	qs := t.Poison.Blocking(t.prompt, now)
+	if len(qs) == 0 {
+		return nil
+	}
+	c, _ := t.Syncer.StoreClock()
+	d := t.Syncer.View().Trials.Trials.RetryAfter(qs, now, c) + rand.N(maxTrialJitter)
+	return refuse.New(refuse.PromptQuarantined, t.ran(), "the request or a part of its prompt crashes upstreams: %s", t.prompt).WithRetryAfter(d)
+}
+
+// startTrial makes a quarantined request a trial if the next one is due, and this router is the first to
+// write so to the store: a request that an upstream survives ends the quarantine. Only a request that a
+// single quarantine refuses says something about it.
+func (t *request) startTrial(ctx context.Context) bool {
+	now := time.Now()
+	qs := t.Poison.Blocking(t.prompt, now)
+	c, ok := t.Syncer.StoreClock()
+	if len(qs) != 1 || !ok {
+		return false
+	}
+	x := t.Syncer.View().Trials
+	if wait, ok := x.Trials.Next(qs[0], now, c); !ok || wait > 0 {
+		return false
+	}
+	if !t.Poison.BeginTrial(now) {
+		return false
+	}
+	if err := t.Syncer.SaveTrials(ctx, x.Trials.With(qs[0], c), x.Revision); err != nil {
+		t.Log.Info().Err(err).Str("request", string(t.Meta.ID)).Msg("trial of a quarantined request not started")
+		return false
+	}
+	t.trial = true
+	t.Meter.Trial("started")
+	t.Log.Warn().Str("request", string(t.Meta.ID)).Stringer("content", t.prompt).Str("quarantine", string(qs[0].Key())).
+		Int("number", x.Trials.With(qs[0], c).Tried[qs[0].Key()].Count).Msg("quarantined request is tried again")
+	return true
+}
--- a/router/share/snapshot_test.go
+++ b/router/share/snapshot_test.go
@@ -14,6 +14,7 @@
 
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/mirror"
+	"tarragonvalve.example/router/poison"
 )
 
 // rows is a store with that many similar rows.
@@ -95,3 +96,7 @@
 	}
 	t.Fatalf("no snapshot: %v", err)
 }
+
+func (rows) SaveTrials(context.Context, poison.Trials, mirror.Revision) error {
+	return errors.New("not expected")
+}
--- a/router/stager/stager_test.go
+++ b/router/stager/stager_test.go
@@ -13,6 +13,7 @@
 
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/mirror"
+	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/stager"
 )
 
@@ -140,3 +141,7 @@
 		g.Wait()
 	})
 }
+
+func (*store) SaveTrials(context.Context, poison.Trials, mirror.Revision) error {
+	return errors.New("not expected")
+}
