--- a/router/canary/shared_test.go
+++ b/router/canary/shared_test.go
@@ -63,11 +63,10 @@
 					for range int(rate * step.Seconds()) {
 						s := canary.Sample{Service: "llm", Timed: 1}
 						u := r.IntN(upstreams)
-						failed := false
+						failed := r.Float64() < c.oldFails
+						s.LogSlowdown = usual(r)
 						if s.New = r.Float64() < share; s.New {
 							failed, s.LogSlowdown = c.respond(u, at, r)
-						} else {
-							failed, s.LogSlowdown = r.Float64() < c.oldFails, usual(r)
 						}
 						s.Upstream = ident.UpstreamID(fmt.Sprint(s.New, u))
 						if failed {
