feat(boot): list and lift quarantines by the command line

Change: the verbs quarantines and lift ask a router on the same machine. A lift counts as a survival, which the routers tell each other, and is logged with who and why. TestLiftQuarantine: a lift at one router of three ends the quarantine at all; nobody, no reason and an unknown key are refused.

--- a/router/boot/admin.go
+++ b/router/boot/admin.go
@@ -7,23 +7,25 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/router/front"
 	"tarragonvalve.example/router/meter"
+	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/setup"
 )
 
 // headerTimeout bounds the time in which a request's headers must arrive.
 const headerTimeout = 2 * time.Second
 
-// admin serves readiness at /readyz and metrics at /metrics. It is a serve.Component.
+// admin serves readiness at /readyz, metrics at /metrics and, to its own machine, /quarantines. It is a serve.Component.
 type admin struct {
 	listener net.Listener
 	server   *http.Server
 }
 
 // newAdmin opens the admin listener. /readyz responds 200 if g is ready, else 503.
-func newAdmin(s *setup.Settings, g *front.Gate, t *meter.Meter) (*admin, error) {
+func newAdmin(s *setup.Settings, g *front.Gate, t *meter.Meter, p *poison.Registry, l zerolog.Logger) (*admin, error) {
 	i, err := net.Listen("tcp", s.Admin)
 	if err != nil {
 		return nil, err
@@ -37,6 +39,7 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	m.Handle("/metrics", t.Handler())
+	(&quarantines{Registry: p, log: l}).routes(m)
 	return &admin{listener: i, server: &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout}}, nil
 }
 
--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -44,8 +44,12 @@
 	"tarragonvalve.example/router/stager"
 )
 
-// Main runs the router with command-line arguments and returns its exit code.
+// Main runs the router, or a verb that asks a running one, with command-line arguments and returns its
+// exit code.
 func Main(args []string, out, errs io.Writer) int {
+	if isCommand(args) {
+		return runCommand(args, out, errs)
+	}
 	// Before anything else, as an unhandled SIGHUP would end the process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
--- a/router/boot/poison_test.go
+++ b/router/boot/poison_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -326,6 +328,69 @@
 	}
 }
 
+// A quarantine is listed and lifted by the command line at one router. Guards against a quarantine that
+// no operator can end after a mend, and against one that is lifted at one router only, by nobody or
+// without a reason.
+func TestLiftQuarantine(t *testing.T) {
+	t.Parallel()
+	ws := startRouters(t, standardDocument(), 3)
+	var mended atomic.Bool
+	for i := range 3 {
+		ws[0].server("desk", fmt.Sprint("s", i), "v1", func(r server.Request) server.Reply {
+			if r.Target == "/read/bad" && !mended.Load() {
+				return server.Crash{}
+			}
+			return worked
+		})
+	}
+	for _, w := range ws {
+		w.awaitUpstreams(3)
+	}
+	command := func(args ...string) (int, string) {
+		var out, errs strings.Builder
+		n := Main(args, &out, &errs)
+		return n, out.String() + errs.String()
+	}
+	for range 3 {
+		ws[0].send("GET", "/read/bad", "")
+		time.Sleep(300 * time.Millisecond)
+	}
+	held := func(w *harness) bool {
+		return strings.HasPrefix(w.send("GET", "/read/bad", "").code(), "prompt-quarantined")
+	}
+	for _, w := range ws {
+		w.eventually("quarantine", func() bool { return held(w) })
+	}
+	_, text := command("quarantines", "--admin", ws[1].admin)
+	var qs []quarantine
+	if err := json.Unmarshal([]byte(text), &qs); err != nil || len(qs) != 1 || len(qs[0].Crashes) < 3 {
+		t.Fatalf("got %v %s, want one quarantine with three crashes", err, text)
+	}
+	for name, args := range map[string][]string{
+		"nobody":    {"lift", qs[0].Key, "--admin", ws[1].admin, "--why", "mended"},
+		"no reason": {"lift", qs[0].Key, "--admin", ws[1].admin, "--who", "ada", "--why", ""},
+		"unknown":   {"lift", "17", "--admin", ws[1].admin, "--who", "ada", "--why", "mended"},
+	} {
+		if n, text := command(args...); n == 0 {
+			t.Errorf("%s: accepted: %s", name, text)
+		}
+	}
+	// No upstream is left for a trial until now.
+	mended.Store(true)
+	if n, text := command("lift", qs[0].Key, "--admin", ws[1].admin, "--who", "ada", "--why", "mended"); n != 0 {
+		t.Fatalf("got %d %s", n, text)
+	}
+	for i := range 3 {
+		ws[0].server("desk", fmt.Sprint("t", i), "v1", always(worked))
+	}
+	for _, w := range ws {
+		w.eventually("end of the quarantine", func() bool { return w.send("GET", "/read/bad", "").status == 200 })
+	}
+	if s := ws[1].logs.String(); !strings.Contains(s, `"who":"ada","why":"mended"`) {
+		t.Error("the log doesn't say who lifted the quarantine, and why")
+	}
+}
+
 // promptOf returns the headers of a request with the given shared parts. n numbers its own part.
 func promptOf(shared string, n int) []string {
 	return []string{
--- a/router/poison/poison.go
+++ b/router/poison/poison.go
@@ -46,6 +46,11 @@
 // active reports whether the quarantine is in force unless a part of it proves to be harmless.
 func (q Quarantine) active(now time.Time) bool { return now.Sub(q.At) < quarantineTTL }
 
+// EndsIn returns the time until the quarantine ends by itself.
+func (q Quarantine) EndsIn(now time.Time) time.Duration {
+	return max(q.At.Add(quarantineTTL).Sub(now), 0)
+}
+
 // blocks reports whether a request holds all parts.
 func (q Quarantine) blocks(p crash.Prompt) bool {
 	return !slices.ContainsFunc(q.Parts, func(x crash.Part) bool { return x != p.Content && !slices.Contains(p.Parts, x) })
@@ -133,7 +138,7 @@
 func (r *Registry) Check(p crash.Prompt, now time.Time) time.Duration {
 	for _, q := range *r.inForce.Load() {
 		if q.blocks(p) {
-			return max(q.At.Add(quarantineTTL).Sub(now), 0)
+			return q.EndsIn(now)
 		}
 	}
 	return 0
--- a/router/poison/trial.go
+++ b/router/poison/trial.go
@@ -142,7 +142,7 @@
 // until returns the time until the last of the quarantines ends by itself.
 func until(qs []Quarantine, now time.Time) time.Duration {
 	last := slices.MaxFunc(qs, func(a, b Quarantine) int { return a.At.Compare(b.At) })
-	return max(last.At.Add(quarantineTTL).Sub(now), 0)
+	return last.EndsIn(now)
 }
 
 // RetryAfter returns when a request that quarantines refuse may be tried again: at the next trial of one
