fix(canary): count the windows of samples by elapsed time

The windows in which the responses of all routers are judged went by the time of day, which may jump by seconds: a jump ahead empties them, a jump back counts what is over. They count seconds since the first sample now. The sum over upstreams has a name of its own beside Tally. Tests of canary pass; found by reading, no run showed it.

--- a/router/canary/shared.go
+++ b/router/canary/shared.go
@@ -57,13 +57,12 @@
 // window holds outcomes by the second, for the last sharedWindow seconds.
 type window struct {
 	buckets [sharedWindow]outcomes
-	// seconds are the times that the buckets stand for, in Unix seconds.
+	// seconds are the times that the buckets stand for, in seconds.
 	seconds [sharedWindow]int64
 }
 
-// add adds outcomes at a time.
-func (w *window) add(o outcomes, now time.Time) {
-	s := now.Unix()
+// add adds outcomes of the second s.
+func (w *window) add(o outcomes, s int64) {
 	i := s % sharedWindow
 	if w.seconds[i] != s {
 		w.seconds[i], w.buckets[i] = s, outcomes{}
@@ -71,11 +70,11 @@
 	w.buckets[i] = w.buckets[i].plus(o)
 }
 
-// sum returns the outcomes of the last seconds, the present one included.
-func (w *window) sum(seconds int64, now time.Time) outcomes {
+// sum returns the outcomes of the last n seconds, second now included.
+func (w *window) sum(n, now int64) outcomes {
 	var o outcomes
 	for i, s := range w.seconds {
-		if now.Unix()-s < seconds {
+		if now-s < n {
 			o = o.plus(w.buckets[i])
 		}
 	}
@@ -84,8 +83,11 @@
 
 // sharedState is what all instances together observed of one service during a roll-out.
 type sharedState struct {
-	old  window
-	news map[ident.UpstreamID]*window
+	// startedAt is when the first sample came; the windows count seconds from then on, since the time
+	// of day may jump.
+	startedAt time.Time
+	old       window
+	news      map[ident.UpstreamID]*window
 	// reference counts the old version's outcomes, the older ones with less weight.
 	reference guard.Counts
 	// median is that of the old version's times divided by the predicted ones.
@@ -110,18 +112,26 @@
 		}
 		x := w.stateOf(s.Service)
 		x.reset(j.Order)
-		x.shared.add(s, now)
+		x.shared.add(s, x.shared.second(now))
 		touched[s.Service] = j
 	}
 	for s, j := range touched {
 		if x := w.services[s]; x.verdict == "" {
-			x.verdict = x.shared.judge(j.Times, now)
+			x.verdict = x.shared.judge(j.Times, x.shared.second(now))
 		}
 	}
 }
 
-// add adds a sample.
-func (x *sharedState) add(s Sample, now time.Time) {
+// second returns the time in seconds since the first sample.
+func (x *sharedState) second(now time.Time) int64 {
+	if x.startedAt.IsZero() {
+		x.startedAt = now
+	}
+	return int64(max(now.Sub(x.startedAt), 0) / time.Second)
+}
+
+// add adds a sample of the second now.
+func (x *sharedState) add(s Sample, now int64) {
 	o := outcomes{errors: guard.Counts{Bad: float64(s.Failures), All: float64(s.Successes + s.Failures)}}
 	factor := math.Exp(s.LogSlowdown)
 	if m := x.median.Value(); m > 0 {
@@ -151,7 +161,7 @@
 }
 
 // judge returns why the new version is bad, or "".
-func (x *sharedState) judge(byTimes bool, now time.Time) string {
+func (x *sharedState) judge(byTimes bool, now int64) string {
 	for u, w := range x.news {
 		if w.sum(sharedWindow, now) == (outcomes{}) {
 			delete(x.news, u)
@@ -166,8 +176,8 @@
 }
 
 // judgeLast judges the responses of the last seconds.
-func (x *sharedState) judgeLast(seconds int64, byTimes bool, now time.Time) string {
-	var errors, times tally
+func (x *sharedState) judgeLast(seconds int64, byTimes bool, now int64) string {
+	var errors, times upstreamTotal
 	for _, w := range x.news {
 		o := w.sum(seconds, now)
 		errors.add(o.errors)
@@ -183,10 +193,10 @@
 	return ""
 }
 
-// tally sums up counts of several upstreams.
-type tally struct{ all, worst guard.Counts }
+// upstreamTotal sums up counts of several upstreams.
+type upstreamTotal struct{ all, worst guard.Counts }
 
-func (t *tally) add(c guard.Counts) {
+func (t *upstreamTotal) add(c guard.Counts) {
 	t.all = t.all.Plus(c)
 	if c.Bad > t.worst.Bad {
 		t.worst = c
@@ -195,7 +205,7 @@
 
 // typical returns the sum, without an upstream that most bad responses are of if there are others: a
 // version is not bad since one of its upstreams has crashed.
-func (t *tally) typical() guard.Counts {
+func (t *upstreamTotal) typical() guard.Counts {
 	if t.worst.Bad <= dominantShare*t.all.Bad || t.worst.All == t.all.All {
 		return t.all
 	}
