fix(canary): compare no times that are far below the predicted one

Cause: the times of a new version were compared with twice the median of the old one, also where both answer in a fraction of a millisecond: connections and scheduling decide such a ratio. TestFastVersions, before: found bad after 8 responses of 0.02 against 0.007 times the predicted time; passes now. Times below a twentieth of the predicted one count as that.

--- a/router/canary/canary_test.go
+++ b/router/canary/canary_test.go
@@ -245,6 +245,19 @@
 	}
 }
 
+// Guards against a good version that is reverted since its times differ from the old one's by
+// connections and scheduling alone: both answer in a fraction of the predicted time.
+func TestFastVersions(t *testing.T) {
+	w := canary.NewMonitor()
+	for i := range 300 {
+		w.ObserveTiming(canary.Timing{Service: "llm", Measure: canary.FirstResponse, Value: 0.005 + 0.001*float64(i%3)}, 7)
+		w.ObserveTiming(canary.Timing{Service: "llm", New: true, Measure: canary.FirstResponse, Value: 0.02}, 7)
+	}
+	if v := w.Verdict("llm", 7); v != "" {
+		t.Errorf("found bad: %s", v)
+	}
+}
+
 // Guards against a bad version that stays because a restarted instance has no reference
 // yet.
 func TestMonitorWithoutReference(t *testing.T) {
--- a/router/canary/monitor.go
+++ b/router/canary/monitor.go
@@ -20,6 +20,9 @@
 	// slowFactor is how many times the median of the old version's times makes a time slow: the
 	// caches of new upstreams are cold, and upstreams differ in speed.
 	slowFactor = 2
+	// minFirstResponse is the least multiple of the predicted time that counts as a time until a
+	// response: below it connections and scheduling decide, not the version.
+	minFirstResponse = 0.05
 	// timingWindow is the number of times that are compared. It is small, so that a burst of
 	// requests, which slows both versions down, shows in both.
 	timingWindow = 100
@@ -129,6 +132,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := w.stateOf(t.Service)
+	if t.Measure == FirstResponse {
+		t.Value = max(t.Value, minFirstResponse)
+	}
 	m := &s.medians[t.Measure]
 	median := m.Value()
 	slow := t.Value > slowFactor*median
