refactor(poison): decide in one place which trials still count

Cause: a read of the whole change. Next and With each dropped trials that no longer count, and With and Merge each copied the map that may be nil. No behaviour changes; TestTrialsBounded and TestRetryAfterOfTrials pass unchanged.

--- a/router/poison/trial.go
+++ b/router/poison/trial.go
@@ -61,15 +61,12 @@
 // Next returns the time from now until the next trial of a quarantine may begin, or false if there is
 // none before the quarantine ends. clock is the store's clock at now.
 func (t Trials) Next(q Quarantine, now time.Time, clock time.Duration) (time.Duration, bool) {
-	x, ok := t.Tried[q.Key()]
-	if ok && clock-x.At >= trialsTTL {
-		x, ok = Tried{}, false
-	}
+	x := t.tried(q.Key(), clock)
 	if x.Count >= maxTrials {
 		return 0, false
 	}
 	wait := trialDelays[x.Count] - now.Sub(q.At)
-	if ok {
+	if x.Count > 0 {
 		wait = max(wait, trialDelays[x.Count]-(clock-x.At))
 	}
 	if len(t.Tried) > 0 {
@@ -78,18 +75,27 @@
 	return max(wait, 0), true
 }
 
+// tried returns the trials of a quarantine that still count.
+func (t Trials) tried(k Key, clock time.Duration) Tried {
+	if x := t.Tried[k]; clock-x.At < trialsTTL {
+		return x
+	}
+	return Tried{}
+}
+
+// copyTried returns a copy of the trials by quarantine that may be changed.
+func (t Trials) copyTried() map[Key]Tried {
+	if t.Tried == nil {
+		return map[Key]Tried{}
+	}
+	return maps.Clone(t.Tried)
+}
+
 // With returns the trials with one more of a quarantine.
 func (t Trials) With(q Quarantine, clock time.Duration) Trials {
-	out := Trials{LastAt: clock, Tried: maps.Clone(t.Tried)}
-	if out.Tried == nil {
-		out.Tried = map[Key]Tried{}
-	}
+	out := Trials{LastAt: clock, Tried: t.copyTried()}
 	k := q.Key()
-	x := out.Tried[k]
-	if clock-x.At >= trialsTTL {
-		x = Tried{}
-	}
-	out.Tried[k] = Tried{Count: x.Count + 1, At: clock}
+	out.Tried[k] = Tried{Count: t.tried(k, clock).Count + 1, At: clock}
 	for len(out.Tried) > maxTried {
 		oldest := k
 		for i, y := range out.Tried {
@@ -104,10 +110,7 @@
 
 // Merge returns the later trials of both: a store that comes back from a copy may lack some.
 func (t Trials) Merge(o Trials) Trials {
-	out := Trials{LastAt: max(t.LastAt, o.LastAt), Tried: maps.Clone(o.Tried)}
-	if out.Tried == nil {
-		out.Tried = map[Key]Tried{}
-	}
+	out := Trials{LastAt: max(t.LastAt, o.LastAt), Tried: o.copyTried()}
 	for k, x := range t.Tried {
 		if x.At >= out.Tried[k].At {
 			out.Tried[k] = x
