refactor(canary): pass the judged services instead of asking for each sample

Cause: a read of the whole change. An order stays in the store when its roll-out has ended, and each exchange then still converted the samples of its service, to drop them one by one. The services with a roll-out in progress are found once for each message, and without one nothing is converted. The judgement is the same; TestSharedResponses changes only in how it names the order.

--- a/router/boot/share.go
+++ b/router/boot/share.go
@@ -91,7 +91,8 @@
 // judge passes on the samples of services with a roll-out in progress.
 func (j judgedSamples) judge(ss []place.Sample, now time.Time) {
 	v := j.syncer.View()
-	if len(v.Orders) == 0 {
+	judged := judgedServices(v)
+	if len(judged) == 0 {
 		return
 	}
 	us := v.Fleet.All()
@@ -101,20 +102,30 @@
 		if u == nil {
 			continue
 		}
-		if o, ok := v.Orders[u.Service]; ok {
+		if _, ok := judged[u.Service]; ok {
 			out = append(out, canary.Sample{
-				Service: u.Service, Upstream: s.Upstream, New: u.Version == o.To,
+				Service: u.Service, Upstream: s.Upstream, New: u.Version == v.Orders[u.Service].To,
 				Successes: s.Successes, Failures: s.Failures, Timed: s.Responses, LogSlowdown: s.LogSlowdown,
 			})
 		}
 	}
-	j.monitor.ObserveSamples(out, func(s ident.ServiceID) canary.Judged {
-		o, p := v.Orders[s], v.Progress[s].Progress
-		if p.Order != o.Revision || p.Phase.Final() || v.Document == nil {
-			return canary.Judged{}
+	j.monitor.ObserveSamples(out, judged, now)
+}
+
+// judgedServices returns the services with a roll-out in progress. Orders stay in the store when it has
+// ended.
+func judgedServices(v *mirror.View) map[ident.ServiceID]canary.Judged {
+	if v.Document == nil {
+		return nil
+	}
+	out := map[ident.ServiceID]canary.Judged{}
+	for s, o := range v.Orders {
+		p := v.Progress[s].Progress
+		if p.Order == o.Revision && !p.Phase.Final() {
+			out[s] = canary.Judged{Order: o.Origin, Times: p.Phase == canary.PhaseCanary && !v.Document.Services[s].Engine}
 		}
-		return canary.Judged{Order: o.Origin, Times: p.Phase == canary.PhaseCanary && !v.Document.Services[s].Engine}
-	}, now)
+	}
+	return out
 }
 
 // networkBits is the length of the address prefix that the machines of one network share.
--- a/router/canary/shared.go
+++ b/router/canary/shared.go
@@ -39,7 +39,7 @@
 
 // Judged states for what a new version is judged by the samples of all instances.
 type Judged struct {
-	// Order is the revision of the order, 0 without one.
+	// Order is the revision of the order.
 	Order uint64
 	// Times is true if times count. They do while the version is a canary, as later the old version has
 	// none to compare with, and not for model engines: the times of their prompts differ by the content
@@ -99,25 +99,25 @@
 }
 
 // ObserveSamples adds samples of any instance, this one included, and judges the new version by the
-// recent ones of all: with many instances each sees few responses. judged returns for what a service's
-// new version is judged.
-func (w *Monitor) ObserveSamples(ss []Sample, judged func(ident.ServiceID) Judged, now time.Time) {
+// recent ones of all: with many instances each sees few responses. judged holds the services whose new
+// version is judged; samples of others are ignored.
+func (w *Monitor) ObserveSamples(ss []Sample, judged map[ident.ServiceID]Judged, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	touched := map[ident.ServiceID]Judged{}
+	touched := map[ident.ServiceID]*serviceState{}
 	for _, s := range ss {
-		j := judged(s.Service)
-		if j.Order == 0 {
+		j, ok := judged[s.Service]
+		if !ok {
 			continue
 		}
 		x := w.stateOf(s.Service)
 		x.reset(j.Order)
 		x.shared.add(s, x.shared.second(now))
-		touched[s.Service] = j
+		touched[s.Service] = x
 	}
-	for s, j := range touched {
-		if x := w.services[s]; x.verdict == "" {
-			x.verdict = x.shared.judge(j.Times, x.shared.second(now))
+	for s, x := range touched {
+		if x.verdict == "" {
+			x.verdict = x.shared.judge(judged[s].Times, x.shared.second(now))
 		}
 	}
 }
--- a/router/canary/shared_test.go
+++ b/router/canary/shared_test.go
@@ -76,7 +76,7 @@
 						}
 						ss = append(ss, s)
 					}
-					w.ObserveSamples(ss, func(ident.ServiceID) canary.Judged { return canary.Judged{Order: 7, Times: true} }, time.Unix(1000, 0).Add(at))
+					w.ObserveSamples(ss, map[ident.ServiceID]canary.Judged{"llm": {Order: 7, Times: true}}, time.Unix(1000, 0).Add(at))
 					if w.Verdict("llm", 7) != "" {
 						found = at + step
 					}
