refactor(boot): start the upstreams of the crash tests by one function

Cause: a read of the whole change, and the list of duplicates. Three tests started and ended their upstreams by the same lines. Checks and bounds are unchanged.

--- a/router/boot/poison_test.go
+++ b/router/boot/poison_test.go
@@ -42,6 +42,20 @@
 	crashes []time.Time
 }
 
+// start runs n upstreams at a time that crash in a certain way, and returns a function that ends them and
+// waits.
+func (c *crashingFleet) start(n int, crash server.Crash) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var slots sync.WaitGroup
+	for range n {
+		slots.Go(func() { c.slot(ctx, crash) })
+	}
+	return func() {
+		cancel()
+		slots.Wait()
+	}
+}
+
 // slot runs one upstream after the other until ctx ends.
 func (c *crashingFleet) slot(ctx context.Context, crash server.Crash) {
 	const restart = 1500 * time.Millisecond
@@ -120,14 +134,11 @@
 			const upstreams, calm, length = 6, 2 * time.Second, 12 * time.Second
 			ws := startRouters(t, standardDocument(), 4)
 			f := &crashingFleet{w: ws[0], service: "llm", guilty: holdsPart(part), reply: server.Events{Count: 4, Pause: 80 * time.Millisecond}}
-			ctx, stop := context.WithCancel(context.Background())
-			var slots, clients sync.WaitGroup
-			for range upstreams {
-				slots.Go(func() { f.slot(ctx, c.crash) })
-			}
+			stop := f.start(upstreams, c.crash)
 			for _, w := range ws {
 				w.awaitUpstreams(upstreams)
 			}
+			var clients sync.WaitGroup
 			began := time.Now()
 			var sound soundLoad
 			for i, w := range ws {
@@ -147,7 +158,6 @@
 			}
 			clients.Wait()
 			stop()
-			slots.Wait()
 			if len(f.crashes) < crashesKnown {
 				t.Fatalf("%d crashes, want at least %d", len(f.crashes), crashesKnown)
 			}
@@ -192,14 +202,11 @@
 			const upstreams, calm, length = 3, 2 * time.Second, 20 * time.Second
 			ws := startRouters(t, standardDocument(), 4)
 			f := &crashingFleet{w: ws[0], service: "desk", guilty: func(r server.Request) bool { return r.Target == c.path }, reply: worked}
-			ctx, stop := context.WithCancel(context.Background())
-			var slots, clients sync.WaitGroup
-			for range upstreams {
-				slots.Go(func() { f.slot(ctx, server.Crash{Delay: 50 * time.Millisecond}) })
-			}
+			stop := f.start(upstreams, server.Crash{Delay: 50 * time.Millisecond})
 			for _, w := range ws {
 				w.awaitUpstreams(upstreams)
 			}
+			var clients sync.WaitGroup
 			began := time.Now()
 			var sound soundLoad
 			for i, w := range ws {
@@ -221,7 +228,6 @@
 			}
 			clients.Wait()
 			stop()
-			slots.Wait()
 			if len(f.crashes) < crashesCounted {
 				t.Fatalf("%d crashes, want at least %d", len(f.crashes), crashesCounted)
 			}
@@ -253,14 +259,11 @@
 			f.guilty = func(r server.Request) bool {
 				return strings.Contains(r.Header.Get("Tarragonvalve-Prompt-Prefix"), "bad0000")
 			}
-			ctx, stop := context.WithCancel(context.Background())
-			var slots, clients sync.WaitGroup
-			for range upstreams {
-				slots.Go(func() { f.slot(ctx, server.Crash{Head: true, Delay: 30 * time.Millisecond}) })
-			}
+			stop := f.start(upstreams, server.Crash{Head: true, Delay: 30 * time.Millisecond})
 			for _, w := range ws {
 				w.awaitUpstreams(upstreams)
 			}
+			var clients sync.WaitGroup
 			began := time.Now()
 			var sound soundLoad
 			for i, w := range ws {
@@ -280,7 +283,6 @@
 			}
 			clients.Wait()
 			stop()
-			slots.Wait()
 			if len(f.crashes) < crashesKnown {
 				t.Fatalf("%d crashes, want at least %d", len(f.crashes), crashesKnown)
 			}
