--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -10,29 +10,29 @@
 	"time"
 )
 
-// engine is a stand-in for a model server. It runs slots requests at a time and rejects others as not
-// executed. A stream goes on after the request's Last-Event-Id.
+// engine is a stand-in for a model server. It runs slots requests at a time, queues a few more and rejects
+// others as not executed. A stream goes on after the request's Last-Event-Id.
 type engine struct {
 	id, address string
 	record      *record
-	slots       int
+	// slots holds an entry for each request that runs; places holds also those in the queue.
+	slots, places chan struct{}
 	// events is the number of events of a stream, interval the time between two.
 	events   int
 	interval time.Duration
 
-	mu      sync.Mutex
-	running int
+	mu sync.Mutex
 	// pausedUntil is the time until which the server makes no events.
 	pausedUntil time.Time
 }
 
 // newEngine starts a model server on a free loopback port and registers it in the store.
-func newEngine(id, service string, slots, events int, interval time.Duration, r *record, s *store) (*engine, error) {
+func newEngine(id, service string, slots, queue, events int, interval time.Duration, r *record, s *store) (*engine, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	x := &engine{id: id, address: l.Addr().String(), record: r, slots: slots, events: events, interval: interval}
+	x := &engine{id: id, address: l.Addr().String(), record: r, events: events, interval: interval, slots: make(chan struct{}, slots), places: make(chan struct{}, slots+queue)}
 	go http.Serve(l, x) //nolint:errcheck // it serves until the program ends
 	s.put("servers", id, map[string]any{
 		"service": service, "address": x.address, "zone": "zone-a", "version": "v1", "slots": slots,
@@ -46,24 +46,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.pausedUntil = time.Now().Add(d)
-	x.record.add("server %s preempts the %d requests that it runs for %s", x.id, x.running, d)
-}
-
-// begin takes a slot, or returns false if there is none.
-func (x *engine) begin() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.running >= x.slots {
-		return false
-	}
-	x.running++
-	return true
-}
-
-func (x *engine) end() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.running--
+	x.record.add("server %s preempts the %d requests that it runs for %s", x.id, len(x.slots), d)
 }
 
 // next returns when the next event is due.
@@ -89,13 +72,22 @@
 	if _, err := io.Copy(io.Discard, q.Body); err != nil {
 		return
 	}
-	if !x.begin() {
+	select {
+	case x.places <- struct{}{}:
+		defer func() { <-x.places }()
+	default:
 		x.record.add("server %s is full and rejects %s", x.id, id)
 		w.Header().Set("Tarragonvalve-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer x.end()
+	select {
+	case x.slots <- struct{}{}:
+		defer func() { <-x.slots }()
+	case <-q.Context().Done():
+		x.record.add("server %s drops %s from its queue, as its connection was closed", x.id, id)
+		return
+	}
 	n, err := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	if err != nil {
 		n = 0
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,8 +7,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -34,6 +36,29 @@
 	// dir is a temporary folder.
 	dir    string
 	record *record
+
+	mu sync.Mutex
+	// routers are the processes that were started.
+	routers []*router
+}
+
+// limit is the longest time that a case may take.
+const limit = 115 * time.Second
+
+// watch ends the program, with all processes that it started, at a signal or after limit.
+func (e *env) watch() {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-c:
+		case <-time.After(limit):
+		}
+		e.mu.Lock()
+		endAll(e.routers)
+		os.RemoveAll(e.dir)
+		os.Exit(failed)
+	}()
 }
 
 // record collects what was sent, answered and run. It is safe for concurrent use.
@@ -86,6 +111,7 @@
 	}
 	defer os.RemoveAll(dir)
 	e := &env{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: &record{began: time.Now()}}
+	e.watch()
 	code, err := cases[os.Args[1]](e)
 	if err != nil {
 		e.record.add("the case could not run: %v", err)
--- a/review/standin/preempted.go
+++ b/review/standin/preempted.go
@@ -12,11 +12,16 @@
 )
 
 const (
-	// engines and engineSlots are the number of model servers and of the requests that each runs.
-	engines, engineSlots = 3, 2
-	// streamEvents and streamInterval give the length of a stream, 8 s.
-	streamEvents   = 80
-	streamInterval = 100 * time.Millisecond
+	// engines is the number of model servers, engineSlots and engineQueue that of the requests that each
+	// runs and queues.
+	engines, engineSlots, engineQueue = 3, 2, 1
+	// streamEvents and streamInterval give the length of a stream, 2.5 s.
+	streamEvents   = 50
+	streamInterval = 50 * time.Millisecond
+	// streamGap is the time between the starts of two streams.
+	streamGap = 30 * time.Millisecond
+	// preemptAfter is the time from the last start to the preemption.
+	preemptAfter = 400 * time.Millisecond
 	// preemption is how long a preempted request makes no events. Clients wait for 12 s: four times
 	// the objective of 3 s.
 	preemption = 2500 * time.Millisecond
@@ -41,7 +46,7 @@
 	s.put("op", "config", c)
 	var xs []*engine
 	for i := range engines {
-		x, err := newEngine(fmt.Sprintf("server-%d", i+1), "chat", engineSlots, streamEvents, streamInterval, e.record, s)
+		x, err := newEngine(fmt.Sprintf("server-%d", i+1), "chat", engineSlots, engineQueue, streamEvents, streamInterval, e.record, s)
 		if err != nil {
 			return failed, err
 		}
@@ -58,13 +63,13 @@
 	if err := rs[0].cmd.Process.Signal(syscall.SIGHUP); err != nil {
 		return failed, err
 	}
-	const n = engines * engineSlots
+	const n = engines * (engineSlots + engineQueue)
 	results := make(chan bool, n)
 	for i := range n {
 		go func() { results <- stream(e, rs[0], fmt.Sprintf("stream-%d", i+1)) }()
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(streamGap)
 	}
-	time.Sleep(time.Second)
+	time.Sleep(preemptAfter)
 	if e.trouble {
 		xs[0].pause(preemption)
 	}
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -105,9 +105,12 @@
 	}
 	r.cmd = exec.Command("target/router", "--config", path)
 	r.cmd.Env = append(os.Environ(), "TARRAGONVALVE_NODE_FILE="+path)
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if err := r.cmd.Start(); err != nil {
 		return err
 	}
+	e.routers = append(e.routers, r)
 	go func() {
 		r.cmd.Wait() //nolint:errcheck // its end is all that counts
 		close(r.done)
