test: show that one crashing prompt has sound requests refused

The other cases move one number down, and the routers of all scripts get ports that the system gives to nobody else.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
   echo "target/router or target/review-standin is missing" >&2
   exit 2
 fi
-exec target/review-standin emptied review/4
+exec target/review-standin stopped review/4
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs the case; see claim.txt. It needs target/router, by the build of deploy/system.toml, and review/build.sh.
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -x target/router ] || [ ! -x target/review-standin ]; then
+  echo "target/router or target/review-standin is missing" >&2
+  exit 2
+fi
+exec target/review-standin emptied review/5
--- a/review/standin/config.go
+++ b/review/standin/config.go
@@ -24,3 +24,21 @@
 		"tenants": []any{map[string]any{"name": "tenant-a", "api_keys": keys, "priority": 1}},
 	}
 }
+
+// chatConfig returns a configuration with one resumable streaming route, to the service chat, whose model
+// servers run some requests at a time.
+func chatConfig(slots int) map[string]any {
+	c := config(1, "streaming", 25000, []string{"key-1"})
+	c["routes"] = []any{map[string]any{
+		"name": "r-chat", "host": host, "prefix": "/chat/", "kind": "streaming", "timeout_ms": 25000, "target_latency_ms": 3000,
+		"target_itl_ms": 1200, "priority": 0, "service": "chat", "attempts": 3, "public": false, "sticky": true, "resumable": true,
+	}}
+	c["services"] = []any{map[string]any{
+		"name": "chat", "health_path": "/healthz", "max_connections": 370, "protocol": "h1", "tls": false,
+		"runtime": map[string]any{
+			"slots": slots, "kv_capacity": 449441, "kv_token_bytes": 35136, "bandwidth_mbps": 1100000.0,
+			"model_list": []any{map[string]any{"name": "model-a", "cost": 0.016}},
+		},
+	}}
+	return c
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 	"stopped":   stopped,
 	"emptied":   emptied,
 	"preempted": preempted,
+	"poisoned":  poisoned,
 }
 
 // env is what a case runs in.
--- a/review/standin/preempted.go
+++ b/review/standin/preempted.go
@@ -31,19 +31,7 @@
 // SIGHUP of one router. Each stream must reach its client whole.
 func preempted(e *env) (int, error) {
 	s := newStore()
-	c := config(1, "streaming", 25000, []string{"key-1"})
-	c["routes"] = []any{map[string]any{
-		"name": "r-chat", "host": host, "prefix": "/chat/", "kind": "streaming", "timeout_ms": 25000, "target_latency_ms": 3000,
-		"target_itl_ms": 1200, "priority": 0, "service": "chat", "attempts": 3, "public": false, "sticky": true, "resumable": true,
-	}}
-	c["services"] = []any{map[string]any{
-		"name": "chat", "health_path": "/healthz", "max_connections": 370, "protocol": "h1", "tls": false,
-		"runtime": map[string]any{
-			"slots": engineSlots, "kv_capacity": 449441, "kv_token_bytes": 35136, "bandwidth_mbps": 1100000.0,
-			"model_list": []any{map[string]any{"name": "model-a", "cost": 0.016}},
-		},
-	}}
-	s.put("op", "config", c)
+	s.put("op", "config", chatConfig(engineSlots))
 	var xs []*engine
 	for i := range engines {
 		x, err := newEngine(fmt.Sprintf("server-%d", i+1), "chat", engineSlots, engineQueue, streamEvents, streamInterval, e.record, s)
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -24,14 +25,28 @@
 	done chan struct{}
 }
 
-// freeAddress returns a free loopback address IP:PORT.
+// Ports of routers are drawn below those that the system gives to connections and to listeners without a
+// port, so that nothing takes them before their router listens.
+const firstPort, lastPort = 20000, 31999
+
+// given holds the ports that freeAddress has returned.
+var given = map[int]bool{}
+
+// freeAddress returns a free loopback address IP:PORT, each only once.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 1000 {
+		p := firstPort + rand.IntN(lastPort-firstPort+1)
+		if given[p] {
+			continue
+		}
+		given[p] = true
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err != nil {
+			continue
+		}
+		return l.Addr().String(), l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port was found")
 }
 
 // maxSeeds is the largest number of seeds that the platform names.
