--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,7 +1,7 @@
 // Command standin runs the scripted cases of the review: it starts routers as separate processes and
 // plays the platform's store, the servers, the operator and the clients. It exits with 1 if the rule
-// of the case was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 in the
-// environment it leaves the disruption out.
+// of the case was broken, 0 if it held and 2 if the case could not run. With 0 as the last argument it
+// leaves the disruption out.
 package main
 
 import (
@@ -99,10 +99,10 @@
 	os.Exit(run())
 }
 
-// run runs the case that the arguments name, CASE FOLDER, in the root of the repository.
+// run runs the case that the arguments name, CASE FOLDER TROUBLE, in the root of the repository.
 func run() int {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER TROUBLE")
 		return failed
 	}
 	dir, err := os.MkdirTemp("", "review-")
@@ -111,7 +111,7 @@
 		return failed
 	}
 	defer os.RemoveAll(dir)
-	e := &env{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: &record{began: time.Now()}}
+	e := &env{trouble: os.Args[3] != "0", dir: dir, record: &record{began: time.Now()}}
 	e.watch()
 	code, err := cases[os.Args[1]](e)
 	if err != nil {
