fix(poison): judge no shared part by crashes before the first byte

Cause: at such a crash the request that causes it counts as not begun, the sound ones beside it as begun, and begun ones weighed more: shared parts had their six crashes before the bad part had five different requests, and once it was in quarantine its crashes still spoke against them.

Ruled out: missed survivals (the parts needed six crashes, so they counted as known) and the trials (they come after the wrong quarantine).

Change: a known part isn't judged by crashes at which a part that nobody knows and that recurs was in progress; one that nobody knows isn't while another with fewer requests was there each time and never began; and a quarantined part whose requests never began explains crashes of others that had. The log states the evidence of each decision.

Related: contents, parts without calm time (both covered); entries and agents have no quarantine.

--- a/router/boot/poison_test.go
+++ b/router/boot/poison_test.go
@@ -97,6 +97,20 @@
 	}
 }
 
+// checkBound fails the test if more requests with guilty parts than the users allow reached upstreams, or
+// if there were too few crashes for a verdict.
+func (c *crashingFleet) checkBound(t *testing.T, guiltyParts int) {
+	t.Helper()
+	if len(c.crashes) < crashesKnown {
+		t.Fatalf("%d crashes, want at least %d", len(c.crashes), crashesKnown)
+	}
+	from := c.crashes[crashesKnown-1].Add(poisonGrace)
+	if n, most := countAfter(c.arrivals(), from), poisonTolerance*guiltyParts; n > most {
+		t.Errorf("%d requests with guilty parts reached upstreams later than %s after crash %d, allowed %d; %d crashes in all",
+			n, poisonGrace, crashesKnown, most, len(c.crashes))
+	}
+}
+
 // arrivals returns when requests that crash upstreams reached one.
 func (c *crashingFleet) arrivals() []time.Time {
 	var ts []time.Time
@@ -283,14 +297,66 @@
 			}
 			clients.Wait()
 			stop()
-			if len(f.crashes) < crashesKnown {
-				t.Fatalf("%d crashes, want at least %d", len(f.crashes), crashesKnown)
+			f.checkBound(t, len(guilty))
+			sound.checkFrom(t, f.crashes[crashesKnown-1].Add(2*poisonGrace))
+			t.Logf("%d crashes, the last %s after the first", len(f.crashes), f.crashes[len(f.crashes)-1].Sub(f.crashes[0]))
+		})
+	}
+}
+
+// Review case 1: upstreams crash before the first byte of an answer, while all sound requests share both
+// their parts and have begun to be answered at each of them. Guards against sound parts that are taken
+// for the cause, as those of the requests that crash upstreams never begin, and against a guilty part that
+// is found late.
+func TestCrashesBeforeAnswer(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		guilty []string
+		// calm is the time before the first crashing request, pause that between two of them.
+		calm, pause time.Duration
+	}{
+		"two a second":             {[]string{"bad00001"}, 3 * time.Second, 500 * time.Millisecond},
+		"five a second":            {[]string{"bad00001"}, 3 * time.Second, 200 * time.Millisecond},
+		"two a second, no calm":    {[]string{"bad00001"}, 0, 500 * time.Millisecond},
+		"two parts, four a second": {[]string{"bad00001", "bad00002"}, 3 * time.Second, 250 * time.Millisecond},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const upstreams, routers, length, soundPause = 3, 3, 22 * time.Second, 25 * time.Millisecond
+			ws := startRouters(t, standardDocument(), routers)
+			f := &crashingFleet{w: ws[0], service: "llm", reply: server.Events{Count: 40, Pause: 30 * time.Millisecond}}
+			f.guilty = func(r server.Request) bool {
+				return strings.Contains(r.Header.Get("Tarragonvalve-Prompt-Prefix"), "bad0000")
 			}
-			known := f.crashes[crashesKnown-1]
-			if n, most := countAfter(f.arrivals(), known.Add(poisonGrace)), poisonTolerance*len(guilty); n > most {
-				t.Errorf("%d requests with guilty parts reached upstreams later than %s after crash %d, allowed %d", n, poisonGrace, crashesKnown, most)
+			stop := f.start(upstreams, server.Crash{Delay: 30 * time.Millisecond})
+			for _, w := range ws {
+				w.awaitUpstreams(upstreams)
 			}
-			sound.checkFrom(t, known.Add(2*poisonGrace))
+			var clients sync.WaitGroup
+			began := time.Now()
+			var sound soundLoad
+			clients.Go(func() {
+				for n := 0; time.Since(began) < length; n++ {
+					clients.Go(func() {
+						sound.record(func() response {
+							return ws[n%routers].send("POST", "/chat/1", "", promptOf("aaaa0001:40,cccc0001:30", 2*n+1)...)
+						})
+					})
+					time.Sleep(soundPause)
+				}
+			})
+			time.Sleep(c.calm)
+			for n := 0; time.Since(began) < length; n++ {
+				clients.Go(func() {
+					ws[n%routers].send("POST", "/chat/1", "", promptOf("aaaa0001:40,"+c.guilty[n%len(c.guilty)]+":30", 2*n)...)
+				})
+				time.Sleep(c.pause)
+			}
+			clients.Wait()
+			stop()
+			f.checkBound(t, len(c.guilty))
+			sound.checkFrom(t, f.crashes[crashesKnown-1].Add(2*poisonGrace))
 			t.Logf("%d crashes, the last %s after the first", len(f.crashes), f.crashes[len(f.crashes)-1].Sub(f.crashes[0]))
 		})
 	}
--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -22,19 +22,24 @@
 	// crashes is the number of upstreams that crashed, or of the different requests under which they
 	// did, if that is less; begun counts only requests whose answer had begun.
 	crashes, begun int
-	// upstreams is the number of upstreams that crashed.
-	upstreams int
-	// hit are all requests in progress at the crashes.
-	hit  map[crashKey]struct{}
-	last time.Time
+	// upstreams are the upstreams that crashed, inProgress is the number of requests at them.
+	upstreams  map[fleet.Incarnation]struct{}
+	inProgress int
+	last      time.Time
+}
+
+// verdict is a quarantine with the candidate for whose crashes it was decided.
+type verdict struct {
+	Quarantine
+	candidate
 }
 
 // decide returns a quarantine that follows from the evidence and is not among those in force, if
 // there is one. The parts that explain the most crashes come first, since they leave fewer crashes
 // to be explained by others, and of these the most specific ones.
-func (e *evidence) decide(qs []Quarantine, now time.Time) (Quarantine, bool) {
+func (e *evidence) decide(qs []Quarantine, now time.Time) (verdict, bool) {
 	if len(e.suspects) == 0 {
-		return Quarantine{}, false
+		return verdict{}, false
 	}
 	var active []Quarantine
 	for _, q := range qs {
@@ -45,7 +50,7 @@
 	cs := e.candidates(active, now)
 	all := crashed(cs)
 	for _, c := range cs {
-		if !c.settled || !c.guilty(remembered(qs, c.part)) || float64(c.upstreams) < explainedShare*float64(all) {
+		if !c.settled || !c.guilty(remembered(qs, c.part)) || float64(len(c.upstreams)) < explainedShare*float64(all) || c.inferior(cs) {
 			continue
 		}
 		q := Quarantine{At: c.last}
@@ -58,10 +63,10 @@
 		}
 		slices.Sort(q.Parts)
 		if !slices.ContainsFunc(active, func(a Quarantine) bool { return containsAll(q.Parts, a.Parts) }) {
-			return q, true
+			return verdict{Quarantine: q, candidate: c}, true
 		}
 	}
-	return Quarantine{}, false
+	return verdict{}, false
 }
 
 // candidates returns the suspected parts, the most suspected ones first.
@@ -89,7 +94,7 @@
 		if c.begun >= begunCrashes {
 			c.requests = begun
 		}
-		c.hit, c.upstreams = all, len(upstreamsOf(all))
+		c.upstreams, c.inProgress = upstreamsOf(all), len(all)
 		cs = append(cs, c)
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
@@ -111,6 +116,35 @@
 	}
 }
 
+// inferior reports whether other candidates explain the crashes better than a part in frequent use, whose
+// requests are in progress at each crash, whatever its cause. They explain those under a part that is known
+// if they aren't known and recur, and those under another part if one of them was there each time with
+// fewer requests and never began to be answered: its crashes come before the first byte.
+func (c candidate) inferior(cs []candidate) bool {
+	if !c.known {
+		return c.begun > 0 && slices.ContainsFunc(cs, func(o candidate) bool {
+			return o.begun == 0 && o.recurs() && o.inProgress < c.inProgress && containsKeys(o.upstreams, c.upstreams)
+		})
+	}
+	left := maps.Clone(c.requests)
+	maps.DeleteFunc(left, func(k crashKey, _ struct{}) bool {
+		return slices.ContainsFunc(cs, func(o candidate) bool {
+			_, there := o.upstreams[k.upstream]
+			return there && o.recurs()
+		})
+	})
+	return countCrashes(left) < knownCrashes
+}
+
+// recurs reports whether a candidate that isn't known was in progress at crashes more often than by chance:
+// under different requests, and for content, which a repeat carries to a second upstream, once more.
+func (c candidate) recurs() bool {
+	if c.part.IsContent() {
+		return c.crashes >= recurringContent
+	}
+	return !c.known && c.crashes >= recurringPart
+}
+
 // explained reports whether a quarantine without the suspicion's part explains the crash at least as
 // well: requests with its parts were in progress too. Content doesn't explain that of other requests:
 // if two came together each time, either may be the cause.
@@ -120,7 +154,7 @@
 			return false
 		}
 		return !slices.Contains(q.Parts, s.Part) && !slices.ContainsFunc(q.Parts, func(x crash.Part) bool {
-			return !e.suspects[x].inProgress(s.Upstream, s.Began)
+			return !e.suspects[x].mayCause(s.Upstream, s.Began)
 		})
 	})
 }
@@ -147,15 +181,18 @@
 func crashed(cs []candidate) int {
 	us := map[fleet.Incarnation]struct{}{}
 	for _, c := range cs {
-		maps.Copy(us, upstreamsOf(c.hit))
+		maps.Copy(us, c.upstreams)
 	}
 	return len(us)
 }
 
 // includes reports whether all requests of another candidate held this one's part too.
-func (c candidate) includes(o candidate) bool {
-	for k := range o.requests {
-		if _, ok := c.requests[k]; !ok {
+func (c candidate) includes(o candidate) bool { return containsKeys(c.requests, o.requests) }
+
+// containsKeys reports whether a has all keys of b.
+func containsKeys[K comparable](a, b map[K]struct{}) bool {
+	for k := range b {
+		if _, ok := a[k]; !ok {
 			return false
 		}
 	}
--- a/router/poison/evidence.go
+++ b/router/poison/evidence.go
@@ -21,6 +21,10 @@
 	// knownCrashes is the number of crashes in a row that are needed for a part that upstreams
 	// survived within evidenceTTL: a part that many prompts share is often in progress at a crash.
 	knownCrashes = 6
+	// recurringPart and recurringContent are the numbers of crashes from which on a part that isn't known,
+	// or content, may explain those under other parts.
+	recurringPart    = 2
+	recurringContent = 3
 	// explainedShare is the least share of all crashes that a part must explain: if many upstreams
 	// end for another reason, such as the power of a rack, parts that are often in progress are so
 	// at several of them.
@@ -62,18 +66,26 @@
 	suspicions map[crashKey]Suspicion
 }
 
-// inProgress reports whether a request with the part was in progress at a crash, and if began is
-// true, whether its answer had begun.
-func (x *suspect) inProgress(i fleet.Incarnation, began bool) bool {
+// mayCause reports whether a request with the part was in progress at a crash, and if began is true,
+// whether its answer had begun, unless crashes under the part come before that.
+func (x *suspect) mayCause(i fleet.Incarnation, began bool) bool {
 	if x == nil {
 		return false
 	}
+	here, anyBegun := false, false
 	for k, s := range x.suspicions {
-		if k.upstream == i && (s.Began || !began) {
+		if s.Began {
+			anyBegun = true
+		}
+		if k.upstream != i {
+			continue
+		}
+		if s.Began || !began {
 			return true
 		}
+		here = true
 	}
-	return false
+	return here && !anyBegun
 }
 
 // evidence is what speaks for and against the parts of prompts.
--- a/router/poison/poison.go
+++ b/router/poison/poison.go
@@ -180,11 +180,13 @@
 	defer r.mu.Unlock()
 	// Evidence that doesn't change leads to no other decision once it has settled.
 	for r.judgedAt.Sub(r.evidence.changedAt) <= r.evidence.judgeDelay() {
-		q, ok := r.evidence.decide(r.quarantines, now)
+		v, ok := r.evidence.decide(r.quarantines, now)
 		if !ok {
 			break
 		}
-		r.add(q, now)
+		r.log.Warn().Uints64("parts", hashes(v.Parts)).Int("crashes", v.crashes).Int("begun", v.begun).Bool("known", v.known).
+			Msg("prompt parts or requests were found to crash upstreams")
+		r.add(v.Quarantine, now)
 	}
 	r.judgedAt = now
 	return r.publish(now)
--- a/router/poison/poison_test.go
+++ b/router/poison/poison_test.go
@@ -52,6 +52,14 @@
 	s.Crashed(crash.Report{Upstream: fleet.Incarnation{ID: ident.UpstreamID(fmt.Sprint("u", s.n)), StartedMs: 1}, Suspects: xs}, s.now)
 }
 
+// crashTwice reports the crashes of two upstreams under one request, which was repeated, while answers to
+// prompts with other parts had begun at both.
+func (s *scene) crashTwice(x crash.Suspect, others ...string) {
+	for range 2 {
+		s.crash(x, s.begun(others...), s.begun(others...))
+	}
+}
+
 // survive reports an answer that an upstream survived.
 func (s *scene) survive(shared ...string) {
 	s.Survived(s.prompt(shared...), s.now)
@@ -117,6 +125,50 @@
 				s.crash(s.waiting("a", "x"), s.waiting("a", "b"), s.waiting("a", fmt.Sprint("c", i)))
 			}
 		}, [][]string{{"a", "x"}}, [][]string{{"a", "b"}, {"a", "c0"}}},
+		"crashes before an answer, at two upstreams each": {func(s *scene) {
+			s.survive("a", "b")
+			for range 3 {
+				s.crashTwice(s.waiting("a", "x"), "a", "b")
+			}
+			s.wait(settled)
+		}, nil, [][]string{{"a", "b"}, {"a", "c"}, {"c", "b"}}},
+		"crashes before an answer, at two upstreams each, until the part is found": {func(s *scene) {
+			s.survive("a", "b")
+			for range 5 {
+				s.crashTwice(s.waiting("a", "x"), "a", "b")
+				s.wait(200 * time.Millisecond)
+			}
+		}, [][]string{{"a", "x"}, {"c", "x"}}, [][]string{{"a", "b"}, {"a", "c"}, {"c", "b"}}},
+		"crashes before an answer by two parts": {func(s *scene) {
+			s.survive("a", "b")
+			for range 5 {
+				s.crashTwice(s.waiting("a", "x"), "a", "b")
+				s.crashTwice(s.waiting("a", "y"), "a", "b")
+			}
+		}, [][]string{{"a", "x"}, {"a", "y"}}, [][]string{{"a", "b"}, {"a", "c"}, {"c", "b"}}},
+		"crashes before an answer under parts that nobody knows": {func(s *scene) {
+			for range 5 {
+				s.crashTwice(s.waiting("a", "x"), "a", "b")
+				s.wait(200 * time.Millisecond)
+			}
+		}, [][]string{{"a", "x"}, {"c", "x"}}, [][]string{{"a", "b"}, {"a", "c"}, {"c", "b"}}},
+		"crashes before an answer, one request again and again": {func(s *scene) {
+			s.survive("a", "b")
+			x := s.waiting("a", "x")
+			for range 4 {
+				s.crashTwice(x, "a", "b")
+			}
+		}, nil, [][]string{{"a", "b"}, {"a", "c"}, {"c", "b"}}},
+		"waiting part beside one that crashes": {func(s *scene) {
+			s.survive("a", "b")
+			for i := range 4 {
+				xs := []crash.Suspect{s.begun("a", "x"), s.begun("a", "b")}
+				if i%2 == 0 {
+					xs = append(xs, s.waiting("a", "y"))
+				}
+				s.crash(xs...)
+			}
+		}, [][]string{{"a", "x"}}, [][]string{{"a", "y"}, {"a", "b"}}},
 		"power failure of a third": {func(s *scene) {
 			s.survive("a", "b")
 			for i := range 50 {
