fix(front): take no request in a stop that may outlast it

Cause: only streams were refused 3 s after the signal; all other requests were taken for 5 s, whatever their time. Ruled out: an early close (SIGKILL follows 0.6 s later) and a race with idle connections (the orders had reached a server).

Change: core/drain admits a request later than 3 s after the start of a stop only if its deadline is before the end of the drain; it is checked again right before the send. What is open at the end is answered, 502 or 503.

--- /dev/null
+++ b/core/drain/drain.go
@@ -0,0 +1,23 @@
+// Package drain decides which requests a process may still take while it stops.
+package drain
+
+import "time"
+
+const (
+	// admitAll is how long after the start of a stop all requests are taken: load balancers send new
+	// connections until they notice it. It is at most admitAllFraction of the time until the last
+	// requests are ended.
+	admitAll         = 3 * time.Second
+	admitAllFraction = 0.4
+	// answerMargin is the time between the deadline of a request and the end of the last requests in
+	// which the answer that its time is over still reaches the client.
+	answerMargin = 100 * time.Millisecond
+)
+
+// Admits reports whether a request may still be taken: shortly after the start of a stop all are, later
+// ones if their deadline is before the time at which the last requests are ended. past is the time since
+// the start of the stop, limit that from its start until the last requests are ended, and left the time
+// until the request's deadline.
+func Admits(past, limit, left time.Duration) bool {
+	return past <= min(admitAll, time.Duration(admitAllFraction*float64(limit))) || past+left+answerMargin <= limit
+}
--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -244,14 +244,14 @@
 }
 
 func newGate(v *setup.Live, n *mirror.Syncer, now clock.Func) *front.Gate {
-	return front.NewGate(n, now, func() time.Duration { return v.Bounds().RevokeWithin })
+	return front.NewGate(n, now, func() time.Duration { return v.Bounds().RevokeWithin }, func() time.Duration { return v.Bounds().GracePeriod })
 }
 
 // newClientServer opens the listener for clients and returns the server that uses it.
-func newClientServer(s *setup.Settings, v *setup.Live, h *front.Handler, g *front.Gate, n *mirror.Syncer, m *meter.Meter, l zerolog.Logger) (*front.Server, error) {
+func newClientServer(s *setup.Settings, h *front.Handler, g *front.Gate, n *mirror.Syncer, m *meter.Meter, l zerolog.Logger) (*front.Server, error) {
 	i, err := net.Listen("tcp", s.Clients)
 	if err != nil {
 		return nil, err
 	}
-	return &front.Server{Listener: i, Handler: h, Gate: g, Syncer: n, GracePeriod: func() time.Duration { return v.Bounds().GracePeriod }, Refused: m.ConnectionRefused, Log: l}, nil
+	return &front.Server{Listener: i, Handler: h, Gate: g, Syncer: n, Refused: m.ConnectionRefused, Log: l}, nil
 }
--- a/router/boot/harness_test.go
+++ b/router/boot/harness_test.go
@@ -40,6 +40,8 @@
 	// name is the instance's name, router holds further lines of the section [router].
 	name   string
 	router string
+	// grace is the grace period in s; 0 stands for 2.
+	grace int
 }
 
 // lockedBuffer is a buffer that is safe for concurrent use.
@@ -104,6 +106,18 @@
 	return startRouters(t, d, 1)[0]
 }
 
+// startRouterWithGrace is startRouter with a grace period in s.
+func startRouterWithGrace(t *testing.T, d map[string]any, grace int) *harness {
+	t.Helper()
+	store := tables.New()
+	s := httptest.NewServer(store)
+	t.Cleanup(s.Close)
+	w := &harness{t: t, store: store, address: s.Listener.Addr().String(), logs: &lockedBuffer{}, reload: make(chan os.Signal, 1), name: "r1", grace: grace}
+	w.writeConfig(d)
+	w.run()
+	return w
+}
+
 // startRouters runs n routers that read one store until the test ends. The first two are seeds.
 func startRouters(t *testing.T, d map[string]any, n int) []*harness {
 	t.Helper()
@@ -185,8 +199,12 @@
 // writeSettings writes the settings file. store is the store's address; revoke is in ms.
 func (w *harness) writeSettings(store, revoke string) {
 	w.t.Helper()
-	text := fmt.Sprintf("[router]\ninstance = %s\ndomain = a\nclients = %s\nadmin = %s\n%s[store]\naddress = %s\n[bounds]\ngrace-s = 2\nrevoke-ms = %s\nretry-slack = 50\ncanary-share = 0.5\n",
-		w.name, w.clients, w.admin, w.router, store, revoke)
+	grace := 2
+	if w.grace > 0 {
+		grace = w.grace
+	}
+	text := fmt.Sprintf("[router]\ninstance = %s\ndomain = a\nclients = %s\nadmin = %s\n%s[store]\naddress = %s\n[bounds]\ngrace-s = %d\nrevoke-ms = %s\nretry-slack = 50\ncanary-share = 0.5\n",
+		w.name, w.clients, w.admin, w.router, store, grace, revoke)
 	if err := os.WriteFile(w.path, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math"
 	"net/http"
 	"os"
@@ -138,7 +139,22 @@
 		}
 	}
 	j.Recheck = func() error { return h.recheck(j) }
-	return h.relay.Serve(ctx, w, j)
+	return explainStop(ctx, h.relay.Serve(ctx, w, j))
+}
+
+// errDrained is the cause of the end of requests that are in progress at the end of a drain. It counts as
+// context.Canceled, like the departure of their clients, since it says nothing about the upstreams.
+var errDrained = fmt.Errorf("the instance stopped before the answer was complete: %w", context.Canceled)
+
+// explainStop replaces the refusal of a request that the end of the drain has ended. A truncated answer
+// can't be replaced.
+func explainStop(ctx context.Context, err error) error {
+	var truncated *relay.TruncatedError
+	r, ok := refuse.As(err)
+	if !ok || errors.As(err, &truncated) || !errors.Is(context.Cause(ctx), errDrained) {
+		return err
+	}
+	return refuse.New(refuse.Draining, r.Ran, "%v", errDrained).WithRetryAfter(retryStopping)
 }
 
 // checkHeaders refuses a request with ambiguous headers and ends its connection, as a program
@@ -172,8 +188,11 @@
 
 // recheck authenticates an admitted request again right before it is sent, as the process
 // may have been paused since. It returns a *refuse.Error if the key is no longer accepted
-// or now belongs to another client account.
+// or now belongs to another client account, or if the instance has begun to stop too long ago.
 func (h *Handler) recheck(j *relay.Job) error {
+	if err := h.checkShutdown(j); err != nil {
+		return err
+	}
 	k := *j
 	if err := h.authenticate(&k, h.syncer.View().Document); err != nil {
 		return err
@@ -237,10 +256,15 @@
 		timeout = min(timeout, r.Timeout)
 	}
 	j.Deadline = j.Arrived.Add(timeout)
-	if h.gate.StreamsClosed() && r.Kind == routes.Stream {
-		return refuse.New(refuse.Draining, refuse.NotRun, "the instance is stopping").WithRetryAfter(retryStopping)
+	return h.checkShutdown(j)
+}
+
+// checkShutdown returns a *refuse.Error if the instance may end before the request's deadline.
+func (h *Handler) checkShutdown(j *relay.Job) error {
+	if h.gate.Admits(j.Deadline) {
+		return nil
 	}
-	return nil
+	return refuse.New(refuse.Draining, refuse.NotRun, "the instance stops before the request's deadline").WithRetryAfter(retryStopping)
 }
 
 // authenticate finds the client account of a request that needs a key. Keys are accepted only
--- a/router/front/gate.go
+++ b/router/front/gate.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonvalve.example/core/drain"
 	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/mirror"
 )
@@ -12,9 +13,8 @@
 	// revokeMargin is subtracted from the time within which a revoked key must stop
 	// working, for the time between the check of a key and the send of its request.
 	revokeMargin = 300 * time.Millisecond
-	// streamGrace is how long after the start of the shutdown new streams are still
-	// accepted. Later ones could not end within the grace period.
-	streamGrace = 3 * time.Second
+	// stopMargin is the part of the grace period kept for the exit of the process.
+	stopMargin = 600 * time.Millisecond
 )
 
 // Gate decides which requests the instance may accept, by the age of its configuration
@@ -24,14 +24,16 @@
 	now    clock.Func
 	// revokeWithin returns the time within which a revoked key must stop working.
 	revokeWithin func() time.Duration
-	stopBegan    atomic.Int64 // reading of now at the start of the shutdown, in ns; 0 before
-	inFlight     atomic.Int64 // requests in progress
+	// gracePeriod returns the time between SIGTERM and SIGKILL.
+	gracePeriod func() time.Duration
+	stopBegan   atomic.Int64 // reading of now at the start of the shutdown, in ns; 0 before
+	inFlight    atomic.Int64 // requests in progress
 }
 
-// NewGate returns a gate. revoke returns the time within which a revoked key must stop
-// working.
-func NewGate(n *mirror.Syncer, now clock.Func, revokeWithin func() time.Duration) *Gate {
-	return &Gate{syncer: n, now: now, revokeWithin: revokeWithin}
+// NewGate returns a gate. revokeWithin returns the time within which a revoked key must stop
+// working, gracePeriod that between SIGTERM and SIGKILL.
+func NewGate(n *mirror.Syncer, now clock.Func, revokeWithin, gracePeriod func() time.Duration) *Gate {
+	return &Gate{syncer: n, now: now, revokeWithin: revokeWithin, gracePeriod: gracePeriod}
 }
 
 // Fresh reports whether the configuration is provably fresh enough to accept keys by it.
@@ -57,11 +59,19 @@
 	return g.stopBegan.Load() != 0
 }
 
-// StreamsClosed reports whether new streams are refused because the shutdown began more
-// than streamGrace ago.
-func (g *Gate) StreamsClosed() bool {
+// stoppedFor returns the time since the start of the shutdown, or false before it.
+func (g *Gate) stoppedFor() (time.Duration, bool) {
 	s := g.stopBegan.Load()
-	return s != 0 && g.now()-time.Duration(s) > streamGrace
+	return g.now() - time.Duration(s), s != 0
+}
+
+// drainTime returns how long after the start of the shutdown the requests in progress may go on.
+func (g *Gate) drainTime() time.Duration { return g.gracePeriod() - stopMargin }
+
+// Admits reports whether the shutdown, if it has begun, leaves a request with a deadline enough time.
+func (g *Gate) Admits(deadline time.Time) bool {
+	past, ok := g.stoppedFor()
+	return !ok || drain.Admits(past, g.drainTime(), time.Until(deadline))
 }
 
 // InFlight returns the number of requests in progress.
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -31,8 +31,8 @@
 	// keepOpenFraction bounds keepOpen to a fraction of the grace period, for deployments with
 	// a short one.
 	keepOpenFraction = 0.625
-	// stopMargin is the part of the grace period kept for the exit of the process.
-	stopMargin = 600 * time.Millisecond
+	// abortTime bounds the time in which the requests that are open at the end of a drain are answered.
+	abortTime = 200 * time.Millisecond
 	// drainPoll is how often a shutdown checks for open connections.
 	drainPoll = 20 * time.Millisecond
 )
@@ -43,8 +43,6 @@
 	Handler  http.Handler
 	Gate     *Gate
 	Syncer   *mirror.Syncer
-	// GracePeriod returns the time between SIGTERM and SIGKILL.
-	GracePeriod func() time.Duration
 	// Refused is called for each connection that is closed because too many are open.
 	Refused func()
 	Log     zerolog.Logger
@@ -58,8 +56,11 @@
 // Run serves until ctx ends, and then until all requests have ended or the grace period is
 // nearly over. It returns an error if the listener fails before that.
 func (s *Server) Run(ctx context.Context) error {
+	base, abort := context.WithCancelCause(context.Background())
+	defer abort(nil)
 	h := &http.Server{
-		Handler: s.conns.abortClosed(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		BaseContext: func(net.Listener) context.Context { return base },
+		Handler:     s.conns.abortClosed(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(io.Discard, "", 0),
 	}
 	l, err := limitConnections(s.Listener, s.Refused)
@@ -77,7 +78,9 @@
 		case <-t.C:
 			s.conns.closeIdle(s.idleTimeout())
 		case <-ctx.Done():
-			s.drain()
+			if !s.drain() {
+				s.abort(abort)
+			}
 			return s.closeAll(h)
 		}
 	}
@@ -93,20 +96,18 @@
 }
 
 // drain waits until no connection is left, at most until stopMargin before the end of the
-// grace period. It closes the listener before idle connections, so that no request is read
-// and then abandoned.
-func (s *Server) drain() {
+// grace period, and reports whether it succeeded. It closes the listener before idle connections, so
+// that no request is read and then abandoned.
+func (s *Server) drain() bool {
 	s.Gate.Stop()
-	began := time.Now()
-	keep := min(keepOpen, time.Duration(float64(s.GracePeriod())*keepOpenFraction))
+	keep := min(keepOpen, time.Duration(float64(s.Gate.gracePeriod())*keepOpenFraction))
 	s.Log.Info().Int("open", s.Gate.InFlight()).Msg("stopping: no longer ready")
 	closed := false
 	for {
 		time.Sleep(drainPoll)
-		past := time.Since(began)
-		if past > s.GracePeriod()-stopMargin {
-			s.Log.Warn().Int("open", s.Gate.InFlight()).Msg("stopping: grace period over with requests open")
-			return
+		past, _ := s.Gate.stoppedFor()
+		if past > s.Gate.drainTime() {
+			return false
 		}
 		if past <= keep {
 			continue
@@ -117,14 +118,29 @@
 				s.Log.Warn().Err(err).Msg("stopping: listener not closed")
 			}
 		}
-		s.conns.closeIdle(0)
-		if s.conns.count() == 0 && s.Gate.InFlight() == 0 {
+		if s.drained() {
 			s.Log.Info().Msg("stopping: all requests ended")
-			return
+			return true
 		}
 	}
 }
 
+// drained closes idle connections and reports whether neither connections nor requests are left.
+func (s *Server) drained() bool {
+	s.conns.closeIdle(0)
+	return s.conns.count() == 0 && s.Gate.InFlight() == 0
+}
+
+// abort ends the requests in progress, so that their clients are told rather than cut off, and waits until
+// they are answered, at most for abortTime.
+func (s *Server) abort(cancel context.CancelCauseFunc) {
+	s.Log.Warn().Int("open", s.Gate.InFlight()).Msg("stopping: grace period over with requests open")
+	cancel(errDrained)
+	for end := time.Now().Add(abortTime); time.Now().Before(end) && !s.drained(); {
+		time.Sleep(drainPoll)
+	}
+}
+
 // idleTimeout returns the idle timeout of clients' connections.
 func (s *Server) idleTimeout() time.Duration {
 	d := s.Syncer.View().Document
