fix(entry): take no request in a drain that may outlast it

Change: the same decision, core/drain, after a request is authenticated and once more after its body was read. TestDeadlineAfterDrain and TestAdmitsDuringDrain are new, and need the new option to compile.

--- a/entry/boot/boot_test.go
+++ b/entry/boot/boot_test.go
@@ -84,6 +84,26 @@
 	}
 }
 
+// Guards against a drain whose end isn't taken into account, so that requests are taken that it interrupts.
+func TestAdmitsDuringDrain(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	p := &readiness{drainTime: 20 * time.Second, now: func() time.Time { return now }}
+	if !p.admits(now.Add(time.Hour)) {
+		t.Error("refused before the drain")
+	}
+	p.drain()
+	if !p.admits(now.Add(time.Hour)) {
+		t.Error("refused as the drain begins")
+	}
+	now = now.Add(10 * time.Second)
+	if !p.admits(now.Add(9 * time.Second)) {
+		t.Error("refused a request that ends within the drain")
+	}
+	if p.admits(now.Add(11 * time.Second)) {
+		t.Error("admitted a request that may end after the drain")
+	}
+}
+
 // Guards against requests that a graceful shutdown interrupts, and against an entry
 // that reports to be ready while it drains.
 func TestDrainLetsRequestsEnd(t *testing.T) {
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -231,7 +231,7 @@
 }
 
 func newReadiness(s *setup.Settings, n *spread.Replica) *readiness {
-	return &readiness{replica: n, isolationLimit: s.Entry.IsolationLimit, now: time.Now}
+	return &readiness{replica: n, isolationLimit: s.Entry.IsolationLimit, drainTime: s.Entry.DrainNotice + s.Entry.DrainLimit, now: time.Now}
 }
 
 func newClaims(t table.Client) *claim.Store {
@@ -430,8 +430,9 @@
 	return &peerServer{listener: p.peers, server: g}
 }
 
-func newCallerAPI(s *setup.Settings, n *spread.Replica, r *relay.Relay, d *calls.Executor, p *policy.Controller, e *event.Ring, l zerolog.Logger) *caller.API {
+func newCallerAPI(s *setup.Settings, n *spread.Replica, r *relay.Relay, d *calls.Executor, p *policy.Controller, h *readiness, e *event.Ring, l zerolog.Logger) *caller.API {
 	return caller.New(caller.Options{
+		Admits:         h.admits,
 		Control:        n,
 		Chats:          r,
 		Calls:          d,
--- a/entry/boot/serve.go
+++ b/entry/boot/serve.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
+	"tarragonvalve.example/core/drain"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/spread"
@@ -34,7 +35,11 @@
 // readiness holds what decides whether the process is ready for requests of callers.
 type readiness struct {
 	draining atomic.Bool
-	replica  *spread.Replica
+	// drainBegan is when draining began; nil before.
+	drainBegan atomic.Pointer[time.Time]
+	// drainTime is how long after that the open requests may go on.
+	drainTime time.Duration
+	replica   *spread.Replica
 	// isolationLimit is the time without contact to the table or a peer after which
 	// the process is not ready.
 	isolationLimit time.Duration
@@ -55,6 +60,23 @@
 	}
 }
 
+// drain records that the process drains.
+func (p *readiness) drain() {
+	t := p.now()
+	p.drainBegan.Store(&t)
+	p.draining.Store(true)
+}
+
+// admits reports whether the drain, if it has begun, leaves a request with a deadline enough time.
+func (p *readiness) admits(deadline time.Time) bool {
+	began := p.drainBegan.Load()
+	if began == nil {
+		return true
+	}
+	now := p.now()
+	return drain.Admits(now.Sub(*began), p.drainTime, deadline.Sub(now))
+}
+
 // callerServer serves the callers' API and drains it at shutdown.
 type callerServer struct {
 	listener  net.Listener
@@ -87,7 +109,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	c.readiness.draining.Store(true)
+	c.readiness.drain()
 	c.ring.Record(event.Event{Kind: event.DrainStarted})
 	c.log.Info().Msg("draining")
 	sleep(c.drainNotice)
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -69,9 +69,11 @@
 	Chats   Chats
 	Calls   Calls
 	Limits  Limits
-	Ring    *event.Ring
-	Log     zerolog.Logger
-	Now     func() time.Time
+	// Admits reports whether a request with a deadline may be taken although the process drains.
+	Admits func(deadline time.Time) bool
+	Ring   *event.Ring
+	Log    zerolog.Logger
+	Now    func() time.Time
 	// MaxBody is the largest request body in bytes.
 	MaxBody int64
 	// DefaultTimeout is the time of a request that sets no HeaderTimeout.
@@ -178,7 +180,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &requestInfo{id: id, view: v, account: c, task: task, deadline: a.o.Now().Add(t)}, nil
+	q := &requestInfo{id: id, view: v, account: c, task: task, deadline: a.o.Now().Add(t)}
+	return q, a.checkDrain(q)
+}
+
+// drainRetryAfter is the retry delay for a request that a draining entry refuses. The retry uses a new
+// connection, which load balancers send to another entry.
+const drainRetryAfter = time.Second
+
+// checkDrain returns a *refuse.Error if the process drains and may end before the request's deadline.
+func (a *API) checkDrain(c *requestInfo) error {
+	if a.o.Admits(c.deadline) {
+		return nil
+	}
+	return refuse.New(refuse.Draining, refuse.NotRun, "this entry stops before the request's deadline").WithRetryAfter(drainRetryAfter)
 }
 
 // recordReceived records the start of a request. A call with an idempotency key has
@@ -270,8 +285,8 @@
 
 // readBody reads the body of a request within readTimeout. It then removes the read
 // deadline: net/http goes on reading to detect a caller that disconnects, and would
-// take an expired deadline for one.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// take an expired deadline for one. The process may have begun to drain meanwhile.
+func (a *API) readBody(w http.ResponseWriter, r *http.Request, c *requestInfo) ([]byte, error) {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(readTimeout))
 	b, err := io.ReadAll(r.Body)
@@ -279,7 +294,7 @@
 		return nil, bodyRefusal(err)
 	}
 	_ = rc.SetReadDeadline(time.Time{})
-	return b, nil
+	return b, a.checkDrain(c)
 }
 
 // writeJSON responds with a status and a JSON body.
--- a/entry/caller/caller_test.go
+++ b/entry/caller/caller_test.go
@@ -35,6 +35,8 @@
 	chat     func(ctx context.Context, c relay.Chat, s relay.Sink) (*relay.Answer, error)
 	// overLimit makes Admit refuse every request.
 	overLimit bool
+	// latest bounds the deadlines that the process admits while it drains; zero if it doesn't.
+	latest time.Time
 	// reached counts the chats and calls; last is the latest call.
 	reached int
 	last    calls.Call
@@ -116,6 +118,7 @@
 func (f *fake) api() *API {
 	return New(Options{
 		Control: f, Chats: f, Calls: f, Limits: f,
+		Admits: func(d time.Time) bool { return f.latest.IsZero() || !d.After(f.latest) },
 		Ring: event.NewRing(event.NewClock(time.Now), "entry-1", 64), Log: zerolog.Nop(),
 		Now:     func() time.Time { return time.Unix(1_700_000_000, 0) },
 		MaxBody: 4096, MaxOpen: 8, MaxTokens: 100, DefaultTimeout: time.Minute, MaxTimeout: time.Hour,
@@ -380,3 +383,51 @@
 	}
 	close(hold)
 }
+
+// Guards against requests that a draining entry takes although it ends before their deadline, and against
+// ones that it refuses although they end before that.
+func TestDeadlineAfterDrain(t *testing.T) {
+	tests := map[string]struct {
+		path, body, timeout string
+		status, reached     int
+	}{
+		"call that ends in time":  {"/v1/services/orders/runs", "{}", "5000", 201, 1},
+		"call that can't":         {"/v1/services/orders/runs", "{}", "20000", 503, 0},
+		"chat that ends in time":  {chatPath, hello + "}", "5000", 200, 1},
+		"chat that can't":         {chatPath, hello + "}", "20000", 503, 0},
+		"chat without a deadline": {chatPath, hello + "}", "", 503, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFake(t)
+			f.latest = time.Unix(1_700_000_010, 0)
+			var headers []string
+			if c.timeout != "" {
+				headers = []string{HeaderTimeout, c.timeout}
+			}
+			w := f.do("POST", c.path, c.body, append(headers, HeaderKey, "k")...)
+			if w.Code != c.status || f.reached != c.reached {
+				t.Errorf("got %d %s, reached %d times, want %d and %d", w.Code, w.Body, f.reached, c.status, c.reached)
+			}
+			if c.status == 503 && (!strings.Contains(w.Body.String(), `"code":"draining"`) || !strings.Contains(w.Body.String(), `"ran":"not-run"`)) {
+				t.Errorf("refused with %s", w.Body)
+			}
+		})
+	}
+}
+
+// Guards against callers that are let in without a key once a document has no client account left.
+func TestNoAccounts(t *testing.T) {
+	f := newFake(t)
+	a, b := strings.Index(document, "[account"), strings.Index(document, "[model")
+	d, err := envdoc.Parse([]byte(document[:a] + document[b:]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.document = d
+	for _, k := range []string{"Bearer key-alpha", "Bearer key-never-held", ""} {
+		if w := f.do("POST", chatPath, hello+"}", "Authorization", k); w.Code != 401 || f.reached != 0 {
+			t.Errorf("key %q: got %d, reached %d times", k, w.Code, f.reached)
+		}
+	}
+}
--- a/entry/caller/chat.go
+++ b/entry/caller/chat.go
@@ -106,7 +106,7 @@
 
 // readChat reads and validates a chat completion request.
 func (a *API) readChat(w http.ResponseWriter, r *http.Request, c *requestInfo) (relay.Chat, *chatRequest, error) {
-	b, err := readBody(w, r)
+	b, err := a.readBody(w, r, c)
 	if err != nil {
 		return relay.Chat{}, nil, err
 	}
--- a/entry/caller/service.go
+++ b/entry/caller/service.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return calls.Call{}, err
 	}
-	b, err := readBody(w, r)
+	b, err := a.readBody(w, r, c)
 	if err != nil {
 		return calls.Call{}, err
 	}
