fix(routes): close all routes under an empty list of client accounts

Cause: RequiresKey asked whether there are accounts; an empty list and none decoded to the same value. Ruled out: an older configuration (it refused the unknown key).

--- a/router/boot/router_test.go
+++ b/router/boot/router_test.go
@@ -212,6 +212,42 @@
 	})
 }
 
+// Review case 5: the operator takes the only client account away, and later the whole list of accounts.
+// Guards against routes that are open to everybody once the last key is gone, also at a router that starts
+// then, and against routes that stay closed in a configuration without accounts.
+func TestLastAccountRemoved(t *testing.T) {
+	t.Parallel()
+	w := startRouter(t, standardDocument())
+	s := w.server("desk", "s1", "v1", always(fine))
+	w.awaitUpstreams(1)
+	if a := w.send("GET", "/read/1", ""); a.status != 200 {
+		t.Fatalf("got %d before the change", a.status)
+	}
+	d := standardDocument()
+	d["version"], d["tenants"] = 2, []any{}
+	w.writeConfig(d)
+	w.eventually("refusal of the key", func() bool { return w.send("GET", "/read/1", "").status == 401 })
+	x := w.startAgain()
+	x.awaitUpstreams(1)
+	ran := len(s.Requests())
+	for _, r := range []*harness{w, x} {
+		for _, k := range []string{"Bearer key-1", "Bearer key-never-held", ""} {
+			if a := r.send("POST", "/order/1", "x", "Authorization", k); a.status != 401 {
+				t.Errorf("%s: key %q got %d, want 401", r.name, k, a.status)
+			}
+		}
+	}
+	if n := len(s.Requests()); n > ran {
+		t.Errorf("%d requests ran without a key of the configuration", n-ran)
+	}
+	delete(d, "tenants")
+	d["version"] = 3
+	w.writeConfig(d)
+	for _, r := range []*harness{w, x} {
+		w.eventually("service without a key", func() bool { return r.send("GET", "/read/1", "", "Authorization", "").status == 200 })
+	}
+}
+
 // Guards against requests to an upstream that is draining, or whose entry was removed or
 // overwritten with invalid data.
 func TestUpstreamUnregistered(t *testing.T) {
--- a/router/routes/routes.go
+++ b/router/routes/routes.go
@@ -115,6 +115,9 @@
 	Services   map[ident.ServiceID]Service
 	Limits     Limits
 	Accounts   []Account
+	// Open is true if the configuration has no list of client accounts, so that no route needs a key.
+	// A list without accounts is one: no key is accepted then.
+	Open bool
 
 	byHost map[string][]*Route
 	byKey  map[string]*Account
@@ -148,10 +151,10 @@
 	return best, best != nil
 }
 
-// RequiresKey reports whether requests of the route need a key: the route isn't public and
-// the configuration has client accounts.
+// RequiresKey reports whether requests of the route need a key: neither the route is public nor the
+// configuration open.
 func (d *Document) RequiresKey(r *Route) bool {
-	return len(d.Accounts) > 0 && !r.Public
+	return !d.Open && !r.Public
 }
 
 // Account returns the client account that holds a key.
