test: show that no cut answer passes for a whole one

Other operators report clients that got a 200 with an empty or short body after a server had stopped in the middle of its answer's head.

TestAnswerCutAnywhere cuts answers after each byte, with a length, in chunks, after an interim head, without a length, and as a stream, at the router and at the agent's client of plain services.

Conclusion: excluded here. http.ReadResponse, which both programs use, takes no head without its empty line.

--- a/agent/plain/plain_test.go
+++ b/agent/plain/plain_test.go
@@ -148,3 +148,39 @@
 	}
 	return "other"
 }
+
+// Reported by operators of similar systems: a service stops in the middle of its answer's head and closes.
+// Guards against an answer that counts as whole although it was cut.
+func TestAnswerCutAnywhere(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+	for name, text := range map[string]string{
+		"with a length": head + "Content-Length: 5\r\n\r\nwhole",
+		"in chunks":     head + "Transfer-Encoding: chunked\r\n\r\n2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n",
+		"interim head":  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + "Content-Length: 5\r\n\r\nwhole",
+	} {
+		t.Run(name, func(t *testing.T) {
+			cut := len(text)
+			c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				n, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				io.WriteString(n, text[:cut])
+				n.Close()
+			}, nil)
+			if r, err := sendOnce(t.Context(), c, call); err != nil || string(r.Body) != "whole" {
+				t.Fatalf("whole answer: got %+v, %v", r, err)
+			}
+			for cut = range len(text) {
+				if r, err := sendOnce(t.Context(), c, call); errorKind(err) != "unknown" {
+					t.Errorf("once, cut after %d bytes: got %+v, %v, want an unknown outcome", cut, r, err)
+				}
+				if r, err := c.Do(t.Context(), call); errorKind(err) != "unknown" {
+					t.Errorf("repeatable, cut after %d bytes: got %+v, %v, want an unknown outcome", cut, r, err)
+				}
+			}
+		})
+	}
+}
--- a/router/boot/hostile_test.go
+++ b/router/boot/hostile_test.go
@@ -1,6 +1,7 @@
 package boot
 
 import (
+	"fmt"
 	"runtime"
 	"strings"
 	"sync"
@@ -110,3 +111,56 @@
 		t.Errorf("got %d %v %q", a.status, a.err, body)
 	}
 }
+
+// Reported by operators of similar systems: an upstream stops in the middle of its answer's head and
+// closes. Guards against a 200 with an empty or short body that looks complete, wherever an answer is cut.
+func TestAnswerCutAnywhere(t *testing.T) {
+	t.Parallel()
+	const framedBody = "a whole answer"
+	streamHead := receiptHeaders + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	tests := map[string]struct {
+		method, path, text, whole string
+		// complete is the length from which on the answer is complete; its end can't be told from a
+		// connection that closes after it.
+		complete int
+	}{
+		"with a length":         {"POST", "/order/1", receiptHeaders + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(framedBody), framedBody), framedBody, 0},
+		"in chunks":             {"POST", "/order/1", receiptHeaders + "Transfer-Encoding: chunked\r\n\r\n8\r\na whole \r\n6\r\nanswer\r\n0\r\n\r\n", framedBody, 0},
+		"interim head":          {"POST", "/order/1", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + receiptHeaders + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(framedBody), framedBody), framedBody, 0},
+		"stream":                {"POST", "/once/1", streamHead + fmt.Sprintf("%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", len(server.EventText(1)), server.EventText(1), len(server.EventText(2)), server.EventText(2)), events(2), 0},
+		"head without a length": {"POST", "/order/1", receiptHeaders + "\r\n" + framedBody, framedBody, len(receiptHeaders) + 2},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := startRouter(t, document(1, route("order", "non_idempotent", "desk"), route("once", "streaming", "llm")))
+			var cut atomic.Int64
+			script := func(r server.Request) server.Reply {
+				// The receipt and the id are those of the request, so the cut is counted before they are put in.
+				text := c.text[:cut.Load()]
+				return server.Raw{Text: strings.ReplaceAll(text, "Attempt-Id: ID", "Attempt-Id: "+r.ID())}
+			}
+			desk, llm := w.server("desk", "s1", "v1", script), w.server("llm", "s2", "v1", script)
+			w.awaitUpstreams(2)
+			end := c.complete
+			if end == 0 {
+				end = len(c.text)
+			}
+			for n := range end {
+				cut.Store(int64(n))
+				before := len(desk.Requests()) + len(llm.Requests())
+				a := w.send(c.method, c.path, "x")
+				if a.status == 200 && a.err == nil {
+					t.Errorf("cut after %d of %d bytes, at %q: got a complete 200 with %q", n, len(c.text), c.text[max(n-20, 0):n], a.body)
+				}
+				if len(desk.Requests())+len(llm.Requests()) == before {
+					t.Fatalf("cut after %d bytes: no upstream got the request: %d %s", n, a.status, a.body)
+				}
+			}
+			cut.Store(int64(len(c.text)))
+			if a := w.send(c.method, c.path, "x"); a.status != 200 || a.body != c.whole {
+				t.Errorf("whole answer: got %d %q %v", a.status, a.body, a.err)
+			}
+		})
+	}
+}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -66,6 +66,8 @@
 		Head, Unit string
 		Pause      time.Duration
 	}
+	// Raw sends a text as it is and closes the connection.
+	Raw struct{ Text string }
 	// Truncated closes the connection in the middle of the response body.
 	Truncated struct{}
 	// Reset closes the connection without a response.
@@ -98,6 +100,7 @@
 func (RejectTwice) reply() {}
 func (Leaving) reply()     {}
 func (Endless) reply()     {}
+func (Raw) reply()         {}
 func (Truncated) reply()   {}
 func (Reset) reply()       {}
 func (Crash) reply()       {}
@@ -323,6 +326,9 @@
 	case Endless:
 		sendEndless(c, a)
 		return false
+	case Raw:
+		write(c, a.Text)
+		return false
 	case Truncated:
 		write(c, s.responseHead(x, http.StatusOK, -1)+"Content-Length: 100\r\n\r\nonly a part")
 		return false
