fix(mirror): publish the age of a configuration with it

Cause: the age was recorded by the goroutine that reads, the content published by the one that owns the state; in between the old configuration had the new one's age. Ruled out: the time between the check and the send (the check before the send read the same two values).

Change: the age is a part of the view, and Gate.Fresh is asked about a view.

--- a/router/front/front.go
+++ b/router/front/front.go
@@ -21,7 +21,6 @@
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/quota"
 	"tarragonvalve.example/router/relay"
-	"tarragonvalve.example/router/routes"
 )
 
 const (
@@ -69,7 +68,7 @@
 	began := time.Now()
 	h.gate.enter()
 	defer h.gate.leave()
-	if h.gate.Stopping() || !h.gate.Fresh() {
+	if h.gate.Stopping() || !h.gate.Fresh(h.syncer.View()) {
 		w.Header().Set("Connection", "close")
 	}
 	m := h.codec.ParseRequest(q.Header)
@@ -133,7 +132,7 @@
 	}
 	// The body may have taken long to arrive: if the configuration has changed or become
 	// stale meanwhile, the request is admitted once more.
-	if j.Document != h.syncer.View().Document || !h.gate.Fresh() {
+	if v := h.syncer.View(); j.Document != v.Document || !h.gate.Fresh(v) {
 		if err := h.admit(q.URL.Path, j); err != nil {
 			return err
 		}
@@ -194,7 +193,7 @@
 		return err
 	}
 	k := *j
-	if err := h.authenticate(&k, h.syncer.View().Document); err != nil {
+	if err := h.authenticate(&k, h.syncer.View()); err != nil {
 		return err
 	}
 	if k.Account != j.Account {
@@ -234,21 +233,22 @@
 // route, account, priority and deadline. It returns a *refuse.Error if the request is
 // not admitted.
 func (h *Handler) admit(path string, j *relay.Job) error {
-	d := h.syncer.View().Document
+	v := h.syncer.View()
+	d := v.Document
 	if d == nil {
 		return refuse.New(refuse.NoDocument, refuse.NotRun, "no configuration is known yet").WithRetryAfter(retryStale)
 	}
 	j.Document = d
 	r, ok := d.Match(j.Host, path)
 	if !ok {
-		if !h.gate.Fresh() {
+		if !h.gate.Fresh(v) {
 			return refuse.New(refuse.StaleGeneration, refuse.NotRun, "the route is unknown and the configuration is old").WithRetryAfter(retryStale)
 		}
 		return refuse.New(refuse.NotFound, refuse.NotRun, "no route for the host and path")
 	}
 	j.Route = r
 	j.Priority = r.Priority
-	if err := h.authenticate(j, d); err != nil {
+	if err := h.authenticate(j, v); err != nil {
 		return err
 	}
 	timeout := clientTimeout(j.Meta)
@@ -267,13 +267,14 @@
 	return refuse.New(refuse.Draining, refuse.NotRun, "the instance stops before the request's deadline").WithRetryAfter(retryStopping)
 }
 
-// authenticate finds the client account of a request that needs a key. Keys are accepted only
-// while the configuration is provably fresh, as a key may have been revoked.
-func (h *Handler) authenticate(j *relay.Job, d *routes.Document) error {
+// authenticate finds the client account of a request that needs a key, by a view's configuration. Keys are
+// accepted only while that is provably fresh, as a key may have been revoked.
+func (h *Handler) authenticate(j *relay.Job, v *mirror.View) error {
+	d := v.Document
 	if !d.RequiresKey(j.Route) {
 		return nil
 	}
-	if !h.gate.Fresh() {
+	if !h.gate.Fresh(v) {
 		return refuse.New(refuse.StaleGeneration, refuse.NotRun, "the configuration is too old to accept keys").WithRetryAfter(retryStale)
 	}
 	a, ok := d.Account(j.Meta.Key)
--- a/router/front/gate.go
+++ b/router/front/gate.go
@@ -36,9 +36,9 @@
 	return &Gate{syncer: n, now: now, revokeWithin: revokeWithin, gracePeriod: gracePeriod}
 }
 
-// Fresh reports whether the configuration is provably fresh enough to accept keys by it.
-func (g *Gate) Fresh() bool {
-	a, ok := g.syncer.ConfigAge()
+// Fresh reports whether a view's configuration is provably fresh enough to accept keys by it.
+func (g *Gate) Fresh(v *mirror.View) bool {
+	a, ok := v.ConfigAge(g.now())
 	return ok && a < g.revokeWithin()-revokeMargin
 }
 
@@ -46,7 +46,7 @@
 // configuration and a list of upstreams and isn't shutting down.
 func (g *Gate) Ready() bool {
 	v := g.syncer.View()
-	return !g.Stopping() && v.Document != nil && v.UpstreamsRead && g.Fresh()
+	return !g.Stopping() && v.Document != nil && v.UpstreamsRead && g.Fresh(v)
 }
 
 // Stop begins the shutdown. Further calls do nothing.
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -57,8 +57,7 @@
 	log   zerolog.Logger
 	logs  map[Topic]*recordLog
 
-	view       atomic.Pointer[View]
-	ordersAsOf atomic.Int64 // local time, in ns, as of which the orders are current; -1 before the first read
+	view atomic.Pointer[View]
 	// era is the newest era of the store, progressEra that in which the progress was read last.
 	era, progressEra LatestEra
 	updates          chan update
@@ -73,8 +72,10 @@
 
 // update is the result of one read, passed to the goroutine that owns the state.
 type update struct {
-	topic       Topic
-	changes     []Change
+	topic   Topic
+	changes []Change
+	// asOf is the local time as of which the content is current.
+	asOf        time.Duration
 	snapshot    bool
 	afterOutage bool
 	// restored is true for the first content of a new era of the store.
@@ -89,7 +90,6 @@
 	n.view.Store(newStoreState().view())
 	c := make(chan struct{})
 	n.changed.Store(&c)
-	n.ordersAsOf.Store(-1)
 	return n
 }
 
@@ -106,11 +106,7 @@
 // ConfigAge returns the largest possible age of the configuration. The second result is
 // false until the configuration was read.
 func (n *Syncer) ConfigAge() (time.Duration, bool) {
-	p := n.ordersAsOf.Load()
-	if p < 0 {
-		return 0, false
-	}
-	return n.now() - time.Duration(p), true
+	return n.View().ConfigAge(n.now())
 }
 
 // StoreClock returns an estimate of the store's clock. The second result is false until
@@ -188,8 +184,12 @@
 				n.publish(s)
 			}
 		case u := <-n.updates:
-			if n.applyUpdate(s, u) {
+			changed := n.applyUpdate(s, u)
+			switch renewed := s.renewOrders(u); {
+			case changed:
 				n.publish(s)
+			case renewed:
+				n.publishAge(s)
 			}
 		}
 	}
@@ -234,6 +234,13 @@
 	close(*n.changed.Swap(&next))
 }
 
+// publishAge replaces the view by one that differs only in the age of the configuration. It wakes nobody.
+func (n *Syncer) publishAge(s *storeState) {
+	v := *n.View()
+	v.ordersAsOf, v.ordersRead = s.ordersAsOf, s.ordersRead
+	n.view.Store(&v)
+}
+
 // watchTopic reads a topic repeatedly until ctx ends. If needed is not nil and returns
 // false, it waits for a change of the view first.
 func (n *Syncer) watchTopic(ctx context.Context, t Topic, wait time.Duration, needed func() bool) {
@@ -306,7 +313,7 @@
 		f.logs[f.topic].keepDocuments(&p, f.store)
 	}
 	f.logs[f.topic].add(p, asOf)
-	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), snapshot: p.Snapshot, afterOutage: f.storeLost, restored: restored}
+	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), asOf: asOf, snapshot: p.Snapshot, afterOutage: f.storeLost, restored: restored}
 	if restored {
 		f.log.Warn().Str("dependency", "store").Stringer("topic", f.topic).Uint32("era", uint32(p.Revision.Era())).
 			Uint64("version", p.Revision.Version()).Uint64("known", f.after.Version()).Msg("the store came back from an older copy")
@@ -320,9 +327,6 @@
 		f.storeLost = false
 		f.log.Info().Str("dependency", "store").Stringer("topic", f.topic).Msg("dependency regained")
 	}
-	if f.topic == TopicOrders {
-		f.ordersAsOf.Store(max(f.ordersAsOf.Load(), int64(asOf)))
-	}
 	if f.topic == TopicUpstreams && f.synced && len(p.Records) > 0 && f.peerChoice.toStore() {
 		f.sleep(ctx, upstreamsDebounce)
 	}
--- a/router/mirror/state.go
+++ b/router/mirror/state.go
@@ -34,10 +34,14 @@
 type View struct {
 	// Document is nil until the configuration was read.
 	Document *routes.Document
-	Fleet    *fleet.List
-	Orders   map[ident.ServiceID]canary.Order
-	Progress map[ident.ServiceID]ProgressChanged
-	Tallies  []canary.Tally
+	// ordersAsOf is the local time as of which Document and Orders are current, so that nobody takes
+	// the age of one configuration for that of another; it is valid if ordersRead is true.
+	ordersAsOf time.Duration
+	ordersRead bool
+	Fleet      *fleet.List
+	Orders     map[ident.ServiceID]canary.Order
+	Progress   map[ident.ServiceID]ProgressChanged
+	Tallies    []canary.Tally
 	// Trials are the trials of quarantines.
 	Trials TrialsChanged
 	// ProgressRead is true once the progress of roll-outs was read.
@@ -46,6 +50,12 @@
 	UpstreamsRead bool
 }
 
+// ConfigAge returns the largest possible age of the view's configuration at a local time. The second
+// result is false until the configuration was read.
+func (v *View) ConfigAge(now time.Duration) (time.Duration, bool) {
+	return now - v.ordersAsOf, v.ordersRead
+}
+
 // tallyKey identifies a tally: each instance has one for each service.
 type tallyKey struct {
 	service  ident.ServiceID
@@ -75,6 +85,10 @@
 	former map[ident.ServiceID][]uint64
 	// graceEnd is the time until which vanished upstreams are kept after an outage.
 	graceEnd time.Duration
+	// ordersAsOf is the local time as of which the configuration and the orders are current; it is
+	// valid if ordersRead is true.
+	ordersAsOf time.Duration
+	ordersRead bool
 }
 
 func newStoreState() *storeState {
@@ -90,6 +104,16 @@
 	}
 }
 
+// renewOrders records as of when the orders are current if an update holds them. It reports whether that
+// has changed.
+func (s *storeState) renewOrders(u update) bool {
+	if u.topic != TopicOrders || (s.ordersRead && u.asOf <= s.ordersAsOf) {
+		return false
+	}
+	s.ordersAsOf, s.ordersRead = u.asOf, true
+	return true
+}
+
 // outageEnded records the first response of the store after an outage.
 func (s *storeState) outageEnded(now time.Duration) {
 	s.graceEnd = now + outageGrace
@@ -203,7 +227,7 @@
 		ps[id] = p
 	}
 	v := &View{
-		Document: s.document, Fleet: fleet.New(us), Orders: os, Progress: ps,
+		Document: s.document, ordersAsOf: s.ordersAsOf, ordersRead: s.ordersRead, Fleet: fleet.New(us), Orders: os, Progress: ps,
 		Trials: s.trials, UpstreamsRead: s.upstreamsRead, ProgressRead: s.progressRead,
 	}
 	for _, t := range s.tallies {
