fix(relay): keep a paused stream until another upstream continues it

Cause: an attempt was ended as soon as another upstream was listed and wanted requests, not once it had taken the stream. Ruled out: a pause taken for the end of the server (its check succeeds).

Change: the attempt goes on until the first event of its successor has arrived and follows the client's last one; if it goes on before, the successor is closed. Nothing is asked while the client takes no bytes.

--- a/router/boot/stream_test.go
+++ b/router/boot/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -165,3 +166,63 @@
 		t.Errorf("the upstream got %d requests, want 1", n)
 	}
 }
+
+// Review case 3: an upstream preempts its streams for some seconds while others are full, have room, or fail.
+// Guards against streams that are given up before another upstream has taken them, against ones that stay at
+// an upstream although another one has room, and against events that are missing, repeated or of two runs.
+func TestPreemptedStream(t *testing.T) {
+	t.Parallel()
+	const count, pause = 6, 2500 * time.Millisecond
+	preempted := server.Paused{Events: server.Events{Count: count, Pause: 20 * time.Millisecond, Confidence: 100}, After: 3, For: pause}
+	whole := server.Events{Count: count, Pause: 20 * time.Millisecond, Confidence: 100}
+	breaks := preempted
+	breaks.TruncateAfter, breaks.For = breaks.After, 1600*time.Millisecond
+	tests := map[string]struct {
+		// first is what the upstream answers that pauses, others what the other ones do.
+		first, others server.Reply
+		// moves is true if another upstream must continue the stream.
+		moves bool
+	}{
+		"others full":                  {preempted, server.Reject{Status: 503}, false},
+		"others take it":               {preempted, whole, true},
+		"others take it too late":      {preempted, server.Late{Events: whole, Delay: 2 * time.Second}, false},
+		"others fail":                  {preempted, server.Answer{Status: 500, Body: "no"}, false},
+		"others answer no stream":      {preempted, server.Answer{Status: 200, Body: "no stream\n\n"}, false},
+		"others reset":                 {preempted, server.Reset{}, false},
+		"others miss an event":         {preempted, server.Events{Count: count, SkipID: 4, Confidence: 100}, false},
+		"others take long to fail":     {preempted, server.Late{Events: server.Events{Count: 3, Confidence: 100}, Delay: time.Second}, false},
+		"breaks before others take it": {breaks, server.Late{Events: whole, Delay: 800 * time.Millisecond}, true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := startRouter(t, document(1, route("chat", "streaming", "llm", "resumable", true, "attempts", 3, "timeout_ms", 20_000)))
+			script := func(r server.Request) server.Reply {
+				if r.Header.Get("Last-Event-Id") != "" {
+					return c.others
+				}
+				return c.first
+			}
+			var ss []*server.Server
+			for i := range 3 {
+				ss = append(ss, w.server("llm", fmt.Sprint("s", i), "v1", script))
+			}
+			w.awaitUpstreams(3)
+			began := time.Now()
+			a := w.send("POST", "/chat/1", "prompt", "Tarragonvalve-Model-Name", "small", "Tarragonvalve-Deadline-Ms", "15000")
+			if a.err != nil || a.status != 200 || a.body != events(count) {
+				t.Errorf("got %d %v %q", a.status, a.err, a.body)
+			}
+			if moved := time.Since(began) < pause; moved != c.moves {
+				t.Errorf("ended after %s, moved to another upstream: %v, want %v", time.Since(began), moved, c.moves)
+			}
+			aborts := 0
+			for _, s := range ss {
+				aborts += s.ClientAborts()
+			}
+			if c.moves && c.first == server.Reply(preempted) && aborts == 0 {
+				t.Error("the upstream that paused still runs the stream")
+			}
+		})
+	}
+}
--- a/router/probe/probe.go
+++ b/router/probe/probe.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -38,9 +39,13 @@
 	scanInterval = 100 * time.Millisecond
 )
 
-// ErrUnresponsive ends attempts at an unresponsive upstream or one whose response stalls.
+// ErrUnresponsive ends attempts at an unresponsive upstream.
 var ErrUnresponsive = errors.New("the upstream fell silent")
 
+// ErrStalled reports that the content of a response pauses, while its upstream may be sound: engines
+// preempt streams when they are full. It counts as ErrUnresponsive, too.
+var ErrStalled = fmt.Errorf("the response pauses: %w", ErrUnresponsive)
+
 // Marker records which upstreams are unresponsive, so that they are avoided.
 type Marker interface {
 	SetUnresponsive(id ident.UpstreamID, unresponsive bool)
@@ -104,8 +109,8 @@
 }
 
 // Start records an attempt. end is called with ErrUnresponsive if the upstream is
-// unresponsive or the content of its response pauses for longer than pause, at least
-// minStall. It may be called repeatedly, and is nil for attempts that can't be sent
+// unresponsive, and with ErrStalled if the content of its response pauses for longer than pause, at
+// least minStall. It may be called repeatedly, and is nil for attempts that can't be sent
 // elsewhere.
 func (m *Monitor) Start(u *fleet.Upstream, pause time.Duration, end func(error), now time.Time) *Attempt {
 	m.mu.Lock()
@@ -205,7 +210,7 @@
 func (s *upstreamState) endStalled(now time.Time) {
 	for w := range s.attempts {
 		if w.streaming && w.end != nil && now.Sub(w.lastContentAt) >= w.maxPause {
-			w.end(ErrUnresponsive)
+			w.end(ErrStalled)
 			// An attempt that can't be sent elsewhere now may be after another pause.
 			w.lastContentAt = now
 		}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -178,6 +178,10 @@
 	streamVersion fleet.Version
 	// assignment is how the last attempt's version was assigned.
 	assignment assignment
+	// succession continues the stream elsewhere if the present attempt pauses; nil if it is no stream.
+	succession *succession
+	// successor is true while the attempt may still take over from another one.
+	successor atomic.Bool
 }
 
 // outcome is the result of one attempt. The cases are listed below and in stream.go.
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -9,6 +9,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/notice"
+	"tarragonvalve.example/router/probe"
 )
 
 // takeRetry reports whether the request may be sent once more: enough of the client's time
@@ -75,7 +76,8 @@
 
 // cancelForRetry returns a function that cancels the present attempt if, and only if, the
 // request can be retried at another upstream: an upstream that sends nothing may
-// still respond, so this alone doesn't end an attempt. It returns nil if a retry is ruled out already. The
+// still respond, so this alone doesn't end an attempt. A stream that pauses stays until another
+// upstream continues it. It returns nil if a retry is ruled out already. The
 // function may be called from any goroutine.
 func (t *request) cancelForRetry(u *fleet.Upstream, cancel context.CancelCauseFunc) func(error) {
 	if !t.Route.Retryable() || t.runs+1 >= t.Route.Attempts {
@@ -83,6 +85,16 @@
 	}
 	tried := slices.Clone(t.excluded)
 	return func(cause error) {
+		if t.successor.Load() {
+			if !errors.Is(cause, errLate) {
+				cancel(cause)
+			}
+			return
+		}
+		if errors.Is(cause, probe.ErrStalled) {
+			t.succession.start(t, u, tried)
+			return
+		}
 		if time.Until(t.Deadline) < 2*responseReserve {
 			return
 		}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -47,26 +47,30 @@
 func (t *request) serveStream(ctx context.Context, w http.ResponseWriter) error {
 	f := &clientStream{w: w, rc: http.NewResponseController(w), lastEvent: t.Meta.LastEvent, hasEvent: t.Meta.Resumes}
 	model := t.firstModel()
+	o := t.sendStream(ctx, f, &model)
 	for {
-		o := t.sendStream(ctx, f, &model)
-		switch o := o.(type) {
+		switch x := o.(type) {
 		case completed:
 			return nil
+		case superseded:
+			t = x.request
+			o = x.serve(f)
+			continue
 		case escalated:
 			// sendStream has set the larger model, which serves the next attempt.
-			continue
 		default:
 			if !isFinal(o) && t.canResume(f) && t.takeRetry(ctx) {
 				if f.headersSent {
 					t.Meter.StreamResumed()
 				}
-				continue
+				break
 			}
 			if f.headersSent {
 				return &TruncatedError{Err: t.refusal(ctx, o)}
 			}
 			return t.refusal(ctx, o)
 		}
+		o = t.sendStream(ctx, f, &model)
 	}
 }
 
@@ -144,8 +148,10 @@
 // sendStream makes one attempt and passes on its events. It replaces model by a larger one
 // when it returns escalated.
 func (t *request) sendStream(ctx context.Context, f *clientStream, model *ident.ModelID) outcome {
-	ctx, cancel := context.WithCancelCause(ctx)
+	client := ctx
+	ctx, cancel := context.WithCancelCause(client)
 	defer cancel(nil)
+	t.succession = &succession{ctx: client, cancel: cancel, model: *model, begun: f.headersSent, lastEvent: f.lastEvent}
 	o := t.send(ctx, cancel, *model, call.Outbound{LastEvent: f.lastEvent, Resumes: f.hasEvent})
 	a, ok := o.(answered)
 	if !ok {
@@ -166,12 +172,20 @@
 		}
 	}
 	f.continues = f.hasEvent
-	r := events.NewReader(a)
-	pace := pacing{attempt: a.attempt}
-	for {
-		e, err := r.Next()
+	return t.forwardEvents(ctx, f, a, events.NewReader(a), pacing{attempt: a.attempt}, nil)
+}
+
+// forwardEvents passes on the events of an attempt until one fails; err is the failure of an earlier one. The
+// caller must end a.
+func (t *request) forwardEvents(ctx context.Context, f *clientStream, a answered, r *events.Reader, pace pacing, err error) outcome {
+	for err == nil {
+		var e events.Event
+		e, err = r.Next()
 		if errors.Is(err, io.EOF) && f.headersSent {
 			a.finish(true)
+			if x := t.succession.finish(t, false); x != nil {
+				x.discard()
+			}
 			return completed{}
 		}
 		if err != nil && context.Cause(ctx) == nil {
@@ -183,23 +197,23 @@
 				a.eventReceived()
 				pace.eventReceived()
 			}
-			err = f.forward(t, a, e)
-		}
-		if err == nil {
-			continue
-		}
-		t.recordLimit(err, a.upstream)
-		if errors.Is(context.Cause(ctx), context.Canceled) {
-			a.release()
-		} else {
-			a.finish(false)
-		}
-		if cause := context.Cause(ctx); cause != nil {
-			// The read failed because the context's end closed the connection.
-			err = cause
+			err = t.succession.forward(f, func() error { return f.forward(t, a, e) })
 		}
-		return unknown{err: err}
 	}
+	t.recordLimit(err, a.upstream)
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		a.release()
+	} else {
+		a.finish(false)
+	}
+	if x := t.succession.finish(t, true); x != nil {
+		return superseded{successor: x}
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		// The read failed because the context's end closed the connection.
+		err = cause
+	}
+	return unknown{err: err}
 }
 
 // handleNonStream handles a response that isn't a stream. If nothing was sent to the client
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -48,6 +48,18 @@
 		// Unframed streams have neither a length nor chunks and end with the connection.
 		Unframed bool
 	}
+	// Paused is a stream that makes no events for a time after an event, as an engine does that preempts it.
+	Paused struct {
+		Events
+		// After is the id of the last event before the pause.
+		After int
+		For   time.Duration
+	}
+	// Late is a stream whose head and events come after a delay.
+	Late struct {
+		Events
+		Delay time.Duration
+	}
 	// Reject is a response that marks the request as not executed. RetryAfter is sent unless
 	// it is empty.
 	Reject struct {
@@ -96,6 +108,8 @@
 func (Answer) reply()      {}
 func (Delayed) reply()     {}
 func (Events) reply()      {}
+func (Paused) reply()      {}
+func (Late) reply()        {}
 func (Reject) reply()      {}
 func (RejectTwice) reply() {}
 func (Leaving) reply()     {}
@@ -350,7 +364,17 @@
 		s.awaitAbort(c, r)
 		return false
 	case Events:
-		return s.stream(c, r, x, a)
+		return s.stream(c, r, x, a, func(int) time.Duration { return a.Pause })
+	case Paused:
+		return s.stream(c, r, x, a.Events, func(n int) time.Duration {
+			if n == a.After {
+				return a.For
+			}
+			return a.Pause
+		})
+	case Late:
+		time.Sleep(a.Delay)
+		return s.stream(c, r, x, a.Events, func(int) time.Duration { return a.Pause })
 	default:
 		return false
 	}
@@ -416,8 +440,9 @@
 	return fmt.Sprintf("id: %d\ndata: event %d\n\n", n, n)
 }
 
-// stream sends a chunked event stream. It stops when the client closes the connection.
-func (s *Server) stream(c net.Conn, r *bufio.Reader, x Request, e Events) bool {
+// stream sends a chunked event stream. pause returns the time after an event. It stops when the client closes
+// the connection.
+func (s *Server) stream(c net.Conn, r *bufio.Reader, x Request, e Events, pause func(n int) time.Duration) bool {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go func() {
@@ -454,7 +479,7 @@
 		select {
 		case <-ctx.Done():
 			return false
-		case <-time.After(e.Pause):
+		case <-time.After(pause(n)):
 		}
 	}
 	write(c, chunk("\r\n", 0))
