fix(canary): write nothing for an order that has been replaced

Seen by the review in the source: a router whose read of the orders is silent and whose read of the progress is fresh wrote the start of the old order over the progress of the new one, under a condition that held. Others mended it within seconds, but requests went by the old order's canary until then.

Cause: progress of any other order counted as none. Change: progress of a later order means that the operator has replaced this one; its revision is higher, also after a restore, as its era is. TestDecide, "progress of a later order" and "lost progress of a later order", failed before.

--- a/router/canary/canary_test.go
+++ b/router/canary/canary_test.go
@@ -33,6 +33,8 @@
 	}{
 		"order started":                              {canary.Inputs{OldUpstreams: 9, NewUpstreams: 0}, canary.PhaseCanary, true},
 		"progress of an earlier order":               {canary.Inputs{Progress: &canary.Progress{Order: 3, Phase: canary.PhaseReverted}, OldUpstreams: 9}, canary.PhaseCanary, true},
+		"progress of a later order":                  {canary.Inputs{Progress: &canary.Progress{Order: 8, Phase: canary.PhaseCanary}, OldUpstreams: 9}, 0, false},
+		"lost progress of a later order":             {canary.Inputs{Progress: &canary.Progress{Order: 8, Phase: canary.PhaseCanary}, Lost: true, OldUpstreams: 9}, 0, false},
 		"first half":                                 {canary.Inputs{Progress: progress(canary.PhaseCanary), StoreClock: 109 * time.Second, OldUpstreams: 9, NewUpstreams: 9}, 0, false},
 		"second half":                                {canary.Inputs{Progress: progress(canary.PhaseCanary), StoreClock: 112 * time.Second, OldUpstreams: 9, NewUpstreams: 9}, canary.PhaseShift, true},
 		"too few new upstreams":                      {canary.Inputs{Progress: progress(canary.PhaseCanary), StoreClock: 112 * time.Second, OldUpstreams: 9, NewUpstreams: 2}, 0, false},
--- a/router/canary/decide.go
+++ b/router/canary/decide.go
@@ -120,6 +120,10 @@
 // for all, since the others then see a changed row. A phase never goes back.
 func Decide(f Inputs) Action {
 	p := f.Progress
+	if p != nil && p.Order > f.Order.Revision {
+		// The operator has replaced the order, which this instance hasn't read yet.
+		return Wait{}
+	}
 	if p == nil || p.Order != f.Order.Revision {
 		return start(f)
 	}
