--- a/router/mirror/mirror_test.go
+++ b/router/mirror/mirror_test.go
@@ -94,6 +94,28 @@
 	}
 }
 
+// The local clock runs fast or slow by 100 ppm for a day. Guards against an offset that is kept for good, so that
+// all responses count as stale once the clocks have drifted apart.
+func TestClockDrift(t *testing.T) {
+	for name, ppm := range map[string]float64{"fast": 100, "slow": -100} {
+		t.Run(name, func(t *testing.T) {
+			var e clockEstimate
+			for store := time.Duration(0); store < 24*time.Hour; store += 500 * time.Millisecond {
+				local := store + time.Duration(ppm*1e-6*float64(store))
+				if got := e.AsOf(local-4*time.Millisecond, local+4*time.Millisecond, store); got < local-50*time.Millisecond {
+					t.Fatalf("after %s: a fresh response counts as of %s before", store, local-got)
+				}
+			}
+			// A response that is three seconds behind, after all that.
+			store := 24 * time.Hour
+			local := store + time.Duration(ppm*1e-6*float64(store))
+			if got := e.AsOf(local-4*time.Millisecond, local+4*time.Millisecond, store-3*time.Second); got > local-2900*time.Millisecond {
+				t.Errorf("a response three seconds behind counts as of %s before", local-got)
+			}
+		})
+	}
+}
+
 // fakeStore is a store whose responses are set by the test.
 type fakeStore struct {
 	snapshot func(t Topic) (ReadResult, error)
