--- a/entry/caller/caller_test.go
+++ b/entry/caller/caller_test.go
@@ -119,7 +119,7 @@
 	return New(Options{
 		Control: f, Chats: f, Calls: f, Limits: f,
 		Admits: func(d time.Time) bool { return f.latest.IsZero() || !d.After(f.latest) },
-		Ring: event.NewRing(event.NewClock(time.Now), "entry-1", 64), Log: zerolog.Nop(),
+		Ring:   event.NewRing(event.NewClock(time.Now), "entry-1", 64), Log: zerolog.Nop(),
 		Now:     func() time.Time { return time.Unix(1_700_000_000, 0) },
 		MaxBody: 4096, MaxOpen: 8, MaxTokens: 100, DefaultTimeout: time.Minute, MaxTimeout: time.Hour,
 	})
--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -25,7 +25,7 @@
 	// upstreams are the upstreams that crashed, inProgress is the number of requests at them.
 	upstreams  map[fleet.Incarnation]struct{}
 	inProgress int
-	last      time.Time
+	last       time.Time
 }
 
 // verdict is a quarantine with the candidate for whose crashes it was decided.
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -363,6 +363,16 @@
 	case Hang:
 		s.awaitAbort(c, r)
 		return false
+	case Events, Paused, Late:
+		return s.sendEvents(c, r, x, a)
+	default:
+		return false
+	}
+}
+
+// sendEvents carries out a reply that is an event stream.
+func (s *Server) sendEvents(c net.Conn, r *bufio.Reader, x Request, reply Reply) bool {
+	switch a := reply.(type) {
 	case Events:
 		return s.stream(c, r, x, a, func(int) time.Duration { return a.Pause })
 	case Paused:
