--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -230,7 +230,7 @@
 }
 
 // newMeter returns metrics that read the configuration's age, the requests in progress, the
-// number of instances, of limited upstreams and of quarantined prompts when they are scraped.
+// number of instances, of limited upstreams, of quarantined prompts and of ignored rows when they are scraped.
 func newMeter(n *mirror.Syncer, g *front.Gate, o *gossip.Exchanger, t *notice.Registry, q *poison.Registry) *meter.Meter {
 	age := func() float64 {
 		a, ok := n.ConfigAge()
@@ -240,7 +240,8 @@
 		return a.Seconds()
 	}
 	return meter.New(age, func() float64 { return float64(g.InFlight()) }, func() float64 { return float64(o.RouterCount()) },
-		func() float64 { return float64(t.LimitedCount()) }, func() float64 { return float64(q.Count()) })
+		func() float64 { return float64(t.LimitedCount()) }, func() float64 { return float64(q.Count()) },
+		func() float64 { return float64(n.IgnoredRows()) })
 }
 
 func newGate(v *setup.Live, n *mirror.Syncer, now clock.Func) *front.Gate {
--- a/router/boot/router_test.go
+++ b/router/boot/router_test.go
@@ -212,6 +212,35 @@
 	})
 }
 
+// Guards against a configuration that is refused in silence, and against one that takes the last good one out of
+// force.
+func TestRefusedConfiguration(t *testing.T) {
+	t.Parallel()
+	w := startRouter(t, standardDocument())
+	w.server("desk", "s1", "v1", always(fine))
+	w.awaitUpstreams(1)
+	d := standardDocument()
+	d["version"], d["limits"] = 2, map[string]any{"idle_timeout_ms": 1.5}
+	w.writeConfig(d)
+	w.eventually("log of the refusal", func() bool {
+		return strings.Contains(w.logs.String(), "limits.idle_timeout_ms") && strings.Contains(w.logs.String(), "row of the store ignored")
+	})
+	a, err := http.Get("http://" + w.admin + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	if b, err := io.ReadAll(a.Body); err != nil || !strings.Contains(string(b), "rows_ignored_total 1") {
+		t.Errorf("the metrics lack the ignored row: %v", err)
+	}
+	if a := w.send("GET", "/read/1", ""); a.status != 200 {
+		t.Errorf("got %d %s under the last good configuration", a.status, a.body)
+	}
+	d["version"], d["limits"] = 3.0, map[string]any{"idle_timeout_ms": 15000.0}
+	w.writeConfig(d)
+	w.eventually("next configuration", func() bool { return strings.Contains(w.logs.String(), `"generation":3`) })
+}
+
 // Review case 5: the operator takes the only client account away, and later the whole list of accounts.
 // Guards against routes that are open to everybody once the last key is gone, also at a router that starts
 // then, and against routes that stay closed in a configuration without accounts.
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -33,9 +33,10 @@
 
 // New returns metrics at zero. age returns the largest possible age of the configuration in
 // seconds, or -1 before one was read, open the number of requests in progress, size the number
-// of routers that share limits, limited the number of upstreams that limit their requests, and
-// quarantined the number of sets of prompt parts that are refused.
-func New(age, open, size, limited, quarantined func() float64) *Meter {
+// of routers that share limits, limited the number of upstreams that limit their requests,
+// quarantined the number of sets of prompt parts that are refused, and ignored that of the rows that
+// can't be decoded.
+func New(age, open, size, limited, quarantined, ignored func() float64) *Meter {
 	m := &Meter{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -82,6 +83,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "quarantined_prompts", Help: "Sets of prompt parts that crash upstreams, so that requests with them are refused.",
 		}, quarantined),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "rows_ignored_total", Help: "Rows of the store that were read and can't be decoded; what was known before stays in force.",
+		}, ignored),
 	)
 	return m
 }
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -61,7 +61,9 @@
 	// era is the newest era of the store, progressEra that in which the progress was read last.
 	era, progressEra LatestEra
 	updates          chan update
-	changed          atomic.Pointer[chan struct{}]
+	// ignored counts the rows that can't be decoded.
+	ignored atomic.Uint64
+	changed atomic.Pointer[chan struct{}]
 
 	mu       sync.Mutex // guards estimate
 	estimate clockEstimate
@@ -219,6 +221,10 @@
 		}
 	}
 	for _, c := range changes {
+		if _, ok := c.(InvalidRecord); ok {
+			n.ignored.Add(1)
+			n.logChange(c)
+		}
 		if s.apply(c, now) {
 			changed = true
 			n.logChange(c)
@@ -227,6 +233,10 @@
 	return changed
 }
 
+// IgnoredRows returns how many rows of the store were read and ignored as they can't be decoded. What was known
+// before stays in force.
+func (n *Syncer) IgnoredRows() uint64 { return n.ignored.Load() }
+
 // publish replaces the view and wakes those that wait for a change.
 func (n *Syncer) publish(s *storeState) {
 	n.view.Store(s.view())
