fix(relay): accept streams whose event ids rise by more than one

A sound stream with other steps was broken off after its first event.

Change: a stream whose first id is above 1 and whose second one is not the next number is sparse; its ids need only rise. All others go on as before, so that a missing event is still seen: it can't be in a sparse stream. A stream that a client resumes is not known to be sparse and needs the next number.

TestSparseEvents, "tokens so far" and "uneven steps", failed before; six more cases hold what was checked already.

--- a/router/boot/stream_test.go
+++ b/router/boot/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -167,6 +168,59 @@
 	}
 }
 
+// The ids of events rise, not always by one. Guards against sound streams that are broken off for that, also when
+// they continue at another upstream, and against a missing event that counts as such a step.
+func TestSparseEvents(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		// ids are those that the upstreams send, want those that the client gets; nil stands for a broken stream.
+		ids, want []int
+	}{
+		"tokens so far":        {[]int{6, 12, 18, 24, 30}, []int{6, 12, 18, 24, 30}},
+		"uneven steps":         {[]int{4, 9, 10, 30, 31}, []int{4, 9, 10, 30, 31}},
+		"from one":             {[]int{1, 2, 3, 4, 5}, []int{1, 2, 3, 4, 5}},
+		"from two":             {[]int{2, 3, 4, 5, 6}, []int{2, 3, 4, 5, 6}},
+		"second event missing": {[]int{1, 3, 4, 5, 6}, nil},
+		"third event missing":  {[]int{2, 3, 5, 6, 7}, nil},
+		"repeated":             {[]int{6, 12, 12, 18, 24}, []int{6, 12, 18, 24}},
+		"falling":              {[]int{6, 12, 11, 18, 24}, []int{6, 12, 18, 24}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var whole strings.Builder
+			for _, n := range c.want {
+				whole.WriteString(server.EventText(n))
+			}
+			w := startRouter(t, document(1, route("chat", "streaming", "llm", "resumable", true, "attempts", 2)))
+			script := func(r server.Request) server.Reply {
+				text := strings.ReplaceAll(receiptHeaders, "ID", r.ID()) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+				from, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+				if err != nil {
+					from = -1
+				}
+				for i, n := range c.ids {
+					if n > from && (from >= 0 || i < 4) {
+						text += fmt.Sprintf("%x\r\n%s\r\n", len(server.EventText(n)), server.EventText(n))
+					}
+				}
+				if from >= 0 {
+					text += "0\r\n\r\n"
+				}
+				// The first answer breaks off after four events.
+				return server.Raw{Text: text}
+			}
+			w.server("llm", "s1", "v1", script)
+			w.server("llm", "s2", "v1", script)
+			w.awaitUpstreams(2)
+			a := w.send("POST", "/chat/1", "prompt", "Tarragonvalve-Model-Name", "small")
+			complete := a.err == nil && a.status == 200
+			if complete != (c.want != nil) || (complete && a.body != whole.String()) {
+				t.Errorf("got %d %v %q, want the events %v", a.status, a.err, a.body, c.want)
+			}
+		})
+	}
+}
+
 // Review case 3: an upstream preempts its streams for some seconds while others are full, have room, or fail.
 // Guards against streams that are given up before another upstream has taken them, against ones that stay at
 // an upstream although another one has room, and against events that are missing, repeated or of two runs.
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -17,7 +17,7 @@
 	"tarragonvalve.example/router/place"
 )
 
-// OrderError reports an event whose id isn't the one after its predecessor's.
+// OrderError reports an event whose id doesn't follow its predecessor's.
 type OrderError struct {
 	// After is the id of the last event that was passed on.
 	After uint64
@@ -38,6 +38,11 @@
 	// hasEvent is true.
 	lastEvent uint64
 	hasEvent  bool
+	// sparse is true if the first two events of the stream show that its ids rise by more than one.
+	// Otherwise each id must be the one after its predecessor's, so that a missing event is seen.
+	sparse bool
+	// count is the number of events with an id that were passed on.
+	count int
 	// continues is true until the first event of an attempt that continues after lastEvent.
 	continues bool
 }
@@ -249,10 +254,11 @@
 		f.continues = false
 	}
 	if e.HasID {
-		if f.hasEvent && e.ID != f.lastEvent+1 {
+		if !f.follows(t, e.ID) {
 			return &OrderError{After: f.lastEvent, Got: e.ID}
 		}
 		f.lastEvent, f.hasEvent = e.ID, true
+		f.count++
 	}
 	if !f.headersSent {
 		maps.Copy(f.w.Header(), t.Codec.ClientHeaders(a.Header))
@@ -266,6 +272,20 @@
 	return f.rc.Flush()
 }
 
+// follows reports whether an event with an id may be passed on next. A missing event can't be seen in a sparse
+// stream, so the ids must show that it is one: they neither begin at 1 nor go on with the next number.
+func (f *clientStream) follows(t *request, id uint64) bool {
+	if f.count == 1 && !t.Meta.Resumes && f.lastEvent > 1 && id > f.lastEvent+1 {
+		f.sparse = true
+	}
+	return !f.hasEvent || isNext(f.lastEvent, id, f.sparse)
+}
+
+// isNext reports whether the event id follows the event last of a stream, which may be sparse.
+func isNext(last, id uint64, sparse bool) bool {
+	return id == last+1 || (sparse && id > last)
+}
+
 // errNotContinued reports a response to a continued stream that doesn't continue it.
 var errNotContinued = errors.New("the answer doesn't continue the stream")
 
--- a/router/relay/successor.go
+++ b/router/relay/successor.go
@@ -24,9 +24,10 @@
 	model  ident.ModelID
 
 	mu sync.Mutex // guards all below
-	// begun is true once the client has a part of the stream, lastEvent is the id of its last event.
-	begun     bool
-	lastEvent uint64
+	// begun is true once the client has a part of the stream, lastEvent is the id of its last event, and
+	// sparse is as in clientStream.
+	begun, sparse bool
+	lastEvent     uint64
 	// latest is the state of the request after the latest successor that has not taken over.
 	latest *request
 	// running is the successor that is being asked; nil if there is none.
@@ -42,8 +43,9 @@
 	answered
 	// request is the state with which the stream goes on.
 	request *request
-	// after is the id of the last event before the continuation.
+	// after is the id of the last event before the continuation, sparse is as in clientStream.
 	after  uint64
+	sparse bool
 	reader *events.Reader
 	first  events.Event
 	ctx    context.Context
@@ -68,7 +70,7 @@
 		return errSuperseded
 	}
 	err := f()
-	s.begun, s.lastEvent = c.headersSent, c.lastEvent
+	s.begun, s.lastEvent, s.sparse = c.headersSent, c.lastEvent, c.sparse
 	return err
 }
 
@@ -95,9 +97,9 @@
 	}
 	next := t.fork()
 	next.permit = p
-	x := &successor{request: next, after: s.lastEvent, done: make(chan struct{})}
+	x := &successor{request: next, after: s.lastEvent, sparse: s.sparse, done: make(chan struct{})}
 	x.ctx, x.cancel = context.WithCancelCause(s.ctx)
-	next.succession = &succession{ctx: s.ctx, cancel: x.cancel, model: s.model, begun: true, lastEvent: s.lastEvent}
+	next.succession = &succession{ctx: s.ctx, cancel: x.cancel, model: s.model, begun: true, lastEvent: s.lastEvent, sparse: s.sparse}
 	s.running = x
 	go s.run(x)
 }
@@ -169,7 +171,7 @@
 		x.responseTimer.Stop()
 		x.eventReceived()
 		x.first = e
-		return e.HasID && e.ID == x.after+1
+		return e.HasID && isNext(x.after, e.ID, x.sparse)
 	}
 }
 
