test(soak): meet planned work with kept connections and full servers

TestPlannedSeeds runs planned work only, in overlapping series: stops of up to two of three routers, reloads, and configurations with two, one and no client accounts. Clients use a connection until the process is gone, whatever its answers say. Model servers hold three streams each and preempt one in eight for up to 3 s; orders take up to 5.5 s within 6 s. The other runs cut answers after any byte, too.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// restoreKey records that a key is accepted again.
+func (l *checker) restoreKey(key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.revoked, key)
+}
+
 // script returns the behavior of a service's servers. They reject one in 50 requests, and
 // record and serve the others, some of them with a broken response.
 func (l *checker) script(service string) func(server.Request) server.Reply {
@@ -109,7 +116,9 @@
 		if !broken {
 			return a
 		}
-		replies := []server.Reply{server.Reset{}, server.Truncated{}, server.Malformed{}, server.Duplicate{Answer: a}, server.Mismatched{Answer: a}, server.Hang{}}
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Server-Signature: receipt-of-%s\r\nContent-Length: %d\r\n\r\n%s", r.ID(), r.ID(), len(a.Body), a.Body)
+		cut := server.Raw{Text: text[:l.random.IntN(len(text))]}
+		replies := []server.Reply{server.Reset{}, server.Truncated{}, server.Malformed{}, server.Duplicate{Answer: a}, server.Mismatched{Answer: a}, server.Hang{}, cut, cut}
 		return replies[l.random.IntN(len(replies))]
 	}
 }
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -26,6 +26,8 @@
 	routerCount    = 3
 	plainUpstreams = 3
 	modelUpstreams = 3
+	// routeTimeout is the timeout of a route.
+	routeTimeout = 3 * time.Second
 	// revokeTime is the time within which a revoked key must stop working, as in the settings.
 	revokeTime = 5 * time.Second
 	// recoveryTime is the time after the last fault within which all routers must work again.
@@ -156,13 +158,22 @@
 	service string
 }
 
+// world is what a run can choose.
+type world struct {
+	checker *checker
+	// script returns the behavior of the servers of a service.
+	script func(service string) func(server.Request) server.Reply
+	// grace is the time between SIGTERM and SIGKILL, orderTimeout and streamTimeout are those of routes.
+	grace, orderTimeout, streamTimeout time.Duration
+}
+
 // cluster holds the routers of a run with the stand-ins for the store and the upstreams.
 type cluster struct {
+	world
 	t         *testing.T
 	store     *tables.Store
 	routers   []*router
 	upstreams []*upstream
-	checker   *checker
 	limits    limits
 	// seed is that of the run.
 	seed uint64
@@ -180,7 +191,13 @@
 // key-b.
 func newCluster(t *testing.T, l *checker) *cluster {
 	t.Helper()
-	w := &cluster{t: t, store: tables.New(), checker: l, silent: map[*links.Link]bool{}}
+	return newClusterIn(t, world{checker: l, script: l.script, grace: 4 * time.Second, orderTimeout: routeTimeout, streamTimeout: routeTimeout})
+}
+
+// newClusterIn is newCluster in a given world.
+func newClusterIn(t *testing.T, x world) *cluster {
+	t.Helper()
+	w := &cluster{world: x, t: t, store: tables.New(), silent: map[*links.Link]bool{}}
 	w.limits = limits{excused: map[string][]span{}, disturbed: map[string]bool{}}
 	s := httptest.NewServer(w.store)
 	t.Cleanup(s.Close)
@@ -200,8 +217,8 @@
 		r := &router{name: fmt.Sprintf("r%d", i), clients: freeAddress(t), admin: freeAddress(t), log: &tail{}}
 		r.store = links.New(t, "store-"+r.name, s.Listener.Addr().String())
 		r.path = filepath.Join(t.TempDir(), r.name+".ini")
-		text := fmt.Sprintf("[router]\ninstance = %s\ndomain = a\nclients = %s\nadmin = %s\nshare = %s\nseeds = %s, %s\n[store]\naddress = %s\n[bounds]\ngrace-s = 4\nrevoke-ms = %d\nretry-slack = 100\n",
-			r.name, r.clients, r.admin, shares[i], shares[0], shares[1], r.store.Addr(), revokeTime.Milliseconds())
+		text := fmt.Sprintf("[router]\ninstance = %s\ndomain = a\nclients = %s\nadmin = %s\nshare = %s\nseeds = %s, %s\n[store]\naddress = %s\n[bounds]\ngrace-s = %g\nrevoke-ms = %d\nretry-slack = 100\n",
+			r.name, r.clients, r.admin, shares[i], shares[0], shares[1], r.store.Addr(), w.grace.Seconds(), revokeTime.Milliseconds())
 		if err := os.WriteFile(r.path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -232,7 +249,7 @@
 // addUpstream starts an upstream and registers it as ready.
 func (w *cluster) addUpstream(service, name string) *upstream {
 	w.t.Helper()
-	s, err := server.New(name, w.checker.script(service))
+	s, err := server.New(name, w.script(service))
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -258,9 +275,9 @@
 // its own, named of-KEY.
 func (w *cluster) config(version int, keys ...string) {
 	w.t.Helper()
-	route := func(name, kind, service string) map[string]any {
+	route := func(name, kind, service string, timeout time.Duration) map[string]any {
 		return map[string]any{
-			"name": name, "host": "shop.example", "prefix": "/" + name + "/", "kind": kind, "timeout_ms": 3000,
+			"name": name, "host": "shop.example", "prefix": "/" + name + "/", "kind": kind, "timeout_ms": timeout.Milliseconds(),
 			"target_latency_ms": 500, "attempts": 3, "service": service, "resumable": true,
 		}
 	}
@@ -270,7 +287,10 @@
 	}
 	document := map[string]any{
 		"version": version, "tenants": accounts,
-		"routes": []any{route("read", "idempotent", "desk"), route("order", "non_idempotent", "desk"), route("chat", "streaming", "llm")},
+		"routes": []any{
+			route("read", "idempotent", "desk", routeTimeout), route("order", "non_idempotent", "desk", w.orderTimeout),
+			route("chat", "streaming", "llm", w.streamTimeout),
+		},
 		"services": []any{
 			map[string]any{"name": "desk", "max_connections": 400},
 			map[string]any{"name": "llm", "max_connections": 400, "runtime": map[string]any{"model_list": []any{}}},
@@ -322,8 +342,8 @@
 		w.t.Errorf("signal %s: %v", r.name, err)
 		return
 	}
-	// The grace period is 4 s, and the process may be paused during it.
-	if killed, err := r.awaitExit(9 * time.Second); s == syscall.SIGTERM && (err != nil || killed) {
+	// The process may be paused during the grace period.
+	if killed, err := r.awaitExit(w.grace + 5*time.Second); s == syscall.SIGTERM && (err != nil || killed) {
 		w.t.Errorf("%s did not shut down cleanly after SIGTERM: %v", r.name, err)
 	}
 	if err := r.start(); err != nil {
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -156,6 +156,8 @@
 	requests []Request
 	// limit is sent in Server-Limit with all proper responses unless it is empty.
 	limit string
+	// slots bounds the event streams in progress; 0 means no bound. streams counts them.
+	slots, streams int
 	// clientAborts is the count that ClientAborts returns.
 	clientAborts int
 	conns        map[net.Conn]bool
@@ -182,6 +184,30 @@
 	return s.listener.Addr().String()
 }
 
+// SetSlots makes the server reject event streams while n are in progress; 0 means no bound.
+func (s *Server) SetSlots(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots = n
+}
+
+// takeSlot counts an event stream as in progress; freeSlot must follow. It returns false if the server is full.
+func (s *Server) takeSlot() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slots > 0 && s.streams >= s.slots {
+		return false
+	}
+	s.streams++
+	return true
+}
+
+func (s *Server) freeSlot() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams--
+}
+
 // SetLimit makes the server state the rate of requests, per second, that it takes from all
 // routers together, from its next response on. It doesn't enforce it. Empty states none.
 func (s *Server) SetLimit(rate string) {
@@ -372,6 +398,10 @@
 
 // sendEvents carries out a reply that is an event stream.
 func (s *Server) sendEvents(c net.Conn, r *bufio.Reader, x Request, reply Reply) bool {
+	if !s.takeSlot() {
+		return write(c, s.rejection(x, Reject{Status: http.StatusServiceUnavailable}))
+	}
+	defer s.freeSlot()
 	switch a := reply.(type) {
 	case Events:
 		return s.stream(c, r, x, a, func(int) time.Duration { return a.Pause })
