--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -165,6 +165,8 @@
 	script func(service string) func(server.Request) server.Reply
 	// grace is the time between SIGTERM and SIGKILL, orderTimeout and streamTimeout are those of routes.
 	grace, orderTimeout, streamTimeout time.Duration
+	// withoutModels leaves out the upstreams of the model service.
+	withoutModels bool
 }
 
 // cluster holds the routers of a run with the stand-ins for the store and the upstreams.
@@ -205,6 +207,9 @@
 	for i := range plainUpstreams + modelUpstreams {
 		service := "desk"
 		if i >= plainUpstreams {
+			if x.withoutModels {
+				break
+			}
 			service = "llm"
 		}
 		w.addUpstream(service, fmt.Sprintf("%s-%d", service, i))
