fix(front): wait at the start for the progress of roll-outs

Cause: requests waited for the configuration and the upstreams only. Change: they wait for the progress too if there were roll-outs at the start, within the same bounds. A roll-out that is ordered later makes nobody wait.

TestComplete holds when a view counts as enough.

--- a/router/boot/rollout_test.go
+++ b/router/boot/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 	"time"
 
 	"tarragonvalve.example/standin/server"
+	"tarragonvalve.example/standin/tables"
 )
 
 // streamsOf returns a script of streams whose events come in differing pauses, each x times as
@@ -119,3 +121,38 @@
 		t.Errorf("the paused upstream got %d requests, want only the first", n)
 	}
 }
+
+// A router starts after a completed roll-out, when only the new version is left. Guards against requests that are
+// refused until it has read the roll-out's progress. This happened on ksls-valve, scenario scale-1: nine requests in
+// 15 ms.
+func TestStartAfterRollout(t *testing.T) {
+	t.Parallel()
+	w := startRouter(t, standardDocument())
+	old := w.server("desk", "s1", "v1", always(fine))
+	w.awaitUpstreams(1)
+	w.server("desk", "s2", "v2", always(fine))
+	if err := w.store.PutJSON("op", "rollout/desk", map[string]any{"service": "desk", "to": "v2", "duration_s": 4}); err != nil {
+		t.Fatal(err)
+	}
+	w.eventually("completion", func() bool {
+		w.send("GET", "/read/1", "")
+		r, _ := w.store.Get("status", "rollout/desk")
+		return strings.Contains(string(r.Data), "completed")
+	})
+	w.store.Delete("servers", "s1")
+	old.Close()
+	w.store.SetFault(tables.SlowTable{Table: "status", By: 300 * time.Millisecond})
+	x := w.startAgain()
+	x.eventually("listener", func() bool {
+		c, err := net.Dial("tcp", x.clients)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+	for range 20 {
+		if a := x.send("GET", "/read/1", ""); a.status != 200 {
+			t.Errorf("right after the start: got %d %s", a.status, a.body)
+		}
+	}
+}
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -29,12 +29,12 @@
 	// retryStale is the Retry-After of an instance that lacks a fresh configuration, or
 	// memory for the request. Another instance may serve the request at once.
 	retryStale = 200 * time.Millisecond
-	// maxConfigurationWait is how long a request waits for the first configuration of an
-	// instance that has just started. The configuration arrives within some 20 ms after the
+	// maxViewWait is how long a request waits for the first read of the store by an
+	// instance that has just started. The content arrives within some 20 ms after the
 	// start, and a client retries a refused request only once or twice.
-	maxConfigurationWait = time.Second
-	// configurationWaitFraction bounds that wait to a fraction of the client's timeout.
-	configurationWaitFraction = 0.25
+	maxViewWait = time.Second
+	// viewWaitFraction bounds that wait to a fraction of the client's timeout.
+	viewWaitFraction = 0.25
 	// writeMargin is how long after its timeout a client may take to read the rest of its
 	// response. Without this limit, a client that doesn't read would keep the response's
 	// memory and, for a stream, its upstream occupied indefinitely.
@@ -116,7 +116,7 @@
 	if err := setDeadlines(c, j.Arrived, clientTimeout(m)); err != nil {
 		return err
 	}
-	h.awaitConfiguration(ctx, m)
+	h.awaitView(ctx, m)
 	if err := h.admit(q.URL.Path, j); err != nil {
 		return err
 	}
@@ -202,23 +202,21 @@
 	return nil
 }
 
-// awaitConfiguration waits until the instance has received a configuration and the list of
-// upstreams, but no longer than maxConfigurationWait and configurationWaitFraction of the
-// client's timeout.
-func (h *Handler) awaitConfiguration(ctx context.Context, m call.Request) {
-	v := h.syncer.View()
-	if v.Document != nil && v.UpstreamsRead {
+// awaitView waits until the instance has read what it needs to serve requests, but no longer than
+// maxViewWait and viewWaitFraction of the client's timeout.
+func (h *Handler) awaitView(ctx context.Context, m call.Request) {
+	if h.syncer.View().Complete {
 		return
 	}
-	limit := maxConfigurationWait
+	limit := maxViewWait
 	if m.Timeout > 0 {
-		limit = min(limit, time.Duration(float64(m.Timeout)*configurationWaitFraction))
+		limit = min(limit, time.Duration(float64(m.Timeout)*viewWaitFraction))
 	}
 	ctx, stop := context.WithTimeout(ctx, limit)
 	defer stop()
-	for v.Document == nil || !v.UpstreamsRead {
+	for {
 		c := h.syncer.Changed()
-		if v = h.syncer.View(); v.Document != nil && v.UpstreamsRead {
+		if h.syncer.View().Complete {
 			return
 		}
 		select {
--- a/router/mirror/mirror_test.go
+++ b/router/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -76,6 +77,42 @@
 	}
 }
 
+// Guards against requests that are served before the progress of a roll-out is known, and against an instance that
+// makes its requests wait whenever a roll-out is ordered.
+func TestComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		ordered bool
+		want    []bool
+	}{
+		"no roll-out":               {false, []bool{false, false, true, true, true}},
+		"roll-out before the start": {true, []bool{false, false, false, false, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStoreState()
+			order := RolloutOrdered{Order: canary.Order{Service: "s", To: "v2", Revision: 7}}
+			var got []bool
+			for _, step := range []func(){
+				func() {},
+				func() { s.apply(DocumentChanged{Document: &routes.Document{Generation: 1}}, 0) },
+				func() {
+					if c.ordered {
+						s.apply(order, 0)
+					}
+					s.reset(nil, 0)
+				},
+				func() { s.apply(order, 0) },
+				func() { s.progressRead = true },
+			} {
+				step()
+				got = append(got, s.view().Complete)
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a stale response that counts as fresh.
 func TestClockEstimate(t *testing.T) {
 	var e clockEstimate
--- a/router/mirror/state.go
+++ b/router/mirror/state.go
@@ -48,6 +48,9 @@
 	ProgressRead bool
 	// UpstreamsRead is true once the upstreams were read.
 	UpstreamsRead bool
+	// Complete is true once enough was read to serve requests: the configuration and the upstreams, and if
+	// there were roll-outs then, their progress, without which nothing says which version may serve.
+	Complete bool
 }
 
 // ConfigAge returns the largest possible age of the view's configuration at a local time. The second
@@ -77,6 +80,8 @@
 	upstreamsRead bool
 	// progressRead is true once the progress of roll-outs was read.
 	progressRead bool
+	// complete is as in View.
+	complete bool
 	// ended holds the upstreams that ended and when.
 	ended map[fleet.Incarnation]time.Duration
 	// doubted holds content of a copy that contradicts newer knowledge, by what it is about.
@@ -226,8 +231,9 @@
 	for id, p := range s.progress {
 		ps[id] = p
 	}
+	s.complete = s.complete || (s.document != nil && s.upstreamsRead && (s.progressRead || len(s.orders) == 0))
 	v := &View{
-		Document: s.document, ordersAsOf: s.ordersAsOf, ordersRead: s.ordersRead, Fleet: fleet.New(us), Orders: os, Progress: ps,
+		Complete: s.complete, Document: s.document, ordersAsOf: s.ordersAsOf, ordersRead: s.ordersRead, Fleet: fleet.New(us), Orders: os, Progress: ps,
 		Trials: s.trials, UpstreamsRead: s.upstreamsRead, ProgressRead: s.progressRead,
 	}
 	for _, t := range s.tallies {
--- a/standin/tables/tables.go
+++ b/standin/tables/tables.go
@@ -38,6 +38,11 @@
 	// StaleClock subtracts By from the server time in the responses to /rows-get. The
 	// rows are current.
 	StaleClock struct{ By time.Duration }
+	// SlowTable delays the responses to /rows-get of a table.
+	SlowTable struct {
+		Table string
+		By    time.Duration
+	}
 	// LostWrites applies transactions and closes the connection without a response.
 	LostWrites struct{}
 )
@@ -45,6 +50,7 @@
 func (Busy) fault()       {}
 func (Silent) fault()     {}
 func (StaleClock) fault() {}
+func (SlowTable) fault()  {}
 func (LostWrites) fault() {}
 
 // Store holds rows in memory. It is safe for concurrent use.
@@ -216,6 +222,9 @@
 
 func (s *Store) get(w http.ResponseWriter, q *http.Request, f Fault) {
 	table := q.URL.Query().Get("table_name")
+	if x, ok := f.(SlowTable); ok && x.Table == table {
+		time.Sleep(x.By)
+	}
 	s.mu.Lock()
 	version, clock := s.version, time.Since(s.startTime)
 	if x, ok := f.(StaleClock); ok {
