--- a/router/boot/poison_test.go
+++ b/router/boot/poison_test.go
@@ -362,6 +362,60 @@
 	}
 }
 
+// All upstreams end by themselves within a moment, once or again as they are back, while all requests share their
+// account and parts. Guards against sound work that stays refused after ends that none of it has caused.
+func TestUpstreamsEndByThemselves(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		upstreams int
+		// windows are the times, from the start, in which each upstream ends as soon as it gets a request.
+		windows [][2]time.Duration
+	}{
+		"once":            {10, [][2]time.Duration{{3 * time.Second, 3600 * time.Millisecond}}},
+		"few, once":       {5, [][2]time.Duration{{3 * time.Second, 3600 * time.Millisecond}}},
+		"again":           {10, [][2]time.Duration{{3 * time.Second, 3600 * time.Millisecond}, {6 * time.Second, 6600 * time.Millisecond}}},
+		"for two seconds": {6, [][2]time.Duration{{3 * time.Second, 5 * time.Second}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const routers, length, pause = 4, 20 * time.Second, 25 * time.Millisecond
+			ws := startRouters(t, standardDocument(), routers)
+			f := &crashingFleet{w: ws[0], service: "llm", reply: server.Events{Count: 20, Pause: 30 * time.Millisecond}}
+			far := time.Now().Add(time.Hour)
+			var start atomic.Pointer[time.Time]
+			start.Store(&far)
+			f.guilty = func(server.Request) bool {
+				d := time.Since(*start.Load())
+				return slices.ContainsFunc(c.windows, func(x [2]time.Duration) bool { return d > x[0] && d < x[1] })
+			}
+			stop := f.start(c.upstreams, server.Crash{Delay: 20 * time.Millisecond})
+			for _, w := range ws {
+				w.awaitUpstreams(c.upstreams)
+			}
+			began := time.Now()
+			start.Store(&began)
+			var clients sync.WaitGroup
+			var sound soundLoad
+			for n := 0; time.Since(began) < length; n++ {
+				clients.Go(func() {
+					sound.record(func() response {
+						return ws[n%routers].send("POST", "/chat/1", "", promptOf("aaaa0001:40,cccc0001:30", n)...)
+					})
+				})
+				time.Sleep(pause)
+			}
+			clients.Wait()
+			stop()
+			if len(f.crashes) < crashesKnown {
+				t.Fatalf("%d upstreams ended, want at least %d", len(f.crashes), crashesKnown)
+			}
+			last := f.crashes[len(f.crashes)-1]
+			sound.checkFrom(t, last.Add(2*poisonGrace))
+			t.Logf("%d ends, the last %s after the first", len(f.crashes), last.Sub(f.crashes[0]))
+		})
+	}
+}
+
 // A quarantine is listed and lifted by the command line at one router. Guards against a quarantine that
 // no operator can end after a mend, and against one that is lifted at one router only, by nobody or
 // without a reason.
--- a/router/poison/trial_test.go
+++ b/router/poison/trial_test.go
@@ -1,6 +1,7 @@
 package poison_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -19,51 +20,56 @@
 // against more trials of a quarantine than the users' bound allows, and against two trials at a time,
 // whatever the routers saw, with crashes in between and the store restored from a copy.
 func TestTrialsBounded(t *testing.T) {
+	for _, routers := range []int{1, 5, 40, 300} {
+		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) { rapid.Check(t, func(t *rapid.T) { checkTrials(t, routers) }) })
+	}
+}
+
+// checkTrials draws a history of routers that try quarantines.
+func checkTrials(t *rapid.T, routers int) {
 	const maxTrials, spacing, episode = 2, 2 * time.Second, 10 * time.Minute
 	type view struct {
 		trials   poison.Trials
 		revision int
 	}
-	rapid.Check(t, func(t *rapid.T) {
-		start := time.Unix(1000, 0)
-		var row view
-		views := make([]view, rapid.IntRange(1, 5).Draw(t, "routers"))
-		crashed := map[int]time.Time{}
-		begun := map[int][]time.Duration{}
-		var all []time.Duration
-		clock := time.Minute
-		for range rapid.IntRange(1, 200).Draw(t, "steps") {
-			clock += time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond
-			now := start.Add(clock)
-			i, q := rapid.IntRange(0, len(views)-1).Draw(t, "router"), rapid.IntRange(1, 3).Draw(t, "quarantine")
-			switch rapid.IntRange(0, 4).Draw(t, "event") {
-			case 0:
-				crashed[q] = now
-			case 1:
-				views[i] = row
-			default:
-				x := quarantineOf(q, crashed[q])
-				wait, ok := views[i].trials.Next(x, now, clock)
-				if !ok || wait > 0 || views[i].revision != row.revision {
-					continue
-				}
-				row = view{trials: views[i].trials.With(x, clock), revision: row.revision + 1}
-				begun[q], all = append(begun[q], clock), append(all, clock)
+	start := time.Unix(1000, 0)
+	var row view
+	views := make([]view, routers)
+	crashed := map[int]time.Time{}
+	begun := map[int][]time.Duration{}
+	var all []time.Duration
+	clock := time.Minute
+	for range rapid.IntRange(1, 200).Draw(t, "steps") {
+		clock += time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond
+		now := start.Add(clock)
+		i, q := rapid.IntRange(0, len(views)-1).Draw(t, "router"), rapid.IntRange(1, 3).Draw(t, "quarantine")
+		switch rapid.IntRange(0, 4).Draw(t, "event") {
+		case 0:
+			crashed[q] = now
+		case 1:
+			views[i] = row
+		default:
+			x := quarantineOf(q, crashed[q])
+			wait, ok := views[i].trials.Next(x, now, clock)
+			if !ok || wait > 0 || views[i].revision != row.revision {
+				continue
 			}
+			row = view{trials: views[i].trials.With(x, clock), revision: row.revision + 1}
+			begun[q], all = append(begun[q], clock), append(all, clock)
 		}
-		for q, ts := range begun {
-			for i := maxTrials; i < len(ts); i++ {
-				if ts[i]-ts[i-maxTrials] < episode {
-					t.Fatalf("quarantine %d: more than %d trials within %s: %v", q, maxTrials, episode, ts)
-				}
+	}
+	for q, ts := range begun {
+		for i := maxTrials; i < len(ts); i++ {
+			if ts[i]-ts[i-maxTrials] < episode {
+				t.Fatalf("quarantine %d: more than %d trials within %s: %v", q, maxTrials, episode, ts)
 			}
 		}
-		for i := 1; i < len(all); i++ {
-			if all[i]-all[i-1] < spacing {
-				t.Fatalf("trials %s apart, want %s", all[i]-all[i-1], spacing)
-			}
+	}
+	for i := 1; i < len(all); i++ {
+		if all[i]-all[i-1] < spacing {
+			t.Fatalf("trials %s apart, want %s", all[i]-all[i-1], spacing)
 		}
-	})
+	}
 }
 
 // Guards against a Retry-After of ten minutes for what may be tried again in seconds, and against a mend
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// Five parts of prompts crash model servers. Guards against parts that are never found since each explains but a
+// fifth of the crashes.
+func TestCrashFiveParts(t *testing.T) {
+	t.Parallel()
+	runCrashes(t, crashWorld{
+		servers: 10, guilty: 5, gap: 121 * time.Millisecond, soundGap: 42 * time.Millisecond, calm: 3768 * time.Millisecond,
+		crash: server.Crash{Delay: 56 * time.Millisecond}, down: 1354 * time.Millisecond, firsts: 1, seconds: 20,
+	}, 20*time.Second)
+}
+
 // crashRun is a run in which parts of prompts crash model servers. It is safe for concurrent use.
 type crashRun struct {
 	crashWorld
