refactor(relay): name the state of a waiting successor for what it is

Read of the diff as a newcomer: the field was named like the type beside it. A retry after the first events now passes on that the stream is sparse, too.

--- a/router/front/front.go
+++ b/router/front/front.go
@@ -187,7 +187,7 @@
 
 // recheck authenticates an admitted request again right before it is sent, as the process
 // may have been paused since. It returns a *refuse.Error if the key is no longer accepted
-// or now belongs to another client account, or if the instance has begun to stop too long ago.
+// or now belongs to another client account, or if the instance may stop before the deadline.
 func (h *Handler) recheck(j *relay.Job) error {
 	if err := h.checkShutdown(j); err != nil {
 		return err
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -56,8 +56,8 @@
 // Run serves until ctx ends, and then until all requests have ended or the grace period is
 // nearly over. It returns an error if the listener fails before that.
 func (s *Server) Run(ctx context.Context) error {
-	base, abort := context.WithCancelCause(context.Background())
-	defer abort(nil)
+	base, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
 	h := &http.Server{
 		BaseContext: func(net.Listener) context.Context { return base },
 		Handler:     s.conns.abortClosed(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -79,7 +79,7 @@
 			s.conns.closeIdle(s.idleTimeout())
 		case <-ctx.Done():
 			if !s.drain() {
-				s.abort(abort)
+				s.abort(cancel)
 			}
 			return s.closeAll(h)
 		}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -180,8 +180,8 @@
 	assignment assignment
 	// succession continues the stream elsewhere if the present attempt pauses; nil if it is no stream.
 	succession *succession
-	// successor is true while the attempt may still take over from another one.
-	successor atomic.Bool
+	// waiting is true while the attempt is a successor that has not taken over.
+	waiting atomic.Bool
 }
 
 // outcome is the result of one attempt. The cases are listed below and in stream.go.
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -85,7 +85,8 @@
 	}
 	tried := slices.Clone(t.excluded)
 	return func(cause error) {
-		if t.successor.Load() {
+		if t.waiting.Load() {
+			// The stream is safe at its holder, so no further upstream is asked for it.
 			if !errors.Is(cause, errLate) {
 				cancel(cause)
 			}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -156,7 +156,7 @@
 	client := ctx
 	ctx, cancel := context.WithCancelCause(client)
 	defer cancel(nil)
-	t.succession = &succession{ctx: client, cancel: cancel, model: *model, begun: f.headersSent, lastEvent: f.lastEvent}
+	t.succession = &succession{ctx: client, cancel: cancel, model: *model, begun: f.headersSent, lastEvent: f.lastEvent, sparse: f.sparse}
 	o := t.send(ctx, cancel, *model, call.Outbound{LastEvent: f.lastEvent, Resumes: f.hasEvent})
 	a, ok := o.(answered)
 	if !ok {
--- a/router/relay/successor.go
+++ b/router/relay/successor.go
@@ -111,7 +111,7 @@
 		Relay: t.Relay, Job: t.Job, service: t.service, prompt: t.prompt, runs: t.runs, attempts: t.attempts, mayHaveRun: t.mayHaveRun,
 		excluded: slices.Clone(t.excluded), rejection: t.rejection, streamVersion: t.streamVersion, assignment: t.assignment,
 	}
-	n.successor.Store(true)
+	n.waiting.Store(true)
 	return n
 }
 
@@ -184,7 +184,7 @@
 		x.End()
 		return false
 	}
-	x.request.successor.Store(false)
+	x.request.waiting.Store(false)
 	s.running, s.winner = nil, x
 	s.cancel(errSuperseded)
 	return true
@@ -202,7 +202,7 @@
 	if x != nil {
 		if wait {
 			// From now on it is the only attempt, which a retry may replace like any other.
-			x.request.successor.Store(false)
+			x.request.waiting.Store(false)
 		} else {
 			x.cancel(context.Canceled)
 		}
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -2,6 +2,9 @@
 // and servers, injects random faults from outside by a seed, and checks the guarantees of
 // the platform's documentation by what clients and servers observe.
 //
+// TestSeeds injects all kinds of faults at once. TestPlannedSeeds does planned work only, so that no request may be
+// lost, and TestCrashSeeds has parts of prompts crash model servers.
+//
 // A short run with fixed seeds is part of the tests. For longer ones:
 //
 //	SOAK_SEEDS=100-149 SOAK_TIME=12s go test -run TestSeeds -timeout 30m ./...
