test(proof): take all accounts away while the table is down

A document without accounts is promoted, the table goes down and a third entry starts. All three entries refuse the removed key and one that no document ever held, and nothing starts on any engine.

--- a/proof/guarantees_test.go
+++ b/proof/guarantees_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -47,6 +48,27 @@
 			checkNoStartsAfter(t, f, fleet.Deep1, at)
 			checkNoStartsAfter(t, f, fleet.Deep2, at)
 		}},
+		"all accounts taken away, table down": {run: func(t *testing.T, f *fleet.Fleet) {
+			d := fleet.Document("without accounts")
+			from, to := strings.Index(d, "[account"), strings.Index(d, "[model")
+			f.WaitInForce(f.Promote(0, d[:from]+d[to:], 1))
+			at := time.Now()
+			f.SetFaults("table", fault.Faults{Down: true})
+			late := f.StartEntry(2)
+			for _, e := range append(slices.Clone(f.Entries), late) {
+				proc.Eventually(t, "the entry has the document", func() bool {
+					s, err := f.Status(e)
+					return err == nil && s.Generation == 2
+				})
+				for _, account := range []string{fleet.Alpha, "never-held"} {
+					if r := f.Client(e, account).Chat(f.Context(), fleet.ChatRequest("quick", "no key is left")); r.Code != refuse.Unauthenticated {
+						t.Errorf("key of %s: %s", account, r.Describe())
+					}
+				}
+			}
+			f.SetFaults("table", fault.Faults{})
+			checkNoStartsAfter(t, f, fleet.Quick1, at)
+		}},
 	})
 }
 
