--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -95,9 +95,8 @@
 	return func(r server.Request) server.Reply {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		e := l.observations[r.ID()]
+		e := l.find(r)
 		if e == nil {
-			l.addViolation("a server got request %q, which no client sent", r.ID())
 			return server.Reject{Status: http.StatusBadRequest}
 		}
 		if l.random.IntN(50) == 0 {
@@ -123,6 +122,16 @@
 	}
 }
 
+// find returns the observation of a request, or records a violation and returns nil if no client sent it. The
+// caller must hold l.mu.
+func (l *checker) find(r server.Request) *observation {
+	e := l.observations[r.ID()]
+	if e == nil {
+		l.addViolation("a server got request %q, which no client sent", r.ID())
+	}
+	return e
+}
+
 // recordRun records that a server runs a request, and checks the guarantees about that. The
 // caller must hold l.mu.
 func (l *checker) recordRun(r server.Request, e *observation) {
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -54,9 +54,8 @@
 		return func(r server.Request) server.Reply {
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			e := l.observations[r.ID()]
+			e := l.find(r)
 			if e == nil {
-				l.addViolation("a server got request %q, which no client sent", r.ID())
 				return server.Reject{Status: http.StatusBadRequest}
 			}
 			l.recordRun(r, e)
