--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -124,7 +124,8 @@
 func (p *planned) operate(r *rand.Rand, d time.Duration) {
 	var g sync.WaitGroup
 	end := time.Now().Add(d)
-	g.Go(func() { p.changeKeys(rand.New(rand.NewPCG(r.Uint64(), 5)), end) })
+	keys := rand.New(rand.NewPCG(r.Uint64(), 5))
+	g.Go(func() { p.changeKeys(keys, end) })
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(300+r.IntN(1500)) * time.Millisecond)
 		x := p.routers[r.IntN(len(p.routers))]
