perf(poison): find what explains shared crashes once per judgement

Read of the diff: each known part that looked guilty compared each of its requests with each candidate, ten times a second while evidence comes in.

Decisions are the same: the tests of poison pass unchanged.

--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -48,9 +48,9 @@
 		}
 	}
 	cs := e.candidates(active, now)
-	all := crashed(cs)
+	all, r := crashed(cs), rivalsOf(cs)
 	for _, c := range cs {
-		if !c.settled || !c.guilty(remembered(qs, c.part)) || float64(len(c.upstreams)) < explainedShare*float64(all) || c.inferior(cs) {
+		if !c.settled || !c.guilty(remembered(qs, c.part)) || float64(len(c.upstreams)) < explainedShare*float64(all) || r.explain(c) {
 			continue
 		}
 		q := Quarantine{At: c.last}
@@ -116,23 +116,45 @@
 	}
 }
 
-// inferior reports whether other candidates explain the crashes better than a part in frequent use, whose
-// requests are in progress at each crash, whatever its cause. They explain those under a part that is known
-// if they aren't known and recur, and those under another part if one of them was there each time with
-// fewer requests and never began to be answered: its crashes come before the first byte.
-func (c candidate) inferior(cs []candidate) bool {
+// rivals are the candidates that may explain the crashes under parts in frequent use, whose requests are in
+// progress at each crash, whatever its cause.
+type rivals struct {
+	// upstreams are those that crashed under a part that isn't known and recurs.
+	upstreams map[fleet.Incarnation]struct{}
+	// silent are the candidates that recur and never began to be answered: their crashes come before the first
+	// byte.
+	silent []candidate
+}
+
+// rivalsOf returns the rivals among all candidates.
+func rivalsOf(cs []candidate) rivals {
+	r := rivals{upstreams: map[fleet.Incarnation]struct{}{}}
+	for _, c := range cs {
+		if !c.recurs() {
+			continue
+		}
+		maps.Copy(r.upstreams, c.upstreams)
+		if c.begun == 0 {
+			r.silent = append(r.silent, c)
+		}
+	}
+	return r
+}
+
+// explain reports whether the rivals explain the crashes under a candidate better than it does: all but a few under
+// a part that is known, and those under another part if one of them was there each time with fewer requests.
+func (r rivals) explain(c candidate) bool {
 	if !c.known {
-		return c.begun > 0 && slices.ContainsFunc(cs, func(o candidate) bool {
-			return o.begun == 0 && o.recurs() && o.inProgress < c.inProgress && containsKeys(o.upstreams, c.upstreams)
+		return c.begun > 0 && slices.ContainsFunc(r.silent, func(o candidate) bool {
+			return o.inProgress < c.inProgress && containsKeys(o.upstreams, c.upstreams)
 		})
 	}
-	left := maps.Clone(c.requests)
-	maps.DeleteFunc(left, func(k crashKey, _ struct{}) bool {
-		return slices.ContainsFunc(cs, func(o candidate) bool {
-			_, there := o.upstreams[k.upstream]
-			return there && o.recurs()
-		})
-	})
+	left := map[crashKey]struct{}{}
+	for k := range c.requests {
+		if _, ok := r.upstreams[k.upstream]; !ok {
+			left[k] = struct{}{}
+		}
+	}
 	return countCrashes(left) < knownCrashes
 }
 
--- a/router/poison/poison_test.go
+++ b/router/poison/poison_test.go
@@ -392,3 +392,23 @@
 		t.Error("the other router refuses a sound part")
 	}
 }
+
+// A rack of 60 upstreams loses power under 1,200 requests. Guards against a judgement, made ten times a second, that
+// compares each request with each other one.
+func BenchmarkUpdate(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		s := newScene()
+		s.survive("a", "b")
+		for range 60 {
+			var xs []crash.Suspect
+			for range 20 {
+				xs = append(xs, s.begun("a", "b"))
+			}
+			s.crash(xs...)
+		}
+		s.now = s.now.Add(1100 * time.Millisecond)
+		b.StartTimer()
+		s.Update(s.now)
+	}
+}
