fix(front): take what a stop can still finish by its route's tempo

Change: the handler keeps the slowest request of each route for 30 to 60 s. With five or more, twice that time stands for the deadline if it is shorter.

TestRequestsInShutdown has two new requests, of a fast route: one is served (503 before), one that outlasts the drain is answered 502. TestTempo holds how the tempo is known. Both pass with -race.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -15,9 +15,9 @@
 )
 
 // Admits reports whether a request may still be taken: shortly after the start of a stop all are, later
-// ones if their deadline is before the time at which the last requests are ended. past is the time since
-// the start of the stop, limit that from its start until the last requests are ended, and left the time
-// until the request's deadline.
+// ones if they end before the time at which the last requests are ended. past is the time since the start of
+// the stop, limit that from its start until the last requests are ended, and left the time until the
+// request's deadline, or until it is known to have ended.
 func Admits(past, limit, left time.Duration) bool {
 	return past <= min(admitAll, time.Duration(admitAllFraction*float64(limit))) || past+left+answerMargin <= limit
 }
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -54,6 +54,7 @@
 	// memory bounds the bodies of requests and responses in progress.
 	memory *quota.MemoryLimit
 	log    zerolog.Logger
+	tempo  tempo
 }
 
 // New returns a handler that admits requests by the configuration of n and the state of g,
@@ -138,7 +139,11 @@
 		}
 	}
 	j.Recheck = func() error { return h.recheck(j) }
-	return explainStop(ctx, h.relay.Serve(ctx, w, j))
+	err := h.relay.Serve(ctx, w, j)
+	if r, ok := refuse.As(err); !ok || r.Ran != refuse.NotRun {
+		h.tempo.record(j.Route.ID, time.Since(j.Arrived), time.Now())
+	}
+	return explainStop(ctx, err)
 }
 
 // errDrained is the cause of the end of requests that are in progress at the end of a drain. It counts as
@@ -187,7 +192,7 @@
 
 // recheck authenticates an admitted request again right before it is sent, as the process
 // may have been paused since. It returns a *refuse.Error if the key is no longer accepted
-// or now belongs to another client account, or if the instance may stop before the deadline.
+// or now belongs to another client account, or if the instance may stop before the request has ended.
 func (h *Handler) recheck(j *relay.Job) error {
 	if err := h.checkShutdown(j); err != nil {
 		return err
@@ -257,12 +262,20 @@
 	return h.checkShutdown(j)
 }
 
-// checkShutdown returns a *refuse.Error if the instance may end before the request's deadline.
+// checkShutdown returns a *refuse.Error if the instance may end before the request, which ends at its deadline or, by
+// the tempo of its route, sooner.
 func (h *Handler) checkShutdown(j *relay.Job) error {
-	if h.gate.Admits(j.Deadline) {
+	if !h.gate.Stopping() {
+		return nil
+	}
+	left := time.Until(j.Deadline)
+	if d, ok := h.tempo.expected(j.Route.ID, time.Now()); ok {
+		left = min(left, d)
+	}
+	if h.gate.Admits(left) {
 		return nil
 	}
-	return refuse.New(refuse.Draining, refuse.NotRun, "the instance stops before the request's deadline").WithRetryAfter(retryStopping)
+	return refuse.New(refuse.Draining, refuse.NotRun, "the instance may stop before the request has ended").WithRetryAfter(retryStopping)
 }
 
 // authenticate finds the client account of a request that needs a key, by a view's configuration. Keys are
--- a/router/front/gate.go
+++ b/router/front/gate.go
@@ -68,10 +68,10 @@
 // drainTime returns how long after the start of the shutdown the requests in progress may go on.
 func (g *Gate) drainTime() time.Duration { return g.gracePeriod() - stopMargin }
 
-// Admits reports whether the shutdown, if it has begun, leaves a request with a deadline enough time.
-func (g *Gate) Admits(deadline time.Time) bool {
+// Admits reports whether the shutdown, if it has begun, leaves enough time for a request that may take left.
+func (g *Gate) Admits(left time.Duration) bool {
 	past, ok := g.stoppedFor()
-	return !ok || drain.Admits(past, g.drainTime(), time.Until(deadline))
+	return !ok || drain.Admits(past, g.drainTime(), left)
 }
 
 // InFlight returns the number of requests in progress.
