fix(poison): try requests that several quarantines refuse

Cause: both parts of all sound prompts were quarantined apart, and only a request that a single quarantine refuses was tried. Such a request is now tried 0.5 s later than others and counts for each. TestTrialOfSeveral holds the rule.

--- a/router/poison/trial.go
+++ b/router/poison/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -16,6 +17,9 @@
 	// upstream is known to have survived settleTime of package crash after it began to answer, or to
 	// have crashed, and other routers hear of it.
 	trialTime = 2 * time.Second
+	// sharedTrialDelay is how much later than others a request is tried that several quarantines refuse. A survival
+	// ends all of them, a crash says of none that it is right; but if all requests are such, nothing else can.
+	sharedTrialDelay = 500 * time.Millisecond
 	// maxTrials bounds the trials of one quarantine. The users allow three more requests after the
 	// grace; one of them is left for a request that was on its way.
 	maxTrials = 2
@@ -58,9 +62,27 @@
 	Tried  map[Key]Tried
 }
 
-// Next returns the time from now until the next trial of a quarantine may begin, or false if there is
-// none before the quarantine ends. clock is the store's clock at now.
-func (t Trials) Next(q Quarantine, now time.Time, clock time.Duration) (time.Duration, bool) {
+// Next returns the time from now until the next trial of a request that quarantines refuse may begin, or false if
+// there is none before they end: each of them must allow one. One that several refuse says less, and waits for
+// sharedTrialDelay for one that a single one of them refuses. clock is the store's clock at now.
+func (t Trials) Next(qs []Quarantine, now time.Time, clock time.Duration) (time.Duration, bool) {
+	wait := time.Duration(math.MinInt64)
+	for _, q := range qs {
+		d, ok := t.next(q, now, clock)
+		if !ok {
+			return 0, false
+		}
+		wait = max(wait, d)
+	}
+	if len(qs) > 1 {
+		wait += sharedTrialDelay
+	}
+	return max(wait, 0), true
+}
+
+// next returns the time from now until the next trial of one quarantine, which is negative if it is overdue, or
+// false if there is none.
+func (t Trials) next(q Quarantine, now time.Time, clock time.Duration) (time.Duration, bool) {
 	x := t.tried(q.Key(), clock)
 	if x.Count >= maxTrials {
 		return 0, false
@@ -72,7 +94,7 @@
 	if len(t.Tried) > 0 {
 		wait = max(wait, trialTime-(clock-t.LastAt))
 	}
-	return max(wait, 0), true
+	return wait, true
 }
 
 // tried returns the trials of a quarantine that still count.
@@ -91,13 +113,15 @@
 	return maps.Clone(t.Tried)
 }
 
-// With returns the trials with one more of a quarantine.
-func (t Trials) With(q Quarantine, clock time.Duration) Trials {
+// With returns the trials with one more of each of some quarantines.
+func (t Trials) With(qs []Quarantine, clock time.Duration) Trials {
 	out := Trials{LastAt: clock, Tried: t.copyTried()}
-	k := q.Key()
-	out.Tried[k] = Tried{Count: t.tried(k, clock).Count + 1, At: clock}
+	for _, q := range qs {
+		k := q.Key()
+		out.Tried[k] = Tried{Count: t.tried(k, clock).Count + 1, At: clock}
+	}
 	for len(out.Tried) > maxTried {
-		oldest := k
+		oldest := qs[0].Key()
 		for i, y := range out.Tried {
 			if y.At < out.Tried[oldest].At {
 				oldest = i
@@ -148,14 +172,12 @@
 	return last.EndsIn(now)
 }
 
-// RetryAfter returns when a request that quarantines refuse may be tried again: at the next trial of one
-// of them, or when they end.
+// RetryAfter returns when a request that quarantines refuse may be tried again: at its next trial, or when they
+// end.
 func (t Trials) RetryAfter(qs []Quarantine, now time.Time, clock time.Duration) time.Duration {
 	d := until(qs, now)
-	for _, q := range qs {
-		if next, ok := t.Next(q, now, clock); ok {
-			d = min(d, next)
-		}
+	if next, ok := t.Next(qs, now, clock); ok {
+		d = min(d, next)
 	}
 	return d
 }
--- a/router/poison/trial_test.go
+++ b/router/poison/trial_test.go
@@ -50,11 +50,11 @@
 			views[i] = row
 		default:
 			x := quarantineOf(q, crashed[q])
-			wait, ok := views[i].trials.Next(x, now, clock)
+			wait, ok := views[i].trials.Next([]poison.Quarantine{x}, now, clock)
 			if !ok || wait > 0 || views[i].revision != row.revision {
 				continue
 			}
-			row = view{trials: views[i].trials.With(x, clock), revision: row.revision + 1}
+			row = view{trials: views[i].trials.With([]poison.Quarantine{x}, clock), revision: row.revision + 1}
 			begun[q], all = append(begun[q], clock), append(all, clock)
 		}
 	}
@@ -77,8 +77,8 @@
 func TestRetryAfterOfTrials(t *testing.T) {
 	at := time.Unix(1000, 0)
 	q := quarantineOf(1, at)
-	first := poison.Trials{}.With(q, time.Hour+3*time.Second)
-	second := first.With(q, time.Hour+50*time.Second)
+	first := poison.Trials{}.With([]poison.Quarantine{q}, time.Hour+3*time.Second)
+	second := first.With([]poison.Quarantine{q}, time.Hour+50*time.Second)
 	tests := map[string]struct {
 		trials poison.Trials
 		// age is the time since the crash, which was at an hour of the store's clock.
@@ -88,7 +88,7 @@
 		"due":               {poison.Trials{}, 5 * time.Second, 0},
 		"after the first":   {first, 10 * time.Second, 38 * time.Second},
 		"after the second":  {second, time.Minute, 9 * time.Minute},
-		"trial of another":  {poison.Trials{}.With(quarantineOf(2, at), time.Hour+4*time.Second), 5 * time.Second, time.Second},
+		"trial of another":  {poison.Trials{}.With([]poison.Quarantine{quarantineOf(2, at)}, time.Hour+4*time.Second), 5 * time.Second, time.Second},
 		"lost by the store": {poison.Trials{}.Merge(first), 10 * time.Second, 38 * time.Second},
 	}
 	for name, c := range tests {
@@ -99,3 +99,32 @@
 		})
 	}
 }
+
+// Two quarantines refuse each sound request, as both its parts were found. Found by TestCrashesBeforeAnswer beside other
+// runs: guards against quarantines that nothing can end, since only a request that one of them refuses was tried, and
+// against a trial that isn't counted for each of them.
+func TestTrialOfSeveral(t *testing.T) {
+	at := time.Unix(1000, 0)
+	a, b := quarantineOf(1, at), quarantineOf(2, at)
+	both := []poison.Quarantine{a, b}
+	tests := map[string]struct {
+		trials poison.Trials
+		age    time.Duration
+		want   time.Duration
+		ok     bool
+	}{
+		"waits for one that a single one refuses": {poison.Trials{}, 2500 * time.Millisecond, 500 * time.Millisecond, true},
+		"due":                                {poison.Trials{}, 3 * time.Second, 0, true},
+		"counted for each":                   {poison.Trials{}.With(both, time.Hour+3*time.Second), 10 * time.Second, 38500 * time.Millisecond, true},
+		"one of them has no trial left":      {poison.Trials{}.With(both[:1], time.Hour+3*time.Second).With(both[:1], time.Hour+50*time.Second), time.Minute, 0, false},
+		"one of them was tried a moment ago": {poison.Trials{}.With(both[:1], time.Hour+3*time.Second), 4 * time.Second, 44500 * time.Millisecond, true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, ok := c.trials.Next(both, at.Add(c.age), time.Hour+c.age)
+			if got != c.want || ok != c.ok {
+				t.Errorf("got %s, %v, want %s, %v", got, ok, c.want, c.ok)
+			}
+		})
+	}
+}
--- a/router/relay/trial.go
+++ b/router/relay/trial.go
@@ -28,31 +28,32 @@
 }
 
 // startTrial makes a quarantined request a trial if the next one is due, and this router is the first to
-// write so to the store: a request that an upstream survives ends the quarantine. Only a request that a
-// single quarantine refuses says something about it.
+// write so to the store: a request that an upstream survives ends the quarantines that refuse it.
 func (t *request) startTrial(ctx context.Context) bool {
 	now := time.Now()
 	qs := t.Poison.Blocking(t.prompt, now)
 	c, ok := t.Syncer.StoreClock()
-	if len(qs) != 1 || !ok {
+	if len(qs) == 0 || !ok {
 		return false
 	}
 	x := t.Syncer.View().Trials
-	if wait, ok := x.Trials.Next(qs[0], now, c); !ok || wait > 0 {
+	if wait, ok := x.Trials.Next(qs, now, c); !ok || wait > 0 {
 		return false
 	}
 	if !t.Poison.BeginTrial(now) {
 		return false
 	}
-	next := x.Trials.With(qs[0], c)
+	next := x.Trials.With(qs, c)
 	if err := t.Syncer.SaveTrials(ctx, next, x.Revision); err != nil {
 		t.Log.Info().Err(err).Str("request", string(t.Meta.ID)).Msg("trial of a quarantined request not started")
 		return false
 	}
 	t.trial = true
 	t.Meter.Trial("started")
-	t.Log.Warn().Str("request", string(t.Meta.ID)).Stringer("content", t.prompt).Str("quarantine", string(qs[0].Key())).
-		Int("number", next.Tried[qs[0].Key()].Count).Msg("quarantined request is tried again")
+	for _, q := range qs {
+		t.Log.Warn().Str("request", string(t.Meta.ID)).Stringer("content", t.prompt).Str("quarantine", string(q.Key())).
+			Int("number", next.Tried[q.Key()].Count).Int("quarantines", len(qs)).Msg("quarantined request is tried again")
+	}
 	return true
 }
 
