fix(mirror): read the row of trials when another router has written it

Cause: the row is read with the progress of roll-outs, only during roll-outs. The first trial ever created it, and from then on every router wrote under the condition that there is none.

TestTrialsGoOn, three quarantines one after the other, before: "trial of /read/bad-1 did not happen"; passes now.

--- a/router/boot/crash_test.go
+++ b/router/boot/crash_test.go
@@ -222,3 +222,34 @@
 		})
 	}
 }
+
+// Two requests are quarantined one after the other, and each is mended. Found by TestWrongQuarantine beside other runs:
+// guards against routers that make a single trial ever, as they don't read the row of trials without a roll-out, and so
+// write it under a condition that no longer holds.
+func TestTrialsGoOn(t *testing.T) {
+	t.Parallel()
+	ws := startRouters(t, standardDocument(), 2)
+	var mended sync.Map
+	f := &crashingFleet{w: ws[0], service: "desk", reply: fine}
+	f.guilty = func(r server.Request) bool {
+		_, ok := mended.Load(r.Target)
+		return strings.HasPrefix(r.Target, "/read/bad") && !ok
+	}
+	stop := f.start(3, server.Crash{})
+	defer stop()
+	for _, w := range ws {
+		w.awaitUpstreams(3)
+	}
+	for n := range 3 {
+		path := fmt.Sprintf("/read/bad-%d", n)
+		ws[n%2].eventually("quarantine of "+path, func() bool {
+			time.Sleep(100 * time.Millisecond)
+			return strings.HasPrefix(ws[n%2].send("GET", path, "").code(), "prompt-quarantined")
+		})
+		mended.Store(path, true)
+		ws[n%2].eventually("trial of "+path, func() bool {
+			time.Sleep(100 * time.Millisecond)
+			return ws[n%2].send("GET", path, "").status == 200
+		})
+	}
+}
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -82,6 +82,8 @@
 	afterOutage bool
 	// restored is true for the first content of a new era of the store.
 	restored bool
+	// partial is true if the changes are not all that was read.
+	partial bool
 }
 
 // New returns a syncer that has read nothing yet. It reads from the first peer that
@@ -128,11 +130,36 @@
 }
 
 // SaveTrials writes the trials of quarantines if their row still has the revision seen. It returns a
-// *ConflictError if it hasn't.
+// *ConflictError if it hasn't, and has then read the row: nothing else does without a roll-out in progress.
 func (n *Syncer) SaveTrials(ctx context.Context, t poison.Trials, seen Revision) error {
 	ctx, stop := context.WithTimeout(ctx, responseTimeout)
 	defer stop()
-	return n.store.SaveTrials(ctx, t, seen)
+	err := n.store.SaveTrials(ctx, t, seen)
+	var c *ConflictError
+	if errors.As(err, &c) {
+		return errors.Join(err, n.readTrials(ctx))
+	}
+	return err
+}
+
+// readTrials reads the trials of quarantines from the store.
+func (n *Syncer) readTrials(ctx context.Context) error {
+	p, err := n.store.Snapshot(ctx, TopicProgress)
+	if err != nil {
+		return err
+	}
+	u := update{topic: TopicProgress, partial: true}
+	for _, c := range n.store.Decode(TopicProgress, p.Records) {
+		if x, ok := c.(TrialsChanged); ok {
+			u.changes = append(u.changes, x)
+		}
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case n.updates <- u:
+		return nil
+	}
 }
 
 // SaveTally writes what this instance counted for a new version.
@@ -208,7 +235,7 @@
 	if u.snapshot && u.topic == TopicUpstreams {
 		changed = s.reset(u.changes, now)
 	}
-	if u.topic == TopicProgress && !s.progressRead {
+	if u.topic == TopicProgress && !u.partial && !s.progressRead {
 		s.progressRead = true
 		changed = true
 	}
