refactor(entry): derive whether the process drains from when it began

Read of the whole change: the readiness held both a flag and the time at which draining began, set one after the other. The flag is a method now.

No change of behaviour. The tests of entry/boot and entry/caller pass with -race; one of them calls the method where it read the flag, its assertions are as they were.

--- a/entry/boot/boot_test.go
+++ b/entry/boot/boot_test.go
@@ -146,7 +146,7 @@
 	}()
 	<-entered
 	cancel()
-	for !ph.draining.Load() {
+	for !ph.draining() {
 		time.Sleep(time.Millisecond)
 	}
 	if err := ph.ready(); err == nil || err.Error() != "draining" {
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -423,7 +423,7 @@
 		o = append(o, grpc.Creds(credentials.NewTLS(c.source.InternalServerConfig())))
 	}
 	g := grpc.NewServer(o...)
-	s := spread.NewServer(n, r, h.draining.Load)
+	s := spread.NewServer(n, r, h.draining)
 	s.OnExchange(x.observe)
 	s.BeforeSend(x.fill)
 	wire.RegisterPeerServer(g, s)
--- a/entry/boot/members.go
+++ b/entry/boot/members.go
@@ -76,7 +76,7 @@
 	for a, u := range x.policy.Demand(ctx) {
 		m.Use = append(m.Use, &wire.AccountUse{Account: string(a), RequestsPerSecond: u.Requests, TokensPerSecond: u.Tokens})
 	}
-	m.Draining = x.readiness.draining.Load()
+	m.Draining = x.readiness.draining()
 }
 
 // observe passes the demand in a received state to the policy if an entry sent it.
--- a/entry/boot/metrics.go
+++ b/entry/boot/metrics.go
@@ -29,7 +29,7 @@
 		Instances: r.Instances,
 		State: func() *wire.State {
 			m := n.State()
-			m.Draining = h.draining.Load()
+			m.Draining = h.draining()
 			return m
 		},
 		Link:         a.Link,
--- a/entry/boot/serve.go
+++ b/entry/boot/serve.go
@@ -34,7 +34,6 @@
 
 // readiness holds what decides whether the process is ready for requests of callers.
 type readiness struct {
-	draining atomic.Bool
 	// drainBegan is when draining began; nil before.
 	drainBegan atomic.Pointer[time.Time]
 	// drainTime is how long after that the open requests may go on.
@@ -49,7 +48,7 @@
 // ready returns nil when the process is ready, otherwise the reason why not.
 func (p *readiness) ready() error {
 	switch {
-	case p.draining.Load():
+	case p.draining():
 		return errors.New("draining")
 	case p.replica.View().Document() == nil:
 		return errors.New("no-document")
@@ -64,9 +63,11 @@
 func (p *readiness) drain() {
 	t := p.now()
 	p.drainBegan.Store(&t)
-	p.draining.Store(true)
 }
 
+// draining reports whether the process drains.
+func (p *readiness) draining() bool { return p.drainBegan.Load() != nil }
+
 // admits reports whether the drain, if it has begun, leaves a request with a deadline enough time.
 func (p *readiness) admits(deadline time.Time) bool {
 	began := p.drainBegan.Load()
