--- a/router/boot/harness_test.go
+++ b/router/boot/harness_test.go
@@ -40,7 +40,7 @@
 	// name is the instance's name, router holds further lines of the section [router].
 	name   string
 	router string
-	// grace is the grace period in s; 0 stands for 2.
+	// grace is the grace period in s.
 	grace int
 }
 
@@ -109,17 +109,20 @@
 // startRouterWithGrace is startRouter with a grace period in s.
 func startRouterWithGrace(t *testing.T, d map[string]any, grace int) *harness {
 	t.Helper()
-	store := tables.New()
-	s := httptest.NewServer(store)
-	t.Cleanup(s.Close)
-	w := &harness{t: t, store: store, address: s.Listener.Addr().String(), logs: &lockedBuffer{}, reload: make(chan os.Signal, 1), name: "r1", grace: grace}
-	w.writeConfig(d)
-	w.run()
-	return w
+	return startRoutersWithGrace(t, d, 1, grace)[0]
 }
 
 // startRouters runs n routers that read one store until the test ends. The first two are seeds.
 func startRouters(t *testing.T, d map[string]any, n int) []*harness {
+	t.Helper()
+	return startRoutersWithGrace(t, d, n, standardGrace)
+}
+
+// standardGrace is the grace period of most tests, in s.
+const standardGrace = 2
+
+// startRoutersWithGrace is startRouters with a grace period in s.
+func startRoutersWithGrace(t *testing.T, d map[string]any, n, grace int) []*harness {
 	t.Helper()
 	store := tables.New()
 	s := httptest.NewServer(store)
@@ -127,7 +130,7 @@
 	seeds := []string{freeAddress(t), freeAddress(t)}
 	var ws []*harness
 	for i := range n {
-		w := &harness{t: t, store: store, logs: &lockedBuffer{}, reload: make(chan os.Signal, 1), name: fmt.Sprintf("r%d", i+1)}
+		w := &harness{t: t, store: store, logs: &lockedBuffer{}, reload: make(chan os.Signal, 1), name: fmt.Sprintf("r%d", i+1), grace: grace}
 		if d != nil && i == 0 {
 			w.writeConfig(d)
 		}
@@ -146,7 +149,7 @@
 
 // startAgain starts another router with the settings of w.
 func (w *harness) startAgain() *harness {
-	x := &harness{t: w.t, store: w.store, address: w.address, logs: &lockedBuffer{}, reload: make(chan os.Signal, 1), name: w.name + "-again", router: w.router}
+	x := &harness{t: w.t, store: w.store, address: w.address, logs: &lockedBuffer{}, reload: make(chan os.Signal, 1), name: w.name + "-again", router: w.router, grace: w.grace}
 	x.run()
 	return x
 }
@@ -199,12 +202,8 @@
 // writeSettings writes the settings file. store is the store's address; revoke is in ms.
 func (w *harness) writeSettings(store, revoke string) {
 	w.t.Helper()
-	grace := 2
-	if w.grace > 0 {
-		grace = w.grace
-	}
 	text := fmt.Sprintf("[router]\ninstance = %s\ndomain = a\nclients = %s\nadmin = %s\n%s[store]\naddress = %s\n[bounds]\ngrace-s = %d\nrevoke-ms = %s\nretry-slack = 50\ncanary-share = 0.5\n",
-		w.name, w.clients, w.admin, w.router, store, grace, revoke)
+		w.name, w.clients, w.admin, w.router, store, w.grace, revoke)
 	if err := os.WriteFile(w.path, []byte(text), 0o600); err != nil {
 		w.t.Fatal(err)
 	}
@@ -329,17 +328,22 @@
 	n int
 }
 
+// nextID returns an id that no request had before.
+func nextID() string {
+	lastID.Lock()
+	defer lastID.Unlock()
+	lastID.n++
+	return fmt.Sprintf("attempt-%d", lastID.n)
+}
+
 // sendCtx is send with a context that can cancel the request.
 func (w *harness) sendCtx(ctx context.Context, method, path, body string, headers ...string) response {
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+w.clients+path, strings.NewReader(body))
 	if err != nil {
 		return response{err: err}
 	}
-	lastID.Lock()
-	lastID.n++
-	id := fmt.Sprintf("attempt-%d", lastID.n)
+	id := nextID()
 	q.Header.Set("Tarragonvalve-Attempt-Id", id)
-	lastID.Unlock()
 	q.Host = "shop.example"
 	q.Header.Set("Authorization", "Bearer key-1")
 	q.Header.Set("Tarragonvalve-Deadline-Ms", "3000")
--- a/router/boot/stop_test.go
+++ b/router/boot/stop_test.go
@@ -43,10 +43,7 @@
 
 // send sends a request with a timeout in ms.
 func (k *keptConn) send(method, path string, timeout int) response {
-	lastID.Lock()
-	lastID.n++
-	id := fmt.Sprintf("attempt-%d", lastID.n)
-	lastID.Unlock()
+	id := nextID()
 	out := response{id: id}
 	_, out.err = fmt.Fprintf(k, "%s %s HTTP/1.1\r\nHost: shop.example\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Deadline-Ms: %d\r\nAuthorization: Bearer key-1\r\nContent-Length: 1\r\n\r\nx", method, path, id, timeout)
 	if out.err != nil {
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"tarragonvalve.example/standin/server"
@@ -208,3 +209,19 @@
 	}
 	return sent, complete
 }
+
+// report logs the counts and fails the test for each violation, of which it prints the first ones.
+func (l *checker) report(t *testing.T) {
+	t.Helper()
+	sent, complete := l.summary()
+	t.Logf("%d requests, %d complete responses", sent, complete)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, f := range l.violations {
+		if i == 10 {
+			t.Errorf("and %d more violations", len(l.violations)-i)
+			break
+		}
+		t.Error(f)
+	}
+}
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -107,16 +107,7 @@
 	p.await("routers ready after the planned work", recoveryTime, p.allReady)
 	stop()
 	g.Wait()
-	sent, complete := l.summary()
-	t.Logf("%d requests, %d complete responses", sent, complete)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, f := range l.violations[:min(len(l.violations), 10)] {
-		t.Error(f)
-	}
-	if len(l.violations) > 10 {
-		t.Errorf("and %d more violations", len(l.violations)-10)
-	}
+	l.report(t)
 }
 
 // operate does planned work for d, in overlapping series: stops, reloads, and configurations with other
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -101,17 +101,7 @@
 	})
 	stop()
 	g.Wait()
-	sent, complete := l.summary()
-	t.Logf("%d requests, %d complete responses", sent, complete)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for i, f := range l.violations {
-		if i == 10 {
-			t.Errorf("and %d more violations", len(l.violations)-i)
-			break
-		}
-		t.Error(f)
-	}
+	l.report(t)
 }
 
 // await polls f until it returns true, and marks the test as failed after limit. what names
