fix(front): let no guess take a stream or an order late in a stop

What callers saw: one router, a route with streams of 0.3 s; SIGTERM, grace period 8 s; 4 s later a stream of 3.8 s with 20 s of time. It was taken, begun, and cut at the end of the drain. An order that may run once ended with 502, its fate unknown.

Cause: since twice the time of a route's slowest request stood in for the deadline. That is a guess, and for these kinds a wrong one breaks a promise. Ruled out: the end of the drain itself, which leaves 0.6 s for the exit.

Change: streams and orders are taken by their deadline only, as before; look-ups still by the tempo of their route, as their clients may repeat them after a 502.

Before: TestSlowOnesOfFastRoutesInShutdown fails, "stream: got 200, unexpected EOF", the same for a stream that may be resumed, and "order: got 502 draining unknown". After: it passes, and TestRequestsInShutdown and TestTempo do.

--- a/router/boot/stop_test.go
+++ b/router/boot/stop_test.go
@@ -124,3 +124,11 @@
 		t.Errorf("the last answer came %s after the start of the shutdown, the grace period is %d s", d, grace)
 	}
 }
+
+// statusAndCode returns the status of a response and, for a refusal, its code and whether the request ran.
+func statusAndCode(a response) string {
+	if a.status == http.StatusOK {
+		return "200"
+	}
+	return fmt.Sprintf("%d %s", a.status, a.code())
+}
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -21,6 +21,7 @@
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/quota"
 	"tarragonvalve.example/router/relay"
+	"tarragonvalve.example/router/routes"
 )
 
 const (
@@ -262,20 +263,26 @@
 	return h.checkShutdown(j)
 }
 
-// checkShutdown returns a *refuse.Error if the instance may end before the request, which ends at its deadline or, by
-// the tempo of its route, sooner.
+// checkShutdown returns a *refuse.Error if the instance may end before the request.
 func (h *Handler) checkShutdown(j *relay.Job) error {
-	if !h.gate.Stopping() {
+	if !h.gate.Stopping() || h.gate.Admits(h.longest(j)) {
 		return nil
 	}
+	return refuse.New(refuse.Draining, refuse.NotRun, "the instance may stop before the request has ended").WithRetryAfter(retryStopping)
+}
+
+// longest returns how long a request may take from now on: until its deadline. For a buffered answer that may be
+// requested again, it is what the tempo of its route leads to expect, if that is less: if it takes longer, its client
+// gets a 502 and may repeat it. A stream would be cut, and the fate of a request that may run once be unknown.
+func (h *Handler) longest(j *relay.Job) time.Duration {
 	left := time.Until(j.Deadline)
+	if j.Route.Kind != routes.Idempotent {
+		return left
+	}
 	if d, ok := h.tempo.expected(j.Route.ID, time.Now()); ok {
 		left = min(left, d)
 	}
-	if h.gate.Admits(left) {
-		return nil
-	}
-	return refuse.New(refuse.Draining, refuse.NotRun, "the instance may stop before the request has ended").WithRetryAfter(retryStopping)
+	return left
 }
 
 // authenticate finds the client account of a request that needs a key, by a view's configuration. Keys are
