feat(front): log, count and answer panics of handlers

Seen by clients: their connection ended without an answer.

Cause: net/http recovers a panic of a handler, closes the connection and writes to the server's error log, which the router discards. Nothing told such an end apart from a cut at the end of a shutdown.

A wrapper of the handler recovers the panic, logs it with the request's id, its place, whether the request was passed on and the time since the shutdown began, with the stack once per place and minute, counts it in connections_ended_total{cause="handler-panic"}, and answers 502 with an unknown outcome. If the answer has begun, the connection is cut as before.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -249,10 +250,17 @@
 }
 
 // newClientServer opens the listener for clients and returns the server that uses it.
-func newClientServer(s *setup.Settings, h *front.Handler, g *front.Gate, n *mirror.Syncer, m *meter.Meter, l zerolog.Logger) (*front.Server, error) {
+func newClientServer(s *setup.Settings, h *front.Handler, g *front.Gate, n *mirror.Syncer, c call.Codec, m *meter.Meter, l zerolog.Logger) (*front.Server, error) {
 	i, err := net.Listen("tcp", s.Clients)
 	if err != nil {
 		return nil, err
 	}
-	return &front.Server{Listener: i, Handler: h, Gate: g, Syncer: n, Refused: m.ConnectionRefused, Log: l}, nil
+	for _, x := range front.Causes() {
+		m.AddEndCause(string(x))
+	}
+	return &front.Server{
+		Listener: i, Handler: h, Gate: g, Syncer: n, Refused: m.ConnectionRefused, Log: l,
+		Ended:     func(x front.Cause) { m.ConnectionEnded(string(x)) },
+		RequestID: func(h http.Header) call.ID { return c.ParseRequest(h).ID },
+	}, nil
 }
--- /dev/null
+++ b/router/front/exchange.go
@@ -0,0 +1,82 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+
+	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/router/relay"
+)
+
+// passedOn states whether a request was passed on to an upstream, as far as the router knows.
+type passedOn string
+
+const (
+	passedOnNo      passedOn = "no"
+	passedOnYes     passedOn = "yes"
+	passedOnUnknown passedOn = "unknown"
+)
+
+// exchange is a request and its answer, as far as they concern the end of the client's connection.
+type exchange struct {
+	header http.Header
+	// sending is true once the request was about to be sent to an upstream.
+	sending atomic.Bool
+	// outcome is how the handler ended; nil before that.
+	outcome atomic.Pointer[outcome]
+}
+
+// outcome is how the handler of a request ended.
+type outcome struct {
+	err error
+	// cancelled is the cause of the end of the request's context; nil if it had not ended.
+	cancelled error
+}
+
+// exchangeKey is the context key of a request's exchange.
+type exchangeKey struct{}
+
+// exchangeOf returns the exchange of the request with context ctx. It returns an unused one if the request does
+// not come from a Server.
+func exchangeOf(ctx context.Context) *exchange {
+	x, ok := ctx.Value(exchangeKey{}).(*exchange)
+	if !ok {
+		return &exchange{}
+	}
+	return x
+}
+
+// checked records the result of the last check before a send, and returns it.
+func (x *exchange) checked(err error) error {
+	if err == nil {
+		x.sending.Store(true)
+	}
+	return err
+}
+
+// end records how the handler ended.
+func (x *exchange) end(ctx context.Context, err error) {
+	x.outcome.Store(&outcome{err: err, cancelled: context.Cause(ctx)})
+}
+
+// passedOn returns whether the request was passed on. An answer that was complete or truncated comes from an
+// upstream, and a refusal states whether it proves that none ran the request.
+func (x *exchange) passedOn() passedOn {
+	if !x.sending.Load() {
+		return passedOnNo
+	}
+	o := x.outcome.Load()
+	if o == nil {
+		return passedOnUnknown
+	}
+	var truncated *relay.TruncatedError
+	if o.err == nil || errors.As(o.err, &truncated) {
+		return passedOnYes
+	}
+	if r, ok := refuse.As(o.err); ok && r.Ran == refuse.NotRun {
+		return passedOnNo
+	}
+	return passedOnUnknown
+}
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -83,6 +83,7 @@
 	if err != nil && !isTruncated {
 		writeRefusal(s, refuse.FromError(err, refuse.Unknown))
 	}
+	exchangeOf(q.Context()).end(q.Context(), err)
 	h.logRequest(j, m, s.status, err, time.Since(began))
 	if isTruncated {
 		// The connection must end without the mark of a complete response.
@@ -102,6 +103,14 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// Write implements io.Writer. A first write without a status implies the status 200.
+func (w *statusWriter) Write(b []byte) (int, error) {
+	if w.status == 0 {
+		w.status = http.StatusOK
+	}
+	return w.ResponseWriter.Write(b)
+}
+
 // Unwrap lets http.ResponseController flush and set deadlines on the connection.
 func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
@@ -138,7 +147,8 @@
 			return err
 		}
 	}
-	j.Recheck = func() error { return h.recheck(j) }
+	x := exchangeOf(ctx)
+	j.Recheck = func() error { return x.checked(h.recheck(j)) }
 	err := h.relay.Serve(ctx, w, j)
 	if r, ok := refuse.As(err); !ok || r.Ran != refuse.NotRun {
 		h.tempo.record(j.Route.ID, time.Since(j.Arrived), time.Now())
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/mirror"
 )
 
@@ -45,7 +46,11 @@
 	Syncer   *mirror.Syncer
 	// Refused is called for each connection that is closed because too many are open.
 	Refused func()
-	Log     zerolog.Logger
+	// Ended is called for each connection that ends without a complete answer.
+	Ended func(Cause)
+	// RequestID returns the id in a request's headers.
+	RequestID func(http.Header) call.ID
+	Log       zerolog.Logger
 
 	conns connections
 }
@@ -58,9 +63,10 @@
 func (s *Server) Run(ctx context.Context) error {
 	base, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
+	ends := &endReporter{gate: s.Gate, count: s.Ended, requestID: s.RequestID, log: s.Log}
 	h := &http.Server{
 		BaseContext: func(net.Listener) context.Context { return base },
-		Handler:     s.conns.abortClosed(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler:     ends.handler(s.conns.abortClosed(s.Handler)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(io.Discard, "", 0),
 	}
 	l, err := limitConnections(s.Listener, s.Refused)
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -28,6 +28,7 @@
 	resumed   prometheus.Counter
 	exceeded  *prometheus.CounterVec
 	refused   prometheus.Counter
+	ended     *prometheus.CounterVec
 	trials    *prometheus.CounterVec
 }
 
@@ -64,10 +65,13 @@
 			Namespace: namespace, Name: "connections_refused_total", Help: "Connections of clients closed at once because too many were open.",
 		}),
 	}
+	m.ended = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "connections_ended_total", Help: "Connections of clients that ended without a complete answer, by cause.",
+	}, []string{"cause"})
 	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "quarantine_trials_total", Help: "Quarantined requests that were sent to see whether upstreams survive them: started, and then answered or failed.",
 	}, []string{"outcome"})
-	m.registry.MustRegister(m.trials, m.requests, m.latency, m.attempts, m.denied, m.escalated, m.resumed, m.exceeded, m.refused,
+	m.registry.MustRegister(m.trials, m.ended, m.requests, m.latency, m.attempts, m.denied, m.escalated, m.resumed, m.exceeded, m.refused,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_age_seconds", Help: "Largest possible age of the configuration in seconds; -1 before one was read.",
 		}, age),
@@ -120,6 +124,12 @@
 // ConnectionRefused counts a client's connection that was closed because too many were open.
 func (m *Meter) ConnectionRefused() { m.refused.Inc() }
 
+// AddEndCause adds the time series of a cause at zero, so that its first rise is seen.
+func (m *Meter) AddEndCause(cause string) { m.ended.WithLabelValues(cause) }
+
+// ConnectionEnded counts a client's connection that ended without a complete answer, by its cause.
+func (m *Meter) ConnectionEnded(cause string) { m.ended.WithLabelValues(cause).Inc() }
+
 // Handler serves the metrics in the Prometheus exposition format.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
