feat(front): pass the error log of net/http on

Seen: messages of the clients' HTTP server, such as failures to accept connections, appeared nowhere.

Cause: its error log was discarded.

Before: TestErrorLog finds no line. After: it passes with -race.

--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log"
 	"net"
 	"net/http"
@@ -67,7 +66,7 @@
 	h := &http.Server{
 		BaseContext: func(net.Listener) context.Context { return base },
 		Handler:     ends.handler(s.conns.abortClosed(s.Handler)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(io.Discard, "", 0),
+		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(errorLog{s.Log}, "", 0),
 	}
 	l, err := limitConnections(s.Listener, s.Refused)
 	if err != nil {
