feat(front): log what a drain leaves behind

The last lines of a shutdown say how many connections and requests are left and how long ago it began, so that a connection that is counted late, or cut at the end, can be told from the log. A line right before the connections are closed has the same fields in all cases.

--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -93,6 +93,7 @@
 
 // closeAll closes the listener, if it is still open, and all connections.
 func (s *Server) closeAll(h *http.Server) error {
+	s.logLeft(s.Log.Info(), "stopping: connections are closed")
 	err := h.Close()
 	if errors.Is(err, net.ErrClosed) {
 		return nil
@@ -124,7 +125,7 @@
 			}
 		}
 		if s.drained() {
-			s.Log.Info().Msg("stopping: all requests ended")
+			s.logLeft(s.Log.Info(), "stopping: all requests ended")
 			return true
 		}
 	}
@@ -139,13 +140,19 @@
 // abort ends the requests in progress, so that their clients are told rather than cut off, and waits until
 // they are answered, at most for abortTime.
 func (s *Server) abort(cancel context.CancelCauseFunc) {
-	s.Log.Warn().Int("open", s.Gate.InFlight()).Msg("stopping: grace period over with requests open")
+	s.logLeft(s.Log.Warn(), "stopping: grace period over with requests open")
 	cancel(errDrained)
 	for end := time.Now().Add(abortTime); time.Now().Before(end) && !s.drained(); {
 		time.Sleep(drainPoll)
 	}
 }
 
+// logLeft logs the connections and requests that are left in a shutdown, and the time since it began.
+func (s *Server) logLeft(e *zerolog.Event, message string) {
+	past, _ := s.Gate.stoppedFor()
+	e.Int("connections", s.conns.count()).Int("open", s.Gate.InFlight()).Dur("since-stop", past).Msg(message)
+}
+
 // idleTimeout returns the idle timeout of clients' connections.
 func (s *Server) idleTimeout() time.Duration {
 	d := s.Syncer.View().Document
