--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log"
 	"net"
 	"net/http"
@@ -11,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/mirror"
 )
 
@@ -45,7 +45,11 @@
 	Syncer   *mirror.Syncer
 	// Refused is called for each connection that is closed because too many are open.
 	Refused func()
-	Log     zerolog.Logger
+	// Ended is called for each connection that ends without a complete answer.
+	Ended func(Cause)
+	// RequestID returns the id in a request's headers.
+	RequestID func(http.Header) call.ID
+	Log       zerolog.Logger
 
 	conns connections
 }
@@ -58,10 +62,11 @@
 func (s *Server) Run(ctx context.Context) error {
 	base, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
+	ends := &endReporter{gate: s.Gate, count: s.Ended, requestID: s.RequestID, log: s.Log}
 	h := &http.Server{
 		BaseContext: func(net.Listener) context.Context { return base },
-		Handler:     s.conns.abortClosed(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(io.Discard, "", 0),
+		Handler:     ends.handler(s.conns.abortClosed(s.Handler)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(errorLog{s.Log}, "", 0),
 	}
 	l, err := limitConnections(s.Listener, s.Refused)
 	if err != nil {
@@ -88,6 +93,7 @@
 
 // closeAll closes the listener, if it is still open, and all connections.
 func (s *Server) closeAll(h *http.Server) error {
+	s.logLeft(s.Log.Info(), "stopping: connections are closed")
 	err := h.Close()
 	if errors.Is(err, net.ErrClosed) {
 		return nil
@@ -119,7 +125,7 @@
 			}
 		}
 		if s.drained() {
-			s.Log.Info().Msg("stopping: all requests ended")
+			s.logLeft(s.Log.Info(), "stopping: all requests ended")
 			return true
 		}
 	}
@@ -134,13 +140,19 @@
 // abort ends the requests in progress, so that their clients are told rather than cut off, and waits until
 // they are answered, at most for abortTime.
 func (s *Server) abort(cancel context.CancelCauseFunc) {
-	s.Log.Warn().Int("open", s.Gate.InFlight()).Msg("stopping: grace period over with requests open")
+	s.logLeft(s.Log.Warn(), "stopping: grace period over with requests open")
 	cancel(errDrained)
 	for end := time.Now().Add(abortTime); time.Now().Before(end) && !s.drained(); {
 		time.Sleep(drainPoll)
 	}
 }
 
+// logLeft logs the connections and requests that are left in a shutdown, and the time since it began.
+func (s *Server) logLeft(e *zerolog.Event, message string) {
+	past, _ := s.Gate.stoppedFor()
+	e.Int("connections", s.conns.count()).Int("open", s.Gate.InFlight()).Dur("since-stop", past).Msg(message)
+}
+
 // idleTimeout returns the idle timeout of clients' connections.
 func (s *Server) idleTimeout() time.Duration {
 	d := s.Syncer.View().Document
