fix(front): count all accepted connections before a drain ends

What callers saw: around SIGTERM an order with its body in chunks, so on a new connection, was passed on and its connection closed without an answer.

Cause: as it closes the listener, the drain asks at once whether any connection is left. One that Accept has just returned is counted only once net/http has reported it. If nothing else is open, the server is closed with it, and if its request has been read in between, it has been passed on.

Ruled out by the same test: net/http drops requests that are read after the server was closed, so a later read does not reach an upstream.

Change: the drain waits for the end of the accept loop, which reports each connection before the next accept, and only then counts.

--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -72,18 +72,18 @@
 	if err != nil {
 		return err
 	}
-	failed := make(chan error, 1)
-	go func() { failed <- h.Serve(l) }()
+	served := make(chan error, 1)
+	go func() { served <- h.Serve(l) }()
 	t := time.NewTicker(idleCheckInterval)
 	defer t.Stop()
 	for {
 		select {
-		case err := <-failed:
+		case err := <-served:
 			return err
 		case <-t.C:
 			s.conns.closeIdle(s.idleTimeout())
 		case <-ctx.Done():
-			if !s.drain() {
+			if !s.drain(served) {
 				s.abort(cancel)
 			}
 			return s.closeAll(h)
@@ -103,8 +103,8 @@
 
 // drain waits until no connection is left, at most until stopMargin before the end of the
 // grace period, and reports whether it succeeded. It closes the listener before idle connections, so
-// that no request is read and then abandoned.
-func (s *Server) drain() bool {
+// that no request is read and then abandoned. served receives the end of the accept loop.
+func (s *Server) drain(served <-chan error) bool {
 	s.Gate.Stop()
 	keep := min(keepOpen, time.Duration(float64(s.Gate.gracePeriod())*keepOpenFraction))
 	s.Log.Info().Int("open", s.Gate.InFlight()).Msg("stopping: no longer ready")
@@ -120,9 +120,7 @@
 		}
 		if !closed {
 			closed = true
-			if err := s.Listener.Close(); err != nil {
-				s.Log.Warn().Err(err).Msg("stopping: listener not closed")
-			}
+			s.closeListener(served, s.Gate.drainTime()-past)
 		}
 		if s.drained() {
 			s.logLeft(s.Log.Info(), "stopping: all requests ended")
@@ -131,6 +129,21 @@
 	}
 }
 
+// closeListener closes the listener and waits, at most for limit, until the accept loop has ended: only then are all
+// accepted connections counted.
+func (s *Server) closeListener(served <-chan error, limit time.Duration) {
+	if err := s.Listener.Close(); err != nil {
+		s.Log.Warn().Err(err).Msg("stopping: listener not closed")
+	}
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-served:
+	case <-t.C:
+		s.Log.Warn().Msg("stopping: accept loop not ended")
+	}
+}
+
 // drained closes idle connections and reports whether neither connections nor requests are left.
 func (s *Server) drained() bool {
 	s.conns.closeIdle(0)
