fix(front): answer requests that were read as their connection was ended

What callers saw: a new connection, accepted right before the listener closed, ended in a reset although its request was on its way. A request that had been read at the moment at which its idle connection was closed was dropped without an answer; on a busy machine that may be long after it was sent.

Cause: idle and new connections were closed by what net/http last reported of them, which comes after the read. What had been read by then could only be dropped, as its connection was gone.

Change: reads from the connection are ended instead, by a deadline that has passed, so that net/http closes it. If a request has been read, the report that says so lifts the deadline, and the request is served. Connections whose bytes wait to be read are left alone, and a drain waits 0.5 s for the first request of a new connection.

--- a/router/front/conns.go
+++ b/router/front/conns.go
@@ -1,81 +1,74 @@
 package front
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // connections tracks which clients' connections are idle. Its zero value is ready for use.
 // It is safe for concurrent use.
 type connections struct {
-	mu sync.Mutex
-	// idle maps open connections to the time at which they became idle; the time is zero
-	// while a request is served.
-	idle map[net.Conn]time.Time
-	// closed holds connections that closeIdle has closed, until the server reports their
-	// end: a request may have been read from them at the same moment.
-	closed map[net.Conn]bool
+	mu   sync.Mutex
+	open map[net.Conn]*connection
 }
 
-// connKey is the context key of a request's connection.
-type connKey struct{}
-
-// withConn is the server's ConnContext hook. It makes the connection available to abortClosed.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+// connection is the state of an open connection.
+type connection struct {
+	// idleSince is when the connection became idle; it is zero while a request is served.
+	idleSince time.Time
+	// used is true once the connection has carried a request.
+	used bool
+	// ended is true if reads from the connection were ended while it was idle.
+	ended bool
 }
 
-// abortClosed aborts requests that were read from a connection that closeIdle closed at the
-// same moment: their clients see the connection end and assume that nothing ran.
-func (s *connections) abortClosed(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		c, ok := q.Context().Value(connKey{}).(net.Conn)
-		if ok && s.wasClosed(c) {
-			panic(http.ErrAbortHandler)
-		}
-		h.ServeHTTP(w, q)
-	})
-}
-
-// wasClosed reports whether closeIdle has closed c.
-func (s *connections) wasClosed(c net.Conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closed[c]
-}
+// expired is a deadline that has passed.
+var expired = time.Unix(1, 0)
 
 // track is the server's ConnState hook. It records when connections become idle.
 func (s *connections) track(c net.Conn, st http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.idle == nil {
-		s.idle = map[net.Conn]time.Time{}
-		s.closed = map[net.Conn]bool{}
-	}
 	switch st {
-	case http.StateIdle, http.StateNew:
-		s.idle[c] = time.Now()
+	case http.StateNew:
+		if s.open == nil {
+			s.open = map[net.Conn]*connection{}
+		}
+		s.open[c] = &connection{idleSince: time.Now()}
+	case http.StateIdle:
+		*s.open[c] = connection{idleSince: time.Now(), used: true}
 	case http.StateActive:
-		s.idle[c] = time.Time{}
+		if s.open[c].ended {
+			// The headers had been read when reads were ended; the body may follow. An error
+			// means that the connection is closed, which the read of the body reports.
+			c.SetReadDeadline(time.Time{}) //nolint:errcheck,gosec // see above
+		}
+		*s.open[c] = connection{used: true}
 	default:
-		delete(s.idle, c)
-		delete(s.closed, c)
+		delete(s.open, c)
 	}
 }
 
-// closeIdle closes connections that have been idle longer than limit.
-func (s *connections) closeIdle(limit time.Duration) {
+// endIdle ends the reads from connections that have been idle longer than limit, or have not carried a request for
+// longer than unused, so that the server closes them. Unlike a close, that leaves a request that has been read
+// meanwhile a connection for its answer. Connections with bytes to be read are left alone.
+func (s *connections) endIdle(limit, unused time.Duration) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, t := range s.idle {
-		if !t.IsZero() && now.Sub(t) > limit {
-			s.closed[c] = true
-			c.Close()
+	for c, x := range s.open {
+		l := limit
+		if !x.used {
+			l = unused
+		}
+		if x.idleSince.IsZero() || now.Sub(x.idleSince) <= l || hasInput(c) {
+			continue
 		}
+		// An error means that the connection is closed already.
+		x.ended = c.SetReadDeadline(expired) == nil
 	}
 }
 
@@ -83,5 +76,27 @@
 func (s *connections) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.idle)
+	return len(s.open)
+}
+
+// hasInput reports whether bytes of a connection wait to be read. It doesn't block.
+func hasInput(c net.Conn) bool {
+	if x, ok := c.(*countedConn); ok {
+		c = x.Conn
+	}
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waits = err == nil && n > 0
+	})
+	return err == nil && waits
 }
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -33,6 +33,8 @@
 	keepOpenFraction = 0.625
 	// abortTime bounds the time in which the requests that are open at the end of a drain are answered.
 	abortTime = 200 * time.Millisecond
+	// firstRequestTime is how long a drain waits for the first request of a new connection.
+	firstRequestTime = 500 * time.Millisecond
 	// drainPoll is how often a shutdown checks for open connections.
 	drainPoll = 20 * time.Millisecond
 )
@@ -65,8 +67,8 @@
 	ends := &endReporter{gate: s.Gate, count: s.Ended, requestID: s.RequestID, log: s.Log}
 	h := &http.Server{
 		BaseContext: func(net.Listener) context.Context { return base },
-		Handler:     ends.handler(s.conns.abortClosed(s.Handler)), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(errorLog{s.Log}, "", 0),
+		Handler:     ends.handler(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: s.conns.track, ErrorLog: log.New(errorLog{s.Log}, "", 0),
 	}
 	l, err := limitConnections(s.Listener, s.Refused)
 	if err != nil {
@@ -81,7 +83,7 @@
 		case err := <-served:
 			return err
 		case <-t.C:
-			s.conns.closeIdle(s.idleTimeout())
+			s.conns.endIdle(s.idleTimeout(), s.idleTimeout())
 		case <-ctx.Done():
 			if !s.drain(served) {
 				s.abort(cancel)
@@ -138,15 +140,16 @@
 	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
-	case <-served:
+	case err := <-served:
+		s.Log.Info().AnErr("reason", err).Msg("stopping: listener closed")
 	case <-t.C:
 		s.Log.Warn().Msg("stopping: accept loop not ended")
 	}
 }
 
-// drained closes idle connections and reports whether neither connections nor requests are left.
+// drained has idle connections closed and reports whether neither connections nor requests are left.
 func (s *Server) drained() bool {
-	s.conns.closeIdle(0)
+	s.conns.endIdle(0, firstRequestTime)
 	return s.conns.count() == 0 && s.Gate.InFlight() == 0
 }
 
