--- a/router/front/conns.go
+++ b/router/front/conns.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -12,11 +13,19 @@
 // It is safe for concurrent use.
 type connections struct {
 	mu   sync.Mutex
-	open map[net.Conn]*connection
+	open map[net.Conn]*idleState
 }
 
-// connection is the state of an open connection.
-type connection struct {
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// withConn is the server's ConnContext hook. It makes the connection available to endReporter.handler.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// idleState is how an open connection is used.
+type idleState struct {
 	// idleSince is when the connection became idle; it is zero while a request is served.
 	idleSince time.Time
 	// used is true once the connection has carried a request.
@@ -28,25 +37,29 @@
 // expired is a deadline that has passed.
 var expired = time.Unix(1, 0)
 
-// track is the server's ConnState hook. It records when connections become idle.
+// track is the server's ConnState hook. It records when connections become idle, and reports how they ended
+// before they count as closed.
 func (s *connections) track(c net.Conn, st http.ConnState) {
+	if o, ok := c.(*clientConn); ok {
+		o.stateChanged(st)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch st {
 	case http.StateNew:
 		if s.open == nil {
-			s.open = map[net.Conn]*connection{}
+			s.open = map[net.Conn]*idleState{}
 		}
-		s.open[c] = &connection{idleSince: time.Now()}
+		s.open[c] = &idleState{idleSince: time.Now()}
 	case http.StateIdle:
-		*s.open[c] = connection{idleSince: time.Now(), used: true}
+		*s.open[c] = idleState{idleSince: time.Now(), used: true}
 	case http.StateActive:
 		if s.open[c].ended {
 			// The headers had been read when reads were ended; the body may follow. An error
 			// means that the connection is closed, which the read of the body reports.
 			c.SetReadDeadline(time.Time{}) //nolint:errcheck,gosec // see above
 		}
-		*s.open[c] = connection{used: true}
+		*s.open[c] = idleState{used: true}
 	default:
 		delete(s.open, c)
 	}
@@ -67,11 +80,25 @@
 		if x.idleSince.IsZero() || now.Sub(x.idleSince) <= l || hasInput(c) {
 			continue
 		}
+		if o, ok := c.(*clientConn); ok {
+			o.setClosedIdle()
+		}
 		// An error means that the connection is closed already.
 		x.ended = c.SetReadDeadline(expired) == nil
 	}
 }
 
+// reportOpen reports the requests in progress right before their connections are closed.
+func (s *connections) reportOpen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if o, ok := c.(*clientConn); ok {
+			o.reportOpen()
+		}
+	}
+}
+
 // count returns the number of open connections.
 func (s *connections) count() int {
 	s.mu.Lock()
@@ -81,10 +108,7 @@
 
 // hasInput reports whether bytes of a connection wait to be read. It doesn't block.
 func hasInput(c net.Conn) bool {
-	if x, ok := c.(*countedConn); ok {
-		c = x.Conn
-	}
-	s, ok := c.(syscall.Conn)
+	s, ok := unwrap(c).(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -100,3 +124,17 @@
 	})
 	return err == nil && waits
 }
+
+// unwrap returns the connection of the operating system in c.
+func unwrap(c net.Conn) net.Conn {
+	for {
+		switch x := c.(type) {
+		case *clientConn:
+			c = x.Conn
+		case *countedConn:
+			c = x.Conn
+		default:
+			return c
+		}
+	}
+}
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -68,14 +68,14 @@
 	h := &http.Server{
 		BaseContext: func(net.Listener) context.Context { return base },
 		Handler:     ends.handler(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.conns.track, ErrorLog: log.New(errorLog{s.Log}, "", 0),
+		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(errorLog{s.Log}, "", 0),
 	}
 	l, err := limitConnections(s.Listener, s.Refused)
 	if err != nil {
 		return err
 	}
 	served := make(chan error, 1)
-	go func() { served <- h.Serve(l) }()
+	go func() { served <- h.Serve(&observedListener{Listener: l, ends: ends}) }()
 	t := time.NewTicker(idleCheckInterval)
 	defer t.Stop()
 	for {
@@ -88,6 +88,8 @@
 			if !s.drain(served) {
 				s.abort(cancel)
 			}
+			ends.closed.Store(true)
+			s.conns.reportOpen()
 			return s.closeAll(h)
 		}
 	}
