feat(front): log and count each end of a connection without an answer

Seen: a connection that the router closed without a complete answer, around a shutdown or not, left no line that said why and when.

Cause: net/http closes connections on its own in many cases, and the handler learns of few of them.

Each client's connection is observed: what was read since the last request, the errors of its reads and writes, and how its request ended. When the server reports the end of a request or of the connection, the cause is logged with the request's id, whether the request was passed on and the time since the shutdown began, and counted in connections_ended_total{cause}. What is at work when the process closes its connections is reported before that. A connection that is closed between two requests is only counted.

--- /dev/null
+++ b/router/front/clientconn.go
@@ -0,0 +1,162 @@
+package front
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+)
+
+// observedListener wraps the connections that it accepts in clientConn.
+type observedListener struct {
+	net.Listener
+
+	ends *endReporter
+}
+
+// Accept implements net.Listener.
+func (l *observedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: c, ends: l.ends}, nil
+}
+
+// clientConn is a client's connection that reports how it ended, if that was without a complete answer.
+type clientConn struct {
+	net.Conn
+
+	ends *endReporter
+
+	mu sync.Mutex
+	// exchange is the request in progress and its answer; nil between requests.
+	exchange *exchange
+	// unhandled is the number of bytes read since the last request that reached the handler.
+	unhandled int
+	// readErr is the error of the last read, writeErr that of the first write that failed.
+	readErr, writeErr error
+	// status is that of an answer that net/http wrote by itself; 0 means none.
+	status int
+	// closedIdle is true once the connection was closed as idle.
+	closedIdle bool
+}
+
+// Read implements net.Conn.
+func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unhandled += n
+	c.readErr = err
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *clientConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	if c.exchange == nil && c.status == 0 {
+		c.status = responseStatus(b)
+	}
+	return n, err
+}
+
+// responseStatus returns the status of the HTTP/1 response that begins with b, or 0.
+func responseStatus(b []byte) int {
+	const prefix, digits = "HTTP/1.1 ", 3
+	if !bytes.HasPrefix(b, []byte(prefix)) || len(b) < len(prefix)+digits {
+		return 0
+	}
+	n, err := strconv.Atoi(string(b[len(prefix) : len(prefix)+digits]))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// begin records a request that reached the handler.
+func (c *clientConn) begin(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.exchange = x
+	c.unhandled = 0
+}
+
+// setClosedIdle records that the connection is about to be closed as idle.
+func (c *clientConn) setClosedIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closedIdle = true
+}
+
+// stateChanged reports the end of the request in progress, and that of the connection, if it was not proper. It
+// must be called by the server's ConnState hook.
+func (c *clientConn) stateChanged(s http.ConnState) {
+	if s != http.StateIdle && s != http.StateClosed {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch x := c.exchange; {
+	case x != nil:
+		if n, ok := x.incomplete(c.writeErr, c.clientEnd()); ok {
+			c.ends.report(n, x)
+		}
+	case s == http.StateClosed:
+		if n, ok := c.unanswered(); ok {
+			c.ends.report(n, nil)
+		}
+	}
+	c.exchange = nil
+	c.unhandled = 0
+	c.status = 0
+}
+
+// reportOpen reports a request in progress right before the process closes its connection.
+func (c *clientConn) reportOpen() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x := c.exchange; x != nil && x.outcome.Load() == nil {
+		c.ends.report(end{cause: ServerClosed}, x)
+	}
+}
+
+// clientEnd returns the error of a read that shows that the client closed its sending side or reset the
+// connection, or nil.
+func (c *clientConn) clientEnd() error {
+	if errors.Is(c.readErr, os.ErrDeadlineExceeded) || errors.Is(c.readErr, net.ErrClosed) {
+		return nil
+	}
+	return c.readErr
+}
+
+// unanswered returns how the connection ended while no handler was at work, and false if the client closed it
+// between two requests.
+func (c *clientConn) unanswered() (end, bool) {
+	begun := c.unhandled > 0
+	switch {
+	case begun && c.clientEnd() != nil:
+		// net/http answers headers that end early too.
+		return end{cause: ClientGone, err: c.readErr}, true
+	case c.status >= http.StatusBadRequest:
+		return end{cause: ProtocolError, status: c.status}, true
+	case c.closedIdle && begun:
+		return end{cause: ClosedWhileIdle}, true
+	case begun && errors.Is(c.readErr, os.ErrDeadlineExceeded):
+		return end{cause: HeaderTimeout, err: c.readErr}, true
+	case begun && c.ends.closed.Load():
+		return end{cause: ServerClosed}, true
+	case c.closedIdle || c.ends.closed.Load():
+		return end{cause: Idle}, true
+	default:
+		return end{}, false
+	}
+}
--- a/router/front/conns.go
+++ b/router/front/conns.go
@@ -34,6 +34,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		c, ok := q.Context().Value(connKey{}).(net.Conn)
 		if ok && s.wasClosed(c) {
+			exchangeOf(q.Context()).crossed.Store(true)
 			panic(http.ErrAbortHandler)
 		}
 		h.ServeHTTP(w, q)
@@ -47,8 +48,12 @@
 	return s.closed[c]
 }
 
-// track is the server's ConnState hook. It records when connections become idle.
+// track is the server's ConnState hook. It records when connections become idle, and reports how they ended
+// before they count as closed.
 func (s *connections) track(c net.Conn, st http.ConnState) {
+	if o, ok := c.(*clientConn); ok {
+		o.stateChanged(st)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.idle == nil {
@@ -74,11 +79,25 @@
 	for c, t := range s.idle {
 		if !t.IsZero() && now.Sub(t) > limit {
 			s.closed[c] = true
+			if o, ok := c.(*clientConn); ok {
+				o.setClosedIdle()
+			}
 			c.Close()
 		}
 	}
 }
 
+// reportOpen reports the requests in progress right before their connections are closed.
+func (s *connections) reportOpen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.idle {
+		if o, ok := c.(*clientConn); ok {
+			o.reportOpen()
+		}
+	}
+}
+
 // count returns the number of open connections.
 func (s *connections) count() int {
 	s.mu.Lock()
--- a/router/front/ends.go
+++ b/router/front/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
@@ -15,11 +16,56 @@
 const (
 	// HandlerPanic means that the code that serves requests panicked.
 	HandlerPanic Cause = "handler-panic"
+	// DrainEnded means that the answer had begun and was cut at the end of a drain.
+	DrainEnded Cause = "drain-ended"
+	// UpstreamBrokeOff means that the answer had begun and its upstream broke it off, or that the router gave it up
+	// since the upstream was silent or sent what may not be passed on.
+	UpstreamBrokeOff Cause = "upstream-broke-off"
+	// DeadlinePassed means that the answer had begun and the request's time was over.
+	DeadlinePassed Cause = "deadline-passed"
+	// ClientGone means that the client closed or reset its connection, or its sending side, before it had
+	// the answer.
+	ClientGone Cause = "client-gone"
+	// WriteDeadline means that the client did not read the answer in time.
+	WriteDeadline Cause = "write-deadline"
+	// ClosedWhileIdle means that the router closed an idle connection while a request arrived on it.
+	ClosedWhileIdle Cause = "closed-while-idle"
+	// ServerClosed means that the connection was closed at the end of the process.
+	ServerClosed Cause = "server-closed"
+	// ProtocolError means that net/http refused what the client sent without a call of the handler.
+	ProtocolError Cause = "protocol-error"
+	// HeaderTimeout means that the client did not send the headers of its request in time.
+	HeaderTimeout Cause = "header-timeout"
+	// Idle means that the router closed a connection on which no request arrived. It is counted and not logged.
+	Idle Cause = "idle"
 )
 
 // Causes returns all causes.
 func Causes() []Cause {
-	return []Cause{HandlerPanic}
+	return []Cause{
+		HandlerPanic, DrainEnded, UpstreamBrokeOff, DeadlinePassed, ClientGone, WriteDeadline, ClosedWhileIdle,
+		ServerClosed, ProtocolError, HeaderTimeout, Idle,
+	}
+}
+
+// level returns the level of the log lines of a cause. What clients bring about is no warning.
+func (c Cause) level() zerolog.Level {
+	switch c {
+	case HandlerPanic:
+		return zerolog.ErrorLevel
+	case ClientGone, ProtocolError, HeaderTimeout:
+		return zerolog.InfoLevel
+	default:
+		return zerolog.WarnLevel
+	}
+}
+
+// end is the end of a connection without a complete answer.
+type end struct {
+	cause Cause
+	err   error
+	// status is that of an answer that net/http wrote by itself; 0 means none.
+	status int
 }
 
 // endReporter logs and counts the connections that end without a complete answer. It is safe for
@@ -32,15 +78,40 @@
 	requestID func(http.Header) call.ID
 	log       zerolog.Logger
 	stacks    stackLimiter
+	// closed is true once all connections are closed at the end of the process.
+	closed atomic.Bool
+}
+
+// report logs and counts an end. x is nil if no request had been read. An exchange is reported once.
+func (r *endReporter) report(n end, x *exchange) {
+	if x != nil && !x.reported.CompareAndSwap(false, true) {
+		return
+	}
+	r.add(n.cause)
+	if n.cause == Idle {
+		return
+	}
+	l := r.line(n.cause, x)
+	if n.err != nil {
+		l = l.AnErr("error", n.err)
+	}
+	if n.status != 0 {
+		l = l.Int("status", n.status)
+	}
+	l.Msg(message(n.cause))
 }
 
-// report counts an end and adds its fields to a log line, which the caller must send with message. x is
-// nil if no request had been read.
-func (r *endReporter) report(e *zerolog.Event, c Cause, x *exchange) *zerolog.Event {
+// add counts an end.
+func (r *endReporter) add(c Cause) {
 	if r.count != nil {
 		r.count(c)
 	}
-	e = e.Str("cause", string(c))
+}
+
+// line returns a log line with the fields of an end, which must be sent with message. x is nil if no request had
+// been read.
+func (r *endReporter) line(c Cause, x *exchange) *zerolog.Event {
+	e := r.log.WithLevel(c.level()).Str("cause", string(c))
 	if x != nil {
 		if r.requestID != nil {
 			e = e.Str("request", string(r.requestID(x.header)))
--- a/router/front/exchange.go
+++ b/router/front/exchange.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 
 	"tarragonvalve.example/core/refuse"
@@ -24,6 +26,10 @@
 	header http.Header
 	// sending is true once the request was about to be sent to an upstream.
 	sending atomic.Bool
+	// crossed is true if the request was read from a connection that was closed as idle at the same moment.
+	crossed atomic.Bool
+	// reported is true once the end of the connection was logged.
+	reported atomic.Bool
 	// outcome is how the handler ended; nil before that.
 	outcome atomic.Pointer[outcome]
 }
@@ -61,6 +67,40 @@
 	x.outcome.Store(&outcome{err: err, cancelled: context.Cause(ctx)})
 }
 
+// incomplete returns why the client doesn't have the complete answer, and false if it has. writeErr is the error
+// of a write to the client, clientEnd that of a read which shows that the client closed its side; both may be nil.
+func (x *exchange) incomplete(writeErr, clientEnd error) (end, bool) {
+	if x.crossed.Load() {
+		return end{cause: ClosedWhileIdle}, true
+	}
+	o := x.outcome.Load()
+	if o == nil {
+		o = &outcome{}
+	}
+	var truncated *relay.TruncatedError
+	cut := errors.As(o.err, &truncated)
+	drained := errors.Is(o.cancelled, errDrained)
+	r, _ := refuse.As(o.err)
+	switch {
+	case cut && drained:
+		return end{cause: DrainEnded, err: o.err}, true
+	case errors.Is(writeErr, os.ErrDeadlineExceeded):
+		return end{cause: WriteDeadline, err: writeErr}, true
+	case errors.Is(writeErr, net.ErrClosed):
+		return end{cause: ServerClosed, err: writeErr}, true
+	case writeErr != nil:
+		return end{cause: ClientGone, err: writeErr}, true
+	case o.err != nil && clientEnd != nil:
+		return end{cause: ClientGone, err: o.err}, true
+	case cut && r != nil && r.Code == refuse.DeadlineExceeded:
+		return end{cause: DeadlinePassed, err: o.err}, true
+	case cut:
+		return end{cause: UpstreamBrokeOff, err: o.err}, true
+	default:
+		return end{}, false
+	}
+}
+
 // passedOn returns whether the request was passed on. An answer that was complete or truncated comes from an
 // upstream, and a refusal states whether it proves that none ran the request.
 func (x *exchange) passedOn() passedOn {
--- a/router/front/panics.go
+++ b/router/front/panics.go
@@ -28,6 +28,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		x := &exchange{header: q.Header}
 		s := &statusWriter{ResponseWriter: w}
+		if c, ok := q.Context().Value(connKey{}).(*clientConn); ok {
+			c.begin(x)
+		}
 		defer func() {
 			p := recover()
 			if p == nil {
@@ -36,6 +39,7 @@
 			if p == http.ErrAbortHandler { //nolint:errorlint // net/http compares the value itself
 				panic(p)
 			}
+			x.reported.Store(true)
 			r.reportPanic(p, x, s.status != 0)
 			if s.status != 0 {
 				panic(http.ErrAbortHandler)
@@ -53,7 +57,8 @@
 // states whether the answer had begun.
 func (r *endReporter) reportPanic(p any, x *exchange, begun bool) {
 	where := panicPlace()
-	e := r.report(r.log.Error(), HandlerPanic, x).Str("place", where).Str("error", fmt.Sprint(p)).Bool("answer-begun", begun)
+	r.add(HandlerPanic)
+	e := r.line(HandlerPanic, x).Str("place", where).Str("error", fmt.Sprint(p)).Bool("answer-begun", begun)
 	if r.stacks.allows(where, time.Now()) {
 		e = e.Bytes("stack", debug.Stack())
 	}
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -73,7 +73,7 @@
 		return err
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- h.Serve(l) }()
+	go func() { failed <- h.Serve(&observedListener{Listener: l, ends: ends}) }()
 	t := time.NewTicker(idleCheckInterval)
 	defer t.Stop()
 	for {
@@ -86,6 +86,8 @@
 			if !s.drain() {
 				s.abort(cancel)
 			}
+			ends.closed.Store(true)
+			s.conns.reportOpen()
 			return s.closeAll(h)
 		}
 	}
--- a/router/front/server_test.go
+++ b/router/front/server_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -28,6 +29,8 @@
 	// stop begins the shutdown; done receives the result of Run.
 	stop context.CancelFunc
 	done chan error
+	// server is what runs.
+	server *Server
 
 	mu    sync.Mutex
 	log   bytes.Buffer
@@ -43,6 +46,26 @@
 
 // serveClients runs a server with a grace period until the test ends.
 func serveClients(t *testing.T, grace time.Duration, h http.HandlerFunc) *runningServer {
+	t.Helper()
+	return serveClientsOn(t, grace, h, func(c net.Conn, _ *Server) net.Conn { return c })
+}
+
+// wrappingListener wraps the connections that it accepts.
+type wrappingListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+func (l wrappingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(c), nil
+}
+
+// serveClientsOn is serveClients with connections that are wrapped by wrap.
+func serveClientsOn(t *testing.T, grace time.Duration, h http.HandlerFunc, wrap func(net.Conn, *Server) net.Conn) *runningServer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -52,11 +75,13 @@
 	s := &runningServer{t: t, address: l.Addr().String(), stop: stop, done: make(chan error, 1)}
 	n := mirror.New(nil, nil, clock.Boot, zerolog.Nop())
 	x := &Server{
-		Listener: l, Handler: h, Syncer: n, Log: zerolog.New(s), Refused: func() {},
+		Handler: h, Syncer: n, Log: zerolog.New(s), Refused: func() {},
 		Gate:      NewGate(n, clock.Boot, func() time.Duration { return time.Second }, func() time.Duration { return grace }),
 		Ended:     s.count,
 		RequestID: func(h http.Header) call.ID { return call.ID(h.Get("Id")) },
 	}
+	x.Listener = wrappingListener{Listener: l, wrap: func(c net.Conn) net.Conn { return wrap(c, x) }}
+	s.server = x
 	go func() { s.done <- x.Run(ctx) }()
 	t.Cleanup(func() {
 		stop()
@@ -106,17 +131,52 @@
 	return found
 }
 
-// await waits until a log line's field has a value and returns the first such line. It fails the test after 10 s,
-// which only ends a broken run.
+// await waits until a log line's field has a value and returns the first such line.
 func (s *runningServer) await(field, value string) map[string]any {
 	s.t.Helper()
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if ls := s.lines(field, value); len(ls) > 0 {
-			return ls[0]
+	var ls []map[string]any
+	s.eventually("a line with "+field+"="+value, func() bool {
+		ls = s.lines(field, value)
+		return len(ls) > 0
+	})
+	return ls[0]
+}
+
+// eventually polls f until it returns true, and fails the test after 20 s; this limit only ends a broken run.
+// what names the awaited event.
+func (s *runningServer) eventually(what string, f func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if f() {
+			return
 		}
 	}
-	s.t.Fatalf("no line with %s=%s", field, value)
-	return nil
+	s.t.Fatalf("%s did not happen", what)
+}
+
+// awaitConnections waits until n connections are open.
+func (s *runningServer) awaitConnections(n int) {
+	s.t.Helper()
+	s.eventually(fmt.Sprintf("a count of %d connections", n), func() bool { return s.server.conns.count() == n })
+}
+
+// awaitBytes waits until the server has read something on a connection that is open.
+func (s *runningServer) awaitBytes() {
+	s.t.Helper()
+	s.eventually("a read", func() bool {
+		s.server.conns.mu.Lock()
+		defer s.server.conns.mu.Unlock()
+		for c := range s.server.conns.idle {
+			o := c.(*clientConn)
+			o.mu.Lock()
+			found := o.exchange != nil || o.unhandled > 0
+			o.mu.Unlock()
+			if found {
+				return true
+			}
+		}
+		return false
+	})
 }
 
 // dial opens a connection until the test ends, and sends text on it.
