--- a/router/front/ends_test.go
+++ b/router/front/ends_test.go
@@ -80,8 +80,7 @@
 				o.Close()
 			}
 			if c.stop {
-				// The headers must have been read before the stop.
-				time.Sleep(100 * time.Millisecond)
+				s.awaitBytes()
 				s.stop()
 			}
 			l := s.await("cause", string(c.cause))
@@ -133,8 +132,12 @@
 					t.Fatalf("got %d %q %v", status, body, err)
 				}
 			}
+			if !c.gone || c.send == "" {
+				s.awaitConnections(1)
+			}
 			if c.gone {
 				o.Close()
+				s.awaitConnections(0)
 			}
 			s.stop()
 			s.await("message", "stopping: connections are closed")
--- a/router/front/server_test.go
+++ b/router/front/server_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -130,17 +131,52 @@
 	return found
 }
 
-// await waits until a log line's field has a value and returns the first such line. It fails the test after 20 s,
-// which only ends a broken run.
+// await waits until a log line's field has a value and returns the first such line.
 func (s *runningServer) await(field, value string) map[string]any {
+	s.t.Helper()
+	var ls []map[string]any
+	s.eventually("a line with "+field+"="+value, func() bool {
+		ls = s.lines(field, value)
+		return len(ls) > 0
+	})
+	return ls[0]
+}
+
+// eventually polls f until it returns true, and fails the test after 20 s; this limit only ends a broken run.
+// what names the awaited event.
+func (s *runningServer) eventually(what string, f func() bool) {
 	s.t.Helper()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		if ls := s.lines(field, value); len(ls) > 0 {
-			return ls[0]
+		if f() {
+			return
 		}
 	}
-	s.t.Fatalf("no line with %s=%s", field, value)
-	return nil
+	s.t.Fatalf("%s did not happen", what)
+}
+
+// awaitConnections waits until n connections are open.
+func (s *runningServer) awaitConnections(n int) {
+	s.t.Helper()
+	s.eventually(fmt.Sprintf("a count of %d connections", n), func() bool { return s.server.conns.count() == n })
+}
+
+// awaitBytes waits until the server has read something on a connection that is open.
+func (s *runningServer) awaitBytes() {
+	s.t.Helper()
+	s.eventually("a read", func() bool {
+		s.server.conns.mu.Lock()
+		defer s.server.conns.mu.Unlock()
+		for c := range s.server.conns.open {
+			o := c.(*clientConn)
+			o.mu.Lock()
+			found := o.exchange != nil || o.unhandled > 0
+			o.mu.Unlock()
+			if found {
+				return true
+			}
+		}
+		return false
+	})
 }
 
 // dial opens a connection until the test ends, and sends text on it.
