test(front): show answers that a reset cuts when bytes follow the request

Clients that send a pipelined request, or an empty line, in a segment of their own get the first 124 KB of a 300 KB answer and then a reset. The upstream has run the order.

Cause: the answer ends the connection, always behind a body in chunks (front.checkHeaders) and for any request during a stop. net/http then closes the socket at once (conn.serve, shouldReuseConnection); it waits for the client (closeWriteAndWait) only if the body was not read to its end. If bytes are unread, the kernel answers the close by a reset and drops what is still in the send buffer. The background read takes one byte of what follows the request, the others stay unread.

Answers up to what the client's receive buffer takes arrive whole (TestFramingsAroundStop).

--- a/router/boot/stop_edges_test.go
+++ b/router/boot/stop_edges_test.go
@@ -357,3 +357,41 @@
 	clients.Wait()
 	y.check(t, ss...)
 }
+
+// Guards against answers whose end is lost to a reset, as bytes behind the request are unread when the
+// router closes the connection.
+func TestAnswerBeforeReset(t *testing.T) {
+	t.Parallel()
+	// It is more than the client's receive buffer takes.
+	large := server.Answer{Status: http.StatusOK, Body: strings.Repeat("x", 300_000)}
+	const rate = 1_000_000 // bytes per second
+	for name, stopping := range map[string]bool{"steady": false, "stopping": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := startRouterWithGrace(t, standardDocument(), 4)
+			ss := w.servers(always(server.Delayed{Answer: large, Delay: 60 * time.Millisecond}))
+			if stopping {
+				w.stop()
+				time.Sleep(50 * time.Millisecond)
+			}
+			var y tally
+			var clients sync.WaitGroup
+			for name, f := range framings("/order/1", 3000) {
+				if strings.HasPrefix(name, "half-close") {
+					continue
+				}
+				clients.Go(func() {
+					x := f()
+					x.steps, x.rate = append(x.steps, wait(200*time.Millisecond)), rate
+					rs := w.converse(x)
+					y.add(name, rs)
+					if a := rs[x.ids[0]]; a.err != nil || a.body != large.Body {
+						t.Errorf("%s: got %d, %d bytes, %v, want the whole answer", name, a.status, len(a.body), a.err)
+					}
+				})
+			}
+			clients.Wait()
+			y.check(t, ss...)
+		})
+	}
+}
