test(front): show slowly read answers that the end of a stop cuts

Clients that read 2 MB at 200 KB/s, with 20 s of time, lose the end of the answer when the router's grace period is 4 s: 4 to 6 of 12 answers that upstreams had finished before the drain ended are cut at 1.86 to 1.99 MB.

Cause: the handler still writes at the end of the drain, abort ends the request's context, which a write doesn't heed, and closeAll closes the connection 200 ms later. What the send buffer has taken still arrives after the close. On the loopback device it takes all of the answer; the test uses segments of 1448 bytes, as most networks have.

Answers that are read before the end of the drain are whole (TestSlowReadersInStop).

--- a/router/boot/stop_edges_test.go
+++ b/router/boot/stop_edges_test.go
@@ -395,3 +395,10 @@
 		})
 	}
 }
+
+// Guards against answers that are cut at the end of a stop, although their upstream has long finished and the client's
+// time isn't over, because the client reads them slowly.
+func TestSlowReadersPastStop(t *testing.T) {
+	t.Parallel()
+	stopBesideSlowReaders(t, 2_000_000)
+}
