test(setup): show a stop that a half-written grace period ends

A settings file with a grace period of 12 s is truncated and written in two parts, the first of which ends in grace-s = 1, 0.6 s after SIGTERM. The router stops at once: of 40 orders and streams 12 streams are cut, 12 orders get 502, 2 get 503, and 2 find the listener closed. With revoke-ms = 5 of 5000, keys are refused with 503 until the file is read again.

Cause: Live.reload takes any text that parses, and the start of a number is a number. Server.drain asks for the grace period every 20 ms, so that a shorter one counts at once, also during a stop.

--- a/router/boot/stop_start_test.go
+++ b/router/boot/stop_start_test.go
@@ -94,3 +94,20 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 }
+
+// Guards against a bound in force that is only the first digits of the one being written: a stop would end at once, or
+// all keys would be refused.
+func TestSettingsReadInANumber(t *testing.T) {
+	t.Parallel()
+	tests := map[string]rewrite{
+		"grace period in a stop":   {"grace-s = 1", true},
+		"revocation":               {"revoke-ms = 5", false},
+		"revocation during a stop": {"revoke-ms = 5", true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.check(t)
+		})
+	}
+}
