test(front): stop under a full queue, beside paused upstreams and beside another stop

No test stopped a router while requests waited for connections or slots of an upstream, while an upstream was paused or restarted, or together with another router.

TestStopBesideUpstream pauses one of two upstreams from 0.2 s before SIGTERM for 0.7 s or until the end, or ends it at SIGTERM and starts it 0.3 s later under its id. TestTwoRoutersStop stops two of three. Orders and look-ups each.

--- a/router/boot/stop_edges_test.go
+++ b/router/boot/stop_edges_test.go
@@ -237,7 +237,7 @@
 	t.Helper()
 	counts := map[string]int{}
 	for id, a := range y.all {
-		counts[fmt.Sprintf("status %d, ran %d, whole %t", a.status, runs[id], a.err == nil)]++
+		counts[fmt.Sprintf("%s, ran %d, whole %t", a.outcome(), runs[id], a.err == nil)]++
 		switch {
 		case runs[id] > 1 && !y.repeatable:
 			t.Errorf("%s %s: ran %d times", y.names[id], id, runs[id])
@@ -252,6 +252,19 @@
 	}
 }
 
+// outcome names what became of a request from the client's side.
+func (r response) outcome() string {
+	var e *net.OpError
+	switch {
+	case r.status != 0:
+		return fmt.Sprintf("status %d", r.status)
+	case errors.As(r.err, &e) && e.Op == "dial":
+		return "not connected"
+	default:
+		return "connection closed"
+	}
+}
+
 // promisesNotRun reports whether a status says that the request has not run and never will.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/router/boot/stop_start_test.go
+++ b/router/boot/stop_start_test.go
@@ -111,3 +111,168 @@
 		})
 	}
 }
+
+// order returns an exchange with one request to path whose body is sent in chunks.
+func order(path string, deadline int) exchange {
+	return framings(path, deadline)["last chunk by itself"]()
+}
+
+// sendAround sends requests at each interval from before until after a moment, and returns when all have ended.
+func (w *harness) sendAround(y *tally, moment time.Time, before, after, interval time.Duration, request func() exchange) {
+	var clients sync.WaitGroup
+	for at := moment.Add(-before); at.Before(moment.Add(after)); at = at.Add(interval) {
+		time.Sleep(time.Until(at))
+		clients.Go(func() {
+			y.add(at.Sub(moment).String(), w.converse(request()))
+		})
+	}
+	clients.Wait()
+}
+
+// slots serves a few requests at a time and rejects others.
+type slots struct {
+	mu   sync.Mutex
+	free int
+	runs map[string]int
+}
+
+// script is the script of an upstream.
+func (s *slots) script(q server.Request) server.Reply {
+	const work = 100 * time.Millisecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.free == 0 {
+		return server.Reject{Status: http.StatusServiceUnavailable}
+	}
+	s.free--
+	s.runs[q.ID()]++
+	time.AfterFunc(work, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.free++
+	})
+	return server.Delayed{Answer: fine, Delay: work}
+}
+
+// Guards against requests that wait for a connection or a slot of an upstream when a stop begins or ends, and get no
+// answer, or one that denies what they did.
+func TestStopUnderFullQueue(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		// connections is the most that an upstream takes from all routers, free how many requests run at once.
+		connections, free int
+	}{
+		"connections": {8, 100},
+		"slots":       {800, 1},
+		"both":        {24, 2},
+	}
+	for name, c := range tests {
+		for _, path := range []string{"/order/1", "/read/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				d := standardDocument()
+				d["services"].([]any)[0].(map[string]any)["max_connections"] = c.connections
+				w := startRouterWithGrace(t, d, 3)
+				u := &slots{free: c.free, runs: map[string]int{}}
+				w.server("desk", "s1", "v1", u.script)
+				w.awaitUpstreams(1)
+				y := tally{repeatable: path == "/read/1"}
+				stop := time.Now().Add(400 * time.Millisecond)
+				time.AfterFunc(time.Until(stop), w.stop)
+				w.sendAround(&y, stop, 300*time.Millisecond, 2*time.Second, 20*time.Millisecond, func() exchange { return order(path, 600) })
+				y.checkRuns(t, u.runs)
+			})
+		}
+	}
+}
+
+// pauser is an upstream that doesn't read on while it is locked.
+type pauser struct{ sync.RWMutex }
+
+// script is the script of the upstream.
+func (p *pauser) script(server.Request) server.Reply {
+	p.RLock()
+	defer p.RUnlock()
+	return server.Delayed{Answer: fine, Delay: 30 * time.Millisecond}
+}
+
+// Guards against requests without an answer when a router stops while one of its two upstreams is paused or restarts.
+func TestStopBesideUpstream(t *testing.T) {
+	t.Parallel()
+	tests := map[string]func(w *harness, s *server.Server, p *pauser){
+		"paused": func(_ *harness, _ *server.Server, p *pauser) {
+			p.Lock()
+			time.Sleep(700 * time.Millisecond)
+			p.Unlock()
+		},
+		"paused until the end": func(_ *harness, _ *server.Server, p *pauser) {
+			p.Lock()
+			time.Sleep(4 * time.Second)
+			p.Unlock()
+			// Requests that it gets only now count as well.
+			time.Sleep(300 * time.Millisecond)
+		},
+		"restarted": func(w *harness, s *server.Server, p *pauser) {
+			time.Sleep(200 * time.Millisecond)
+			s.Close()
+			time.Sleep(300 * time.Millisecond)
+			again, err := server.New(s.Name, p.script)
+			if err != nil {
+				w.t.Error(err)
+				return
+			}
+			w.t.Cleanup(again.Close)
+			w.reregister(again, 2)
+		},
+	}
+	for name, disturb := range tests {
+		for _, path := range []string{"/order/1", "/read/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				w := startRouterWithGrace(t, standardDocument(), 4)
+				var p, sound pauser
+				ss := []*server.Server{w.server("desk", "s1", "v1", p.script), w.server("desk", "s2", "v1", sound.script)}
+				w.awaitUpstreams(2)
+				y := tally{repeatable: path == "/read/1"}
+				stop := time.Now().Add(600 * time.Millisecond)
+				time.AfterFunc(time.Until(stop), w.stop)
+				var disturbed sync.WaitGroup
+				disturbed.Go(func() {
+					time.Sleep(time.Until(stop.Add(-200 * time.Millisecond)))
+					disturb(w, ss[0], &p)
+				})
+				w.sendAround(&y, stop, 500*time.Millisecond, 2600*time.Millisecond, 20*time.Millisecond, func() exchange { return order(path, 1000) })
+				disturbed.Wait()
+				y.check(t, ss...)
+			})
+		}
+	}
+}
+
+// Guards against requests without an answer when two of three routers stop at once and their clients move to the third.
+func TestTwoRoutersStop(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/order/1", "/read/1"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			ws := startRoutersWithGrace(t, standardDocument(), 3, 3)
+			ss := ws[0].servers(always(server.Delayed{Answer: fine, Delay: 80 * time.Millisecond}))
+			for _, w := range ws {
+				w.awaitUpstreams(len(ss))
+			}
+			y := tally{repeatable: path == "/read/1"}
+			stop := time.Now().Add(400 * time.Millisecond)
+			for _, w := range ws[:2] {
+				time.AfterFunc(time.Until(stop), w.stop)
+			}
+			var clients sync.WaitGroup
+			for _, w := range ws {
+				clients.Go(func() {
+					w.sendAround(&y, stop, 300*time.Millisecond, 2100*time.Millisecond, 20*time.Millisecond, func() exchange { return order(path, 600) })
+				})
+			}
+			clients.Wait()
+			y.check(t, ss...)
+		})
+	}
+}
