test(boot): stop a router while it starts, and start one in its place

No test ended a router that was still starting. TestStopDuringStart runs the router as a process, sends SIGTERM 0 to 300 ms after its start in steps of 20 ms while orders with a length or in chunks arrive each 15 ms, starts another on the same addresses, and stops that after it has served.

Between the opening of the listener and the start of the front a router that is stopped never accepts: connections wait until the process exits and are then reset, unread. With the race detector that took 1 s, as the detector waits at the exit by default; the test turns that off.

--- a/router/boot/stop_start_test.go
+++ b/router/boot/stop_start_test.go
@@ -1,8 +1,13 @@
 package boot
 
 import (
+	"context"
+	"errors"
 	"net/http"
+	"net/http/httptest"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -10,6 +15,7 @@
 	"time"
 
 	"tarragonvalve.example/standin/server"
+	"tarragonvalve.example/standin/tables"
 )
 
 // Guards against a stop that ends too soon, or requests that fail, because the settings are read while they are written.
@@ -276,3 +282,130 @@
 		})
 	}
 }
+
+// processVariable is the environment variable that makes the test binary a router.
+const processVariable = "ROUTER_PROCESS"
+
+func init() {
+	if os.Getenv(processVariable) != "" {
+		os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+}
+
+// process is a router in a process of its own.
+type process struct {
+	*exec.Cmd
+	logs lockedBuffer
+}
+
+// startProcess starts a router with the settings of w. It is killed at the end of the test.
+func (w *harness) startProcess() *process {
+	w.t.Helper()
+	x, err := os.Executable()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	p := &process{Cmd: exec.Command(x, "--config", w.path)}
+	// By default, a process with the race detector waits for 1 s before it exits, with its listeners open.
+	p.Env = append(os.Environ(), processVariable+"=1", "GORACE=atexit_sleep_ms=0")
+	p.Stdout, p.Stderr = &p.logs, &p.logs
+	if err := p.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() {
+		p.Process.Kill()
+		if w.t.Failed() {
+			w.t.Logf("logs of process %d:\n%s", p.Process.Pid, p.logs.String())
+		}
+	})
+	return p
+}
+
+// terminate sends SIGTERM and waits until the process has ended. It returns an error if that isn't by exit code 0, or by
+// the signal if the process may not handle it yet.
+func (p *process) terminate(mayBeUnhandled bool) error {
+	if err := p.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	err := p.Wait()
+	var x *exec.ExitError
+	if mayBeUnhandled && errors.As(err, &x) {
+		s, ok := x.Sys().(syscall.WaitStatus)
+		if ok && s.Signaled() && s.Signal() == syscall.SIGTERM {
+			return nil
+		}
+	}
+	return err
+}
+
+// platform returns a harness with a store and upstreams, whose router is yet to be started.
+func platform(t *testing.T, grace int, script func(server.Request) server.Reply) (*harness, []*server.Server) {
+	t.Helper()
+	store := tables.New()
+	s := httptest.NewServer(store)
+	t.Cleanup(s.Close)
+	w := &harness{
+		t: t, store: store, address: s.Listener.Addr().String(), clients: freeAddress(t), admin: freeAddress(t),
+		path: filepath.Join(t.TempDir(), "router.ini"), name: "r1", grace: grace,
+	}
+	w.writeSettings(w.address, "5000")
+	w.writeConfig(standardDocument())
+	return w, []*server.Server{w.server("desk", "s1", "v1", script), w.server("desk", "s2", "v1", script)}
+}
+
+// Guards against requests without an answer when a router is stopped while it starts, and against one that starts in its
+// place, on its addresses, and loses requests or can't serve.
+func TestStopDuringStart(t *testing.T) {
+	t.Parallel()
+	const (
+		grace = 2
+		last  = 300 * time.Millisecond
+		step  = 20 * time.Millisecond
+	)
+	for at := time.Duration(0); at <= last; at += step {
+		t.Run(at.String(), func(t *testing.T) {
+			t.Parallel()
+			w, ss := platform(t, grace, always(server.Delayed{Answer: fine, Delay: 30 * time.Millisecond}))
+			var y tally
+			var clients sync.WaitGroup
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			clients.Go(func() {
+				for i := 0; ctx.Err() == nil; i++ {
+					name := []string{"last chunk by itself", "sized, last byte by itself"}[i%2]
+					clients.Go(func() { y.add(name, w.converse(framings("/order/1", 1000)[name]())) })
+					time.Sleep(15 * time.Millisecond)
+				}
+			})
+			p := w.startProcess()
+			time.Sleep(at)
+			if err := p.terminate(true); err != nil {
+				t.Errorf("the router that was stopped at %s: %v", at, err)
+			}
+			served := y.served()
+			q := w.startProcess()
+			w.eventually("readiness of the second router", w.ready)
+			w.eventually("service by the second router", func() bool { return y.served() > served })
+			if err := q.terminate(false); err != nil {
+				t.Errorf("the second router: %v", err)
+			}
+			stop()
+			clients.Wait()
+			y.check(t, ss...)
+			t.Logf("the first router served %d", served)
+		})
+	}
+}
+
+// served returns the number of successful responses.
+func (y *tally) served() int {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	n := 0
+	for _, a := range y.all {
+		if a.status == http.StatusOK {
+			n++
+		}
+	}
+	return n
+}
