test(boot): show a router that a closed output ends

A router whose standard output is a pipe ends at its first log line after the reader has closed it: the orders at work, all of which their upstreams had, get a closed connection, and no line says so. During a stop nothing else tells this from a complete one but the signal in its exit status.

Cause: the runtime raises SIGPIPE when a write to descriptor 1 or 2 fails with EPIPE, unless the program handles or ignores the signal (os/signal, SIGPIPE). launch.Program.Main handles only SIGINT and SIGTERM.

--- a/router/boot/stop_start_test.go
+++ b/router/boot/stop_start_test.go
@@ -299,7 +299,10 @@
 }
 
 // startProcess starts a router with the settings of w. It is killed at the end of the test.
-func (w *harness) startProcess() *process {
+func (w *harness) startProcess() *process { return w.startProcessWithOutput(nil) }
+
+// startProcessWithOutput is startProcess with another file for the standard output and error, unless that is nil.
+func (w *harness) startProcessWithOutput(out *os.File) *process {
 	w.t.Helper()
 	x, err := os.Executable()
 	if err != nil {
@@ -309,6 +312,9 @@
 	// By default, a process with the race detector waits for 1 s before it exits, with its listeners open.
 	p.Env = append(os.Environ(), processVariable+"=1", "GORACE=atexit_sleep_ms=0")
 	p.Stdout, p.Stderr = &p.logs, &p.logs
+	if out != nil {
+		p.Stdout, p.Stderr = out, out
+	}
 	if err := p.Start(); err != nil {
 		w.t.Fatal(err)
 	}
@@ -409,3 +415,33 @@
 	}
 	return n
 }
+
+// Guards against a router that ends in the middle of its requests because nobody reads its log any more.
+func TestOutputClosed(t *testing.T) {
+	t.Parallel()
+	for name, stopping := range map[string]bool{"steady": false, "in a stop": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w, ss := platform(t, 4, always(server.Delayed{Answer: fine, Delay: 100 * time.Millisecond}))
+			r, out, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer r.Close()
+			p := w.startProcessWithOutput(out)
+			out.Close()
+			w.eventually("readiness", w.ready)
+			var y tally
+			closing := time.Now().Add(400 * time.Millisecond)
+			if stopping {
+				time.AfterFunc(time.Until(closing)-100*time.Millisecond, func() { p.Process.Signal(syscall.SIGTERM) })
+			}
+			time.AfterFunc(time.Until(closing), func() { r.Close() })
+			w.sendAround(&y, closing, 300*time.Millisecond, 500*time.Millisecond, 20*time.Millisecond, func() exchange { return order("/order/1", 1000) })
+			y.check(t, ss...)
+			if err := p.terminate(false); err != nil {
+				t.Errorf("the router ended: %v", err)
+			}
+		})
+	}
+}
