test(front): stop beside upstreams that answer before they read the body

An upstream may answer before it has read a body. TestEarlyAnswersAroundStop sends orders with bodies of 100 bytes, which the router writes before it reads the answer, and 5 and 90 KB, which it writes beside it, from 0.8 s before SIGTERM to 1.8 s after it.

--- a/router/boot/stop_edges_test.go
+++ b/router/boot/stop_edges_test.go
@@ -415,3 +415,33 @@
 	t.Parallel()
 	stopBesideSlowReaders(t, 2_000_000)
 }
+
+// Guards against requests without an answer when an upstream answers before it has read the body, in steady state and
+// around a stop.
+func TestEarlyAnswersAroundStop(t *testing.T) {
+	t.Parallel()
+	w := startRouterWithGrace(t, standardDocument(), 3)
+	ss := w.servers(always(server.Early{Answer: fine}))
+	var y tally
+	var clients sync.WaitGroup
+	stop := time.Now().Add(900 * time.Millisecond)
+	time.AfterFunc(time.Until(stop), w.stop)
+	// The router writes a body of up to 4 KiB before it reads the answer, and a longer one beside it.
+	for _, size := range []int{100, 5000, 90_000} {
+		clients.Go(func() {
+			w.sendAround(&y, stop, 800*time.Millisecond, 1800*time.Millisecond, 50*time.Millisecond, func() exchange {
+				id := nextID()
+				body := fmt.Sprintf("%x\r\n%s\r\n%s", size, strings.Repeat("x", size), lastChunk)
+				return exchange{ids: []string{id}, steps: []step{segment(head("/order/1", id, 1000, chunked)), segment(body)}}
+			})
+		})
+	}
+	clients.Wait()
+	runs := map[string]int{}
+	for _, s := range ss {
+		for _, q := range s.Requests() {
+			runs[q.ID()]++
+		}
+	}
+	y.checkRuns(t, runs)
+}
