test(front): show a stream that its client's half-close cuts

A client that ends its sending side after the request, as one does that waits for the end of the connection, gets the events that were sent before and then a cut; if it does so at once, 503 (not run) each time.

Cause: net/http ends the request's context at the end of the input (connReader.backgroundRead, handleReadErrorLocked); the relay takes the end of the context as the client's departure and closes the upstream's connection. A client that has left altogether looks the same until a write to it fails.

--- a/router/boot/stop_edges_test.go
+++ b/router/boot/stop_edges_test.go
@@ -445,3 +445,30 @@
 	}
 	y.checkRuns(t, runs)
 }
+
+// Guards against a stream that ends before its last event because its client has ended its sending side, as clients do
+// that send one request and wait for the end of the connection.
+func TestStreamAfterHalfClose(t *testing.T) {
+	t.Parallel()
+	w := startRouter(t, standardDocument())
+	s := w.server("llm", "m1", "v1", always(server.Events{Count: 10, Pause: 50 * time.Millisecond, Unframed: true}))
+	w.awaitUpstreams(1)
+	var y tally
+	var clients sync.WaitGroup
+	for name, pause := range map[string]wait{"at once": 0, "after the first event": wait(120 * time.Millisecond)} {
+		for _, framing := range []string{sized, chunked} {
+			clients.Go(func() {
+				id := nextID()
+				body := wholeBody
+				if framing == chunked {
+					body = chunks + lastChunk
+				}
+				y.add(name, w.converse(exchange{ids: []string{id}, steps: []step{
+					segment(head("/chat/1", id, 3000, framing+"Tarragonvalve-Model-Name: small\r\n") + body), pause, halfClose{},
+				}}))
+			})
+		}
+	}
+	clients.Wait()
+	y.check(t, s)
+}
