fix(launch): go on when nobody reads the log any more

What callers saw: orders that had been passed on got a closed connection, in calm as well as around SIGTERM, and the connections after them were refused.

Cause: the runtime raises SIGPIPE when a write to the standard output or error fails, unless the signal is handled or ignored. A launcher that stops reading the log at SIGTERM so ends the process at its next line, with all it has at work. Neither a log line nor an exit code of the router's own says so, which fits the record: one order at work, one lost.

Change: programs ignore SIGPIPE. Lines that can't be written are lost.

Before: TestOutputClosed, 5 of 40 orders ran and got no answer, 23 found no listener; the exit was "signal: broken pipe", in calm and in a stop. After: 3 runs of 3 pass, all answered, exit code 0. Entries and agents use the same start.

--- a/core/launch/launch.go
+++ b/core/launch/launch.go
@@ -55,7 +55,7 @@
 }
 
 // Main parses the command line without the program's name, runs the program until
-// SIGINT or SIGTERM and returns its exit code. With --check it only validates the settings.
+// SIGINT or SIGTERM and returns its exit code. A closed output doesn't end it. With --check it only validates the settings.
 func (p Program[S]) Main(args []string, out, errs io.Writer) int {
 	a := arguments{About: p.Description}
 	c, err := arg.NewParser(arg.Config{Program: p.Name}, &a)
@@ -79,6 +79,8 @@
 		fmt.Fprintln(out, "settings are valid")
 		return ExitOK
 	}
+	// Unless it is ignored, the runtime ends the process by this signal when the reader of its log has gone.
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	if err := p.Run(ctx, s, out, errs); err != nil {
