fix(front): let clients receive the answer before an unread byte resets it

What callers saw: an order in chunks, and in a stop any order, followed by an empty line or a pipelined request: the first 124 KB of an answer of 300 KB, and then a reset. The upstream had run it.

Cause: the answer ends the connection, and the kernel answers the close of a connection with unread bytes by a reset and drops what it has not sent yet. net/http waits for the client only if the body itself was not read.

Change: if bytes are unread at the close, the sending side is ended first, and the connection is closed once the client has acknowledged everything, after a second at most. Nothing more is read, as a request that is read has to be answered.

--- a/router/front/clientconn.go
+++ b/router/front/clientconn.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // observedListener wraps the connections that it accepts in clientConn.
@@ -69,6 +70,33 @@
 	return n, err
 }
 
+const (
+	// lingerTime bounds how long the close of a connection waits for the client to receive the answer.
+	lingerTime = time.Second
+	// lingerPoll is how often it checks for that.
+	lingerPoll = 5 * time.Millisecond
+)
+
+// Close implements net.Conn. The kernel resets a connection that is closed with bytes unread, and drops what it has
+// not sent yet, so the close first waits until the client has received the answer.
+func (c *clientConn) Close() error {
+	if !c.ends.closed.Load() && hasInput(c) {
+		c.linger()
+	}
+	return c.Conn.Close()
+}
+
+// linger ends the sending side and waits until the client has received all bytes, at most for lingerTime.
+func (c *clientConn) linger() {
+	o, ok := unwrap(c).(*net.TCPConn)
+	if !ok || o.CloseWrite() != nil {
+		return
+	}
+	for end := time.Now().Add(lingerTime); time.Now().Before(end) && !c.ends.closed.Load() && unacknowledged(o) > 0; {
+		time.Sleep(lingerPoll)
+	}
+}
+
 // responseStatus returns the status of the HTTP/1 response that begins with b, or 0.
 func responseStatus(b []byte) int {
 	const prefix, digits = "HTTP/1.1 ", 3
--- a/router/front/conns.go
+++ b/router/front/conns.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // connections tracks which clients' connections are idle. Its zero value is ready for use.
@@ -125,6 +127,25 @@
 	return err == nil && waits
 }
 
+// unacknowledged returns the number of sent bytes that the peer has not acknowledged, the end of the connection
+// included, or 0 if it can't be found out.
+func unacknowledged(c *net.TCPConn) int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		if x, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			n = x
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // unwrap returns the connection of the operating system in c.
 func unwrap(c net.Conn) net.Conn {
 	for {
