test(standin): frame the answers of servers in chunks or by the end of the connection

Answers of the stand-in for upstreams had a length always, so no test of a stop met the two other framings of HTTP/1.1.

Change: Answer has a Framing. TestFraming reads both kinds of reply in each framing, and a second request on the connection.

--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -17,11 +17,25 @@
 // Reply is what a server does with a request: one of the types below.
 type Reply interface{ reply() }
 
+// Framing is how the end of a response's body is marked.
+type Framing int
+
+const (
+	// ByLength is a Content-Length.
+	ByLength Framing = iota
+	// ByChunks is the transfer coding chunked, with a body that isn't empty in one chunk.
+	ByChunks
+	// ByClose is the end of the connection.
+	ByClose
+)
+
 type (
-	// Answer is a complete response with a Content-Length.
+	// Answer is a complete response.
 	Answer struct {
 		Status int
 		Body   string
+		// Framing is ignored by Leaving.
+		Framing Framing
 		// Confidence is sent in Tarragonvalve-Route-Confidence unless it is negative.
 		Confidence int
 	}
@@ -318,10 +332,10 @@
 func (s *Server) send(c net.Conn, r *bufio.Reader, x Request, reply Reply) bool {
 	switch a := reply.(type) {
 	case Answer:
-		return write(c, s.responseText(x, a))
+		return write(c, s.responseText(x, a)) && a.Framing != ByClose
 	case Delayed:
 		time.Sleep(a.Delay)
-		return write(c, s.responseText(x, a.Answer))
+		return write(c, s.responseText(x, a.Answer)) && a.Framing != ByClose
 	case Duplicate:
 		return write(c, s.responseText(x, a.Answer)+s.responseText(x, a.Answer))
 	case Mismatched:
@@ -422,5 +436,13 @@
 
 // responseText returns a complete response.
 func (s *Server) responseText(x Request, a Answer) string {
-	return s.responseHead(x, a.Status, a.Confidence) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(a.Body), a.Body)
+	head := s.responseHead(x, a.Status, a.Confidence)
+	switch a.Framing {
+	case ByChunks:
+		return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(a.Body), a.Body)
+	case ByClose:
+		return head + "\r\n" + a.Body
+	default:
+		return head + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(a.Body), a.Body)
+	}
 }
--- /dev/null
+++ b/standin/server/server_test.go
@@ -0,0 +1,64 @@
+package server_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"tarragonvalve.example/standin/server"
+)
+
+// Guards against a server whose answers have another framing than its script says, or that keeps a connection
+// whose end is the end of the answer.
+func TestFraming(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		framing server.Framing
+		length  int64
+		coding  string
+		kept    bool
+	}{
+		"length": {server.ByLength, 4, "[]", true},
+		"chunks": {server.ByChunks, -1, "[chunked]", true},
+		"close":  {server.ByClose, -1, "[]", false},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a := server.Answer{Status: http.StatusOK, Body: "fine", Framing: c.framing, Confidence: -1}
+			for kind, reply := range map[string]server.Reply{"answer": a, "delayed": server.Delayed{Answer: a}} {
+				s, err := server.New("s1", func(server.Request) server.Reply { return reply })
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(s.Close)
+				k, err := net.Dial("tcp", s.Address())
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() { k.Close() })
+				r := bufio.NewReader(k)
+				fmt.Fprint(k, "GET / HTTP/1.1\r\nHost: h.example\r\nTarragonvalve-Expect-Instance: s1\r\n\r\n")
+				got, err := http.ReadResponse(r, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				b, err := io.ReadAll(got.Body)
+				if err != nil || string(b) != a.Body || got.ContentLength != c.length || fmt.Sprint(got.TransferEncoding) != c.coding {
+					t.Errorf("%s: got %q %v, length %d, coding %v", kind, b, err, got.ContentLength, got.TransferEncoding)
+				}
+				fmt.Fprint(k, "GET / HTTP/1.1\r\nHost: h.example\r\nTarragonvalve-Expect-Instance: s1\r\n\r\n")
+				next, err := http.ReadResponse(r, nil)
+				if (err == nil) != c.kept {
+					t.Errorf("%s: second request: %v, want the connection kept: %v", kind, err, c.kept)
+				}
+				if err == nil {
+					next.Body.Close()
+				}
+			}
+		})
+	}
+}
