--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -123,6 +123,13 @@
 	return r.cmd.Process.Signal(s)
 }
 
+// process returns the router's process.
+func (r *router) process() *os.Process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cmd.Process
+}
+
 // awaitExit waits for the end of the process and returns its result. It kills a process that
 // hasn't ended after limit.
 func (r *router) awaitExit(limit time.Duration) (killed bool, err error) {
