fix(entry): answer the first requests of connections accepted at the end of the drain notice

Callers saw a connection closed without an answer when an entry stopped: a connection accepted just before the listener closed, whose request arrived just after. The entry had read the request whole.

Cause: http.Server.Shutdown waits for new connections, but drops each request that is read after it was called (net/http checks shuttingDown after the read). Besides, answers of a draining entry did not say that the connection ends, so callers sent their next request into the close.

Now the listener is closed first, then the requests of new connections are read and served or refused as for any other in the drain (at most 5 s, as long as net/http waits for them), and only then the server is shut down. Answers in the drain have Connection: close. The administration API stops in the same way.

--- a/entry/boot/boot_test.go
+++ b/entry/boot/boot_test.go
@@ -115,14 +115,13 @@
 	leave := make(chan struct{})
 	ph := &readiness{replica: spread.New(spread.Options{Instance: "entry-1"}), isolationLimit: time.Minute, now: time.Now}
 	c := &callerServer{
-		listener: n,
-		server: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		httpServer: httpServer{listener: n, server: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			close(entered)
 			<-leave
 			if r.Context().Err() == nil {
 				w.Write([]byte("whole"))
 			}
-		})},
+		})}},
 		readiness:  ph,
 		drainLimit: time.Minute,
 		relay:      relay.New(relay.Options{}),
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -454,9 +454,7 @@
 		v.TLSConfig = c.source.PublicServerConfig()
 	}
 	return &callerServer{
-		listener:    p.callers,
-		server:      v,
-		tls:         c.source != nil,
+		httpServer:  httpServer{listener: p.callers, server: v, tls: c.source != nil},
 		readiness:   h,
 		drainNotice: s.Entry.DrainNotice,
 		drainLimit:  s.Entry.DrainLimit,
@@ -471,5 +469,5 @@
 	if c.source != nil {
 		v.TLSConfig = c.source.PublicServerConfig()
 	}
-	return &adminServer{listener: p.admin, server: v, tls: c.source != nil}
+	return &adminServer{httpServer: httpServer{listener: p.admin, server: v, tls: c.source != nil}}
 }
--- a/entry/boot/serve.go
+++ b/entry/boot/serve.go
@@ -78,11 +78,21 @@
 	return drain.Admits(now.Sub(*began), p.drainTime, deadline.Sub(now))
 }
 
+// endConnections asks clients to close their connections after the answers of a draining process, so that
+// no later request crosses the close.
+func (p *readiness) endConnections(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.draining() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // callerServer serves the callers' API and drains it at shutdown.
 type callerServer struct {
-	listener  net.Listener
-	server    *http.Server
-	tls       bool
+	httpServer
+
 	readiness *readiness
 	// drainNotice is how long the server still accepts requests after it stopped being ready.
 	drainNotice time.Duration
@@ -103,11 +113,11 @@
 	base, abort := context.WithCancel(context.Background())
 	defer abort()
 	c.server.BaseContext = func(net.Listener) context.Context { return base }
-	failed := make(chan error, 1)
-	go func() { failed <- c.serve() }()
+	c.server.Handler = c.readiness.endConnections(c.server.Handler)
+	c.start()
 	select {
-	case err := <-failed:
-		return err
+	case <-c.served:
+		return c.err
 	case <-ctx.Done():
 	}
 	c.readiness.drain()
@@ -116,7 +126,7 @@
 	sleep(c.drainNotice)
 	d, cancel := context.WithTimeout(context.Background(), c.drainLimit)
 	defer cancel()
-	if err := c.server.Shutdown(d); err != nil {
+	if err := c.shutdown(d); err != nil {
 		c.log.Warn().Msg("drain limit reached, cancelling open requests")
 		abort()
 		c.closeAborted()
@@ -138,25 +148,6 @@
 	}
 }
 
-func (c *callerServer) serve() error {
-	return serveHTTP(c.server, c.listener, c.tls)
-}
-
-// serveHTTP serves until the server is shut down. With tls, the certificates are
-// those of the server's TLSConfig.
-func serveHTTP(s *http.Server, l net.Listener, tls bool) error {
-	var err error
-	if tls {
-		err = s.ServeTLS(l, "", "")
-	} else {
-		err = s.Serve(l)
-	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 func sleep(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -166,9 +157,7 @@
 // adminServer serves the administration API, which stays available during the drain. The
 // requests hold operator keys, so they are encrypted if certificates are set.
 type adminServer struct {
-	listener net.Listener
-	server   *http.Server
-	tls      bool
+	httpServer
 }
 
 // Name implements serve.Component.
@@ -176,16 +165,15 @@
 
 // Run serves until ctx ends and then stops within stopTimeout.
 func (w *adminServer) Run(ctx context.Context) error {
-	failed := make(chan error, 1)
-	go func() { failed <- serveHTTP(w.server, w.listener, w.tls) }()
+	w.start()
 	select {
-	case err := <-failed:
-		return err
+	case <-w.served:
+		return w.err
 	case <-ctx.Done():
 	}
 	d, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if w.server.Shutdown(d) != nil {
+	if w.shutdown(d) != nil {
 		_ = w.server.Close()
 	}
 	return nil
