fix(entry): say at the drain limit that the entry stopped, not that the caller left

Callers whose request was open at an entry's drain limit got 499 cancelled, as if they had left, and for a keyed call 'unknown' although the claim told more. A caller that was still sending its body got no answer: a read of a body ends at its own time limit of 20 s, and the connection was closed after 2 s.

Cause: the drain cancelled the requests' contexts without a cause.

Now the cause is abort.ErrDrained. Requests get draining with what is known: 503 if they have not run, otherwise 502, which callers don't take for not run; a stream that has begun ends with stream-broken. A keyed call is settled by its claim as after a lost agent: its result if it comes within 1.5 s, not-run if the claim could be fenced, otherwise claim-unknown. Reading a body ends with the request's context.

--- a/entry/boot/drain_test.go
+++ b/entry/boot/drain_test.go
@@ -15,6 +15,7 @@
 
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/spread"
+	"tarragonvalve.example/entry/abort"
 	"tarragonvalve.example/entry/relay"
 )
 
@@ -220,3 +221,23 @@
 		}
 	}
 }
+
+// Guards against requests that are cancelled at the drain limit as if their callers had left.
+func TestCauseAtDrainLimit(t *testing.T) {
+	entered := make(chan struct{})
+	s := serveCallers(t, 0, 50*time.Millisecond, func(w http.ResponseWriter, r *http.Request) {
+		close(entered)
+		<-r.Context().Done()
+		if abort.Drained(r.Context()) {
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	})
+	c := s.dial(t)
+	go func() {
+		<-entered
+		s.stop()
+	}()
+	if p := exchange(t, c, emptyRequest); p.StatusCode != http.StatusBadGateway {
+		t.Errorf("status %d", p.StatusCode)
+	}
+}
--- a/entry/boot/serve.go
+++ b/entry/boot/serve.go
@@ -15,6 +15,7 @@
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/spread"
+	"tarragonvalve.example/entry/abort"
 	"tarragonvalve.example/entry/relay"
 )
 
@@ -110,8 +111,8 @@
 // for the drain notice, in which the load balancer stops sending them here, and
 // waits until the open requests have ended or the drain limit is over.
 func (c *callerServer) Run(ctx context.Context) error {
-	base, abort := context.WithCancel(context.Background())
-	defer abort()
+	base, cancelOpen := context.WithCancelCause(context.Background())
+	defer cancelOpen(nil)
 	c.server.BaseContext = func(net.Listener) context.Context { return base }
 	c.server.Handler = c.readiness.endConnections(c.server.Handler)
 	c.start()
@@ -128,7 +129,7 @@
 	defer cancel()
 	if err := c.shutdown(d); err != nil {
 		c.log.Warn().Msg("drain limit reached, cancelling open requests")
-		abort()
+		cancelOpen(abort.ErrDrained)
 		c.closeAborted()
 	}
 	w, stop := context.WithTimeout(context.Background(), stopTimeout)
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -21,6 +21,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/spread"
+	"tarragonvalve.example/entry/abort"
 	"tarragonvalve.example/entry/calls"
 	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/relay"
@@ -275,7 +276,7 @@
 		s := (e.RetryAfter + time.Second - 1) / time.Second
 		w.Header().Set("Retry-After", strconv.FormatInt(int64(s), 10))
 	}
-	writeJSON(w, Status(e.Code), errorOf(id, e))
+	writeJSON(w, status(e), errorOf(id, e))
 }
 
 // limitWrite bounds the write of a response to a caller that no longer reads.
@@ -289,8 +290,14 @@
 func (a *API) readBody(w http.ResponseWriter, r *http.Request, c *requestInfo) ([]byte, error) {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(readTimeout))
+	// The end of the context doesn't end a read.
+	stop := context.AfterFunc(r.Context(), func() { _ = rc.SetReadDeadline(time.Now()) })
 	b, err := io.ReadAll(r.Body)
-	if err != nil {
+	stop()
+	switch {
+	case err != nil && abort.Drained(r.Context()):
+		return nil, abort.Refusal(r.Context(), refuse.NotRun)
+	case err != nil:
 		return nil, bodyRefusal(err)
 	}
 	_ = rc.SetReadDeadline(time.Time{})
@@ -342,12 +349,16 @@
 	refuse.Internal:                http.StatusInternalServerError,
 }
 
-// Status returns the HTTP status of a refusal code. It is 503 for all codes without
-// a status of their own, since they mean that the service is not available now.
-func Status(c refuse.Code) int {
-	if s, ok := statuses[c]; ok {
+// status returns the HTTP status of a refusal. It is 503 for all codes without a status
+// of their own, since they mean that the service is not available now. A shutdown has 502
+// if the request may have run, since clients repeat after 503.
+func status(e *refuse.Error) int {
+	if s, ok := statuses[e.Code]; ok {
 		return s
 	}
+	if e.Code == refuse.Draining && e.Ran != refuse.NotRun {
+		return http.StatusBadGateway
+	}
 	return http.StatusServiceUnavailable
 }
 
--- a/entry/calls/calls_test.go
+++ b/entry/calls/calls_test.go
@@ -1,6 +1,7 @@
 package calls
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
@@ -12,6 +13,7 @@
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/table"
 	"tarragonvalve.example/core/table/memory"
+	"tarragonvalve.example/entry/abort"
 )
 
 // long is a pause that exceeds the deadline of every call.
@@ -185,6 +187,52 @@
 	})
 }
 
+// Guards against a refusal at the drain limit that says that the caller left, that is wrong about whether
+// the call ran, or that replaces a result that comes soon after.
+func TestDrainLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, key string
+		agent     behaviour
+		code      refuse.Code
+		ran       refuse.Ran
+		runs      int
+	}{
+		"keyed, not sent yet":   {"/runs", "k", behaviour{before: 5 * time.Second}, refuse.UpstreamFailed, refuse.NotRun, 0},
+		"keyed, ends soon":      {"/runs", "k", behaviour{run: 1500 * time.Millisecond}, "", "", 1},
+		"keyed, at work":        {"/runs", "k", behaviour{run: 5 * time.Second}, refuse.ClaimUnknown, refuse.Unknown, 1},
+		"repeatable, in flight": {"/status", "", behaviour{before: 5 * time.Second}, refuse.Draining, refuse.Unknown, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newHarness(c.agent, behaviour{})
+				defer w.stop()
+				ctx, cancel := context.WithCancelCause(t.Context())
+				time.AfterFunc(time.Second, func() { cancel(abort.ErrDrained) })
+				at := time.Now()
+				method := "GET"
+				if c.key != "" {
+					method = "POST"
+				}
+				_, err := w.exec.Call(ctx, Call{
+					ID: "r1", Account: "a", Service: "orders", Method: method, Path: c.path, Target: c.path,
+					Key: c.key, Deadline: at.Add(10 * time.Second),
+				})
+				if d := time.Since(at); d >= 3*time.Second {
+					t.Errorf("the answer came %v after the limit, want less than 2s", d-time.Second)
+				}
+				time.Sleep(2 * long)
+				e, _ := refuse.As(err)
+				if (e == nil) != (c.code == "") || e != nil && (e.Code != c.code || e.Ran != c.ran) {
+					t.Errorf("the call returned %v, want %s and %s", err, c.code, c.ran)
+				}
+				if n := w.runCount(); n != c.runs {
+					t.Errorf("ran %d times, want %d", n, c.runs)
+				}
+			})
+		})
+	}
+}
+
 // Guards against calls that wait for a slow upstream although a hedge is allowed,
 // against hedges that the rule or the budget does not allow, and against billing
 // both attempts.
--- a/entry/calls/once.go
+++ b/entry/calls/once.go
@@ -9,6 +9,7 @@
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/entry/abort"
 )
 
 const (
@@ -123,11 +124,12 @@
 func endCall(e *refuse.Error) resolution { return resolution{final: &finalError{e: e}} }
 
 // resolve decides what follows an attempt that failed with err. When it is unknown
-// whether the call ran, the claim is fenced or read to find out.
+// whether the call ran, the claim is fenced or read to find out, also at the drain limit:
+// the caller still waits.
 func (x *Executor) resolve(ctx context.Context, j *job, k claim.Key, expect ident.Revision, err error) resolution {
 	e, ok := refuse.As(err)
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !abort.Drained(ctx):
 		return endCall(refuse.New(refuse.Cancelled, refuse.Unknown, "the caller left"))
 	case ok && e.Ran == refuse.DidRun:
 		return endCall(e)
@@ -252,7 +254,7 @@
 // the key may have run through any entry, so the refusal can't say not-run.
 func (x *Executor) claimUnreadable(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return refuse.New(refuse.Cancelled, refuse.Unknown, "the caller left")
+		return abort.Refusal(ctx, refuse.Unknown)
 	}
 	return refuse.New(refuse.ClaimUnknown, refuse.Unknown,
 		"claims can't be read now: nothing was sent for this request, but an earlier one with this Idempotency-Key may have run; repeat it with the same key").WithRetryAfter(retryAfter)
--- a/entry/calls/repeat.go
+++ b/entry/calls/repeat.go
@@ -8,6 +8,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/wire"
+	"tarragonvalve.example/entry/abort"
 	"tarragonvalve.example/entry/agents"
 	"tarragonvalve.example/entry/retry"
 )
@@ -60,14 +61,14 @@
 	return nil, &e
 }
 
-// refusalOf turns the error of an attempt into a refusal. The deadline and a caller
-// that disconnected take precedence over the error.
+// refusalOf turns the error of an attempt into a refusal. The deadline, a caller that
+// disconnected and the drain limit take precedence over the error.
 func (x *Executor) refusalOf(ctx context.Context, a attemptResult) *refuse.Error {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return refuse.New(refuse.DeadlineExceeded, refuse.Unknown, "the call's time is over")
 	case ctx.Err() != nil:
-		return refuse.New(refuse.Cancelled, refuse.Unknown, "the caller left")
+		return abort.Refusal(ctx, refuse.Unknown)
 	}
 	if e, ok := refuse.As(a.err); ok {
 		return e
--- a/entry/relay/bill.go
+++ b/entry/relay/bill.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/base32"
 	"hash/fnv"
@@ -12,6 +13,7 @@
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/wire"
+	"tarragonvalve.example/entry/abort"
 	"tarragonvalve.example/entry/policy"
 )
 
@@ -22,10 +24,10 @@
 
 // billPartial adds the billing receipt of a request that was refused after an attempt
 // may have run. It charges only the relayed output tokens.
-func (r *Relay) billPartial(q *request, e *refuse.Error) {
+func (r *Relay) billPartial(ctx context.Context, q *request, e *refuse.Error) {
 	o := ledger.OutcomeFailed
 	switch {
-	case e.Code == refuse.Cancelled || e.Code == refuse.DeadlineExceeded:
+	case e.Code == refuse.Cancelled || e.Code == refuse.DeadlineExceeded || abort.Drained(ctx):
 		o = ledger.OutcomeCancelled
 	case q.textCount > 0:
 		o = ledger.OutcomeBroken
--- a/entry/relay/relay_test.go
+++ b/entry/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/wire"
+	"tarragonvalve.example/entry/abort"
 	"tarragonvalve.example/entry/plan"
 )
 
@@ -320,6 +321,42 @@
 	})
 }
 
+// Guards against a refusal at the drain limit that says that the caller left, and against one that is
+// wrong about whether the request ran.
+func TestDrainLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		text    string
+		code    refuse.Code
+		ran     refuse.Ran
+		outcome ledger.Outcome
+	}{
+		"nothing relayed": {"", refuse.Draining, refuse.Unknown, ledger.OutcomeCancelled},
+		"stream begun":    {"a", refuse.StreamBroken, refuse.DidRun, ledger.OutcomeCancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newHarness(t, func(q *wire.RunRequest, s wire.Agent_RunServer) error {
+					if c.text != "" {
+						s.Send(framesFor(q).data(0, c.text))
+					}
+					<-s.Context().Done()
+					return nil
+				})
+				defer w.stop()
+				ctx, cancel := context.WithCancelCause(context.Background())
+				time.AfterFunc(time.Second, func() { cancel(abort.ErrDrained) })
+				_, err := w.chat(ctx)
+				if e, _ := refuse.As(err); e == nil || e.Code != c.code || e.Ran != c.ran {
+					t.Errorf("the chat returned %v, want %s and %s", err, c.code, c.ran)
+				}
+				if b := w.bill(); b.Outcome != c.outcome || int(b.Output) != len(c.text) {
+					t.Errorf("the billing receipt is %+v", b)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a session that loses its version, and against tokens that are
 // damaged or not tokens.
 func TestSessionTokenPins(t *testing.T) {
--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -14,6 +14,7 @@
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/core/token"
 	"tarragonvalve.example/core/wire"
+	"tarragonvalve.example/entry/abort"
 	"tarragonvalve.example/entry/plan"
 	"tarragonvalve.example/entry/policy"
 )
@@ -339,7 +340,7 @@
 }
 
 // finalRefusal turns an error into the refusal that the caller gets. A deadline that
-// passed and a caller that disconnected take precedence over the error. If an
+// passed, a caller that disconnected and the drain limit take precedence over the error. If an
 // attempt may have run, it adds a billing receipt for only the relayed tokens;
 // without one, the receipt of the agent would be billed.
 func (r *Relay) finalRefusal(ctx context.Context, q *request, err error) *refuse.Error {
@@ -354,8 +355,11 @@
 	switch {
 	case timeOver(ctx):
 		e = refuse.New(refuse.DeadlineExceeded, q.ran, "the request's time is over")
+	case abort.Drained(ctx) && q.textCount > 0:
+		r.count.Broken.Add(1)
+		e = refuse.New(refuse.StreamBroken, q.ran, "the stream can't be continued: this entry stopped")
 	case ctx.Err() != nil:
-		e = refuse.New(refuse.Cancelled, q.ran, "the caller left")
+		e = abort.Refusal(ctx, q.ran)
 	}
 	if e.Ran == refuse.NotRun && q.ran != refuse.NotRun {
 		c := *e
@@ -363,7 +367,7 @@
 		e = &c
 	}
 	if q.ran != refuse.NotRun {
-		r.billPartial(q, e)
+		r.billPartial(ctx, q, e)
 	}
 	return e
 }
