--- a/agent/runner/relay.go
+++ b/agent/runner/relay.go
@@ -227,7 +227,9 @@
 func failureOf(a *attempt, p *progress, err error) (*refuse.Error, ledger.Outcome) {
 	if cause := context.Cause(a.ctx); cause != nil {
 		if ref, ok := refuse.As(cause); ok {
-			return ref, ledger.OutcomeCancelled
+			// Attempts that are cancelled together have the same cause.
+			own := *ref
+			return &own, ledger.OutcomeCancelled
 		}
 		if errors.Is(cause, context.DeadlineExceeded) {
 			return refuse.New(refuse.DeadlineExceeded, refuse.DidRun, "run attempt: its deadline has passed"), ledger.OutcomeCancelled
