fix(agent): refuse queued work at the drain limit as draining

Callers whose request was queued at an agent that reached its drain limit got 499 cancelled, as if they had left, though another agent could have served them: entries send a cancelled request nowhere else.

Cause: the scheduler turned each end of a queued attempt's context into cancelled, whatever its cause.

Now a cause that is a refusal keeps its code, with not-run. At its drain limit an agent refuses queued work with draining and not-run, which entries take to another agent without using the retry budget, and running work with draining and ran; a stream that a caller has a part of still ends with stream-broken there.

--- a/agent/entry/fake_test.go
+++ b/agent/entry/fake_test.go
@@ -194,6 +194,12 @@
 }
 
 func start(t *testing.T, f *fakeEngine) *harness {
+	t.Helper()
+	return startWithDrain(t, f, 30*time.Second)
+}
+
+// startWithDrain is start with a drain limit.
+func startWithDrain(t *testing.T, f *fakeEngine, limit time.Duration) *harness {
 	t.Helper()
 	h := httptest.NewServer(f)
 	t.Cleanup(h.Close)
@@ -216,7 +222,7 @@
 		Listener: l,
 		Server:   entry.NewServer(entry.Options{Status: st, Runner: u, Streams: r.streams, Replica: r.replica, Receipts: r.receipts, Ring: ring}),
 		Peer:     wire.UnimplementedPeerServer{},
-		Sched:    s, DrainTimeout: 30 * time.Second, Ring: ring, Log: zerolog.Nop(), Now: time.Now,
+		Sched:    s, DrainTimeout: limit, Ring: ring, Log: zerolog.Nop(), Now: time.Now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	serving, stop := context.WithCancel(context.Background())
--- a/agent/entry/serve.go
+++ b/agent/entry/serve.go
@@ -106,7 +106,7 @@
 	start := o.Now()
 	if !l.idleWithin(start, o.DrainTimeout) && o.Server.options.Runner != nil {
 		o.Log.Warn().Msg("drain limit reached")
-		o.Server.options.Runner.CancelAll(refuse.New(refuse.StreamBroken, refuse.DidRun, "run attempt: this agent stops"))
+		o.Server.options.Runner.CancelAll(refuse.New(refuse.Draining, refuse.DidRun, "run attempt: this agent stops"))
 		l.idleWithin(o.Now(), stopTimeout)
 	}
 	o.Ring.Record(event.Event{Kind: event.DrainEnded})
--- a/agent/sched/sched.go
+++ b/agent/sched/sched.go
@@ -161,12 +161,24 @@
 		return r
 	case <-ctx.Done():
 		t.Done(nil)
-		return refuse.New(refuse.Cancelled, refuse.NotRun, "wait for a slot: %v", context.Cause(ctx))
+		return notStarted(context.Cause(ctx))
 	case <-t.sched.stopped:
 		return refuse.New(refuse.Draining, refuse.NotRun, "wait for a slot: this agent has stopped")
 	}
 }
 
+// notStarted returns the refusal of work whose context ended before it got a slot. A cause that is a
+// refusal keeps its code, which tells entries whether another agent may take the work.
+func notStarted(cause error) *refuse.Error {
+	e, ok := refuse.As(cause)
+	if !ok {
+		return refuse.New(refuse.Cancelled, refuse.NotRun, "wait for a slot: %v", cause)
+	}
+	n := *e
+	n.Ran = refuse.NotRun
+	return &n
+}
+
 // Check repeats gate.CheckDispatch with the present view, except for the check of the
 // receipt buffer. Call it immediately before the work is sent.
 func (t *Ticket) Check() *refuse.Error {
