feat(agent): recover, log and count panics of handlers

A panic in a gRPC handler ended the agent and with it all other work; one in an HTTP handler was written to standard error by net/http, without a count.

Now gRPC calls end with codes.Internal, which entries take as an unknown fate, HTTP requests with 500, and the process goes on. Each panic has a line with the method or path and the place, its stack once a minute for each place, and counts in tarragonvalve_agent_handler_panics_total. The error log of the HTTP server goes to zerolog, the drain limit logs what is left, and a stop that closes connections with open calls says so. The health server waits for open requests before it returns.

A panic in a goroutine that a handler started still ends the process.

--- a/agent/boot/build.go
+++ b/agent/boot/build.go
@@ -16,6 +16,7 @@
 	"tarragonvalve.example/agent/entry"
 	"tarragonvalve.example/agent/fence"
 	"tarragonvalve.example/agent/health"
+	"tarragonvalve.example/agent/panics"
 	"tarragonvalve.example/agent/plain"
 	"tarragonvalve.example/agent/runner"
 	"tarragonvalve.example/agent/sched"
@@ -46,6 +47,7 @@
 		func() zerolog.Logger { return l },
 		newListeners,
 		newRing,
+		newPanics,
 		newTable,
 		newReplica,
 		newLedger,
@@ -168,6 +170,10 @@
 	return event.NewRing(event.NewClock(time.Now), s.Agent.Instance, s.Agent.EventRing)
 }
 
+func newPanics(l zerolog.Logger) *panics.Reporter {
+	return panics.New(logger.Part(l, "panics"))
+}
+
 func newTable(s *setup.Settings) table.Client {
 	return table.NewDynamo(s.Table)
 }
@@ -324,7 +330,7 @@
 	return entry.NewServer(o)
 }
 
-func newListener(s *setup.Settings, p *listeners, v *entry.Server, st *entry.Status, n *spread.Replica, h *sched.Scheduler, c *calls.Executor, k *claim.Store, r *event.Ring, l zerolog.Logger) (*entry.Listener, error) {
+func newListener(s *setup.Settings, p *listeners, v *entry.Server, st *entry.Status, n *spread.Replica, h *sched.Scheduler, c *calls.Executor, k *claim.Store, r *event.Ring, m *panics.Reporter, l zerolog.Logger) (*entry.Listener, error) {
 	o := entry.ListenerOptions{
 		Listener:     p.entries,
 		Server:       v,
@@ -333,6 +339,7 @@
 		DrainTimeout: s.Agent.DrainTimeout,
 		MinDrainTime: s.Agent.MinDrainTime,
 		Ring:         r,
+		Panics:       m,
 		Log:          logger.Part(l, "entries"),
 		Now:          time.Now,
 	}
@@ -349,12 +356,14 @@
 	return entry.NewListener(o), nil
 }
 
-func newHealth(p *listeners, st *entry.Status, n *spread.Replica, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts) *health.Server {
+func newHealth(p *listeners, st *entry.Status, n *spread.Replica, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts, m *panics.Reporter, l zerolog.Logger) *health.Server {
 	r := prometheus.NewRegistry()
-	registerMetrics(r, h, t, b, e)
+	registerMetrics(r, h, t, b, e, m)
 	return health.New(health.Options{
 		Listener: p.admin,
 		Registry: r,
+		Panics:   m,
+		Log:      logger.Part(l, "health"),
 		Ready: func() []string {
 			var reasons []string
 			if n.View().Document() == nil {
--- a/agent/boot/metrics.go
+++ b/agent/boot/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"tarragonvalve.example/agent/panics"
 	"tarragonvalve.example/agent/sched"
 	"tarragonvalve.example/agent/stream"
 	"tarragonvalve.example/core/ledger"
@@ -11,7 +12,7 @@
 
 // registerMetrics registers the metrics of the Go runtime, the process and the agent. The
 // values are read at each scrape.
-func registerMetrics(r *prometheus.Registry, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts) {
+func registerMetrics(r *prometheus.Registry, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts, p *panics.Reporter) {
 	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	registerGauge(r, "queued", "Attempts that wait for a slot.", func() float64 { return float64(h.Load().Queued) })
 	registerGauge(r, "running", "Attempts that hold a slot.", func() float64 { return float64(h.Load().Running) })
@@ -21,6 +22,7 @@
 		n, _, _ := t.Counts()
 		return float64(n)
 	})
+	registerCounter(r, "handler_panics_total", "Panics of HTTP and gRPC handlers.", func() float64 { return float64(p.Count()) })
 	registerCounter(r, "work_refused_total", "Work refused by the gate or the queue.", func() float64 { return float64(h.Load().Refused) })
 	registerCounter(r, "stream_buffers_evicted_total", "Buffers evicted before their time.", func() float64 {
 		_, n, _ := t.Counts()
--- a/agent/entry/drain_test.go
+++ b/agent/entry/drain_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/wire"
 )
@@ -24,3 +27,21 @@
 	}
 	<-r.stopped
 }
+
+// Guards against a panic in one call that ends the agent with the work of all others.
+func TestPanicInCall(t *testing.T) {
+	r := start(t, newFakeEngine())
+	s := startAccepted(t, r, "r1")
+	r.replica.failing.Store(true)
+	w, err := r.client.Watch(t.Context(), &wire.WatchRequest{Entry: "entry-1", State: &wire.State{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.Recv(); status.Code(err) != codes.Internal || r.panics.Count() != 1 {
+		t.Errorf("the call returned %v, %d panics counted", err, r.panics.Count())
+	}
+	close(r.engine.release)
+	if text, f := readRest(t, s, 0); text != fullText || f.GetEnd() == nil {
+		t.Errorf("the other call got %q and %v", text, f)
+	}
+}
--- a/agent/entry/fake_test.go
+++ b/agent/entry/fake_test.go
@@ -21,6 +21,7 @@
 
 	"tarragonvalve.example/agent/engine"
 	"tarragonvalve.example/agent/entry"
+	"tarragonvalve.example/agent/panics"
 	"tarragonvalve.example/agent/queue"
 	"tarragonvalve.example/agent/runner"
 	"tarragonvalve.example/agent/sched"
@@ -111,6 +112,8 @@
 	mu      sync.Mutex
 	view    *spread.View
 	changed chan struct{}
+	// failing makes Merge panic.
+	failing atomic.Bool
 }
 
 func (n *fakeReplica) View() *spread.View {
@@ -129,7 +132,12 @@
 	return &wire.State{Generation: uint64(n.View().Generation())}
 }
 
-func (n *fakeReplica) Merge(context.Context, *wire.State) error { return nil }
+func (n *fakeReplica) Merge(context.Context, *wire.State) error {
+	if n.failing.Load() {
+		panic("broken")
+	}
+	return nil
+}
 
 func (n *fakeReplica) set(g ident.Generation, s envdoc.VersionState) {
 	d := &envdoc.Document{
@@ -186,6 +194,7 @@
 	receipts *receipts
 	streams  *stream.Store
 	client   wire.AgentClient
+	panics   *panics.Reporter
 	// clockOffset advances the clock of the stream store, in nanoseconds.
 	clockOffset atomic.Int64
 	// stop starts the drain of the agent; stopped is closed at its end.
@@ -203,7 +212,7 @@
 	t.Helper()
 	h := httptest.NewServer(f)
 	t.Cleanup(h.Close)
-	r := &harness{engine: f, replica: &fakeReplica{}, receipts: &receipts{}, stopped: make(chan struct{})}
+	r := &harness{panics: panics.New(zerolog.Nop()), engine: f, replica: &fakeReplica{}, receipts: &receipts{}, stopped: make(chan struct{})}
 	r.replica.set(1, envdoc.StateLive)
 	ring := event.NewRing(event.NewClock(time.Now), "agent-1", 64)
 	s := sched.New(sched.Options{Views: r.replica, Slots: 2, Limits: queue.Default(), LedgerFull: func(int) bool { return false }, Now: time.Now})
@@ -222,7 +231,7 @@
 		Listener: l,
 		Server:   entry.NewServer(entry.Options{Status: st, Runner: u, Streams: r.streams, Replica: r.replica, Receipts: r.receipts, Ring: ring}),
 		Peer:     wire.UnimplementedPeerServer{},
-		Sched:    s, DrainTimeout: limit, Ring: ring, Log: zerolog.Nop(), Now: time.Now,
+		Sched:    s, DrainTimeout: limit, Ring: ring, Panics: r.panics, Log: zerolog.Nop(), Now: time.Now,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	serving, stop := context.WithCancel(context.Background())
--- a/agent/entry/serve.go
+++ b/agent/entry/serve.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 
+	"tarragonvalve.example/agent/panics"
 	"tarragonvalve.example/agent/sched"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/refuse"
@@ -48,8 +49,10 @@
 	DrainTimeout time.Duration
 	MinDrainTime time.Duration
 	Ring         *event.Ring
-	Log          zerolog.Logger
-	Now          func() time.Time
+	// Panics reports the panics of gRPC handlers.
+	Panics *panics.Reporter
+	Log    zerolog.Logger
+	Now    func() time.Time
 }
 
 // Listener serves gRPC to entries and drains the agent before it stops.
@@ -74,6 +77,7 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minClientPing, PermitWithoutStream: true}),
 		grpc.MaxRecvMsgSize(maxMessage),
 	}
+	o = append(o, l.options.Panics.ServerOptions()...)
 	if l.options.TLS != nil {
 		o = append(o, grpc.Creds(credentials.NewTLS(l.options.TLS)))
 	}
@@ -89,7 +93,10 @@
 	}
 	l.drain(context.WithoutCancel(ctx))
 	l.options.Server.Close()
-	t := time.AfterFunc(stopTimeout, g.Stop)
+	t := time.AfterFunc(stopTimeout, func() {
+		l.options.Log.Warn().Msg("calls of entries are open after the drain, closing their connections")
+		g.Stop()
+	})
 	defer t.Stop()
 	g.GracefulStop()
 	return nil
@@ -105,7 +112,8 @@
 	o.Server.options.Status.Drain()
 	start := o.Now()
 	if !l.idleWithin(start, o.DrainTimeout) && o.Server.options.Runner != nil {
-		o.Log.Warn().Msg("drain limit reached")
+		n := o.Sched.Load()
+		o.Log.Warn().Int("running", n.Running).Int("queued", n.Queued).Msg("drain limit reached, refusing the remaining attempts")
 		o.Server.options.Runner.CancelAll(refuse.New(refuse.Draining, refuse.DidRun, "run attempt: this agent stops"))
 		l.idleWithin(o.Now(), stopTimeout)
 	}
--- a/agent/health/health.go
+++ b/agent/health/health.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -14,12 +13,18 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/agent/panics"
 )
 
 // Options configures a Server.
 type Options struct {
 	Listener net.Listener
 	Registry *prometheus.Registry
+	// Panics reports the panics of handlers.
+	Panics *panics.Reporter
+	Log    zerolog.Logger
 	// Ready returns the reasons why the agent is not ready. It returns none if the agent is
 	// ready.
 	Ready func() []string
@@ -47,19 +52,24 @@
 	return "health"
 }
 
-// Run serves until ctx ends. It implements serve.Step.
+// Run serves until ctx ends and the open requests have ended. It implements serve.Step.
 func (s *Server) Run(ctx context.Context) error {
-	h := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() {
-		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-		defer cancel()
-		if h.Shutdown(c) != nil {
-			_ = h.Close() // the process exits next, so an error has no effect
-		}
-	})
-	defer stop()
-	if err := h.Serve(s.options.Listener); !errors.Is(err, http.ErrServerClosed) {
+	h := &http.Server{
+		Handler:           s.options.Panics.Handler(s.Handler()),
+		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          panics.ErrorLog(s.options.Log),
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- h.Serve(s.options.Listener) }()
+	select {
+	case err := <-failed:
 		return err
+	case <-ctx.Done():
+	}
+	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	if h.Shutdown(c) != nil {
+		_ = h.Close() // the process exits next, so an error has no effect
 	}
 	return nil
 }
