feat(entry): log and count the answers that callers don't get whole

An answer that ended early left no line: a panic of a handler was written to standard error by net/http, a cut at the end of a drain, a caller that left or one that did not read could not be told apart. A panic in a call of another entry ended the process.

Now each answer that is not complete has a line with the request's id, its cause (handler-panic, drain-ended, upstream-broke-off, deadline-passed, client-gone, write-deadline) and the time since the stop began, and a counter for its cause. A panic is answered with 500 of unknown fate as long as no answer has begun, otherwise the connection is closed; its stack is logged once a minute for each place. gRPC calls of other entries end with codes.Internal. The error logs of both HTTP servers go to zerolog. Answers are flushed before their end is judged, with their length set so that they stay unchunked.

--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -32,6 +32,7 @@
 	"tarragonvalve.example/entry/calls"
 	"tarragonvalve.example/entry/copies"
 	"tarragonvalve.example/entry/fleet"
+	"tarragonvalve.example/entry/panics"
 	"tarragonvalve.example/entry/peers"
 	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/ramp"
@@ -53,6 +54,7 @@
 		newListeners,
 		newCertificates,
 		newRing,
+		newPanics,
 		newTable,
 		newStore,
 		newReplica,
@@ -210,6 +212,10 @@
 	return event.NewRing(event.NewClock(time.Now), s.Entry.Instance, s.Entry.EventRing)
 }
 
+func newPanics(l zerolog.Logger) *panics.Reporter {
+	return panics.New(logger.Part(l, "panics"))
+}
+
 func newTable(s *setup.Settings) table.Client {
 	return table.NewDynamo(s.Table)
 }
@@ -417,8 +423,8 @@
 // is below the second between two pings of an entry.
 const minPing = 500 * time.Millisecond
 
-func newPeerServer(p *listeners, n *spread.Replica, r *event.Ring, h *readiness, x *demandExchange, c *certificates) *peerServer {
-	o := []grpc.ServerOption{grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true})}
+func newPeerServer(p *listeners, n *spread.Replica, r *event.Ring, h *readiness, x *demandExchange, c *certificates, m *panics.Reporter) *peerServer {
+	o := append(m.ServerOptions(), grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true}))
 	if c.source != nil {
 		o = append(o, grpc.Creds(credentials.NewTLS(c.source.InternalServerConfig())))
 	}
@@ -430,9 +436,11 @@
 	return &peerServer{listener: p.peers, server: g}
 }
 
-func newCallerAPI(s *setup.Settings, n *spread.Replica, r *relay.Relay, d *calls.Executor, p *policy.Controller, h *readiness, e *event.Ring, l zerolog.Logger) *caller.API {
+func newCallerAPI(s *setup.Settings, n *spread.Replica, r *relay.Relay, d *calls.Executor, p *policy.Controller, h *readiness, e *event.Ring, m *panics.Reporter, l zerolog.Logger) *caller.API {
 	return caller.New(caller.Options{
 		Admits:         h.admits,
+		StoppedFor:     h.stoppedFor,
+		Panics:         m,
 		Control:        n,
 		Chats:          r,
 		Calls:          d,
@@ -449,25 +457,37 @@
 }
 
 func newCallerServer(s *setup.Settings, p *listeners, a *caller.API, h *readiness, r *relay.Relay, e *event.Ring, c *certificates, l zerolog.Logger) *callerServer {
-	v := &http.Server{Handler: a, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	if c.source != nil {
-		v.TLSConfig = c.source.PublicServerConfig()
-	}
+	l = logger.Part(l, "callers")
+	v := newHTTPServer(a, c, l)
 	return &callerServer{
 		httpServer:  httpServer{listener: p.callers, server: v, tls: c.source != nil},
 		readiness:   h,
 		drainNotice: s.Entry.DrainNotice,
 		drainLimit:  s.Entry.DrainLimit,
+		open:        a.Open,
 		relay:       r,
 		ring:        e,
-		log:         logger.Part(l, "callers"),
+		log:         l,
 	}
 }
 
-func newAdminServer(p *listeners, h http.Handler, c *certificates) *adminServer {
-	v := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+func newAdminServer(p *listeners, h http.Handler, c *certificates, m *panics.Reporter, l zerolog.Logger) *adminServer {
+	l = logger.Part(l, "admin")
+	v := newHTTPServer(m.Handler(h), c, l)
+	return &adminServer{httpServer: httpServer{listener: p.admin, server: v, tls: c.source != nil}, log: l}
+}
+
+// newHTTPServer returns a server with the limits of all HTTP servers of an entry.
+func newHTTPServer(h http.Handler, c *certificates, l zerolog.Logger) *http.Server {
+	v := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          panics.ErrorLog(l),
+	}
 	if c.source != nil {
 		v.TLSConfig = c.source.PublicServerConfig()
 	}
-	return &adminServer{httpServer: httpServer{listener: p.admin, server: v, tls: c.source != nil}}
+	return v
 }
--- a/entry/boot/drain_test.go
+++ b/entry/boot/drain_test.go
@@ -42,6 +42,7 @@
 		readiness:   &readiness{replica: spread.New(spread.Options{Instance: "entry-1"}), isolationLimit: time.Minute, now: time.Now},
 		drainNotice: notice,
 		drainLimit:  limit,
+		open:        func() int { return 1 },
 		relay:       relay.New(relay.Options{}),
 		ring:        event.NewRing(event.NewClock(time.Now), "entry-1", 16),
 		log:         zerolog.Nop(),
--- a/entry/boot/metrics.go
+++ b/entry/boot/metrics.go
@@ -1,6 +1,8 @@
 package boot
 
 import (
+	"strings"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -13,6 +15,7 @@
 	"tarragonvalve.example/entry/calls"
 	"tarragonvalve.example/entry/fanout"
 	"tarragonvalve.example/entry/fleet"
+	"tarragonvalve.example/entry/panics"
 	"tarragonvalve.example/entry/peers"
 	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/relay"
@@ -56,7 +59,7 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, g))
 }
 
-func newMetrics(a *caller.API, r *relay.Relay, d *calls.Executor, p *policy.Controller, f *fleet.Fleet, b *ledger.Buffer, k *agents.Acks, t *ratings, o *roster.Roster, e *peers.Exchanger, s *agents.Set, n *spread.Replica) *prometheus.Registry {
+func newMetrics(a *caller.API, r *relay.Relay, d *calls.Executor, p *policy.Controller, f *fleet.Fleet, b *ledger.Buffer, k *agents.Acks, t *ratings, o *roster.Roster, e *peers.Exchanger, s *agents.Set, n *spread.Replica, h *panics.Reporter) *prometheus.Registry {
 	m := metrics{registry: prometheus.NewRegistry()}
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.gauge("open_requests", "Requests that are open.", func() float64 { return float64(a.Open()) })
@@ -68,6 +71,11 @@
 	m.counter("acknowledgements_dropped_total", "Stored batches of receipts that were not acknowledged to agents.", k.Dropped)
 	m.counter("attempt_reports_dropped_total", "Results of attempts dropped before outlier detection because too many were waiting.", f.Dropped)
 	m.counter("links_replaced_total", "Silent connections to agents that were replaced.", s.Replaced)
+	m.counter("handler_panics_total", "Panics of HTTP and gRPC handlers.", h.Count)
+	for _, c := range caller.Causes() {
+		name := "incomplete_answers_" + strings.ReplaceAll(string(c), "-", "_") + "_total"
+		m.counter(name, "Answers that callers got no complete end of: "+string(c)+".", func() uint64 { return a.Incomplete(c) })
+	}
 	m.relay(r.Counters())
 	m.calls(d.Counters())
 	m.policy(p.Counters())
--- a/entry/boot/serve.go
+++ b/entry/boot/serve.go
@@ -69,14 +69,19 @@
 // draining reports whether the process drains.
 func (p *readiness) draining() bool { return p.drainBegan.Load() != nil }
 
-// admits reports whether the drain, if it has begun, leaves a request with a deadline enough time.
-func (p *readiness) admits(deadline time.Time) bool {
+// stoppedFor returns the time since the process began to drain, and whether it did.
+func (p *readiness) stoppedFor() (time.Duration, bool) {
 	began := p.drainBegan.Load()
 	if began == nil {
-		return true
+		return 0, false
 	}
-	now := p.now()
-	return drain.Admits(now.Sub(*began), p.drainTime, deadline.Sub(now))
+	return p.now().Sub(*began), true
+}
+
+// admits reports whether the drain, if it has begun, leaves a request with a deadline enough time.
+func (p *readiness) admits(deadline time.Time) bool {
+	past, stopping := p.stoppedFor()
+	return !stopping || drain.Admits(past, p.drainTime, deadline.Sub(p.now()))
 }
 
 // endConnections asks clients to close their connections after the answers of a draining process, so that
@@ -99,9 +104,11 @@
 	drainNotice time.Duration
 	// drainLimit bounds the time that open requests then have to end.
 	drainLimit time.Duration
-	relay      *relay.Relay
-	ring       *event.Ring
-	log        zerolog.Logger
+	// open returns the number of open requests.
+	open  func() int
+	relay *relay.Relay
+	ring  *event.Ring
+	log   zerolog.Logger
 }
 
 // Name implements serve.Component.
@@ -128,7 +135,7 @@
 	d, cancel := context.WithTimeout(context.Background(), c.drainLimit)
 	defer cancel()
 	if err := c.shutdown(d); err != nil {
-		c.log.Warn().Msg("drain limit reached, cancelling open requests")
+		c.log.Warn().Int("open", c.open()).Msg("drain limit reached, cancelling open requests")
 		cancelOpen(abort.ErrDrained)
 		c.closeAborted()
 	}
@@ -145,6 +152,7 @@
 	d, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	if c.server.Shutdown(d) != nil {
+		c.log.Error().Int("open", c.open()).Msg("cancelled requests have not ended, closing their connections")
 		_ = c.server.Close()
 	}
 }
@@ -159,6 +167,8 @@
 // requests hold operator keys, so they are encrypted if certificates are set.
 type adminServer struct {
 	httpServer
+
+	log zerolog.Logger
 }
 
 // Name implements serve.Component.
@@ -175,6 +185,7 @@
 	d, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	if w.shutdown(d) != nil {
+		w.log.Warn().Msg("requests of operators are open, closing their connections")
 		_ = w.server.Close()
 	}
 	return nil
--- a/entry/boot/serve_test.go
+++ b/entry/boot/serve_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/entry/panics"
 	"tarragonvalve.example/entry/setup"
 )
 
@@ -67,7 +68,7 @@
 		t.Fatal(err)
 	}
 	defer l.close()
-	w := newAdminServer(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), c)
+	w := newAdminServer(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }), c, panics.New(zerolog.Nop()), zerolog.Nop())
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- w.Run(ctx) }()
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -23,6 +23,7 @@
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/entry/abort"
 	"tarragonvalve.example/entry/calls"
+	"tarragonvalve.example/entry/panics"
 	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/relay"
 )
@@ -72,6 +73,10 @@
 	Limits  Limits
 	// Admits reports whether a request with a deadline may be taken although the process drains.
 	Admits func(deadline time.Time) bool
+	// StoppedFor returns the time since the process began to drain, and whether it did.
+	StoppedFor func() (time.Duration, bool)
+	// Panics reports the panics of handlers.
+	Panics *panics.Reporter
 	Ring   *event.Ring
 	Log    zerolog.Logger
 	Now    func() time.Time
@@ -94,11 +99,13 @@
 	// open counts the open requests, excess those refused because of MaxOpen.
 	open   atomic.Int64
 	excess atomic.Uint64
+	// incomplete counts the answers that were not complete.
+	incomplete map[Cause]*atomic.Uint64
 }
 
 // New returns an API with its routes.
 func New(o Options) *API {
-	a := &API{o: o}
+	a := &API{o: o, incomplete: newCounters()}
 	r := chi.NewRouter()
 	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
 		a.refuse(w, "", refuse.New(refuse.NotFound, refuse.NotRun, "there is nothing at this path"))
@@ -135,14 +142,16 @@
 }
 
 // handler serves an authenticated request.
-type handler func(w http.ResponseWriter, r *http.Request, c *requestInfo)
+type handler func(w *exchange, r *http.Request, c *requestInfo)
 
 // admit bounds the open requests and the size of bodies, and authenticates
-// requests before it passes them to the handler.
+// requests before it passes them to the handler. It reports panics and incomplete answers.
 func (a *API) admit(h handler) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
+	return func(rw http.ResponseWriter, r *http.Request) {
 		defer a.open.Add(-1)
 		id := ident.RequestID(relay.NewID())
+		w := &exchange{ResponseWriter: rw, id: id}
+		defer a.recoverPanic(w)
 		if a.open.Add(1) > int64(a.o.MaxOpen) {
 			a.excess.Add(1)
 			a.refuse(w, id, refuse.New(refuse.Overloaded, refuse.NotRun, "too many requests are open here").WithRetryAfter(time.Second))
@@ -155,6 +164,7 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, a.o.MaxBody)
 		h(w, r, c)
+		a.finish(w, r)
 	}
 }
 
@@ -313,6 +323,7 @@
 		b = []byte(`{"error":{"code":"internal","message":"the answer could not be encoded","ran":"unknown"}}`)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 	w.WriteHeader(code)
 	_, _ = w.Write(b)
 }
--- a/entry/caller/caller_test.go
+++ b/entry/caller/caller_test.go
@@ -22,6 +22,7 @@
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/entry/calls"
+	"tarragonvalve.example/entry/panics"
 	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/relay"
 )
@@ -40,6 +41,7 @@
 	// reached counts the chats and calls; last is the latest call.
 	reached int
 	last    calls.Call
+	log     zerolog.Logger
 }
 
 func (f *fake) View() *spread.View {
@@ -103,7 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &fake{document: d, chat: func(_ context.Context, _ relay.Chat, s relay.Sink) (*relay.Answer, error) {
+	return &fake{document: d, log: zerolog.Nop(), chat: func(_ context.Context, _ relay.Chat, s relay.Sink) (*relay.Answer, error) {
 		h := relay.Head{Session: "token", Version: quick, Moved: true, Final: true}
 		s.SetHead(h)
 		for _, x := range []string{"Hel", "lo \"you\"\n"} {
@@ -118,8 +120,10 @@
 func (f *fake) api() *API {
 	return New(Options{
 		Control: f, Chats: f, Calls: f, Limits: f,
-		Admits: func(d time.Time) bool { return f.latest.IsZero() || !d.After(f.latest) },
-		Ring:   event.NewRing(event.NewClock(time.Now), "entry-1", 64), Log: zerolog.Nop(),
+		Admits:     func(d time.Time) bool { return f.latest.IsZero() || !d.After(f.latest) },
+		StoppedFor: func() (time.Duration, bool) { return 1500 * time.Millisecond, !f.latest.IsZero() },
+		Panics:     panics.New(f.log), Log: f.log,
+		Ring:    event.NewRing(event.NewClock(time.Now), "entry-1", 64),
 		Now:     func() time.Time { return time.Unix(1_700_000_000, 0) },
 		MaxBody: 4096, MaxOpen: 8, MaxTokens: 100, DefaultTimeout: time.Minute, MaxTimeout: time.Hour,
 	})
--- a/entry/caller/chat.go
+++ b/entry/caller/chat.go
@@ -82,7 +82,7 @@
 var roles = map[string]bool{"system": true, "developer": true, "user": true, "assistant": true}
 
 // chat answers a chat completion, as a stream or in one piece.
-func (a *API) chat(w http.ResponseWriter, r *http.Request, c *requestInfo) {
+func (a *API) chat(w *exchange, r *http.Request, c *requestInfo) {
 	a.recordReceived(c.id, c)
 	q, m, err := a.readChat(w, r, c)
 	if err != nil {
@@ -179,7 +179,7 @@
 
 // models lists the models and versions that the account may use now. Each version
 // has an entry MODEL@VERSION, and each model one entry before its versions.
-func (a *API) models(w http.ResponseWriter, _ *http.Request, c *requestInfo) {
+func (a *API) models(w *exchange, _ *http.Request, c *requestInfo) {
 	type model struct {
 		ID      string `json:"id"`
 		Object  string `json:"object"`
--- a/entry/caller/service.go
+++ b/entry/caller/service.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 
 	"github.com/go-chi/chi/v5"
@@ -15,12 +16,13 @@
 )
 
 // service runs a plain-service call and passes the service's response on.
-func (a *API) service(w http.ResponseWriter, r *http.Request, c *requestInfo) {
+func (a *API) service(w *exchange, r *http.Request, c *requestInfo) {
 	k, err := a.readCall(w, r, c)
 	if err != nil {
 		a.reject(w, c.id, c, err)
 		return
 	}
+	w.id = k.ID
 	a.recordReceived(k.ID, c)
 	if _, err := a.o.Limits.Admit(r.Context(), c.account, policy.RequestSize{}); err != nil {
 		a.reject(w, k.ID, c, err)
@@ -28,6 +30,7 @@
 	}
 	p, err := a.o.Calls.Call(r.Context(), k)
 	if err != nil {
+		w.refused(refuse.FromError(err, refuse.Unknown))
 		a.refuse(w, k.ID, err)
 		return
 	}
@@ -39,8 +42,12 @@
 	if p.Replayed {
 		h.Set(HeaderReplayed, "yes")
 	}
+	s := finalStatus(p.StatusCode)
+	if s != http.StatusNoContent && s != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(p.Body)))
+	}
 	limitWrite(w)
-	w.WriteHeader(finalStatus(p.StatusCode))
+	w.WriteHeader(s)
 	_, _ = w.Write(p.Body)
 }
 
--- a/entry/caller/stream.go
+++ b/entry/caller/stream.go
@@ -227,16 +227,12 @@
 
 // respondStream streams an answer and returns the tokens that the request used, 0
 // for a refused one.
-func (a *API) respondStream(w http.ResponseWriter, r *http.Request, c *requestInfo, q relay.Chat, m *chatRequest) ident.Tokens {
+func (a *API) respondStream(w *exchange, r *http.Request, c *requestInfo, q relay.Chat, m *chatRequest) ident.Tokens {
 	s := &eventWriter{w: w, rc: http.NewResponseController(w), id: c.id, created: a.o.Now().Unix()}
-	ctx, cancel := context.WithCancel(r.Context())
-	var wait sync.WaitGroup
-	wait.Go(func() { s.sendComments(ctx) })
-	n, err := a.o.Chats.Chat(ctx, q, s)
-	cancel()
-	wait.Wait()
+	n, err := a.chatWithComments(r.Context(), q, s)
 	if err != nil {
 		e := refuse.FromError(err, refuse.Unknown)
+		w.refused(e)
 		if !s.refuse(e) {
 			a.refuse(w, c.id, e)
 		}
@@ -246,6 +242,16 @@
 	return n.Input + n.Output
 }
 
+// chatWithComments runs a chat and sends comment lines until it ends.
+func (a *API) chatWithComments(ctx context.Context, q relay.Chat, s *eventWriter) (*relay.Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	wait.Go(func() { s.sendComments(ctx) })
+	return a.o.Chats.Chat(ctx, q, s)
+}
+
 // answerBuffer buffers an answer for a request without streaming.
 type answerBuffer struct {
 	head relay.Head
@@ -266,13 +272,14 @@
 
 // respondWhole sends an answer in one piece and returns the tokens that the request
 // used, 0 for a refused one.
-func (a *API) respondWhole(w http.ResponseWriter, r *http.Request, c *requestInfo, q relay.Chat) ident.Tokens {
+func (a *API) respondWhole(w *exchange, r *http.Request, c *requestInfo, q relay.Chat) ident.Tokens {
 	h := &answerBuffer{}
 	n, err := a.o.Chats.Chat(r.Context(), q, h)
 	if h.head.Session != "" {
 		setHeaders(w.Header(), c.id, h.head)
 	}
 	if err != nil {
+		w.refused(refuse.FromError(err, refuse.Unknown))
 		a.refuse(w, c.id, err)
 		return 0
 	}
