fix: keep entries and agents running on SIGHUP

Callers saw connections end without an answer, also of orders that had run, when an entry or an agent got a SIGHUP, as service managers and closed terminals send it, also in a drain.

Cause: neither program handled the signal, and its default action ends the process. Only SIGINT and SIGTERM were caught; repeats of these change nothing.

Now both ignore SIGHUP: their settings are read at the start, and certificates are read again by themselves.

--- a/agent/boot/boot.go
+++ b/agent/boot/boot.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"tarragonvalve.example/agent/setup"
 	"tarragonvalve.example/core/launch"
@@ -24,6 +26,8 @@
 // addresses on which it listens to out, as one line of JSON. Without an instance in the
 // settings it creates one.
 func Run(ctx context.Context, s *setup.Settings, out, logs io.Writer) error {
+	// Its default action ends the process with all requests in progress. Settings are read only at the start.
+	signal.Ignore(syscall.SIGHUP)
 	if s.Agent.Instance == "" {
 		s.Agent.Instance = launch.NewInstanceID(string(s.Upstream.ID))
 	}
--- a/entry/boot/boot.go
+++ b/entry/boot/boot.go
@@ -4,6 +4,8 @@
 import (
 	"context"
 	"io"
+	"os/signal"
+	"syscall"
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/launch"
@@ -24,6 +26,8 @@
 // Run runs an entry until ctx ends and the entry has drained. It writes one JSON
 // line with the instance id and the listening addresses to out, and logs to logs.
 func Run(ctx context.Context, s *setup.Settings, out, logs io.Writer) error {
+	// Its default action ends the process with all requests in progress. Settings are read only at the start.
+	signal.Ignore(syscall.SIGHUP)
 	s.Entry.Instance = instance(s.Entry)
 	steps, err := build(s, out, logs)
 	if err != nil {
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/proof/links"
@@ -23,10 +24,23 @@
 	Engines int
 	// Slots is the maximum batch size of each engine, which its agent has in its settings too.
 	Slots int
+	// DrainLimit is the drain limit of entries and agents; 0 means defaultDrainLimit.
+	DrainLimit time.Duration
 	// NoDocument starts the fleet without promoting a first document.
 	NoDocument bool
 }
 
+// defaultDrainLimit is longer than any request of the tests.
+const defaultDrainLimit = 40 * time.Second
+
+// drainLimit returns the drain limit of entries and agents.
+func (o *Options) drainLimit() time.Duration {
+	if o.DrainLimit == 0 {
+		return defaultDrainLimit
+	}
+	return o.DrainLimit
+}
+
 // Default returns the options of most tests.
 func Default() Options {
 	return Options{Entries: 2, Engines: 2, Slots: 4}
--- a/proof/fleet/texts.go
+++ b/proof/fleet/texts.go
@@ -139,7 +139,7 @@
 instance = entry-%d
 domain = d1
 drain-notice = 500ms
-drain-limit = 40s
+drain-limit = %s
 
 [sessions]
 keys = k1:0123456789abcdef0123456789abcdef
@@ -156,7 +156,7 @@
 
 [admin]
 operators = tester:operate:%s
-`, i+1, f.Addr.Instances, f.Addr.Rating, envdoc.KeyDigestOf(operatorKey))
+`, i+1, f.o.drainLimit(), f.Addr.Instances, f.Addr.Rating, envdoc.KeyDigestOf(operatorKey))
 }
 
 func (f *Fleet) agentSettings(id ident.UpstreamID, service ident.ServiceID, target, table string) string {
@@ -165,7 +165,7 @@
 		up = fmt.Sprintf("service-url = http://%s\nservice = %s\n", target, service)
 	}
 	return commonSettings(table) + fmt.Sprintf(`[agent]
-drain-limit = 40s
+drain-limit = %s
 
 [receipts]
 interval = 500ms
@@ -174,5 +174,5 @@
 [upstream]
 id = %s
 domain = d1
-%s`, id, up)
+%s`, f.o.drainLimit(), id, up)
 }
--- a/proof/proc/proc.go
+++ b/proof/proc/proc.go
@@ -66,6 +66,8 @@
 	Name string
 	cmd  *exec.Cmd
 	log  *logBuffer
+	// logs is the end of the pipe from which the log is read.
+	logs *os.File
 	done chan struct{}
 }
 
@@ -76,7 +78,11 @@
 	t.Helper()
 	p := &Process{Name: name, log: &logBuffer{}, done: make(chan struct{})}
 	p.cmd = exec.Command(Program(program), args...)
-	p.cmd.Stderr = p.log
+	logs, w, err := os.Pipe()
+	if err != nil {
+		t.Fatalf("start %s: %v", name, err)
+	}
+	p.logs, p.cmd.Stderr = logs, w
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatalf("start %s: %v", name, err)
@@ -84,6 +90,7 @@
 	if err := p.cmd.Start(); err != nil {
 		t.Fatalf("start %s: %v", name, err)
 	}
+	_ = w.Close() // the process has its own
 	t.Cleanup(func() {
 		p.Kill()
 		if t.Failed() {
@@ -106,15 +113,24 @@
 // watch sends the first line of standard output to line, copies the rest to the log and waits
 // for the process to end.
 func (p *Process) watch(out io.Reader, line chan<- []byte) {
+	var logged sync.WaitGroup
+	logged.Go(func() { _, _ = io.Copy(p.log, p.logs) })
 	r := bufio.NewReader(out)
 	b, _ := r.ReadBytes('\n')
 	line <- b
 	_, _ = io.Copy(p.log, r)
 	// The error is not needed: ExitCode reads the exit code from ProcessState.
 	_ = p.cmd.Wait()
+	logged.Wait()
+	_ = p.logs.Close()
 	close(p.done)
 }
 
+// CloseLog closes the pipe to which the process writes its log, as when the process that reads it ends.
+func (p *Process) CloseLog() {
+	_ = p.logs.Close()
+}
+
 // Pause suspends the process with SIGSTOP.
 func (p *Process) Pause() {
 	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
@@ -140,6 +156,11 @@
 	_ = p.cmd.Process.Signal(syscall.SIGTERM)
 }
 
+// Signal sends a signal.
+func (p *Process) Signal(s os.Signal) {
+	_ = p.cmd.Process.Signal(s)
+}
+
 // Ended reports whether the process has ended.
 func (p *Process) Ended() bool {
 	select {
