--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -226,3 +226,34 @@
 		}},
 	})
 }
+
+// Guards against a process that its own next log line ends, with all requests in progress, once the process
+// that reads its log has ended.
+func TestLogReaderEnds(t *testing.T) {
+	runScenarios(t, map[string]scenario{
+		"entry": {run: func(t *testing.T, f *fleet.Fleet) {
+			e := f.Entries[0]
+			o := actMidStream(t, f, e, 20, func() {
+				e.CloseLog()
+				e.Terminate()
+			})
+			f.CheckWhole(o.request, &o.reply)
+			if c := e.ExitCode(t); c != 0 {
+				t.Errorf("exit code %d", c)
+			}
+		}},
+		"agent": {run: func(t *testing.T, f *fleet.Fleet) {
+			at := time.Now()
+			var a *fleet.Agent
+			o := actMidStream(t, f, f.Entries[0], 20, func() {
+				a = lastStartedAgent(t, f, at, fleet.Deep1)
+				a.CloseLog()
+				a.Terminate()
+			})
+			f.CheckWhole(o.request, &o.reply)
+			if c := a.ExitCode(t); c != 0 {
+				t.Errorf("exit code %d", c)
+			}
+		}},
+	})
+}
