test(agent): show that accepted work is answered although the agent stops

The drain decides that the agent is idle by the scheduler's load and the stream buffers. All work accepted before the drain is in both, as the scheduler handles messages in order and publishes its load before the next one; what is accepted by gRPC later is refused with draining.

--- a/agent/entry/drain_test.go
+++ b/agent/entry/drain_test.go
@@ -1,6 +1,10 @@
 package entry_test
 
 import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -45,3 +49,61 @@
 		t.Errorf("the other call got %q and %v", text, f)
 	}
 }
+
+// sendRuns sends attempts one after the other until the agent takes no call, and returns those that got
+// their end or a refusal.
+func sendRuns(ctx context.Context, r *harness, name string) (answered []string) {
+	for n := 0; ; n++ {
+		id := fmt.Sprintf("%s-%d", name, n)
+		s, err := r.client.Run(ctx, runRequest(id))
+		if err != nil {
+			return answered
+		}
+		for {
+			f, err := s.Recv()
+			if err != nil {
+				return answered
+			}
+			if f.GetEnd() != nil || f.GetRefusal() != nil {
+				answered = append(answered, id)
+				break
+			}
+		}
+	}
+}
+
+// Guards against work that is accepted while the drain finds the agent idle, so that its answer is lost.
+func TestAcceptedWorkIsAnswered(t *testing.T) {
+	for range 10 {
+		f := newFakeEngine()
+		close(f.release)
+		r := start(t, f)
+		var mu sync.Mutex
+		answered := map[string]bool{}
+		var w sync.WaitGroup
+		for i := range 6 {
+			w.Go(func() {
+				ids := sendRuns(t.Context(), r, fmt.Sprint("c", i))
+				mu.Lock()
+				defer mu.Unlock()
+				for _, id := range ids {
+					answered[id] = true
+				}
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		r.stop()
+		<-r.stopped
+		w.Wait()
+		f.mu.Lock()
+		for a := range f.attempts {
+			if id := strings.TrimSuffix(a, "-1"); !answered[id] {
+				t.Errorf("%s ran and was not answered", id)
+			}
+		}
+		if len(f.attempts) == 0 {
+			t.Error("nothing ran")
+		}
+		f.mu.Unlock()
+	}
+}
