fix(agent): refuse queued calls of plain services at the drain limit

Entries lost the connection of a call that was queued at an agent which reached its drain limit. They took it for one of unknown fate, settled its claim and used a retry; the agent itself did not end before the call's deadline, as a call that may run only once waits for its slot whatever becomes of its entry.

Cause: at the drain limit only the attempts of model engines were ended.

Now the scheduler refuses all waiting work with draining and not-run, which entries take to another agent at once. Running calls go on as before.

--- a/agent/entry/drain_test.go
+++ b/agent/entry/drain_test.go
@@ -11,6 +11,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"tarragonvalve.example/agent/gate"
+	"tarragonvalve.example/agent/sched"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/wire"
 )
@@ -107,3 +109,59 @@
 		f.mu.Unlock()
 	}
 }
+
+// slotCaller answers calls once they have a slot and hold is closed.
+type slotCaller struct {
+	sched *sched.Scheduler
+	hold  chan struct{}
+}
+
+func (c *slotCaller) Call(context.Context, *wire.CallRequest) *wire.CallReply {
+	w := gate.Work{Account: "a", Version: ref, Generation: 1, Deadline: time.Now().Add(time.Minute)}
+	// As for a call that may run only once, the end of the gRPC call doesn't end the wait.
+	t, r := c.sched.Submit(context.Background(), w, sched.Size{Input: 1})
+	if r == nil {
+		r = t.Wait(context.Background())
+	}
+	if r != nil {
+		return &wire.CallReply{Body: &wire.CallReply_Refusal{Refusal: refuse.ToWire(r)}}
+	}
+	defer t.Done(nil)
+	<-c.hold
+	return &wire.CallReply{Body: &wire.CallReply_Result{Result: &wire.CallResult{StatusCode: 200}}}
+}
+
+// Guards against a queued call whose connection is closed at the drain limit, so that its entry must take
+// it for one of unknown fate, and that keeps the agent from ending.
+func TestQueuedCallAtDrainLimit(t *testing.T) {
+	r := startWithDrain(t, newFakeEngine(), 100*time.Millisecond)
+	got := make(chan *wire.CallReply, 3)
+	for range 3 {
+		go func() {
+			p, err := r.client.Call(t.Context(), &wire.CallRequest{})
+			if err != nil {
+				t.Error(err)
+			}
+			got <- p
+		}()
+	}
+	for l := r.sched.Load(); l.Running != 2 || l.Queued != 1; l = r.sched.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	r.stop()
+	select {
+	case p := <-got:
+		if e := refuse.FromWire(p.GetRefusal()); e.Code != refuse.Draining || e.Ran != refuse.NotRun {
+			t.Errorf("the queued call got %v", p)
+		}
+	case <-time.After(time.Second):
+		t.Error("the queued call was not refused at the drain limit")
+	}
+	close(r.caller.hold)
+	for range 2 {
+		if p := <-got; p.GetResult().GetStatusCode() != 200 {
+			t.Errorf("a running call got %v", p)
+		}
+	}
+	<-r.stopped
+}
--- a/agent/entry/fake_test.go
+++ b/agent/entry/fake_test.go
@@ -195,6 +195,8 @@
 	streams  *stream.Store
 	client   wire.AgentClient
 	panics   *panics.Reporter
+	sched    *sched.Scheduler
+	caller   *slotCaller
 	// clockOffset advances the clock of the stream store, in nanoseconds.
 	clockOffset atomic.Int64
 	// stop starts the drain of the agent; stopped is closed at its end.
@@ -216,6 +218,7 @@
 	r.replica.set(1, envdoc.StateLive)
 	ring := event.NewRing(event.NewClock(time.Now), "agent-1", 64)
 	s := sched.New(sched.Options{Views: r.replica, Slots: 2, Limits: queue.Default(), LedgerFull: func(int) bool { return false }, Now: time.Now})
+	r.sched, r.caller = s, &slotCaller{sched: s, hold: make(chan struct{})}
 	so := stream.Default()
 	so.Now = func() time.Time { return time.Now().Add(time.Duration(r.clockOffset.Load())) }
 	r.streams = stream.NewStore(so)
@@ -229,7 +232,7 @@
 	l := bufconn.Listen(1 << 20)
 	g := entry.NewListener(entry.ListenerOptions{
 		Listener: l,
-		Server:   entry.NewServer(entry.Options{Status: st, Runner: u, Streams: r.streams, Replica: r.replica, Receipts: r.receipts, Ring: ring}),
+		Server:   entry.NewServer(entry.Options{Status: st, Runner: u, Caller: r.caller, Streams: r.streams, Replica: r.replica, Receipts: r.receipts, Ring: ring}),
 		Peer:     wire.UnimplementedPeerServer{},
 		Sched:    s, DrainTimeout: limit, Ring: ring, Panics: r.panics, Log: zerolog.Nop(), Now: time.Now,
 	})
--- a/agent/entry/serve.go
+++ b/agent/entry/serve.go
@@ -103,7 +103,7 @@
 }
 
 // drain refuses new work, notifies the entries and waits for the accepted work to end. At
-// the timeout, the remaining attempts are cancelled with a refusal.
+// the timeout, waiting work is refused and the running attempts are cancelled.
 func (l *Listener) drain(ctx context.Context) {
 	o := l.options
 	o.Ring.Record(event.Event{Kind: event.DrainStarted})
@@ -111,16 +111,26 @@
 	o.Sched.Drain(ctx)
 	o.Server.options.Status.Drain()
 	start := o.Now()
-	if !l.idleWithin(start, o.DrainTimeout) && o.Server.options.Runner != nil {
+	if !l.idleWithin(start, o.DrainTimeout) {
 		n := o.Sched.Load()
-		o.Log.Warn().Int("running", n.Running).Int("queued", n.Queued).Msg("drain limit reached, refusing the remaining attempts")
-		o.Server.options.Runner.CancelAll(refuse.New(refuse.Draining, refuse.DidRun, "run attempt: this agent stops"))
+		o.Log.Warn().Int("running", n.Running).Int("queued", n.Queued).Msg("drain limit reached, ending the remaining work")
+		l.endWork(ctx)
 		l.idleWithin(o.Now(), stopTimeout)
 	}
 	o.Ring.Record(event.Event{Kind: event.DrainEnded})
 	o.Log.Info().Dur("took", o.Now().Sub(start)).Msg("drain ended")
 }
 
+// endWork refuses the waiting work and cancels the running attempts. Running calls of plain services go on:
+// their results are recorded.
+func (l *Listener) endWork(ctx context.Context) {
+	r := refuse.New(refuse.Draining, refuse.DidRun, "run work: this agent stops")
+	l.options.Sched.RefuseWaiting(ctx, r)
+	if u := l.options.Server.options.Runner; u != nil {
+		u.CancelAll(r)
+	}
+}
+
 // idleWithin waits until the agent is idle, at least MinDrainTime after start. It reports
 // false if this takes longer than limit after start.
 func (l *Listener) idleWithin(start time.Time, limit time.Duration) bool {
--- a/agent/sched/control.go
+++ b/agent/sched/control.go
@@ -73,6 +73,8 @@
 		c.release(m)
 	case drain:
 		c.draining = true
+	case refuseWaiting:
+		c.refuseWaiting(m.refusal)
 	}
 }
 
@@ -181,6 +183,15 @@
 	}
 }
 
+// refuseWaiting refuses all waiting work.
+func (c *control) refuseWaiting(r refuse.Error) {
+	c.queue.RemoveFunc(func(uint64) bool { return true })
+	for _, j := range c.waiting {
+		own := r
+		c.reject(j, &own)
+	}
+}
+
 func (c *control) reject(j *job, r *refuse.Error) {
 	c.removeWaiting(j)
 	c.refused++
--- a/agent/sched/sched.go
+++ b/agent/sched/sched.go
@@ -117,7 +117,8 @@
 		id     uint64
 		sample *queue.Sample
 	}
-	drain struct{}
+	drain         struct{}
+	refuseWaiting struct{ refusal refuse.Error }
 )
 
 // Submit checks work and queues it. It returns either a ticket or a refusal. ctx bounds
@@ -139,6 +140,13 @@
 	s.send(ctx, drain{})
 }
 
+// RefuseWaiting refuses all work that waits for a slot, with NotRun. Work that holds one goes on.
+func (s *Scheduler) RefuseWaiting(ctx context.Context, r *refuse.Error) {
+	m := refuseWaiting{refusal: *r}
+	m.refusal.Ran = refuse.NotRun
+	s.send(ctx, m)
+}
+
 // send passes a message to the control goroutine. It reports false if ctx ended or the
 // scheduler stopped first.
 func (s *Scheduler) send(ctx context.Context, m any) bool {
