--- a/agent/entry/serve.go
+++ b/agent/entry/serve.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 
+	"tarragonvalve.example/agent/panics"
 	"tarragonvalve.example/agent/sched"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/refuse"
@@ -48,8 +49,10 @@
 	DrainTimeout time.Duration
 	MinDrainTime time.Duration
 	Ring         *event.Ring
-	Log          zerolog.Logger
-	Now          func() time.Time
+	// Panics reports the panics of gRPC handlers.
+	Panics *panics.Reporter
+	Log    zerolog.Logger
+	Now    func() time.Time
 }
 
 // Listener serves gRPC to entries and drains the agent before it stops.
@@ -74,6 +77,7 @@
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minClientPing, PermitWithoutStream: true}),
 		grpc.MaxRecvMsgSize(maxMessage),
 	}
+	o = append(o, l.options.Panics.ServerOptions()...)
 	if l.options.TLS != nil {
 		o = append(o, grpc.Creds(credentials.NewTLS(l.options.TLS)))
 	}
@@ -89,14 +93,17 @@
 	}
 	l.drain(context.WithoutCancel(ctx))
 	l.options.Server.Close()
-	t := time.AfterFunc(stopTimeout, g.Stop)
+	t := time.AfterFunc(stopTimeout, func() {
+		l.options.Log.Warn().Msg("calls of entries are open after the drain, closing their connections")
+		g.Stop()
+	})
 	defer t.Stop()
 	g.GracefulStop()
 	return nil
 }
 
 // drain refuses new work, notifies the entries and waits for the accepted work to end. At
-// the timeout, the remaining attempts are cancelled with a refusal.
+// the timeout, waiting work is refused and the running attempts are cancelled.
 func (l *Listener) drain(ctx context.Context) {
 	o := l.options
 	o.Ring.Record(event.Event{Kind: event.DrainStarted})
@@ -104,15 +111,26 @@
 	o.Sched.Drain(ctx)
 	o.Server.options.Status.Drain()
 	start := o.Now()
-	if !l.idleWithin(start, o.DrainTimeout) && o.Server.options.Runner != nil {
-		o.Log.Warn().Msg("drain limit reached")
-		o.Server.options.Runner.CancelAll(refuse.New(refuse.StreamBroken, refuse.DidRun, "run attempt: this agent stops"))
+	if !l.idleWithin(start, o.DrainTimeout) {
+		n := o.Sched.Load()
+		o.Log.Warn().Int("running", n.Running).Int("queued", n.Queued).Msg("drain limit reached, ending the remaining work")
+		l.endWork(ctx)
 		l.idleWithin(o.Now(), stopTimeout)
 	}
 	o.Ring.Record(event.Event{Kind: event.DrainEnded})
 	o.Log.Info().Dur("took", o.Now().Sub(start)).Msg("drain ended")
 }
 
+// endWork refuses the waiting work and cancels the running attempts. Running calls of plain services go on:
+// their results are recorded.
+func (l *Listener) endWork(ctx context.Context) {
+	r := refuse.New(refuse.Draining, refuse.DidRun, "run work: this agent stops")
+	l.options.Sched.RefuseWaiting(ctx, r)
+	if u := l.options.Server.options.Runner; u != nil {
+		u.CancelAll(r)
+	}
+}
+
 // idleWithin waits until the agent is idle, at least MinDrainTime after start. It reports
 // false if this takes longer than limit after start.
 func (l *Listener) idleWithin(start time.Time, limit time.Duration) bool {
--- a/agent/sched/sched.go
+++ b/agent/sched/sched.go
@@ -117,7 +117,8 @@
 		id     uint64
 		sample *queue.Sample
 	}
-	drain struct{}
+	drain         struct{}
+	refuseWaiting struct{ refusal refuse.Error }
 )
 
 // Submit checks work and queues it. It returns either a ticket or a refusal. ctx bounds
@@ -139,6 +140,13 @@
 	s.send(ctx, drain{})
 }
 
+// RefuseWaiting refuses all work that waits for a slot, with NotRun. Work that holds one goes on.
+func (s *Scheduler) RefuseWaiting(ctx context.Context, r *refuse.Error) {
+	m := refuseWaiting{refusal: *r}
+	m.refusal.Ran = refuse.NotRun
+	s.send(ctx, m)
+}
+
 // send passes a message to the control goroutine. It reports false if ctx ended or the
 // scheduler stopped first.
 func (s *Scheduler) send(ctx context.Context, m any) bool {
@@ -161,12 +169,24 @@
 		return r
 	case <-ctx.Done():
 		t.Done(nil)
-		return refuse.New(refuse.Cancelled, refuse.NotRun, "wait for a slot: %v", context.Cause(ctx))
+		return notStarted(context.Cause(ctx))
 	case <-t.sched.stopped:
 		return refuse.New(refuse.Draining, refuse.NotRun, "wait for a slot: this agent has stopped")
 	}
 }
 
+// notStarted returns the refusal of work whose context ended before it got a slot. A cause that is a
+// refusal keeps its code, which tells entries whether another agent may take the work.
+func notStarted(cause error) *refuse.Error {
+	e, ok := refuse.As(cause)
+	if !ok {
+		return refuse.New(refuse.Cancelled, refuse.NotRun, "wait for a slot: %v", cause)
+	}
+	n := *e
+	n.Ran = refuse.NotRun
+	return &n
+}
+
 // Check repeats gate.CheckDispatch with the present view, except for the check of the
 // receipt buffer. Call it immediately before the work is sent.
 func (t *Ticket) Check() *refuse.Error {
--- a/entry/boot/serve.go
+++ b/entry/boot/serve.go
@@ -15,6 +15,7 @@
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/spread"
+	"tarragonvalve.example/entry/abort"
 	"tarragonvalve.example/entry/relay"
 )
 
@@ -68,29 +69,46 @@
 // draining reports whether the process drains.
 func (p *readiness) draining() bool { return p.drainBegan.Load() != nil }
 
-// admits reports whether the drain, if it has begun, leaves a request with a deadline enough time.
-func (p *readiness) admits(deadline time.Time) bool {
+// stoppedFor returns the time since the process began to drain, and whether it did.
+func (p *readiness) stoppedFor() (time.Duration, bool) {
 	began := p.drainBegan.Load()
 	if began == nil {
-		return true
+		return 0, false
 	}
-	now := p.now()
-	return drain.Admits(now.Sub(*began), p.drainTime, deadline.Sub(now))
+	return p.now().Sub(*began), true
+}
+
+// admits reports whether the drain, if it has begun, leaves a request with a deadline enough time.
+func (p *readiness) admits(deadline time.Time) bool {
+	past, stopping := p.stoppedFor()
+	return !stopping || drain.Admits(past, p.drainTime, deadline.Sub(p.now()))
+}
+
+// endConnections asks clients to close their connections after the answers of a draining process, so that
+// no later request crosses the close.
+func (p *readiness) endConnections(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.draining() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // callerServer serves the callers' API and drains it at shutdown.
 type callerServer struct {
-	listener  net.Listener
-	server    *http.Server
-	tls       bool
+	httpServer
+
 	readiness *readiness
 	// drainNotice is how long the server still accepts requests after it stopped being ready.
 	drainNotice time.Duration
 	// drainLimit bounds the time that open requests then have to end.
 	drainLimit time.Duration
-	relay      *relay.Relay
-	ring       *event.Ring
-	log        zerolog.Logger
+	// open returns the number of open requests.
+	open  func() int
+	relay *relay.Relay
+	ring  *event.Ring
+	log   zerolog.Logger
 }
 
 // Name implements serve.Component.
@@ -100,14 +118,14 @@
 // for the drain notice, in which the load balancer stops sending them here, and
 // waits until the open requests have ended or the drain limit is over.
 func (c *callerServer) Run(ctx context.Context) error {
-	base, abort := context.WithCancel(context.Background())
-	defer abort()
+	base, cancelOpen := context.WithCancelCause(context.Background())
+	defer cancelOpen(nil)
 	c.server.BaseContext = func(net.Listener) context.Context { return base }
-	failed := make(chan error, 1)
-	go func() { failed <- c.serve() }()
+	c.server.Handler = c.readiness.endConnections(c.server.Handler)
+	c.start()
 	select {
-	case err := <-failed:
-		return err
+	case <-c.served:
+		return c.err
 	case <-ctx.Done():
 	}
 	c.readiness.drain()
@@ -116,9 +134,9 @@
 	sleep(c.drainNotice)
 	d, cancel := context.WithTimeout(context.Background(), c.drainLimit)
 	defer cancel()
-	if err := c.server.Shutdown(d); err != nil {
-		c.log.Warn().Msg("drain limit reached, cancelling open requests")
-		abort()
+	if err := c.shutdown(d); err != nil {
+		c.log.Warn().Int("open", c.open()).Msg("drain limit reached, cancelling open requests")
+		cancelOpen(abort.ErrDrained)
 		c.closeAborted()
 	}
 	w, stop := context.WithTimeout(context.Background(), stopTimeout)
@@ -134,29 +152,11 @@
 	d, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	if c.server.Shutdown(d) != nil {
+		c.log.Error().Int("open", c.open()).Msg("cancelled requests have not ended, closing their connections")
 		_ = c.server.Close()
 	}
 }
 
-func (c *callerServer) serve() error {
-	return serveHTTP(c.server, c.listener, c.tls)
-}
-
-// serveHTTP serves until the server is shut down. With tls, the certificates are
-// those of the server's TLSConfig.
-func serveHTTP(s *http.Server, l net.Listener, tls bool) error {
-	var err error
-	if tls {
-		err = s.ServeTLS(l, "", "")
-	} else {
-		err = s.Serve(l)
-	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
-
 func sleep(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -166,9 +166,9 @@
 // adminServer serves the administration API, which stays available during the drain. The
 // requests hold operator keys, so they are encrypted if certificates are set.
 type adminServer struct {
-	listener net.Listener
-	server   *http.Server
-	tls      bool
+	httpServer
+
+	log zerolog.Logger
 }
 
 // Name implements serve.Component.
@@ -176,16 +176,16 @@
 
 // Run serves until ctx ends and then stops within stopTimeout.
 func (w *adminServer) Run(ctx context.Context) error {
-	failed := make(chan error, 1)
-	go func() { failed <- serveHTTP(w.server, w.listener, w.tls) }()
+	w.start()
 	select {
-	case err := <-failed:
-		return err
+	case <-w.served:
+		return w.err
 	case <-ctx.Done():
 	}
 	d, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if w.server.Shutdown(d) != nil {
+	if w.shutdown(d) != nil {
+		w.log.Warn().Msg("requests of operators are open, closing their connections")
 		_ = w.server.Close()
 	}
 	return nil
