--- a/entry/boot/boot.go
+++ b/entry/boot/boot.go
@@ -28,8 +28,6 @@
 func Run(ctx context.Context, s *setup.Settings, out, logs io.Writer) error {
 	// Its default action ends the process with all requests in progress. Settings are read only at the start.
 	signal.Ignore(syscall.SIGHUP)
-	// A Go process whose standard error or output is a closed pipe ends with its next line otherwise.
-	signal.Ignore(syscall.SIGPIPE)
 	s.Entry.Instance = instance(s.Entry)
 	steps, err := build(s, out, logs)
 	if err != nil {
