--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -172,6 +172,7 @@
 	p.await("routers ready after the planned work", recoveryTime, p.allReady)
 	stop()
 	g.Wait()
+	p.logFates(t)
 	l.report(t)
 }
 
