fix(front): report clients that left although net/http read once more

Seen: TestConnectionEnds, "client closes within its body", failed once in a run of all router tests with -race on a machine with load 24: the request had ended with "unexpected EOF", and no line named the end of its connection.

Cause: whether the client had left was taken from the last read. After the early end of a body net/http starts a read in the background, and where that comes after the close, or past a deadline, its error replaced the end of the connection. The race of that read was concluded from the code of net/http; the replaced error is what the test shows.

The first read that shows the client's end is kept.

--- a/router/front/clientconn.go
+++ b/router/front/clientconn.go
@@ -40,6 +40,9 @@
 	unhandled int
 	// readErr is the error of the last read, writeErr that of the first write that failed.
 	readErr, writeErr error
+	// clientEnd is the error of the first read which shows that the client closed its sending side or reset the
+	// connection. net/http may read on, which fails by another error.
+	clientEnd error
 	// status is that of an answer that net/http wrote by itself; 0 means none.
 	status int
 	// closedIdle is true from when on the connection is closed as idle, unless a request had been read.
@@ -53,6 +56,9 @@
 	defer c.mu.Unlock()
 	c.unhandled += n
 	c.readErr = err
+	if c.clientEnd == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+		c.clientEnd = err
+	}
 	return n, err
 }
 
@@ -136,7 +142,7 @@
 	defer c.mu.Unlock()
 	switch x := c.exchange; {
 	case x != nil:
-		if n, ok := x.incomplete(c.writeErr, c.clientEnd()); ok {
+		if n, ok := x.incomplete(c.writeErr, c.clientEnd); ok {
 			c.ends.report(n, x)
 		}
 	case s == http.StateClosed:
@@ -158,23 +164,14 @@
 	}
 }
 
-// clientEnd returns the error of a read that shows that the client closed its sending side or reset the
-// connection, or nil.
-func (c *clientConn) clientEnd() error {
-	if errors.Is(c.readErr, os.ErrDeadlineExceeded) || errors.Is(c.readErr, net.ErrClosed) {
-		return nil
-	}
-	return c.readErr
-}
-
 // unanswered returns how the connection ended while no handler was at work, and false if the client closed it
 // between two requests.
 func (c *clientConn) unanswered() (end, bool) {
 	begun := c.unhandled > 0
 	switch {
-	case begun && c.clientEnd() != nil:
+	case begun && c.clientEnd != nil:
 		// net/http answers headers that end early too.
-		return end{cause: ClientGone, err: c.readErr}, true
+		return end{cause: ClientGone, err: c.clientEnd}, true
 	case c.status >= http.StatusBadRequest:
 		return end{cause: ProtocolError, status: c.status}, true
 	case c.closedIdle && begun:
