docs: say that only requests with a part of their headers cross an idle close

A request whose headers are whole is answered since idle connections are ended by their read deadline, so closed-while-idle has become narrower.

--- a/router/front/ends.go
+++ b/router/front/ends.go
@@ -28,7 +28,7 @@
 	ClientGone Cause = "client-gone"
 	// WriteDeadline means that the client did not read the answer in time.
 	WriteDeadline Cause = "write-deadline"
-	// ClosedWhileIdle means that the router closed an idle connection while a request arrived on it.
+	// ClosedWhileIdle means that the router closed an idle connection while the headers of a request arrived on it.
 	ClosedWhileIdle Cause = "closed-while-idle"
 	// ServerClosed means that the connection was closed at the end of the process.
 	ServerClosed Cause = "server-closed"
