test(proof): find the cause of each cut answer in the log of a real process

TestDrainLimit (was TestEntryDrainLimit) now slows its stream down, so that it is at work at the drain limit in each run, and has a case for an agent.

--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -1,6 +1,7 @@
 package proof_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"tarragonvalve.example/proof/fleet"
 	"tarragonvalve.example/proof/proc"
 	"tarragonvalve.example/standin/client"
+	"tarragonvalve.example/standin/engine"
 	"tarragonvalve.example/standin/fault"
 )
 
@@ -189,44 +191,116 @@
 	})
 }
 
+// slowDown makes the answers of deep@1 take some seconds.
+func slowDown(f *fleet.Fleet) {
+	x := 4.0
+	f.OverrideVersion(fleet.Deep1, engine.Override{Slowness: &x})
+}
+
+// checkEnded fails the test unless a stream ended with stream-broken and its entry logged the cause.
+func checkEnded(t *testing.T, f *fleet.Fleet, e *fleet.Entry, o outcome, cause string) {
+	t.Helper()
+	f.CheckText(o.request, &o.reply)
+	if o.reply.Code != refuse.StreamBroken || o.reply.Ran != refuse.DidRun {
+		t.Errorf("the stream got %s", o.reply.Describe())
+	}
+	checkEndLine(t, e, "request="+string(o.reply.Request), cause)
+}
+
+// checkEndLine fails the test unless an entry logs an answer that was not complete with a cause.
+func checkEndLine(t *testing.T, e *fleet.Entry, request, cause string) {
+	t.Helper()
+	proc.Eventually(t, "a log line with "+request+" and "+cause, func() bool {
+		for l := range strings.Lines(e.Log()) {
+			if strings.Contains(l, "a caller got no complete answer") && strings.Contains(l, request) && strings.Contains(l, "cause="+cause) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // Guards against requests that are cut, or answered as if their callers had left, when the drain limit of
-// an entry is shorter than they take; and against a cut without a log line.
-func TestEntryDrainLimit(t *testing.T) {
+// an entry or agent is shorter than they take; and against a cut without a log line.
+func TestDrainLimit(t *testing.T) {
 	o := fleet.Default()
 	o.DrainLimit = time.Second
 	runScenarios(t, map[string]scenario{
-		"long requests": {options: o, run: func(t *testing.T, f *fleet.Fleet) {
+		"entry": {options: o, run: func(t *testing.T, f *fleet.Fleet) {
 			e := f.Entries[0]
+			slowDown(f)
 			f.SetFaults("orders-1", fault.Faults{SlowMs: 8000})
 			f.SetFaults("orders-2", fault.Faults{SlowMs: 8000})
 			order := make(chan client.Reply, 1)
 			go func() { order <- f.Client(e, fleet.Alpha).Call(f.Context(), orderCall("limit", "{}")) }()
 			proc.Eventually(t, "the claim is dispatched", func() bool { return len(f.Rows("claim/")) > 0 })
 			s := actMidStream(t, f, e, 5, e.Terminate)
+			checkEnded(t, f, e, s, "drain-ended")
 			r := <-order
 			if r.Status != http.StatusBadGateway || r.Code != refuse.ClaimUnknown || r.Ran != refuse.Unknown {
 				t.Errorf("the order at work got %s", r.Describe())
 			}
-			f.CheckText(s.request, &s.reply)
-			if !s.reply.OK() && s.reply.Code != refuse.StreamBroken {
-				t.Errorf("the stream got %s", s.reply.Describe())
-			}
 			if c := e.ExitCode(t); c != 0 {
 				t.Errorf("exit code %d", c)
 			}
-			if !strings.Contains(e.Log(), "drain limit reached") {
-				t.Error("no log line about the drain limit")
-			}
-			if !s.reply.OK() && (!strings.Contains(e.Log(), "cause=drain-ended") || !strings.Contains(e.Log(), "request="+string(s.reply.Request))) {
-				t.Errorf("no log line with the cause and the id of stream %s", s.reply.Request)
+			if !strings.Contains(e.Log(), "drain limit reached") || !strings.Contains(e.Log(), "since-stop-ms=") {
+				t.Error("no log line about the drain limit, or no time since the stop began")
 			}
 			if r := repeatUntilResult(t, f, f.Entries[1], orderCall("limit", "{}")); f.Runs("limit") != 1 {
 				t.Errorf("%s, %d runs", r.Describe(), f.Runs("limit"))
 			}
 		}},
+		"agent": {options: o, run: func(t *testing.T, f *fleet.Fleet) {
+			slowDown(f)
+			at := time.Now()
+			var a *fleet.Agent
+			s := actMidStream(t, f, f.Entries[0], 5, func() {
+				a = lastStartedAgent(t, f, at, fleet.Deep1)
+				a.Terminate()
+			})
+			checkEnded(t, f, f.Entries[0], s, "upstream-broke-off")
+			if c := a.ExitCode(t); c != 0 {
+				t.Errorf("exit code %d", c)
+			}
+			if !strings.Contains(a.Log(), "drain limit reached") {
+				t.Error("no log line about the drain limit")
+			}
+		}},
 	})
 }
 
+// Guards against a caller who left, or an upstream that broke off, of which no log line and no metric tells.
+func TestIncompleteAnswers(t *testing.T) {
+	f := fleet.Start(t, fleet.Default())
+	e := f.Entries[0]
+	slowDown(f)
+	at := time.Now()
+	checkEnded(t, f, e, actMidStream(t, f, e, 5, func() { f.Crash(lastStartedAgent(t, f, at, fleet.Deep1).ID) }), "upstream-broke-off")
+	ctx, leave := context.WithCancel(f.Context())
+	q := fleet.ChatRequest("deep@1", "left")
+	q.OnText = func(n int) {
+		if n == 5 {
+			leave()
+		}
+	}
+	r := f.Client(e, fleet.Alpha).Chat(ctx, q)
+	checkEndLine(t, e, "request="+string(r.Request), "client-gone")
+	p, err := http.Get("http://" + e.Addr.Admin + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(p.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"upstream_broke_off_total 1", "client_gone_total 1", "drain_ended_total 0", "handler_panic_total 0"} {
+		if !strings.Contains(string(b), "\ntarragonvalve_entry_incomplete_answers_"+want+"\n") {
+			t.Errorf("the metrics have no %s", want)
+		}
+	}
+}
+
 // Guards against a process that its own next log line ends, with all requests in progress, once the process
 // that reads its log has ended.
 func TestLogReaderEnds(t *testing.T) {
