fix(agent): recheck queued work when the document changes while work is queued

Callers whose request was queued at an agent just as its version was withdrawn waited until their deadline, and got deadline-exceeded. The work did not run, as it is checked again before it starts.

Cause: the scheduler's loop asks for the channel of the next change after it has handled a message. A change between the two closed the channel before, so that the work that waits was not checked again.

Now the loop compares the channel with that of its last check.

--- a/agent/sched/control.go
+++ b/agent/sched/control.go
@@ -43,8 +43,13 @@
 	}
 	t := time.NewTicker(expiryInterval)
 	defer t.Stop()
+	changed := s.options.Views.Changed()
 	for {
-		changed := s.options.Views.Changed()
+		// The view may also have changed while a message was handled.
+		if latest := s.options.Views.Changed(); latest != changed {
+			changed = latest
+			c.recheck()
+		}
 		c.dispatch()
 		s.publish(c)
 		// Without waiting work there are no deadlines to wake up for.
@@ -58,7 +63,6 @@
 		case m := <-s.inbox:
 			c.handle(s, m)
 		case <-changed:
-			c.recheck()
 		case <-expiry:
 			c.expire()
 		}
--- a/agent/sched/sched_test.go
+++ b/agent/sched/sched_test.go
@@ -26,6 +26,8 @@
 	changed chan struct{}
 	// iterations counts the iterations of the control loop, each of which calls Changed once.
 	iterations int
+	// beforeChanged is called once by the next call of Changed, before it reads the channel.
+	beforeChanged func()
 }
 
 func (v *views) View() *spread.View {
@@ -35,6 +37,13 @@
 }
 
 func (v *views) Changed() <-chan struct{} {
+	v.mu.Lock()
+	f := v.beforeChanged
+	v.beforeChanged = nil
+	v.mu.Unlock()
+	if f != nil {
+		f()
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.iterations++
@@ -138,6 +147,21 @@
 	})
 }
 
+// Guards against queued work that waits until its deadline because its version was withdrawn just after the
+// work was queued.
+func TestWithdrawnAfterQueued(t *testing.T) {
+	withScheduler(t, 1, func(t *testing.T, r *harness) {
+		if e := r.mustSubmit(t, "a").Wait(t.Context()); e != nil {
+			t.Fatal(e)
+		}
+		synctest.Wait()
+		r.views.mu.Lock()
+		r.views.beforeChanged = func() { r.views.set(2, envdoc.StateWithdrawn) }
+		r.views.mu.Unlock()
+		wantNotRun(t, r.mustSubmit(t, "a").Wait(t.Context()), refuse.VersionWithdrawn)
+	})
+}
+
 // Guards against more running attempts than slots, slots that are lost when a waiting
 // caller gives up, and queued work that is refused after a change to a generation that
 // still permits it.
