refactor: recover panics by one package

entry and agent had the same files, and the router the same search for the place of a panic and the same limit of stacks. core/panics has them once. No change of behavior: the tests moved along, and those of front pass as they were.

--- a/agent/boot/metrics.go
+++ b/agent/boot/metrics.go
@@ -4,10 +4,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
-	"tarragonvalve.example/agent/panics"
 	"tarragonvalve.example/agent/sched"
 	"tarragonvalve.example/agent/stream"
 	"tarragonvalve.example/core/ledger"
+	"tarragonvalve.example/core/panics"
 )
 
 // registerMetrics registers the metrics of the Go runtime, the process and the agent. The
--- a/agent/entry/fake_test.go
+++ b/agent/entry/fake_test.go
@@ -21,7 +21,6 @@
 
 	"tarragonvalve.example/agent/engine"
 	"tarragonvalve.example/agent/entry"
-	"tarragonvalve.example/agent/panics"
 	"tarragonvalve.example/agent/queue"
 	"tarragonvalve.example/agent/runner"
 	"tarragonvalve.example/agent/sched"
@@ -30,6 +29,7 @@
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/ledger"
+	"tarragonvalve.example/core/panics"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/core/wire"
 )
--- a/agent/entry/serve.go
+++ b/agent/entry/serve.go
@@ -11,9 +11,9 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 
-	"tarragonvalve.example/agent/panics"
 	"tarragonvalve.example/agent/sched"
 	"tarragonvalve.example/core/event"
+	"tarragonvalve.example/core/panics"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/wire"
 )
--- a/agent/health/health.go
+++ b/agent/health/health.go
@@ -15,7 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
-	"tarragonvalve.example/agent/panics"
+	"tarragonvalve.example/core/panics"
 )
 
 // Options configures a Server.
--- a/agent/health/health_test.go
+++ b/agent/health/health_test.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/agent/health"
-	"tarragonvalve.example/agent/panics"
+	"tarragonvalve.example/core/panics"
 )
 
 // Guards against a stop that cuts an answer, and against a panic of a handler that no log line and no
--- a/agent/panics/panics.go
+++ b/core/panics/panics.go
@@ -4,14 +4,8 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"runtime"
-	"runtime/debug"
-	"strings"
-	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
@@ -19,28 +13,16 @@
 	"google.golang.org/grpc/status"
 )
 
-const (
-	// stackInterval is the least time between two logged stacks of the same place.
-	stackInterval = time.Minute
-	// maxPlaces bounds the places whose last stack is remembered.
-	maxPlaces = 64
-	// maxFrames bounds the frames that are searched for the place of a panic.
-	maxFrames = 32
-)
-
 // Reporter logs and counts panics. It is safe for concurrent use.
 type Reporter struct {
-	log   zerolog.Logger
-	count atomic.Uint64
-
-	mu sync.Mutex
-	// last maps places to the time of their last logged stack.
-	last map[string]time.Time
+	log    zerolog.Logger
+	count  atomic.Uint64
+	stacks Stacks
 }
 
 // New returns a reporter that has seen no panic.
 func New(l zerolog.Logger) *Reporter {
-	return &Reporter{log: l, last: map[string]time.Time{}}
+	return &Reporter{log: l}
 }
 
 // Count returns the number of panics.
@@ -50,45 +32,8 @@
 // value of a field. It must be called while the panic is handled.
 func (r *Reporter) Report(p any, field, request string) {
 	r.count.Add(1)
-	where := place()
-	e := r.log.Error().Str(field, request).Str("place", where).Str("error", fmt.Sprint(p))
-	if r.mayLogStack(where, time.Now()) {
-		e = e.Bytes("stack", debug.Stack())
-	}
-	e.Msg("a handler panicked")
-}
-
-// mayLogStack reports whether the stack of a place may be logged now, and if so records that it is.
-func (r *Reporter) mayLogStack(where string, now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for k, t := range r.last {
-		if now.Sub(t) >= stackInterval {
-			delete(r.last, k)
-		}
-	}
-	if _, ok := r.last[where]; ok || len(r.last) >= maxPlaces {
-		return false
-	}
-	r.last[where] = now
-	return true
-}
-
-// place returns the function and line that panicked.
-func place() string {
-	pcs := make([]uintptr, maxFrames)
-	frames := runtime.CallersFrames(pcs[:runtime.Callers(1, pcs)])
-	panicking := false
-	for {
-		f, more := frames.Next()
-		if panicking && !strings.HasPrefix(f.Function, "runtime.") {
-			return fmt.Sprintf("%s:%d", f.Function, f.Line)
-		}
-		panicking = panicking || f.Function == "runtime.gopanic"
-		if !more {
-			return "unknown"
-		}
-	}
+	e := r.log.Error().Str(field, request)
+	r.stacks.Describe(e, p).Msg("a handler panicked")
 }
 
 // Handler returns h with panics reported. Their requests are answered with 500, or their connections
--- a/agent/panics/panics_test.go
+++ b/core/panics/panics_test.go
@@ -19,7 +19,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/grpc/test/bufconn"
 
-	"tarragonvalve.example/agent/panics"
+	"tarragonvalve.example/core/panics"
 )
 
 // logBuffer is a log that may be read while it is written.
@@ -76,7 +76,7 @@
 			if r.Count() != 2 || strings.Count(s, `"error":"broken"`) != 2 || strings.Count(s, `"path":"/x"`) != 2 {
 				t.Errorf("%d panics counted, log:\n%s", r.Count(), s)
 			}
-			if strings.Count(s, `"stack":`) != 1 || strings.Count(s, `"place":"tarragonvalve.example/agent/panics_test.TestHandler`) != 2 {
+			if strings.Count(s, `"stack":`) != 1 || strings.Count(s, `"place":"tarragonvalve.example/core/panics_test.TestHandler`) != 2 {
 				t.Errorf("not one stack, or another place:\n%s", s)
 			}
 		})
--- a/entry/boot/metrics.go
+++ b/entry/boot/metrics.go
@@ -8,6 +8,7 @@
 
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ledger"
+	"tarragonvalve.example/core/panics"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/core/wire"
 	"tarragonvalve.example/entry/agents"
@@ -15,7 +16,6 @@
 	"tarragonvalve.example/entry/calls"
 	"tarragonvalve.example/entry/fanout"
 	"tarragonvalve.example/entry/fleet"
-	"tarragonvalve.example/entry/panics"
 	"tarragonvalve.example/entry/peers"
 	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/relay"
--- a/entry/boot/serve_test.go
+++ b/entry/boot/serve_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/rs/zerolog"
 
-	"tarragonvalve.example/entry/panics"
+	"tarragonvalve.example/core/panics"
 	"tarragonvalve.example/entry/setup"
 )
 
--- a/entry/caller/caller_test.go
+++ b/entry/caller/caller_test.go
@@ -19,10 +19,10 @@
 	"tarragonvalve.example/core/envdoc"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/panics"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/entry/calls"
-	"tarragonvalve.example/entry/panics"
 	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/relay"
 )
--- a/router/front/ends.go
+++ b/router/front/ends.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/panics"
 	"tarragonvalve.example/router/call"
 )
 
@@ -77,7 +78,7 @@
 	// requestID returns the id in a request's headers; nil means that ids are not logged.
 	requestID func(http.Header) call.ID
 	log       zerolog.Logger
-	stacks    stackLimiter
+	stacks    panics.Stacks
 	// closed is true once all connections are closed at the end of the process.
 	closed atomic.Bool
 }
