fix(poison): judge evidence in the order of events, whenever it is reported

Shared parts were quarantined 31 to 45 ms after the third crash of a wave, before the report that the guilty part had been there; the quarantine then explained all crashes under the guilty part, and no later report could end it.

Cause: a judgement used the reports that had arrived, and its outcome stayed. Routers also notice one crash up to 0.8 s apart, and the time of each report counted for itself. Class of fault: state that depends on the order of messages.

Change: the judgements of the last 10 s are derived from the evidence in the order of the events, and repeated from an event on whose report is late. A quarantine that no longer follows is dropped at once. A crash counts from its first notice. Survivals of suspected parts are passed on for as long as they can correct a judgement.

--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -14,7 +14,7 @@
 type candidate struct {
 	part  crash.Part
 	known bool
-	// settled is true if other routers have had time to report on the part.
+	// settled is true if the first crash was so long ago that other routers have had time to report on the part.
 	settled bool
 	// requests are those in progress at the crashes; if enough of them had begun to be answered,
 	// only these.
@@ -34,7 +34,7 @@
 	candidate
 }
 
-// decide returns a quarantine that follows from the evidence and is not among those in force, if
+// decide returns a quarantine that follows from the events up to now and is not among those in force, if
 // there is one. The parts that explain the most crashes come first, since they leave fewer crashes
 // to be explained by others, and of these the most specific ones.
 func (e *evidence) decide(qs []Quarantine, now time.Time) (verdict, bool) {
@@ -73,18 +73,23 @@
 func (e *evidence) candidates(active []Quarantine, now time.Time) []candidate {
 	var cs []candidate
 	for p, x := range e.suspects {
-		c := candidate{part: p, known: e.known(p, now), settled: now.Sub(x.since) >= e.judgeDelay()}
+		c := candidate{part: p, known: e.known(p, now)}
 		all, begun := map[crashKey]struct{}{}, map[crashKey]struct{}{}
 		for k, s := range x.suspicions {
-			if (c.known && !s.Began) || !s.At.After(e.survived[p]) || e.explained(s, active) {
+			at := e.crashedAt[k.upstream]
+			if at.After(now) || now.Sub(at) > evidenceTTL || !at.After(e.survived[p]) {
+				continue
+			}
+			if (!s.Began && e.known(p, at)) || e.explained(s, active, now) {
 				continue
 			}
 			all[k] = struct{}{}
+			c.settled = c.settled || now.Sub(at) >= e.judgeDelay()
 			if s.Began {
 				begun[k] = struct{}{}
 			}
-			if s.At.After(c.last) {
-				c.last = s.At
+			if at.After(c.last) {
+				c.last = at
 			}
 		}
 		if len(all) == 0 {
@@ -170,13 +175,14 @@
 // explained reports whether a quarantine without the suspicion's part explains the crash at least as
 // well: requests with its parts were in progress too. Content doesn't explain that of other requests:
 // if two came together each time, either may be the cause.
-func (e *evidence) explained(s Suspicion, active []Quarantine) bool {
+func (e *evidence) explained(s Suspicion, active []Quarantine, now time.Time) bool {
+	crashed := func(i fleet.Incarnation) bool { return !e.crashedAt[i].After(now) }
 	return slices.ContainsFunc(active, func(q Quarantine) bool {
 		if s.Part.IsContent() && q.Parts[0].IsContent() {
 			return false
 		}
 		return !slices.Contains(q.Parts, s.Part) && !slices.ContainsFunc(q.Parts, func(x crash.Part) bool {
-			return !e.suspects[x].mayCause(s.Upstream, s.Began)
+			return !e.suspects[x].mayCause(s.Upstream, s.Began, crashed)
 		})
 	})
 }
--- a/router/poison/evidence.go
+++ b/router/poison/evidence.go
@@ -66,14 +66,17 @@
 	suspicions map[crashKey]Suspicion
 }
 
-// mayCause reports whether a request with the part was in progress at a crash, and if began is true,
-// whether its answer had begun, unless crashes under the part come before that.
-func (x *suspect) mayCause(i fleet.Incarnation, began bool) bool {
+// mayCause reports whether, as far as some crashes show, a request with the part was in progress at a crash,
+// and if began is true, whether its answer had begun, unless crashes under the part come before that.
+func (x *suspect) mayCause(i fleet.Incarnation, began bool, crashed func(fleet.Incarnation) bool) bool {
 	if x == nil {
 		return false
 	}
 	here, anyBegun := false, false
 	for k, s := range x.suspicions {
+		if !crashed(k.upstream) {
+			continue
+		}
 		if s.Began {
 			anyBegun = true
 		}
@@ -88,21 +91,36 @@
 	return here && !anyBegun
 }
 
+// has reports whether a request with the part was in progress at the crash of an upstream.
+func (x *suspect) has(i fleet.Incarnation) bool {
+	for k := range x.suspicions {
+		if k.upstream == i {
+			return true
+		}
+	}
+	return false
+}
+
 // evidence is what speaks for and against the parts of prompts.
 type evidence struct {
 	suspects map[crash.Part]*suspect
+	// crashedAt holds when the first router noticed the crash of an upstream: some notice it when they next send to it.
+	crashedAt map[fleet.Incarnation]time.Time
 	// count is the number of all suspicions.
 	count int
 	// routers is the number of routers.
 	routers int
-	// changedAt is when a suspicion was added last.
+	// changed is true if the evidence changed after changedAt.
+	changed   bool
 	changedAt time.Time
+	// changedFrom is the time of the earliest event on which the evidence has changed since it was judged.
+	changedFrom time.Time
 	// survived holds when the latest answer began that an upstream survived.
 	survived map[crash.Part]time.Time
 }
 
 func newEvidence() evidence {
-	return evidence{suspects: map[crash.Part]*suspect{}, survived: map[crash.Part]time.Time{}}
+	return evidence{suspects: map[crash.Part]*suspect{}, crashedAt: map[fleet.Incarnation]time.Time{}, survived: map[crash.Part]time.Time{}}
 }
 
 // judgeDelay returns how long a decision on a part waits for other routers.
@@ -132,11 +150,16 @@
 	}
 }
 
-// suspect records a suspicion. Requests that had not begun count only for parts that aren't known.
+// suspect records a suspicion. Requests that had not begun count only for parts that aren't known, so one of them
+// for each upstream is enough for a known part.
 func (e *evidence) suspect(s Suspicion, now time.Time) {
-	if now.Sub(s.At) > evidenceTTL || (!s.Began && e.known(s.Part, now)) {
+	if now.Sub(s.At) > evidenceTTL {
 		return
 	}
+	if at, ok := e.crashedAt[s.Upstream]; !ok || s.At.Before(at) {
+		e.crashedAt[s.Upstream] = s.At
+		e.change(s.At)
+	}
 	x := e.suspects[s.Part]
 	if x == nil {
 		x = &suspect{since: now, suspicions: map[crashKey]Suspicion{}}
@@ -146,23 +169,45 @@
 	if ok && (old.Began || !s.Began) {
 		return
 	}
+	if !s.Began && e.known(s.Part, s.At) && x.has(s.Upstream) {
+		return
+	}
 	if !ok {
 		if e.count >= maxSuspicions {
 			return
 		}
 		e.count++
 	}
-	e.changedAt = now
+	e.change(e.crashedAt[s.Upstream])
 	x.suspicions[k] = s
 	e.suspects[s.Part] = x
 }
 
+// change records that the evidence on events from a time on has changed.
+func (e *evidence) change(from time.Time) {
+	e.changed = true
+	if from.Before(e.changedFrom) {
+		e.changedFrom = from
+	}
+}
+
+// since returns when the first suspicion of a part became known to this router.
+func (e *evidence) since(p crash.Part) time.Time {
+	if x := e.suspects[p]; x != nil {
+		return x.since
+	}
+	return time.Time{}
+}
+
 // survive records that an upstream survived an answer to a prompt with a part.
 func (e *evidence) survive(p crash.Part, began time.Time) {
 	old, ok := e.survived[p]
 	if ok && !began.After(old) {
 		return
 	}
+	if x := e.suspects[p]; x != nil && e.clears(x, old, began) {
+		e.change(e.first(x))
+	}
 	if !ok && len(e.survived) >= maxSurvived {
 		for x := range e.survived {
 			delete(e.survived, x)
@@ -172,11 +217,22 @@
 	e.survived[p] = began
 }
 
+// clears reports whether an answer that an upstream survived, after an earlier one, counts for a suspected part.
+func (e *evidence) clears(x *suspect, old, began time.Time) bool {
+	for k := range x.suspicions {
+		at := e.crashedAt[k.upstream]
+		if (at.After(old) && !at.After(began)) || at.Sub(old) > evidenceTTL-correctionTime {
+			return true
+		}
+	}
+	return false
+}
+
 // expire drops evidence that no longer counts.
 func (e *evidence) expire(now time.Time) {
 	for p, x := range e.suspects {
 		maps.DeleteFunc(x.suspicions, func(_ crashKey, s Suspicion) bool {
-			old := now.Sub(s.At) > evidenceTTL
+			old := now.Sub(s.At) > evidenceTTL+correctionTime
 			if old {
 				e.count--
 			}
@@ -186,6 +242,7 @@
 			delete(e.suspects, p)
 		}
 	}
+	maps.DeleteFunc(e.crashedAt, func(_ fleet.Incarnation, at time.Time) bool { return now.Sub(at) > 2*evidenceTTL })
 	// A harmless part is needed for as long as a quarantine with it, which then ends at once.
 	maps.DeleteFunc(e.survived, func(_ crash.Part, at time.Time) bool { return now.Sub(at) > quarantineTTL })
 }
--- a/router/poison/poison.go
+++ b/router/poison/poison.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,6 +42,8 @@
 	Parts []crash.Part
 	// At is the time of the latest crash that it is based on.
 	At time.Time
+	// reportedAt is when another router reported it; zero if this router found it.
+	reportedAt time.Time
 }
 
 // active reports whether the quarantine is in force unless a part of it proves to be harmless.
@@ -73,6 +76,9 @@
 	judgedAt time.Time
 	// quarantines are those that are remembered, without the effect of survived answers.
 	quarantines []Quarantine
+	timeline    timeline
+	// refuted holds the times of quarantines that don't follow from all evidence.
+	refuted map[Key]time.Time
 	// trialAt is when this router began its latest trial, or tried to.
 	trialAt time.Time
 	// inForce are the quarantines in force, without the parts that have proved to be harmless.
@@ -81,7 +87,7 @@
 
 // New returns a registry without evidence.
 func New(l zerolog.Logger) *Registry {
-	r := &Registry{log: l, evidence: newEvidence()}
+	r := &Registry{log: l, evidence: newEvidence(), timeline: newTimeline(), refuted: map[Key]time.Time{}}
 	r.inForce.Store(&[]Quarantine{})
 	return r
 }
@@ -178,15 +184,12 @@
 func (r *Registry) Update(now time.Time) []Quarantine {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.evidence.changed {
+		r.evidence.changed, r.evidence.changedAt = false, now
+	}
 	// Evidence that doesn't change leads to no other decision once it has settled.
-	for r.judgedAt.Sub(r.evidence.changedAt) <= r.evidence.judgeDelay() {
-		v, ok := r.evidence.decide(r.quarantines, now)
-		if !ok {
-			break
-		}
-		r.log.Warn().Uints64("parts", hashes(v.Parts)).Int("crashes", v.crashes).Int("begun", v.begun).Bool("known", v.known).
-			Msg("prompt parts or requests were found to crash upstreams")
-		r.add(v.Quarantine, now)
+	if r.judgedAt.Sub(r.evidence.changedAt) <= r.evidence.judgeDelay()+judgeStep {
+		r.judge(now)
 	}
 	r.judgedAt = now
 	return r.publish(now)
@@ -198,26 +201,30 @@
 	defer r.mu.Unlock()
 	r.evidence.expire(now)
 	r.quarantines = slices.DeleteFunc(r.quarantines, func(q Quarantine) bool { return now.Sub(q.At) > rememberTTL })
+	maps.DeleteFunc(r.refuted, func(_ Key, at time.Time) bool { return now.Sub(at) > rememberTTL })
 }
 
-// add records a quarantine, or the later time of one that is recorded. The caller holds the lock.
-func (r *Registry) add(q Quarantine, now time.Time) {
+// add records a quarantine, or the later time of one that is recorded, and reports whether that changed anything. The
+// caller holds the lock.
+func (r *Registry) add(q Quarantine, now time.Time) bool {
 	for i, x := range r.quarantines {
 		if slices.Equal(x.Parts, q.Parts) {
 			if q.At.Sub(x.At) > timeTolerance {
 				r.quarantines[i] = q
+				return true
 			}
-			return
+			return false
 		}
 	}
 	if now.Sub(q.At) > rememberTTL {
-		return
+		return false
 	}
 	r.quarantines = append(r.quarantines, q)
 	if len(r.quarantines) > maxQuarantines {
 		slices.SortFunc(r.quarantines, func(a, b Quarantine) int { return b.At.Compare(a.At) })
 		r.quarantines = r.quarantines[:maxQuarantines]
 	}
+	return true
 }
 
 // publish derives the quarantines in force and returns the new ones. The caller holds the lock.
--- a/router/poison/report.go
+++ b/router/poison/report.go
@@ -36,16 +36,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := Report{Quarantines: slices.Clone(r.quarantines)}
-	parts := r.evidence.recent(now)
-	for _, p := range parts {
-		x := r.evidence.suspects[p]
-		for _, s := range x.suspicions {
+	for _, p := range r.evidence.recent(now, forwardTTL) {
+		for k, s := range r.evidence.suspects[p].suspicions {
 			if now.Sub(s.At) <= forwardTTL && len(out.Suspicions) < maxForwarded {
+				s.At = r.evidence.crashedAt[k.upstream]
 				out.Suspicions = append(out.Suspicions, s)
 			}
 		}
 	}
-	out.Survived = r.evidence.survivedOf(parts)
+	// A survival that is reported late corrects a quarantine for longer than crashes are passed on.
+	out.Survived = r.evidence.survivedOf(r.evidence.recent(now, correctionTime))
 	for _, q := range r.quarantines {
 		for _, p := range q.Parts {
 			if at, ok := r.evidence.survived[p]; ok && at.After(q.At) && len(out.Survived) < maxForwardedSurvived {
@@ -56,13 +56,13 @@
 	return out
 }
 
-// recent returns the parts with suspicions that are passed on, the most telling ones first: those that
+// recent returns the parts with suspicions that are at most ttl old, the most telling ones first: those that
 // aren't known and those with the most suspicions.
-func (e *evidence) recent(now time.Time) []crash.Part {
+func (e *evidence) recent(now time.Time, ttl time.Duration) []crash.Part {
 	var ps []crash.Part
 	for p, x := range e.suspects {
 		for _, s := range x.suspicions {
-			if now.Sub(s.At) <= forwardTTL {
+			if now.Sub(s.At) <= ttl {
 				ps = append(ps, p)
 				break
 			}
@@ -106,8 +106,11 @@
 		r.evidence.suspect(s, now)
 	}
 	for _, q := range x.Quarantines {
-		if len(q.Parts) > 0 {
-			r.add(q, now)
+		if len(q.Parts) > 0 && !r.isRefuted(q) {
+			q.reportedAt = now
+			if r.add(q, now) {
+				r.evidence.change(q.At)
+			}
 		}
 	}
 }
