fix(poison): tell other routers of parts that few requests have

Without calm time, a second and more after the crashes two of three routers knew of one crash under the guilty part, the third of all: the shared parts were quarantined on the rest of the evidence.

Cause: a message holds 64 suspicions, those of parts that no upstream survived first, and of these the parts with the most suspicions. While nothing is known, the parts that all requests share fill each message, and always the same ones.

Change: three requests with a part at one upstream stand for all, the same at each router, with all of their parts; if there are still more than 64 suspicions, each message takes others.

TestReportsOfUnknownParts, before: another router refuses sound parts; 20 of 20 pass now.

--- a/router/poison/poison_test.go
+++ b/router/poison/poison_test.go
@@ -393,6 +393,35 @@
 	}
 }
 
+// The same while no upstream has survived any part. Guards against reports that are filled by the parts that most
+// requests share, message after message, so that other routers never hear of the part that causes the crashes and
+// quarantine the shared ones.
+func TestReportsOfUnknownParts(t *testing.T) {
+	const messages = 20
+	a, b := newScene(), newScene()
+	for range 5 {
+		var xs []crash.Suspect
+		for range 20 {
+			xs = append(xs, a.begun("a", "b"))
+		}
+		a.crash(append(xs, a.waiting("a", "x"))...)
+	}
+	b.now = a.now
+	for range messages {
+		b.Merge(a.Report(a.now), b.now)
+		a.wait(150 * time.Millisecond)
+		b.wait(150 * time.Millisecond)
+	}
+	for name, s := range map[string]*scene{"its own": a, "another": b} {
+		if !s.refuses("a", "x") {
+			t.Errorf("%s router serves the part", name)
+		}
+		if s.refuses("a", "b") {
+			t.Errorf("%s router refuses sound parts", name)
+		}
+	}
+}
+
 // A rack of 60 upstreams loses power under 1,200 requests. Guards against a judgement, made ten times a second, that
 // compares each request with each other one.
 func BenchmarkUpdate(b *testing.B) {
--- a/router/poison/report.go
+++ b/router/poison/report.go
@@ -2,16 +2,20 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"tarragonvalve.example/router/crash"
+	"tarragonvalve.example/router/fleet"
 )
 
 const (
 	// forwardTTL is how long a suspicion is passed on to other routers: a few exchanges with the
 	// largest number of listeners.
 	forwardTTL = 4 * time.Second
+	// maxSampled is the number of requests with a part at one upstream that are passed on.
+	maxSampled = 3
 	// maxForwarded bounds the suspicions in one message, maxForwardedSurvived the survived parts.
 	maxForwarded         = 64
 	maxForwardedSurvived = 128
@@ -36,14 +40,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := Report{Quarantines: slices.Clone(r.quarantines)}
-	for _, p := range r.evidence.recent(now, forwardTTL) {
-		for k, s := range r.evidence.suspects[p].suspicions {
-			if now.Sub(s.At) <= forwardTTL && len(out.Suspicions) < maxForwarded {
-				s.At = r.evidence.crashedAt[k.upstream]
-				out.Suspicions = append(out.Suspicions, s)
-			}
-		}
-	}
+	out.Suspicions = r.evidence.forwarded(now)
 	// A survival that is reported late corrects a quarantine for longer than crashes are passed on.
 	out.Survived = r.evidence.survivedOf(r.evidence.recent(now, correctionTime))
 	for _, q := range r.quarantines {
@@ -56,6 +53,52 @@
 	return out
 }
 
+// forwarded returns the suspicions for one message. Those of parts that aren't known, and of content that was in
+// progress at several crashes, come first. Of the requests with a part at one upstream, those with the lowest hashes
+// stand for all, the same at each router. If there are more than a message holds, each one takes others, so that a part
+// with few suspicions gets through.
+func (e *evidence) forwarded(now time.Time) []Suspicion {
+	first, later := map[crashKey][]Suspicion{}, map[crashKey][]Suspicion{}
+	chosen := map[crashKey]struct{}{}
+	ps := e.recent(now, forwardTTL)
+	for _, p := range ps {
+		for _, k := range e.suspects[p].sample() {
+			chosen[k] = struct{}{}
+		}
+	}
+	for _, p := range ps {
+		x, to := e.suspects[p], first
+		if e.known(p, now) || (p.IsContent() && len(x.suspicions) == 1) {
+			to = later
+		}
+		for k, s := range x.suspicions {
+			if _, ok := chosen[k]; ok && now.Sub(s.At) <= forwardTTL {
+				s.At = e.crashedAt[k.upstream]
+				to[k] = append(to[k], s)
+			}
+		}
+	}
+	var out []Suspicion
+	// The order of a map's keys differs from message to message.
+	for _, m := range []map[crashKey][]Suspicion{first, later} {
+		for _, ss := range m {
+			out = append(out, ss...)
+		}
+	}
+	return out[:min(len(out), maxForwarded)]
+}
+
+// sample returns, for each upstream, the requests with the lowest hashes.
+func (x *suspect) sample() []crashKey {
+	ks := slices.Collect(maps.Keys(x.suspicions))
+	slices.SortFunc(ks, func(a, b crashKey) int { return cmp.Compare(a.request, b.request) })
+	count := map[fleet.Incarnation]int{}
+	return slices.DeleteFunc(ks, func(k crashKey) bool {
+		count[k.upstream]++
+		return count[k.upstream] > maxSampled
+	})
+}
+
 // recent returns the parts with suspicions that are at most ttl old, the most telling ones first: those that
 // aren't known and those with the most suspicions.
 func (e *evidence) recent(now time.Time, ttl time.Duration) []crash.Part {
