perf(poison): find what quarantines explain once per judgement

Read of a profile: for each suspicion, a judgement went through all suspicions of the parts of each quarantine.

Decisions are the same: the tests of poison pass unchanged, TestOrderOfReports and TestExchangesConverge with 500 histories.

--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -72,6 +72,7 @@
 // candidates returns the suspected parts, the most suspected ones first.
 func (e *evidence) candidates(active []Quarantine, now time.Time) []candidate {
 	var cs []candidate
+	xs := e.explainers(active, now)
 	for p, x := range e.suspects {
 		c := candidate{part: p, known: e.known(p, now)}
 		all, begun := map[crashKey]struct{}{}, map[crashKey]struct{}{}
@@ -80,7 +81,7 @@
 			if at.After(now) || now.Sub(at) > evidenceTTL || !at.After(e.survived[p]) {
 				continue
 			}
-			if (!s.Began && e.known(p, at)) || e.explained(s, active, now) {
+			if (!s.Began && e.known(p, at)) || explained(s, xs) {
 				continue
 			}
 			all[k] = struct{}{}
@@ -172,18 +173,56 @@
 	return !c.known && c.crashes >= recurringPart
 }
 
+// explainer holds the upstreams at whose crashes requests with all parts of a quarantine were in progress.
+type explainer struct {
+	Quarantine
+	// waiting are those that explain the crashes under requests that had not begun, begun those that explain others.
+	waiting, begun map[fleet.Incarnation]struct{}
+}
+
+// explainers returns what the quarantines explain of the crashes up to now.
+func (e *evidence) explainers(active []Quarantine, now time.Time) []explainer {
+	var xs []explainer
+	for _, q := range active {
+		x := explainer{Quarantine: q}
+		for i, p := range q.Parts {
+			waiting, begun := e.mayCause(p, now)
+			if i == 0 {
+				x.waiting, x.begun = waiting, begun
+				continue
+			}
+			x.waiting, x.begun = intersect(x.waiting, waiting), intersect(x.begun, begun)
+		}
+		xs = append(xs, x)
+	}
+	return xs
+}
+
+// intersect returns the keys that both have.
+func intersect[K comparable](a, b map[K]struct{}) map[K]struct{} {
+	out := map[K]struct{}{}
+	for k := range a {
+		if _, ok := b[k]; ok {
+			out[k] = struct{}{}
+		}
+	}
+	return out
+}
+
 // explained reports whether a quarantine without the suspicion's part explains the crash at least as
 // well: requests with its parts were in progress too. Content doesn't explain that of other requests:
 // if two came together each time, either may be the cause.
-func (e *evidence) explained(s Suspicion, active []Quarantine, now time.Time) bool {
-	crashed := func(i fleet.Incarnation) bool { return !e.crashedAt[i].After(now) }
-	return slices.ContainsFunc(active, func(q Quarantine) bool {
-		if s.Part.IsContent() && q.Parts[0].IsContent() {
+func explained(s Suspicion, xs []explainer) bool {
+	return slices.ContainsFunc(xs, func(x explainer) bool {
+		if (s.Part.IsContent() && x.Parts[0].IsContent()) || slices.Contains(x.Parts, s.Part) {
 			return false
 		}
-		return !slices.Contains(q.Parts, s.Part) && !slices.ContainsFunc(q.Parts, func(x crash.Part) bool {
-			return !e.suspects[x].mayCause(s.Upstream, s.Began, crashed)
-		})
+		us := x.waiting
+		if s.Began {
+			us = x.begun
+		}
+		_, ok := us[s.Upstream]
+		return ok
 	})
 }
 
--- a/router/poison/evidence.go
+++ b/router/poison/evidence.go
@@ -66,31 +66,6 @@
 	suspicions map[crashKey]Suspicion
 }
 
-// mayCause reports whether, as far as some crashes show, a request with the part was in progress at a crash,
-// and if began is true, whether its answer had begun, unless crashes under the part come before that.
-func (x *suspect) mayCause(i fleet.Incarnation, began bool, crashed func(fleet.Incarnation) bool) bool {
-	if x == nil {
-		return false
-	}
-	here, anyBegun := false, false
-	for k, s := range x.suspicions {
-		if !crashed(k.upstream) {
-			continue
-		}
-		if s.Began {
-			anyBegun = true
-		}
-		if k.upstream != i {
-			continue
-		}
-		if s.Began || !began {
-			return true
-		}
-		here = true
-	}
-	return here && !anyBegun
-}
-
 // has reports whether a request with the part was in progress at the crash of an upstream.
 func (x *suspect) has(i fleet.Incarnation) bool {
 	for k := range x.suspicions {
@@ -123,6 +98,29 @@
 	return evidence{suspects: map[crash.Part]*suspect{}, crashedAt: map[fleet.Incarnation]time.Time{}, survived: map[crash.Part]time.Time{}}
 }
 
+// mayCause returns the upstreams with a request with a part in progress when they crashed, up to now, and those of them
+// whose request had begun to be answered, which are all if crashes under the part come before that.
+func (e *evidence) mayCause(p crash.Part, now time.Time) (here, begun map[fleet.Incarnation]struct{}) {
+	here, begun = map[fleet.Incarnation]struct{}{}, map[fleet.Incarnation]struct{}{}
+	x := e.suspects[p]
+	if x == nil {
+		return here, begun
+	}
+	for k, s := range x.suspicions {
+		if e.crashedAt[k.upstream].After(now) {
+			continue
+		}
+		here[k.upstream] = struct{}{}
+		if s.Began {
+			begun[k.upstream] = struct{}{}
+		}
+	}
+	if len(begun) == 0 {
+		begun = here
+	}
+	return here, begun
+}
+
 // judgeDelay returns how long a decision on a part waits for other routers.
 func (e *evidence) judgeDelay() time.Duration {
 	if e.routers > manyRouters {
