fix(poison): find a part after three crashes before an answer if nothing else is unknown

TestCrashesBeforeAnswerLateReports, two parts, four at a time: in 3 of 16 runs 7 or 8 requests with guilty parts reached upstreams after the grace, allowed 6. In the one traced request by request all reports were in time: each request crashes two of three upstreams, the next ones find none, and five different requests of a part take 6.2 and 8.0 s; the grace ends at 5.2 s.

Cause: a part whose requests never begin needs five crashes, as all requests in progress are suspects. Here all others had parts that upstreams had survived.

Change: crashes count as those under begun answers do, three, if no other part was in progress that isn't known.

TestDecisions, three crashes before an answer, all other parts known: both parts were served before. Beside other unknown parts, three crashes still don't suffice.

--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -22,6 +22,8 @@
 	// crashes is the number of upstreams that crashed, or of the different requests under which they
 	// did, if that is less; begun counts only requests whose answer had begun.
 	crashes, begun int
+	// alone counts only upstreams at which no other part was in progress that isn't known.
+	alone int
 	// upstreams are the upstreams that crashed, inProgress is the number of requests at them.
 	upstreams  map[fleet.Incarnation]struct{}
 	inProgress int
@@ -48,6 +50,7 @@
 		}
 	}
 	cs := e.candidates(active, now)
+	countAlone(cs)
 	all, r := crashed(cs), rivalsOf(cs)
 	for _, c := range cs {
 		if !c.settled || !c.guilty(remembered(qs, c.part)) || float64(len(c.upstreams)) < explainedShare*float64(all) || r.explain(c) {
@@ -118,7 +121,33 @@
 	case again:
 		return c.begun > 0
 	default:
-		return c.begun >= begunCrashes || c.crashes >= waitingCrashes
+		return c.begun >= begunCrashes || c.alone >= begunCrashes || c.crashes >= waitingCrashes
+	}
+}
+
+// countAlone sets alone for the candidates: a request that waits is as telling as one whose answer had begun if all
+// others at the upstream have parts that were survived.
+func countAlone(cs []candidate) {
+	unknown := map[fleet.Incarnation]int{}
+	for _, c := range cs {
+		if c.known || c.part.IsContent() {
+			continue
+		}
+		for u := range c.upstreams {
+			unknown[u]++
+		}
+	}
+	for i, c := range cs {
+		if c.known || c.part.IsContent() {
+			continue
+		}
+		left := map[crashKey]struct{}{}
+		for k := range c.requests {
+			if unknown[k.upstream] == 1 {
+				left[k] = struct{}{}
+			}
+		}
+		cs[i].alone = countCrashes(left)
 	}
 }
 
--- a/router/poison/evidence.go
+++ b/router/poison/evidence.go
@@ -15,8 +15,8 @@
 	// begunCrashes is the number of crashes, under as many different requests that the upstreams
 	// had just begun to answer, that show that a part causes them. Two may be a coincidence.
 	begunCrashes = 3
-	// waitingCrashes is the same if upstreams crash before they begin to answer: then all requests
-	// in progress are suspects.
+	// waitingCrashes is the same if upstreams crash before they begin to answer, under several parts that aren't
+	// known: then all requests in progress are suspects.
 	waitingCrashes = 5
 	// knownCrashes is the number of crashes in a row that are needed for a part that upstreams
 	// survived within evidenceTTL: a part that many prompts share is often in progress at a crash.
--- a/router/poison/judge.go
+++ b/router/poison/judge.go
@@ -148,7 +148,7 @@
 				begun[k] = struct{}{}
 			}
 		}
-		c := candidate{part: p, crashes: countCrashes(all), begun: countCrashes(begun)}
+		c := candidate{part: p, crashes: countCrashes(all), begun: countCrashes(begun), alone: countCrashes(all)}
 		return c.guilty(false)
 	})
 }
--- a/router/poison/poison_test.go
+++ b/router/poison/poison_test.go
@@ -139,6 +139,19 @@
 				s.wait(200 * time.Millisecond)
 			}
 		}, [][]string{{"a", "x"}, {"c", "x"}}, [][]string{{"a", "b"}, {"a", "c"}, {"c", "b"}}},
+		"three crashes before an answer, all other parts known": {func(s *scene) {
+			s.survive("a", "b")
+			for range 3 {
+				s.crashTwice(s.waiting("a", "x"), "a", "b")
+				s.crashTwice(s.waiting("a", "y"), "a", "b")
+			}
+		}, [][]string{{"a", "x"}, {"a", "y"}}, [][]string{{"a", "b"}, {"a", "c"}, {"c", "b"}}},
+		"three crashes before an answer beside others that nobody knows": {func(s *scene) {
+			s.survive("a", "b")
+			for i := range 3 {
+				s.crash(s.waiting("a", "x"), s.waiting("a", fmt.Sprint("c", i)), s.begun("a", "b"))
+			}
+		}, nil, [][]string{{"a", "x"}, {"a", "c0"}, {"a", "b"}}},
 		"crashes before an answer by two parts": {func(s *scene) {
 			s.survive("a", "b")
 			for range 5 {
