--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -14,7 +14,7 @@
 type candidate struct {
 	part  crash.Part
 	known bool
-	// settled is true if other routers have had time to report on the part.
+	// settled is true if the first crash was so long ago that other routers have had time to report on the part.
 	settled bool
 	// requests are those in progress at the crashes; if enough of them had begun to be answered,
 	// only these.
@@ -22,6 +22,8 @@
 	// crashes is the number of upstreams that crashed, or of the different requests under which they
 	// did, if that is less; begun counts only requests whose answer had begun.
 	crashes, begun int
+	// alone counts only upstreams at which no other part was in progress that isn't known.
+	alone int
 	// upstreams are the upstreams that crashed, inProgress is the number of requests at them.
 	upstreams  map[fleet.Incarnation]struct{}
 	inProgress int
@@ -34,7 +36,7 @@
 	candidate
 }
 
-// decide returns a quarantine that follows from the evidence and is not among those in force, if
+// decide returns a quarantine that follows from the events up to now and is not among those in force, if
 // there is one. The parts that explain the most crashes come first, since they leave fewer crashes
 // to be explained by others, and of these the most specific ones.
 func (e *evidence) decide(qs []Quarantine, now time.Time) (verdict, bool) {
@@ -48,6 +50,7 @@
 		}
 	}
 	cs := e.candidates(active, now)
+	countAlone(cs)
 	all, r := crashed(cs), rivalsOf(cs)
 	for _, c := range cs {
 		if !c.settled || !c.guilty(remembered(qs, c.part)) || float64(len(c.upstreams)) < explainedShare*float64(all) || r.explain(c) {
@@ -72,19 +75,25 @@
 // candidates returns the suspected parts, the most suspected ones first.
 func (e *evidence) candidates(active []Quarantine, now time.Time) []candidate {
 	var cs []candidate
+	xs := e.explainers(active, now)
 	for p, x := range e.suspects {
-		c := candidate{part: p, known: e.known(p, now), settled: now.Sub(x.since) >= e.judgeDelay()}
+		c := candidate{part: p, known: e.known(p, now)}
 		all, begun := map[crashKey]struct{}{}, map[crashKey]struct{}{}
 		for k, s := range x.suspicions {
-			if (c.known && !s.Began) || !s.At.After(e.survived[p]) || e.explained(s, active) {
+			at := e.crashedAt[k.upstream]
+			if at.After(now) || now.Sub(at) > evidenceTTL || !at.After(e.survived[p]) {
+				continue
+			}
+			if (!s.Began && e.known(p, at)) || explained(s, xs) {
 				continue
 			}
 			all[k] = struct{}{}
+			c.settled = c.settled || now.Sub(at) >= e.judgeDelay()
 			if s.Began {
 				begun[k] = struct{}{}
 			}
-			if s.At.After(c.last) {
-				c.last = s.At
+			if at.After(c.last) {
+				c.last = at
 			}
 		}
 		if len(all) == 0 {
@@ -112,7 +121,33 @@
 	case again:
 		return c.begun > 0
 	default:
-		return c.begun >= begunCrashes || c.crashes >= waitingCrashes
+		return c.begun >= begunCrashes || c.alone >= begunCrashes || c.crashes >= waitingCrashes
+	}
+}
+
+// countAlone sets alone for the candidates: a request that waits is as telling as one whose answer had begun if all
+// others at the upstream have parts that were survived.
+func countAlone(cs []candidate) {
+	unknown := map[fleet.Incarnation]int{}
+	for _, c := range cs {
+		if c.known || c.part.IsContent() {
+			continue
+		}
+		for u := range c.upstreams {
+			unknown[u]++
+		}
+	}
+	for i, c := range cs {
+		if c.known || c.part.IsContent() {
+			continue
+		}
+		left := map[crashKey]struct{}{}
+		for k := range c.requests {
+			if unknown[k.upstream] == 1 {
+				left[k] = struct{}{}
+			}
+		}
+		cs[i].alone = countCrashes(left)
 	}
 }
 
@@ -167,17 +202,56 @@
 	return !c.known && c.crashes >= recurringPart
 }
 
+// explainer holds the upstreams at whose crashes requests with all parts of a quarantine were in progress.
+type explainer struct {
+	Quarantine
+	// waiting are those that explain the crashes under requests that had not begun, begun those that explain others.
+	waiting, begun map[fleet.Incarnation]struct{}
+}
+
+// explainers returns what the quarantines explain of the crashes up to now.
+func (e *evidence) explainers(active []Quarantine, now time.Time) []explainer {
+	var xs []explainer
+	for _, q := range active {
+		x := explainer{Quarantine: q}
+		for i, p := range q.Parts {
+			waiting, begun := e.mayCause(p, now)
+			if i == 0 {
+				x.waiting, x.begun = waiting, begun
+				continue
+			}
+			x.waiting, x.begun = intersect(x.waiting, waiting), intersect(x.begun, begun)
+		}
+		xs = append(xs, x)
+	}
+	return xs
+}
+
+// intersect returns the keys that both have.
+func intersect[K comparable](a, b map[K]struct{}) map[K]struct{} {
+	out := map[K]struct{}{}
+	for k := range a {
+		if _, ok := b[k]; ok {
+			out[k] = struct{}{}
+		}
+	}
+	return out
+}
+
 // explained reports whether a quarantine without the suspicion's part explains the crash at least as
 // well: requests with its parts were in progress too. Content doesn't explain that of other requests:
 // if two came together each time, either may be the cause.
-func (e *evidence) explained(s Suspicion, active []Quarantine) bool {
-	return slices.ContainsFunc(active, func(q Quarantine) bool {
-		if s.Part.IsContent() && q.Parts[0].IsContent() {
+func explained(s Suspicion, xs []explainer) bool {
+	return slices.ContainsFunc(xs, func(x explainer) bool {
+		if (s.Part.IsContent() && x.Parts[0].IsContent()) || slices.Contains(x.Parts, s.Part) {
 			return false
 		}
-		return !slices.Contains(q.Parts, s.Part) && !slices.ContainsFunc(q.Parts, func(x crash.Part) bool {
-			return !e.suspects[x].mayCause(s.Upstream, s.Began)
-		})
+		us := x.waiting
+		if s.Began {
+			us = x.begun
+		}
+		_, ok := us[s.Upstream]
+		return ok
 	})
 }
 
--- a/router/poison/poison_test.go
+++ b/router/poison/poison_test.go
@@ -139,6 +139,19 @@
 				s.wait(200 * time.Millisecond)
 			}
 		}, [][]string{{"a", "x"}, {"c", "x"}}, [][]string{{"a", "b"}, {"a", "c"}, {"c", "b"}}},
+		"three crashes before an answer, all other parts known": {func(s *scene) {
+			s.survive("a", "b")
+			for range 3 {
+				s.crashTwice(s.waiting("a", "x"), "a", "b")
+				s.crashTwice(s.waiting("a", "y"), "a", "b")
+			}
+		}, [][]string{{"a", "x"}, {"a", "y"}}, [][]string{{"a", "b"}, {"a", "c"}, {"c", "b"}}},
+		"three crashes before an answer beside others that nobody knows": {func(s *scene) {
+			s.survive("a", "b")
+			for i := range 3 {
+				s.crash(s.waiting("a", "x"), s.waiting("a", fmt.Sprint("c", i)), s.begun("a", "b"))
+			}
+		}, nil, [][]string{{"a", "x"}, {"a", "c0"}, {"a", "b"}}},
 		"crashes before an answer by two parts": {func(s *scene) {
 			s.survive("a", "b")
 			for range 5 {
@@ -393,6 +406,35 @@
 	}
 }
 
+// The same while no upstream has survived any part. Guards against reports that are filled by the parts that most
+// requests share, message after message, so that other routers never hear of the part that causes the crashes and
+// quarantine the shared ones.
+func TestReportsOfUnknownParts(t *testing.T) {
+	const messages = 20
+	a, b := newScene(), newScene()
+	for range 5 {
+		var xs []crash.Suspect
+		for range 20 {
+			xs = append(xs, a.begun("a", "b"))
+		}
+		a.crash(append(xs, a.waiting("a", "x"))...)
+	}
+	b.now = a.now
+	for range messages {
+		b.Merge(a.Report(a.now), b.now)
+		a.wait(150 * time.Millisecond)
+		b.wait(150 * time.Millisecond)
+	}
+	for name, s := range map[string]*scene{"its own": a, "another": b} {
+		if !s.refuses("a", "x") {
+			t.Errorf("%s router serves the part", name)
+		}
+		if s.refuses("a", "b") {
+			t.Errorf("%s router refuses sound parts", name)
+		}
+	}
+}
+
 // A rack of 60 upstreams loses power under 1,200 requests. Guards against a judgement, made ten times a second, that
 // compares each request with each other one.
 func BenchmarkUpdate(b *testing.B) {
