test(standin): cut answers at any byte and crash engines on request

The stand-ins could lose an answer as a whole, but not stop within its head, and an engine crashed only from outside, at no fixed point of a request.

Change: the fault cuts ends each of the next answers after a number of bytes, by closing the connection or, with stall, by silence on it. A request whose last message begins with crash: crashes its engine after the first token and before the first byte; the engine is back after 1 s.

Conclusion: integration tests can try both on entries and agents.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -8,6 +8,9 @@
 //   - priority orders the queue, lower first, as in vLLM
 //   - GET /v1/streams/{id}?from=N reads a stream from position N; DELETE cancels it
 //   - a stream without a reader is cancelled after the grace time
+//   - a streamed request whose last message begins with CrashPrefix crashes the engine once it
+//     has generated the first token, before any byte of its response; the engine is back after
+//     CrashDowntime
 //   - GET /load reports the load at the time load-lag ago
 //   - GET /kv-events is an SSE stream of cache events, delayed by event-lag and without
 //     every event-gap-th event
@@ -43,6 +46,12 @@
 	maxLoadSamples = 1024
 )
 
+// CrashPrefix begins the last message of a request that crashes the engine.
+const CrashPrefix = "crash:"
+
+// CrashDowntime is how long an engine resets connections after such a request.
+const CrashDowntime = time.Second
+
 // Start records that an engine began to generate for the request with an id.
 type Start struct {
 	At      time.Time        `json:"at"`
@@ -96,7 +105,7 @@
 // New returns an engine that generates once Run is called.
 func New(o setup.Engine, m *Models, fetch func(context.Context, ident.VersionRef) error) *Engine {
 	e := &Engine{o: o, models: m, fetchWeights: fetch, wake: make(chan struct{}, 1)}
-	e.faults = fault.New(string(o.ID), fault.Options{HasEffect: isCompletion, WriteError: writeInjectedError})
+	e.faults = fault.New(string(o.ID), fault.Options{HasEffect: isCompletion, MayCut: isCompletion, WriteError: writeInjectedError})
 	e.reset()
 	return e
 }
@@ -139,6 +148,19 @@
 	e.faults.Reset()
 }
 
+// crashForDowntime crashes the engine, which then resets all connections for CrashDowntime.
+func (e *Engine) crashForDowntime() {
+	f := e.faults.Get()
+	f.Down = true
+	e.faults.Set(f)
+	e.Crash()
+	time.AfterFunc(CrashDowntime, func() {
+		f := e.faults.Get()
+		f.Down = false
+		e.faults.Set(f)
+	})
+}
+
 // Counts returns the counters, and the starts at or after a time.
 func (e *Engine) Counts(since time.Time) (Counts, []Start) {
 	e.mu.Lock()
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -68,6 +69,9 @@
 	}
 	v := &responder{e: e, s: s, logprobs: q.Logprobs, usage: q.StreamOptions.IncludeUsage, continuous: q.StreamOptions.ContinuousUsage}
 	if q.Stream {
+		if strings.HasPrefix(q.Messages[len(q.Messages)-1].Content, CrashPrefix) {
+			v.crash(r)
+		}
 		v.writeStream(w, r, 0)
 		return
 	}
--- a/standin/engine/view.go
+++ b/standin/engine/view.go
@@ -105,6 +105,16 @@
 	writeJSON(w, http.StatusOK, m)
 }
 
+// crash crashes the engine once the stream has its first token. It doesn't return: it aborts the
+// connection.
+func (v *responder) crash(r *http.Request) {
+	defer v.e.detachReader(v.s)
+	if _, _, ok := v.waitForTokens(r, 0); ok {
+		v.e.crashForDowntime()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // writeStream writes the events from a position on. If the stream is cancelled, it aborts the
 // connection without [DONE].
 func (v *responder) writeStream(w http.ResponseWriter, r *http.Request, from int) {
--- a/standin/fault/listen.go
+++ b/standin/fault/listen.go
@@ -1,6 +1,7 @@
 package fault
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 )
@@ -50,6 +51,15 @@
 	net.Conn
 	s      *Injector
 	silent atomic.Bool
+	// cut, if it is not nil, limits what is still written.
+	cut atomic.Pointer[cut]
+}
+
+// cut limits the bytes that a connection still writes. Only the goroutine that serves the
+// connection uses left.
+type cut struct {
+	left  int
+	stall bool
 }
 
 func (c *conn) Read(b []byte) (int, error) {
@@ -65,14 +75,37 @@
 	if c.silent.Load() {
 		return len(b), nil
 	}
-	return c.Conn.Write(b)
+	t := c.cut.Load()
+	if t == nil {
+		return c.Conn.Write(b)
+	}
+	n, err := c.Conn.Write(b[:min(len(b), t.left)])
+	t.left -= n
+	if err != nil || t.left > 0 {
+		return n, err
+	}
+	if t.stall {
+		c.silent.Store(true)
+		return len(b), nil
+	}
+	_ = c.Close()
+	return n, net.ErrClosed
 }
 
+// Close closes the connection. One whose response was cut with stall is closed only once the
+// client has closed it, since net/http closes it after a request with Connection: close.
 func (c *conn) Close() error {
 	c.s.mu.Lock()
 	delete(c.s.conns, c)
 	c.s.mu.Unlock()
-	return c.Conn.Close()
+	if t := c.cut.Load(); t == nil || !t.stall || !c.silent.Load() {
+		return c.Conn.Close()
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, c.Conn)
+		_ = c.Conn.Close()
+	}()
+	return nil
 }
 
 // reset closes the connection with a TCP reset, as a host does that has restarted and no
@@ -82,4 +115,5 @@
 		_ = t.SetLinger(0)
 	}
 	_ = c.Close()
+	_ = c.Conn.Close() // also if Close leaves it to the client
 }
--- a/standin/fault/switch.go
+++ b/standin/fault/switch.go
@@ -9,6 +9,8 @@
 //     has no effect
 //   - lost: the next N requests that have an effect are handled, then their connection is
 //     closed without a response
+//   - cuts: each of the next responses ends after so many bytes of head and body, the first
+//     number for the first; its connection is closed, or with stall stays open and silent
 //
 // SilenceOpen discards all further data, in both directions, of the connections that are
 // open when it is called; new connections work.
@@ -32,6 +34,11 @@
 	// Lost is the number of responses still to lose. It decreases with each lost response;
 	// -1 loses all.
 	Lost int `json:"lost"`
+	// Cuts are the lengths in bytes, from the status line on, after which the next responses
+	// end. The first is removed with each response that it was applied to.
+	Cuts []int `json:"cuts"`
+	// Stall keeps the connection of a response that was cut open.
+	Stall bool `json:"stall"`
 }
 
 // Options describe the component that an injector belongs to.
@@ -39,6 +46,9 @@
 	// HasEffect reports whether a request changes state. Only the responses to such requests
 	// are subject to the fault lost; nil means that every request has an effect.
 	HasEffect func(*http.Request) bool
+	// MayCut reports whether the response to a request is subject to the fault cuts; nil means
+	// that every response is.
+	MayCut func(*http.Request) bool
 	// WriteError writes the response of an injected error; nil writes a plain-text 500.
 	WriteError func(http.ResponseWriter)
 }
@@ -129,6 +139,7 @@
 			return
 		}
 		if !lose {
+			s.sampleCut(r)
 			h.ServeHTTP(w, r)
 			return
 		}
@@ -190,6 +201,25 @@
 	return false, true
 }
 
+// sampleCut limits the response to a request to the first of the active cuts, if there is one.
+func (s *Injector) sampleCut(r *http.Request) {
+	if s.o.MayCut != nil && !s.o.MayCut(r) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.faults.Cuts) == 0 {
+		return
+	}
+	for c := range s.conns {
+		if c.RemoteAddr().String() == r.RemoteAddr {
+			c.cut.Store(&cut{left: s.faults.Cuts[0], stall: s.faults.Stall})
+			s.faults.Cuts = s.faults.Cuts[1:]
+			return
+		}
+	}
+}
+
 func (s *Injector) writeError(w http.ResponseWriter) {
 	if s.o.WriteError != nil {
 		s.o.WriteError(w)
