test(proof): cut answers of engines and services in their heads

Cuts were tried in tests of the agent's clients, not on a caller's answer.

Change: TestHeadCut cuts the answers of an engine and of a service after 0 to 140 bytes, by closing the connection or by silence on it, for streams, orders that may run once, and calls that may be repeated.

--- a/proof/paths_test.go
+++ b/proof/paths_test.go
@@ -17,7 +17,9 @@
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/proof/fleet"
 	"tarragonvalve.example/proof/proc"
+	"tarragonvalve.example/standin/client"
 	"tarragonvalve.example/standin/fault"
+	"tarragonvalve.example/standin/plain"
 )
 
 // The tests try the causes of docs/decisions/0010-one-fault-many-paths.md on real processes.
@@ -277,3 +279,103 @@
 		}
 	}
 }
+
+// headOffsets are lengths in bytes after which the answers of upstreams end: in the status line, at
+// its end, in header lines, and in the body.
+var headOffsets = []int{0, 1, 8, 9, 12, 15, 17, 19, 40, 80, 100, 140}
+
+// Times after which an agent gives up a silent connection.
+const (
+	engineSilence  = 5 * time.Second
+	serviceSilence = 10 * time.Second
+)
+
+// Guards against an answer that an upstream cut in its head and that counts as complete or as
+// not-run, is run twice though it may run once, or leaves its caller without an answer.
+func TestHeadCut(t *testing.T) {
+	engines := func(stall bool) scenario {
+		o := fleet.Options{Entries: 2, Engines: 1, Slots: len(headOffsets)}
+		return scenario{options: o, run: func(t *testing.T, f *fleet.Fleet) {
+			f.SetFaults("engine-1", fault.Faults{Cuts: headOffsets, Stall: stall})
+			os := <-sendChats(f, f.Entries[0], fleet.Alpha, "deep@1", "cut", len(headOffsets))
+			if n := len(f.Faults("engine-1").Cuts); n > 0 {
+				t.Errorf("%d answers were not cut", n)
+			}
+			// The engine still generates the stream, which can be read again.
+			if whole := checkOutcomes(t, f, os); whole != len(os) {
+				t.Errorf("%d of %d streams were answered whole", whole, len(os))
+			}
+			for _, o := range os {
+				if n := startsOf(f, &o.reply); n != 1 {
+					t.Errorf("request %s started %d times", o.reply.Request, n)
+				}
+				if stall && o.reply.Total < engineSilence {
+					t.Errorf("request %s took only %s", o.reply.Request, o.reply.Total)
+				}
+			}
+		}}
+	}
+	orders := func(offsets []int, stall bool) scenario {
+		return scenario{run: func(t *testing.T, f *fleet.Fleet) {
+			for _, id := range []string{"orders-1", "orders-2"} {
+				f.SetFaults(id, fault.Faults{Cuts: offsets, Stall: stall})
+			}
+			var w sync.WaitGroup
+			for i := range offsets {
+				key := fmt.Sprint("cut-", i)
+				w.Go(func() {
+					r := f.Client(f.Entries[i%2], fleet.Alpha).Call(f.Context(), orderCall(key, "{}"))
+					if r.Code == "" || r.Ran != refuse.Unknown {
+						t.Errorf("%s: an answer that was cut after the run: %s", key, r.Describe())
+					}
+					if stall && r.Total < serviceSilence {
+						t.Errorf("%s took only %s", key, r.Total)
+					}
+					again := repeatUntilDecided(t, f, f.Entries[(i+1)%2], orderCall(key, "{}"))
+					checkRuns(t, f, key, r, again)
+				})
+			}
+			w.Wait()
+			if n := len(f.Faults("orders-1").Cuts) + len(f.Faults("orders-2").Cuts); n != len(offsets) {
+				t.Errorf("%d cuts are left, want %d", n, len(offsets))
+			}
+		}}
+	}
+	runParallel(t, map[string]scenario{
+		"engine closes":  engines(false),
+		"engine stalls":  engines(true),
+		"service closes": orders(headOffsets, false),
+		"service stalls": orders(headOffsets[2:8], true),
+		"repeatable call": {run: func(t *testing.T, f *fleet.Fleet) {
+			f.SetFaults("orders-1", fault.Faults{Cuts: headOffsets})
+			f.SetFaults("orders-2", fault.Faults{Cuts: headOffsets})
+			whole := 0
+			for i := range 2 * len(headOffsets) {
+				r := f.Client(f.Entries[i%2], fleet.Alpha).Call(f.Context(), client.Call{Service: "orders", Method: http.MethodGet, Path: "/runs"})
+				var a plain.Answer
+				switch {
+				case r.OK() && json.Unmarshal(r.Body, &a) == nil && a.Service == "orders" && a.Method == http.MethodGet:
+					whole++
+				case r.OK() || r.Code == "" || r.Ran == refuse.NotRun:
+					t.Errorf("call %d: %s %q", i, r.Describe(), r.Body)
+				}
+			}
+			t.Logf("%d of %d calls were answered", whole, 2*len(headOffsets))
+			if n := len(f.Faults("orders-1").Cuts) + len(f.Faults("orders-2").Cuts); n == 2*len(headOffsets) {
+				t.Error("no answer was cut")
+			}
+		}},
+	})
+}
+
+// startsOf returns how many attempts of a request started on engines.
+func startsOf(f *fleet.Fleet, r *client.Reply) (n int) {
+	for _, ss := range f.Counters(time.Time{}).Starts {
+		for _, s := range ss {
+			if strings.HasPrefix(s.ID, string(r.Request)+"-") {
+				n++
+			}
+		}
+	}
+	return n
+}
