test(proof): several pauses of a stream, known to fail

What callers see: a stream whose engine pauses for longer than its agent waits for a byte, five times with text between, ends with stream-broken in the fifth pause, although the engine goes on, holds the stream, and the others are full.

Cause: an agent resumes a stream at its engine at most four times (maxResumes in agent/runner), counted over the whole attempt and not since the last text.

Conclusion: the caller gets an explicit error, so nothing wrong is reported; but the stream is given up while no other engine can take it.

--- a/proof/pauses_test.go
+++ b/proof/pauses_test.go
@@ -157,3 +157,12 @@
 		"after some text":       paused(5, 1),
 	})
 }
+
+// Guards against a stream that is given up after several pauses although its engine went on between
+// them and the other engines are full.
+func TestStreamPausesOften(t *testing.T) {
+	o := fleet.Options{Entries: 2, Engines: 2, Slots: 2}
+	runParallel(t, map[string]scenario{
+		"five times": {options: o, run: func(t *testing.T, f *fleet.Fleet) { pausedStream(t, f, o.Slots, 5, 5) }},
+	})
+}
