fix(front): go on after a failed accept

What callers saw: none; found by review. An accept that fails for want of memory (ENOBUFS) ended the server, and with it the process, with the requests of all other connections at work.

Cause: net/http retries only errors that call themselves temporary, and the accept loop's end counts as the server's.

Change: only the close of the listener ends the loop; after another error it tries again, with a warning.

Before: TestAcceptError, "run: accept tcp: no buffer space available".

--- a/router/front/limit.go
+++ b/router/front/limit.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -21,27 +23,38 @@
 	// limit is the largest number of open connections.
 	limit int64
 	open  atomic.Int64
-	// refused is called for each connection that is closed at the limit.
+	// refused is called for each connection that is closed at the limit, failed for each failed accept.
 	refused func()
+	failed  func(error)
 }
 
 // limitConnections limits the open connections of a listener to clientDescriptorShare of the
-// process's file descriptors. refused is called for each connection closed at the limit.
-func limitConnections(l net.Listener, refused func()) (net.Listener, error) {
+// process's file descriptors. refused is called for each connection closed at the limit, failed for each failed
+// accept.
+func limitConnections(l net.Listener, refused func(), failed func(error)) (net.Listener, error) {
 	var r unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil {
 		return nil, err
 	}
-	return &limitedListener{Listener: l, limit: max(int64(float64(r.Cur)*clientDescriptorShare), 1), refused: refused}, nil
+	return &limitedListener{Listener: l, limit: max(int64(float64(r.Cur)*clientDescriptorShare), 1), refused: refused, failed: failed}, nil
 }
 
-// Accept returns the next connection within the limit.
+// acceptRetry is the time after a failed accept until the next one, such as while the kernel lacks memory.
+const acceptRetry = 20 * time.Millisecond
+
+// Accept returns the next connection within the limit. Only the close of the listener ends it: another error
+// would end the process with the requests of all other connections.
 func (l *limitedListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return nil, err
 		}
+		if err != nil {
+			l.failed(err)
+			time.Sleep(acceptRetry)
+			continue
+		}
 		if l.open.Add(1) <= l.limit {
 			return &countedConn{Conn: c, open: &l.open}, nil
 		}
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/logger"
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/mirror"
 )
@@ -70,7 +71,7 @@
 		Handler:     ends.handler(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(errorLog{s.Log}, "", 0),
 	}
-	l, err := limitConnections(s.Listener, s.Refused)
+	l, err := limitConnections(s.Listener, s.Refused, logger.WarnFunc(s.Log, "connection not accepted"))
 	if err != nil {
 		return err
 	}
--- a/router/front/serve_test.go
+++ b/router/front/serve_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -115,3 +117,44 @@
 		t.Errorf("the request of an accepted connection wasn't served: client got %q, %v", answer, err)
 	}
 }
+
+// failingListener is a listener whose next Accept fails once it is armed, as the kernel's accept(2) may when it lacks
+// memory.
+type failingListener struct {
+	net.Listener
+
+	armed atomic.Bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil && l.armed.CompareAndSwap(true, false) {
+		c.Close()
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.ENOBUFS}
+	}
+	return c, err
+}
+
+// Guards against a passing error of accept that ends the process with requests at work.
+func TestAcceptError(t *testing.T) {
+	t.Parallel()
+	var l *failingListener
+	s := serveClientsOnListener(t, time.Second, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(200 * time.Millisecond)
+		fmt.Fprint(w, "done")
+	}, func(i net.Listener, _ *Server) net.Listener {
+		l = &failingListener{Listener: i}
+		return l
+	})
+	o := s.dial(order)
+	s.awaitBytes()
+	l.armed.Store(true)
+	s.dial("")
+	s.await("message", "connection not accepted")
+	if status, body, err := answer(o); status != http.StatusOK || body != "done" || err != nil {
+		t.Errorf("request at work: got %d %q, %v", status, body, err)
+	}
+	if status, _, err := answer(s.dial(order)); status != http.StatusOK || err != nil {
+		t.Errorf("next connection: got %d, %v", status, err)
+	}
+}
--- a/router/front/server_test.go
+++ b/router/front/server_test.go
@@ -66,6 +66,14 @@
 
 // serveClientsOn is serveClients with connections that are wrapped by wrap.
 func serveClientsOn(t *testing.T, grace time.Duration, h http.HandlerFunc, wrap func(net.Conn, *Server) net.Conn) *runningServer {
+	t.Helper()
+	return serveClientsOnListener(t, grace, h, func(l net.Listener, x *Server) net.Listener {
+		return wrappingListener{Listener: l, wrap: func(c net.Conn) net.Conn { return wrap(c, x) }}
+	})
+}
+
+// serveClientsOnListener is serveClients with a listener that is wrapped by wrap.
+func serveClientsOnListener(t *testing.T, grace time.Duration, h http.HandlerFunc, wrap func(net.Listener, *Server) net.Listener) *runningServer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -80,7 +88,7 @@
 		Ended:     s.count,
 		RequestID: func(h http.Header) call.ID { return call.ID(h.Get("Id")) },
 	}
-	x.Listener = wrappingListener{Listener: l, wrap: func(c net.Conn) net.Conn { return wrap(c, x) }}
+	x.Listener = wrap(l, x)
 	s.server = x
 	go func() { s.done <- x.Run(ctx) }()
 	t.Cleanup(func() {
