fix(front): close the listener before a drain gives up

What callers saw: none; found by review.

Change: the listener is closed, and the accept loop waited for, before the requests in progress are ended.

Before: TestAcceptAsListenerCloses/short_grace_period, passed on and client got "".

--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -55,6 +55,8 @@
 	Log       zerolog.Logger
 
 	conns connections
+	// listenerClosed is true once Run has closed the listener.
+	listenerClosed bool
 }
 
 // Name implements serve.Component.
@@ -87,6 +89,7 @@
 			s.conns.endIdle(s.idleTimeout(), s.idleTimeout())
 		case <-ctx.Done():
 			if !s.drain(served) {
+				s.closeListener(served, abortTime)
 				s.abort(cancel)
 			}
 			ends.closed.Store(true)
@@ -113,7 +116,6 @@
 	s.Gate.Stop()
 	keep := min(keepOpen, time.Duration(float64(s.Gate.grace())*keepOpenFraction))
 	s.Log.Info().Int("open", s.Gate.InFlight()).Msg("stopping: no longer ready")
-	closed := false
 	for {
 		time.Sleep(drainPoll)
 		past, _ := s.Gate.stoppedFor()
@@ -123,10 +125,7 @@
 		if past <= keep {
 			continue
 		}
-		if !closed {
-			closed = true
-			s.closeListener(served, s.Gate.drainTime()-past)
-		}
+		s.closeListener(served, s.Gate.drainTime()-past)
 		if s.drained() {
 			s.logLeft(s.Log.Info(), "stopping: all requests ended")
 			return true
@@ -135,8 +134,12 @@
 }
 
 // closeListener closes the listener and waits, at most for limit, until the accept loop has ended: only then are all
-// accepted connections counted.
+// accepted connections counted. Further calls do nothing.
 func (s *Server) closeListener(served <-chan error, limit time.Duration) {
+	if s.listenerClosed {
+		return
+	}
+	s.listenerClosed = true
 	if err := s.Listener.Close(); err != nil {
 		s.Log.Warn().Err(err).Msg("stopping: listener not closed")
 	}
--- a/router/front/serve_test.go
+++ b/router/front/serve_test.go
@@ -49,15 +49,15 @@
 	return l.Listener.Close()
 }
 
-// slowLog is a log output that takes until the handler has begun, at most a second, for the line that all requests
-// have ended.
+// slowLog is a log output that takes until the handler has begun, at most a second, for a line.
 type slowLog struct {
 	*heldListener
+	line  string
 	begun chan struct{}
 }
 
 func (l slowLog) Write(b []byte) (int, error) {
-	if strings.Contains(string(b), "all requests ended") {
+	if strings.Contains(string(b), l.line) {
 		l.release()
 		select {
 		case <-l.begun:
@@ -71,7 +71,25 @@
 // as the listener closed and wasn't counted yet, and it was closed without an answer.
 func TestAcceptAsListenerCloses(t *testing.T) {
 	t.Parallel()
-	const grace = 3 * time.Second
+	tests := map[string]struct {
+		grace time.Duration
+		// line is the last one before the connections are closed.
+		line string
+	}{
+		"drained": {3 * time.Second, "all requests ended"},
+		// The drain is over before the listener is closed.
+		"short grace period": {1500 * time.Millisecond, "connections are closed"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			acceptAsListenerCloses(t, c.grace, c.line)
+		})
+	}
+}
+
+func acceptAsListenerCloses(t *testing.T, grace time.Duration, line string) {
+	t.Helper()
 	i, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -89,7 +107,7 @@
 	})
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) + 1 }
-	log := zerolog.New(slowLog{heldListener: l, begun: begun})
+	log := zerolog.New(slowLog{heldListener: l, line: line, begun: begun})
 	n := mirror.New(nil, nil, now, log)
 	g := NewGate(n, now, func() time.Duration { return time.Second }, func() time.Duration { return grace })
 	s := &Server{Listener: l, Handler: handler, Gate: g, Syncer: n, Refused: func() {}, Log: log}
