fix(front): let slow clients receive large answers before a reset

What callers saw: an answer of 300 KB was cut by a reset if bytes came behind the request after the close of its connection, or if bytes were unread and the client needed more than a second for the rest. Found by review.

Cause: the close waited for the client only if bytes were unread by then, and for a second.

Change: it waits if bytes are unread or more of the answer is left than goes out at once, for 5 s at most, and less if the drain ends before.

Before: TestResetAfterClose fails in 3 of 5 cases. After: 3 of 3 runs pass; TestLingerAfterReset shows that a client that resets its connection isn't waited for.

--- a/router/front/clientconn.go
+++ b/router/front/clientconn.go
@@ -78,28 +78,34 @@
 
 const (
 	// lingerTime bounds how long the close of a connection waits for the client to receive the answer.
-	lingerTime = time.Second
-	// lingerPoll is how often it checks for that.
-	lingerPoll = 5 * time.Millisecond
+	lingerTime = 5 * time.Second
+	// lingerPoll is how often it checks for that at first; the time doubles up to lingerPollMax.
+	lingerPoll    = 5 * time.Millisecond
+	lingerPollMax = 100 * time.Millisecond
+	// lingerBytes is the size of the rest of an answer, in bytes, from which on the close waits in any case. Less is
+	// sent at once: it is the initial congestion window of RFC 6928.
+	lingerBytes = 14_600
 )
 
-// Close implements net.Conn. The kernel resets a connection that is closed with bytes unread, and drops what it has
-// not sent yet, so the close first waits until the client has received the answer.
+// Close implements net.Conn. The kernel resets a connection if bytes are unread at its close, or arrive later, and drops
+// what it has not sent yet. The close first waits until the client has received the answer if that may happen.
 func (c *clientConn) Close() error {
-	if !c.ends.closed.Load() && hasInput(c) {
-		c.linger()
+	o, ok := unwrap(c).(*net.TCPConn)
+	if ok && !c.ends.closed.Load() && (hasInput(c) || unacknowledged(o) >= lingerBytes) {
+		c.linger(o)
 	}
 	return c.Conn.Close()
 }
 
 // linger ends the sending side and waits until the client has received all bytes, at most for lingerTime.
-func (c *clientConn) linger() {
-	o, ok := unwrap(c).(*net.TCPConn)
-	if !ok || o.CloseWrite() != nil {
+func (c *clientConn) linger(o *net.TCPConn) {
+	if o.CloseWrite() != nil {
 		return
 	}
-	for end := time.Now().Add(lingerTime); time.Now().Before(end) && !c.ends.closed.Load() && unacknowledged(o) > 0; {
-		time.Sleep(lingerPoll)
+	end, pause := time.Now().Add(lingerTime), lingerPoll
+	for time.Now().Before(end) && !c.ends.closed.Load() && unacknowledged(o) > 0 {
+		time.Sleep(pause)
+		pause = min(2*pause, lingerPollMax)
 	}
 }
 
