fix(setup): take changed settings over after a quarter of a second

A signalled change of the grace period counted half a second late, and a stop in between went by the old one. Found by review; it can't be excluded, only made shorter, as a file says nothing of whether it is complete.

--- a/router/setup/live.go
+++ b/router/setup/live.go
@@ -14,7 +14,7 @@
 
 // settleTime is how long changed settings must stay the same before they come into force: a file that is being
 // written may be valid, with a bound missing or a number half written.
-const settleTime = 500 * time.Millisecond
+const settleTime = 250 * time.Millisecond
 
 // Live holds the settings in force and reloads them. It is safe for concurrent use.
 type Live struct {
