test(crash): cover an answer that is complete before its upstream crashes

A complete answer counts as survived, also within the second after it began: buffered answers rely on it, and no test held it. It passes on the present code.

--- a/router/crash/crash_test.go
+++ b/router/crash/crash_test.go
@@ -93,6 +93,13 @@
 			m.Start(u, prompt("a"), ignore).Began(at(0))
 			m.Down("u", at(5000*ms))
 		}, "a!", ""},
+		"complete before the crash": {func(m *crash.Monitor) {
+			a := m.Start(u, prompt("a"), ignore)
+			a.Began(at(0))
+			a.Completed()
+			a.End(at(100 * ms))
+			m.Down("u", at(200*ms))
+		}, "", "a"},
 		"long stream": {func(m *crash.Monitor) {
 			a := m.Start(u, prompt("a"), ignore)
 			a.Began(at(0))
