--- a/router/front/linger_test.go
+++ b/router/front/linger_test.go
@@ -122,3 +122,49 @@
 		t.Errorf("the connection was counted for %v after its reset", d)
 	}
 }
+
+// Guards against a shutdown that waits, one after the other, for clients that don't read their answers.
+func TestShutdownBesideSlowClients(t *testing.T) {
+	t.Parallel()
+	const clients = 4
+	s := serveClients(t, time.Second, func(w http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		w.Header().Set("Connection", "close")
+		// More than the kernel takes.
+		w.Write(make([]byte, 32<<20))
+	})
+	for range clients {
+		dialSmall(t, s.address).Write([]byte(chunkedOrder))
+	}
+	s.awaitConnections(clients)
+	s.awaitBytes()
+	began := time.Now()
+	s.stop()
+	s.await("message", "stopping: connections are closed")
+	err := <-s.done
+	s.done <- err
+	if d := time.Since(began); d > clients*lingerTime/2 {
+		t.Errorf("the shutdown took %s, %v", d, err)
+	}
+}
+
+// Guards against a client that has just connected and is cut off as the listener closes.
+func TestFirstRequestAfterListenerCloses(t *testing.T) {
+	t.Parallel()
+	const grace = 3 * time.Second
+	s := serveClients(t, grace, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		fmt.Fprint(w, "done")
+	})
+	s.stop()
+	s.await("message", "stopping: no longer ready")
+	time.Sleep(time.Duration(keepOpenFraction*float64(grace)) - firstRequestTime/2)
+	o := s.dial("")
+	s.await("message", "stopping: listener closed")
+	// The drain looks at its connections a few times before the request comes.
+	time.Sleep(3 * drainPoll)
+	io.WriteString(o, order)
+	if status, body, err := answer(o); status != http.StatusOK || body != "done" || err != nil {
+		t.Errorf("got %d %q, %v", status, body, err)
+	}
+}
