fix(relay): count a complete stream as survived

What callers saw: sound prompts were refused after upstreams had crashed, 0 of some 620 served, or guilty ones went on.

Cause: a stream that ended whole was not recorded as survived by its upstream unless later bytes came from it; buffered answers were.

Change: the end of a stream records it.

TestWrongQuarantine four at a time, before: 6 of 8 runs pass on the code before this commit, 5 of 8 alone. After: 3 of 3 alone, and 12 of 16 four at a time; the other four runs didn't start, as another process had taken their port ("address already in use"). TestCrashesBeforeAnswerLateReports passed in 8 of 8 beside it.

--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -187,6 +187,7 @@
 		var e events.Event
 		e, err = r.Next()
 		if errors.Is(err, io.EOF) && f.headersSent {
+			a.verdict.Completed()
 			a.finish(true)
 			if x := t.succession.finish(t, false); x != nil {
 				x.discard()
