fix(agent): bound the resumes of a stream by those without progress

What callers saw: a stream whose engine pauses for longer than its agent waits for a byte, five times with text in between, ended with stream-broken in the fifth pause, although the engine went on and all others were full.

Cause: the four resumes of an attempt at its engine were counted over the whole stream.

Change: a new part of the stream begins the count anew.

Before: TestStreamPausesOften fails in 3 runs of 3. After: it and TestStreamPauses pass, one run.

--- a/agent/runner/relay.go
+++ b/agent/runner/relay.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	// maxResumes bounds the number of new connections to the engine for one attempt.
+	// maxResumes bounds the number of new connections to the engine for one attempt without a new part of its
+	// stream.
 	maxResumes = 4
 	// resumeDelay is the delay before the first resume. It doubles with each further one.
 	resumeDelay = 50 * time.Millisecond
@@ -110,9 +111,13 @@
 	var position uint64
 	for n := 0; ; n++ {
 		if err == nil {
+			before := position
 			err = r.copyChunks(a, p, s)
 			position = s.Position()
 			s.Close()
+			if position > before {
+				n = 0
+			}
 			if errors.Is(err, io.EOF) {
 				r.complete(a, p)
 				return ledger.OutcomeComplete
