refactor(front): find a request's exchange by its connection

Each request had a context and a copy of the request for its exchange, and two writers that record the status, although the connection in its context holds the exchange already, and the handler may use the writer it is given.

Tests of front and the ends in boot pass unchanged.

--- a/router/front/clientconn.go
+++ b/router/front/clientconn.go
@@ -131,6 +131,13 @@
 	c.closedIdle = false
 }
 
+// current returns the request in progress, or nil.
+func (c *clientConn) current() *exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.exchange
+}
+
 // setClosedIdle records that reads from the connection are ended as it is idle.
 func (c *clientConn) setClosedIdle() {
 	c.mu.Lock()
--- a/router/front/exchange.go
+++ b/router/front/exchange.go
@@ -39,17 +39,15 @@
 	cancelled error
 }
 
-// exchangeKey is the context key of a request's exchange.
-type exchangeKey struct{}
-
-// exchangeOf returns the exchange of the request with context ctx. It returns an unused one if the request does
-// not come from a Server.
+// exchangeOf returns the exchange in progress on the connection of the request with context ctx. It returns an unused
+// one if the request does not come from a Server.
 func exchangeOf(ctx context.Context) *exchange {
-	x, ok := ctx.Value(exchangeKey{}).(*exchange)
-	if !ok {
-		return &exchange{}
+	if c, ok := ctx.Value(connKey{}).(*clientConn); ok {
+		if x := c.current(); x != nil {
+			return x
+		}
 	}
-	return x
+	return &exchange{}
 }
 
 // checked records the result of the last check before a send, and returns it.
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -74,7 +74,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	m := h.codec.ParseRequest(q.Header)
-	s := &statusWriter{ResponseWriter: w}
+	s := newStatusWriter(w)
 	j := &relay.Job{}
 	reservation := h.memory.NewReservation()
 	defer reservation.Free()
@@ -98,6 +98,14 @@
 	status int
 }
 
+// newStatusWriter returns w if it records the status already, as it does for requests of a Server.
+func newStatusWriter(w http.ResponseWriter) *statusWriter {
+	if s, ok := w.(*statusWriter); ok {
+		return s
+	}
+	return &statusWriter{ResponseWriter: w}
+}
+
 // WriteHeader implements http.ResponseWriter.
 func (w *statusWriter) WriteHeader(status int) {
 	w.status = status
--- a/router/front/panics.go
+++ b/router/front/panics.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"context"
 	"net/http"
 
 	"tarragonvalve.example/core/refuse"
@@ -12,7 +11,7 @@
 func (r *endReporter) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		x := &exchange{header: q.Header}
-		s := &statusWriter{ResponseWriter: w}
+		s := newStatusWriter(w)
 		if c, ok := q.Context().Value(connKey{}).(*clientConn); ok {
 			c.begin(x)
 		}
@@ -34,7 +33,7 @@
 			w.Header().Set("Connection", "close")
 			writeRefusal(w, refuse.New(refuse.Internal, refuse.Unknown, "the router failed while it served the request"))
 		}()
-		h.ServeHTTP(s, q.WithContext(context.WithValue(q.Context(), exchangeKey{}, x)))
+		h.ServeHTTP(s, q)
 	})
 }
 
