refactor: pass the error logs of HTTP servers on by one writer

core/panics and router/front had the same writer with other messages. core/logger has it, with the message as an argument; the lines stay as they were.

--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -484,7 +484,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          panics.ErrorLog(l),
+		ErrorLog:          logger.ErrorLog(l, "the HTTP server reports an error"),
 	}
 	if c.source != nil {
 		v.TLSConfig = c.source.PublicServerConfig()
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log"
 	"net"
 	"net/http"
 	"time"
@@ -71,7 +70,7 @@
 	h := &http.Server{
 		BaseContext: func(net.Listener) context.Context { return base },
 		Handler:     ends.handler(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: log.New(errorLog{s.Log}, "", 0),
+		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: logger.ErrorLog(s.Log, "clients' HTTP server reported an error"),
 	}
 	l, err := limitConnections(s.Listener, s.Refused, logger.WarnFunc(s.Log, "connection not accepted"))
 	if err != nil {
