refactor: name the causes of early ends once

router/front and entry/caller declared the same six causes with the same levels; core/ending has them, with the five that only connections have. Names in logs and metrics are as before. Tests changed only in the names' package and pass.

--- a/entry/boot/metrics.go
+++ b/entry/boot/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/panics"
@@ -72,7 +73,7 @@
 	m.counter("attempt_reports_dropped_total", "Results of attempts dropped before outlier detection because too many were waiting.", f.Dropped)
 	m.counter("links_replaced_total", "Silent connections to agents that were replaced.", s.Replaced)
 	m.counter("handler_panics_total", "Panics of HTTP and gRPC handlers.", h.Count)
-	for _, c := range caller.Causes() {
+	for _, c := range ending.OfAnswers() {
 		name := "incomplete_answers_" + strings.ReplaceAll(string(c), "-", "_") + "_total"
 		m.counter(name, "Answers that callers got no complete end of: "+string(c)+".", func() uint64 { return a.Incomplete(c) })
 	}
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -16,6 +16,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/envdoc"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
@@ -100,7 +101,7 @@
 	open   atomic.Int64
 	excess atomic.Uint64
 	// incomplete counts the answers that were not complete.
-	incomplete map[Cause]*atomic.Uint64
+	incomplete map[ending.Cause]*atomic.Uint64
 }
 
 // New returns an API with its routes.
--- a/entry/caller/ends.go
+++ b/entry/caller/ends.go
@@ -7,50 +7,23 @@
 	"os"
 	"sync/atomic"
 
-	"github.com/rs/zerolog"
-
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/entry/abort"
 )
 
-// Cause is why a caller got no complete answer, in kebab case.
-type Cause string
-
-// The causes that operators see in logs and metrics. A refusal that was sent before any part of an answer
-// is complete.
-const (
-	// HandlerPanic means that the code that serves requests panicked.
-	HandlerPanic Cause = "handler-panic"
-	// DrainEnded means that the answer had begun and was ended at the drain limit.
-	DrainEnded Cause = "drain-ended"
-	// UpstreamBrokeOff means that the answer had begun and can't be continued.
-	UpstreamBrokeOff Cause = "upstream-broke-off"
-	// DeadlinePassed means that the answer had begun and the time of the request was over.
-	DeadlinePassed Cause = "deadline-passed"
-	// ClientGone means that the caller closed or reset its connection, or its sending side, before it had
-	// the answer.
-	ClientGone Cause = "client-gone"
-	// WriteDeadline means that the caller did not read the answer in time.
-	WriteDeadline Cause = "write-deadline"
-)
-
-// Causes returns all causes.
-func Causes() []Cause {
-	return []Cause{HandlerPanic, DrainEnded, UpstreamBrokeOff, DeadlinePassed, ClientGone, WriteDeadline}
-}
-
 // newCounters returns a counter for each cause.
-func newCounters() map[Cause]*atomic.Uint64 {
-	out := map[Cause]*atomic.Uint64{}
-	for _, c := range Causes() {
+func newCounters() map[ending.Cause]*atomic.Uint64 {
+	out := map[ending.Cause]*atomic.Uint64{}
+	for _, c := range ending.OfAnswers() {
 		out[c] = &atomic.Uint64{}
 	}
 	return out
 }
 
 // Incomplete returns how many callers got no complete answer for a cause.
-func (a *API) Incomplete(c Cause) uint64 { return a.incomplete[c].Load() }
+func (a *API) Incomplete(c ending.Cause) uint64 { return a.incomplete[c].Load() }
 
 // exchange is a request with its answer as far as it was written. Its methods are not safe for concurrent use.
 type exchange struct {
@@ -103,20 +76,20 @@
 }
 
 // cause returns why the answer is not complete; it is empty for a complete one. ctx is the request's.
-func (x *exchange) cause(ctx context.Context) Cause {
+func (x *exchange) cause(ctx context.Context) ending.Cause {
 	switch {
 	case errors.Is(x.err, os.ErrDeadlineExceeded):
-		return WriteDeadline
+		return ending.WriteDeadline
 	case x.broken == nil && x.err == nil:
 		return ""
 	case abort.Drained(ctx):
-		return DrainEnded
+		return ending.DrainEnded
 	case x.err != nil || x.broken.Code == refuse.Cancelled:
-		return ClientGone
+		return ending.ClientGone
 	case x.broken.Code == refuse.DeadlineExceeded:
-		return DeadlinePassed
+		return ending.DeadlinePassed
 	default:
-		return UpstreamBrokeOff
+		return ending.UpstreamBrokeOff
 	}
 }
 
@@ -131,9 +104,9 @@
 }
 
 // report logs and counts an answer that is not complete.
-func (a *API) report(c Cause, x *exchange) {
+func (a *API) report(c ending.Cause, x *exchange) {
 	a.incomplete[c].Add(1)
-	e := a.o.Log.WithLevel(c.level()).Str("cause", string(c)).Str("request", string(x.id)).Bool("answer-begun", x.begun)
+	e := a.o.Log.WithLevel(c.Level()).Str("cause", string(c)).Str("request", string(x.id)).Bool("answer-begun", x.begun)
 	if d, stopping := a.o.StoppedFor(); stopping {
 		e = e.Dur("since-stop-ms", d)
 	}
@@ -143,18 +116,6 @@
 	e.AnErr("error", x.err).Msg("a caller got no complete answer")
 }
 
-// level returns the level of the log lines of a cause. What callers bring about is no warning.
-func (c Cause) level() zerolog.Level {
-	switch c {
-	case HandlerPanic:
-		return zerolog.ErrorLevel
-	case ClientGone:
-		return zerolog.InfoLevel
-	default:
-		return zerolog.WarnLevel
-	}
-}
-
 // recoverPanic reports a panic of a handler and refuses its request. If the answer has begun, it closes the
 // connection, so that the answer does not look complete.
 func (a *API) recoverPanic(x *exchange) {
@@ -166,7 +127,7 @@
 		panic(p)
 	}
 	a.o.Panics.Report(p, "request", string(x.id))
-	a.report(HandlerPanic, x)
+	a.report(ending.HandlerPanic, x)
 	if x.begun {
 		panic(http.ErrAbortHandler)
 	}
--- a/entry/caller/ends_test.go
+++ b/entry/caller/ends_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/entry/abort"
@@ -38,7 +39,7 @@
 // endLine is a log line about an answer that was not complete.
 type endLine struct {
 	Message   string          `json:"message"`
-	Cause     Cause           `json:"cause"`
+	Cause     ending.Cause    `json:"cause"`
 	Request   ident.RequestID `json:"request"`
 	Begun     bool            `json:"answer-begun"`
 	SinceStop float64         `json:"since-stop-ms"`
@@ -87,27 +88,27 @@
 		// fail ends the chat, act is what happens to it from outside once its answer has begun.
 		fail  func(ctx context.Context) error
 		act   func(c net.Conn, abortAll context.CancelCauseFunc)
-		cause Cause
+		cause ending.Cause
 	}{
-		"panic":           {whole: true, fail: func(context.Context) error { panic("broken") }, cause: HandlerPanic},
-		"panic in answer": {fail: func(context.Context) error { panic("broken") }, cause: HandlerPanic},
+		"panic":           {whole: true, fail: func(context.Context) error { panic("broken") }, cause: ending.HandlerPanic},
+		"panic in answer": {fail: func(context.Context) error { panic("broken") }, cause: ending.HandlerPanic},
 		"drain limit": {
 			fail: func(ctx context.Context) error {
 				<-ctx.Done()
 				return refuse.New(refuse.StreamBroken, refuse.DidRun, "stopped")
 			},
 			act:   func(_ net.Conn, abortAll context.CancelCauseFunc) { abortAll(abort.ErrDrained) },
-			cause: DrainEnded,
+			cause: ending.DrainEnded,
 		},
-		"upstream": {fail: func(context.Context) error { return refuse.New(refuse.StreamBroken, refuse.DidRun, "lost") }, cause: UpstreamBrokeOff},
-		"deadline": {fail: func(context.Context) error { return refuse.New(refuse.DeadlineExceeded, refuse.DidRun, "late") }, cause: DeadlinePassed},
+		"upstream": {fail: func(context.Context) error { return refuse.New(refuse.StreamBroken, refuse.DidRun, "lost") }, cause: ending.UpstreamBrokeOff},
+		"deadline": {fail: func(context.Context) error { return refuse.New(refuse.DeadlineExceeded, refuse.DidRun, "late") }, cause: ending.DeadlinePassed},
 		"caller left": {
 			fail: func(ctx context.Context) error {
 				<-ctx.Done()
 				return refuse.New(refuse.Cancelled, refuse.DidRun, "left")
 			},
 			act:   func(c net.Conn, _ context.CancelCauseFunc) { c.Close() },
-			cause: ClientGone,
+			cause: ending.ClientGone,
 		},
 		"caller closed its sending side": {
 			fail: func(ctx context.Context) error {
@@ -115,7 +116,7 @@
 				return refuse.New(refuse.Cancelled, refuse.DidRun, "left")
 			},
 			act:   func(c net.Conn, _ context.CancelCauseFunc) { _ = c.(*net.TCPConn).CloseWrite() },
-			cause: ClientGone,
+			cause: ending.ClientGone,
 		},
 		"refused": {whole: true, fail: func(context.Context) error { return refuse.New(refuse.Overloaded, refuse.NotRun, "busy") }},
 		"whole":   {fail: func(context.Context) error { return nil }},
@@ -158,7 +159,7 @@
 			if len(got) != 1 || got[0].Cause != c.cause || string(got[0].Request) != p.Header.Get(HeaderRequest) || got[0].SinceStop != 1500 || got[0].Begun == c.whole {
 				t.Errorf("logged %+v, want %s of %s", got, c.cause, p.Header.Get(HeaderRequest))
 			}
-			for _, x := range Causes() {
+			for _, x := range ending.OfAnswers() {
 				if (a.Incomplete(x) == 1) != (x == c.cause) {
 					t.Errorf("counted %d of %s", a.Incomplete(x), x)
 				}
@@ -211,8 +212,8 @@
 		defer h.Close()
 		fmt.Fprintf(client, "POST %s HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer key-alpha\r\nContent-Length: %d\r\n\r\n%s}", chatPath, len(hello)+1, hello)
 		time.Sleep(writeTimeout + time.Second)
-		if e := l.ends(t); len(e) != 1 || e[0].Cause != WriteDeadline || a.Incomplete(WriteDeadline) != 1 {
-			t.Errorf("logged %+v, counted %d", e, a.Incomplete(WriteDeadline))
+		if e := l.ends(t); len(e) != 1 || e[0].Cause != ending.WriteDeadline || a.Incomplete(ending.WriteDeadline) != 1 {
+			t.Errorf("logged %+v, counted %d", e, a.Incomplete(ending.WriteDeadline))
 		}
 	})
 }
--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/launch"
 	"tarragonvalve.example/core/logger"
@@ -255,12 +256,12 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, x := range front.Causes() {
+	for _, x := range ending.OfConnections() {
 		m.AddEndCause(string(x))
 	}
 	return &front.Server{
 		Listener: i, Handler: h, Gate: g, Syncer: n, Refused: m.ConnectionRefused, Log: l,
-		Ended:     func(x front.Cause) { m.ConnectionEnded(string(x)) },
+		Ended:     func(x ending.Cause) { m.ConnectionEnded(string(x)) },
 		RequestID: func(h http.Header) call.ID { return c.ParseRequest(h).ID },
 	}, nil
 }
--- a/router/front/clientconn.go
+++ b/router/front/clientconn.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"tarragonvalve.example/core/ending"
 )
 
 // observedListener wraps the connections that it accepts in clientConn.
@@ -173,7 +175,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if x := c.exchange; x != nil && x.outcome.Load() == nil {
-		c.ends.report(end{cause: ServerClosed}, x)
+		c.ends.report(end{cause: ending.ServerClosed}, x)
 	}
 }
 
@@ -184,17 +186,17 @@
 	switch {
 	case begun && c.clientEnd != nil:
 		// net/http answers headers that end early too.
-		return end{cause: ClientGone, err: c.clientEnd}, true
+		return end{cause: ending.ClientGone, err: c.clientEnd}, true
 	case c.status >= http.StatusBadRequest:
-		return end{cause: ProtocolError, status: c.status}, true
+		return end{cause: ending.ProtocolError, status: c.status}, true
 	case c.closedIdle && begun:
-		return end{cause: ClosedWhileIdle}, true
+		return end{cause: ending.ClosedWhileIdle}, true
 	case begun && errors.Is(c.readErr, os.ErrDeadlineExceeded):
-		return end{cause: HeaderTimeout, err: c.readErr}, true
+		return end{cause: ending.HeaderTimeout, err: c.readErr}, true
 	case begun && c.ends.closed.Load():
-		return end{cause: ServerClosed}, true
+		return end{cause: ending.ServerClosed}, true
 	case c.closedIdle || c.ends.closed.Load():
-		return end{cause: Idle}, true
+		return end{cause: ending.Idle}, true
 	default:
 		return end{}, false
 	}
--- a/router/front/clientconn_test.go
+++ b/router/front/clientconn_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/router/clock"
 )
@@ -34,21 +35,21 @@
 func TestClientEndKept(t *testing.T) {
 	tests := map[string]struct {
 		errs []error
-		want []Cause
+		want []ending.Cause
 	}{
-		"end":                   {[]error{io.EOF}, []Cause{ClientGone}},
-		"end, then closed":      {[]error{io.EOF, net.ErrClosed}, []Cause{ClientGone}},
-		"end, then late":        {[]error{io.EOF, os.ErrDeadlineExceeded}, []Cause{ClientGone}},
-		"late, then end":        {[]error{os.ErrDeadlineExceeded, io.EOF}, []Cause{ClientGone}},
-		"reset, then closed":    {[]error{syscall.ECONNRESET, net.ErrClosed}, []Cause{ClientGone}},
+		"end":                   {[]error{io.EOF}, []ending.Cause{ending.ClientGone}},
+		"end, then closed":      {[]error{io.EOF, net.ErrClosed}, []ending.Cause{ending.ClientGone}},
+		"end, then late":        {[]error{io.EOF, os.ErrDeadlineExceeded}, []ending.Cause{ending.ClientGone}},
+		"late, then end":        {[]error{os.ErrDeadlineExceeded, io.EOF}, []ending.Cause{ending.ClientGone}},
+		"reset, then closed":    {[]error{syscall.ECONNRESET, net.ErrClosed}, []ending.Cause{ending.ClientGone}},
 		"late, then closed":     {[]error{os.ErrDeadlineExceeded, net.ErrClosed}, nil},
 		"closed by this server": {[]error{net.ErrClosed}, nil},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
-			var got []Cause
+			var got []ending.Cause
 			g := NewGate(nil, clock.Boot, nil, func() time.Duration { return time.Second })
-			r := &endReporter{gate: g, count: func(x Cause) { got = append(got, x) }, log: zerolog.Nop()}
+			r := &endReporter{gate: g, count: func(x ending.Cause) { got = append(got, x) }, log: zerolog.Nop()}
 			o := &clientConn{Conn: &scriptedConn{errs: c.errs}, ends: r}
 			x := &exchange{}
 			o.begin(x)
--- a/router/front/ends.go
+++ b/router/front/ends.go
@@ -6,64 +6,14 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/panics"
 	"tarragonvalve.example/router/call"
 )
 
-// Cause is why a client's connection ended without a complete answer, in kebab case.
-type Cause string
-
-// The causes that operators see in logs and metrics.
-const (
-	// HandlerPanic means that the code that serves requests panicked.
-	HandlerPanic Cause = "handler-panic"
-	// DrainEnded means that the answer had begun and was cut at the end of a drain.
-	DrainEnded Cause = "drain-ended"
-	// UpstreamBrokeOff means that the answer had begun and its upstream broke it off, or that the router gave it up
-	// since the upstream was silent or sent what may not be passed on.
-	UpstreamBrokeOff Cause = "upstream-broke-off"
-	// DeadlinePassed means that the answer had begun and the request's time was over.
-	DeadlinePassed Cause = "deadline-passed"
-	// ClientGone means that the client closed or reset its connection, or its sending side, before it had
-	// the answer.
-	ClientGone Cause = "client-gone"
-	// WriteDeadline means that the client did not read the answer in time.
-	WriteDeadline Cause = "write-deadline"
-	// ClosedWhileIdle means that the router closed an idle connection while the headers of a request arrived on it.
-	ClosedWhileIdle Cause = "closed-while-idle"
-	// ServerClosed means that the connection was closed at the end of the process.
-	ServerClosed Cause = "server-closed"
-	// ProtocolError means that net/http refused what the client sent without a call of the handler.
-	ProtocolError Cause = "protocol-error"
-	// HeaderTimeout means that the client did not send the headers of its request in time.
-	HeaderTimeout Cause = "header-timeout"
-	// Idle means that the router closed a connection on which no request arrived. It is counted and not logged.
-	Idle Cause = "idle"
-)
-
-// Causes returns all causes.
-func Causes() []Cause {
-	return []Cause{
-		HandlerPanic, DrainEnded, UpstreamBrokeOff, DeadlinePassed, ClientGone, WriteDeadline, ClosedWhileIdle,
-		ServerClosed, ProtocolError, HeaderTimeout, Idle,
-	}
-}
-
-// level returns the level of the log lines of a cause. What clients bring about is no warning.
-func (c Cause) level() zerolog.Level {
-	switch c {
-	case HandlerPanic:
-		return zerolog.ErrorLevel
-	case ClientGone, ProtocolError, HeaderTimeout:
-		return zerolog.InfoLevel
-	default:
-		return zerolog.WarnLevel
-	}
-}
-
 // end is the end of a connection without a complete answer.
 type end struct {
-	cause Cause
+	cause ending.Cause
 	err   error
 	// status is that of an answer that net/http wrote by itself; 0 means none.
 	status int
@@ -74,7 +24,7 @@
 type endReporter struct {
 	gate *Gate
 	// count is called once for each end; nil counts nothing.
-	count func(Cause)
+	count func(ending.Cause)
 	// requestID returns the id in a request's headers; nil means that ids are not logged.
 	requestID func(http.Header) call.ID
 	log       zerolog.Logger
@@ -89,7 +39,7 @@
 		return
 	}
 	r.add(n.cause)
-	if n.cause == Idle {
+	if n.cause == ending.Idle {
 		return
 	}
 	l := r.line(n.cause, x)
@@ -103,7 +53,7 @@
 }
 
 // add counts an end.
-func (r *endReporter) add(c Cause) {
+func (r *endReporter) add(c ending.Cause) {
 	if r.count != nil {
 		r.count(c)
 	}
@@ -111,8 +61,8 @@
 
 // line returns a log line with the fields of an end, which must be sent with message. x is nil if no request had
 // been read.
-func (r *endReporter) line(c Cause, x *exchange) *zerolog.Event {
-	e := r.log.WithLevel(c.level()).Str("cause", string(c))
+func (r *endReporter) line(c ending.Cause, x *exchange) *zerolog.Event {
+	e := r.log.WithLevel(c.Level()).Str("cause", string(c))
 	if x != nil {
 		if r.requestID != nil {
 			e = e.Str("request", string(r.requestID(x.header)))
@@ -127,4 +77,4 @@
 
 // message returns the message of the lines of a cause. Each cause has its own, as the log limits the rate of
 // lines by message, and one cause must not use up the lines of the others.
-func message(c Cause) string { return "connection ended: " + string(c) }
+func message(c ending.Cause) string { return "connection ended: " + string(c) }
--- a/router/front/ends_test.go
+++ b/router/front/ends_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/router/relay"
 )
@@ -56,20 +57,20 @@
 		gone bool
 		// stop is true if the server is stopped after the send.
 		stop  bool
-		cause Cause
+		cause ending.Cause
 		// request is the id in the line, status the one of an answer of net/http; both may be absent.
 		request, status any
 	}{
-		"closed while headers arrive": {handler: never, send: head, stop: true, cause: ClosedWhileIdle},
-		"cut at the end of a drain":   {handler: untilCut, send: order, stop: true, cause: DrainEnded, request: "1"},
-		"handler that goes on":        {handler: func(http.ResponseWriter, *http.Request) { <-blocked }, send: order, stop: true, cause: ServerClosed, request: "1"},
-		"gone within the headers":     {handler: never, send: head, gone: true, cause: ClientGone},
-		"headers that don't end":      {handler: never, send: head, cause: HeaderTimeout},
-		"no HTTP":                     {handler: never, send: "hello\r\n\r\n", cause: ProtocolError, status: 400.0},
-		"long headers":                {handler: never, send: head + "\r\nLong: " + strings.Repeat("x", 2*maxHeaderBytes) + "\r\n\r\n", cause: ProtocolError, status: 431.0},
-		"transfer coding":             {handler: never, send: head + "\r\nTransfer-Encoding: gzip\r\n\r\n", cause: ProtocolError, status: 501.0},
-		"expectation":                 {handler: never, send: strings.Replace(order, "\r\n", "\r\nExpect: more\r\n", 1), cause: ProtocolError, status: 417.0},
-		"second request is no HTTP":   {handler: fine, send: order + "hello\r\n\r\n", cause: ProtocolError, status: 400.0},
+		"closed while headers arrive": {handler: never, send: head, stop: true, cause: ending.ClosedWhileIdle},
+		"cut at the end of a drain":   {handler: untilCut, send: order, stop: true, cause: ending.DrainEnded, request: "1"},
+		"handler that goes on":        {handler: func(http.ResponseWriter, *http.Request) { <-blocked }, send: order, stop: true, cause: ending.ServerClosed, request: "1"},
+		"gone within the headers":     {handler: never, send: head, gone: true, cause: ending.ClientGone},
+		"headers that don't end":      {handler: never, send: head, cause: ending.HeaderTimeout},
+		"no HTTP":                     {handler: never, send: "hello\r\n\r\n", cause: ending.ProtocolError, status: 400.0},
+		"long headers":                {handler: never, send: head + "\r\nLong: " + strings.Repeat("x", 2*maxHeaderBytes) + "\r\n\r\n", cause: ending.ProtocolError, status: 431.0},
+		"transfer coding":             {handler: never, send: head + "\r\nTransfer-Encoding: gzip\r\n\r\n", cause: ending.ProtocolError, status: 501.0},
+		"expectation":                 {handler: never, send: strings.Replace(order, "\r\n", "\r\nExpect: more\r\n", 1), cause: ending.ProtocolError, status: 417.0},
+		"second request is no HTTP":   {handler: fine, send: order + "hello\r\n\r\n", cause: ending.ProtocolError, status: 400.0},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -90,7 +91,7 @@
 			if _, ok := l["since-stop"]; ok != c.stop {
 				t.Errorf("line %v, want the time since the stop: %v", l, c.stop)
 			}
-			if cs := s.counted(); !slices.Equal(cs, []Cause{c.cause}) {
+			if cs := s.counted(); !slices.Equal(cs, []ending.Cause{c.cause}) {
 				t.Errorf("counted %v, want %s once", cs, c.cause)
 			}
 		})
@@ -107,12 +108,12 @@
 		gone bool
 		// crossed is true if the connection counts as idle for too long while the request is read.
 		crossed bool
-		want    []Cause
+		want    []ending.Cause
 	}{
 		"closed by the client":                {send: order, gone: true},
 		"never used":                          {gone: true},
-		"closed in a shutdown":                {send: order, want: []Cause{Idle}},
-		"never used until a shutdown":         {want: []Cause{Idle}},
+		"closed in a shutdown":                {send: order, want: []ending.Cause{ending.Idle}},
+		"never used until a shutdown":         {want: []ending.Cause{ending.Idle}},
 		"closed with the answer":              {send: strings.Replace(order, "\r\n", "\r\nConnection: close\r\n", 1), gone: true},
 		"general question without a path":     {send: "OPTIONS * HTTP/1.1\r\nHost: shop.example\r\n\r\n", gone: true},
 		"request read as its connection ends": {send: order, gone: true, crossed: true},
--- a/router/front/exchange.go
+++ b/router/front/exchange.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync/atomic"
 
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/router/relay"
 )
@@ -76,19 +77,19 @@
 	r, _ := refuse.As(o.err)
 	switch {
 	case cut && drained:
-		return end{cause: DrainEnded, err: o.err}, true
+		return end{cause: ending.DrainEnded, err: o.err}, true
 	case errors.Is(writeErr, os.ErrDeadlineExceeded):
-		return end{cause: WriteDeadline, err: writeErr}, true
+		return end{cause: ending.WriteDeadline, err: writeErr}, true
 	case errors.Is(writeErr, net.ErrClosed):
-		return end{cause: ServerClosed, err: writeErr}, true
+		return end{cause: ending.ServerClosed, err: writeErr}, true
 	case writeErr != nil:
-		return end{cause: ClientGone, err: writeErr}, true
+		return end{cause: ending.ClientGone, err: writeErr}, true
 	case o.err != nil && clientEnd != nil:
-		return end{cause: ClientGone, err: o.err}, true
+		return end{cause: ending.ClientGone, err: o.err}, true
 	case cut && r != nil && r.Code == refuse.DeadlineExceeded:
-		return end{cause: DeadlinePassed, err: o.err}, true
+		return end{cause: ending.DeadlinePassed, err: o.err}, true
 	case cut:
-		return end{cause: UpstreamBrokeOff, err: o.err}, true
+		return end{cause: ending.UpstreamBrokeOff, err: o.err}, true
 	default:
 		return end{}, false
 	}
--- a/router/front/panics.go
+++ b/router/front/panics.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/refuse"
 )
 
@@ -39,7 +40,7 @@
 
 // reportPanic logs and counts a panic. begun states whether the answer had begun.
 func (r *endReporter) reportPanic(p any, x *exchange, begun bool) {
-	r.add(HandlerPanic)
-	e := r.line(HandlerPanic, x).Bool("answer-begun", begun)
-	r.stacks.Describe(e, p).Msg(message(HandlerPanic))
+	r.add(ending.HandlerPanic)
+	e := r.line(ending.HandlerPanic, x).Bool("answer-begun", begun)
+	r.stacks.Describe(e, p).Msg(message(ending.HandlerPanic))
 }
--- a/router/front/panics_test.go
+++ b/router/front/panics_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"tarragonvalve.example/core/ending"
 )
 
 // Guards against a panic of the code that serves requests that leaves its client without an answer, or that no
@@ -53,7 +55,7 @@
 			if x, _ := l["stack"].(string); !strings.Contains(x, "panics_test.go") {
 				t.Errorf("stack %q does not show the panic", x)
 			}
-			if cs := s.counted(); len(cs) != 1 || cs[0] != HandlerPanic {
+			if cs := s.counted(); len(cs) != 1 || cs[0] != ending.HandlerPanic {
 				t.Errorf("counted %v", cs)
 			}
 		})
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/logger"
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/mirror"
@@ -48,7 +49,7 @@
 	// Refused is called for each connection that is closed because too many are open.
 	Refused func()
 	// Ended is called for each connection that ends without a complete answer.
-	Ended func(Cause)
+	Ended func(ending.Cause)
 	// RequestID returns the id in a request's headers.
 	RequestID func(http.Header) call.ID
 	Log       zerolog.Logger
--- a/router/front/server_test.go
+++ b/router/front/server_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/mirror"
@@ -34,7 +35,7 @@
 
 	mu    sync.Mutex
 	log   bytes.Buffer
-	ended []Cause
+	ended []ending.Cause
 }
 
 // Write implements io.Writer for the log.
@@ -103,14 +104,14 @@
 	return s
 }
 
-func (s *runningServer) count(c Cause) {
+func (s *runningServer) count(c ending.Cause) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ended = append(s.ended, c)
 }
 
 // counted returns the causes counted so far.
-func (s *runningServer) counted() []Cause {
+func (s *runningServer) counted() []ending.Cause {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.ended)
