--- a/router/front/conns.go
+++ b/router/front/conns.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"tarragonvalve.example/router/sock"
 )
 
 // connections tracks which clients' connections are idle. Its zero value is ready for use.
@@ -110,36 +110,17 @@
 
 // hasInput reports whether bytes of a connection wait to be read. It doesn't block.
 func hasInput(c net.Conn) bool {
-	s, ok := unwrap(c).(syscall.Conn)
+	o, ok := unwrap(c).(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waits := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waits = err == nil && n > 0
-	})
-	return err == nil && waits
+	n, err := sock.Peek(o)
+	return n > 0 && err == nil
 }
 
-// unacknowledged returns the number of sent bytes that the peer has not acknowledged, the end of the connection
-// included, or 0 if it can't be found out.
+// unacknowledged returns the number of sent bytes that the peer has not acknowledged, or 0 if it can't be found out.
 func unacknowledged(c *net.TCPConn) int {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		if x, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-			n = x
-		}
-	})
+	n, err := sock.Unacknowledged(c)
 	if err != nil {
 		return 0
 	}
--- a/router/link/conn.go
+++ b/router/link/conn.go
@@ -10,6 +10,7 @@
 
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/quota"
+	"tarragonvalve.example/router/sock"
 )
 
 // conn is one connection to an upstream. It is used by one goroutine at a time.
@@ -48,27 +49,15 @@
 	if !ok {
 		return nil
 	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var status error
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case n > 0:
-			status = errUnexpected
-		case n == 0 && e == nil:
-			status = io.EOF
-		case errors.Is(e, syscall.EAGAIN):
-		default:
-			status = e
-		}
-		return true
-	})
-	if err != nil {
+	n, err := sock.Peek(s)
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return nil
+	case err != nil:
 		return err
+	case n == 0:
+		return io.EOF
+	default:
+		return errUnexpected
 	}
-	return status
 }
--- /dev/null
+++ b/router/sock/sock.go
@@ -0,0 +1,46 @@
+// Package sock asks the kernel about TCP connections.
+package sock
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Peek returns the number of bytes, at most 1, that wait to be read from a connection, and leaves them there. It doesn't
+// block: with an open connection without input the error is syscall.EAGAIN. 0 without an error means that the peer has
+// ended its sending side.
+func Peek(c syscall.Conn) (int, error) {
+	var n int
+	var peekErr error
+	err := control(c, func(fd int) {
+		var b [1]byte
+		n, _, peekErr = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return 0, err
+	}
+	return max(n, 0), peekErr
+}
+
+// Unacknowledged returns the number of sent bytes that the peer has not acknowledged, the end of the connection included.
+func Unacknowledged(c syscall.Conn) (int, error) {
+	var n int
+	var ioctlErr error
+	err := control(c, func(fd int) {
+		n, ioctlErr = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+	})
+	if err != nil {
+		return 0, err
+	}
+	return n, ioctlErr
+}
+
+// control calls f with the descriptor of a connection. Its error means that the connection is closed.
+func control(c syscall.Conn, f func(fd int)) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
+}
