--- a/soak/fates_test.go
+++ b/soak/fates_test.go
@@ -11,10 +11,10 @@
 )
 
 // lateFates returns how the requests that were sent from lateRequest after a SIGTERM until the end of the grace period
-// ended, in a form that sums over seeds: for each kind the numbers of whole answers, refusals, failures, answers that
-// were cut and requests that reached no server and got no answer.
+// ended, in a form that sums over seeds: for each kind the numbers of whole answers, refusals, requests whose key was
+// taken away, failures, answers that were cut and requests that reached no server and got no answer.
 func (p *planned) lateFates() string {
-	type fates struct{ whole, refused, failed, cut, unread int }
+	type fates struct{ whole, refused, denied, failed, cut, unread int }
 	kinds := map[string]*fates{"read": {}, "order": {}, "chat": {}}
 	p.checker.mu.Lock()
 	defer p.checker.mu.Unlock()
@@ -30,6 +30,8 @@
 			f.whole++
 		case o.status == http.StatusServiceUnavailable:
 			f.refused++
+		case o.status == http.StatusUnauthorized:
+			f.denied++
 		case o.status != 0:
 			f.failed++
 		case o.runs > 0:
@@ -41,7 +43,7 @@
 	var b strings.Builder
 	for _, k := range slices.Sorted(maps.Keys(kinds)) {
 		f := kinds[k]
-		fmt.Fprintf(&b, "%s whole %d refused %d failed %d cut %d unread %d; ", k, f.whole, f.refused, f.failed, f.cut, f.unread)
+		fmt.Fprintf(&b, "%s whole %d refused %d denied %d failed %d cut %d unread %d; ", k, f.whole, f.refused, f.denied, f.failed, f.cut, f.unread)
 	}
 	return strings.TrimSuffix(b.String(), "; ")
 }
