feat(front): log how far a request was whose answer is cut

The line has `arrived` (since the shutdown began), `answering` and `idle` now, as have the lines of other causes where they apply.

Test: TestConnectionEndsInShutdown fails without the fields. No behaviour of requests changes.

--- a/router/boot/ends_test.go
+++ b/router/boot/ends_test.go
@@ -193,6 +193,10 @@
 	if d, _ := ls[0]["since-stop"].(float64); len(ls) != 1 || ls[0]["cause"] != "drain-ended" || ls[0]["passed-on"] != "yes" || d <= 0 {
 		t.Errorf("lines %v, want one with the cause drain-ended and the time since the stop", ls)
 	}
+	arrived, _ := ls[0]["arrived"].(float64)
+	if idle, ok := ls[0]["idle"].(float64); ls[0]["answering"] != true || !ok || idle < 0 || arrived >= 0 {
+		t.Errorf("lines %v, want that an upstream was answering, since when it sent nothing and that the request arrived before the stop", ls)
+	}
 	w.eventually("a line on what is left", func() bool {
 		return strings.Contains(w.logs.String(), `"connections":1,"open":1,"since-stop":`)
 	})
--- a/router/front/ends.go
+++ b/router/front/ends.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -68,9 +69,15 @@
 			e = e.Str("request", string(r.requestID(x.header)))
 		}
 		e = e.Str("passed-on", string(x.passedOn()))
+		if u := x.truncation(); u != nil {
+			e = e.Bool("answering", u.Answering).Dur("idle", u.Idle)
+		}
 	}
 	if d, ok := r.gate.stoppedFor(); ok {
 		e = e.Dur("since-stop", d)
+		if x != nil {
+			e = e.Dur("arrived", d-time.Since(x.arrived))
+		}
 	}
 	return e
 }
--- a/router/front/exchange.go
+++ b/router/front/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync/atomic"
+	"time"
 
 	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/refuse"
@@ -25,6 +26,8 @@
 // exchange is a request and its answer, as far as they concern the end of the client's connection.
 type exchange struct {
 	header http.Header
+	// arrived is when the request's headers had been read.
+	arrived time.Time
 	// sending is true once the request was about to be sent to an upstream.
 	sending atomic.Bool
 	// reported is true once the end of the connection was logged.
@@ -59,6 +62,15 @@
 	return err
 }
 
+// truncation returns how the answer was truncated, or nil if it wasn't.
+func (x *exchange) truncation() *relay.TruncatedError {
+	var e *relay.TruncatedError
+	if o := x.outcome.Load(); o == nil || !errors.As(o.err, &e) {
+		return nil
+	}
+	return e
+}
+
 // end records how the handler ended.
 func (x *exchange) end(ctx context.Context, err error) {
 	x.outcome.Store(&outcome{err: err, cancelled: context.Cause(ctx)})
@@ -71,8 +83,7 @@
 	if o == nil {
 		o = &outcome{}
 	}
-	var truncated *relay.TruncatedError
-	cut := errors.As(o.err, &truncated)
+	cut := x.truncation() != nil
 	drained := errors.Is(o.cancelled, errDrained)
 	r, _ := refuse.As(o.err)
 	switch {
@@ -105,8 +116,7 @@
 	if o == nil {
 		return passedOnUnknown
 	}
-	var truncated *relay.TruncatedError
-	if o.err == nil || errors.As(o.err, &truncated) {
+	if o.err == nil || x.truncation() != nil {
 		return passedOnYes
 	}
 	if r, ok := refuse.As(o.err); ok && r.Ran == refuse.NotRun {
--- a/router/front/panics.go
+++ b/router/front/panics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/refuse"
@@ -11,7 +12,7 @@
 // it ends the connection, so that the answer doesn't look complete.
 func (r *endReporter) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		x := &exchange{header: q.Header}
+		x := &exchange{header: q.Header, arrived: time.Now()}
 		s := newStatusWriter(w)
 		if c, ok := q.Context().Value(connKey{}).(*clientConn); ok {
 			c.begin(x)
--- a/router/relay/buffered.go
+++ b/router/relay/buffered.go
@@ -50,7 +50,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(best.body)))
 	w.WriteHeader(best.status)
 	if _, err := w.Write(best.body); err != nil {
-		return &TruncatedError{Err: err}
+		return &TruncatedError{Err: err, Answering: true}
 	}
 	return nil
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -76,6 +76,11 @@
 // TruncatedError reports a response that ended early after its headers were sent to the client.
 type TruncatedError struct {
 	Err error
+	// Answering is true if an upstream was sending the response until then. Otherwise the request waited for one
+	// that goes on with it.
+	Answering bool
+	// Idle is the time since the client was sent the latest part of the response.
+	Idle time.Duration
 }
 
 func (e *TruncatedError) Error() string { return "response truncated: " + e.Err.Error() }
@@ -197,7 +202,11 @@
 	// notRun means that the request did not run: it wasn't sent, or the upstream said so.
 	notRun struct{ reason string }
 	// unknown means that the request may have run and there is no usable response.
-	unknown struct{ err error }
+	unknown struct {
+		err error
+		// answering is true if the upstream had begun to send the response.
+		answering bool
+	}
 	// noUpstream means that no eligible upstream is left.
 	noUpstream struct{}
 	// inadmissible means that the request is no longer admitted; this attempt sent nothing.
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -43,6 +43,8 @@
 	sparse bool
 	// count is the number of events with an id that were passed on.
 	count int
+	// sentAt is when the latest event was passed on.
+	sentAt time.Time
 	// continues is true until the first event of an attempt that continues after lastEvent.
 	continues bool
 }
@@ -71,7 +73,8 @@
 				break
 			}
 			if f.headersSent {
-				return &TruncatedError{Err: t.refusal(ctx, o)}
+				u, _ := o.(unknown)
+				return &TruncatedError{Err: t.refusal(ctx, o), Answering: u.answering, Idle: time.Since(f.sentAt)}
 			}
 			return t.refusal(ctx, o)
 		}
@@ -219,7 +222,7 @@
 		// The read failed because the context's end closed the connection.
 		err = cause
 	}
-	return unknown{err: err}
+	return unknown{err: err, answering: true}
 }
 
 // handleNonStream handles a response that isn't a stream. If nothing was sent to the client
@@ -267,6 +270,7 @@
 		f.headersSent = true
 		t.streamVersion = a.upstream.Version
 	}
+	f.sentAt = time.Now()
 	if _, err := f.w.Write(e.Raw); err != nil {
 		return err
 	}
