fix(front): use the rest of the grace period for the last answers of a drain

Callers got a closed connection instead of a 502 or 503: at the end of a drain, 0.6 s before SIGKILL, a router ends all open requests and gave them 0.2 s to be answered, whatever time was left.

Fix: the answers may take until 0.15 s before SIGKILL; the process goes on as soon as all are sent, as before.

--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -32,8 +32,11 @@
 	// keepOpenFraction bounds keepOpen to a fraction of the grace period, for deployments with
 	// a short one.
 	keepOpenFraction = 0.625
-	// abortTime bounds the time in which the requests that are open at the end of a drain are answered.
-	abortTime = 200 * time.Millisecond
+	// acceptTime bounds the wait for the end of the accept loop at the end of a drain.
+	acceptTime = 200 * time.Millisecond
+	// exitMargin is the part of the grace period kept for the exit of the process once the requests that were open
+	// at the end of a drain are answered.
+	exitMargin = 150 * time.Millisecond
 	// firstRequestTime is how long a drain waits for the first request of a new connection.
 	firstRequestTime = 500 * time.Millisecond
 	// drainPoll is how often a shutdown checks for open connections.
@@ -89,7 +92,7 @@
 			s.conns.endIdle(s.idleTimeout(), s.idleTimeout())
 		case <-ctx.Done():
 			if !s.drain(served) {
-				s.closeListener(served, abortTime)
+				s.closeListener(served, acceptTime)
 				s.abort(cancel)
 			}
 			ends.closed.Store(true)
@@ -160,11 +163,14 @@
 }
 
 // abort ends the requests in progress, so that their clients are told rather than cut off, and waits until
-// they are answered, at most for abortTime.
+// they are answered, at most until exitMargin before the end of the grace period.
 func (s *Server) abort(cancel context.CancelCauseFunc) {
 	s.logLeft(s.Log.Warn(), "stopping: grace period over with requests open")
 	cancel(errDrained)
-	for end := time.Now().Add(abortTime); time.Now().Before(end) && !s.drained(); {
+	for !s.drained() {
+		if past, _ := s.Gate.stoppedFor(); past > s.Gate.grace()-exitMargin {
+			return
+		}
 		time.Sleep(drainPoll)
 	}
 }
