test(router): check answers of upstreams that accept no new connections

Callers would lose orders at work.

Ruled out: requests that may run once, which are never ended for this.

--- /dev/null
+++ b/router/boot/lost_listener_test.go
@@ -0,0 +1,138 @@
+package boot
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"tarragonvalve.example/standin/server"
+)
+
+// forwarder passes the connections to an address on to an upstream until it is told to accept no more.
+type forwarder struct {
+	net.Listener
+
+	tasks sync.WaitGroup
+}
+
+// forward starts a forwarder to s.
+func forward(t *testing.T, s *server.Server) *forwarder {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &forwarder{Listener: l}
+	t.Cleanup(func() {
+		l.Close()
+		s.Close()
+		f.tasks.Wait()
+	})
+	f.tasks.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f.tasks.Go(func() { f.join(c, s.Address()) })
+		}
+	})
+	return f
+}
+
+// join copies between a connection and a new one to an address until either ends.
+func (f *forwarder) join(c net.Conn, address string) {
+	o, err := net.Dial("tcp", address)
+	if err != nil {
+		c.Close()
+		return
+	}
+	f.tasks.Go(func() {
+		io.Copy(o, c)
+		o.Close()
+		c.Close()
+	})
+	io.Copy(c, o)
+	c.Close()
+	o.Close()
+}
+
+// closedListener is an answer whose upstream accepts no new connections after it began.
+type closedListener struct {
+	path          string
+	first, others server.Reply
+	// loses is true if the upstream also ends another connection early.
+	loses bool
+	body  string
+}
+
+// check reports an answer that is not complete.
+func (c closedListener) check(t *testing.T) {
+	t.Helper()
+	w := startRouter(t, document(1, route("chat", "streaming", "llm", "resumable", true, "attempts", 3, "timeout_ms", 20_000), route("order", "non_idempotent", "llm", "timeout_ms", 20_000)))
+	script := func(r server.Request) server.Reply {
+		if strings.HasSuffix(r.Target, "/lost") {
+			// It ends the connection after the close of the listener.
+			return server.Events{Count: 3, TruncateAfter: 1, Pause: time.Second}
+		}
+		return c.first
+	}
+	s, err := server.New("m1", script)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := forward(t, s)
+	err = w.store.PutJSON("servers", "m1", map[string]any{
+		"service": "llm", "address": f.Addr().String(), "zone": "a", "version": "v1", "slots": 8, "state": "ready", "born": 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.awaitUpstreams(1)
+	var clients sync.WaitGroup
+	clients.Go(func() {
+		a := w.send("POST", c.path, "prompt", "Tarragonvalve-Model-Name", "small", "Tarragonvalve-Deadline-Ms", "15000")
+		if a.err != nil || a.status != 200 || a.body != c.body {
+			t.Errorf("got %d %v %q, want the whole answer", a.status, a.err, a.body)
+		}
+	})
+	if c.loses {
+		clients.Go(func() { w.send("POST", "/order/lost", "x", "Tarragonvalve-Model-Name", "small") })
+	}
+	n := 1
+	if c.loses {
+		n = 2
+	}
+	w.eventually("the requests at the upstream", func() bool { return len(s.Requests()) == n })
+	w.server("llm", "m2", "v1", always(c.others))
+	w.server("llm", "m3", "v1", always(c.others))
+	w.awaitUpstreams(3)
+	f.Close()
+	clients.Wait()
+}
+
+// steadyEvents pause for less than the time after which an upstream is checked, slowEvents for more.
+var (
+	steadyEvents = server.Events{Count: 10, Pause: 200 * time.Millisecond, Confidence: 100}
+	slowEvents   = server.Events{Count: 4, Pause: 900 * time.Millisecond, Confidence: 100}
+)
+
+// Guards against answers that are given up while their upstream sends them, as it accepts no new connections, such as one
+// that shuts down.
+func TestLostAtClosedListener(t *testing.T) {
+	t.Parallel()
+	full := server.Reject{Status: 503}
+	for name, c := range map[string]closedListener{
+		"steady stream, others full": {"/chat/1", steadyEvents, full, false, events(10)},
+		"slow stream, others go on":  {"/chat/1", slowEvents, slowEvents, false, events(4)},
+		"order, connection lost":     {"/order/1", server.Delayed{Answer: fine, Delay: 2 * time.Second}, full, true, "fine"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.check(t)
+		})
+	}
+}
