fix(probe): keep a stream whose upstream accepts no new connections

Callers saw streams cut while their server was sending them: an upstream that shuts down closes its listener and goes on with what it took. The router checks an upstream by a new connection, 0.45 s after its last byte or at once after another of its connections ended early, and then ended all its attempts, though events arrived on them. What was to take the stream over was full or failed, and the client's connection was closed.

Cause: that an upstream accepts nothing new was taken for its end. Streams that have begun are now continued as after a pause: another upstream is asked, and the attempt ends once that has begun to answer. An upstream that is gone ends the attempt itself, by its connection.

Ruled out: answers that have not begun, and requests that may run once, get theirs (TestLostAtClosedListener).

--- a/router/boot/lost_listener_test.go
+++ b/router/boot/lost_listener_test.go
@@ -136,3 +136,21 @@
 		})
 	}
 }
+
+// Guards against a stream that is cut while its upstream sends it, as that accepts no new connections and the other upstreams
+// don't take the stream.
+func TestLostStreamAtClosedListener(t *testing.T) {
+	t.Parallel()
+	full, failing := server.Reject{Status: 503}, server.Answer{Status: 500, Body: "no"}
+	for name, c := range map[string]closedListener{
+		"steady stream, others full, connection lost": {"/chat/1", steadyEvents, full, true, events(10)},
+		"steady stream, others fail, connection lost": {"/chat/1", steadyEvents, failing, true, events(10)},
+		"slow stream, others full":                    {"/chat/1", slowEvents, full, false, events(4)},
+		"slow stream, others fail":                    {"/chat/1", slowEvents, failing, false, events(4)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.check(t)
+		})
+	}
+}
--- a/router/probe/probe.go
+++ b/router/probe/probe.go
@@ -1,7 +1,7 @@
 // Package probe detects unresponsive upstreams. A machine that lost power or is behind a
 // partition sends no reset, so that open connections just receive nothing. An upstream
 // that sends nothing for a while although attempts wait for it is checked with a new
-// connection. If that fails, its attempts are ended so that they can be sent elsewhere.
+// connection. If that fails, its attempts are told, so that they can be sent elsewhere.
 package probe
 
 import (
@@ -46,6 +46,11 @@
 // preempt streams when they are full. It counts as ErrUnresponsive, too.
 var ErrStalled = fmt.Errorf("the response pauses: %w", ErrUnresponsive)
 
+// ErrNotAccepting reports that an upstream accepts no new connection, while content of the response has arrived on
+// its own: upstreams that shut down close their listener and go on with what they took. It counts as ErrStalled,
+// too.
+var ErrNotAccepting = fmt.Errorf("the upstream accepts no connections: %w", ErrStalled)
+
 // Marker records which upstreams are unresponsive, so that they are avoided.
 type Marker interface {
 	SetUnresponsive(id ident.UpstreamID, unresponsive bool)
@@ -109,8 +114,8 @@
 }
 
 // Start records an attempt. end is called with ErrUnresponsive if the upstream is
-// unresponsive, and with ErrStalled if the content of its response pauses for longer than pause, at
-// least minStall. It may be called repeatedly, and is nil for attempts that can't be sent
+// unresponsive, with ErrNotAccepting instead if content of its response has arrived, and with ErrStalled if that
+// pauses for longer than pause, at least minStall. It may be called repeatedly, and is nil for attempts that can't be sent
 // elsewhere.
 func (m *Monitor) Start(u *fleet.Upstream, pause time.Duration, end func(error), now time.Time) *Attempt {
 	m.mu.Lock()
@@ -239,7 +244,7 @@
 }
 
 // check opens a connection to an upstream. If that fails, it marks the upstream as
-// unresponsive and ends its attempts.
+// unresponsive and reports that to its attempts.
 func (m *Monitor) check(ctx context.Context, id ident.UpstreamID, address string) {
 	err := m.dial(ctx, address)
 	if ctx.Err() != nil {
@@ -258,7 +263,11 @@
 		return
 	}
 	for w := range s.attempts {
-		if w.end != nil {
+		switch {
+		case w.end == nil:
+		case w.streaming:
+			w.end(ErrNotAccepting)
+		default:
 			w.end(ErrUnresponsive)
 		}
 	}
