--- a/router/boot/lost_steady_test.go
+++ b/router/boot/lost_steady_test.go
@@ -1,6 +1,7 @@
 package boot
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -177,3 +178,54 @@
 		})
 	}
 }
+
+// Guards against an answer that is given up for another attempt although the request may run only once, as it is late or its
+// upstream sends nothing, in steady state and in a stop.
+func TestLostLateAnswers(t *testing.T) {
+	t.Parallel()
+	const delay = 3 * time.Second
+	tests := map[string]struct {
+		path  string
+		reply server.Reply
+		body  string
+	}{
+		"order":                 {"/order/1", server.Delayed{Answer: fine, Delay: delay}, "fine"},
+		"stream":                {"/once/1", server.Late{Events: server.Events{Count: 3, Confidence: 100}, Delay: delay}, events(3)},
+		"stream that pauses":    {"/once/1", server.Paused{Events: server.Events{Count: 3, Confidence: 100}, After: 1, For: delay}, events(3)},
+		"resumable stream":      {"/chat/1", server.Paused{Events: server.Events{Count: 3, Confidence: 100}, After: 1, For: delay}, events(3)},
+		"resumable, late event": {"/chat/1", server.Events{Count: 3, Pause: delay / 2, Confidence: 100}, events(3)},
+	}
+	for name, c := range tests {
+		for _, stops := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, in a stop: %v", name, stops), func(t *testing.T) {
+				t.Parallel()
+				w := startRouterWithGrace(t, document(1, route("order", "non_idempotent", "desk", "target_latency_ms", 200, "timeout_ms", 20_000),
+					route("once", "streaming", "llm", "target_latency_ms", 200, "timeout_ms", 20_000),
+					route("chat", "streaming", "llm", "resumable", true, "target_latency_ms", 200, "timeout_ms", 20_000)), 6)
+				script := func(r server.Request) server.Reply {
+					if r.Header.Get("Last-Event-Id") != "" {
+						return server.Reject{Status: http.StatusServiceUnavailable}
+					}
+					return c.reply
+				}
+				var ss []*server.Server
+				for _, service := range []string{"desk", "llm"} {
+					for i := range 3 {
+						ss = append(ss, w.server(service, fmt.Sprint(service, i), "v1", script))
+					}
+				}
+				w.awaitUpstreams(len(ss))
+				if stops {
+					w.stop()
+				}
+				a := w.send("POST", c.path, "x", "Tarragonvalve-Model-Name", "small", "Tarragonvalve-Deadline-Ms", "15000")
+				if a.err != nil || a.status != http.StatusOK || a.body != c.body {
+					t.Errorf("got %d %v %.80q, want the whole answer", a.status, a.err, a.body)
+				}
+				if n := requestsAt(ss); n != 1 && c.path != "/chat/1" {
+					t.Errorf("the upstreams got %d requests, want 1", n)
+				}
+			})
+		}
+	}
+}
