test(router): check streams in a stop whose upstream accepts no connections

The case of TestLostStreamAtClosedListener during a stop, 6 s of grace: callers saw a stream cut by the router's decision 2 s after SIGTERM, while its server sent it.

--- a/router/boot/lost_listener_test.go
+++ b/router/boot/lost_listener_test.go
@@ -67,12 +67,14 @@
 	// loses is true if the upstream also ends another connection early.
 	loses bool
 	body  string
+	// stops is true if the router is stopped before.
+	stops bool
 }
 
 // check reports an answer that is not complete.
 func (c closedListener) check(t *testing.T) {
 	t.Helper()
-	w := startRouter(t, document(1, route("chat", "streaming", "llm", "resumable", true, "attempts", 3, "timeout_ms", 20_000), route("order", "non_idempotent", "llm", "timeout_ms", 20_000)))
+	w := startRouterWithGrace(t, document(1, route("chat", "streaming", "llm", "resumable", true, "attempts", 3, "timeout_ms", 20_000), route("order", "non_idempotent", "llm", "timeout_ms", 20_000)), 6)
 	script := func(r server.Request) server.Reply {
 		if strings.HasSuffix(r.Target, "/lost") {
 			// It ends the connection after the close of the listener.
@@ -110,6 +112,9 @@
 	w.server("llm", "m2", "v1", always(c.others))
 	w.server("llm", "m3", "v1", always(c.others))
 	w.awaitUpstreams(3)
+	if c.stops {
+		w.stop()
+	}
 	f.Close()
 	clients.Wait()
 }
@@ -126,9 +131,10 @@
 	t.Parallel()
 	full := server.Reject{Status: 503}
 	for name, c := range map[string]closedListener{
-		"steady stream, others full": {"/chat/1", steadyEvents, full, false, events(10)},
-		"slow stream, others go on":  {"/chat/1", slowEvents, slowEvents, false, events(4)},
-		"order, connection lost":     {"/order/1", server.Delayed{Answer: fine, Delay: 2 * time.Second}, full, true, "fine"},
+		"steady stream, others full":        {"/chat/1", steadyEvents, full, false, events(10), false},
+		"slow stream, others go on":         {"/chat/1", slowEvents, slowEvents, false, events(4), false},
+		"order, connection lost, in a stop": {"/order/1", server.Delayed{Answer: fine, Delay: 2 * time.Second}, full, true, "fine", true},
+		"order, connection lost":            {"/order/1", server.Delayed{Answer: fine, Delay: 2 * time.Second}, full, true, "fine", false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -143,10 +149,11 @@
 	t.Parallel()
 	full, failing := server.Reject{Status: 503}, server.Answer{Status: 500, Body: "no"}
 	for name, c := range map[string]closedListener{
-		"steady stream, others full, connection lost": {"/chat/1", steadyEvents, full, true, events(10)},
-		"steady stream, others fail, connection lost": {"/chat/1", steadyEvents, failing, true, events(10)},
-		"slow stream, others full":                    {"/chat/1", slowEvents, full, false, events(4)},
-		"slow stream, others fail":                    {"/chat/1", slowEvents, failing, false, events(4)},
+		"steady stream, others full, connection lost": {"/chat/1", steadyEvents, full, true, events(10), false},
+		"steady stream, others fail, connection lost": {"/chat/1", steadyEvents, failing, true, events(10), false},
+		"slow stream, others full":                    {"/chat/1", slowEvents, full, false, events(4), false},
+		"slow stream, others full, in a stop":         {"/chat/1", slowEvents, full, false, events(4), true},
+		"slow stream, others fail":                    {"/chat/1", slowEvents, failing, false, events(4), false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
