test(router): show cut streams that look complete to HTTP/1.0 clients

For a client of HTTP/1.0 the end of the connection is that of the stream. A cut one ends by a proper close, so that it looks complete (MIXED, ORDER).

A reset instead of a close would show it.

--- a/router/boot/lost_client_test.go
+++ b/router/boot/lost_client_test.go
@@ -172,3 +172,10 @@
 	t.Parallel()
 	cutAnswer(t, 1)
 }
+
+// Guards against a cut answer that looks complete to a client of HTTP/1.0, for which the end of the connection is that of the
+// answer.
+func TestLostLooksIncompleteHTTP10(t *testing.T) {
+	t.Parallel()
+	cutAnswer(t, 0)
+}
