fix(front): reset the connection of a cut answer that its end would complete

Callers that use HTTP/1.0 took a cut stream for a whole one: without chunks, the end of the connection is that of the answer, and the router closed it properly.

Cause: http.ErrAbortHandler ends an answer by closing its connection, which is a mark of failure only where a length or chunks say what is missing. Such connections are reset now.

--- a/router/front/clientconn.go
+++ b/router/front/clientconn.go
@@ -90,15 +90,25 @@
 )
 
 // Close implements net.Conn. The kernel resets a connection if bytes are unread at its close, or arrive later, and drops
-// what it has not sent yet. The close first waits until the client has received the answer if that may happen.
+// what it has not sent yet. The close first waits until the client has received the answer if that may happen. An
+// answer that is cut, and that the end of its connection would make look complete, is reset.
 func (c *clientConn) Close() error {
 	o, ok := unwrap(c).(*net.TCPConn)
+	if ok && c.endsInAnswer() && o.SetLinger(0) == nil {
+		return c.Conn.Close()
+	}
 	if ok && !c.ends.closed.Load() && (hasInput(c) || unacknowledged(o) >= lingerBytes) {
 		c.linger(o)
 	}
 	return c.Conn.Close()
 }
 
+// endsInAnswer reports whether the connection is closed in the middle of an answer that its end would complete.
+func (c *clientConn) endsInAnswer() bool {
+	x := c.current()
+	return x != nil && x.closeDelimited && (x.cut.Load() || (c.ends.closed.Load() && x.outcome.Load() == nil))
+}
+
 // linger ends the sending side and waits until the client has received all bytes, at most for lingerTime.
 func (c *clientConn) linger(o *net.TCPConn) {
 	if o.CloseWrite() != nil {
--- a/router/front/exchange.go
+++ b/router/front/exchange.go
@@ -28,8 +28,12 @@
 	header http.Header
 	// arrived is when the request's headers had been read.
 	arrived time.Time
+	// closeDelimited is true if an answer without a length ends with its connection (HTTP/1.0).
+	closeDelimited bool
 	// sending is true once the request was about to be sent to an upstream.
 	sending atomic.Bool
+	// cut is true once the handler has ended in the middle of the answer.
+	cut atomic.Bool
 	// reported is true once the end of the connection was logged.
 	reported atomic.Bool
 	// outcome is how the handler ended; nil before that.
--- a/router/front/panics.go
+++ b/router/front/panics.go
@@ -12,7 +12,7 @@
 // it ends the connection, so that the answer doesn't look complete.
 func (r *endReporter) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		x := &exchange{header: q.Header, arrived: time.Now()}
+		x := &exchange{header: q.Header, arrived: time.Now(), closeDelimited: !q.ProtoAtLeast(1, 1)}
 		s := newStatusWriter(w)
 		if c, ok := q.Context().Value(connKey{}).(*clientConn); ok {
 			c.begin(x)
@@ -23,11 +23,13 @@
 				return
 			}
 			if p == http.ErrAbortHandler { //nolint:errorlint // net/http compares the value itself
+				x.cut.Store(true)
 				panic(p)
 			}
 			x.reported.Store(true)
 			r.reportPanic(p, x, s.status != 0)
 			if s.status != 0 {
+				x.cut.Store(true)
 				panic(http.ErrAbortHandler)
 			}
 			// The headers may be those of an answer that was about to be written.
