fix(agent): bound the answers of plain services

What callers saw: one service that sends a head without end took the memory of the agent until the caller's time was over, with the work of all other callers.

Cause: Conn.Do read heads with http.ReadResponse, which has no bound; Client.Do took heads of 10 MB. A body beyond its limit was found, but closing it read on to its end: the call ended after the idle timeout of 10 s only, and the service could send all the time. Conn.Do now closes the connection before the body.

--- a/agent/plain/conn.go
+++ b/agent/plain/conn.go
@@ -1,13 +1,13 @@
 package plain
 
 import (
-	"bufio"
 	"context"
 	"crypto/tls"
 	"errors"
 	"net"
-	"net/http"
 	"net/url"
+
+	"tarragonvalve.example/core/inlet"
 )
 
 // Conn is a connection for a single call that may run only once. The call is written to the
@@ -73,21 +73,12 @@
 	if err := req.Write(n.conn); err != nil {
 		return nil, unknown(ctx, err)
 	}
-	res, err := answer(bufio.NewReader(n.conn), req)
+	res, err := inlet.NewReader(n.conn, n.client.options.BaseURL).Response(req, inlet.Default())
 	if err != nil {
 		return nil, unknown(ctx, err)
 	}
 	defer res.Body.Close()
+	// Closing the body reads it to its end unless the connection is closed before.
+	defer n.Close()
 	return n.client.read(ctx, res, timer)
 }
-
-// answer reads the final response and skips informational ones (1xx).
-func answer(r *bufio.Reader, req *http.Request) (*http.Response, error) {
-	for {
-		res, err := http.ReadResponse(r, req)
-		if err != nil || res.StatusCode >= 200 {
-			return res, err
-		}
-		res.Body.Close()
-	}
-}
--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"tarragonvalve.example/core/inlet"
 )
 
 // Options configures a Client.
@@ -81,10 +83,16 @@
 	return e.Err
 }
 
-// TooLargeError reports a call that ran but whose answer exceeds the limit in bytes.
+// TooLargeError reports a call that ran but whose answer exceeds the limit in bytes. Err is
+// an *inlet.TooLongError.
 type TooLargeError struct {
 	Status int
 	Limit  int64
+	Err    error
+}
+
+func (e *TooLargeError) Unwrap() error {
+	return e.Err
 }
 
 func (e *TooLargeError) Error() string {
@@ -114,11 +122,12 @@
 func New(o Options) *Client {
 	d := &net.Dialer{Timeout: o.DialTimeout}
 	return &Client{options: o, dialer: d, http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         d.DialContext,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     30 * time.Second,
-			DisableCompression:  true,
+		Transport: &http.Transport{ //nolint:forbidigo // heads are bounded
+			DialContext:            d.DialContext,
+			MaxIdleConnsPerHost:    maxIdleConns,
+			IdleConnTimeout:        30 * time.Second,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: inlet.MaxHeadBytes,
 		},
 		// Following a redirect would send the call a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -145,7 +154,7 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return nil, classify(ctx, err)
+		return nil, classify(ctx, inlet.TransportError(err, c.options.BaseURL, inlet.MaxHeadBytes))
 	}
 	defer res.Body.Close()
 	return c.read(ctx, res, timer)
@@ -178,14 +187,15 @@
 }
 
 func (c *Client) read(ctx context.Context, res *http.Response, t *time.Timer) (*Result, error) {
-	r := &progressReader{reader: io.LimitReader(res.Body, c.options.MaxAnswerBytes+1), onProgress: func() { t.Reset(c.options.IdleTimeout) }}
-	b, err := io.ReadAll(r)
+	r := &progressReader{reader: res.Body, onProgress: func() { t.Reset(c.options.IdleTimeout) }}
+	b, err := inlet.ReadAll(r, c.options.BaseURL, c.options.MaxAnswerBytes)
+	var l *inlet.TooLongError
+	if errors.As(err, &l) {
+		return nil, &TooLargeError{Status: res.StatusCode, Limit: c.options.MaxAnswerBytes, Err: l}
+	}
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
-	if int64(len(b)) > c.options.MaxAnswerBytes {
-		return nil, &TooLargeError{Status: res.StatusCode, Limit: c.options.MaxAnswerBytes}
-	}
 	return &Result{StatusCode: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: b}, nil
 }
 
