fix(agent): bound the events, heads and reports of engines

What callers saw: one engine that sends lines without a blank one took the memory of the agent. The stream ended by the idle timeout, and was resumed up to eight times.

Cause: a line was bounded by 1 MiB, the event that its lines are joined to by nothing. All lines of an event together now have the bound of 1 MiB. A stream that hits a bound isn't resumed: the engine would send the same again. A report with bytes after its JSON value is refused; the value alone was taken before.

Now each stream ends with a typed error and allocates less than 16 MiB.

--- a/agent/engine/cache.go
+++ b/agent/engine/cache.go
@@ -1,11 +1,10 @@
 package engine
 
 import (
-	"bufio"
 	"container/list"
 	"context"
 	"encoding/json"
-	"errors"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -17,6 +16,8 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/core/inlet"
 )
 
 // PrefixTracker estimates which prompt prefixes the engine has cached. Entries identify a
@@ -85,6 +86,7 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		c.client.options.Excess.Report("", err)
 		c.log.Debug().Err(err).Msg("open cache event stream again")
 		if IsIdleTimeout(err) {
 			continue
@@ -117,17 +119,19 @@
 	if res.StatusCode != http.StatusOK {
 		return newStatusError(res)
 	}
-	lines := bufio.NewScanner(&watchdogReader{reader: res.Body, watchdog: w})
-	lines.Buffer(make([]byte, 0, 4<<10), maxEvent)
-	for lines.Scan() {
-		if d, ok := strings.CutPrefix(lines.Text(), "data:"); ok {
+	lines := inlet.NewLines(&watchdogReader{reader: res.Body, watchdog: w}, c.client.options.BaseURL, maxEvent)
+	for {
+		line, err := lines.Next()
+		if err != nil {
+			if e := w.err(); e != nil {
+				return e
+			}
+			return fmt.Errorf("cache event stream ended: %w", err)
+		}
+		if d, ok := strings.CutPrefix(line, "data:"); ok {
 			c.apply(strings.TrimSpace(d))
 		}
 	}
-	if e := w.err(); e != nil {
-		return e
-	}
-	return errors.Join(errors.New("cache event stream ended"), lines.Err())
 }
 
 func (c *PrefixTracker) lastSequence() uint64 {
--- /dev/null
+++ b/agent/engine/endless_test.go
@@ -0,0 +1,173 @@
+package engine_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tarragonvalve.example/agent/engine"
+	"tarragonvalve.example/core/inlet"
+)
+
+const (
+	// maxSent ends an endless stream of a test, in bytes.
+	maxSent = 64 << 20
+	// maxAccepted bounds what an engine may send before its stream ends, in bytes. Besides what
+	// the client reads, the sockets' buffers hold some MB.
+	maxAccepted = maxSent / 2
+	// maxEventMemory bounds what is allocated while an event is read, in bytes: 16 times the
+	// bound of an event, 1 MiB.
+	maxEventMemory = 16 << 20
+)
+
+// sendEndless repeats a text until the client closes or maxSent bytes were sent.
+func sendEndless(w http.ResponseWriter, r *http.Request, text string, sent *atomic.Int64) {
+	chunk := bytes.Repeat([]byte(text), (64<<10)/len(text))
+	for n := 0; n < maxSent; {
+		m, err := w.Write(chunk)
+		n += m
+		sent.Add(int64(m))
+		if err != nil {
+			return
+		}
+	}
+	http.NewResponseController(w).Flush()
+	<-r.Context().Done()
+}
+
+// Reported by operators of similar systems: a faulty server sends bytes without end.
+// Guards against an event whose lines are kept in memory until the caller's time is over,
+// and against one that ends a stream of another engine beside it.
+func TestEndlessEvent(t *testing.T) {
+	for name, text := range map[string]string{
+		"short data lines": "data: x\n",
+		"one line":         "x",
+		"comments":         ": ping\n",
+		"ids":              "id: 1\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			faulty := newClient(t, func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				sendEndless(w, r, text, &sent)
+			}, nil)
+			ended := make(chan struct{})
+			sound := newClient(t, func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				writeLines(w, tokenEvent(0, "a"))
+				select {
+				case <-ended:
+				case <-r.Context().Done():
+				}
+				writeLines(w, tokenEvent(1, "b"), finishEvent, doneEvent)
+			}, func(o *engine.Options) { o.IdleTimeout = time.Minute })
+			var group sync.WaitGroup
+			group.Go(func() {
+				s, err := sound.Start(t.Context(), request)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				if text, _, _, err := readAll(s); !errors.Is(err, io.EOF) || text != "ab" {
+					t.Errorf("the sound stream ended with %q, %v", text, err)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			s, err := faulty.Start(ctx, request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			_, _, _, err = readAll(s)
+			runtime.ReadMemStats(&after)
+			close(ended)
+			group.Wait()
+			var b *engine.BrokenError
+			var l *inlet.TooLongError
+			if !errors.As(err, &b) || !errors.As(err, &l) || l.Part != inlet.Event || !strings.HasPrefix(l.Peer, "http://127.0.0.1:") {
+				t.Errorf("got %v, want a *BrokenError by a *TooLongError for the event", err)
+			}
+			if n := after.TotalAlloc - before.TotalAlloc; n > maxEventMemory {
+				t.Errorf("the stream allocated %d bytes, want at most %d", n, maxEventMemory)
+			}
+			if n := sent.Load(); n > maxAccepted {
+				t.Errorf("the engine could send %d bytes, want at most %d", n, maxAccepted)
+			}
+		})
+	}
+}
+
+// Guards against a stream of many sound events that is refused because its events together
+// exceed the bound of one.
+func TestManyEventsBeyondTheBoundOfOne(t *testing.T) {
+	const n = 40
+	long := strings.Repeat("x", 64<<10)
+	c := newClient(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		for i := range n {
+			writeLines(w, tokenEvent(i, long))
+		}
+		writeLines(w, finishEvent, doneEvent)
+	}, nil)
+	s, err := c.Start(t.Context(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, _, _, err := readAll(s); !errors.Is(err, io.EOF) || len(text) != n*len(long) {
+		t.Fatalf("got %d bytes, %v", len(text), err)
+	}
+}
+
+// Guards against a head without end that is kept in memory, and against its being reported
+// without the part.
+func TestEndlessHead(t *testing.T) {
+	for name, text := range map[string]string{
+		"header line":     "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 1<<20),
+		"interim answers": strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<16),
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newClient(t, func(w http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				n, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer n.Close()
+				io.WriteString(n, text)
+				io.Copy(io.Discard, n)
+			}, nil)
+			_, err := c.Start(t.Context(), request)
+			var b *engine.BrokenError
+			var l *inlet.TooLongError
+			if !errors.As(err, &b) || !errors.As(err, &l) || l.Part != inlet.Head {
+				t.Errorf("got %v, want a *BrokenError by a *TooLongError for the head", err)
+			}
+		})
+	}
+}
+
+// Guards against a report without end that is kept in memory or takes more than its time.
+func TestEndlessReport(t *testing.T) {
+	var sent atomic.Int64
+	c := newClient(t, func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, `{"queued":1,"x":"`)
+		sendEndless(w, r, strconv.Itoa(1), &sent)
+	}, nil)
+	_, err := c.Load(t.Context())
+	var l *inlet.TooLongError
+	if !errors.As(err, &l) || l.Part != inlet.Body || sent.Load() > maxAccepted {
+		t.Errorf("got %v after %d bytes, want a *TooLongError for the body", err, sent.Load())
+	}
+}
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -17,7 +17,9 @@
 	"strings"
 	"time"
 
+	"tarragonvalve.example/agent/excess"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/inlet"
 )
 
 // Options configures a Client.
@@ -30,6 +32,9 @@
 	IdleTimeout time.Duration
 	// CallTimeout bounds each short call: reports, orders and the cancelling of streams.
 	CallTimeout time.Duration
+	// Excess reports the engine's reports and cache events that exceed a bound; nil reports
+	// none. Streams are reported by their reader, which knows the request.
+	Excess *excess.Reporter
 }
 
 // Default returns the options for the engine at a base URL. The idle timeout allows for
@@ -55,13 +60,14 @@
 // New returns a client. Close it after use.
 func New(o Options) *Client {
 	d := &net.Dialer{Timeout: o.DialTimeout}
-	t := &http.Transport{
-		DialContext:         d.DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+	t := &http.Transport{ //nolint:forbidigo // heads are bounded
+		DialContext:            d.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        30 * time.Second,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: inlet.MaxHeadBytes,
 	}
-	return &Client{options: o, http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
+	return &Client{options: o, http: &http.Client{Transport: t, CheckRedirect: noRedirect}} //nolint:forbidigo // the field, not the type
 }
 
 // noRedirect returns redirects as responses, so that a request reaches only the engine for
@@ -256,7 +262,7 @@
 		defer res.Body.Close()
 		return nil, newStatusError(res)
 	}
-	return newStream(res.Body, w, cancel, from), nil
+	return newStream(res.Body, c.options.BaseURL, w, cancel, from), nil
 }
 
 func (c *Client) send(ctx context.Context, method, path string, body []byte, id string) (*http.Response, error) {
@@ -276,7 +282,7 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return nil, sendError(ctx, err)
+		return nil, sendError(ctx, inlet.TransportError(err, c.options.BaseURL, inlet.MaxHeadBytes))
 	}
 	return res, nil
 }
@@ -300,7 +306,8 @@
 // newStatusError converts an error response. Its message is that of an OpenAI error body
 // or, for other bodies, the text of the body.
 func newStatusError(res *http.Response) *StatusError {
-	b, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBody)) // the status alone is enough
+	//nolint:forbidigo // bounded; the rest is not read, since the status alone is enough
+	b, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBody))
 	e := &StatusError{Status: res.StatusCode, Message: strings.TrimSpace(string(b))}
 	var m struct {
 		Error struct {
--- a/agent/engine/report.go
+++ b/agent/engine/report.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/inlet"
 )
 
 // Load is the load report of the engine. It lags behind the actual load.
@@ -47,7 +48,11 @@
 	if res.StatusCode != http.StatusOK {
 		return newStatusError(res)
 	}
-	if err := json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxReport)).Decode(out); err != nil {
+	b, err := inlet.ReadAll(res.Body, c.options.BaseURL, maxReport)
+	if err != nil {
+		return &BrokenError{Op: "read " + path, Err: err}
+	}
+	if err := json.Unmarshal(b, out); err != nil {
 		return &BrokenError{Op: "read " + path, Err: err}
 	}
 	return nil
@@ -145,6 +150,7 @@
 		n.Load = l
 		n.Loaded, err = m.client.Loaded(ctx)
 	}
+	m.client.options.Excess.Report("", err)
 	n.Reachable = err == nil
 	m.report.Store(&n)
 	if n.Reachable == old.Reachable && slices.Equal(n.Loaded, old.Loaded) {
--- a/agent/engine/stream.go
+++ b/agent/engine/stream.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"tarragonvalve.example/core/inlet"
 )
 
 // Chunk is one event of a stream. Tokens is the number of output tokens in Text, and
@@ -54,13 +55,13 @@
 	return "engine reports: " + e.Message
 }
 
-// maxEvent bounds one line of a server-sent event, in bytes.
+// maxEvent bounds all lines of a server-sent event together, in bytes.
 const maxEvent = 1 << 20
 
 // Stream reads the events of one attempt. It is not safe for concurrent use.
 type Stream struct {
 	body     io.ReadCloser
-	lines    *bufio.Scanner
+	lines    *inlet.Lines
 	watchdog *watchdog
 	cancel   context.CancelCauseFunc
 	start    uint64
@@ -71,10 +72,9 @@
 	finished bool
 }
 
-func newStream(body io.ReadCloser, w *watchdog, cancel context.CancelCauseFunc, from uint64) *Stream {
+func newStream(body io.ReadCloser, peer string, w *watchdog, cancel context.CancelCauseFunc, from uint64) *Stream {
 	s := &Stream{body: body, watchdog: w, cancel: cancel, start: from, next: from}
-	s.lines = bufio.NewScanner(&watchdogReader{reader: body, watchdog: w})
-	s.lines.Buffer(make([]byte, 0, 4<<10), maxEvent)
+	s.lines = inlet.NewLines(&watchdogReader{reader: body, watchdog: w}, peer, maxEvent)
 	return s
 }
 
@@ -119,26 +119,36 @@
 
 // event reads the next server-sent event that has data and returns its data and id.
 func (s *Stream) event() (data, id string, err error) {
-	var lines []string
-	for s.lines.Scan() {
-		line := s.lines.Text()
-		if line == "" && len(lines) > 0 {
-			return strings.Join(lines, "\n"), id, nil
+	var (
+		text strings.Builder
+		line string
+		some bool
+	)
+	for {
+		line, err = s.lines.Next()
+		if err != nil {
+			break
+		}
+		if line == "" && some {
+			return text.String(), id, nil
 		}
 		name, value, _ := strings.Cut(line, ":")
 		value = strings.TrimPrefix(value, " ")
 		switch name {
 		case "data":
-			lines = append(lines, value)
+			if some {
+				text.WriteByte('\n')
+			}
+			some = true
+			text.WriteString(value)
 		case "id":
 			id = value
 		}
 	}
-	err = s.lines.Err()
 	if c := s.watchdog.err(); c != nil {
 		err = c
 	}
-	if err == nil {
+	if err == io.EOF { //nolint:errorlint // only an unwrapped io.EOF is the regular end of the body
 		err = &IncompleteError{Finished: s.finished}
 	}
 	return "", "", &BrokenError{Op: "read stream", Err: err}
--- a/agent/entry/fake_test.go
+++ b/agent/entry/fake_test.go
@@ -47,7 +47,9 @@
 	release chan struct{}
 	// breakAfter resets the connection of a Run after that many tokens; 0 never does.
 	breakAfter int
-	tokens     []string
+	// endless is the id of a stream that is one event without end.
+	endless string
+	tokens  []string
 }
 
 func newFakeEngine() *fakeEngine {
@@ -85,6 +87,16 @@
 func (f *fakeEngine) stream(w http.ResponseWriter, r *http.Request, from, breakAfter int) {
 	c := http.NewResponseController(w)
 	_ = c.Flush()
+	if f.endless != "" && r.Header.Get("X-Request-Id") == f.endless {
+		// 64 MiB is far beyond any bound of an event, and ends if none is in force.
+		for range 1 << 16 {
+			if _, err := io.WriteString(w, strings.Repeat("data: x\n", 1<<7)); err != nil {
+				return
+			}
+		}
+		<-r.Context().Done()
+		return
+	}
 	for i := from; i < len(f.tokens); i++ {
 		if breakAfter > 0 && i == breakAfter {
 			panic(http.ErrAbortHandler)
--- a/agent/runner/relay.go
+++ b/agent/runner/relay.go
@@ -13,6 +13,7 @@
 	"tarragonvalve.example/core/envdoc"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/wire"
@@ -133,14 +134,16 @@
 }
 
 // resumable reports whether a new connection may deliver the rest of a stream. It may not
-// after a full buffer, an error that the engine reported, or an HTTP error status.
+// after a full buffer, an answer that exceeds a bound, an error that the engine reported, or
+// an HTTP error status.
 func resumable(err error) bool {
 	var (
 		o *overflowError
+		l *inlet.TooLongError
 		g *engine.ReportedError
 		f *engine.StatusError
 	)
-	return !errors.As(err, &o) && !errors.As(err, &g) && !errors.As(err, &f)
+	return !errors.As(err, &o) && !errors.As(err, &l) && !errors.As(err, &g) && !errors.As(err, &f)
 }
 
 // sleep waits for d. It reports false if ctx ended first.
@@ -216,6 +219,7 @@
 // fail ends an attempt that the engine may have run, and cancels it at the engine if it
 // was cancelled here.
 func (r *Runner) fail(a *attempt, p *progress, err error) ledger.Outcome {
+	r.options.Excess.Report(a.key.Request, err)
 	ref, o := failureOf(a, p, err)
 	r.record(a, event.AttemptEnded, map[string]string{"outcome": string(o), "code": string(ref.Code)})
 	ref.Generation = r.options.Views.View().Generation()
--- a/agent/runner/runner.go
+++ b/agent/runner/runner.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/agent/engine"
+	"tarragonvalve.example/agent/excess"
 	"tarragonvalve.example/agent/gate"
 	"tarragonvalve.example/agent/sched"
 	"tarragonvalve.example/agent/stream"
@@ -36,6 +37,8 @@
 	Instance ident.InstanceID
 	Upstream ident.UpstreamID
 	Log      zerolog.Logger
+	// Excess reports answers that exceed a bound; nil reports none.
+	Excess *excess.Reporter
 	// RecordPrompt is called with the prefix hashes and messages of a prompt when its first
 	// token arrives, which proves that the engine has processed the prompt.
 	RecordPrompt func(hashes []uint64, ms []engine.Message)
