--- a/agent/boot/build.go
+++ b/agent/boot/build.go
@@ -14,6 +14,7 @@
 	"tarragonvalve.example/agent/calls"
 	"tarragonvalve.example/agent/engine"
 	"tarragonvalve.example/agent/entry"
+	"tarragonvalve.example/agent/excess"
 	"tarragonvalve.example/agent/fence"
 	"tarragonvalve.example/agent/health"
 	"tarragonvalve.example/agent/plain"
@@ -48,6 +49,7 @@
 		newListeners,
 		newRing,
 		newPanics,
+		newExcess,
 		newTable,
 		newReplica,
 		newLedger,
@@ -174,6 +176,10 @@
 	return panics.New(logger.Part(l, "panics"))
 }
 
+func newExcess(s *setup.Settings, l zerolog.Logger) *excess.Reporter {
+	return excess.New(excess.Options{Upstream: s.Upstream.ID, Log: logger.Part(l, "excess"), Now: time.Now})
+}
+
 func newTable(s *setup.Settings) table.Client {
 	return table.NewDynamo(s.Table)
 }
@@ -230,13 +236,15 @@
 	guard   *fence.Guard
 }
 
-func newEngine(s *setup.Settings, l zerolog.Logger, n *spread.Replica, t table.Client, r *event.Ring) *engineParts {
+func newEngine(s *setup.Settings, l zerolog.Logger, n *spread.Replica, t table.Client, r *event.Ring, x *excess.Reporter) *engineParts {
 	u := s.Upstream
 	if u.Engine.BaseURL == "" {
 		return nil
 	}
 	l = logger.Part(l, "engine")
-	c := engine.New(u.Engine)
+	o := u.Engine
+	o.Excess = x
+	c := engine.New(o)
 	e := &engineParts{
 		client:  c,
 		monitor: engine.NewMonitor(c, u.ReportInterval, l),
@@ -261,7 +269,7 @@
 	return e
 }
 
-func newRunner(s *setup.Settings, e *engineParts, h *sched.Scheduler, t *stream.Store, n *spread.Replica, b *ledger.Buffer, r *event.Ring, l zerolog.Logger, st *entry.Status) *runner.Runner {
+func newRunner(s *setup.Settings, e *engineParts, h *sched.Scheduler, t *stream.Store, n *spread.Replica, b *ledger.Buffer, r *event.Ring, l zerolog.Logger, st *entry.Status, x *excess.Reporter) *runner.Runner {
 	if e == nil {
 		return nil
 	}
@@ -275,13 +283,14 @@
 		Instance:     s.Agent.Instance,
 		Upstream:     s.Upstream.ID,
 		Log:          logger.Part(l, "runner"),
+		Excess:       x,
 		RecordPrompt: e.cache.RecordPrompt,
 		Status:       st.Now,
 		Now:          time.Now,
 	})
 }
 
-func newCaller(s *setup.Settings, h *sched.Scheduler, n *spread.Replica, k *claim.Store, b *ledger.Buffer, r *event.Ring, l zerolog.Logger) *calls.Executor {
+func newCaller(s *setup.Settings, h *sched.Scheduler, n *spread.Replica, k *claim.Store, b *ledger.Buffer, r *event.Ring, l zerolog.Logger, x *excess.Reporter) *calls.Executor {
 	if s.Upstream.Service == "" {
 		return nil
 	}
@@ -296,6 +305,7 @@
 		Receipts:      b,
 		Ring:          r,
 		Log:           logger.Part(l, "calls"),
+		Excess:        x,
 		Now:           time.Now,
 		NewToken:      table.NewWriteToken,
 		ClaimTimeout:  s.Claims.WriteTimeout,
@@ -356,9 +366,9 @@
 	return entry.NewListener(o), nil
 }
 
-func newHealth(p *listeners, st *entry.Status, n *spread.Replica, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts, m *panics.Reporter, l zerolog.Logger) *health.Server {
+func newHealth(p *listeners, st *entry.Status, n *spread.Replica, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts, m *panics.Reporter, x *excess.Reporter, l zerolog.Logger) *health.Server {
 	r := prometheus.NewRegistry()
-	registerMetrics(r, h, t, b, e, m)
+	registerMetrics(r, h, t, b, e, m, x)
 	return health.New(health.Options{
 		Listener: p.admin,
 		Registry: r,
--- a/agent/boot/metrics.go
+++ b/agent/boot/metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"tarragonvalve.example/agent/excess"
 	"tarragonvalve.example/agent/sched"
 	"tarragonvalve.example/agent/stream"
 	"tarragonvalve.example/core/ledger"
@@ -12,8 +13,8 @@
 
 // registerMetrics registers the metrics of the Go runtime, the process and the agent. The
 // values are read at each scrape.
-func registerMetrics(r *prometheus.Registry, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts, p *panics.Reporter) {
-	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+func registerMetrics(r *prometheus.Registry, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts, p *panics.Reporter, x *excess.Reporter) {
+	r.MustRegister(x, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	registerGauge(r, "queued", "Attempts that wait for a slot.", func() float64 { return float64(h.Load().Queued) })
 	registerGauge(r, "running", "Attempts that hold a slot.", func() float64 { return float64(h.Load().Running) })
 	registerGauge(r, "slots", "Slots of the upstream.", func() float64 { return float64(h.Load().Slots) })
--- a/agent/calls/calls.go
+++ b/agent/calls/calls.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/agent/excess"
 	"tarragonvalve.example/agent/gate"
 	"tarragonvalve.example/agent/plain"
 	"tarragonvalve.example/agent/queue"
@@ -51,7 +52,9 @@
 	Receipts Receipts
 	Ring     *event.Ring
 	Log      zerolog.Logger
-	Now      func() time.Time
+	// Excess reports answers that exceed a bound; nil reports none.
+	Excess *excess.Reporter
+	Now    func() time.Time
 	// NewToken returns a new, unique write token for a claim.
 	NewToken func() table.WriteToken
 	// ClaimTimeout bounds the write of a claim before its call is sent.
@@ -212,6 +215,7 @@
 		n *plain.NotRunError
 		l *plain.TooLargeError
 	)
+	x.options.Excess.Report(ident.RequestID(j.request.GetRequestId()), err)
 	switch {
 	case errors.As(err, &n):
 		return refuse.New(refuse.UpstreamFailed, refuse.NotRun, "%v", err)
--- a/agent/health/health.go
+++ b/agent/health/health.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/core/logger"
 	"tarragonvalve.example/core/panics"
 )
@@ -58,6 +59,7 @@
 	h := &http.Server{
 		Handler:           s.options.Panics.Handler(s.Handler()),
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    inlet.MaxHeadBytes,
 		ErrorLog:          logger.ErrorLog(s.options.Log, "the HTTP server reports an error"),
 	}
 	failed := make(chan error, 1)
