fix(core): bound the answers of the table

What callers saw: a table service that sends without end took the memory of each agent and entry that called it, until the call's time was over.

Cause: the SDK reads answers without a bound, and http.Transport takes heads of 10 MB. An answer now has 8 MiB, a page of 1 MB with each byte escaped, and a head 64 KiB. A write whose answer exceeds a bound has an unknown outcome, as with any lost answer.

Not changed: the number of pages of a list without a limit.

--- a/core/table/dynamo.go
+++ b/core/table/dynamo.go
@@ -19,6 +19,7 @@
 	"github.com/samber/oops"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/inlet"
 )
 
 // DefaultTimeout bounds one HTTP call when Options.Timeout is not set. Consistent reads
@@ -71,7 +72,7 @@
 		BaseEndpoint: aws.String(o.Endpoint),
 		Region:       o.Region,
 		Credentials:  credentials.NewStaticCredentialsProvider(o.AccessKey, o.SecretKey, ""),
-		HTTPClient:   &http.Client{Transport: bodyCopyTransport{transport(o.Timeout)}},
+		HTTPClient:   &http.Client{Transport: limitTransport{bodyCopyTransport{transport(o.Timeout)}}}, //nolint:forbidigo // the field, not the type
 		// PutWithRetry repeats writes itself. A repeat inside the SDK could report a
 		// conflict with the effect of its own first try.
 		Retryer: aws.NopRetryer{},
@@ -84,9 +85,9 @@
 // transport returns an HTTP/1.1 transport. With HTTP/1.1, a call that times out closes
 // its own connection, so a connection without answers is not used again. An HTTP/2
 // connection would stay open and be shared by later calls.
-func transport(timeout time.Duration) *http.Transport {
+func transport(timeout time.Duration) http.RoundTripper {
 	d := net.Dialer{Timeout: timeout}
-	return &http.Transport{
+	return &http.Transport{ //nolint:forbidigo // heads are bounded
 		Proxy:                 nil,
 		DialContext:           d.DialContext,
 		TLSNextProto:          map[string]func(string, *tls.Conn) http.RoundTripper{},
@@ -94,10 +95,29 @@
 		ResponseHeaderTimeout: timeout,
 		MaxIdleConnsPerHost:   16,
 		MaxConnsPerHost:       64,
-		IdleConnTimeout:       30 * time.Second,
+		// The service's own headers take under 1 KiB.
+		MaxResponseHeaderBytes: inlet.MaxHeadBytes,
+		IdleConnTimeout:        30 * time.Second,
 	}
 }
 
+// maxAnswerBytes bounds an answer of the service: a page of a query, which the API limits to
+// 1 MB, with each byte escaped in JSON by six.
+const maxAnswerBytes = 8 << 20
+
+// limitTransport bounds the answers, which the SDK reads to their end.
+type limitTransport struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t limitTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	p, err := t.next.RoundTrip(r)
+	if err != nil {
+		return nil, inlet.TransportError(err, r.URL.Host, inlet.MaxHeadBytes)
+	}
+	p.Body = inlet.LimitBody(p.Body, r.URL.Host, maxAnswerBytes)
+	return p, nil
+}
+
 // bodyCopyTransport gives the transport its own copy of the request body. The SDK
 // closes the request's body as soon as the response headers arrive. If the transport is
 // still writing the body then, the write fails and the transport closes the connection
@@ -109,7 +129,7 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return t.next.RoundTrip(r)
 	}
-	b, err := io.ReadAll(r.Body)
+	b, err := io.ReadAll(r.Body) //nolint:forbidigo // a request of this process
 	_ = r.Body.Close()
 	if err != nil {
 		return nil, err
