fix(entry): bound the heads of the instance list and of ratings

Cause: both used the default transport, which takes heads of 10 MB. A list or page beyond its bound was cut there, and taken if what was left was valid JSON. Such answers are now refused as a whole; the last valid list stays in use.

--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -19,6 +19,7 @@
 	"tarragonvalve.example/core/claim"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/core/lease"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/logger"
@@ -277,7 +278,7 @@
 	return roster.New(roster.Options{
 		URL:      s.Instances.URL,
 		Interval: s.Instances.Interval,
-		Client:   &http.Client{},
+		Client:   &http.Client{Transport: inlet.NewTransport()}, //nolint:forbidigo // the field, not the type
 		Static:   s.Instances.Static,
 		OnUpdate: func(is []roster.Instance) {
 			a.Update(targets(is))
--- a/entry/boot/ratings.go
+++ b/entry/boot/ratings.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/core/logger"
 	"tarragonvalve.example/entry/policy"
 	"tarragonvalve.example/entry/rating"
@@ -26,7 +27,7 @@
 		URL:            s.Rating.URL,
 		ReportInterval: s.Rating.ReportInterval,
 		ReadInterval:   s.Rating.ReadInterval,
-		Client:         &http.Client{},
+		Client:         &http.Client{Transport: inlet.NewTransport()}, //nolint:forbidigo // the field, not the type
 		OnRating:       r.passRating,
 		Log:            logger.Part(l, "rating"),
 	})
--- a/entry/rating/rating.go
+++ b/entry/rating/rating.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/core/wire"
 )
 
@@ -236,7 +237,11 @@
 		Ratings []Rating `json:"ratings"`
 		Next    uint64   `json:"next"`
 	}
-	if err := json.NewDecoder(io.LimitReader(p.Body, maxPageBytes)).Decode(&out); err != nil {
+	b, err := inlet.ReadAll(p.Body, c.o.URL, maxPageBytes)
+	if err != nil {
+		return 0, 0, err
+	}
+	if err := json.Unmarshal(b, &out); err != nil {
 		return 0, 0, err
 	}
 	for _, r := range out.Ratings {
--- a/entry/roster/roster.go
+++ b/entry/roster/roster.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -17,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/inlet"
 )
 
 // Values of the labels role and state in the list.
@@ -178,7 +178,7 @@
 	if p.StatusCode != http.StatusOK {
 		return nil, &StatusError{URL: r.o.URL, Status: p.StatusCode}
 	}
-	b, err := io.ReadAll(io.LimitReader(p.Body, maxListBytes))
+	b, err := inlet.ReadAll(p.Body, r.o.URL, maxListBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/roster/roster_test.go
+++ b/entry/roster/roster_test.go
@@ -39,6 +39,7 @@
 		"down":    {status: 503},
 		"damaged": {status: 200, body: `[{"targets":`},
 		"empty":   {status: 200, body: `[]`},
+		"endless": {status: 200, body: `[{"targets":["127.0.0.1:8"],"labels":{"role":"entry"}}]` + strings.Repeat(" ", maxListBytes)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
