--- a/tarragonvalve/client/client.go
+++ b/tarragonvalve/client/client.go
@@ -11,7 +11,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -22,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/core/opsapi"
 	"tarragonvalve.example/core/refuse"
 )
@@ -75,11 +75,12 @@
 			return nil, fmt.Errorf("address %q: unencrypted connections need --unencrypted", a)
 		}
 	}
-	t := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		TLSHandshakeTimeout:   dialTimeout,
-		DisableKeepAlives:     true,
-		ResponseHeaderTimeout: o.Timeout + replyMargin,
+	t := &http.Transport{ //nolint:forbidigo // heads are bounded
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSHandshakeTimeout:    dialTimeout,
+		DisableKeepAlives:      true,
+		ResponseHeaderTimeout:  o.Timeout + replyMargin,
+		MaxResponseHeaderBytes: inlet.MaxHeadBytes,
 	}
 	if o.CAFile != "" {
 		p, err := loadCertPool(o.CAFile)
@@ -88,7 +89,7 @@
 		}
 		t.TLSClientConfig = &tls.Config{RootCAs: p, MinVersion: tls.VersionTLS12}
 	}
-	return &Client{o: o, http: &http.Client{Transport: t}}, nil
+	return &Client{o: o, http: &http.Client{Transport: t}}, nil //nolint:forbidigo // the field, not the type
 }
 
 // loadCertPool returns the certificates of a PEM file.
@@ -234,16 +235,13 @@
 	r.Header.Set("Tarragonvalve-Timeout-Ms", strconv.FormatInt(c.o.Timeout.Milliseconds(), 10))
 	p, err := c.http.Do(r)
 	if err != nil {
-		return out, wrote.Load(), err
+		return out, wrote.Load(), inlet.TransportError(err, address, inlet.MaxHeadBytes)
 	}
 	defer p.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(p.Body, maxReplyBytes+1))
+	b, err := inlet.ReadAll(p.Body, address, maxReplyBytes)
 	if err != nil {
 		return out, true, fmt.Errorf("read reply: %w", err)
 	}
-	if len(b) > maxReplyBytes {
-		return out, true, fmt.Errorf("read reply: more than %d bytes", maxReplyBytes)
-	}
 	if p.StatusCode != http.StatusOK {
 		return out, true, decodeRefusal(p.StatusCode, b)
 	}
