--- a/core/token/token.go
+++ b/core/token/token.go
@@ -132,7 +132,7 @@
 // *InvalidError when they are damaged or lack the session, the account or the version.
 func parseClaims(b []byte) (Claims, error) {
 	var p payload
-	d := json.NewDecoder(bytes.NewReader(b))
+	d := json.NewDecoder(bytes.NewReader(b)) //nolint:forbidigo // in memory
 	d.DisallowUnknownFields()
 	if err := d.Decode(&p); err != nil {
 		return Claims{}, &InvalidError{Reason: "damaged claims"}
--- a/entry/admin/reply.go
+++ b/entry/admin/reply.go
@@ -225,7 +225,7 @@
 // and a body that is too large.
 func decode[T any](c *call) (T, error) {
 	var v T
-	d := json.NewDecoder(c.Body)
+	d := json.NewDecoder(c.Body) //nolint:forbidigo // bounded by maxBodyBytes
 	d.DisallowUnknownFields()
 	err := d.Decode(&v)
 	var large *http.MaxBytesError
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -303,7 +303,7 @@
 	_ = rc.SetReadDeadline(time.Now().Add(readTimeout))
 	// The end of the context doesn't end a read.
 	stop := context.AfterFunc(r.Context(), func() { _ = rc.SetReadDeadline(time.Now()) })
-	b, err := io.ReadAll(r.Body)
+	b, err := io.ReadAll(r.Body) //nolint:forbidigo // bounded by MaxBody
 	stop()
 	switch {
 	case err != nil && abort.Drained(r.Context()):
--- a/entry/caller/chat.go
+++ b/entry/caller/chat.go
@@ -111,7 +111,7 @@
 		return relay.Chat{}, nil, err
 	}
 	var m chatRequest
-	d := json.NewDecoder(bytes.NewReader(b))
+	d := json.NewDecoder(bytes.NewReader(b)) //nolint:forbidigo // in memory
 	d.DisallowUnknownFields()
 	if err := d.Decode(&m); err != nil {
 		return relay.Chat{}, nil, refuse.New(refuse.BadRequest, refuse.NotRun, "the body is not a chat completion: %v", err)
--- a/tarragonvalve/trace/trace.go
+++ b/tarragonvalve/trace/trace.go
@@ -40,7 +40,7 @@
 // Read parses JSON lines. It skips the text before the first brace of a line, and lines
 // that hold no JSON object. A line that is too long is an error.
 func Read(r io.Reader) ([]Line, error) {
-	s := bufio.NewScanner(r)
+	s := bufio.NewScanner(r) //nolint:forbidigo // files that the operator names
 	s.Buffer(nil, maxLineBytes)
 	var out []Line
 	for s.Scan() {
--- a/tarragonvalve/verbs/run.go
+++ b/tarragonvalve/verbs/run.go
@@ -234,7 +234,7 @@
 		defer func() { _ = f.Close() }()
 		r = f
 	}
-	b, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes+1))
+	b, err := io.ReadAll(io.LimitReader(r, maxDocumentBytes+1)) //nolint:forbidigo // bounded
 	if err != nil {
 		return "", &usageError{message: fmt.Sprintf("read the document: %v", err)}
 	}
