--- a/agent/calls/calls_test.go
+++ b/agent/calls/calls_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/agent/calls"
+	"tarragonvalve.example/agent/excess"
 	"tarragonvalve.example/agent/plain"
 	"tarragonvalve.example/agent/queue"
 	"tarragonvalve.example/agent/sched"
@@ -91,6 +92,8 @@
 	url      string
 	// wrapClaims wraps the claim store of the executor; nil for no wrapper.
 	wrapClaims func(*claim.Store) calls.Claims
+	// excess is passed to the executor.
+	excess *excess.Reporter
 }
 
 func start(t *testing.T, f func(*harness)) *harness {
@@ -118,7 +121,7 @@
 	}
 	r.Executor = calls.New(calls.Options{
 		Service: "bookings", Upstream: "p1", Instance: "agent-1",
-		Plain: plain.New(plain.Default(r.url)), Sched: s, Views: v, Claims: cs, Receipts: r.receipts,
+		Plain: plain.New(plain.Default(r.url)), Sched: s, Views: v, Claims: cs, Receipts: r.receipts, Excess: r.excess,
 		Ring: event.NewRing(event.NewClock(time.Now), "agent-1", 64), Log: zerolog.Nop(), Now: time.Now,
 		NewToken: table.NewWriteToken, ClaimTimeout: 100 * time.Millisecond, RecordTimeout: time.Second,
 	})
--- a/agent/engine/endless_test.go
+++ b/agent/engine/endless_test.go
@@ -14,7 +14,10 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"tarragonvalve.example/agent/engine"
+	"tarragonvalve.example/agent/excess"
 	"tarragonvalve.example/core/inlet"
 )
 
@@ -171,3 +174,61 @@
 		t.Errorf("got %v after %d bytes, want a *TooLongError for the body", err, sent.Load())
 	}
 }
+
+// Guards against the body of an error that is kept in memory or read on without end.
+func TestEndlessErrorBody(t *testing.T) {
+	var sent atomic.Int64
+	c := newClient(t, func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.WriteHeader(http.StatusInternalServerError)
+		sendEndless(w, r, "x", &sent)
+	}, nil)
+	_, err := c.Start(t.Context(), request)
+	var e *engine.StatusError
+	if !errors.As(err, &e) || len(e.Message) != 4<<10 || sent.Load() > maxAccepted {
+		t.Errorf("got %T after %d bytes, want a *StatusError with 4 KiB", err, sent.Load())
+	}
+}
+
+// Guards against cache events without end that are kept in memory, that end the reader, and
+// that no log line shows.
+func TestEndlessCacheEvent(t *testing.T) {
+	for name, text := range map[string]string{"one line": "x", "comments": ": ping\n"} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			var log bytes.Buffer
+			again := make(chan struct{}, 1)
+			opened := 0
+			c := newClient(t, func(w http.ResponseWriter, r *http.Request) {
+				if opened++; opened > 1 {
+					select {
+					case again <- struct{}{}:
+					default:
+					}
+					<-r.Context().Done()
+					return
+				}
+				sendEndless(w, r, text, &sent)
+			}, func(o *engine.Options) {
+				o.Excess = excess.New(excess.Options{Upstream: "e1", Log: zerolog.New(&log), Now: time.Now})
+			})
+			p := engine.NewPrefixTracker(c, 10, discard)
+			ctx, cancel := context.WithCancel(t.Context())
+			var group sync.WaitGroup
+			group.Go(func() { _ = p.Run(ctx) })
+			select {
+			case <-again:
+			case <-time.After(20 * time.Second):
+				t.Error("the events are not read again")
+			}
+			cancel()
+			group.Wait()
+			if n := sent.Load(); n > maxAccepted {
+				t.Errorf("the engine could send %d bytes, want at most %d", n, maxAccepted)
+			}
+			if !strings.Contains(log.String(), `"part":"event"`) {
+				t.Errorf("logged %q", log.String())
+			}
+		})
+	}
+}
