fix(agent): bound the bodies of all calls together

What callers saw: nothing; found while the bounds were listed. An agent with many slots held as many bodies of 3 MiB at a time.

Cause: each body had a bound, all of them together none but the slots. A body beyond 64 KiB now takes one of 8 places before the rest is read; the bytes of the others wait at the service. A place is taken at once for all of a body, so that calls can't wait for each other.

Evidence: go test -run LongAnswers ./plain before: 40 stalled bodies of 3 MiB took 156,285,328 bytes of heap, the bound is 67,108,864 (8 bodies with their buffers). It passes now, a short call beside them is served, and 80 sound calls with 3 MiB each get all of it. TestWaitOfLongAnswer fails if the idle timer isn't stopped during the wait.

Ruled out: a common number of bytes that bodies grow into. An answer that finds no room after its call has run would be lost.

--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -113,15 +113,26 @@
 	options Options
 	http    *http.Client
 	dialer  *net.Dialer
+	// long is a semaphore for maxLong.
+	long chan struct{}
 }
 
-// maxIdleConns lets the connections of the concurrent calls of a service be reused.
-const maxIdleConns = 64
+const (
+	// maxIdleConns lets the connections of the concurrent calls of a service be reused.
+	maxIdleConns = 64
+	// maxShort is the part of a body, in bytes, that is read without waiting. The memory for
+	// it belongs to the slot of the call.
+	maxShort = 64 << 10
+	// maxLong bounds the longer bodies that are read at the same time; with 3 MiB each they
+	// take 24 MiB. A call takes its place at once for all of its body, so that calls never
+	// wait for each other.
+	maxLong = 8
+)
 
 // New returns a client. Close it after use.
 func New(o Options) *Client {
 	d := &net.Dialer{Timeout: o.DialTimeout}
-	return &Client{options: o, dialer: d, http: &http.Client{
+	return &Client{options: o, dialer: d, long: make(chan struct{}, maxLong), http: &http.Client{
 		Transport: &http.Transport{ //nolint:forbidigo // heads are bounded
 			DialContext:            d.DialContext,
 			MaxIdleConnsPerHost:    maxIdleConns,
@@ -188,7 +199,7 @@
 
 func (c *Client) read(ctx context.Context, res *http.Response, t *time.Timer) (*Result, error) {
 	r := &progressReader{reader: res.Body, onProgress: func() { t.Reset(c.options.IdleTimeout) }}
-	b, err := inlet.ReadAll(r, c.options.BaseURL, c.options.MaxAnswerBytes)
+	b, err := c.readBody(ctx, r, t)
 	var l *inlet.TooLongError
 	if errors.As(err, &l) {
 		return nil, &TooLargeError{Status: res.StatusCode, Limit: c.options.MaxAnswerBytes, Err: l}
@@ -199,6 +210,27 @@
 	return &Result{StatusCode: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: b}, nil
 }
 
+// readBody reads a body. One longer than maxShort waits for its place among maxLong; the
+// service is not read meanwhile, so the idle timer stops.
+func (c *Client) readBody(ctx context.Context, r io.Reader, t *time.Timer) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, maxShort)) //nolint:forbidigo // bounded
+	if err != nil {
+		return nil, err
+	}
+	if len(b) < maxShort {
+		return inlet.ReadAll(bytes.NewReader(b), c.options.BaseURL, c.options.MaxAnswerBytes)
+	}
+	t.Stop()
+	select {
+	case c.long <- struct{}{}:
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+	defer func() { <-c.long }()
+	t.Reset(c.options.IdleTimeout)
+	return inlet.ReadAll(io.MultiReader(bytes.NewReader(b), r), c.options.BaseURL, c.options.MaxAnswerBytes)
+}
+
 // classify returns a *NotRunError for a failed dial and an *UnknownError otherwise.
 func classify(ctx context.Context, err error) error {
 	var n *net.OpError
