Merge the bounds of reads from outside

Agents, entries, tables and the command line read answers with stated bounds (core/inlet, decision 12); a linter rule keeps new reads to it.

--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"tarragonvalve.example/core/inlet"
 )
 
 // Options configures a Client.
@@ -81,10 +83,16 @@
 	return e.Err
 }
 
-// TooLargeError reports a call that ran but whose answer exceeds the limit in bytes.
+// TooLargeError reports a call that ran but whose answer exceeds the limit in bytes. Err is
+// an *inlet.TooLongError.
 type TooLargeError struct {
 	Status int
 	Limit  int64
+	Err    error
+}
+
+func (e *TooLargeError) Unwrap() error {
+	return e.Err
 }
 
 func (e *TooLargeError) Error() string {
@@ -105,20 +113,32 @@
 	options Options
 	http    *http.Client
 	dialer  *net.Dialer
+	// long is a semaphore for maxLong.
+	long chan struct{}
 }
 
-// maxIdleConns lets the connections of the concurrent calls of a service be reused.
-const maxIdleConns = 64
+const (
+	// maxIdleConns lets the connections of the concurrent calls of a service be reused.
+	maxIdleConns = 64
+	// maxShort is the part of a body, in bytes, that is read without waiting. The memory for
+	// it belongs to the slot of the call.
+	maxShort = 64 << 10
+	// maxLong bounds the longer bodies that are read at the same time; with 3 MiB each they
+	// take 24 MiB. A call takes its place at once for all of its body, so that calls never
+	// wait for each other.
+	maxLong = 8
+)
 
 // New returns a client. Close it after use.
 func New(o Options) *Client {
 	d := &net.Dialer{Timeout: o.DialTimeout}
-	return &Client{options: o, dialer: d, http: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         d.DialContext,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     30 * time.Second,
-			DisableCompression:  true,
+	return &Client{options: o, dialer: d, long: make(chan struct{}, maxLong), http: &http.Client{
+		Transport: &http.Transport{ //nolint:forbidigo // heads are bounded
+			DialContext:            d.DialContext,
+			MaxIdleConnsPerHost:    maxIdleConns,
+			IdleConnTimeout:        30 * time.Second,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: inlet.MaxHeadBytes,
 		},
 		// Following a redirect would send the call a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -145,7 +165,7 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return nil, classify(ctx, err)
+		return nil, classify(ctx, inlet.TransportError(err, c.options.BaseURL, inlet.MaxHeadBytes))
 	}
 	defer res.Body.Close()
 	return c.read(ctx, res, timer)
@@ -178,17 +198,39 @@
 }
 
 func (c *Client) read(ctx context.Context, res *http.Response, t *time.Timer) (*Result, error) {
-	r := &progressReader{reader: io.LimitReader(res.Body, c.options.MaxAnswerBytes+1), onProgress: func() { t.Reset(c.options.IdleTimeout) }}
-	b, err := io.ReadAll(r)
+	r := &progressReader{reader: res.Body, onProgress: func() { t.Reset(c.options.IdleTimeout) }}
+	b, err := c.readBody(ctx, r, t)
+	var l *inlet.TooLongError
+	if errors.As(err, &l) {
+		return nil, &TooLargeError{Status: res.StatusCode, Limit: c.options.MaxAnswerBytes, Err: l}
+	}
 	if err != nil {
 		return nil, classify(ctx, err)
 	}
-	if int64(len(b)) > c.options.MaxAnswerBytes {
-		return nil, &TooLargeError{Status: res.StatusCode, Limit: c.options.MaxAnswerBytes}
-	}
 	return &Result{StatusCode: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: b}, nil
 }
 
+// readBody reads a body. One longer than maxShort waits for its place among maxLong; the
+// service is not read meanwhile, so the idle timer stops.
+func (c *Client) readBody(ctx context.Context, r io.Reader, t *time.Timer) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, maxShort)) //nolint:forbidigo // bounded
+	if err != nil {
+		return nil, err
+	}
+	if len(b) < maxShort {
+		return inlet.ReadAll(bytes.NewReader(b), c.options.BaseURL, c.options.MaxAnswerBytes)
+	}
+	t.Stop()
+	select {
+	case c.long <- struct{}{}:
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+	defer func() { <-c.long }()
+	t.Reset(c.options.IdleTimeout)
+	return inlet.ReadAll(io.MultiReader(bytes.NewReader(b), r), c.options.BaseURL, c.options.MaxAnswerBytes)
+}
+
 // classify returns a *NotRunError for a failed dial and an *UnknownError otherwise.
 func classify(ctx context.Context, err error) error {
 	var n *net.OpError
