test(router): show orders given up as other upstreams accept no connections

Upstreams close their listeners and finish the orders that they have at work, as on a shutdown. The check of an order that takes 0.7 s finds no listener, and Monitor.Down counts all orders there as suspects of a crash. From the second such upstream on equal orders (account, method, path, body) are quarantined: CancelWaiting ends those at work at sound upstreams, and later ones are refused. Callers see 502 prompt-quarantined for orders that run and may run only once, and 503 for later ones.

Four of five upstreams close.

--- a/router/boot/lost_listener_test.go
+++ b/router/boot/lost_listener_test.go
@@ -1,8 +1,10 @@
 package boot
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -60,6 +62,23 @@
 	o.Close()
 }
 
+// forwarded starts an upstream behind a forwarder and registers it as ready.
+func (w *harness) forwarded(service, name string, script func(server.Request) server.Reply) (*server.Server, *forwarder) {
+	w.t.Helper()
+	s, err := server.New(name, script)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	f := forward(w.t, s)
+	err = w.store.PutJSON("servers", name, map[string]any{
+		"service": service, "address": f.Addr().String(), "zone": "a", "version": "v1", "slots": 8, "state": "ready", "born": 1,
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return s, f
+}
+
 // closedListener is an answer whose upstream accepts no new connections after it began.
 type closedListener struct {
 	path          string
@@ -82,17 +101,7 @@
 		}
 		return c.first
 	}
-	s, err := server.New("m1", script)
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := forward(t, s)
-	err = w.store.PutJSON("servers", "m1", map[string]any{
-		"service": "llm", "address": f.Addr().String(), "zone": "a", "version": "v1", "slots": 8, "state": "ready", "born": 1,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
+	s, f := w.forwarded("llm", "m1", script)
 	w.awaitUpstreams(1)
 	var clients sync.WaitGroup
 	clients.Go(func() {
@@ -161,3 +170,40 @@
 		})
 	}
 }
+
+// Guards against upstreams that accept no new connections and are taken for crashed, so that the orders which they have at work
+// count as the cause: equal orders at work elsewhere would be given up, and later ones refused.
+func TestLostOrdersAtClosedListeners(t *testing.T) {
+	t.Parallel()
+	const (
+		leaving = 4
+		orders  = 20
+	)
+	w := startRouterWithGrace(t, unlimited(document(1, route("order", "non_idempotent", "desk", "timeout_ms", 20_000))), 6)
+	script := always(server.Delayed{Answer: fine, Delay: 4 * time.Second})
+	var fs []*forwarder
+	ss := []*server.Server{w.server("desk", "stays", "v1", script)}
+	for i := range leaving {
+		s, f := w.forwarded("desk", fmt.Sprint("leaves", i), script)
+		ss, fs = append(ss, s), append(fs, f)
+	}
+	w.awaitUpstreams(len(ss))
+	var clients sync.WaitGroup
+	for range orders {
+		clients.Go(func() {
+			a := w.send("POST", "/order/1", "x", "Tarragonvalve-Deadline-Ms", "15000")
+			if a.err != nil || a.status != http.StatusOK {
+				t.Errorf("got %d %s %v, want 200", a.status, a.code(), a.err)
+			}
+		})
+	}
+	w.eventually("the orders at the upstreams", func() bool { return requestsAt(ss) == orders })
+	for _, f := range fs {
+		f.Close()
+	}
+	time.Sleep(2 * time.Second)
+	if a := w.send("POST", "/order/1", "x", "Tarragonvalve-Deadline-Ms", "15000"); a.status != http.StatusOK {
+		t.Errorf("an equal order later: got %d %s, want 200", a.status, a.code())
+	}
+	clients.Wait()
+}
