test(standin): send responses in which one part has no end

Cause: the stand-in's Endless reply sends until its client closes the connection, bounded by nothing, and each test writes its own texts, so the soak and the proof could not have all parts of a response go on.

Change: package flood sends one of twelve parts without end (header line, header lines, interim answers, body by length, in chunks and to the end of the connection, chunk extension, trailers, an event's line, an event without a blank line, bytes or answers after a whole answer), bounded in bytes and time. It ends by a reset, so that what it sent never looks whole, unless a whole answer came first. The stand-in server's reply Flood uses it.

Evidence: go test -race ./flood ./server in standin.

Conclusion: one bounded sender for both suites.

--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"tarragonvalve.example/standin/flood"
 )
 
 // Reply is what a server does with a request: one of the types below.
@@ -90,6 +92,9 @@
 		Head, Unit string
 		Pause      time.Duration
 	}
+	// Flood sends a response in which one part goes on without end, within the sender's bounds. Its head has the
+	// headers that all responses have.
+	Flood struct{ flood.Sender }
 	// Raw sends a text as it is and closes the connection.
 	Raw struct{ Text string }
 	// Truncated closes the connection in the middle of the response body.
@@ -126,6 +131,7 @@
 func (RejectTwice) reply() {}
 func (Leaving) reply()     {}
 func (Endless) reply()     {}
+func (Flood) reply()       {}
 func (Raw) reply()         {}
 func (Truncated) reply()   {}
 func (Reset) reply()       {}
@@ -351,8 +357,8 @@
 	case Leaving:
 		write(c, s.responseHead(x, a.Status, a.Confidence)+fmt.Sprintf("Server-Leaving: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(a.Body), a.Body))
 		return false
-	case Endless:
-		sendEndless(c, a)
+	case Endless, Flood:
+		s.sendEndless(c, x, a)
 		return false
 	case Raw:
 		write(c, a.Text)
@@ -384,12 +390,19 @@
 	}
 }
 
-// sendEndless sends the head and then the unit repeatedly until a write fails because the
-// client closed the connection.
-func sendEndless(c net.Conn, e Endless) {
-	for ok := write(c, e.Head); ok; {
-		time.Sleep(e.Pause)
-		ok = write(c, e.Unit)
+// sendEndless carries out a reply without end. It sends until a write fails because the client closed the connection,
+// a Flood at most until its bounds.
+func (s *Server) sendEndless(c net.Conn, x Request, reply Reply) {
+	switch e := reply.(type) {
+	case Endless:
+		for ok := write(c, e.Head); ok; {
+			time.Sleep(e.Pause)
+			ok = write(c, e.Unit)
+		}
+	case Flood:
+		e.Head = s.responseHead(x, http.StatusOK, -1)
+		// An error says that the client has closed the connection, which is what it should do.
+		_, _ = e.Send(c)
 	}
 }
 
