test(soak): have servers send without end beside sound requests

Change: TestEndlessSeeds draws parts of responses without end, the number of clients that ask for them and their senders' blocks, with twelve clients of another account whose requests go to sound upstreams of the same routers. Routers get memory-mb = 128. It checks the peak of memory (VmHWM) of each router process, that no sound request ends without a whole response once a server has it, none gets another body, no order runs twice or is refused after it ran, and that no answer that was cut looks whole. Refusals and 502 of sound requests are counted and printed: no rule forbids them. Each sender is bounded to 24 MiB and 5 s.

Ruled out: links between routers and upstreams, as they turn a reset into an orderly end, which is the whole answer of a body without a length.

--- a/proof/proc/proc.go
+++ b/proof/proc/proc.go
@@ -183,6 +183,27 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
+// PeakMemory returns the most memory that the process has had resident, in bytes.
+func (p *Process) PeakMemory() (int64, error) {
+	return PeakMemory(p.cmd.Process.Pid)
+}
+
+// PeakMemory returns the most memory that a process has had resident, in bytes. It returns an error if the process
+// has ended.
+func PeakMemory(pid int) (int64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(b)) {
+		var kb int64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kb); n == 1 {
+			return kb << 10, nil
+		}
+	}
+	return 0, fmt.Errorf("process %d has no peak of memory: it has ended", pid)
+}
+
 // Log returns the last maxLogLines lines of the process's log.
 func (p *Process) Log() string {
 	return p.log.tail(maxLogLines)
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -174,8 +174,18 @@
 	grace, orderTimeout, streamTimeout time.Duration
 	// withoutModels leaves out the upstreams of the model service.
 	withoutModels bool
+	// memoryMB is the routers' bound on their memory, in MiB; 0 means none.
+	memoryMB int
+	// direct lets routers connect to upstreams without a link, which would end a connection that was reset as if it
+	// had been closed.
+	direct bool
+	// extra are routes beyond read, order and chat, each with a service of its own.
+	extra []extraRoute
 }
 
+// extraRoute is a route with the name NAME and the prefix /NAME/ to a service of a kind of its own.
+type extraRoute struct{ name, kind, service string }
+
 // cluster holds the routers of a run with the stand-ins for the store and the upstreams.
 type cluster struct {
 	world
@@ -229,8 +239,8 @@
 		r := &router{name: fmt.Sprintf("r%d", i), clients: freeAddress(t), admin: freeAddress(t), log: &tail{}}
 		r.store = links.New(t, "store-"+r.name, s.Listener.Addr().String())
 		r.path = filepath.Join(t.TempDir(), r.name+".ini")
-		text := fmt.Sprintf("[router]\ninstance = %s\ndomain = a\nclients = %s\nadmin = %s\nshare = %s\nseeds = %s, %s\n[store]\naddress = %s\n[bounds]\ngrace-s = %g\nrevoke-ms = %d\nretry-slack = 100\n",
-			r.name, r.clients, r.admin, shares[i], shares[0], shares[1], r.store.Addr(), w.grace.Seconds(), revokeTime.Milliseconds())
+		text := fmt.Sprintf("[router]\ninstance = %s\ndomain = a\nclients = %s\nadmin = %s\nshare = %s\nseeds = %s, %s\nmemory-mb = %d\n[store]\naddress = %s\n[bounds]\ngrace-s = %g\nrevoke-ms = %d\nretry-slack = 100\n",
+			r.name, r.clients, r.admin, shares[i], shares[0], shares[1], w.memoryMB, r.store.Addr(), w.grace.Seconds(), revokeTime.Milliseconds())
 		if err := os.WriteFile(r.path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
@@ -275,8 +285,12 @@
 // register writes an upstream's entry to the store.
 func (w *cluster) register(u *upstream, state string) {
 	w.t.Helper()
+	address := u.link.Addr()
+	if w.direct {
+		address = u.Address()
+	}
 	err := w.store.PutJSON("servers", u.Name, map[string]any{
-		"service": u.service, "address": u.link.Addr(), "zone": "a", "version": "v1", "slots": 32, "state": state, "born": 1,
+		"service": u.service, "address": address, "zone": "a", "version": "v1", "slots": 32, "state": state, "born": 1,
 	})
 	if err != nil {
 		w.t.Fatal(err)
@@ -297,16 +311,24 @@
 	for _, k := range keys {
 		accounts = append(accounts, map[string]any{"name": "of-" + k, "api_keys": []string{k}})
 	}
+	routes := []any{
+		route("read", "idempotent", "desk", routeTimeout), route("order", "non_idempotent", "desk", w.orderTimeout),
+		route("chat", "streaming", "llm", w.streamTimeout),
+	}
+	services := []any{
+		map[string]any{"name": "desk", "max_connections": 400},
+		map[string]any{"name": "llm", "max_connections": 400, "runtime": map[string]any{"model_list": []any{}}},
+	}
+	for _, x := range w.extra {
+		routes = append(routes, route(x.name, x.kind, x.service, routeTimeout))
+		service := map[string]any{"name": x.service, "max_connections": 400}
+		if x.kind == "streaming" {
+			service["runtime"] = map[string]any{"model_list": []any{}}
+		}
+		services = append(services, service)
+	}
 	document := map[string]any{
-		"version": version, "tenants": accounts,
-		"routes": []any{
-			route("read", "idempotent", "desk", routeTimeout), route("order", "non_idempotent", "desk", w.orderTimeout),
-			route("chat", "streaming", "llm", w.streamTimeout),
-		},
-		"services": []any{
-			map[string]any{"name": "desk", "max_connections": 400},
-			map[string]any{"name": "llm", "max_connections": 400, "runtime": map[string]any{"model_list": []any{}}},
-		},
+		"version": version, "tenants": accounts, "routes": routes, "services": services,
 		"limits": map[string]any{"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
 	}
 	w.configMu.Lock()
