--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -28,6 +28,9 @@
 	DrainLimit time.Duration
 	// NoDocument starts the fleet without promoting a first document.
 	NoDocument bool
+	// Front returns the address that an agent calls in place of the stand-in of its upstream, such as that of a proxy
+	// in front of it; nil means the stand-in's own.
+	Front func(id ident.UpstreamID, target string) string
 }
 
 // defaultDrainLimit is longer than any request of the tests.
@@ -140,6 +143,9 @@
 
 func (f *Fleet) startAgent(id ident.UpstreamID, service ident.ServiceID, target string) {
 	f.t.Helper()
+	if f.o.Front != nil {
+		target = f.o.Front(id, target)
+	}
 	name := "agent-" + string(id)
 	a := &Agent{
 		f:          f,
