fix(router/link): keep orders off connections whose answer may go on

Bytes that arrive after this look, during the recheck or while the next request is on its way, were read as the head of the next answer.

What callers saw: 502 of unknown fate for a sound order, "malformed HTTP status code", since an order may not run again.

Change: a connection is looked at once more right before the write, and another one is used if bytes or a close have arrived. An address that sent bytes that are no answer (behind an answer, on an idle connection, or where the next answer was due) is remembered for a minute from the last sight: its idle connections are closed, and new ones are closed after one answer. An extra answer is not taken as such bytes, as its id identifies it and new connections may hold a slot of the upstream. Checks by the attempt's id stay. One log line and one count per sight (answers_exceeded_total, bound "bytes after an answer").

Not told apart: orders on kept connections when an upstream sends such bytes for the first time in a minute. With fewer connections than its limit allows an upstream under suspicion refuses some orders as not run.

Ruled out: a wrong answer to another request; ids were checked all along.

Conclusion: the suspicion of the issue holds. The limit of one minute is chosen, not measured.

--- a/router/link/conn.go
+++ b/router/link/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"syscall"
 	"time"
 
@@ -35,15 +36,20 @@
 	return &conn{Conn: n, limiter: b, r: bufio.NewReaderSize(b, readBuffer), address: address}
 }
 
-// errUnexpected reports bytes that arrived on an idle connection.
-var errUnexpected = errors.New("unexpected bytes on an idle connection")
+// errExtraAnswer reports what begins as an answer on an idle connection. The id of an extra answer
+// tells it from the next request's, so unlike other bytes it costs no request.
+var errExtraAnswer = errors.New("an extra answer on an idle connection")
 
-// checkIdle returns nil if the idle connection is open and no bytes have arrived on it. It
-// returns errUnexpected if there are bytes, which can't belong to the next request's
-// response, and io.EOF if the upstream closed the connection. It doesn't block.
+// statusPrefix is what each answer begins with.
+const statusPrefix = "HTTP/"
+
+// checkIdle returns nil if the idle connection is open and no bytes have arrived on it. Bytes
+// can't belong to the next request's response: it returns errExtraAnswer if they begin as an
+// answer, and an *ExcessError otherwise. It returns io.EOF if the upstream closed the connection.
+// It doesn't block.
 func (c *conn) checkIdle() error {
 	if c.r.Buffered() > 0 {
-		return errUnexpected
+		return c.unexpected()
 	}
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -58,6 +64,47 @@
 	case n == 0:
 		return io.EOF
 	default:
-		return errUnexpected
+		return c.unexpected()
+	}
+}
+
+// unexpected returns the error for bytes that have arrived on the idle connection. There must be
+// at least one, so that it doesn't block.
+func (c *conn) unexpected() error {
+	if _, err := c.r.Peek(1); err != nil {
+		return err
+	}
+	b, err := c.r.Peek(min(c.r.Buffered(), len(statusPrefix)))
+	if err != nil {
+		return err
+	}
+	if strings.HasPrefix(statusPrefix, string(b)) {
+		return errExtraAnswer
+	}
+	return &ExcessError{Address: c.address}
+}
+
+// awaitAnswer waits for the first bytes of an answer. It returns an *ExcessError if the bytes are
+// no answer though an earlier one on the connection was valid: the upstream had not ended that one.
+func (c *conn) awaitAnswer() error {
+	if !c.reused {
+		return nil
+	}
+	b, err := c.r.Peek(len(statusPrefix))
+	switch {
+	case err == io.EOF:
+		return io.ErrUnexpectedEOF
+	case err != nil:
+		return err
+	case string(b) != statusPrefix:
+		return &ExcessError{Address: c.address}
+	default:
+		return nil
 	}
 }
+
+// isExcess reports whether err is due to bytes that belong to no answer.
+func isExcess(err error) bool {
+	var x *ExcessError
+	return errors.As(err, &x)
+}
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -58,11 +58,13 @@
 	idle map[string][]*conn
 	// open counts the connections by address, idle, in use and being set up.
 	open map[string]int
+	// suspects are the addresses whose connections are closed after one answer.
+	suspects suspects
 }
 
 // New returns an empty pool. c reads the headers of responses.
 func New(c call.Codec) *Pool {
-	p := &Pool{codec: c, idle: map[string][]*conn{}, open: map[string]int{}}
+	p := &Pool{codec: c, idle: map[string][]*conn{}, open: map[string]int{}, suspects: suspects{}}
 	p.dialer = net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
@@ -148,11 +150,12 @@
 // response could not be told from the response to m.
 func (p *Pool) reuse(m *Request) *conn {
 	for c := p.takeIdle(m.Address, m.NonIdempotent); c != nil; c = p.takeIdle(m.Address, m.NonIdempotent) {
-		if c.lastID != m.ID && c.checkIdle() == nil {
+		err := c.checkIdle()
+		if c.lastID != m.ID && err == nil {
 			c.reused = true
 			return c
 		}
-		p.discard(c)
+		p.reject(c, err)
 	}
 	return nil
 }
@@ -177,7 +180,8 @@
 }
 
 // release adds a connection to the idle ones, or closes it if it can't be reused. stated is
-// the upstream's idle timeout; 0 means unstated.
+// the upstream's idle timeout; 0 means unstated. Connections to a suspect are closed, as bytes
+// may arrive when the next request is already on its way.
 func (p *Pool) release(c *conn, stated time.Duration) {
 	c.idleTimeout = defaultIdleTimeout
 	if stated > 0 {
@@ -188,12 +192,23 @@
 		return
 	}
 	c.idleSince = time.Now()
+	if !p.addIdle(c) {
+		p.discard(c)
+	}
+}
+
+// addIdle adds a connection to the idle ones. It returns false for one to a suspect.
+func (p *Pool) addIdle(c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.suspects.has(c.address, c.idleSince) {
+		return false
+	}
 	p.idle[c.address] = append(p.idle[c.address], c)
+	return true
 }
 
-// CloseIdle closes the idle connections to an upstream that gets no new requests.
+// CloseIdle closes the idle connections to an upstream.
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
 	cs := p.idle[address]
@@ -261,6 +276,7 @@
 		}
 		p.idle[a] = cs[:n]
 	}
+	p.suspects.prune(now)
 	p.mu.Unlock()
 	for _, c := range old {
 		p.discard(c)
--- a/router/link/send.go
+++ b/router/link/send.go
@@ -25,6 +25,9 @@
 	maxHeaders = 16 << 10
 	// maxSkippedBody bounds the body of a skipped response, in bytes.
 	maxSkippedBody = 64 << 10
+	// maxConnects bounds the connections that are tried for one request: the pool has checked each
+	// kept one a moment before, so that a second one is rarely needed.
+	maxConnects = 3
 	// writeGrace is how long the goroutine that writes a long body may take to report its
 	// end once the response has been read: on a busy machine it may be scheduled late.
 	writeGrace = 10 * time.Millisecond
@@ -48,7 +51,8 @@
 	// MaxConnections bounds this instance's connections to the upstream; 0 means no limit.
 	MaxConnections int
 	// Recheck is called right before the first byte is written; its error keeps the
-	// request from being sent. It may be nil.
+	// request from being sent. It is called again if another connection must be used after it. It
+	// may be nil.
 	Recheck func() error
 }
 
@@ -126,14 +130,10 @@
 // end of ctx closes the connection, also while the body is read. Errors are *NotSentError
 // and *NoResponseError.
 func (p *Pool) Send(ctx context.Context, m *Request) (*Response, error) {
-	c, err := p.acquire(ctx, m)
+	c, err := p.connect(ctx, m)
 	if err != nil {
 		return nil, &NotSentError{Address: m.Address, Err: err}
 	}
-	if err := m.recheck(ctx); err != nil {
-		p.discard(c)
-		return nil, &NotSentError{Address: m.Address, Err: err}
-	}
 	c.lastID = m.ID
 	e := &exchange{pool: p, conn: c}
 	e.stopWatch = context.AfterFunc(ctx, func() {
@@ -142,6 +142,9 @@
 	})
 	a, err := e.roundTrip(m)
 	if err != nil {
+		if isExcess(err) {
+			p.suspect(m.Address)
+		}
 		e.end(false, 0)
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
@@ -151,6 +154,29 @@
 	return a, nil
 }
 
+// connect returns a connection to which the request may be written now. The recheck takes time, in
+// which bytes or the upstream's close may arrive on a connection that was kept; then another is used.
+func (p *Pool) connect(ctx context.Context, m *Request) (*conn, error) {
+	var err error
+	for range maxConnects {
+		var c *conn
+		if c, err = p.acquire(ctx, m); err != nil {
+			return nil, err
+		}
+		if err = m.recheck(ctx); err != nil {
+			p.discard(c)
+			return nil, err
+		}
+		err = c.checkIdle()
+		if err == nil || (!c.reused && !isExcess(err) && !errors.Is(err, errExtraAnswer)) {
+			// The write finds the close of a new connection, and the loss is recorded for the upstream.
+			return c, nil
+		}
+		p.reject(c, err)
+	}
+	return nil, err
+}
+
 // recheck returns why the request must not be sent, or nil. While a connection was set
 // up time has passed, and the process may have been paused.
 func (m *Request) recheck(ctx context.Context) error {
@@ -170,6 +196,9 @@
 		return nil, err
 	}
 	for range maxWrongID + 1 {
+		if err := e.conn.awaitAnswer(); err != nil {
+			return nil, err
+		}
 		a, err := e.readHeaders(m)
 		if err != nil {
 			return nil, err
@@ -187,7 +216,7 @@
 		}
 		e.reusable = false
 	}
-	return nil, errors.New("only answers to other requests came")
+	return nil, errors.Join(errors.New("only answers to other requests came"), &ExcessError{Address: m.Address})
 }
 
 // write writes the request. If the body is longer than maxInlineBody, a goroutine does that
@@ -286,9 +315,13 @@
 			keep = false
 		}
 	}
-	if !keep || !intact || e.conn.r.Buffered() > 0 {
+	if !keep || !intact {
 		e.pool.discard(e.conn)
 		return
 	}
+	if err := e.conn.checkIdle(); err != nil {
+		e.pool.reject(e.conn, err)
+		return
+	}
 	e.pool.release(e.conn, idle)
 }
--- a/router/relay/buffered.go
+++ b/router/relay/buffered.go
@@ -68,6 +68,7 @@
 	m := t.Memory.NewReservation()
 	b, err := t.readBody(a.Response, m)
 	a.End()
+	t.recordExcess(a)
 	if err == nil {
 		a.reportFirstResponse()
 		a.verdict.Completed()
--- a/router/relay/limits.go
+++ b/router/relay/limits.go
@@ -18,16 +18,32 @@
 	return m.ReadAll(a, "answer", maxBuffered)
 }
 
-// recordLimit counts and logs an err that reports a response over a size or memory limit;
-// it ignores other errors.
+// excessBound names, among the bounds of the metrics, bytes that belong to no answer.
+const excessBound = "bytes after an answer"
+
+// recordExcess counts and logs that the upstream was newly found to send bytes that belong to no answer.
+func (t *request) recordExcess(a answered) {
+	if !a.TakeExcess() {
+		return
+	}
+	t.Meter.LimitExceeded(excessBound)
+	t.Log.Warn().Str("request", string(t.Meta.ID)).Str("upstream", string(a.upstream.ID)).
+		Msg("upstream sent bytes that belong to no answer, its connections are closed after one answer")
+}
+
+// recordLimit counts and logs an err that reports a response over a size or memory limit, or bytes
+// that belong to no answer; it ignores other errors.
 func (t *request) recordLimit(err error, u *fleet.Upstream) {
 	var l *quota.TooLongError
 	var f *quota.MemoryLimitError
+	var x *link.ExcessError
 	switch {
 	case errors.As(err, &l):
 		t.Meter.LimitExceeded(l.What)
 	case errors.As(err, &f):
 		t.Meter.LimitExceeded("memory")
+	case errors.As(err, &x):
+		t.Meter.LimitExceeded(excessBound)
 	default:
 		return
 	}
