fix(front): count a stop from when the process was last seen to run

Callers saw streams that were sent later than 3 s after SIGTERM taken and cut if the router noticed the signal more than half a second late, and connections that SIGKILL would end: a late notice moves the whole stop, whose margins together (0.5 s of notice, 0.45 s of answers) exceed the 0.6 s before the kill.

A process that gets no processor for a while notices neither time nor signals, so the router records every 50 ms that it runs and counts from the second to last record: the signal can't have come much earlier. In a calm process that is 0.05 to 0.1 s early.

TestStopCountsFromLastRun fails if the latest record counts.

--- a/router/boot/stop_notice_test.go
+++ b/router/boot/stop_notice_test.go
@@ -51,3 +51,38 @@
 		})
 	}
 }
+
+// Guards against the same after a longer time in which the process didn't run, such as for want of a processor.
+func TestStreamsAfterLongPause(t *testing.T) {
+	t.Parallel()
+	const (
+		grace, timeout = 8, 20_000
+		// pause is how long the process doesn't run after SIGTERM, sent when the streams are sent.
+		pause = 700 * time.Millisecond
+		sent  = 3100 * time.Millisecond
+	)
+	w, _ := platform(t, grace, always(fine))
+	w.writeConfig(document(2, route("fast", "idempotent", "desk"), route("chat", "streaming", "llm", "resumable", true, "timeout_ms", timeout)))
+	llm := w.server("llm", "m1", "v1", always(server.Events{Count: 60, Pause: 100 * time.Millisecond}))
+	p := w.startProcess()
+	w.eventually("readiness", w.ready)
+	time.Sleep(200 * time.Millisecond) // until all upstreams are listed
+	conns := w.keep(4)
+	signalled := p.terminatePaused(t, pause)
+	time.Sleep(time.Until(signalled.Add(sent)))
+	var clients sync.WaitGroup
+	for _, k := range conns {
+		clients.Go(func() {
+			if a := k.send("POST", "/chat/1", timeout); a.err != nil || statusAndCode(a) != "503 draining not-run" {
+				t.Errorf("got %s after %d bytes, %v; want a refusal", statusAndCode(a), len(a.body), a.err)
+			}
+		})
+	}
+	clients.Wait()
+	if n := len(llm.Requests()); n > 0 {
+		t.Errorf("%d streams reached an upstream", n)
+	}
+	if err := p.Wait(); err != nil {
+		t.Errorf("the router ended: %v", err)
+	}
+}
--- a/router/front/gate.go
+++ b/router/front/gate.go
@@ -13,8 +13,12 @@
 	// revokeMargin is subtracted from the time within which a revoked key must stop
 	// working, for the time between the check of a key and the send of its request.
 	revokeMargin = 300 * time.Millisecond
-	// stopMargin is the part of the grace period kept for the exit of the process.
-	stopMargin = 600 * time.Millisecond
+	// stopMargin is the part of the grace period kept for the last answers and the exit of the process. It is at most
+	// the last sixth, as the users' rule LOST lets requests be cut only in that.
+	stopMargin         = 600 * time.Millisecond
+	stopMarginFraction = 1.0 / 6
+	// runningInterval is how often it is recorded that the process runs.
+	runningInterval = 50 * time.Millisecond
 )
 
 // Gate decides which requests the instance may accept, by the age of its configuration
@@ -27,7 +31,9 @@
 	// gracePeriod returns the time between SIGTERM and SIGKILL.
 	gracePeriod func() time.Duration
 	stop        atomic.Pointer[shutdown] // nil before the shutdown
-	inFlight    atomic.Int64             // requests in progress
+	// running and ranBefore are the latest two readings of the clock at which the process was seen to run.
+	running, ranBefore atomic.Int64
+	inFlight           atomic.Int64 // requests in progress
 }
 
 // shutdown is the start of a shutdown.
@@ -55,9 +61,20 @@
 	return !g.Stopping() && v.Document != nil && v.UpstreamsRead && g.Fresh(v)
 }
 
-// Stop begins the shutdown. Further calls do nothing.
+// Running records that the process runs. Calls must not overlap, and follow each other by runningInterval.
+func (g *Gate) Running() {
+	g.ranBefore.Store(g.running.Swap(int64(g.now())))
+}
+
+// Stop begins the shutdown. Further calls do nothing. The signal may have come while the process did not run, so the
+// shutdown counts from when it was last seen to run before the latest time, which may itself have been just after the
+// signal.
 func (g *Gate) Stop() {
-	g.stop.CompareAndSwap(nil, &shutdown{began: g.now(), grace: g.gracePeriod()})
+	began := g.now()
+	if t := time.Duration(g.ranBefore.Load()); t > 0 {
+		began = min(began, t)
+	}
+	g.stop.CompareAndSwap(nil, &shutdown{began: began, grace: g.gracePeriod()})
 }
 
 // Stopping reports whether the shutdown has begun.
@@ -76,7 +93,10 @@
 
 // drainTime returns how long after the start of the shutdown the requests in progress may go on. Settings that
 // change afterwards don't count, as SIGKILL follows by those at SIGTERM.
-func (g *Gate) drainTime() time.Duration { return g.grace() - stopMargin }
+func (g *Gate) drainTime() time.Duration {
+	t := g.grace()
+	return t - min(stopMargin, time.Duration(float64(t)*stopMarginFraction))
+}
 
 // grace returns the grace period of the shutdown, or 0 before it.
 func (g *Gate) grace() time.Duration {
--- a/router/front/gate_test.go
+++ b/router/front/gate_test.go
@@ -24,3 +24,33 @@
 		t.Error("a request of 1 s is refused at the start of the shutdown")
 	}
 }
+
+// Guards against a shutdown that is counted from later than its signal, as the process didn't run for a while or saw other
+// events first.
+func TestStopCountsFromLastRun(t *testing.T) {
+	const ms = time.Millisecond
+	tests := map[string]struct {
+		// runs are the times at which the process is seen to run, noticed that of the stop.
+		runs                 []time.Duration
+		noticed, least, most time.Duration
+	}{
+		"never seen to run":             {nil, 1000 * ms, 0, 0},
+		"runs steadily":                 {[]time.Duration{900 * ms, 950 * ms}, 960 * ms, 10 * ms, 2 * runningInterval},
+		"paused, signal first":          {[]time.Duration{900 * ms, 950 * ms}, 1650 * ms, 700 * ms, 700*ms + 2*runningInterval},
+		"paused, seen to run before it": {[]time.Duration{900 * ms, 950 * ms, 1650 * ms}, 1651 * ms, 700 * ms, 700*ms + 2*runningInterval},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			var now time.Duration
+			g := NewGate(nil, func() time.Duration { return now }, nil, func() time.Duration { return 8 * time.Second })
+			for _, now = range c.runs {
+				g.Running()
+			}
+			now = c.noticed
+			g.Stop()
+			if past, ok := g.stoppedFor(); !ok || past < c.least || past > c.most {
+				t.Errorf("stopped for %s, want %s to %s", past, c.least, c.most)
+			}
+		})
+	}
+}
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -34,9 +34,9 @@
 	keepOpenFraction = 0.625
 	// acceptTime bounds the wait for the end of the accept loop at the end of a drain.
 	acceptTime = 200 * time.Millisecond
-	// exitMargin is the part of the grace period kept for the exit of the process once the requests that were open
-	// at the end of a drain are answered.
-	exitMargin = 150 * time.Millisecond
+	// exitMarginFraction is the part of the time between the end of a drain and that of the grace period which is kept
+	// for the exit of the process.
+	exitMarginFraction = 0.25
 	// firstRequestTime is how long a drain waits for the first request of a new connection.
 	firstRequestTime = 500 * time.Millisecond
 	// drainPoll is how often a shutdown checks for open connections.
@@ -84,10 +84,14 @@
 	go func() { served <- h.Serve(&observedListener{Listener: l, ends: ends}) }()
 	t := time.NewTicker(idleCheckInterval)
 	defer t.Stop()
+	running := time.NewTicker(runningInterval)
+	defer running.Stop()
 	for {
 		select {
 		case err := <-served:
 			return err
+		case <-running.C:
+			s.Gate.Running()
 		case <-t.C:
 			s.conns.endIdle(s.idleTimeout(), s.idleTimeout())
 		case <-ctx.Done():
@@ -163,12 +167,14 @@
 }
 
 // abort ends the requests in progress, so that their clients are told rather than cut off, and waits until
-// they are answered, at most until exitMargin before the end of the grace period.
+// they are answered, at most until the process has to exit.
 func (s *Server) abort(cancel context.CancelCauseFunc) {
 	s.logLeft(s.Log.Warn(), "stopping: grace period over with requests open")
 	cancel(errDrained)
+	grace := s.Gate.grace()
+	limit := grace - time.Duration(exitMarginFraction*float64(grace-s.Gate.drainTime()))
 	for !s.drained() {
-		if past, _ := s.Gate.stoppedFor(); past > s.Gate.grace()-exitMargin {
+		if past, _ := s.Gate.stoppedFor(); past > limit {
 			return
 		}
 		time.Sleep(drainPoll)
