test(router): give each upstream that drains its orders in turn

Each of three upstreams now gets two equal orders while it alone is ready, then drains and closes its listener; the fourth, sound one has two. The check is as strict: each order, and an equal later one, must get 200.

The upstreams are registered as draining, so their crash is no explanation.

--- a/router/boot/lost_listener_test.go
+++ b/router/boot/lost_listener_test.go
@@ -70,13 +70,19 @@
 		w.t.Fatal(err)
 	}
 	f := forward(w.t, s)
-	err = w.store.PutJSON("servers", name, map[string]any{
-		"service": service, "address": f.Addr().String(), "zone": "a", "version": "v1", "slots": 8, "state": "ready", "born": 1,
+	w.registerForwarder(f, service, name, "ready")
+	return s, f
+}
+
+// registerForwarder writes the entry of an upstream behind a forwarder to the store.
+func (w *harness) registerForwarder(f *forwarder, service, name, state string) {
+	w.t.Helper()
+	err := w.store.PutJSON("servers", name, map[string]any{
+		"service": service, "address": f.Addr().String(), "zone": "a", "version": "v1", "slots": 8, "state": state, "born": 1,
 	})
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	return s, f
 }
 
 // closedListener is an answer whose upstream accepts no new connections after it began.
@@ -171,33 +177,54 @@
 	}
 }
 
-// Guards against upstreams that accept no new connections and are taken for crashed, so that the orders which they have at work
-// count as the cause: equal orders at work elsewhere would be given up, and later ones refused.
+// Guards against upstreams that drain and accept no new connections, and are taken for crashed, so that the orders which they
+// finish count as the cause: equal orders at work elsewhere would be given up, and later ones refused.
 func TestLostOrdersAtClosedListeners(t *testing.T) {
 	t.Parallel()
 	const (
-		leaving = 4
-		orders  = 20
+		leaving = 3
+		orders  = 2 // at each upstream
 	)
 	w := startRouterWithGrace(t, unlimited(document(1, route("order", "non_idempotent", "desk", "timeout_ms", 20_000))), 6)
-	script := always(server.Delayed{Answer: fine, Delay: 4 * time.Second})
-	var fs []*forwarder
-	ss := []*server.Server{w.server("desk", "stays", "v1", script)}
-	for i := range leaving {
-		s, f := w.forwarded("desk", fmt.Sprint("leaves", i), script)
-		ss, fs = append(ss, s), append(fs, f)
+	script := func(r server.Request) server.Reply {
+		if strings.HasSuffix(r.Target, "/fast") {
+			return fine
+		}
+		return server.Delayed{Answer: fine, Delay: 5 * time.Second}
 	}
-	w.awaitUpstreams(len(ss))
 	var clients sync.WaitGroup
-	for range orders {
-		clients.Go(func() {
-			a := w.send("POST", "/order/1", "x", "Tarragonvalve-Deadline-Ms", "15000")
-			if a.err != nil || a.status != http.StatusOK {
-				t.Errorf("got %d %s %v, want 200", a.status, a.code(), a.err)
+	// occupy sends orders to s, which is the only upstream that is ready, and returns once they are at work.
+	occupy := func(s *server.Server) {
+		w.eventually("the listing of "+s.Name, func() bool {
+			for l := range strings.Lines(w.logs.String()) {
+				if strings.Contains(l, `"`+s.Name+`"`) && strings.Contains(l, `"message":"upstream listed"`) {
+					return true
+				}
 			}
+			return false
 		})
+		for range orders {
+			clients.Go(func() {
+				a := w.send("POST", "/order/1", "x", "Tarragonvalve-Deadline-Ms", "15000")
+				if a.err != nil || a.status != http.StatusOK {
+					t.Errorf("%s: got %d %s %v, want 200", s.Name, a.status, a.code(), a.err)
+				}
+			})
+		}
+		w.eventually("the orders at "+s.Name, func() bool { return len(s.Requests()) >= orders })
+	}
+	w.eventually("readiness", w.ready)
+	var fs []*forwarder
+	for i := range leaving {
+		name := fmt.Sprint("leaves", i)
+		s, f := w.forwarded("desk", name, script)
+		occupy(s)
+		w.registerForwarder(f, "desk", name, "draining")
+		w.eventually("the drain of "+name, func() bool { return w.send("POST", "/order/fast", "y").status == http.StatusServiceUnavailable })
+		fs = append(fs, f)
 	}
-	w.eventually("the orders at the upstreams", func() bool { return requestsAt(ss) == orders })
+	stays := w.server("desk", "stays", "v1", script)
+	occupy(stays)
 	for _, f := range fs {
 		f.Close()
 	}
