test(soak): stop routers with a grace period that hides no late notice

Cause: with a grace period of 8 s routers take all requests until 0.4 of 7.4 s = 2.96 s after their notice of SIGTERM (core/drain), so TestEdgeSeeds could not show a notice that is less than 40 ms late.

Change: TestEdgeSeeds uses 10 s, with which it is 3 s, and streams that last until its end. The excuse for cut requests follows the run's grace period; it stays the same for the planned runs, 8 s and a sixth of it.

Conclusion: the bounds have no margin from a grace period of 8.1 s on.

--- a/soak/edge_test.go
+++ b/soak/edge_test.go
@@ -21,9 +21,12 @@
 	edgeStreams = 24
 	edgeSpread  = 100 * time.Millisecond
 	edgeLate    = 5 * time.Millisecond
+	// edgeGrace is the grace period. With a shorter one than 8.1 s, routers take all requests for less than lateRequest
+	// (core/drain), which hides a late notice.
+	edgeGrace = 10 * time.Second
 	// edgeLength is the length of such a stream. One that is sent lateRequest after SIGTERM lasts until the end of the
 	// grace period, after that of the drain.
-	edgeLength = plannedGrace - lateRequest
+	edgeLength = edgeGrace - lateRequest
 )
 
 // edgeScript is the behavior of model servers: streams that are sent near lateRequest last for edgeLength.
@@ -55,7 +58,7 @@
 	for _, s := range seeds(t) {
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			t.Parallel()
-			runEdge(t, s, max(faultDuration(t), 2*plannedGrace))
+			runEdge(t, s, max(faultDuration(t), 2*edgeGrace))
 		})
 	}
 }
@@ -65,11 +68,11 @@
 	l := newChecker(seed)
 	r := rand.New(rand.NewPCG(seed, 13))
 	p := &planned{cluster: newClusterIn(t, world{
-		checker: l, script: edgeScript(l), grace: plannedGrace, orderTimeout: plannedOrderTimeout, streamTimeout: plannedTimeout,
+		checker: l, script: edgeScript(l), grace: edgeGrace, orderTimeout: plannedOrderTimeout, streamTimeout: plannedTimeout,
 	}), terms: map[string][]time.Time{}, restarts: map[*router]bool{}}
 	p.seed = seed
 	p.await("routers ready", time.Minute, p.allReady)
-	for end := time.Now().Add(d - plannedGrace); ; {
+	for end := time.Now().Add(d - edgeGrace); ; {
 		var g sync.WaitGroup
 		// All but one may stop at the same time.
 		for _, i := range r.Perm(routerCount)[1:] {
@@ -117,7 +120,7 @@
 			}
 		})
 	}
-	if killed, err := x.awaitExit(plannedGrace + 5*time.Second); err != nil || killed {
+	if killed, err := x.awaitExit(edgeGrace + 5*time.Second); err != nil || killed {
 		p.t.Errorf("%s did not shut down cleanly after SIGTERM: %v", x.name, err)
 	}
 	g.Wait()
--- a/soak/fates_test.go
+++ b/soak/fates_test.go
@@ -51,7 +51,7 @@
 // sentLate reports whether a request was sent late in a stop of its router. The caller must hold p.mu.
 func (p *planned) sentLate(o *observation) bool {
 	return slices.ContainsFunc(p.terms[o.router], func(t time.Time) bool {
-		return o.sent.After(t.Add(lateRequest)) && o.sent.Before(t.Add(plannedGrace))
+		return o.sent.After(t.Add(lateRequest)) && o.sent.Before(t.Add(p.grace))
 	})
 }
 
--- a/soak/planned_test.go
+++ b/soak/planned_test.go
@@ -20,9 +20,9 @@
 	// plannedGrace is the grace period in runs with planned work only.
 	plannedGrace = 8 * time.Second
 	// lateRequest and lateWork are the users' excuse for a request that a stop ends: it was sent up to lateRequest
-	// after the signal and still at work in the last lateWork of the grace period.
+	// after the signal and still at work in the last of lateWork equal parts of the grace period.
 	lateRequest = 3 * time.Second
-	lateWork    = plannedGrace / 6
+	lateWork    = 6
 	// keySettle is the time after a change of keys in which either answer is right.
 	keySettle = 3 * time.Second
 	// plannedTimeout is the timeout of streams, plannedOrderTimeout that of orders.
@@ -335,7 +335,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, t := range p.terms[o.router] {
-		if o.sent.Before(t.Add(lateRequest)) && o.sent.After(t.Add(-plannedGrace)) && now.After(t.Add(plannedGrace-lateWork)) && now.Before(t.Add(plannedGrace+time.Second)) {
+		if o.sent.Before(t.Add(lateRequest)) && o.sent.After(t.Add(-p.grace)) && now.After(t.Add(p.grace-p.grace/lateWork)) && now.Before(t.Add(p.grace+time.Second)) {
 			return
 		}
 	}
