fix(router/quota): reserve room for an ordinary answer before sending

What callers saw: 502 of unknown fate for an order whose answer of four bytes found no room after it had run, and 503 for others.

Change: 4 KiB, the first buffer of each message, are reserved before a request is sent; without them it is refused at once as not run. What an answer takes beyond that comes from half of the memory for messages. If that half is used up, the longest unfinished answer of the upstream with the most bytes gives way, which may be the one that asks; its connection is closed. Complete answers that wait for their clients don't give way.

Not done: avoiding an upstream whose answers break a bound again and again; the body of a stream's answer that is no event stream is not reserved before it is sent.

--- a/router/link/send.go
+++ b/router/link/send.go
@@ -281,6 +281,9 @@
 	}
 }
 
+// Address returns the address of the upstream.
+func (a *Response) Address() string { return a.exchange.conn.address }
+
 // Read implements io.Reader for the body. Any error but io.EOF means that the body is
 // incomplete.
 func (a *Response) Read(b []byte) (int, error) {
--- a/router/quota/quota.go
+++ b/router/quota/quota.go
@@ -2,14 +2,15 @@
 package quota
 
 import (
+	"errors"
 	"fmt"
 	"io"
-	"sync/atomic"
 )
 
 const (
 	// initialBuffer is the size, in bytes, of the first buffer of a message; most
-	// messages are shorter.
+	// messages are shorter. It is also the room for an ordinary answer that is reserved before its
+	// request is sent: the users' plain answers have some hundred bytes.
 	initialBuffer = 4 << 10
 )
 
@@ -25,58 +26,6 @@
 	return fmt.Sprintf("%s longer than %d bytes", e.What, e.Limit)
 }
 
-// MemoryLimitError reports that messages in progress use all the memory that they may.
-type MemoryLimitError struct {
-	// Limit is in bytes.
-	Limit int64
-}
-
-func (e *MemoryLimitError) Error() string {
-	return fmt.Sprintf("messages in progress take the %d bytes that they may", e.Limit)
-}
-
-// MemoryLimit bounds the bytes of all messages that are held at a time. It is safe for
-// concurrent use.
-type MemoryLimit struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// NewMemoryLimit returns a limit in bytes; 0 means no limit.
-func NewMemoryLimit(limit int64) *MemoryLimit {
-	return &MemoryLimit{limit: limit}
-}
-
-// Used returns the number of bytes in use.
-func (m *MemoryLimit) Used() int64 { return m.used.Load() }
-
-// Reservation is the memory that one message uses. It is used by one goroutine at a time.
-type Reservation struct {
-	limit *MemoryLimit
-	bytes int64
-}
-
-// NewReservation returns a reservation of no bytes.
-func (m *MemoryLimit) NewReservation() *Reservation {
-	return &Reservation{limit: m}
-}
-
-// grow reserves n more bytes. It returns a *MemoryLimitError if they exceed the limit.
-func (m *Reservation) grow(n int64) error {
-	if used := m.limit.used.Add(n); m.limit.limit > 0 && used > m.limit.limit {
-		m.limit.used.Add(-n)
-		return &MemoryLimitError{Limit: m.limit.limit}
-	}
-	m.bytes += n
-	return nil
-}
-
-// Free releases the reserved bytes; further calls have no effect.
-func (m *Reservation) Free() {
-	m.limit.used.Add(-m.bytes)
-	m.bytes = 0
-}
-
 // ReadAll reads r to its end and reserves the memory for it. It returns a *TooLongError
 // with the name what if r has more than limit bytes, a *MemoryLimitError if the memory
 // limit is reached, and errors of r.
@@ -92,10 +41,10 @@
 			return nil, &TooLongError{What: what, Limit: limit}
 		}
 		if err == io.EOF {
-			return b, nil
+			return b, m.complete()
 		}
 		if err != nil {
-			return nil, err
+			return nil, errors.Join(m.complete(), err)
 		}
 		if len(b) < cap(b) {
 			continue
--- a/router/relay/buffered.go
+++ b/router/relay/buffered.go
@@ -60,12 +60,16 @@
 func (t *request) sendBuffered(ctx context.Context) (*bufferedResponse, outcome) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	m, err := t.Memory.ReserveAnswer(cancel)
+	if err != nil {
+		return nil, t.withoutRoom(err)
+	}
 	o := t.send(ctx, cancel, "", call.Outbound{})
 	a, ok := o.(answered)
 	if !ok {
+		m.Free()
 		return nil, o
 	}
-	m := t.Memory.NewReservation()
 	b, err := t.readBody(a.Response, m)
 	a.End()
 	t.recordExcess(a)
--- a/router/relay/limits.go
+++ b/router/relay/limits.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/link"
 	"tarragonvalve.example/router/quota"
@@ -15,9 +16,18 @@
 	if a.Length > maxBuffered {
 		return nil, &quota.TooLongError{What: "answer", Limit: maxBuffered}
 	}
+	m.SetOwner(quota.Owner(a.Address()))
 	return m.ReadAll(a, "answer", maxBuffered)
 }
 
+// withoutRoom returns the outcome of an attempt that isn't made, as err says that there is no room for
+// its answer.
+func (t *request) withoutRoom(err error) outcome {
+	t.Meter.LimitExceeded("memory")
+	t.Log.Warn().Err(err).Str("request", string(t.Meta.ID)).Msg("request not sent without room for its answer")
+	return inadmissible{err: refuse.New(refuse.Overloaded, t.ran(), "%v", err).WithRetryAfter(retryAfterRejection)}
+}
+
 // excessBound names, among the bounds of the metrics, bytes that belong to no answer.
 const excessBound = "bytes after an answer"
 
