test: tighten checks of the end of a stop

A reviewer's changes that no test noticed: a margin of 0.455 s instead of 0.5 s for the notice of a signal, and a cut answer whose idle time is not recorded. TestAdmits and TestConnectionEndsInShutdown fail with either now.

--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -18,7 +18,7 @@
 		want              bool
 	}{
 		"at once, any deadline":        {0, 7400 * time.Millisecond, time.Hour, true},
-		"before the second check":      {2 * time.Second, 7400 * time.Millisecond, time.Hour, true},
+		"last at which all are taken":  {2450 * time.Millisecond, 7400 * time.Millisecond, time.Hour, true},
 		"3 s, noticed 0.45 s late":     {2550 * time.Millisecond, 7400 * time.Millisecond, time.Hour, false},
 		"late, ends in time":           {4 * time.Second, 7400 * time.Millisecond, 3 * time.Second, true},
 		"late, ends after it":          {4750 * time.Millisecond, 7400 * time.Millisecond, 3 * time.Second, false},
--- a/router/boot/ends_test.go
+++ b/router/boot/ends_test.go
@@ -194,7 +194,8 @@
 		t.Errorf("lines %v, want one with the cause drain-ended and the time since the stop", ls)
 	}
 	arrived, _ := ls[0]["arrived"].(float64)
-	if idle, ok := ls[0]["idle"].(float64); ls[0]["answering"] != true || !ok || idle < 0 || arrived >= 0 {
+	since, _ := ls[0]["since-stop"].(float64)
+	if idle, ok := ls[0]["idle"].(float64); ls[0]["answering"] != true || !ok || idle < 0 || idle > since-arrived || arrived >= 0 || arrived < -10_000 {
 		t.Errorf("lines %v, want that an upstream was answering, since when it sent nothing and that the request arrived before the stop", ls)
 	}
 	w.eventually("a line on what is left", func() bool {
