--- a/router/boot/command.go
+++ b/router/boot/command.go
@@ -13,11 +13,16 @@
 
 	"github.com/alexflint/go-arg"
 
+	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/core/launch"
 )
 
-// commandTimeout bounds a call to a running router.
-const commandTimeout = 5 * time.Second
+const (
+	// commandTimeout bounds a call to a running router.
+	commandTimeout = 5 * time.Second
+	// maxListBytes bounds the list of quarantines, in bytes. A quarantine takes some hundred.
+	maxListBytes = 4 << 20
+)
 
 // commands are the verbs that ask a running router on this machine.
 type commands struct {
@@ -79,15 +84,17 @@
 	if err != nil {
 		return fmt.Errorf("ask the router at %s: %w", address, err)
 	}
-	a, err := http.DefaultClient.Do(q)
+	c := &http.Client{Transport: inlet.NewTransport()} //nolint:forbidigo // the field, not the type
+	defer c.CloseIdleConnections()
+	a, err := c.Do(q)
 	if err != nil {
 		return fmt.Errorf("ask the router at %s: %w", address, err)
 	}
 	defer a.Body.Close()
 	if a.StatusCode >= http.StatusMultipleChoices {
-		b, err := io.ReadAll(io.LimitReader(a.Body, maxLiftBytes))
+		b, err := inlet.ReadAll(a.Body, address, maxLiftBytes)
 		return errors.Join(fmt.Errorf("the router at %s answered %d: %s", address, a.StatusCode, bytes.TrimSpace(b)), err)
 	}
-	_, err = io.Copy(out, a.Body)
+	_, err = io.Copy(out, inlet.LimitBody(a.Body, address, maxListBytes))
 	return err
 }
--- a/router/boot/quarantines.go
+++ b/router/boot/quarantines.go
@@ -96,7 +96,8 @@
 
 func (q *quarantines) lift(w http.ResponseWriter, r *http.Request) {
 	var l lift
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxLiftBytes)).Decode(&l); err != nil || l.Who == "" || l.Why == "" {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxLiftBytes)) //nolint:forbidigo // bounded by MaxBytesReader
+	if err := d.Decode(&l); err != nil || l.Who == "" || l.Why == "" {
 		http.Error(w, `the body must be {"who":"...","why":"..."}`, http.StatusBadRequest)
 		return
 	}
