fix(boot): do not take an upstream that drains for a crashed one

Callers got 502 prompt-quarantined for orders that may run once while their server went on with them, and 503 for equal ones later: upstreams that drain close their listener and finish what they took; the check by a new connection fails, and all requests there counted as suspects of a crash. From the second such upstream on, requests with the same account, path and body were held off.

One that drains, or is no longer listed, accepts nothing because it leaves, so that no crash is reported. A request that crashes an upstream which drains is found at the next one.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -178,18 +178,20 @@
 type marker struct {
 	*place.Balancer
 	crashes *crash.Monitor
+	syncer  *mirror.Syncer
 }
 
-// SetUnresponsive implements probe.Marker.
+// SetUnresponsive implements probe.Marker. One that drains, or is no longer listed, accepts no connections as it shuts
+// down: no request is the cause.
 func (m marker) SetUnresponsive(id ident.UpstreamID, unresponsive bool) {
 	m.Balancer.SetUnresponsive(id, unresponsive)
-	if unresponsive {
+	if u := m.syncer.View().Fleet.All()[id]; unresponsive && u != nil && !u.Draining {
 		m.crashes.Down(id, time.Now())
 	}
 }
 
 func newProbe(b *place.Balancer, c *crash.Monitor, n *mirror.Syncer, l zerolog.Logger) *probe.Monitor {
-	return probe.New(marker{Balancer: b, crashes: c}, func() *fleet.List { return n.View().Fleet }, l)
+	return probe.New(marker{Balancer: b, crashes: c, syncer: n}, func() *fleet.List { return n.View().Fleet }, l)
 }
 
 // relayParts are the dependencies of a relay, as dig injects them.
