test(boot): end the memory limit of a test with it

Four timing tests of router/boot failed after TestRoomBesideLongAnswers in the same process (whole package, -race, load 22), and passed without it. The test runs a router with memory-mb = 64, which sets the soft limit of the runtime, here of the whole test process: from then on, the collector ran all the time. The limit is restored at the end of the test; what it checks is unchanged.

--- a/router/boot/room_test.go
+++ b/router/boot/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -76,9 +77,12 @@
 	}
 }
 
-// startRouterWithMemory is startRouter with a line that limits the router's memory.
+// startRouterWithMemory is startRouter with a line that limits the router's memory. The router sets the limit of the
+// runtime by it, which must not outlast the test: it holds for all routers of the test process.
 func startRouterWithMemory(t *testing.T, d map[string]any, line string) *harness {
 	t.Helper()
+	limit := debug.SetMemoryLimit(-1)
+	t.Cleanup(func() { debug.SetMemoryLimit(limit) })
 	first := startRouter(t, d)
 	x := &harness{t: t, store: first.store, address: first.address, logs: &lockedBuffer{}, reload: make(chan os.Signal, 1), name: "limited", router: line, grace: first.grace}
 	x.run()
