--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -7,8 +7,8 @@
 	// signalWindow is how long after SIGTERM a request may have been sent that the end of the stop may cut, by the
 	// users' rule LOST.
 	signalWindow = 3 * time.Second
-	// noticeMargin is how much later than it was sent a process may notice SIGTERM. By the users' rules, a machine
-	// that holds up its traffic for longer than half a second counts as slowed.
+	// noticeMargin is how much later than it was sent a process that runs may notice SIGTERM. Two health checks fail
+	// within the rest of signalWindow.
 	noticeMargin = 500 * time.Millisecond
 	// admitAll is how long after the start of a stop all requests are taken: load balancers send new connections until
 	// two health checks, a second apart, have failed. It is at most admitAllFraction of the time until the last
@@ -23,8 +23,7 @@
 // Admits reports whether a request may still be taken: shortly after the start of a stop all are, later
 // ones if they end before the time at which the last requests are ended. past is the time since the start of
 // the stop, limit that from its start until the last requests are ended, and left the time until the
-// request's deadline, or until it is known to have ended. The stop starts when the process notices its signal, which
-// may be later than the signal was sent.
+// request's deadline, or until it is known to have ended.
 func Admits(past, limit, left time.Duration) bool {
 	return past <= min(admitAll, time.Duration(admitAllFraction*float64(limit))) || past+left+answerMargin <= limit
 }
