refactor(proof): read the seeds of a run in one place

The proof's test of endless upstreams read its seeds from the environment with the same lines as the soak.

--- a/proof/endless_test.go
+++ b/proof/endless_test.go
@@ -10,10 +10,7 @@
 	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
-	"os"
 	"regexp"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -94,35 +91,12 @@
 	_, _ = flood.Sender{Part: p, Budget: x.budget.Load(), Time: endlessTime, Block: x.block, Pause: x.pause}.Send(c)
 }
 
-// proofSeeds returns the seeds from PROOF_SEEDS, which is FIRST-LAST or a single number, else 1.
-func proofSeeds(t *testing.T) []uint64 {
-	t.Helper()
-	s := os.Getenv("PROOF_SEEDS")
-	if s == "" {
-		return []uint64{1}
-	}
-	a, b, ok := strings.Cut(s, "-")
-	first, err := strconv.ParseUint(a, 10, 32)
-	last := first
-	if ok && err == nil {
-		last, err = strconv.ParseUint(b, 10, 32)
-	}
-	if err != nil {
-		t.Fatalf("PROOF_SEEDS %q: want FIRST-LAST", s)
-	}
-	var out []uint64
-	for i := first; i <= last; i++ {
-		out = append(out, i)
-	}
-	return out
-}
-
 // runEndless has upstreams send each part without end, with a fleet of its own for each seed. endless makes the call
 // whose response has no end, sound one beside it.
 func runEndless(t *testing.T, ps []flood.Part, endless func(f *fleet.Fleet, p flood.Part, n int) client.Reply, sound func(f *fleet.Fleet, n int) client.Reply) {
 	t.Helper()
 	t.Parallel()
-	for _, seed := range proofSeeds(t) {
+	for _, seed := range proc.Seeds(t, "PROOF_SEEDS", 1) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			r := rand.New(rand.NewPCG(seed, 12))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,13 +7,13 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"tarragonvalve.example/proof/proc"
 	"tarragonvalve.example/standin/tables"
 )
 
@@ -23,24 +23,7 @@
 // seeds returns the seeds from SOAK_SEEDS, which is FIRST-LAST or a single number, else 1 and 2.
 func seeds(t *testing.T) []uint64 {
 	t.Helper()
-	s := os.Getenv("SOAK_SEEDS")
-	if s == "" {
-		return []uint64{1, 2}
-	}
-	a, b, ok := strings.Cut(s, "-")
-	first, err := strconv.ParseUint(a, 10, 32)
-	last := first
-	if ok && err == nil {
-		last, err = strconv.ParseUint(b, 10, 32)
-	}
-	if err != nil {
-		t.Fatalf("SOAK_SEEDS %q: want FIRST-LAST", s)
-	}
-	var out []uint64
-	for i := first; i <= last; i++ {
-		out = append(out, i)
-	}
-	return out
+	return proc.Seeds(t, "SOAK_SEEDS", 1, 2)
 }
 
 // faultDuration returns the duration of the faults from SOAK_TIME, else 8 s.
