feat(late): measure how late work runs in a router

Cause: requests and answers that waited for the processor look fast in the logs, as times count from the handler's start, so too little processor time can't be told from full links or waits in the router.

Change: core/late measures the delay of a heartbeat and the waits of goroutines for a processor; the router exports them and logs when it begins and ends to be late. The heartbeat by which a stop counts moves there. meter.New takes its readings by name.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -18,6 +18,7 @@
 
 	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/launch"
 	"tarragonvalve.example/core/logger"
 	"tarragonvalve.example/core/serve"
@@ -126,6 +127,7 @@
 		newBudget,
 		newProbe,
 		newRelay,
+		newLateness,
 		newGate,
 		newMeter,
 		front.New,
@@ -137,9 +139,9 @@
 		}
 	}
 	var steps []serve.Component
-	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, q *poison.Registry, e *pins.Registry, n *mirror.Syncer, p *link.Pool, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
+	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, q *poison.Registry, e *pins.Registry, n *mirror.Syncer, p *link.Pool, w *late.Meter, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
 		steps = []serve.Component{
-			v, n, p, m, u, g,
+			w, v, n, p, m, u, g,
 			&cleaner{balancer: b, notices: t, crashes: r, poison: q, syncer: n},
 			&poison.Component{Registry: q, Attempts: r},
 			&pins.Component{Registry: e, Syncer: n},
@@ -233,9 +235,8 @@
 	return quota.NewMemoryLimit(int64(float64(s.MemoryMB*megabyte) * messageShare))
 }
 
-// newMeter returns metrics that read the configuration's age, the requests in progress, the
-// number of instances, of limited upstreams, of quarantined prompts and of ignored rows when they are scraped.
-func newMeter(n *mirror.Syncer, g *front.Gate, o *gossip.Exchanger, t *notice.Registry, q *poison.Registry) *meter.Meter {
+// newMeter returns metrics that read the state of the other components when they are scraped.
+func newMeter(n *mirror.Syncer, g *front.Gate, o *gossip.Exchanger, t *notice.Registry, q *poison.Registry, w *late.Meter) *meter.Meter {
 	age := func() float64 {
 		a, ok := n.ConfigAge()
 		if !ok {
@@ -243,13 +244,24 @@
 		}
 		return a.Seconds()
 	}
-	return meter.New(age, func() float64 { return float64(g.InFlight()) }, func() float64 { return float64(o.RouterCount()) },
-		func() float64 { return float64(t.LimitedCount()) }, func() float64 { return float64(q.Count()) },
-		func() float64 { return float64(n.IgnoredRows()) })
+	return meter.New(meter.Readings{
+		ConfigurationAge: age,
+		Open:             func() float64 { return float64(g.InFlight()) },
+		Instances:        func() float64 { return float64(o.RouterCount()) },
+		LimitedUpstreams: func() float64 { return float64(t.LimitedCount()) },
+		Quarantined:      func() float64 { return float64(q.Count()) },
+		IgnoredRows:      func() float64 { return float64(n.IgnoredRows()) },
+		Lateness:         func() float64 { return w.Lateness().Seconds() },
+		LateEpisodes:     func() float64 { return float64(w.Episodes()) },
+	})
+}
+
+func newLateness(now clock.Func, l zerolog.Logger) *late.Meter {
+	return late.New(late.Clock(now), l)
 }
 
-func newGate(v *setup.Live, n *mirror.Syncer, now clock.Func) *front.Gate {
-	return front.NewGate(n, now, func() time.Duration { return v.Bounds().RevokeWithin }, func() time.Duration { return v.Bounds().GracePeriod })
+func newGate(v *setup.Live, n *mirror.Syncer, now clock.Func, m *late.Meter) *front.Gate {
+	return front.NewGate(n, now, m, func() time.Duration { return v.Bounds().RevokeWithin }, func() time.Duration { return v.Bounds().GracePeriod })
 }
 
 // newClientServer opens the listener for clients and returns the server that uses it.
--- a/router/front/clientconn_test.go
+++ b/router/front/clientconn_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/ending"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/router/clock"
 )
@@ -48,7 +49,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			var got []ending.Cause
-			g := NewGate(nil, clock.Boot, nil, func() time.Duration { return time.Second })
+			g := NewGate(nil, clock.Boot, late.New(late.Clock(clock.Boot), zerolog.Nop()), nil, func() time.Duration { return time.Second })
 			r := &endReporter{gate: g, count: func(x ending.Cause) { got = append(got, x) }, log: zerolog.Nop()}
 			o := &clientConn{Conn: &scriptedConn{errs: c.errs}, ends: r}
 			x := &exchange{}
--- a/router/front/gate.go
+++ b/router/front/gate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tarragonvalve.example/core/drain"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/mirror"
 )
@@ -17,8 +18,6 @@
 	// the last sixth, as the users' rule LOST lets requests be cut only in that.
 	stopMargin         = 600 * time.Millisecond
 	stopMarginFraction = 1.0 / 6
-	// runningInterval is how often it is recorded that the process runs.
-	runningInterval = 50 * time.Millisecond
 )
 
 // Gate decides which requests the instance may accept, by the age of its configuration
@@ -31,9 +30,8 @@
 	// gracePeriod returns the time between SIGTERM and SIGKILL.
 	gracePeriod func() time.Duration
 	stop        atomic.Pointer[shutdown] // nil before the shutdown
-	// running and ranBefore are the latest two readings of the clock at which the process was seen to run.
-	running, ranBefore atomic.Int64
-	inFlight           atomic.Int64 // requests in progress
+	lateness    *late.Meter
+	inFlight    atomic.Int64 // requests in progress
 }
 
 // shutdown is the start of a shutdown.
@@ -42,10 +40,10 @@
 	began, grace time.Duration
 }
 
-// NewGate returns a gate. revokeWithin returns the time within which a revoked key must stop
+// NewGate returns a gate. m measures by the clock now. revokeWithin returns the time within which a revoked key must stop
 // working, gracePeriod that between SIGTERM and SIGKILL.
-func NewGate(n *mirror.Syncer, now clock.Func, revokeWithin, gracePeriod func() time.Duration) *Gate {
-	return &Gate{syncer: n, now: now, revokeWithin: revokeWithin, gracePeriod: gracePeriod}
+func NewGate(n *mirror.Syncer, now clock.Func, m *late.Meter, revokeWithin, gracePeriod func() time.Duration) *Gate {
+	return &Gate{syncer: n, now: now, lateness: m, revokeWithin: revokeWithin, gracePeriod: gracePeriod}
 }
 
 // Fresh reports whether a view's configuration is provably fresh enough to accept keys by it.
@@ -61,17 +59,12 @@
 	return !g.Stopping() && v.Document != nil && v.UpstreamsRead && g.Fresh(v)
 }
 
-// Running records that the process runs. Calls must not overlap, and follow each other by runningInterval.
-func (g *Gate) Running() {
-	g.ranBefore.Store(g.running.Swap(int64(g.now())))
-}
-
 // Stop begins the shutdown. Further calls do nothing. The signal may have come while the process did not run, so the
 // shutdown counts from when it was last seen to run before the latest time, which may itself have been just after the
 // signal.
 func (g *Gate) Stop() {
 	began := g.now()
-	if t := time.Duration(g.ranBefore.Load()); t > 0 {
+	if t, ok := g.lateness.RanBefore(); ok {
 		began = min(began, t)
 	}
 	g.stop.CompareAndSwap(nil, &shutdown{began: began, grace: g.gracePeriod()})
--- a/router/front/gate_test.go
+++ b/router/front/gate_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/mirror"
 )
@@ -13,7 +14,7 @@
 // Guards against a shutdown whose end moves with settings that change meanwhile: SIGKILL follows by those at SIGTERM.
 func TestGracePeriodOfShutdown(t *testing.T) {
 	grace := 8 * time.Second
-	g := NewGate(mirror.New(nil, nil, clock.Boot, zerolog.Nop()), clock.Boot, func() time.Duration { return time.Second }, func() time.Duration { return grace })
+	g := NewGate(mirror.New(nil, nil, clock.Boot, zerolog.Nop()), clock.Boot, late.New(late.Clock(clock.Boot), zerolog.Nop()), func() time.Duration { return time.Second }, func() time.Duration { return grace })
 	g.Stop()
 	grace = time.Second
 	g.Stop()
@@ -35,16 +36,18 @@
 		noticed, least, most time.Duration
 	}{
 		"never seen to run":             {nil, 1000 * ms, 0, 0},
-		"runs steadily":                 {[]time.Duration{900 * ms, 950 * ms}, 960 * ms, 10 * ms, 2 * runningInterval},
-		"paused, signal first":          {[]time.Duration{900 * ms, 950 * ms}, 1650 * ms, 700 * ms, 700*ms + 2*runningInterval},
-		"paused, seen to run before it": {[]time.Duration{900 * ms, 950 * ms, 1650 * ms}, 1651 * ms, 700 * ms, 700*ms + 2*runningInterval},
+		"runs steadily":                 {[]time.Duration{900 * ms, 950 * ms}, 960 * ms, 10 * ms, 2 * late.Interval},
+		"paused, signal first":          {[]time.Duration{900 * ms, 950 * ms}, 1650 * ms, 700 * ms, 700*ms + 2*late.Interval},
+		"paused, seen to run before it": {[]time.Duration{900 * ms, 950 * ms, 1650 * ms}, 1651 * ms, 700 * ms, 700*ms + 2*late.Interval},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			var now time.Duration
-			g := NewGate(nil, func() time.Duration { return now }, nil, func() time.Duration { return 8 * time.Second })
+			clock := func() time.Duration { return now }
+			m := late.New(clock, zerolog.Nop())
+			g := NewGate(nil, clock, m, nil, func() time.Duration { return 8 * time.Second })
 			for _, now = range c.runs {
-				g.Running()
+				m.Beat(0)
 			}
 			now = c.noticed
 			g.Stop()
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -84,14 +84,10 @@
 	go func() { served <- h.Serve(&observedListener{Listener: l, ends: ends}) }()
 	t := time.NewTicker(idleCheckInterval)
 	defer t.Stop()
-	running := time.NewTicker(runningInterval)
-	defer running.Stop()
 	for {
 		select {
 		case err := <-served:
 			return err
-		case <-running.C:
-			s.Gate.Running()
 		case <-t.C:
 			s.conns.endIdle(s.idleTimeout(), s.idleTimeout())
 		case <-ctx.Done():
--- a/router/front/serve_test.go
+++ b/router/front/serve_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/router/mirror"
 )
 
@@ -109,7 +110,7 @@
 	now := func() time.Duration { return time.Since(start) + 1 }
 	log := zerolog.New(slowLog{heldListener: l, line: line, begun: begun})
 	n := mirror.New(nil, nil, now, log)
-	g := NewGate(n, now, func() time.Duration { return time.Second }, func() time.Duration { return grace })
+	g := NewGate(n, now, late.New(late.Clock(now), zerolog.Nop()), func() time.Duration { return time.Second }, func() time.Duration { return grace })
 	s := &Server{Listener: l, Handler: handler, Gate: g, Syncer: n, Refused: func() {}, Log: log}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/router/front/server_test.go
+++ b/router/front/server_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/ending"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/mirror"
@@ -85,7 +86,7 @@
 	n := mirror.New(nil, nil, clock.Boot, zerolog.Nop())
 	x := &Server{
 		Handler: h, Syncer: n, Log: zerolog.New(s), Refused: func() {},
-		Gate:      NewGate(n, clock.Boot, func() time.Duration { return time.Second }, func() time.Duration { return grace }),
+		Gate:      NewGate(n, clock.Boot, late.New(late.Clock(clock.Boot), zerolog.Nop()), func() time.Duration { return time.Second }, func() time.Duration { return grace }),
 		Ended:     s.count,
 		RequestID: func(h http.Header) call.ID { return call.ID(h.Get("Id")) },
 	}
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -32,12 +32,26 @@
 	trials    *prometheus.CounterVec
 }
 
-// New returns metrics at zero. age returns the largest possible age of the configuration in
-// seconds, or -1 before one was read, open the number of requests in progress, size the number
-// of routers that share limits, limited the number of upstreams that limit their requests,
-// quarantined the number of sets of prompt parts that are refused, and ignored that of the rows that
-// can't be decoded.
-func New(age, open, size, limited, quarantined, ignored func() float64) *Meter {
+// Readings are figures that are read when the metrics are scraped.
+type Readings struct {
+	// ConfigurationAge is the largest possible age of the configuration in seconds, or -1 before one was read.
+	ConfigurationAge func() float64
+	// Open is the number of requests in progress.
+	Open func() float64
+	// Instances is the number of routers that share limits.
+	Instances func() float64
+	// LimitedUpstreams is the number of upstreams that limit their requests.
+	LimitedUpstreams func() float64
+	// Quarantined is the number of sets of prompt parts that are refused.
+	Quarantined func() float64
+	// IgnoredRows is the number of rows of the store that could not be decoded.
+	IgnoredRows func() float64
+	// Lateness is how late work runs, in seconds, and LateEpisodes how often it has begun to be late.
+	Lateness, LateEpisodes func() float64
+}
+
+// New returns metrics at zero that read r.
+func New(r Readings) *Meter {
 	m := &Meter{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -74,22 +88,28 @@
 	m.registry.MustRegister(m.trials, m.ended, m.requests, m.latency, m.attempts, m.denied, m.escalated, m.resumed, m.exceeded, m.refused,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_age_seconds", Help: "Largest possible age of the configuration in seconds; -1 before one was read.",
-		}, age),
+		}, r.ConfigurationAge),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "open_requests", Help: "Requests in progress.",
-		}, open),
+		}, r.Open),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "instances", Help: "Largest number of routers in the last minute that share limits, including this one.",
-		}, size),
+		}, r.Instances),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "limited_upstreams", Help: "Upstreams that limit the requests per second that they take from all routers.",
-		}, limited),
+		}, r.LimitedUpstreams),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "quarantined_prompts", Help: "Sets of prompt parts that crash upstreams, so that requests with them are refused.",
-		}, quarantined),
+		}, r.Quarantined),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: namespace, Name: "rows_ignored_total", Help: "Rows of the store that were read and can't be decoded; what was known before stays in force.",
-		}, ignored),
+		}, r.IgnoredRows),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "lateness_seconds", Help: "How much later than it could work of this process has run in the last quarter of a second.",
+		}, r.Lateness),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "late_total", Help: "Times at which work of this process has begun to run late.",
+		}, r.LateEpisodes),
 	)
 	return m
 }
