fix(link,probe): count dial time-outs in time in which the router ran

Cause: the time-outs of 250 ms for a new connection and for the check of an upstream were absolute deadlines. Go runs timers before it polls the network, so a router that was stopped, or waited for the processor, found the deadline passed and dropped a connection that the kernel had set up long before.

Change: clock.Work is a clock that advances in steps and only while the process runs on time; clock.WithTimeout ends a context by it. The first late step doesn't count, so that the process has run on time for a step before it says anything; in a process that stays late each step counts as its planned length, so that a silent upstream is still found. The cause is a *clock.TimeoutError, also in what callers log.

Shown by: TestDialWhileStopped and TestCheckWhileStopped (the process is stopped by SIGSTOP for 0.3, 1 and 5 s while it dials a listener that accepts) failed before in all six cases with "i/o timeout", and pass. TestDialOfSilentUpstream and TestTimeout: on time, the time-out still ends after 250 ms. TestWork: the table of steps.

--- /dev/null
+++ b/router/clock/work.go
@@ -0,0 +1,116 @@
+package clock
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// tolerance is how late a step may come and still count as on time.
+	tolerance = 50 * time.Millisecond
+	// timeoutStep is the time between two steps of a time-out.
+	timeoutStep = 50 * time.Millisecond
+)
+
+// Work is a clock that advances in steps, and only while the process runs on time: time in which the process was stopped
+// or had no processor doesn't count. Judgements of others by elapsed time are made by it, as what others sent meanwhile
+// hasn't been read. Use NewWork. It is not safe for concurrent use.
+type Work struct {
+	// elapsed is the time that counts up to the latest step, at.
+	elapsed time.Duration
+	at      time.Time
+	// late is true if the latest step was.
+	late bool
+}
+
+// NewWork returns a clock that starts at now.
+func NewWork(now time.Time) Work { return Work{at: now} }
+
+// Step records that the process runs at now, where it meant to run at latest interval after the step before. After a late
+// step nothing counts, so that one more step passes before a judgement; if the process stays late, each step counts as
+// interval, so that judgements take longer but are made.
+func (c *Work) Step(now time.Time, interval time.Duration) {
+	gap := now.Sub(c.at)
+	late := gap > interval+tolerance
+	switch {
+	case !late:
+		c.elapsed += max(gap, 0)
+	case c.late:
+		c.elapsed += interval
+	}
+	c.at, c.late = now, late
+}
+
+// At returns the reading for an event that is noticed at now, when the next step is due interval after the latest one.
+func (c *Work) At(now time.Time, interval time.Duration) time.Duration {
+	return c.elapsed + min(max(now.Sub(c.at), 0), interval)
+}
+
+// Elapsed returns the reading at the latest step.
+func (c *Work) Elapsed() time.Duration { return c.elapsed }
+
+// TimeoutError reports that a time-out expired. It implements the interface of time-outs of package net.
+type TimeoutError struct {
+	// After is the time in which the process ran.
+	After time.Duration
+}
+
+func (e *TimeoutError) Error() string { return "no result within " + e.After.String() }
+
+// Timeout implements net.Error.
+func (e *TimeoutError) Timeout() bool { return true }
+
+// Temporary implements net.Error.
+func (e *TimeoutError) Temporary() bool { return true }
+
+// WithTimeout is context.WithTimeoutCause with a time-out that counts by Work. Its cause is a *TimeoutError, its error
+// context.Canceled.
+func WithTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	c, cancel := context.WithCancelCause(ctx)
+	t := &timeout{work: NewWork(time.Now()), limit: d, cancel: cancel}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.armed = min(d, timeoutStep)
+	t.timer = time.AfterFunc(t.armed, t.step)
+	return c, t.stop
+}
+
+// timeout is a time-out that has not expired.
+type timeout struct {
+	limit  time.Duration
+	cancel context.CancelCauseFunc
+
+	mu    sync.Mutex
+	timer *time.Timer
+	work  Work
+	// armed is the time from the latest step until the next is due.
+	armed   time.Duration
+	stopped bool
+}
+
+// stop ends the context and its timer.
+func (t *timeout) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
+	t.cancel(context.Canceled)
+}
+
+// step is called when the timer fires.
+func (t *timeout) step() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
+	t.work.Step(time.Now(), t.armed)
+	left := t.limit - t.work.Elapsed()
+	if left <= 0 {
+		t.cancel(&TimeoutError{After: t.limit})
+		return
+	}
+	t.armed = min(left, timeoutStep)
+	t.timer.Reset(t.armed)
+}
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -14,11 +14,13 @@
 	"golang.org/x/sys/unix"
 
 	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/clock"
 )
 
 const (
 	// dialTimeout bounds the set-up of a connection, which takes a few ms within a region.
-	// A machine without power doesn't respond at all.
+	// A machine without power doesn't respond at all. Time in which this process didn't run doesn't
+	// count: the kernel may have set up the connection meanwhile.
 	dialTimeout = 250 * time.Millisecond
 	// unackedTimeout closes connections on which sent bytes stay unacknowledged
 	// (TCP_USER_TIMEOUT): nothing else reports a network path that drops all packets.
@@ -66,7 +68,6 @@
 func New(c call.Codec) *Pool {
 	p := &Pool{codec: c, idle: map[string][]*conn{}, open: map[string]int{}, suspects: suspects{}}
 	p.dialer = net.Dialer{
-		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		Control:         setUnackedTimeout,
 	}
@@ -114,7 +115,7 @@
 	if c != nil || err != nil {
 		return c, err
 	}
-	n, err := p.dialer.DialContext(ctx, "tcp", address)
+	n, err := p.dial(ctx, address)
 	if err != nil {
 		p.uncount(address)
 		return nil, &DialError{Address: address, Err: err}
@@ -122,6 +123,18 @@
 	return newConn(n, address), nil
 }
 
+// dial sets up a connection. Its error is a *clock.TimeoutError if that took longer than dialTimeout.
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, stop := clock.WithTimeout(ctx, dialTimeout)
+	defer stop()
+	n, err := p.dialer.DialContext(ctx, "tcp", address)
+	var t *clock.TimeoutError
+	if err != nil && errors.As(context.Cause(ctx), &t) {
+		return nil, t
+	}
+	return n, err
+}
+
 // reserve counts a connection that the caller is to set up, and returns nil. At the limit it
 // waits up to connWait until another connection ends, or becomes idle: then it returns that
 // one. It returns a *ConnectionLimitError at the end of the wait or of ctx.
--- a/router/probe/probe.go
+++ b/router/probe/probe.go
@@ -16,6 +16,7 @@
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/serve"
+	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/fleet"
 )
 
@@ -33,7 +34,8 @@
 	minStall = 1100 * time.Millisecond
 	// recheckPause is the time between two checks of one upstream.
 	recheckPause = 500 * time.Millisecond
-	// checkTimeout bounds a check; a new connection takes a few ms within a region.
+	// checkTimeout bounds a check; a new connection takes a few ms within a region. Time in which this
+	// process didn't run doesn't count.
 	checkTimeout = 250 * time.Millisecond
 	// scanInterval is how often upstreams are examined.
 	scanInterval = 100 * time.Millisecond
@@ -87,12 +89,14 @@
 	return &Monitor{marker: m, listed: listed, dial: dial, log: l, upstreams: map[ident.UpstreamID]*upstreamState{}}
 }
 
+// dialer opens the connections of checks; tests replace it.
+var dialer net.Dialer
+
 // dial opens a connection to an address and closes it again.
 func dial(ctx context.Context, address string) error {
-	ctx, stop := context.WithTimeout(ctx, checkTimeout)
+	ctx, stop := clock.WithTimeout(ctx, checkTimeout)
 	defer stop()
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
