fix(probe): measure silence in time in which the router ran

Cause: an upstream is checked after 450 or 700 ms without a byte, and a stream is continued elsewhere after a pause of 1.1 s, counted from the router's notice of the latest byte to its notice of the present time. A router that was stopped, or waits for the processor, hasn't read what arrived meanwhile, so all its upstreams seem silent. Each is then checked every 500 ms, with new connections that cost the processor time that the router lacks.

Change: the monitor measures by clock.Work, which steps at each examination. A late step doesn't count; in a router that stays late each counts as 100 ms.

Shown by: TestSilenceOfLateProcess, a table of pure decisions. With every step counted (the behaviour before) five of its cases fail: stops of 1 and 5 s, a stop after 0.4 s of silence, and a router late by 0.4 s. Its cases on time, and TestUnresponsive, show that silence of 0.5 s and pauses of 1.1 s are found as before.

--- a/router/probe/probe.go
+++ b/router/probe/probe.go
@@ -67,13 +67,16 @@
 
 	mu        sync.Mutex
 	upstreams map[ident.UpstreamID]*upstreamState
+	// work steps at each examination. Silence and pauses are measured by it: while this process doesn't run, it reads
+	// nothing of what upstreams send.
+	work clock.Work
 }
 
 // upstreamState holds what the monitor observed of one upstream.
 type upstreamState struct {
 	address string
-	// receivedAt is when the upstream last sent a part of a response.
-	receivedAt time.Time
+	// receivedAt is the reading of work when the upstream last sent a part of a response.
+	receivedAt time.Duration
 	// checkedAt is when the last check ended; checking is true during a check.
 	checkedAt    time.Time
 	checking     bool
@@ -86,7 +89,7 @@
 // New returns a monitor that marks unresponsive upstreams at m. listed returns the
 // upstreams in use.
 func New(m Marker, listed func() *fleet.List, l zerolog.Logger) *Monitor {
-	return &Monitor{marker: m, listed: listed, dial: dial, log: l, upstreams: map[ident.UpstreamID]*upstreamState{}}
+	return &Monitor{marker: m, listed: listed, dial: dial, log: l, upstreams: map[ident.UpstreamID]*upstreamState{}, work: clock.NewWork(time.Now())}
 }
 
 // dialer opens the connections of checks; tests replace it.
@@ -105,10 +108,11 @@
 
 // Attempt is an attempt that waits for bytes of an upstream.
 type Attempt struct {
-	monitor       *Monitor
-	state         *upstreamState
-	startedAt     time.Time
-	lastContentAt time.Time
+	monitor *Monitor
+	state   *upstreamState
+	// startedAt and lastContentAt are readings of work.
+	startedAt     time.Duration
+	lastContentAt time.Duration
 	// streaming is true once content of the response arrived, last at lastContentAt.
 	streaming bool
 	// maxPause is how long the content may pause.
@@ -125,7 +129,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.state(u)
-	w := &Attempt{monitor: m, state: s, startedAt: now, maxPause: max(pause, minStall), end: end}
+	w := &Attempt{monitor: m, state: s, startedAt: m.at(now), maxPause: max(pause, minStall), end: end}
 	s.attempts[w] = struct{}{}
 	return w
 }
@@ -135,15 +139,15 @@
 func (w *Attempt) HeadReceived(now time.Time) {
 	w.monitor.mu.Lock()
 	defer w.monitor.mu.Unlock()
-	w.state.receivedAt = now
+	w.state.receivedAt = w.monitor.at(now)
 }
 
 // BodyReceived records that content of the response arrived.
 func (w *Attempt) BodyReceived(now time.Time) {
 	w.monitor.mu.Lock()
 	defer w.monitor.mu.Unlock()
-	w.state.receivedAt = now
-	w.lastContentAt = now
+	w.state.receivedAt = w.monitor.at(now)
+	w.lastContentAt = w.state.receivedAt
 	w.streaming = true
 }
 
@@ -169,6 +173,9 @@
 	m.state(u).lost = true
 }
 
+// at returns the reading of work for an event that is noticed at now. The caller holds the lock.
+func (m *Monitor) at(now time.Time) time.Duration { return m.work.At(now, scanInterval) }
+
 // state returns the state of an upstream. It creates a new one if there is none or the
 // address has changed. The caller holds the lock.
 func (m *Monitor) state(u *fleet.Upstream) *upstreamState {
@@ -197,6 +204,7 @@
 func (m *Monitor) dueChecks(now time.Time) map[ident.UpstreamID]string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.work.Step(now, scanInterval)
 	listed := m.listed().All()
 	out := map[ident.UpstreamID]string{}
 	for id, s := range m.upstreams {
@@ -204,8 +212,8 @@
 			delete(m.upstreams, id)
 			continue
 		}
-		s.endStalled(now)
-		if s.checking || now.Sub(s.checkedAt) < recheckPause || !s.overdue(now) {
+		s.endStalled(m.work.Elapsed())
+		if s.checking || now.Sub(s.checkedAt) < recheckPause || !s.overdue(m.work.Elapsed()) {
 			continue
 		}
 		s.checking = true
@@ -215,10 +223,10 @@
 	return out
 }
 
-// endStalled ends the attempts whose content has paused for too long.
-func (s *upstreamState) endStalled(now time.Time) {
+// endStalled ends the attempts whose content has paused for too long. now is a reading of work.
+func (s *upstreamState) endStalled(now time.Duration) {
 	for w := range s.attempts {
-		if w.streaming && w.end != nil && now.Sub(w.lastContentAt) >= w.maxPause {
+		if w.streaming && w.end != nil && now-w.lastContentAt >= w.maxPause {
 			w.end(ErrStalled)
 			// An attempt that can't be sent elsewhere now may be after another pause.
 			w.lastContentAt = now
@@ -226,21 +234,17 @@
 	}
 }
 
-// overdue reports whether the upstream should have sent something by now.
-func (s *upstreamState) overdue(now time.Time) bool {
+// overdue reports whether the upstream should have sent something by now, a reading of work.
+func (s *upstreamState) overdue(now time.Duration) bool {
 	if s.unresponsive || s.lost {
 		return true
 	}
 	for w := range s.attempts {
 		limit := responseIdleLimit
-		since := w.startedAt
 		if w.streaming {
 			limit = streamIdleLimit
 		}
-		if s.receivedAt.After(since) {
-			since = s.receivedAt
-		}
-		if now.Sub(since) >= limit {
+		if now-max(w.startedAt, s.receivedAt) >= limit {
 			return true
 		}
 	}
