fix(crash): allow for late notice in the verdicts on crashes

Cause: a request counts as survived if a byte of its upstream is noticed a second after its answer began, and as a suspect if its answer was noticed to begin and no later byte was. A router that was stopped reads old bytes and the end of a connection at the same time: a request that crashed its upstream 0.2 s after it began counted as survived, and one whose answer began up to 5 s before the crash as just begun.

Change: a byte shows that the upstream was alive at the time of its notice less the lateness of the process. If the begin of an answer is noticed settleTime late or more, the request is a suspect whose answer isn't known to have begun, which weighs less.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -172,8 +172,8 @@
 	return stager.New(n, w, p, s.Instance, func() float64 { return v.Bounds().CanaryShare }, l)
 }
 
-func newCrashes(r *poison.Registry, l zerolog.Logger) *crash.Monitor {
-	return crash.New(r, l)
+func newCrashes(r *poison.Registry, m *late.Meter, l zerolog.Logger) *crash.Monitor {
+	return crash.New(r, m.Lateness, l)
 }
 
 // marker tells the balancer and the crash monitor which upstreams are unresponsive.
--- a/router/crash/crash.go
+++ b/router/crash/crash.go
@@ -49,10 +49,14 @@
 	Survived(p Prompt, began time.Time)
 }
 
+// Lateness returns how much later than it could the process notices events.
+type Lateness func() time.Duration
+
 // Monitor tracks the attempts at upstreams until it is known whether the upstream survives them.
 // It is safe for concurrent use.
 type Monitor struct {
 	observer Observer
+	lateness Lateness
 	log      zerolog.Logger
 
 	mu        sync.Mutex
@@ -77,13 +81,15 @@
 	cancel context.CancelCauseFunc
 	// beganAt is when the answer began, endedAt when the attempt ended; zero if it hasn't.
 	beganAt, endedAt time.Time
+	// unsure is true if the answer may have begun settleTime before that was noticed at beganAt.
+	unsure bool
 	// lost is true if the connection ended before the answer was complete.
 	lost bool
 }
 
-// New returns a monitor that reports to o.
-func New(o Observer, l zerolog.Logger) *Monitor {
-	return &Monitor{observer: o, log: l, upstreams: map[fleet.Incarnation]*upstream{}}
+// New returns a monitor that reports to o in a process that is d late.
+func New(o Observer, d Lateness, l zerolog.Logger) *Monitor {
+	return &Monitor{observer: o, lateness: d, log: l, upstreams: map[fleet.Incarnation]*upstream{}}
 }
 
 // Start records an attempt, which cancel ends.
@@ -105,6 +111,7 @@
 	a.monitor.mu.Lock()
 	defer a.monitor.mu.Unlock()
 	a.beganAt = now
+	a.unsure = a.monitor.lateness() >= settleTime
 	if a.upstream.due.IsZero() {
 		a.upstream.due = now.Add(settleTime)
 	}
@@ -157,12 +164,15 @@
 	m.ended++
 }
 
-// settle reports the attempts at an upstream that is alive at now as survived if their answers
-// began at least settleTime ago. The caller holds the lock.
+// settle reports the attempts at an upstream, of which a sign of life is noticed at now, as survived if their answers
+// began at least settleTime before. The sign may be as old as the process is late. The caller holds the lock.
 func (m *Monitor) settle(u *upstream, now time.Time) {
 	if u.due.IsZero() || now.Before(u.due) {
 		return
 	}
+	if now = now.Add(-m.lateness()); now.Before(u.due) {
+		return
+	}
 	u.due = time.Time{}
 	for a := range u.attempts {
 		if a.beganAt.IsZero() {
@@ -199,7 +209,7 @@
 		r := Report{Upstream: i}
 		for a := range u.attempts {
 			m.forget(a)
-			r.Suspects = append(r.Suspects, Suspect{Prompt: a.prompt, Began: !a.beganAt.IsZero() || len(a.prompt.Parts) == 0})
+			r.Suspects = append(r.Suspects, Suspect{Prompt: a.prompt, Began: (!a.beganAt.IsZero() && !a.unsure) || len(a.prompt.Parts) == 0})
 		}
 		delete(m.upstreams, i)
 		if len(r.Suspects) > 0 {
--- a/router/crash/crash_test.go
+++ b/router/crash/crash_test.go
@@ -36,6 +36,8 @@
 
 func ignore(error) {}
 
+func onTime() time.Duration { return 0 }
+
 func prompt(id string) crash.Prompt {
 	return crash.NewPrompt("llm", call.Request{ID: call.ID(id), Prefix: []call.PromptPart{{ID: "p"}, {ID: id}}}, crash.Content{})
 }
@@ -123,7 +125,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := &recorder{}
-			c.run(crash.New(r, zerolog.New(io.Discard)))
+			c.run(crash.New(r, onTime, zerolog.New(io.Discard)))
 			if got := strings.Join(r.crashed, " "); got != c.crashed {
 				t.Errorf("crashed under %q, want %q", got, c.crashed)
 			}
@@ -143,7 +145,7 @@
 // Guards against a quarantine that lets requests crash upstreams that are in their queues already,
 // and against one that ends sound requests.
 func TestCancelWaiting(t *testing.T) {
-	m := crash.New(&recorder{}, zerolog.New(io.Discard))
+	m := crash.New(&recorder{}, onTime, zerolog.New(io.Discard))
 	u := fleet.Incarnation{ID: "u", StartedMs: 1}
 	var canceled []string
 	start := func(id string) *crash.Attempt {
