fix(poison): wait for reports of others in time in which the router ran

Cause: a quarantine waits for 1 or 2 s from the first crash under a part, so that other routers can report that upstreams survive it. A router that was stopped in that time decided as soon as it ran again, before it had read their reports, and told all others.

Change: the component that judges steps a clock.Work; time that doesn't count extends the wait for reports, and that of quarantines reported by others.

--- a/router/clock/work.go
+++ b/router/clock/work.go
@@ -29,17 +29,19 @@
 
 // Step records that the process runs at now, where it meant to run at latest interval after the step before. After a late
 // step nothing counts, so that one more step passes before a judgement; if the process stays late, each step counts as
-// interval, so that judgements take longer but are made.
-func (c *Work) Step(now time.Time, interval time.Duration) {
-	gap := now.Sub(c.at)
+// interval, so that judgements take longer but are made. It returns the time since the step before that doesn't count.
+func (c *Work) Step(now time.Time, interval time.Duration) time.Duration {
+	gap := max(now.Sub(c.at), 0)
+	before := c.elapsed
 	late := gap > interval+tolerance
 	switch {
 	case !late:
-		c.elapsed += max(gap, 0)
+		c.elapsed += gap
 	case c.late:
 		c.elapsed += interval
 	}
 	c.at, c.late = now, late
+	return gap - (c.elapsed - before)
 }
 
 // At returns the reading for an event that is noticed at now, when the next step is due interval after the latest one.
--- a/router/poison/poison.go
+++ b/router/poison/poison.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/serve"
+	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/crash"
 	"tarragonvalve.example/router/fleet"
 )
@@ -165,6 +166,9 @@
 	*Registry
 	// Attempts ends the attempts that a new quarantine concerns.
 	Attempts Canceler
+
+	// work steps at each judgement.
+	work clock.Work
 }
 
 // Name implements serve.Component.
@@ -172,11 +176,34 @@
 
 // Run judges the evidence until ctx ends. It always returns nil.
 func (c *Component) Run(ctx context.Context) error {
-	return serve.Every(ctx, decideInterval, func(context.Context) {
-		for _, q := range c.Update(time.Now()) {
-			c.Attempts.CancelWaiting(q.blocks, ErrQuarantined)
+	c.work = clock.NewWork(time.Now())
+	return serve.Every(ctx, decideInterval, func(context.Context) { c.step(time.Now()) })
+}
+
+// step judges the evidence once. Time in which this process didn't run is none in which other routers' reports could have
+// been read.
+func (c *Component) step(now time.Time) {
+	if d := c.work.Step(now, decideInterval); d > 0 {
+		c.postpone(d)
+	}
+	for _, q := range c.Update(now) {
+		c.Attempts.CancelWaiting(q.blocks, ErrQuarantined)
+	}
+}
+
+// postpone extends the waits for other routers' reports by d.
+func (r *Registry) postpone(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.evidence.changedAt = r.evidence.changedAt.Add(d)
+	for _, x := range r.evidence.suspects {
+		x.since = x.since.Add(d)
+	}
+	for i, q := range r.quarantines {
+		if !q.reportedAt.IsZero() {
+			r.quarantines[i].reportedAt = q.reportedAt.Add(d)
 		}
-	})
+	}
 }
 
 // Update judges the evidence and returns the quarantines that have come into force since the last
