fix(canary): judge versions neither by late times nor by old knowledge

Cause: times of answers count to the moment at which the router notices the answer, so a stop of the router, or too little processor time, makes the version slow that answers at the moment; after all requests have moved, that is the new one only. And a router that was stopped decided by the store's clock of now and the tallies of before that a roll-out shows no fault.

Not covered: failures that are the router's own time-outs (router/relay, classify), and times in a router that is late all the time, which judges no version by them; tallies of others still count.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -120,7 +120,7 @@
 		pins.New,
 		newCrashes,
 		newMemory,
-		canary.NewMonitor,
+		newCanary,
 		canary.NewPresence,
 		newStager,
 		newShare,
@@ -176,6 +176,10 @@
 	return crash.New(r, m.Lateness, l)
 }
 
+func newCanary(m *late.Meter) *canary.Monitor {
+	return canary.NewMonitor(m.Lateness)
+}
+
 // marker tells the balancer and the crash monitor which upstreams are unresponsive.
 type marker struct {
 	*place.Balancer
--- a/router/canary/canary_test.go
+++ b/router/canary/canary_test.go
@@ -191,7 +191,7 @@
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
-			w := canary.NewMonitor()
+			w := canary.NewMonitor(onTime)
 			observe := func(r response, isNew bool) {
 				w.Observe(canary.Response{Service: "llm", New: isNew, Failed: r.failed}, 7)
 				if r.latency > 0 {
@@ -218,6 +218,8 @@
 	}
 }
 
+func onTime() time.Duration { return 0 }
+
 // The day hasty: a canary's few responses are spread over many instances. Guards against a slow
 // version that none of them can judge alone, and against a good one that is reverted because a
 // fifth of all responses are slow.
@@ -250,7 +252,7 @@
 // Guards against a good version that is reverted since its times differ from the old one's by
 // connections and scheduling alone: both answer in a fraction of the predicted time.
 func TestFastVersions(t *testing.T) {
-	w := canary.NewMonitor()
+	w := canary.NewMonitor(onTime)
 	for i := range 300 {
 		w.ObserveTiming(canary.Timing{Service: "llm", Measure: canary.FirstResponse, Value: 0.005 + 0.001*float64(i%3)}, 7)
 		w.ObserveTiming(canary.Timing{Service: "llm", New: true, Measure: canary.FirstResponse, Value: 0.02}, 7)
@@ -263,7 +265,7 @@
 // Guards against a bad version that stays because a restarted instance has no reference
 // yet.
 func TestMonitorWithoutReference(t *testing.T) {
-	w := canary.NewMonitor()
+	w := canary.NewMonitor(onTime)
 	for range 8 {
 		w.Observe(canary.Response{Service: "llm", New: true, Failed: true}, 7)
 	}
--- a/router/canary/decide.go
+++ b/router/canary/decide.go
@@ -32,6 +32,9 @@
 	// provenBy is the part after which a roll-out whose upstreams are not proven is reverted: the rest
 	// is needed to move all requests and to complete it.
 	provenBy = 0.8
+	// maxAge is the age of the inputs up to which a roll-out advances. A router that was stopped, or has lost the store,
+	// may not have read what others saw meanwhile. It is above the age that contents read through another router have.
+	maxAge = 2500 * time.Millisecond
 	// maxYoung is the largest part of the new upstreams that may have been up for less.
 	maxYoung = 0.25
 	// canaryUpstreams is the traffic of a canary as a multiple of that of one old
@@ -76,6 +79,8 @@
 	Lost bool
 	// StoreClock is the current time of the store's clock.
 	StoreClock time.Duration
+	// Age is the age of what was read from the store.
+	Age time.Duration
 	// Verdict is this instance's reason to call the new version bad, or empty.
 	Verdict string
 	// Tallies are the counts of all instances.
@@ -147,6 +152,8 @@
 	enough := f.NewUpstreams > 0 && float64(f.NewUpstreams) >= minCapacity*float64(f.OldUpstreams)
 	proven := float64(f.YoungUpstreams) <= maxYoung*float64(f.NewUpstreams)
 	switch {
+	case f.Age > maxAge:
+		return Wait{}
 	case p.Phase == PhaseCanary && part >= provenBy && !proven:
 		return transition(*p, PhaseReverted, "not proven: the new upstreams have started again too lately")
 	case p.Phase == PhaseCanary && part >= shiftAt && proven && (enough || (part >= forceShiftAt && f.NewUpstreams > 0)):
--- a/router/canary/monitor.go
+++ b/router/canary/monitor.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"math"
 	"sync"
+	"time"
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/entry/guard"
+	"tarragonvalve.example/router/clock"
 )
 
 const (
@@ -34,6 +36,10 @@
 	// restart.
 	minFailures    = 6
 	minFailureRate = 0.3
+	// lateLevel is the lateness of this process from which times of answers say more of it than of upstreams.
+	lateLevel = 100 * time.Millisecond
+	// lateSpan is how long after such lateness times are ignored, as they may include it.
+	lateSpan = 2 * time.Second
 )
 
 // Response describes one response of an upstream.
@@ -70,7 +76,11 @@
 // Monitor judges new versions by the responses that this instance saw. It is safe for
 // concurrent use.
 type Monitor struct {
-	mu       sync.Mutex
+	lateness clock.Lateness
+
+	mu sync.Mutex
+	// lateAt is when the process was last found to be late; zero if it never was.
+	lateAt   time.Time
 	services map[ident.ServiceID]*serviceState
 }
 
@@ -95,9 +105,9 @@
 	shared *sharedState
 }
 
-// NewMonitor returns a monitor without observations.
-func NewMonitor() *Monitor {
-	return &Monitor{services: map[ident.ServiceID]*serviceState{}}
+// NewMonitor returns a monitor without observations in a process that is d late.
+func NewMonitor(d clock.Lateness) *Monitor {
+	return &Monitor{lateness: d, services: map[ident.ServiceID]*serviceState{}}
 }
 
 // Observe adds a response. order is the revision of the service's order; it is 0 without
@@ -126,11 +136,29 @@
 	}
 }
 
-// ObserveTiming adds a time of a response. order is the revision of the service's order; it is 0
-// without a roll-out.
+// CheckLateness looks whether the process is late. It is called a few times a second during roll-outs.
+func (w *Monitor) CheckLateness(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.late(now)
+}
+
+// late reports whether the process has been late within lateSpan. The caller holds the lock.
+func (w *Monitor) late(now time.Time) bool {
+	if w.lateness() >= lateLevel {
+		w.lateAt = now
+	}
+	return !w.lateAt.IsZero() && now.Sub(w.lateAt) < lateSpan
+}
+
+// ObserveTiming adds a time of a response that was noticed just now, unless the process has been late. order is the
+// revision of the service's order; it is 0 without a roll-out.
 func (w *Monitor) ObserveTiming(t Timing, order uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.late(time.Now()) {
+		return
+	}
 	s := w.stateOf(t.Service)
 	if t.Measure == FirstResponse {
 		t.Value = max(t.Value, minFirstResponse)
--- a/router/canary/shared_test.go
+++ b/router/canary/shared_test.go
@@ -55,7 +55,7 @@
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(20) {
 				r := rand.New(rand.NewPCG(seed, 1))
-				w := canary.NewMonitor()
+				w := canary.NewMonitor(onTime)
 				found := time.Duration(0)
 				const step = 150 * time.Millisecond
 				for at := time.Duration(0); at < duration && found == 0; at += step {
--- a/router/crash/crash.go
+++ b/router/crash/crash.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/fleet"
 )
 
@@ -49,14 +50,11 @@
 	Survived(p Prompt, began time.Time)
 }
 
-// Lateness returns how much later than it could the process notices events.
-type Lateness func() time.Duration
-
 // Monitor tracks the attempts at upstreams until it is known whether the upstream survives them.
 // It is safe for concurrent use.
 type Monitor struct {
 	observer Observer
-	lateness Lateness
+	lateness clock.Lateness
 	log      zerolog.Logger
 
 	mu        sync.Mutex
@@ -88,7 +86,7 @@
 }
 
 // New returns a monitor that reports to o in a process that is d late.
-func New(o Observer, d Lateness, l zerolog.Logger) *Monitor {
+func New(o Observer, d clock.Lateness, l zerolog.Logger) *Monitor {
 	return &Monitor{observer: o, lateness: d, log: l, upstreams: map[fleet.Incarnation]*upstream{}}
 }
 
--- a/router/stager/stager.go
+++ b/router/stager/stager.go
@@ -95,6 +95,7 @@
 // step examines all roll-outs once and reports whether one is in progress.
 func (m *Controller) step(ctx context.Context) bool {
 	v := m.syncer.View()
+	m.monitor.CheckLateness(time.Now())
 	if v.UpstreamsRead {
 		m.presence.Update(v.Orders, v.Fleet, time.Now())
 	}
@@ -164,7 +165,11 @@
 	if !ok {
 		return canary.Inputs{}, false
 	}
-	f := canary.Inputs{Order: o, StoreClock: c, MaxShare: m.maxShare(), Verdict: m.monitor.Verdict(o.Service, o.Origin)}
+	age, ok := m.syncer.ConfigAge()
+	if !ok {
+		return canary.Inputs{}, false
+	}
+	f := canary.Inputs{Order: o, StoreClock: c, Age: age, MaxShare: m.maxShare(), Verdict: m.monitor.Verdict(o.Service, o.Origin)}
 	if p, ok := v.Progress[o.Service]; ok {
 		f.Progress, f.Lost = &p.Progress, p.Lost
 	}
--- a/router/stager/stager_test.go
+++ b/router/stager/stager_test.go
@@ -103,7 +103,7 @@
 		s := &store{began: time.Now().Add(-time.Hour), revision: 1}
 		l := zerolog.New(io.Discard)
 		n := mirror.New(s, nil, func() time.Duration { return time.Since(s.began) }, l)
-		w := canary.NewMonitor()
+		w := canary.NewMonitor(func() time.Duration { return 0 })
 		m := stager.New(n, w, canary.NewPresence(), "r1", func() float64 { return 0.15 }, l)
 		ctx, stop := context.WithCancel(t.Context())
 		var g sync.WaitGroup
