fix(mirror): count time-outs of reads in time in which the router ran

Cause: reads from peers (0.45 s) and from the store (1.2 s beyond the wait) had absolute deadlines.

Change: all time-outs of mirror count by clock.Work. The age of the configuration counts by CLOCK_BOOTTIME as before, so nothing is accepted for longer. clock.TimeoutOr names the time-out in errors, where callees return context.Canceled.

Shown by: TestReadWhileStopped (SIGSTOP for 0.5 and 2 s while a peer, and the store, answer) failed before with "context deadline exceeded" in three of four reads. TestWatchAndOutage and the tests of peers in an outage pass unchanged.

--- a/router/clock/work.go
+++ b/router/clock/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -81,6 +82,16 @@
 	return c, t.stop
 }
 
+// TimeoutOr returns the *TimeoutError that ended a context of WithTimeout, or else err. Callees return context.Canceled for
+// it.
+func TimeoutOr(ctx context.Context, err error) error {
+	var t *TimeoutError
+	if errors.As(context.Cause(ctx), &t) {
+		return t
+	}
+	return err
+}
+
 // timeout is a time-out that has not expired.
 type timeout struct {
 	limit  time.Duration
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -128,11 +128,10 @@
 	ctx, stop := clock.WithTimeout(ctx, dialTimeout)
 	defer stop()
 	n, err := p.dialer.DialContext(ctx, "tcp", address)
-	var t *clock.TimeoutError
-	if err != nil && errors.As(context.Cause(ctx), &t) {
-		return nil, t
+	if err != nil {
+		return nil, clock.TimeoutOr(ctx, err)
 	}
-	return n, err
+	return n, nil
 }
 
 // reserve counts a connection that the caller is to set up, and returns nil. At the limit it
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -124,7 +124,7 @@
 // SaveProgress writes the progress of a roll-out if its row still has the revision seen.
 // It returns a *ConflictError if it hasn't.
 func (n *Syncer) SaveProgress(ctx context.Context, p canary.Progress, seen Revision) error {
-	ctx, stop := context.WithTimeout(ctx, responseTimeout)
+	ctx, stop := clock.WithTimeout(ctx, responseTimeout)
 	defer stop()
 	return n.store.SaveProgress(ctx, p, seen)
 }
@@ -132,7 +132,7 @@
 // SaveTrials writes the trials of quarantines if their row still has the revision seen. It returns a
 // *ConflictError if it hasn't, and has then read the row: nothing else does without a roll-out in progress.
 func (n *Syncer) SaveTrials(ctx context.Context, t poison.Trials, seen Revision) error {
-	ctx, stop := context.WithTimeout(ctx, responseTimeout)
+	ctx, stop := clock.WithTimeout(ctx, responseTimeout)
 	defer stop()
 	err := n.store.SaveTrials(ctx, t, seen)
 	var c *ConflictError
@@ -164,7 +164,7 @@
 
 // SaveTally writes what this instance counted for a new version.
 func (n *Syncer) SaveTally(ctx context.Context, t canary.Tally) error {
-	ctx, stop := context.WithTimeout(ctx, responseTimeout)
+	ctx, stop := clock.WithTimeout(ctx, responseTimeout)
 	defer stop()
 	return n.store.SaveTally(ctx, t)
 }
@@ -403,7 +403,7 @@
 	if !f.synced || f.needSnapshot {
 		return f.snapshot(ctx, responseTimeout)
 	}
-	ctx, stop := context.WithTimeout(ctx, f.wait+responseTimeout)
+	ctx, stop := clock.WithTimeout(ctx, f.wait+responseTimeout)
 	defer stop()
 	f.sentAt = f.now()
 	return f.store.Watch(ctx, f.topic, f.after, f.wait)
@@ -411,7 +411,7 @@
 
 // snapshot reads all rows of the topic from the store.
 func (f *topicWatcher) snapshot(ctx context.Context, limit time.Duration) (ReadResult, error) {
-	ctx, stop := context.WithTimeout(ctx, limit)
+	ctx, stop := clock.WithTimeout(ctx, limit)
 	defer stop()
 	f.sentAt = f.now()
 	return f.store.Snapshot(ctx, f.topic)
--- a/router/mirror/peer.go
+++ b/router/mirror/peer.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"tarragonvalve.example/router/clock"
 )
 
 const (
@@ -174,11 +176,20 @@
 	return true
 }
 
-// queryPeer reads the changes of the topic from a peer, or a snapshot if needed.
+// queryPeer reads the changes of the topic from a peer, or a snapshot if needed. The time-out counts only time in which
+// this process ran: an answer that came meanwhile is no failure of the peer.
 func (f *topicWatcher) queryPeer(ctx context.Context, p Peer) (ReadResult, error) {
-	ctx, stop := context.WithTimeout(ctx, peerWait+peerTimeout)
+	ctx, stop := clock.WithTimeout(ctx, peerWait+peerTimeout)
 	defer stop()
 	f.sentAt = f.now()
+	r, err := f.readFrom(ctx, p)
+	if err != nil {
+		err = clock.TimeoutOr(ctx, err)
+	}
+	return r, err
+}
+
+func (f *topicWatcher) readFrom(ctx context.Context, p Peer) (ReadResult, error) {
 	if !f.synced {
 		return p.Snapshot(ctx, f.topic)
 	}
@@ -191,7 +202,7 @@
 func (f *topicWatcher) readFirst(ctx context.Context) (ReadResult, bool) {
 	if len(f.peers) > 0 {
 		p, err := func() (ReadResult, error) {
-			ctx, stop := context.WithTimeout(ctx, startPeerTimeout)
+			ctx, stop := clock.WithTimeout(ctx, startPeerTimeout)
 			defer stop()
 			f.sentAt = f.now()
 			return f.peers[0].Snapshot(ctx, f.topic)
--- a/router/probe/probe.go
+++ b/router/probe/probe.go
@@ -101,7 +101,7 @@
 	defer stop()
 	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return err
+		return clock.TimeoutOr(ctx, err)
 	}
 	return c.Close()
 }
