--- a/router/clock/work.go
+++ b/router/clock/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 )
@@ -13,6 +14,9 @@
 	timeoutStep = 50 * time.Millisecond
 )
 
+// Lateness returns how much later than it could the process notices events.
+type Lateness func() time.Duration
+
 // Work is a clock that advances in steps, and only while the process runs on time: time in which the process was stopped
 // or had no processor doesn't count. Judgements of others by elapsed time are made by it, as what others sent meanwhile
 // hasn't been read. Use NewWork. It is not safe for concurrent use.
@@ -78,6 +82,16 @@
 	return c, t.stop
 }
 
+// TimeoutOr returns the *TimeoutError that ended a context of WithTimeout, or else err. Callees return context.Canceled for
+// it.
+func TimeoutOr(ctx context.Context, err error) error {
+	var t *TimeoutError
+	if errors.As(context.Cause(ctx), &t) {
+		return t
+	}
+	return err
+}
+
 // timeout is a time-out that has not expired.
 type timeout struct {
 	limit  time.Duration
