--- a/router/clock/work.go
+++ b/router/clock/work.go
@@ -10,8 +10,9 @@
 const (
 	// tolerance is how late a step may come and still count as on time.
 	tolerance = 50 * time.Millisecond
-	// timeoutStep is the time between two steps of a time-out.
-	timeoutStep = 50 * time.Millisecond
+	// minStep is the least time between two steps of a Timer, maxSteps the number of steps of one that is on time.
+	minStep  = 50 * time.Millisecond
+	maxSteps = 5
 )
 
 // Lateness returns how much later than it could the process notices events.
@@ -70,16 +71,15 @@
 // Temporary implements net.Error.
 func (e *TimeoutError) Temporary() bool { return true }
 
-// WithTimeout is context.WithTimeoutCause with a time-out that counts by Work. Its cause is a *TimeoutError, its error
-// context.Canceled.
+// WithTimeout is context.WithTimeoutCause with a time-out that counts by a Work of its own. Its cause is a *TimeoutError, its
+// error context.Canceled.
 func WithTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
 	c, cancel := context.WithCancelCause(ctx)
-	t := &timeout{work: NewWork(time.Now()), limit: d, cancel: cancel}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.armed = min(d, timeoutStep)
-	t.timer = time.AfterFunc(t.armed, t.step)
-	return c, t.stop
+	t := AfterFunc(d, func() { cancel(&TimeoutError{After: d}) })
+	return c, func() {
+		t.Stop()
+		cancel(context.Canceled)
+	}
 }
 
 // TimeoutOr returns the *TimeoutError that ended a context of WithTimeout, or else err. Callees return context.Canceled for
@@ -92,10 +92,10 @@
 	return err
 }
 
-// timeout is a time-out that has not expired.
-type timeout struct {
-	limit  time.Duration
-	cancel context.CancelCauseFunc
+// Timer calls a function once a time has passed by a Work.
+type Timer struct {
+	limit time.Duration
+	f     func()
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -105,28 +105,50 @@
 	stopped bool
 }
 
-// stop ends the context and its timer.
-func (t *timeout) stop() {
+// AfterFunc is time.AfterFunc by a Work of its own: f is called once the process has run on time for d.
+func AfterFunc(d time.Duration, f func()) *Timer {
+	t := &Timer{limit: d, f: f, work: NewWork(time.Now())}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.armed = t.next(d)
+	t.timer = time.AfterFunc(t.armed, t.step)
+	return t
+}
+
+// next returns the time until the next step if left is left.
+func (t *Timer) next(left time.Duration) time.Duration {
+	return min(left, max(minStep, t.limit/maxSteps))
+}
+
+// Stop prevents the call of the function unless it has begun.
+func (t *Timer) Stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stopped = true
 	t.timer.Stop()
-	t.cancel(context.Canceled)
 }
 
 // step is called when the timer fires.
-func (t *timeout) step() {
+func (t *Timer) step() {
+	if t.expired(time.Now()) {
+		t.f()
+	}
+}
+
+// expired steps the clock and reports whether the time is over. Otherwise it arms the timer.
+func (t *Timer) expired(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped {
-		return
+		return false
 	}
-	t.work.Step(time.Now(), t.armed)
+	t.work.Step(now, t.armed)
 	left := t.limit - t.work.Elapsed()
 	if left <= 0 {
-		t.cancel(&TimeoutError{After: t.limit})
-		return
+		t.stopped = true
+		return true
 	}
-	t.armed = min(left, timeoutStep)
+	t.armed = t.next(left)
 	t.timer.Reset(t.armed)
+	return false
 }
