fix(agents): keep a list of agents that arrives while the set starts

Set.Run took the targets of an earlier Update under the lock, released it, and applied them afterwards. An Update in between was applied first and then replaced by those of before, mostly none: the entry had no links until the next list, and requests were refused with "no-upstream (not-run)". With static instances only there is no next list.

Ruled out: a link that is not usable (the test's fleet doesn't ask), an attempt that was refused.

--- a/entry/agents/agents.go
+++ b/entry/agents/agents.go
@@ -90,12 +90,7 @@
 // Run opens links to the targets of Update and maintains them until ctx ends. It
 // returns nil after all links are closed.
 func (s *Set) Run(ctx context.Context) error {
-	s.mu.Lock()
-	s.ctx = ctx
-	p := s.pending
-	s.pending = nil
-	s.mu.Unlock()
-	s.Update(p)
+	s.begin(ctx)
 	<-ctx.Done()
 	s.mu.Lock()
 	s.ctx = nil
@@ -108,6 +103,16 @@
 	return nil
 }
 
+// begin opens links to the targets of an Update before Run. It applies them under the same lock as it lets Update
+// apply its own, which are newer.
+func (s *Set) begin(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ctx = ctx
+	s.apply(s.pending)
+	s.pending = nil
+}
+
 // Links returns the current links, sorted by upstream. The slice must not be changed.
 func (s *Set) Links() []*Link {
 	return *s.sorted.Load()
@@ -137,6 +142,11 @@
 		s.pending = ts
 		return
 	}
+	s.apply(ts)
+}
+
+// apply is Update with mu held, while Run runs.
+func (s *Set) apply(ts []Target) {
 	before := *s.links.Load()
 	after := make(map[ident.UpstreamID]*Link, len(ts))
 	for _, t := range Subset(s.o.Instance, dedupe(ts, before, time.Now()), s.o.SubsetSize) {
