fix(entry): tell the end of a request's time from a caller that left

The refusal of an ended request read the error of its context twice: first whether the deadline's timer had fired, then whether it had not and the time was over. If the timer fired in between, both were false, and the caller got "cancelled (unknown): the caller left" in place of deadline-exceeded. entry/calls had the same pair. abort.Expired reads the error first, and abort.Refusal tells deadlines apart itself, so that no later read can name another cause.

--- a/entry/calls/repeat.go
+++ b/entry/calls/repeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"tarragonvalve.example/core/ident"
@@ -64,10 +63,7 @@
 // refusalOf turns the error of an attempt into a refusal. The deadline, a caller that
 // disconnected and the drain limit take precedence over the error.
 func (x *Executor) refusalOf(ctx context.Context, a attemptResult) *refuse.Error {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return refuse.New(refuse.DeadlineExceeded, refuse.Unknown, "the call's time is over")
-	case ctx.Err() != nil:
+	if ctx.Err() != nil {
 		return abort.Refusal(ctx, refuse.Unknown)
 	}
 	if e, ok := refuse.As(a.err); ok {
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -13,6 +13,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/wire"
+	"tarragonvalve.example/entry/abort"
 	"tarragonvalve.example/entry/agents"
 )
 
@@ -284,7 +285,7 @@
 	if ctx.Err() != nil {
 		return stopped{err: ctx.Err()}
 	}
-	if timeOver(ctx) {
+	if abort.Expired(ctx) {
 		return stopped{err: context.DeadlineExceeded}
 	}
 	if errors.Is(err, io.EOF) {
--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -329,16 +329,6 @@
 	return q.sink.Text(d.GetText())
 }
 
-// timeOver reports whether the deadline of ctx has passed. The timer of ctx may fire after those of
-// agents, which got the same deadline and end their streams at that moment.
-func timeOver(ctx context.Context) bool {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		return true
-	}
-	d, ok := ctx.Deadline()
-	return ok && ctx.Err() == nil && !time.Now().Before(d)
-}
-
 // finalRefusal turns an error into the refusal that the caller gets. A deadline that
 // passed, a caller that disconnected and the drain limit take precedence over the error. If an
 // attempt may have run, it adds a billing receipt for only the relayed tokens;
@@ -353,7 +343,7 @@
 		e = again.refusal
 	}
 	switch {
-	case timeOver(ctx):
+	case abort.Expired(ctx):
 		e = refuse.New(refuse.DeadlineExceeded, q.ran, "the request's time is over")
 	case abort.Drained(ctx) && q.textCount > 0:
 		r.count.Broken.Add(1)
