fix(entry,agent): count a drain from SIGTERM, not from its notice

Entries and agents counted their drain from when they noticed SIGTERM. One that did not run when the signal came ended its last requests that much later than its service manager expects, which then kills it before their refusals are sent; an entry also took requests as if it had that time left. Both run core/late's meter now and count from when the process was last seen to run. The notice to load balancers (entries) and to entries (agents) still counts from when the process runs, as nobody can learn of the drain before. lateness_seconds and late_total are exported as in the router.

drain-notice of entries is 3 s by default: 2 s were exactly two health checks a second apart, without a margin.

TestDrainNoticeHasMargin fails with the default of 2 s.

--- a/agent/boot/build.go
+++ b/agent/boot/build.go
@@ -27,6 +27,7 @@
 	"tarragonvalve.example/core/claim"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/lease"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/logger"
@@ -47,6 +48,8 @@
 		func() *setup.Settings { return s },
 		func() zerolog.Logger { return l },
 		newListeners,
+		newClock,
+		newLateness,
 		newRing,
 		newPanics,
 		newExcess,
@@ -85,6 +88,7 @@
 	dig.In
 
 	Listeners *listeners
+	Lateness  *late.Meter
 	Node      *spread.Replica
 	Ledger    *ledger.Buffer
 	Claims    *claim.Store
@@ -101,7 +105,7 @@
 // steps returns the steps in the order of their start. Engine and Runner are nil for a
 // plain service, Caller is nil for a model engine.
 func (p parts) steps() []serve.Component {
-	out := []serve.Component{p.Node, p.Ledger, &receiptFlush{buffer: p.Ledger, log: logger.Part(p.Log, "receipts")}, p.Streams}
+	out := []serve.Component{p.Lateness, p.Node, p.Ledger, &receiptFlush{buffer: p.Ledger, log: logger.Part(p.Log, "receipts")}, p.Streams}
 	if p.Engine != nil {
 		out = append(out, p.Engine.monitor, p.Engine.cache)
 	}
@@ -168,6 +172,26 @@
 	})
 }
 
+// newClock returns the clock of the meter, which is monotonic.
+func newClock() late.Clock {
+	start := time.Now()
+	// The meter takes 0 for no reading.
+	return func() time.Duration { return time.Since(start) + 1 }
+}
+
+func newLateness(n late.Clock, l zerolog.Logger) *late.Meter {
+	return late.New(n, logger.Part(l, "lateness"))
+}
+
+// unseen returns the time since the process was last seen to run before an event that it notices now.
+func unseen(m *late.Meter, now late.Clock) time.Duration {
+	t, ok := m.RanBefore()
+	if !ok {
+		return 0
+	}
+	return max(now()-t, 0)
+}
+
 func newRing(s *setup.Settings) *event.Ring {
 	return event.NewRing(event.NewClock(time.Now), s.Agent.Instance, s.Agent.EventRing)
 }
@@ -340,7 +364,7 @@
 	return entry.NewServer(o)
 }
 
-func newListener(s *setup.Settings, p *listeners, v *entry.Server, st *entry.Status, n *spread.Replica, h *sched.Scheduler, c *calls.Executor, k *claim.Store, r *event.Ring, m *panics.Reporter, l zerolog.Logger) (*entry.Listener, error) {
+func newListener(s *setup.Settings, p *listeners, v *entry.Server, st *entry.Status, n *spread.Replica, h *sched.Scheduler, c *calls.Executor, k *claim.Store, r *event.Ring, m *panics.Reporter, w *late.Meter, now late.Clock, l zerolog.Logger) (*entry.Listener, error) {
 	o := entry.ListenerOptions{
 		Listener:     p.entries,
 		Server:       v,
@@ -352,6 +376,7 @@
 		Panics:       m,
 		Log:          logger.Part(l, "entries"),
 		Now:          time.Now,
+		Unseen:       func() time.Duration { return unseen(w, now) },
 	}
 	if c != nil {
 		o.PendingClaims = func() int { return k.Stats().Queued }
@@ -366,9 +391,9 @@
 	return entry.NewListener(o), nil
 }
 
-func newHealth(p *listeners, st *entry.Status, n *spread.Replica, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts, m *panics.Reporter, x *excess.Reporter, l zerolog.Logger) *health.Server {
+func newHealth(p *listeners, st *entry.Status, n *spread.Replica, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts, m *panics.Reporter, x *excess.Reporter, w *late.Meter, l zerolog.Logger) *health.Server {
 	r := prometheus.NewRegistry()
-	registerMetrics(r, h, t, b, e, m, x)
+	registerMetrics(r, h, t, b, e, m, x, w)
 	return health.New(health.Options{
 		Listener: p.admin,
 		Registry: r,
--- a/agent/boot/metrics.go
+++ b/agent/boot/metrics.go
@@ -7,13 +7,14 @@
 	"tarragonvalve.example/agent/excess"
 	"tarragonvalve.example/agent/sched"
 	"tarragonvalve.example/agent/stream"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/panics"
 )
 
 // registerMetrics registers the metrics of the Go runtime, the process and the agent. The
 // values are read at each scrape.
-func registerMetrics(r *prometheus.Registry, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts, p *panics.Reporter, x *excess.Reporter) {
+func registerMetrics(r *prometheus.Registry, h *sched.Scheduler, t *stream.Store, b *ledger.Buffer, e *engineParts, p *panics.Reporter, x *excess.Reporter, w *late.Meter) {
 	r.MustRegister(x, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	registerGauge(r, "queued", "Attempts that wait for a slot.", func() float64 { return float64(h.Load().Queued) })
 	registerGauge(r, "running", "Attempts that hold a slot.", func() float64 { return float64(h.Load().Running) })
@@ -23,6 +24,8 @@
 		n, _, _ := t.Counts()
 		return float64(n)
 	})
+	registerGauge(r, "lateness_seconds", "How much later than it could work of this process has run in the last quarter of a second.", func() float64 { return w.Lateness().Seconds() })
+	registerCounter(r, "late_total", "Times at which work of this process has begun to run late.", func() float64 { return float64(w.Episodes()) })
 	registerCounter(r, "handler_panics_total", "Panics of HTTP and gRPC handlers.", func() float64 { return float64(p.Count()) })
 	registerCounter(r, "work_refused_total", "Work refused by the gate or the queue.", func() float64 { return float64(h.Load().Refused) })
 	registerCounter(r, "stream_buffers_evicted_total", "Buffers evicted before their time.", func() float64 {
--- a/agent/entry/fake_test.go
+++ b/agent/entry/fake_test.go
@@ -247,6 +247,7 @@
 		Server:   entry.NewServer(entry.Options{Status: st, Runner: u, Caller: r.caller, Streams: r.streams, Replica: r.replica, Receipts: r.receipts, Ring: ring}),
 		Peer:     wire.UnimplementedPeerServer{},
 		Sched:    s, DrainTimeout: limit, Ring: ring, Panics: r.panics, Log: zerolog.Nop(), Now: time.Now,
+		Unseen: func() time.Duration { return 0 },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	serving, stop := context.WithCancel(context.Background())
--- a/agent/entry/serve.go
+++ b/agent/entry/serve.go
@@ -53,6 +53,8 @@
 	Panics *panics.Reporter
 	Log    zerolog.Logger
 	Now    func() time.Time
+	// Unseen returns the time since the process was last seen to run before an event that it notices now.
+	Unseen func() time.Duration
 }
 
 // Listener serves gRPC to entries and drains the agent before it stops.
@@ -103,15 +105,17 @@
 }
 
 // drain refuses new work, notifies the entries and waits for the accepted work to end. At
-// the timeout, waiting work is refused and the running attempts are cancelled.
+// the timeout, waiting work is refused and the running attempts are cancelled. SIGTERM may have come while the process did
+// not run, so the timeout counts from when it was last seen to run before.
 func (l *Listener) drain(ctx context.Context) {
 	o := l.options
 	o.Ring.Record(event.Event{Kind: event.DrainStarted})
-	o.Log.Info().Msg("drain started")
+	start := o.Now()
+	unseen := o.Unseen()
+	o.Log.Info().Dur("unseen-ms", unseen).Msg("drain started")
 	o.Sched.Drain(ctx)
 	o.Server.options.Status.Drain()
-	start := o.Now()
-	if !l.idleWithin(start, o.DrainTimeout) {
+	if !l.idleWithin(start, o.DrainTimeout-unseen) {
 		n := o.Sched.Load()
 		o.Log.Warn().Int("running", n.Running).Int("queued", n.Queued).Msg("drain limit reached, ending the remaining work")
 		l.endWork(ctx)
--- a/entry/boot/boot_test.go
+++ b/entry/boot/boot_test.go
@@ -87,7 +87,7 @@
 // Guards against a drain whose end isn't taken into account, so that requests are taken that it interrupts.
 func TestAdmitsDuringDrain(t *testing.T) {
 	now := time.Unix(1_700_000_000, 0)
-	p := &readiness{drainTime: 20 * time.Second, now: func() time.Time { return now }}
+	p := &readiness{drainTime: 20 * time.Second, now: func() time.Time { return now }, unseen: func() time.Duration { return 0 }}
 	if !p.admits(now.Add(time.Hour)) {
 		t.Error("refused before the drain")
 	}
@@ -113,7 +113,7 @@
 	}
 	entered := make(chan struct{})
 	leave := make(chan struct{})
-	ph := &readiness{replica: spread.New(spread.Options{Instance: "entry-1"}), isolationLimit: time.Minute, now: time.Now}
+	ph := &readiness{replica: spread.New(spread.Options{Instance: "entry-1"}), isolationLimit: time.Minute, now: time.Now, unseen: func() time.Duration { return 0 }}
 	c := &callerServer{
 		httpServer: httpServer{listener: n, server: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			close(entered)
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -20,6 +20,7 @@
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/inlet"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/lease"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/logger"
@@ -54,6 +55,8 @@
 		func() zerolog.Logger { return l },
 		newListeners,
 		newCertificates,
+		newClock,
+		newLateness,
 		newRing,
 		newPanics,
 		newTable,
@@ -105,6 +108,7 @@
 	dig.In
 
 	Listeners    *listeners
+	Lateness     *late.Meter
 	Replica      *spread.Replica
 	Claims       *claim.Store
 	Policy       *policy.Controller
@@ -127,6 +131,7 @@
 // steps returns the steps in the order of their start.
 func (p components) steps() []serve.Component {
 	return []serve.Component{
+		p.Lateness,
 		p.Replica,
 		p.Claims,
 		p.Policy,
@@ -209,6 +214,26 @@
 	return s.source.ClientCredentials()
 }
 
+// newClock returns the clock of the meter, which is monotonic.
+func newClock() late.Clock {
+	start := time.Now()
+	// The meter takes 0 for no reading.
+	return func() time.Duration { return time.Since(start) + 1 }
+}
+
+func newLateness(n late.Clock, l zerolog.Logger) *late.Meter {
+	return late.New(n, logger.Part(l, "lateness"))
+}
+
+// unseen returns the time since the process was last seen to run before an event that it notices now.
+func unseen(m *late.Meter, now late.Clock) time.Duration {
+	t, ok := m.RanBefore()
+	if !ok {
+		return 0
+	}
+	return max(now()-t, 0)
+}
+
 func newRing(s *setup.Settings) *event.Ring {
 	return event.NewRing(event.NewClock(time.Now), s.Entry.Instance, s.Entry.EventRing)
 }
@@ -237,8 +262,14 @@
 	})
 }
 
-func newReadiness(s *setup.Settings, n *spread.Replica) *readiness {
-	return &readiness{replica: n, isolationLimit: s.Entry.IsolationLimit, drainTime: s.Entry.DrainNotice + s.Entry.DrainLimit, now: time.Now}
+func newReadiness(s *setup.Settings, n *spread.Replica, m *late.Meter, c late.Clock) *readiness {
+	return &readiness{
+		replica:        n,
+		isolationLimit: s.Entry.IsolationLimit,
+		drainTime:      s.Entry.DrainNotice + s.Entry.DrainLimit,
+		now:            time.Now,
+		unseen:         func() time.Duration { return unseen(m, c) },
+	}
 }
 
 func newClaims(t table.Client) *claim.Store {
--- a/entry/boot/drain_test.go
+++ b/entry/boot/drain_test.go
@@ -39,7 +39,7 @@
 	s := &drainedServer{addr: n.Addr().String(), stop: stop, done: make(chan struct{})}
 	s.callerServer = &callerServer{
 		httpServer:  httpServer{listener: n, server: &http.Server{Handler: h}},
-		readiness:   &readiness{replica: spread.New(spread.Options{Instance: "entry-1"}), isolationLimit: time.Minute, now: time.Now},
+		readiness:   &readiness{replica: spread.New(spread.Options{Instance: "entry-1"}), isolationLimit: time.Minute, now: time.Now, unseen: func() time.Duration { return 0 }},
 		drainNotice: notice,
 		drainLimit:  limit,
 		open:        func() int { return 1 },
--- a/entry/boot/metrics.go
+++ b/entry/boot/metrics.go
@@ -8,6 +8,7 @@
 
 	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/event"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/panics"
 	"tarragonvalve.example/core/spread"
@@ -60,13 +61,15 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, g))
 }
 
-func newMetrics(a *caller.API, r *relay.Relay, d *calls.Executor, p *policy.Controller, f *fleet.Fleet, b *ledger.Buffer, k *agents.Acks, t *ratings, o *roster.Roster, e *peers.Exchanger, s *agents.Set, n *spread.Replica, h *panics.Reporter) *prometheus.Registry {
+func newMetrics(a *caller.API, r *relay.Relay, d *calls.Executor, p *policy.Controller, f *fleet.Fleet, b *ledger.Buffer, k *agents.Acks, t *ratings, o *roster.Roster, e *peers.Exchanger, s *agents.Set, n *spread.Replica, h *panics.Reporter, w *late.Meter) *prometheus.Registry {
 	m := metrics{registry: prometheus.NewRegistry()}
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.gauge("open_requests", "Requests that are open.", func() float64 { return float64(a.Open()) })
 	m.gauge("generation", "Generation of the environment document in force.", func() float64 { return float64(n.View().Generation()) })
 	m.gauge("links", "Links to agents.", func() float64 { return float64(len(s.Links())) })
 	m.gauge("receipts_pending", "Receipts that are not stored yet.", func() float64 { return float64(b.Pending()) })
+	m.gauge("lateness_seconds", "How much later than it could work of this process has run in the last quarter of a second.", func() float64 { return w.Lateness().Seconds() })
+	m.counter("late_total", "Times at which work of this process has begun to run late.", func() uint64 { return uint64(w.Episodes()) })
 	m.counter("excess_requests_total", "Requests refused because too many were open.", a.Excess)
 	m.counter("receipts_refused_total", "Receipts that did not fit into the buffer.", b.Refused)
 	m.counter("acknowledgements_dropped_total", "Stored batches of receipts that were not acknowledged to agents.", k.Dropped)
--- a/entry/boot/serve.go
+++ b/entry/boot/serve.go
@@ -35,7 +35,7 @@
 
 // readiness holds what decides whether the process is ready for requests of callers.
 type readiness struct {
-	// drainBegan is when draining began; nil before.
+	// drainBegan is when draining began, as well as the process can tell; nil before.
 	drainBegan atomic.Pointer[time.Time]
 	// drainTime is how long after that the open requests may go on.
 	drainTime time.Duration
@@ -44,6 +44,8 @@
 	// the process is not ready.
 	isolationLimit time.Duration
 	now            func() time.Time
+	// unseen returns the time since the process was last seen to run before an event that it notices now.
+	unseen func() time.Duration
 }
 
 // ready returns nil when the process is ready, otherwise the reason why not.
@@ -60,10 +62,13 @@
 	}
 }
 
-// drain records that the process drains.
-func (p *readiness) drain() {
-	t := p.now()
+// drain records that the process drains, and returns how long ago that may have begun: SIGTERM may have come while the
+// process did not run.
+func (p *readiness) drain() time.Duration {
+	d := p.unseen()
+	t := p.now().Add(-d)
 	p.drainBegan.Store(&t)
+	return d
 }
 
 // draining reports whether the process drains.
@@ -116,7 +121,8 @@
 
 // Run serves until ctx ends. It then reports that it is not ready, accepts requests
 // for the drain notice, in which the load balancer stops sending them here, and
-// waits until the open requests have ended or the drain limit is over.
+// waits until the open requests have ended or the drain limit is over. The notice counts from when the process runs, as
+// the load balancer can't learn of the drain before, and the end from SIGTERM, as that of the service manager does.
 func (c *callerServer) Run(ctx context.Context) error {
 	base, cancelOpen := context.WithCancelCause(context.Background())
 	defer cancelOpen(nil)
@@ -128,11 +134,12 @@
 		return c.err
 	case <-ctx.Done():
 	}
-	c.readiness.drain()
+	unseen := c.readiness.drain()
 	c.ring.Record(event.Event{Kind: event.DrainStarted})
-	c.log.Info().Msg("draining")
+	c.log.Info().Dur("unseen-ms", unseen).Msg("draining")
 	sleep(c.drainNotice)
-	d, cancel := context.WithTimeout(context.Background(), c.drainLimit)
+	past, _ := c.readiness.stoppedFor()
+	d, cancel := context.WithTimeout(context.Background(), c.drainNotice+c.drainLimit-past)
 	defer cancel()
 	if err := c.shutdown(d); err != nil {
 		c.log.Warn().Int("open", c.open()).Msg("drain limit reached, cancelling open requests")
--- a/entry/setup/setup.go
+++ b/entry/setup/setup.go
@@ -45,7 +45,7 @@
 	AdminAddr   string
 	LogLevel    string
 	// DrainNotice is the time that a draining entry stays open, so that load balancers
-	// notice that it is leaving. DrainLimit bounds the time for open requests to end.
+	// notice that it is leaving: two health checks a second apart, and a second of margin. DrainLimit bounds the time for open requests to end.
 	DrainNotice time.Duration
 	DrainLimit  time.Duration
 	// IsolationLimit is the time without contact to the table or any peer after which
@@ -168,7 +168,7 @@
 			PeersAddr:      "127.0.0.1:0",
 			AdminAddr:      "127.0.0.1:0",
 			LogLevel:       "info",
-			DrainNotice:    2 * time.Second,
+			DrainNotice:    3 * time.Second,
 			DrainLimit:     60 * time.Second,
 			IsolationLimit: 30 * time.Second,
 			EventRing:      16384,
--- a/entry/setup/setup_test.go
+++ b/entry/setup/setup_test.go
@@ -72,3 +72,12 @@
 	d, _ := os.Getwd()
 	return filepath.Join(d, "testdata")
 }()
+
+// Guards against a listener that closes while load balancers still send requests: they stop after two failed health checks
+// a second apart, of which the first may come a second after the notice and each may take some time.
+func TestDrainNoticeHasMargin(t *testing.T) {
+	const checks, margin = 2 * time.Second, 500 * time.Millisecond
+	if d := Default().Entry.DrainNotice; d < checks+margin {
+		t.Errorf("the drain notice is %s, want %s and a margin", d, checks)
+	}
+}
