fix(entry,agent): judge nobody by the time in which the process was stopped

A process that is continued after a stop finds its timers expired before it reads what came meanwhile. An agent counted its engine as silent (5 s) and opened the streams again, or reported it unreachable as a poll ran into its limit. An entry counted its streams as silent (2 s), replaced the connection with all streams on it, ended the watch of statuses (3 s), took pings as unanswered (2 s), and refused requests with no-upstream until the next statuses were read.

Each of these waits is extended once by the lateness of the process, within which what has arrived is read; a failed poll or ping is repeated once. An upstream that is silent is found after at most twice the limit, also if the process is late all the time.

TestUsableAfterOwnStop and TestSilenceWhileLate use what the code before lacks.

Looked at and left: leases (a holder counts from the send of its renewal by a clock that goes on in a stop, and a contender's write is conditional on the revision it read), isolation-limit and the age of peers' demand (true ages).

--- a/agent/boot/build.go
+++ b/agent/boot/build.go
@@ -260,7 +260,7 @@
 	guard   *fence.Guard
 }
 
-func newEngine(s *setup.Settings, l zerolog.Logger, n *spread.Replica, t table.Client, r *event.Ring, x *excess.Reporter) *engineParts {
+func newEngine(s *setup.Settings, l zerolog.Logger, n *spread.Replica, t table.Client, r *event.Ring, x *excess.Reporter, w *late.Meter) *engineParts {
 	u := s.Upstream
 	if u.Engine.BaseURL == "" {
 		return nil
@@ -268,6 +268,7 @@
 	l = logger.Part(l, "engine")
 	o := u.Engine
 	o.Excess = x
+	o.Late = w.Lateness
 	c := engine.New(o)
 	e := &engineParts{
 		client:  c,
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -35,6 +35,17 @@
 	// Excess reports the engine's reports and cache events that exceed a bound; nil reports
 	// none. Streams are reported by their reader, which knows the request.
 	Excess *excess.Reporter
+	// Late returns how late the work of this process runs. What the engine sent while the process did not run is read
+	// before the engine counts as silent. Nil means that it is always on time.
+	Late func() time.Duration
+}
+
+// late returns how late the work of this process runs.
+func (o *Options) late() time.Duration {
+	if o.Late == nil {
+		return 0
+	}
+	return o.Late()
 }
 
 // Default returns the options for the engine at a base URL. The idle timeout allows for
@@ -249,7 +260,7 @@
 
 func (c *Client) open(ctx context.Context, method, path string, body []byte, id string, from uint64) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := newWatchdog(c.options.IdleTimeout, cancel)
+	w := newWatchdog(c.options.IdleTimeout, c.options.late, cancel)
 	res, err := c.send(ctx, method, path, body, id)
 	if err != nil {
 		w.stop()
--- a/agent/engine/report.go
+++ b/agent/engine/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -140,15 +141,26 @@
 	}
 }
 
+// read reads the reports of the engine.
+func (m *Monitor) read(ctx context.Context) (l Load, loaded []ident.VersionRef, err error) {
+	l, err = m.client.Load(ctx)
+	if err == nil {
+		loaded, err = m.client.Loaded(ctx)
+	}
+	return l, loaded, err
+}
+
 // poll reads the reports. For an engine that does not answer, it keeps the last load but
-// reports no loaded versions.
+// reports no loaded versions. If the process did not run as the answer came, it asks once more.
 func (m *Monitor) poll(ctx context.Context) {
 	old := m.Report()
+	l, loaded, err := m.read(ctx)
+	if errors.Is(err, context.DeadlineExceeded) && m.client.options.late() > 0 {
+		l, loaded, err = m.read(ctx)
+	}
 	n := Report{Load: old.Load}
-	l, err := m.client.Load(ctx)
 	if err == nil {
-		n.Load = l
-		n.Loaded, err = m.client.Loaded(ctx)
+		n.Load, n.Loaded = l, loaded
 	}
 	m.client.options.Excess.Report("", err)
 	n.Reachable = err == nil
--- a/agent/engine/stream.go
+++ b/agent/engine/stream.go
@@ -253,14 +253,23 @@
 // watchdog cancels a request when no byte arrives within the idle timeout.
 type watchdog struct {
 	limit time.Duration
-	timer *time.Timer
+	late  func() time.Duration
+
 	mu    sync.Mutex
-	cause error
+	timer *time.Timer
+	// extended is true once the timeout was extended, until the next byte.
+	extended bool
+	cause    error
 }
 
-func newWatchdog(limit time.Duration, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{limit: limit}
+func newWatchdog(limit time.Duration, late func() time.Duration, cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{limit: limit, late: late}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(limit, func() {
+		if w.extend() {
+			return
+		}
 		e := &IdleTimeoutError{Timeout: limit}
 		w.mu.Lock()
 		w.cause = e
@@ -270,11 +279,32 @@
 	return w
 }
 
+// extend extends the timeout once by the lateness of the process, in which what has arrived meanwhile is read. It reports
+// false if the process is on time or the timeout was extended before.
+func (w *watchdog) extend() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d := min(w.late(), w.limit)
+	if w.extended || d <= 0 {
+		return false
+	}
+	w.extended = true
+	w.timer.Reset(d)
+	return true
+}
+
 func (w *watchdog) reset() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.extended = false
 	w.timer.Reset(w.limit)
 }
 
 func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// A call of extend that runs now must not start the timer again.
+	w.extended = true
 	w.timer.Stop()
 }
 
--- a/entry/agents/link.go
+++ b/entry/agents/link.go
@@ -98,7 +98,7 @@
 func (l *Link) Replaced() uint64 { return l.replaced.Load() }
 
 // Usable reports whether the agent may get new work: it has sent a status within
-// statusTimeout, its last ping did not fail, and it is not leaving. An agent that
+// statusTimeout, not counting time in which this process could not read it, its last ping did not fail, and it is not leaving. An agent that
 // reports that it drains is not usable, even if the instance list, which lags, does
 // not have it as leaving yet.
 func (l *Link) Usable(now time.Time) bool {
@@ -106,7 +106,7 @@
 	if s == nil || l.leaving.Load() || l.pingFailed.Load() {
 		return false
 	}
-	return !s.Status.GetDraining() && now.Sub(s.At) < statusTimeout
+	return !s.Status.GetDraining() && now.Sub(s.At) < statusTimeout+l.o.late()
 }
 
 // Fresh reports whether a status arrived so recently that the connection counts as working.
@@ -118,7 +118,7 @@
 // alive reports whether a status arrived within statusTimeout.
 func (l *Link) alive(now time.Time) bool {
 	s := l.latest.Load()
-	return s != nil && now.Sub(s.At) < statusTimeout
+	return s != nil && now.Sub(s.At) < statusTimeout+l.o.late()
 }
 
 func (l *Link) address() string {
@@ -256,18 +256,19 @@
 	}
 }
 
-// pingOnce sends one ping. If it gets no answer within pingTimeout, it replaces the connection.
+// pingOnce sends one ping. If it gets no answer within pingTimeout, it replaces the connection. If this process did not
+// run as the answer came, it sends another one first.
 func (l *Link) pingOnce(ctx context.Context) {
 	c, err := l.Conn()
 	if err != nil {
 		return
 	}
-	p, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	r, err := c.Peer.Ping(p, &wire.PingRequest{Clock: uint64(l.o.Ring.Clock().Next())})
+	err = l.sendPing(ctx, c)
+	if status.Code(err) == codes.DeadlineExceeded && l.o.late() > 0 {
+		err = l.sendPing(ctx, c)
+	}
 	if err == nil {
 		l.pingFailed.Store(false)
-		l.o.Ring.Clock().Observe(event.Stamp(r.GetClock()))
 		return
 	}
 	if ctx.Err() != nil {
@@ -280,6 +281,17 @@
 	}
 }
 
+// sendPing sends one ping and waits for its answer.
+func (l *Link) sendPing(ctx context.Context, c *Conn) error {
+	p, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	r, err := c.Peer.Ping(p, &wire.PingRequest{Clock: uint64(l.o.Ring.Clock().Next())})
+	if err == nil {
+		l.o.Ring.Clock().Observe(event.Stamp(r.GetClock()))
+	}
+	return err
+}
+
 // watch keeps a stream of statuses open until ctx ends.
 func (l *Link) watch(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -299,8 +311,8 @@
 func (l *Link) watchOnce(ctx context.Context, c *Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silent := time.AfterFunc(statusTimeout, cancel)
-	defer silent.Stop()
+	silent := newSilence(statusTimeout, l.o.late, cancel)
+	defer silent.stop()
 	own := l.o.Control.State()
 	s, err := c.Agent.Watch(ctx, &wire.WatchRequest{Entry: string(l.o.Instance), State: own})
 	if err != nil {
@@ -311,7 +323,7 @@
 		if err != nil {
 			return
 		}
-		silent.Reset(statusTimeout)
+		silent.reset()
 		u, e := m.GetUpstream(), m.GetState().GetEnvironment()
 		if (u != "" && u != string(l.upstream)) || (e != "" && e != own.GetEnvironment()) {
 			// The address now belongs to another agent, possibly of another
--- a/entry/agents/run_test.go
+++ b/entry/agents/run_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/event"
+	"tarragonvalve.example/core/wire"
 )
 
 // Guards against a list of agents that arrives while the set starts and is replaced by the empty list of before: until
@@ -43,3 +45,49 @@
 	cancel()
 	run.Wait()
 }
+
+// Guards against agents that count as dead by the time in which this process was stopped, so that requests are refused
+// with no-upstream until the next statuses are read; and against ones that are never found dead as the process is late.
+func TestUsableAfterOwnStop(t *testing.T) {
+	var late time.Duration
+	l := newLink(Options{Late: func() time.Duration { return late }}, Target{Upstream: "engine-1"}, func() {})
+	at := time.Unix(0, 0)
+	l.Observe(&wire.Status{Upstream: "engine-1"}, at)
+	for name, c := range map[string]struct {
+		age, late time.Duration
+		want      bool
+	}{
+		"ran, status is recent":        {2 * time.Second, 0, true},
+		"ran, status is old":           {4 * time.Second, 0, false},
+		"stopped since the status":     {6 * time.Second, 5 * time.Second, true},
+		"status was old before a stop": {9 * time.Second, 5 * time.Second, false},
+	} {
+		late = c.late
+		if got := l.Usable(at.Add(c.age)); got != c.want {
+			t.Errorf("%s: usable %t, want %t", name, got, c.want)
+		}
+	}
+}
+
+// Guards against a silent stream that is never ended because the process runs late all the time, and against one that is
+// ended before what arrived while the process was stopped is read.
+func TestSilenceWhileLate(t *testing.T) {
+	for name, c := range map[string]struct{ late, want time.Duration }{
+		"on time":       {0, 3 * time.Second},
+		"always late":   {time.Second, 4 * time.Second},
+		"very long ago": {time.Hour, 6 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				at := time.Now()
+				ended := make(chan struct{})
+				s := newSilence(3*time.Second, func() time.Duration { return c.late }, func() { close(ended) })
+				defer s.stop()
+				<-ended
+				if took := time.Since(at); took != c.want {
+					t.Errorf("ended after %s, want %s", took, c.want)
+				}
+			})
+		})
+	}
+}
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -276,7 +276,7 @@
 	return claim.New(t)
 }
 
-func newAgentSet(s *setup.Settings, n *spread.Replica, r *event.Ring, c *certificates, l zerolog.Logger) *agents.Set {
+func newAgentSet(s *setup.Settings, n *spread.Replica, r *event.Ring, c *certificates, m *late.Meter, l zerolog.Logger) *agents.Set {
 	return agents.New(agents.Options{
 		Instance:    s.Entry.Instance,
 		Control:     n,
@@ -284,6 +284,7 @@
 		Log:         logger.Part(l, "agents"),
 		SubsetSize:  s.Links.SubsetSize,
 		Credentials: c.client(),
+		Late:        m.Lateness,
 	})
 }
 
@@ -358,7 +359,7 @@
 	})
 }
 
-func newRelay(s *setup.Settings, n *spread.Replica, f *fleet.Fleet, p *policy.Controller, a *agents.Acks, _ *ledger.Buffer, m *ratings, r *event.Ring, l zerolog.Logger) (*relay.Relay, error) {
+func newRelay(s *setup.Settings, n *spread.Replica, f *fleet.Fleet, p *policy.Controller, a *agents.Acks, _ *ledger.Buffer, m *ratings, w *late.Meter, r *event.Ring, l zerolog.Logger) (*relay.Relay, error) {
 	k, err := token.NewSigner(s.Sessions.Keys)
 	if err != nil {
 		return nil, err
@@ -376,6 +377,7 @@
 		IsolationLimit: s.Entry.IsolationLimit,
 		LastContact:    n.LastContact,
 		Sample:         m.sample,
+		Late:           w.Lateness,
 	}), nil
 }
 
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -252,16 +252,23 @@
 }
 
 // read handles frames until the attempt ends or the stream breaks. A stream without
-// a frame of this attempt for frameTimeout is broken.
+// a frame of this attempt for frameTimeout is broken. If this process runs late then, the frames that
+// have arrived meanwhile are read first.
 func (a *attempt) read(ctx context.Context, s *stream) outcome {
 	defer s.cancel()
 	t := time.NewTimer(frameTimeout)
 	defer t.Stop()
+	extended := false
 	for {
 		select {
 		case <-ctx.Done():
 			return stopped{err: ctx.Err()}
 		case <-t.C:
+			if d := min(a.r.o.late(), frameTimeout); d > 0 && !extended {
+				extended = true
+				t.Reset(d)
+				continue
+			}
 			return broken{why: "silent", silent: true}
 		case m := <-s.frames:
 			if m.err != nil {
@@ -271,6 +278,7 @@
 				continue
 			}
 			t.Reset(frameTimeout)
+			extended = false
 			a.lastFrame = a.r.o.Now()
 			if o := a.handle(m.frame); o != nil {
 				return o
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -157,6 +157,17 @@
 	// Sample, which may be nil, is called with every complete answer that may be
 	// rated. It must not block.
 	Sample func(s Sample)
+	// Late returns how late the work of this process runs. What agents sent while the process did not run is read before
+	// their streams count as silent. Nil means that it is always on time.
+	Late func() time.Duration
+}
+
+// late returns how late the work of this process runs.
+func (o *Options) late() time.Duration {
+	if o.Late == nil {
+		return 0
+	}
+	return o.Late()
 }
 
 // Counters holds the metrics of requests and frames.
