--- a/router/boot/admin.go
+++ b/router/boot/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -18,7 +19,8 @@
 // headerTimeout bounds the time in which a request's headers must arrive.
 const headerTimeout = 2 * time.Second
 
-// admin serves readiness at /readyz, metrics at /metrics and, to its own machine, /quarantines. It is a serve.Component.
+// admin serves readiness at /readyz, metrics at /metrics and, to its own machine, /quarantines and, if
+// the settings say so, profiles at /debug/pprof/. It is a serve.Component.
 type admin struct {
 	listener net.Listener
 	server   *http.Server
@@ -40,6 +42,9 @@
 	})
 	m.Handle("/metrics", t.Handler())
 	(&quarantines{Registry: p, log: l}).routes(m)
+	if s.Profiles {
+		profileRoutes(m)
+	}
 	return &admin{listener: i, server: &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout}}, nil
 }
 
@@ -57,3 +62,16 @@
 		return a.server.Close()
 	}
 }
+
+// profileRoutes adds the profiles of the process to m, for its own machine.
+func profileRoutes(m chi.Router) {
+	m.Group(func(m chi.Router) {
+		m.Use(localOnly)
+		m.Get("/debug/pprof/", pprof.Index)
+		m.Get("/debug/pprof/profile", pprof.Profile)
+		m.Get("/debug/pprof/trace", pprof.Trace)
+		m.Get("/debug/pprof/{name}", func(w http.ResponseWriter, r *http.Request) {
+			pprof.Handler(chi.URLParam(r, "name")).ServeHTTP(w, r)
+		})
+	})
+}
--- a/router/setup/setup.go
+++ b/router/setup/setup.go
@@ -29,6 +29,8 @@
 	Store    string
 	LogLevel string
 	MemoryMB int64 // MiB that the process may use; 0 means no limit
+	// Profiles serves profiles of the process at the admin address, to its own machine.
+	Profiles bool
 	Bounds   Bounds
 	// Values are what 1,000 weighted tokens of a correct response are worth, in the unit of
 	// the models' prices, indexed by the route's priority. The last one also serves less
@@ -71,6 +73,7 @@
 		Seeds:    r.List("seeds", nil),
 		LogLevel: r.Choice("log-level", "info", "debug", "info", "warn", "error"),
 		MemoryMB: int64(r.Int("memory-mb", 0)),
+		Profiles: r.Bool("profiles", false),
 		Store:    f.Section("store").Addr("address", ""),
 		Bounds: Bounds{
 			GracePeriod:  seconds(b.Float("grace-s", 8)),
