feat(router): set the number of processors

Cause: the runtime takes as many processors as the system lists. A router that gets a part of a core, on a machine that lists several, pays for threads that wake each other and find nothing to do.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -81,13 +82,16 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB*megabyte) * softLimitShare))
 	}
+	if s.Processors > 0 {
+		runtime.GOMAXPROCS(s.Processors)
+	}
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
 		return err
 	}
 	l, flush := logger.Decisions(out, level, s.Instance)
 	defer flush() //nolint:errcheck // a failed flush can't be logged, as the log's output failed
-	l.Info().Str("domain", string(s.Domain)).Int("pid", os.Getpid()).Msg("start")
+	l.Info().Str("domain", string(s.Domain)).Int("pid", os.Getpid()).Int("processors", runtime.GOMAXPROCS(0)).Msg("start")
 	steps, err := build(s, reload, l)
 	if err != nil {
 		return err
--- a/router/boot/cost_test.go
+++ b/router/boot/cost_test.go
@@ -179,18 +179,46 @@
 	return reads, writes
 }
 
-// measure reports the processor time, reads and writes of the router while f runs, for each of its b.N operations. A profile is taken with
+// switches returns how often threads of the router have waited.
+func (w *costSite) switches() int {
+	fs, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", w.process.Process.Pid))
+	if err != nil {
+		w.b.Fatal(err)
+	}
+	sum := 0
+	for _, f := range fs {
+		b, err := os.ReadFile(f)
+		if err != nil {
+			continue // the thread has ended
+		}
+		for l := range strings.Lines(string(b)) {
+			if v, ok := strings.CutPrefix(l, "voluntary_ctxt_switches:"); ok {
+				n, err := strconv.Atoi(strings.TrimSpace(v))
+				if err != nil {
+					w.b.Fatal(err)
+				}
+				sum += n
+			}
+		}
+	}
+	return sum
+}
+
+// measure reports the processor time, reads, writes and waits of the router while f runs, for each of its b.N operations. A profile is taken with
 // profileVariable.
 func (w *costSite) measure(unit string, f func()) {
 	stop := w.profile()
 	reads, writes := w.calls()
+	switches := w.switches()
 	began := w.processorTime()
 	w.b.ResetTimer()
 	f()
 	w.b.StopTimer()
 	used := w.processorTime() - began
 	r, n := w.calls()
+	switched := w.switches() - switches
 	stop()
+	w.b.ReportMetric(float64(switched)/float64(w.b.N), "switches/"+unit)
 	w.b.ReportMetric(float64(r-reads)/float64(w.b.N), "reads/"+unit)
 	w.b.ReportMetric(float64(n-writes)/float64(w.b.N), "writes/"+unit)
 	w.b.ReportMetric(float64(used.Microseconds())/float64(w.b.N), "cpu-us/"+unit)
@@ -313,7 +341,7 @@
 // BenchmarkCost reports the processor time that a router uses for each request and each second without requests.
 func BenchmarkCost(b *testing.B) {
 	const prompt = "Tarragonvalve-Model-Name: *\r\nTarragonvalve-Token-Usage: 3000,60\r\nTarragonvalve-Prompt-Prefix: sys:800,doc:1500,own:700\r\nTarragonvalve-Output-Length-Hint: 60\r\n"
-	for _, processors := range []int{0, 1} {
+	for _, processors := range []int{0, 1, 2} {
 		b.Run(fmt.Sprintf("processors-%d", processors), func(b *testing.B) {
 			requests := func(b *testing.B, clients int, pause time.Duration, method, path string, body int, headers string) {
 				w := newCostSite(b)
--- a/router/setup/setup.go
+++ b/router/setup/setup.go
@@ -29,6 +29,8 @@
 	Store    string
 	LogLevel string
 	MemoryMB int64 // MiB that the process may use; 0 means no limit
+	// Processors is the number of threads that run Go code at a time; 0 leaves it to the runtime.
+	Processors int
 	// Profiles serves profiles of the process at the admin address, to its own machine.
 	Profiles bool
 	Bounds   Bounds
@@ -55,6 +57,9 @@
 	CanaryShare float64
 }
 
+// maxProcessors is the largest number of processors that may be set.
+const maxProcessors = 1024
+
 // Read reads the settings from the file at path, the environment and the flags. It returns a
 // *config.ProblemsError that lists all invalid settings.
 func Read(path string, env []string, flags map[string]string) (*Settings, error) {
@@ -65,16 +70,17 @@
 	r := f.Section("router")
 	b := f.Section("bounds")
 	s := &Settings{
-		Instance: r.Required("instance"),
-		Domain:   ident.DomainID(r.Required("domain")),
-		Clients:  r.Addr("clients", ""),
-		Admin:    r.Addr("admin", ""),
-		Share:    r.Addr("share", ""),
-		Seeds:    r.List("seeds", nil),
-		LogLevel: r.Choice("log-level", "info", "debug", "info", "warn", "error"),
-		MemoryMB: int64(r.Int("memory-mb", 0)),
-		Profiles: r.Bool("profiles", false),
-		Store:    f.Section("store").Addr("address", ""),
+		Instance:   r.Required("instance"),
+		Domain:     ident.DomainID(r.Required("domain")),
+		Clients:    r.Addr("clients", ""),
+		Admin:      r.Addr("admin", ""),
+		Share:      r.Addr("share", ""),
+		Seeds:      r.List("seeds", nil),
+		LogLevel:   r.Choice("log-level", "info", "debug", "info", "warn", "error"),
+		MemoryMB:   int64(r.Int("memory-mb", 0)),
+		Processors: r.IntIn("processors", 0, 0, maxProcessors),
+		Profiles:   r.Bool("profiles", false),
+		Store:      f.Section("store").Addr("address", ""),
 		Bounds: Bounds{
 			GracePeriod:  seconds(b.Float("grace-s", 8)),
 			RevokeWithin: milliseconds(b.Float("revoke-ms", 5000)),
