perf(logger): write the lines that wait with one call

Cause: each line was written by a call of its own. A request logs two lines within 0.1 ms, its attempt and its end, half of the writes of a look-up.

The goroutine that writes takes all lines that wait, up to the 4,096 bytes that a pipe takes as a whole, so a process that is killed still leaves no part of a line. No line waits for another, and a failed call counts all its lines as left out.

--- a/core/logger/decide_test.go
+++ b/core/logger/decide_test.go
@@ -111,3 +111,40 @@
 	s <- struct{}{}
 	return len(p), nil
 }
+
+// sizes is an output that records its writes. The first one blocks until release is closed.
+type sizes struct {
+	release chan struct{}
+	writes  [][]byte
+}
+
+func (s *sizes) Write(p []byte) (int, error) {
+	<-s.release
+	s.writes = append(s.writes, bytes.Clone(p))
+	return len(p), nil
+}
+
+// Guards against a call for each line while many wait, and against lines that are cut, which a call beyond what a pipe
+// takes as a whole may leave when the process is killed.
+func TestDecisionsWrittenTogether(t *testing.T) {
+	const lines, pipeBuffer = 100, 4096
+	w := &sizes{release: make(chan struct{})}
+	l, flush := logger.Decisions(w, zerolog.InfoLevel, "r1")
+	for i := range lines {
+		l.Info().Int("n", i).Msg("success")
+	}
+	close(w.release)
+	if err := flush(); err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for _, b := range w.writes {
+		n += bytes.Count(b, []byte("\n"))
+		if len(b) > pipeBuffer || !bytes.HasSuffix(b, []byte("\n")) {
+			t.Errorf("a write of %d bytes ends with %q", len(b), b[len(b)-1:])
+		}
+	}
+	if n != lines || len(w.writes) > lines/10 {
+		t.Errorf("%d lines in %d writes, want %d in %d at most", n, len(w.writes), lines, lines/10)
+	}
+}
--- a/core/logger/queue.go
+++ b/core/logger/queue.go
@@ -6,6 +6,10 @@
 	"sync"
 )
 
+// maxBatch bounds the bytes of lines that are written with one call. A pipe takes that many as a whole (PIPE_BUF), so
+// that a process that is killed leaves no part of a line.
+const maxBatch = 4096
+
 // lineQueue is an io.Writer that never waits for its output: a goroutine writes the lines. If more
 // than bufferLines wait, the oldest are dropped.
 type lineQueue struct {
@@ -15,6 +19,8 @@
 	// closing is closed by Close; done once all lines were written.
 	closing, done chan struct{}
 	close         func()
+	// batch holds lines to be written, and belongs to the goroutine of run.
+	batch []byte
 }
 
 // newLineQueue returns a queue that writes to w. It calls dropped for each line that is dropped.
@@ -66,11 +72,32 @@
 	}
 }
 
-// write writes a line. A failure counts as a dropped line, which the next line that can be written
-// reports.
+// write writes a line, and those that wait behind it, with one call for up to maxBatch bytes.
 func (q *lineQueue) write(l []byte) {
-	if _, err := q.out.Write(l); err != nil {
-		q.dropped(1)
+	q.batch = append(q.batch[:0], l...)
+	n := 1
+	for {
+		select {
+		case next := <-q.lines:
+			if len(q.batch)+len(next) > maxBatch {
+				q.writeBatch(n)
+				q.batch, n = q.batch[:0], 0
+			}
+			q.batch = append(q.batch, next...)
+			n++
+			continue
+		default:
+		}
+		q.writeBatch(n)
+		return
+	}
+}
+
+// writeBatch writes the batch of n lines. A failure counts as dropped lines, which the next line that can be written
+// reports.
+func (q *lineQueue) writeBatch(n int) {
+	if _, err := q.out.Write(q.batch); err != nil {
+		q.dropped(n)
 	}
 }
 
