feat(uplink): refuse what a full link can't carry in time

Callers saw that past the rate of its link a router answered almost nothing in time, refused nothing, and had all requests run: the kernel takes what is written whether the link carries it or not, so that the process knew nothing of the queue.

The new package router/uplink looks at clients' connections with recent writes each 50 ms and derives the rate of a full link and the wait of a message. A request that would need more than a third of its time for the link is refused at admission, before its body is read, with a short Retry-After and Connection: close. The state has metrics and a log line when the link becomes full or free. A stated rate (the new setting link-mbps, not yet in deploy/router.ini) tells slow peers from a full link.

cd router && go test -run TestFullLink ./boot, look-ups with answers of 8 kB, time-out 1.5 s, 6 s of load.

TestSlowReaderBesideFreeLink passes before as well; it guards the meter against one client that doesn't read.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -45,6 +45,7 @@
 	"tarragonvalve.example/router/setup"
 	"tarragonvalve.example/router/share"
 	"tarragonvalve.example/router/stager"
+	"tarragonvalve.example/router/uplink"
 )
 
 // Main runs the router, or a verb that asks a running one, with command-line arguments and returns its
@@ -128,6 +129,7 @@
 		newProbe,
 		newRelay,
 		newLateness,
+		newUplink,
 		newGate,
 		newMeter,
 		front.New,
@@ -139,9 +141,9 @@
 		}
 	}
 	var steps []serve.Component
-	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, q *poison.Registry, e *pins.Registry, n *mirror.Syncer, p *link.Pool, w *late.Meter, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
+	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, q *poison.Registry, e *pins.Registry, n *mirror.Syncer, p *link.Pool, w *late.Meter, k *uplink.Meter, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
 		steps = []serve.Component{
-			w, v, n, p, m, u, g,
+			w, k, v, n, p, m, u, g,
 			&cleaner{balancer: b, notices: t, crashes: r, poison: q, syncer: n},
 			&poison.Component{Registry: q, Attempts: r},
 			&pins.Component{Registry: e, Syncer: n},
@@ -236,7 +238,7 @@
 }
 
 // newMeter returns metrics that read the state of the other components when they are scraped.
-func newMeter(n *mirror.Syncer, g *front.Gate, o *gossip.Exchanger, t *notice.Registry, q *poison.Registry, w *late.Meter) *meter.Meter {
+func newMeter(n *mirror.Syncer, g *front.Gate, o *gossip.Exchanger, t *notice.Registry, q *poison.Registry, w *late.Meter, k *uplink.Meter) *meter.Meter {
 	age := func() float64 {
 		a, ok := n.ConfigAge()
 		if !ok {
@@ -253,6 +255,9 @@
 		IgnoredRows:      func() float64 { return float64(n.IgnoredRows()) },
 		Lateness:         func() float64 { return w.Lateness().Seconds() },
 		LateEpisodes:     func() float64 { return float64(w.Episodes()) },
+		LinkBacklog:      func() float64 { return float64(k.State().Backlog()) },
+		LinkDelay:        func() float64 { return k.State().Delay().Seconds() },
+		FullEpisodes:     func() float64 { return float64(k.Episodes()) },
 	})
 }
 
@@ -260,12 +265,19 @@
 	return late.New(late.Clock(now), l)
 }
 
+// bytesPerMegabit is the number of bytes in a megabit.
+const bytesPerMegabit = 125_000
+
+func newUplink(s *setup.Settings, now clock.Func, l zerolog.Logger) *uplink.Meter {
+	return uplink.New(uplink.Clock(now), s.LinkMbps*bytesPerMegabit, l)
+}
+
 func newGate(v *setup.Live, n *mirror.Syncer, now clock.Func, m *late.Meter) *front.Gate {
 	return front.NewGate(n, now, m, func() time.Duration { return v.Bounds().RevokeWithin }, func() time.Duration { return v.Bounds().GracePeriod })
 }
 
 // newClientServer opens the listener for clients and returns the server that uses it.
-func newClientServer(s *setup.Settings, h *front.Handler, g *front.Gate, n *mirror.Syncer, c call.Codec, m *meter.Meter, l zerolog.Logger) (*front.Server, error) {
+func newClientServer(s *setup.Settings, h *front.Handler, g *front.Gate, n *mirror.Syncer, c call.Codec, m *meter.Meter, k *uplink.Meter, l zerolog.Logger) (*front.Server, error) {
 	i, err := net.Listen("tcp", s.Clients)
 	if err != nil {
 		return nil, err
@@ -274,7 +286,7 @@
 		m.AddEndCause(string(x))
 	}
 	return &front.Server{
-		Listener: i, Handler: h, Gate: g, Syncer: n, Refused: m.ConnectionRefused, Log: l,
+		Listener: k.Listener(i), Handler: h, Gate: g, Syncer: n, Refused: m.ConnectionRefused, Log: l,
 		Ended:     func(x ending.Cause) { m.ConnectionEnded(string(x)) },
 		RequestID: func(h http.Header) call.ID { return c.ParseRequest(h).ID },
 	}, nil
--- a/router/front/clientconn.go
+++ b/router/front/clientconn.go
@@ -93,7 +93,7 @@
 // what it has not sent yet. The close first waits until the client has received the answer if that may happen. An
 // answer that is cut, and that the end of its connection would make look complete, is reset.
 func (c *clientConn) Close() error {
-	o, ok := unwrap(c).(*net.TCPConn)
+	o, ok := tcpConn(c)
 	if ok && c.endsInAnswer() && o.SetLinger(0) == nil {
 		return c.Conn.Close()
 	}
@@ -165,6 +165,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	endAnswer(c, c.exchange)
 	switch x := c.exchange; {
 	case x != nil:
 		if n, ok := x.incomplete(c.writeErr, c.clientEnd); ok {
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -139,6 +139,9 @@
 	if err := h.admit(q.URL.Path, j); err != nil {
 		return err
 	}
+	if err := checkLink(ctx, w, q, j); err != nil {
+		return err
+	}
 	if err := setDeadlines(c, j.Arrived, j.Deadline.Sub(j.Arrived)); err != nil {
 		return err
 	}
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -48,6 +48,9 @@
 	IgnoredRows func() float64
 	// Lateness is how late work runs, in seconds, and LateEpisodes how often it has begun to be late.
 	Lateness, LateEpisodes func() float64
+	// LinkBacklog is the number of bytes that wait for the link, LinkDelay how long they make a message wait, in seconds,
+	// and FullEpisodes how often the link has become full.
+	LinkBacklog, LinkDelay, FullEpisodes func() float64
 }
 
 // New returns metrics at zero that read r.
@@ -110,6 +113,15 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: namespace, Name: "late_total", Help: "Times at which work of this process has begun to run late.",
 		}, r.LateEpisodes),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "link_backlog_bytes", Help: "Bytes to clients that a full link holds back; 0 if it is not full.",
+		}, r.LinkBacklog),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "link_delay_seconds", Help: "Time that an answer written now would wait for a full link.",
+		}, r.LinkDelay),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "link_full_total", Help: "Times at which the link has become full.",
+		}, r.FullEpisodes),
 	)
 	return m
 }
--- a/router/setup/setup.go
+++ b/router/setup/setup.go
@@ -29,6 +29,8 @@
 	Store    string
 	LogLevel string
 	MemoryMB int64 // MiB that the process may use; 0 means no limit
+	// LinkMbps is the rate of the network link in megabits a second; 0 means unknown.
+	LinkMbps float64
 	Bounds   Bounds
 	// Values are what 1,000 weighted tokens of a correct response are worth, in the unit of
 	// the models' prices, indexed by the route's priority. The last one also serves less
@@ -71,6 +73,7 @@
 		Seeds:    r.List("seeds", nil),
 		LogLevel: r.Choice("log-level", "info", "debug", "info", "warn", "error"),
 		MemoryMB: int64(r.Int("memory-mb", 0)),
+		LinkMbps: r.Float("link-mbps", 0),
 		Store:    f.Section("store").Addr("address", ""),
 		Bounds: Bounds{
 			GracePeriod:  seconds(b.Float("grace-s", 8)),
@@ -123,6 +126,9 @@
 	if s.Store == "" {
 		f.Reject("store", "address", "missing", "IP:PORT")
 	}
+	if s.LinkMbps < 0 {
+		f.Reject("router", "link-mbps", "negative", "megabits a second, or 0 if it is not known")
+	}
 	b := s.Bounds
 	if b.RevokeWithin <= 0 {
 		f.Reject("bounds", "revoke-ms", "not positive", "milliseconds")
