feat(share): bound what other routers take of the link

The messages that a router sends to others took no account of its link.

Replies to exchanges and reads are now counted against a fifth of the link, by the setting link-mbps or, while it is full, as measured. A reply asks its peer to pause for as long as the link needs for what was sent ahead of that share, at most 1.5 s; if that doesn't suffice, the oldest samples are left out. Notices of upstreams, limits and crashes are always sent. Reads, on which the deadline of keys depends, are counted and never held up. Delaying the bytes themselves was ruled out: a peer gives up after 0.45 s and reads the store, which has a price.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -150,6 +150,7 @@
 			a,
 		}
 		if h != nil {
+			h.SetLimit(k.Control())
 			steps = append(steps, h)
 		}
 		steps = append(steps, f)
--- a/router/share/exchange.go
+++ b/router/share/exchange.go
@@ -1,10 +1,14 @@
 package share
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/fleet"
@@ -48,12 +52,34 @@
 		Leaving: decodeIncarnations(q.GetLeaving()), Limits: decodeLimits(q.GetLimits(), now),
 		Crashes: decodeCrashes(q.GetCrashes(), now), Pinned: decodePinned(q.GetPinned()),
 	})
-	return &TradeReply{
+	r := &TradeReply{
 		Samples: encodeSamples(a.Samples, now), Next: uint64(a.Next), PauseMs: uint32(a.Pause.Milliseconds()),
 		Backlog: encodeBacklog(a.Backlog), Routers: uint32(a.Routers),
 		Leaving: encodeIncarnations(a.Leaving), Limits: encodeLimits(a.Limits, now), Crashes: encodeCrashes(a.Crashes, now), Pinned: encodePinned(a.Pinned),
 		Place: &Place{Rank: uint32(a.Share.Rank), Size: uint32(a.Share.Size)},
-	}, nil
+	}
+	s.keepLimit(r)
+	return r, nil
+}
+
+const (
+	// maxLimitPause bounds the pause between messages for the sake of the limit. Peers count as gone after 3 s.
+	maxLimitPause = 1500 * time.Millisecond
+	// minSamples is the least number of samples that a reply keeps.
+	minSamples = 16
+)
+
+// keepLimit has the peer pause for what is sent. If that doesn't suffice, it leaves out the oldest samples. Notices of
+// upstreams, limits and crashes are always sent.
+func (s *Server) keepLimit(r *TradeReply) {
+	size := proto.Size(r)
+	pause := s.sent(size)
+	if n := len(r.GetSamples()); pause > maxLimitPause && n > minSamples {
+		slices.SortFunc(r.GetSamples(), func(a, b *Sample) int { return cmp.Compare(a.GetAgeMs(), b.GetAgeMs()) })
+		r.Samples = r.GetSamples()[:max(int(float64(n)*maxLimitPause.Seconds()/pause.Seconds()), minSamples)]
+		pause = s.sent(proto.Size(r) - size)
+	}
+	r.PauseMs = max(r.GetPauseMs(), uint32(min(pause, maxLimitPause).Milliseconds()))
 }
 
 // encodeSamples encodes the time of a sample as its age, since the clocks of routers
--- a/router/share/server.go
+++ b/router/share/server.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/mirror"
@@ -28,6 +29,14 @@
 	listener  net.Listener
 	syncer    *mirror.Syncer
 	exchanger *gossip.Exchanger
+	// limit is nil if what is sent isn't bounded.
+	limit SendLimit
+}
+
+// SendLimit bounds what is sent to other routers.
+type SendLimit interface {
+	// Sent records that n bytes are sent, and returns for how long messages should pause for it.
+	Sent(n int) time.Duration
 }
 
 // NewServer returns a server on a listener. Run closes the listener.
@@ -35,6 +44,9 @@
 	return &Server{listener: l, syncer: n, exchanger: g}
 }
 
+// SetLimit bounds what the server sends. It must be called before Run.
+func (s *Server) SetLimit(l SendLimit) { s.limit = l }
+
 // Name implements serve.Component.
 func (s *Server) Name() string { return "share" }
 
@@ -79,5 +91,14 @@
 	for _, x := range p.Records {
 		r.Records = append(r.Records, &Record{Key: x.Key, Revision: uint64(x.Revision), Data: x.Data, Gone: x.Removed})
 	}
+	s.sent(proto.Size(r))
 	return r, nil
 }
+
+// sent records that n bytes are sent, and returns for how long the messages of peers should pause for it.
+func (s *Server) sent(n int) time.Duration {
+	if s.limit == nil {
+		return 0
+	}
+	return s.limit.Sent(n)
+}
--- a/router/uplink/meter.go
+++ b/router/uplink/meter.go
@@ -25,10 +25,12 @@
 
 // Meter measures what the link of this process holds back. It is safe for concurrent use.
 type Meter struct {
-	now   Clock
-	log   zerolog.Logger
-	state atomic.Pointer[State]
-	book  book
+	now Clock
+	log zerolog.Logger
+	// stated is the rate of the link in the settings, in bytes a second; 0 means unknown.
+	stated float64
+	state  atomic.Pointer[State]
+	book   book
 	// wake tells a sleeping Run that a connection was written to.
 	wake chan struct{}
 	// episodes counts how often the link has become full.
@@ -47,7 +49,7 @@
 // New returns a meter that reads the clock n. rate is that of the link in bytes a second; 0 means unknown. It measures
 // while Run runs.
 func New(n Clock, rate float64, l zerolog.Logger) *Meter {
-	m := &Meter{now: n, log: l, wake: make(chan struct{}, 1), link: link{stated: rate}}
+	m := &Meter{now: n, log: l, wake: make(chan struct{}, 1), stated: rate, link: link{stated: rate}}
 	m.state.Store(&State{})
 	return m
 }
