--- a/router/setup/setup.go
+++ b/router/setup/setup.go
@@ -33,6 +33,8 @@
 	Processors int
 	// Profiles serves profiles of the process at the admin address, to its own machine.
 	Profiles bool
+	// LinkMbps is the rate of the network link in megabits a second; 0 means unknown.
+	LinkMbps float64
 	Bounds   Bounds
 	// Values are what 1,000 weighted tokens of a correct response are worth, in the unit of
 	// the models' prices, indexed by the route's priority. The last one also serves less
@@ -80,6 +82,7 @@
 		MemoryMB:   int64(r.Int("memory-mb", 0)),
 		Processors: r.IntIn("processors", 0, 0, maxProcessors),
 		Profiles:   r.Bool("profiles", false),
+		LinkMbps:   r.Float("link-mbps", 0),
 		Store:      f.Section("store").Addr("address", ""),
 		Bounds: Bounds{
 			GracePeriod:  seconds(b.Float("grace-s", 8)),
@@ -132,6 +135,9 @@
 	if s.Store == "" {
 		f.Reject("store", "address", "missing", "IP:PORT")
 	}
+	if s.LinkMbps < 0 {
+		f.Reject("router", "link-mbps", "negative", "megabits a second, or 0 if it is not known")
+	}
 	b := s.Bounds
 	if b.RevokeWithin <= 0 {
 		f.Reject("bounds", "revoke-ms", "not positive", "milliseconds")
