feat(entry): refuse at once what a late entry can't answer in time

An entry counted the time of a request from when its handler began. With a fraction of its processor time, past its capacity, it worked on requests whose time was over: callers got neither an answer nor a refusal.

A refusal costs about half of a served look-up, so it can't go out in time for all.

--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -470,7 +470,7 @@
 	return &peerServer{listener: p.peers, server: g}
 }
 
-func newCallerAPI(s *setup.Settings, n *spread.Replica, r *relay.Relay, d *calls.Executor, p *policy.Controller, h *readiness, e *event.Ring, m *panics.Reporter, l zerolog.Logger) *caller.API {
+func newCallerAPI(s *setup.Settings, n *spread.Replica, r *relay.Relay, d *calls.Executor, p *policy.Controller, h *readiness, e *event.Ring, m *panics.Reporter, w *late.Meter, l zerolog.Logger) *caller.API {
 	return caller.New(caller.Options{
 		Admits:         h.admits,
 		StoppedFor:     h.stoppedFor,
@@ -487,6 +487,7 @@
 		MaxTimeout:     s.Callers.MaxTimeout,
 		MaxOpen:        s.Callers.MaxOpen,
 		MaxTokens:      s.Callers.MaxTokens,
+		Late:           w.Lateness,
 	})
 }
 
--- a/entry/boot/metrics.go
+++ b/entry/boot/metrics.go
@@ -71,6 +71,7 @@
 	m.gauge("lateness_seconds", "How much later than it could work of this process has run in the last quarter of a second.", func() float64 { return w.Lateness().Seconds() })
 	m.counter("late_total", "Times at which work of this process has begun to run late.", func() uint64 { return uint64(w.Episodes()) })
 	m.counter("excess_requests_total", "Requests refused because too many were open.", a.Excess)
+	m.counter("late_requests_total", "Requests refused because work ran too late to answer them in time.", a.TooLate)
 	m.counter("receipts_refused_total", "Receipts that did not fit into the buffer.", b.Refused)
 	m.counter("acknowledgements_dropped_total", "Stored batches of receipts that were not acknowledged to agents.", k.Dropped)
 	m.counter("attempt_reports_dropped_total", "Results of attempts dropped before outlier detection because too many were waiting.", f.Dropped)
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -91,6 +91,8 @@
 	MaxOpen int
 	// MaxTokens is the largest max_tokens of a request.
 	MaxTokens int
+	// Late returns how late the work of this process runs. Nil means that it is always on time.
+	Late func() time.Duration
 }
 
 // API is the HTTP API for callers. It is safe for concurrent use.
@@ -100,6 +102,8 @@
 	// open counts the open requests, excess those refused because of MaxOpen.
 	open   atomic.Int64
 	excess atomic.Uint64
+	// tooLate counts the requests refused because the process runs too late to answer them in time.
+	tooLate atomic.Uint64
 	// incomplete counts the answers that were not complete.
 	incomplete map[ending.Cause]*atomic.Uint64
 }
@@ -133,6 +137,9 @@
 // Excess returns how many requests were refused because MaxOpen requests were open.
 func (a *API) Excess() uint64 { return a.excess.Load() }
 
+// TooLate returns how many requests were refused because the process ran too late to answer them in time.
+func (a *API) TooLate() uint64 { return a.tooLate.Load() }
+
 // requestInfo holds what is known of an authenticated request before its body is read.
 type requestInfo struct {
 	id       ident.RequestID
@@ -158,7 +165,12 @@
 			a.refuse(w, id, refuse.New(refuse.Overloaded, refuse.NotRun, "too many requests are open here").WithRetryAfter(time.Second))
 			return
 		}
-		c, err := a.authenticate(r, id)
+		deadline, err := a.deadline(r)
+		if err != nil {
+			a.refuse(w, id, err)
+			return
+		}
+		c, err := a.authenticate(r, id, deadline)
 		if err != nil {
 			a.refuse(w, id, err)
 			return
@@ -169,8 +181,8 @@
 	}
 }
 
-// authenticate finds the client account of a request's key, and reads its timeout and task.
-func (a *API) authenticate(r *http.Request, id ident.RequestID) (*requestInfo, error) {
+// authenticate finds the client account of a request's key, and reads its task.
+func (a *API) authenticate(r *http.Request, id ident.RequestID, deadline time.Time) (*requestInfo, error) {
 	v := a.o.Control.View()
 	d := v.Document()
 	if d == nil {
@@ -184,15 +196,11 @@
 	if !ok {
 		return nil, refuse.New(refuse.Unauthenticated, refuse.NotRun, "the key is not known")
 	}
-	t, err := a.timeout(r)
-	if err != nil {
-		return nil, err
-	}
 	task, err := taskOf(r)
 	if err != nil {
 		return nil, err
 	}
-	q := &requestInfo{id: id, view: v, account: c, task: task, deadline: a.o.Now().Add(t)}
+	q := &requestInfo{id: id, view: v, account: c, task: task, deadline: deadline}
 	return q, a.checkDrain(q)
 }
 
