feat(agent): refuse at once what a late agent can't answer in time

An agent counted the time of an attempt or call from when its handler began, so that a late one worked on what its entry had given up. The time counts from the arrival now, as in entries, and work with less left than four more waits for a processor is refused: overloaded, not-run, after which the entry tries another upstream under its retry budget.

--- a/agent/boot/build.go
+++ b/agent/boot/build.go
@@ -353,8 +353,8 @@
 	return entry.NewStatus(o)
 }
 
-func newServer(st *entry.Status, u *runner.Runner, c *calls.Executor, e *engineParts, t *stream.Store, n *spread.Replica, b *ledger.Buffer, r *event.Ring) *entry.Server {
-	o := entry.Options{Status: st, Runner: u, Streams: t, Replica: n, Receipts: b, Ring: r}
+func newServer(st *entry.Status, u *runner.Runner, c *calls.Executor, e *engineParts, t *stream.Store, n *spread.Replica, b *ledger.Buffer, r *event.Ring, w *late.Meter) *entry.Server {
+	o := entry.Options{Status: st, Runner: u, Streams: t, Replica: n, Receipts: b, Ring: r, Late: w.Lateness}
 	// An interface that holds a nil pointer is not nil.
 	if c != nil {
 		o.Caller = c
--- a/agent/entry/fake_test.go
+++ b/agent/entry/fake_test.go
@@ -211,6 +211,8 @@
 	caller   *slotCaller
 	// clockOffset advances the clock of the stream store, in nanoseconds.
 	clockOffset atomic.Int64
+	// late is how late the work of the agent runs, in nanoseconds.
+	late atomic.Int64
 	// stop starts the drain of the agent; stopped is closed at its end.
 	stop    context.CancelFunc
 	stopped chan struct{}
@@ -244,7 +246,7 @@
 	l := bufconn.Listen(1 << 20)
 	g := entry.NewListener(entry.ListenerOptions{
 		Listener: l,
-		Server:   entry.NewServer(entry.Options{Status: st, Runner: u, Caller: r.caller, Streams: r.streams, Replica: r.replica, Receipts: r.receipts, Ring: ring}),
+		Server:   entry.NewServer(entry.Options{Status: st, Runner: u, Caller: r.caller, Streams: r.streams, Replica: r.replica, Receipts: r.receipts, Ring: ring, Late: func() time.Duration { return time.Duration(r.late.Load()) }}),
 		Peer:     wire.UnimplementedPeerServer{},
 		Sched:    s, DrainTimeout: limit, Ring: ring, Panics: r.panics, Log: zerolog.Nop(), Now: time.Now,
 		Unseen: func() time.Duration { return 0 },
--- a/agent/entry/server.go
+++ b/agent/entry/server.go
@@ -63,6 +63,8 @@
 	Replica  Merger
 	Receipts Acker
 	Ring     *event.Ring
+	// Late returns how late the work of this process runs. Nil means that it is always on time.
+	Late func() time.Duration
 }
 
 // Server implements wire.AgentServer.
@@ -139,6 +141,11 @@
 	if s.options.Runner == nil {
 		return w.Send(refusal(q, refuse.New(refuse.ModelUnknown, refuse.NotRun, "run attempt: this upstream is a plain service")))
 	}
+	left, ref := timeLeft(q.GetTimeoutMs(), s.late())
+	if ref != nil {
+		return w.Send(refusal(q, ref))
+	}
+	q.TimeoutMs = left
 	b, a, ref := s.options.Runner.Start(w.Context(), q)
 	if ref != nil {
 		return w.Send(refusal(q, ref))
@@ -241,6 +248,11 @@
 		r := refuse.New(refuse.ServiceUnknown, refuse.NotRun, "call service: this upstream is a model engine")
 		return &wire.CallReply{Body: &wire.CallReply_Refusal{Refusal: refuse.ToWire(r)}, Status: s.options.Status.Now()}, nil
 	}
+	left, ref := timeLeft(q.GetTimeoutMs(), s.late())
+	if ref != nil {
+		return &wire.CallReply{Body: &wire.CallReply_Refusal{Refusal: refuse.ToWire(ref)}, Status: s.options.Status.Now()}, nil
+	}
+	q.TimeoutMs = left
 	r := s.options.Caller.Call(ctx, q)
 	r.Status = s.options.Status.Now()
 	return r, nil
