--- a/router/events/events.go
+++ b/router/events/events.go
@@ -15,6 +15,9 @@
 // maxEventBytes bounds the length of one event. The largest ones have a few hundred bytes.
 const maxEventBytes = 64 << 10
 
+// usualEventBytes is the room for an event that is allocated at once. Those of the users' servers have 70 bytes.
+const usualEventBytes = 128
+
 // Event is one event.
 type Event struct {
 	// Raw is the event's text with the blank line that ends it.
@@ -43,6 +46,9 @@
 	e := Event{CommentOnly: true}
 	for {
 		line, err := r.r.ReadSlice('\n')
+		if e.Raw == nil && len(line) > 0 {
+			e.Raw = make([]byte, 0, max(len(line), usualEventBytes))
+		}
 		e.Raw = append(e.Raw, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
