perf(gossip): exchange samples less often while work runs late

Cause: a router exchanged samples each 150 ms, and answered 70 messages a second as a seed, whatever processor it had: as a seed of 31 it uses 83 ms of each second for that and its watches, where small machines have 109. Under load this work took its part from the requests that waited.

While core/late finds work 0.1 s late or more, the pause is 450 ms at least, for the router's own exchanges and for those that it answers. On time nothing changes.

SetLateness is wired in router/boot/share.go.

--- a/router/boot/share.go
+++ b/router/boot/share.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/gossip"
 	"tarragonvalve.example/router/mirror"
@@ -56,12 +57,14 @@
 }
 
 // newGossip returns an exchanger of samples, backlogs and notices with the same peers.
-func newGossip(s *setup.Settings, cs []*share.Client, b judgedSamples, t *notice.Registry, q *poison.Registry, e *pins.Registry, l zerolog.Logger) *gossip.Exchanger {
+func newGossip(s *setup.Settings, cs []*share.Client, b judgedSamples, t *notice.Registry, q *poison.Registry, e *pins.Registry, w *late.Meter, l zerolog.Logger) *gossip.Exchanger {
 	var ps []gossip.Peer
 	for _, c := range cs {
 		ps = append(ps, c)
 	}
-	return gossip.New(s.Instance, b, t, q, e, ps, l)
+	x := gossip.New(s.Instance, b, t, q, e, ps, l)
+	x.SetLateness(w.Lateness)
+	return x
 }
 
 // judgedSamples passes the samples of this instance and of others to the canary analysis.
--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -22,6 +22,12 @@
 	exchangeTimeout = 500 * time.Millisecond
 	// failedPeerPause is how long a peer isn't asked after a failure.
 	failedPeerPause = 3 * time.Second
+	// lateLevel is the lateness of this router's work from which exchanges leave the processor to requests, and latePause
+	// is the least time between two exchanges of a router with it, or with a router that is that late, from then on. A
+	// notice that an upstream leaves passes two exchanges, and the upstream serves for 2 s more; a backlog is used for
+	// place.BacklogTTL.
+	lateLevel = 100 * time.Millisecond
+	latePause = 450 * time.Millisecond
 )
 
 // Peer is a router with which others exchange samples.
@@ -77,6 +83,8 @@
 	totals  *Totals
 	ranking ranking
 	log     zerolog.Logger
+	// lateness returns how late this router's work runs.
+	lateness func() time.Duration
 }
 
 // peerState is a peer with the state of the exchange with it.
@@ -91,7 +99,7 @@
 // New returns an exchanger. name identifies this router; peers are in the order of
 // preference.
 func New(name string, b SampleStore, t NoticeSet, c CrashSet, e PinSet, peers []Peer, l zerolog.Logger) *Exchanger {
-	n := &Exchanger{name: name, store: b, notices: t, crashes: c, pins: e, samples: NewSampleLog(), totals: NewTotals(), log: l}
+	n := &Exchanger{name: name, store: b, notices: t, crashes: c, pins: e, samples: NewSampleLog(), totals: NewTotals(), log: l, lateness: func() time.Duration { return 0 }}
 	n.ranking.startedAt = time.Now()
 	for _, p := range peers {
 		n.peers = append(n.peers, &peerState{Peer: p})
@@ -104,6 +112,18 @@
 	return n
 }
 
+// SetLateness makes this router exchange less often while its work runs late, as f returns. It must be called before Run
+// and HandleMessage.
+func (n *Exchanger) SetLateness(f func() time.Duration) { n.lateness = f }
+
+// pause returns the time until the next exchange for which at least p is due.
+func (n *Exchanger) pause(p time.Duration) time.Duration {
+	if n.lateness() >= lateLevel {
+		return max(p, latePause)
+	}
+	return max(p, minPause)
+}
+
 // Name implements serve.Component.
 func (n *Exchanger) Name() string { return "gossip" }
 
@@ -171,13 +191,13 @@
 	n.crashes.Merge(a.Crashes, now)
 	n.pins.Merge(a.Pinned, now)
 	n.merge(c.Address(), a.Samples, a.Backlog, a.Routers)
-	return max(a.Pause, minPause)
+	return n.pause(a.Pause)
 }
 
 // HandleMessage merges the message of another router and returns the reply.
 func (n *Exchanger) HandleMessage(m Message) Reply {
 	now := time.Now()
-	a := Reply{Pause: n.samples.Pause(m.Sender, now), Leaving: n.notices.RecentlyLeaving(now), Limits: n.notices.RecentLimits(now), Crashes: n.crashes.Report(now), Pinned: n.pins.Report(now)}
+	a := Reply{Pause: n.pause(n.samples.Pause(m.Sender, now)), Leaving: n.notices.RecentlyLeaving(now), Limits: n.notices.RecentLimits(now), Crashes: n.crashes.Report(now), Pinned: n.pins.Report(now)}
 	n.notices.MergeLeaving(m.Leaving, now)
 	n.notices.MergeLimits(m.Limits, now)
 	n.crashes.Merge(m.Crashes, now)
