--- a/router/boot/alloc_test.go
+++ b/router/boot/alloc_test.go
@@ -3,11 +3,10 @@
 import (
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"regexp"
 	"strconv"
 	"testing"
-
-	"tarragonvalve.example/standin/server"
 )
 
 // allocationCount is the line of a heap profile with the number of objects that a process has allocated.
@@ -60,11 +59,19 @@
 		requests, streams        = 300, 20
 		short, long              = 20, 220
 	)
-	events := map[string]int{"short": short, "long": long}
 	w, _ := platform(t, standardGrace, always(fine))
-	w.server("llm", "m1", "v1", func(r server.Request) server.Reply {
-		return server.Events{Count: events[r.Header.Get("Session")], Confidence: 100}
-	})
+	// An engine that keeps its connections, unlike a stand-in after a stream: its close may cross the next request.
+	engine := httptest.NewServer(http.HandlerFunc(func(o http.ResponseWriter, q *http.Request) {
+		o.Header().Set("Tarragonvalve-Attempt-Id", q.Header.Get("Tarragonvalve-Attempt-Id"))
+		o.Header().Set("Tarragonvalve-Server-Signature", "s")
+		io.WriteString(o, events(map[string]int{"short": short, "long": long}[q.Header.Get("Session")]))
+	}))
+	t.Cleanup(engine.Close)
+	if err := w.store.PutJSON("servers", "m1", map[string]any{
+		"service": "llm", "address": engine.Listener.Addr().String(), "zone": "a", "version": "v1", "slots": 8, "state": "ready", "born": 1,
+	}); err != nil {
+		t.Fatal(err)
+	}
 	w.router = "profiles = yes\n"
 	w.writeSettings(w.address, "5000")
 	w.startProcess()
