feat(front): count a request's time from when it could have been read

Cause: deadline, route's time-out and client's departure counted from when the handler began. A process that was stopped or had no processor time began late and gave the request its whole time again.

What callers saw: requests held on past their route's time-out, and sent to upstreams after their clients had left.

Change: the read that begins a request asks the kernel how long ago the connection received data (TCP_INFO, one system call a request). Where the kernel doesn't tell, the heartbeat's delay stands in. Job.Arrived and all that counts from it count from there. What has run out is refused as not run at admission and right before the send; there the socket is also peeked at, as net/http notices the client's close only when its background read runs.

Which bound is right when both exist: the kernel's. It is exact for a request of one segment, and too short otherwise; the heartbeat is overdue by the whole of a stop also for a request that came at its end.

Conclusion: bytes of a further request hide a close, and a request read together with the one before counts from the end of that one.

--- a/router/front/clientconn.go
+++ b/router/front/clientconn.go
@@ -40,6 +40,8 @@
 	exchange *exchange
 	// unhandled is the number of bytes read since the last request that reached the handler.
 	unhandled int
+	// arrival is that of the request which is being read.
+	arrival arrival
 	// readErr is the error of the last read, writeErr that of the first write that failed.
 	readErr, writeErr error
 	// clientEnd is the error of the first read which shows that the client closed its sending side or reset the
@@ -56,6 +58,9 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if n > 0 {
+		c.arrived()
+	}
 	c.unhandled += n
 	c.readErr = err
 	if c.clientEnd == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
@@ -64,6 +69,16 @@
 	return n, err
 }
 
+// arrived records when the bytes that have just been read could have been. c.mu must be held.
+func (c *clientConn) arrived() {
+	now := time.Now()
+	if c.exchange == nil && c.unhandled == 0 {
+		c.arrival.begin(now, c.ends.arrivals.delay(c))
+		return
+	}
+	c.arrival.more(now)
+}
+
 // Write implements net.Conn.
 func (c *clientConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
@@ -139,6 +154,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange = x
+	x.conn = c
+	if c.unhandled > 0 {
+		x.arrived, x.waited = c.arrival.first, c.arrival.waited(x.arrived)
+	}
 	c.unhandled = 0
 	c.closedIdle = false
 }
--- a/router/front/ends.go
+++ b/router/front/ends.go
@@ -30,6 +30,7 @@
 	requestID func(http.Header) call.ID
 	log       zerolog.Logger
 	stacks    panics.Stacks
+	arrivals  arrivals
 	// closed is true once all connections are closed at the end of the process.
 	closed atomic.Bool
 }
--- a/router/front/exchange.go
+++ b/router/front/exchange.go
@@ -26,8 +26,13 @@
 // exchange is a request and its answer, as far as they concern the end of the client's connection.
 type exchange struct {
 	header http.Header
-	// arrived is when the request's headers had been read.
+	// conn is the client's connection; nil if the request does not come from a Server.
+	conn *clientConn
+	// arrived is when the request's first byte could have been read, or when it reached the handler if it had been read
+	// together with the one before.
 	arrived time.Time
+	// waited is how long the request waited for this process before it reached the handler.
+	waited time.Duration
 	// closeDelimited is true if an answer without a length ends with its connection (HTTP/1.0).
 	closeDelimited bool
 	// sending is true once the request was about to be sent to an upstream.
@@ -55,7 +60,7 @@
 			return x
 		}
 	}
-	return &exchange{}
+	return &exchange{arrived: time.Now()}
 }
 
 // checked records the result of the last check before a send, and returns it.
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -84,8 +84,10 @@
 	if err != nil && !isTruncated {
 		writeRefusal(s, refuse.FromError(err, refuse.Unknown))
 	}
-	exchangeOf(q.Context()).end(q.Context(), err)
-	h.logRequest(j, m, s.status, err, time.Since(began))
+	x := exchangeOf(q.Context())
+	x.end(q.Context(), err)
+	h.meter.Waited(x.waited)
+	h.logRequest(j, m, ended{status: s.status, err: err, took: time.Since(began), waited: x.waited})
 	if isTruncated {
 		// The connection must end without the mark of a complete response.
 		panic(http.ErrAbortHandler)
@@ -127,7 +129,8 @@
 // that the caller can log how far the request got. reservation accounts for the memory of
 // the body.
 func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, q *http.Request, m call.Request, j *relay.Job, reservation *quota.Reservation) error {
-	*j = relay.Job{Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: time.Now()}
+	x := exchangeOf(ctx)
+	*j = relay.Job{Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: x.arrived}
 	c := http.NewResponseController(w)
 	if err := h.checkHeaders(w, q); err != nil {
 		return err
@@ -156,8 +159,7 @@
 			return err
 		}
 	}
-	x := exchangeOf(ctx)
-	j.Recheck = func() error { return x.checked(h.recheck(j)) }
+	j.Recheck = func() error { return x.checked(h.recheck(x, j)) }
 	err := h.relay.Serve(ctx, w, j)
 	if r, ok := refuse.As(err); !ok || r.Ran != refuse.NotRun {
 		h.tempo.record(j.Route.ID, time.Since(j.Arrived), time.Now())
@@ -204,15 +206,27 @@
 }
 
 // setDeadlines sets the deadlines by which the client must have sent its body, which is
-// timeout after the request's arrival, and read its response, which is writeMargin later.
+// timeout after the request's arrival, and read its response, which is writeMargin later. A request whose time is over
+// already gets writeMargin for its refusal.
 func setDeadlines(c *http.ResponseController, arrived time.Time, timeout time.Duration) error {
-	return errors.Join(c.SetReadDeadline(arrived.Add(timeout)), c.SetWriteDeadline(arrived.Add(timeout+writeMargin)))
+	read, write := arrived.Add(timeout), time.Now().Add(writeMargin)
+	if t := read.Add(writeMargin); t.After(write) {
+		write = t
+	}
+	return errors.Join(c.SetReadDeadline(read), c.SetWriteDeadline(write))
 }
 
 // recheck authenticates an admitted request again right before it is sent, as the process
 // may have been paused since. It returns a *refuse.Error if the key is no longer accepted
-// or now belongs to another client account, or if the instance may stop before the request has ended.
-func (h *Handler) recheck(j *relay.Job) error {
+// or now belongs to another client account, if the instance may stop before the request has ended, if its time is over, or if
+// its client has left.
+func (h *Handler) recheck(x *exchange, j *relay.Job) error {
+	if err := checkTime(j); err != nil {
+		return err
+	}
+	if x.clientLeft() {
+		return refuse.New(refuse.Cancelled, refuse.NotRun, "the client left before the request was sent")
+	}
 	if err := h.checkShutdown(j); err != nil {
 		return err
 	}
@@ -278,9 +292,20 @@
 		timeout = min(timeout, r.Timeout)
 	}
 	j.Deadline = j.Arrived.Add(timeout)
+	if err := checkTime(j); err != nil {
+		return err
+	}
 	return h.checkShutdown(j)
 }
 
+// checkTime returns a *refuse.Error if the request's time is over.
+func checkTime(j *relay.Job) error {
+	if time.Now().Before(j.Deadline) {
+		return nil
+	}
+	return refuse.New(refuse.DeadlineExceeded, refuse.NotRun, "the request's time was over before it could be sent")
+}
+
 // checkShutdown returns a *refuse.Error if the instance may end before the request.
 func (h *Handler) checkShutdown(j *relay.Job) error {
 	if !h.gate.Stopping() || h.gate.Admits(h.longest(j)) {
@@ -390,14 +415,22 @@
 	w.Write(b)
 }
 
+// ended is how a request ended.
+type ended struct {
+	status int
+	err    error
+	// took is the time in the handler, waited that before it.
+	took, waited time.Duration
+}
+
 // logRequest logs and counts how a request ended, with the route, account and configuration
 // that applied to it.
-func (h *Handler) logRequest(j *relay.Job, m call.Request, status int, err error, took time.Duration) {
+func (h *Handler) logRequest(j *relay.Job, m call.Request, n ended) {
 	e := h.log.Info()
-	code := strconv.Itoa(status)
-	if err != nil {
-		e = h.log.Warn().AnErr("reason", err)
-		r := refuse.FromError(err, refuse.Unknown)
+	code := strconv.Itoa(n.status)
+	if n.err != nil {
+		e = h.log.Warn().AnErr("reason", n.err)
+		r := refuse.FromError(n.err, refuse.Unknown)
 		code = string(r.Code)
 		e = e.Str("code", code).Str("ran", string(r.Ran)).Dur("retry-after", r.RetryAfter)
 	}
@@ -412,6 +445,6 @@
 	if a, ok := h.syncer.ConfigAge(); ok {
 		e = e.Dur("configuration-age", a)
 	}
-	h.meter.Request(kind, code, took)
-	e.Str("request", string(m.ID)).Int("status", status).Dur("took", took).Msg("request ended")
+	h.meter.Request(kind, code, n.took)
+	e.Str("request", string(m.ID)).Int("status", n.status).Dur("took", n.took).Dur("waited", n.waited).Msg("request ended")
 }
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -70,7 +70,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	base, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	ends := &endReporter{gate: s.Gate, count: s.Ended, requestID: s.RequestID, log: s.Log}
+	ends := &endReporter{gate: s.Gate, count: s.Ended, requestID: s.RequestID, log: s.Log, arrivals: arrivals{overdue: s.Gate.lateness.Overdue}}
 	h := &http.Server{
 		BaseContext: func(net.Listener) context.Context { return base },
 		Handler:     ends.handler(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -15,6 +15,9 @@
 // latencyBuckets are in seconds. They cover the routes' latency objectives, 0.12 to 5 s.
 var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 3, 5, 10, 25}
 
+// waitBuckets are in seconds.
+var waitBuckets = []float64{0.001, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2}
+
 // Meter holds the router's metrics. It is safe for concurrent use. To keep the number of
 // time series small, labels hold only route kinds, outcomes, codes and limits, never a
 // request, key or upstream.
@@ -30,6 +33,7 @@
 	refused   prometheus.Counter
 	ended     *prometheus.CounterVec
 	trials    *prometheus.CounterVec
+	waits     prometheus.Histogram
 }
 
 // Readings are figures that are read when the metrics are scraped.
@@ -85,7 +89,10 @@
 	m.trials = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "quarantine_trials_total", Help: "Quarantined requests that were sent to see whether upstreams survive them: started, and then answered or failed.",
 	}, []string{"outcome"})
-	m.registry.MustRegister(m.trials, m.ended, m.requests, m.latency, m.attempts, m.denied, m.escalated, m.resumed, m.exceeded, m.refused,
+	m.waits = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "request_wait_seconds", Help: "Time in seconds for which whole requests waited before their handling began.", Buckets: waitBuckets,
+	})
+	m.registry.MustRegister(m.waits, m.trials, m.ended, m.requests, m.latency, m.attempts, m.denied, m.escalated, m.resumed, m.exceeded, m.refused,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_age_seconds", Help: "Largest possible age of the configuration in seconds; -1 before one was read.",
 		}, r.ConfigurationAge),
@@ -121,6 +128,9 @@
 	m.latency.WithLabelValues(kind).Observe(took.Seconds())
 }
 
+// Waited records how long a request waited before its handling began.
+func (m *Meter) Waited(d time.Duration) { m.waits.Observe(d.Seconds()) }
+
 // Attempt counts an attempt to have an upstream serve a request, by its outcome.
 func (m *Meter) Attempt(outcome string) {
 	m.attempts.WithLabelValues(outcome).Inc()
--- a/router/sock/sock.go
+++ b/router/sock/sock.go
@@ -3,6 +3,7 @@
 
 import (
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -44,3 +45,20 @@
 	}
 	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
+
+// SinceData returns the time since the kernel received the latest data of a TCP connection, read or not, in the
+// resolution of its timer (1 to 10 ms). 0 means less than that, or that this kernel doesn't tell.
+func SinceData(c syscall.Conn) (time.Duration, error) {
+	var d time.Duration
+	var infoErr error
+	err := control(c, func(fd int) {
+		var i *unix.TCPInfo
+		if i, infoErr = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); infoErr == nil {
+			d = time.Duration(i.Last_data_recv) * time.Millisecond
+		}
+	})
+	if err != nil {
+		return 0, err
+	}
+	return d, infoErr
+}
