feat(uplink): count what waits for upstreams as a part of a full link

Change: connections to upstreams are tracked as well. The tests' two methods that send signals are one.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -146,6 +146,7 @@
 	}
 	var steps []serve.Component
 	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, q *poison.Registry, e *pins.Registry, n *mirror.Syncer, p *link.Pool, w *late.Meter, k *uplink.Meter, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
+		p.Track(k.Track)
 		steps = []serve.Component{
 			w, k, v, n, p, m, u, g,
 			&cleaner{balancer: b, notices: t, crashes: r, poison: q, syncer: n},
--- a/router/boot/late_arrival_test.go
+++ b/router/boot/late_arrival_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	for _, s := range ss {
 		if err := p.Process.Signal(s); err != nil {
-			t.Fatal(err)
+			t.Error(err)
 		}
 	}
 }
--- a/router/boot/late_judge_test.go
+++ b/router/boot/late_judge_test.go
@@ -13,14 +13,6 @@
 	"tarragonvalve.example/standin/server"
 )
 
-// signal sends a signal to the process.
-func (p *process) signal(t *testing.T, s syscall.Signal) {
-	t.Helper()
-	if err := p.Process.Signal(s); err != nil {
-		t.Error(err)
-	}
-}
-
 // interrupt stops the process for off of each on + off, n times.
 func (p *process) interrupt(t *testing.T, on, off time.Duration, n int) {
 	t.Helper()
--- a/router/boot/uplink_full_test.go
+++ b/router/boot/uplink_full_test.go
@@ -23,7 +23,9 @@
 	// address is that of the router's clients beyond the link.
 	address string
 	// size is that of the answers in bytes.
-	size      int
+	size int
+	// body is that of the requests.
+	body      string
 	upstreams []*server.Server
 	client    *http.Client
 }
@@ -138,7 +140,7 @@
 func (l *linked) get() response {
 	ctx, stop := context.WithTimeout(l.t.Context(), 4*time.Second)
 	defer stop()
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.address+"/read/1", nil)
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.address+"/read/1", strings.NewReader(l.body))
 	if err != nil {
 		return response{err: err}
 	}
@@ -163,17 +165,19 @@
 
 // Guards against a router that doesn't know that its link is full: it took all requests and answered almost none in time.
 func TestFullLink(t *testing.T) {
-	const size = 8000 // bytes
 	tests := map[string]struct {
-		// link is in bytes a second, below and above are rates a second.
-		link, below, above int
+		// link is in bytes a second, body and size are those of requests and answers in bytes, below and above are rates a
+		// second.
+		link, body, size, below, above int
 	}{
-		"400 kB/s":   {400_000, 42, 70},
-		"1,250 kB/s": {1_250_000, 128, 200},
+		"400 kB/s":                {400_000, 0, 8000, 42, 70},
+		"1,250 kB/s":              {1_250_000, 0, 8000, 128, 200},
+		"400 kB/s, long requests": {400_000, 12_000, 300, 27, 45},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
-			l := startLinked(t, c.link, size)
+			l := startLinked(t, c.link, c.size)
+			l.body = strings.Repeat("p", c.body)
 			below := l.offer(c.below, 3*time.Second)
 			above := l.offer(c.above, 6*time.Second)
 			t.Logf("%d a second: %s", c.below, below)
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -54,6 +54,8 @@
 type Pool struct {
 	codec  call.Codec
 	dialer net.Dialer
+	// track returns a connection whose sent bytes are measured.
+	track func(net.Conn) net.Conn
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the most recently used last.
@@ -67,6 +69,7 @@
 // New returns an empty pool. c reads the headers of responses.
 func New(c call.Codec) *Pool {
 	p := &Pool{codec: c, idle: map[string][]*conn{}, open: map[string]int{}, suspects: suspects{}}
+	p.track = func(c net.Conn) net.Conn { return c }
 	p.dialer = net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 		Control:         setUnackedTimeout,
@@ -74,6 +77,9 @@
 	return p
 }
 
+// Track has f wrap each new connection. It must be called before the first request.
+func (p *Pool) Track(f func(net.Conn) net.Conn) { p.track = f }
+
 // setUnackedTimeout sets TCP_USER_TIMEOUT on a new socket.
 func setUnackedTimeout(_, _ string, c syscall.RawConn) error {
 	var optErr error
@@ -120,7 +126,7 @@
 		p.uncount(address)
 		return nil, &DialError{Address: address, Err: err}
 	}
-	return newConn(n, address), nil
+	return newConn(p.track(n), address), nil
 }
 
 // dial sets up a connection. Its error is a *clock.TimeoutError if that took longer than dialTimeout.
