feat(admit): refuse early and cheaply what a late router can't answer in time

Cause: a router took every request, however long it had waited and however many waited in it. Past its capacity all of them waited until their time was over.

What callers saw: past capacity almost nothing was answered, and refusals came after more than a second.

Change (docs/decisions/0013-late-process.md): router/admit detects a standing queue by the waits before the handler and then refuses those that have waited long, bounds the requests without an answer by what the process answers, and refuses what would be late on its way back.

Most of what is taken and not answered waits for connections to upstreams, whose time-out of 0.12 s counts from the router's own notice.

--- a/router/front/ends.go
+++ b/router/front/ends.go
@@ -31,6 +31,7 @@
 	log       zerolog.Logger
 	stacks    panics.Stacks
 	arrivals  arrivals
+	shedder   shedder
 	// closed is true once all connections are closed at the end of the process.
 	closed atomic.Bool
 }
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/refuse"
+	"tarragonvalve.example/router/admit"
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/meter"
 	"tarragonvalve.example/router/mirror"
@@ -70,21 +71,32 @@
 	began := time.Now()
 	h.gate.enter()
 	defer h.gate.leave()
+	x := exchangeOf(q.Context())
+	if h.refuseQueued(w, q, x) {
+		return
+	}
 	if h.gate.Stopping() || !h.gate.Fresh(h.syncer.View()) {
 		w.Header().Set("Connection", "close")
 	}
 	m := h.codec.ParseRequest(q.Header)
+	j := &relay.Job{Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: x.arrived}
 	s := newStatusWriter(w)
-	j := &relay.Job{}
+	s.begun = func() {
+		h.gate.overload.answered(time.Now(), time.Since(began), s.status >= http.StatusInternalServerError)
+	}
+	defer func() {
+		if s.begun != nil {
+			h.gate.overload.answered(time.Now(), time.Since(began), true)
+		}
+	}()
 	reservation := h.memory.NewReservation()
 	defer reservation.Free()
-	err := h.serve(q.Context(), s, q, m, j, reservation)
+	err := h.serve(q.Context(), s, q, x, j, reservation)
 	var truncated *relay.TruncatedError
 	isTruncated := errors.As(err, &truncated)
 	if err != nil && !isTruncated {
 		writeRefusal(s, refuse.FromError(err, refuse.Unknown))
 	}
-	x := exchangeOf(q.Context())
 	x.end(q.Context(), err)
 	h.meter.Waited(x.waited)
 	h.logRequest(j, m, ended{status: s.status, err: err, took: time.Since(began), waited: x.waited})
@@ -98,6 +110,8 @@
 type statusWriter struct {
 	http.ResponseWriter
 	status int
+	// begun is called when the answer begins, unless it is nil.
+	begun func()
 }
 
 // newStatusWriter returns w if it records the status already, as it does for requests of a Server.
@@ -108,16 +122,25 @@
 	return &statusWriter{ResponseWriter: w}
 }
 
+// begin records the status of an answer that begins.
+func (w *statusWriter) begin(status int) {
+	w.status = status
+	if w.begun != nil {
+		w.begun()
+		w.begun = nil
+	}
+}
+
 // WriteHeader implements http.ResponseWriter.
 func (w *statusWriter) WriteHeader(status int) {
-	w.status = status
+	w.begin(status)
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements io.Writer. A first write without a status implies the status 200.
 func (w *statusWriter) Write(b []byte) (int, error) {
 	if w.status == 0 {
-		w.status = http.StatusOK
+		w.begin(http.StatusOK)
 	}
 	return w.ResponseWriter.Write(b)
 }
@@ -128,18 +151,16 @@
 // serve admits a request, reads its body and forwards it. It fills in j step by step, so
 // that the caller can log how far the request got. reservation accounts for the memory of
 // the body.
-func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, q *http.Request, m call.Request, j *relay.Job, reservation *quota.Reservation) error {
-	x := exchangeOf(ctx)
-	*j = relay.Job{Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: x.arrived}
+func (h *Handler) serve(ctx context.Context, w http.ResponseWriter, q *http.Request, x *exchange, j *relay.Job, reservation *quota.Reservation) error {
 	c := http.NewResponseController(w)
 	if err := h.checkHeaders(w, q); err != nil {
 		return err
 	}
-	if err := setDeadlines(c, j.Arrived, clientTimeout(m)); err != nil {
+	if err := setDeadlines(c, j.Arrived, clientTimeout(j.Meta)); err != nil {
 		return err
 	}
-	h.awaitView(ctx, m)
-	if err := h.admit(q.URL.Path, j); err != nil {
+	h.awaitView(ctx, j.Meta)
+	if err := h.admit(q.URL.Path, x, j); err != nil {
 		return err
 	}
 	if err := setDeadlines(c, j.Arrived, j.Deadline.Sub(j.Arrived)); err != nil {
@@ -155,14 +176,14 @@
 	// The body may have taken long to arrive: if the configuration has changed or become
 	// stale meanwhile, the request is admitted once more.
 	if v := h.syncer.View(); j.Document != v.Document || !h.gate.Fresh(v) {
-		if err := h.admit(q.URL.Path, j); err != nil {
+		if err := h.admit(q.URL.Path, x, j); err != nil {
 			return err
 		}
 	}
 	j.Recheck = func() error { return x.checked(h.recheck(x, j)) }
 	err := h.relay.Serve(ctx, w, j)
 	if r, ok := refuse.As(err); !ok || r.Ran != refuse.NotRun {
-		h.tempo.record(j.Route.ID, time.Since(j.Arrived), time.Now())
+		h.tempo.record(j.Route.ID, time.Since(j.Arrived), err == nil, time.Now())
 	}
 	return explainStop(ctx, err)
 }
@@ -221,7 +242,7 @@
 // or now belongs to another client account, if the instance may stop before the request has ended, if its time is over, or if
 // its client has left.
 func (h *Handler) recheck(x *exchange, j *relay.Job) error {
-	if err := checkTime(j); err != nil {
+	if err := h.checkTime(x, j); err != nil {
 		return err
 	}
 	if x.clientLeft() {
@@ -268,7 +289,7 @@
 // admit checks a request against the configuration in force and sets the job's document,
 // route, account, priority and deadline. It returns a *refuse.Error if the request is
 // not admitted.
-func (h *Handler) admit(path string, j *relay.Job) error {
+func (h *Handler) admit(path string, x *exchange, j *relay.Job) error {
 	v := h.syncer.View()
 	d := v.Document
 	if d == nil {
@@ -292,17 +313,22 @@
 		timeout = min(timeout, r.Timeout)
 	}
 	j.Deadline = j.Arrived.Add(timeout)
-	if err := checkTime(j); err != nil {
+	if err := h.checkTime(x, j); err != nil {
 		return err
 	}
 	return h.checkShutdown(j)
 }
 
-// checkTime returns a *refuse.Error if the request's time is over.
-func checkTime(j *relay.Job) error {
-	if time.Now().Before(j.Deadline) {
+// checkTime returns a *refuse.Error if the request's time is over, or its answer would be late.
+func (h *Handler) checkTime(x *exchange, j *relay.Job) error {
+	now := time.Now()
+	left := j.Deadline.Sub(now)
+	if admit.InTime(left, h.tempo.fastest(j.Route.ID, now), x.waited, h.gate.lateness.Lateness()) {
 		return nil
 	}
+	if left > 0 {
+		return errOverloaded
+	}
 	return refuse.New(refuse.DeadlineExceeded, refuse.NotRun, "the request's time was over before it could be sent")
 }
 
@@ -399,20 +425,31 @@
 		status = http.StatusBadGateway
 	}
 	if e.RetryAfter > 0 && e.Ran == refuse.NotRun {
-		w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+		w.Header().Set("Retry-After", retryAfter(e))
 	}
 	w.Header().Set("Content-Type", "application/json")
+	b := refusalBody(e)
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(status)
+	w.Write(b)
+}
+
+// retryAfter returns the header Retry-After of a refusal.
+func retryAfter(e *refuse.Error) string {
+	return strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64)
+}
+
+// refusalBody returns the body of a refusal.
+func refusalBody(e *refuse.Error) []byte {
 	b, err := json.Marshal(map[string]any{"error": map[string]any{
 		"code": e.Code, "message": e.Message, "ran": e.Ran, "retry-after-ms": e.RetryAfter.Milliseconds(),
 	}})
 	if err != nil {
 		// The values above always encode. If they didn't, the status would be sent without a
 		// body.
-		b = nil
+		return nil
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-	w.WriteHeader(status)
-	w.Write(b)
+	return b
 }
 
 // ended is how a request ended.
--- a/router/front/gate.go
+++ b/router/front/gate.go
@@ -32,6 +32,7 @@
 	stop        atomic.Pointer[shutdown] // nil before the shutdown
 	lateness    *late.Meter
 	inFlight    atomic.Int64 // requests in progress
+	overload    overload
 }
 
 // shutdown is the start of a shutdown.
@@ -53,10 +54,10 @@
 }
 
 // Ready reports whether the instance should get new connections: it has a fresh
-// configuration and a list of upstreams and isn't shutting down.
+// configuration and a list of upstreams, isn't shutting down and has had no standing queue for long.
 func (g *Gate) Ready() bool {
 	v := g.syncer.View()
-	return !g.Stopping() && v.Document != nil && v.UpstreamsRead && g.Fresh(v)
+	return !g.Stopping() && !g.overload.paused(time.Now()) && v.Document != nil && v.UpstreamsRead && g.Fresh(v)
 }
 
 // Stop begins the shutdown. Further calls do nothing. The signal may have come while the process did not run, so the
--- a/router/front/tempo.go
+++ b/router/front/tempo.go
@@ -25,15 +25,17 @@
 	routes map[routes.ID]*timing
 }
 
-// timing holds the slowest requests of a route in the current window and the one before.
+// timing holds the slowest and fastest requests of a route in the current window and the one before.
 type timing struct {
-	since                    time.Time
-	slowest, slowestBefore   time.Duration
+	since                  time.Time
+	slowest, slowestBefore time.Duration
+	// fastest are the shortest times of answers; 0 means that there was none.
+	fastest, fastestBefore   time.Duration
 	requests, requestsBefore int
 }
 
-// record records that a request of a route took some time.
-func (t *tempo) record(r routes.ID, took time.Duration, now time.Time) {
+// record records that a request of a route took some time, and whether it was answered.
+func (t *tempo) record(r routes.ID, took time.Duration, answered bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.routes == nil || len(t.routes) >= maxTimedRoutes {
@@ -47,6 +49,9 @@
 	x.advance(now)
 	x.slowest = max(x.slowest, took)
 	x.requests++
+	if answered && (x.fastest == 0 || took < x.fastest) {
+		x.fastest = took
+	}
 }
 
 // advance begins a new window if the current one is over.
@@ -55,11 +60,11 @@
 	if past < tempoWindow {
 		return
 	}
-	x.slowestBefore, x.requestsBefore = x.slowest, x.requests
+	x.slowestBefore, x.fastestBefore, x.requestsBefore = x.slowest, x.fastest, x.requests
 	if past >= 2*tempoWindow {
-		x.slowestBefore, x.requestsBefore = 0, 0
+		x.slowestBefore, x.fastestBefore, x.requestsBefore = 0, 0, 0
 	}
-	x.since, x.slowest, x.requests = now, 0, 0
+	x.since, x.slowest, x.fastest, x.requests = now, 0, 0, 0
 }
 
 // expected returns how long a request of a route may take by the slowest lately, or false if too few are known.
@@ -73,3 +78,24 @@
 	x.advance(now)
 	return tempoMargin * max(x.slowest, x.slowestBefore), x.requests+x.requestsBefore >= minTimed
 }
+
+// fastest returns the shortest time in which a request of a route was answered lately, or 0 if too few are known.
+func (t *tempo) fastest(r routes.ID, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := t.routes[r]
+	if x == nil {
+		return 0
+	}
+	x.advance(now)
+	switch {
+	case x.requests+x.requestsBefore < minTimed:
+		return 0
+	case x.fastest == 0:
+		return x.fastestBefore
+	case x.fastestBefore == 0:
+		return x.fastest
+	default:
+		return min(x.fastest, x.fastestBefore)
+	}
+}
--- a/router/front/tempo_test.go
+++ b/router/front/tempo_test.go
@@ -29,7 +29,7 @@
 			var x tempo
 			start := time.Unix(1000, 0)
 			for _, s := range c.samples {
-				x.record("r", s.took, start.Add(s.at))
+				x.record("r", s.took, true, start.Add(s.at))
 			}
 			if got, known := x.expected("r", start.Add(c.at)); got != c.want || known != c.known {
 				t.Errorf("got %s, %v, want %s, %v", got, known, c.want, c.known)
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -7,6 +7,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"tarragonvalve.example/core/refuse"
 )
 
 // namespace is the prefix of the metrics' names.
@@ -34,6 +36,8 @@
 	ended     *prometheus.CounterVec
 	trials    *prometheus.CounterVec
 	waits     prometheus.Histogram
+	// overloaded counts requests that were refused before they had a route.
+	overloaded prometheus.Counter
 }
 
 // Readings are figures that are read when the metrics are scraped.
@@ -92,6 +96,7 @@
 	m.waits = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "request_wait_seconds", Help: "Time in seconds for which whole requests waited before their handling began.", Buckets: waitBuckets,
 	})
+	m.overloaded = m.requests.WithLabelValues(noRoute, string(refuse.Overloaded))
 	m.registry.MustRegister(m.waits, m.trials, m.ended, m.requests, m.latency, m.attempts, m.denied, m.escalated, m.resumed, m.exceeded, m.refused,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_age_seconds", Help: "Largest possible age of the configuration in seconds; -1 before one was read.",
@@ -121,7 +126,10 @@
 	return m
 }
 
-// Request counts a request that ended after took. kind is the route's kind, or "none"
+// noRoute is the kind of a request without a route.
+const noRoute = "none"
+
+// Request counts a request that ended after took. kind is the route's kind, or noRoute
 // without a route; code is the status of a response or the code of a refusal.
 func (m *Meter) Request(kind, code string, took time.Duration) {
 	m.requests.WithLabelValues(kind, code).Inc()
@@ -131,6 +139,12 @@
 // Waited records how long a request waited before its handling began.
 func (m *Meter) Waited(d time.Duration) { m.waits.Observe(d.Seconds()) }
 
+// RefusedByOverload counts a request that was refused after a wait, before it had a route. It takes less time than Request.
+func (m *Meter) RefusedByOverload(waited time.Duration) {
+	m.overloaded.Inc()
+	m.Waited(waited)
+}
+
 // Attempt counts an attempt to have an upstream serve a request, by its outcome.
 func (m *Meter) Attempt(outcome string) {
 	m.attempts.WithLabelValues(outcome).Inc()
