fix(canary): find slow versions in a router that is late most of the time

Cause: ignored all times for 2 s after each lateness of 0.1 s. (load 18 to 24 on 8 cores) TestSlowVersion/slow failed on: the slow version was completed and got 333 of 741 requests, 118 allowed, as the routers were late all the time and compared nothing.

Change: such lateness ignores times for 2 s of each 10 s. From a lateness of 0.25 s on times are always ignored: a process that ran for 5 ms between stops of 0.3 s found a good version slow ("15 of 15 times against 16 of 51") once with the first half of this change.

Shown by: the cases "late all the time" and "stopped most of the time" of TestTimesOfLateProcess.

--- a/router/canary/late_test.go
+++ b/router/canary/late_test.go
@@ -9,7 +9,7 @@
 )
 
 // Guards against a good version that is reverted since its answers were read late, and against a slow one that stays
-// because the router was late at another time.
+// because the router was late at another time, or is late most of the time.
 func TestTimesOfLateProcess(t *testing.T) {
 	tests := map[string]struct {
 		// late is the lateness while the first slow answers of the new version are read, stepped is true if it was seen
@@ -17,15 +17,19 @@
 		late    time.Duration
 		stepped bool
 		pause   time.Duration
-		bad     bool
+		// every is the time between those answers.
+		every time.Duration
+		bad   bool
 	}{
-		"on time":                        {0, false, 0, true},
-		"lateness of a busy host":        {50 * time.Millisecond, false, 0, true},
-		"stopped for 0.3 s":              {300 * time.Millisecond, false, 0, false},
-		"stopped for 1 s":                {time.Second, false, 0, false},
-		"stopped for 5 s":                {5 * time.Second, false, 0, false},
-		"stopped before the answers":     {time.Second, true, time.Second, false},
-		"stopped long before the answer": {time.Second, true, 3 * time.Second, true},
+		"on time":                        {0, false, 0, 0, true},
+		"lateness of a busy host":        {50 * time.Millisecond, false, 0, 0, true},
+		"stopped for 0.3 s":              {300 * time.Millisecond, false, 0, 0, false},
+		"stopped for 1 s":                {time.Second, false, 0, 0, false},
+		"stopped for 5 s":                {5 * time.Second, false, 0, 0, false},
+		"stopped before the answers":     {time.Second, true, time.Second, 0, false},
+		"stopped long before the answer": {time.Second, true, 3 * time.Second, 0, true},
+		"late all the time":              {200 * time.Millisecond, false, 0, 70 * time.Millisecond, true},
+		"stopped most of the time":       {300 * time.Millisecond, false, 0, 70 * time.Millisecond, false},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -45,6 +49,7 @@
 				}
 				time.Sleep(c.pause)
 				for range 60 {
+					time.Sleep(c.every)
 					observe(true, 1)
 				}
 				if bad := w.Verdict("llm", 7) != ""; bad != c.bad {
--- a/router/canary/monitor.go
+++ b/router/canary/monitor.go
@@ -38,8 +38,13 @@
 	minFailureRate = 0.3
 	// lateLevel is the lateness of this process from which times of answers say more of it than of upstreams.
 	lateLevel = 100 * time.Millisecond
-	// lateSpan is how long after such lateness times are ignored, as they may include it.
+	// lateSpan is how long times are ignored from such lateness on, as they may include it. In lateRest from then on they
+	// aren't ignored again: a process that is late most of the time still has to find a slow version, and its lateness
+	// shows in the times of both versions.
 	lateSpan = 2 * time.Second
+	lateRest = 10 * time.Second
+	// stoppedLevel is the lateness from which times are always ignored: most of the process's time is missing.
+	stoppedLevel = 250 * time.Millisecond
 )
 
 // Response describes one response of an upstream.
@@ -79,7 +84,7 @@
 	lateness clock.Lateness
 
 	mu sync.Mutex
-	// lateAt is when the process was last found to be late; zero if it never was.
+	// lateAt is when times were last begun to be ignored; zero if they never were.
 	lateAt   time.Time
 	services map[ident.ServiceID]*serviceState
 }
@@ -143,12 +148,13 @@
 	w.late(now)
 }
 
-// late reports whether the process has been late within lateSpan. The caller holds the lock.
+// late reports whether times are ignored at now, as the process has been late. The caller holds the lock.
 func (w *Monitor) late(now time.Time) bool {
-	if w.lateness() >= lateLevel {
+	l := w.lateness()
+	if l >= lateLevel && (w.lateAt.IsZero() || now.Sub(w.lateAt) >= lateRest) {
 		w.lateAt = now
 	}
-	return !w.lateAt.IsZero() && now.Sub(w.lateAt) < lateSpan
+	return l >= stoppedLevel || (!w.lateAt.IsZero() && now.Sub(w.lateAt) < lateSpan)
 }
 
 // ObserveTiming adds a time of a response that was noticed just now, unless the process has been late. order is the
