--- a/router/boot/ends_test.go
+++ b/router/boot/ends_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/standin/server"
 )
 
@@ -186,6 +187,8 @@
 	if _, err := o.Read(make([]byte, 1)); err != nil {
 		t.Fatalf("the answer did not begin: %v, %d requests", err, len(s.Requests()))
 	}
+	// A stop counts from the heartbeat before the latest one, and the request is to arrive before it.
+	time.Sleep(4 * late.Interval)
 	w.stop()
 	io.Copy(io.Discard, o)
 	w.eventually("a line on the end", func() bool { return len(w.endLines(id)) > 0 })
