test(boot): show two judgements of a stopped router in relay

TestNoRepeatAfterStop: reads whose answers come 150 ms after the request, in a stop of 1 or 1.5 s, are sent once more (13 to 16 requests for 12 reads).

TestVersionAfterStop: requests in progress at a good version end by their deadlines in a stop of 3.2 s, and it is reverted ("errors: rate 0.02 against 0.02", 3 of 132 failed).

--- a/router/boot/late_judge_test.go
+++ b/router/boot/late_judge_test.go
@@ -191,3 +191,73 @@
 		})
 	}
 }
+
+// Guards against a request that is sent once more although its answer came in time, as the router was stopped when it came.
+func TestNoRepeatAfterStop(t *testing.T) {
+	const (
+		reads = 12
+		delay = 150 * time.Millisecond
+	)
+	for name, pause := range map[string]time.Duration{"0.3 s": 300 * time.Millisecond, "1 s": time.Second, "1.5 s": 1500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w, desks := platform(t, 8, always(server.Delayed{Answer: fine, Delay: delay}))
+			p := w.startProcess()
+			w.eventually("readiness", w.ready)
+			time.Sleep(300 * time.Millisecond) // until all upstreams are listed
+			var clients sync.WaitGroup
+			for range reads {
+				clients.Go(func() {
+					if a := w.send("GET", "/read/1", ""); a.status != http.StatusOK {
+						t.Errorf("got %d %s %v", a.status, a.code(), a.err)
+					}
+				})
+			}
+			w.eventually("the requests at their upstreams", func() bool { return requestsOf(desks...) >= reads })
+			p.interrupt(t, 0, pause, 1)
+			clients.Wait()
+			if n := requestsOf(desks...); n != reads {
+				t.Errorf("%d requests reached upstreams, want each of %d once", n, reads)
+			}
+		})
+	}
+}
+
+// Guards against a good version that is reverted, since requests in progress at it ended by their deadlines while the
+// router was stopped: their answers had come in time.
+func TestVersionAfterStop(t *testing.T) {
+	t.Parallel()
+	const (
+		duration = 20 * time.Second
+		// delay keeps some 50 requests in progress.
+		delay = 700 * time.Millisecond
+		pause = 3200 * time.Millisecond // longer than the clients' deadline
+	)
+	w, _ := platform(t, 8, always(server.Delayed{Answer: fine, Delay: delay}))
+	p := w.startProcess()
+	w.eventually("readiness", w.ready)
+	w.server("desk", "n1", "v2", always(server.Delayed{Answer: fine, Delay: delay}))
+	if err := w.store.PutJSON("op", "rollout/desk", map[string]any{"service": "desk", "to": "v2", "duration_s": duration.Seconds()}); err != nil {
+		t.Fatal(err)
+	}
+	var clients sync.WaitGroup
+	var done atomic.Bool
+	clients.Go(func() {
+		for !done.Load() {
+			clients.Go(func() { w.send("GET", "/read/1", "") })
+			time.Sleep(15 * time.Millisecond)
+		}
+	})
+	w.eventually("the begin of the roll-out", func() bool {
+		r, _ := w.store.Get("status", "rollout/desk")
+		return strings.Contains(string(r.Data), "canary")
+	})
+	time.Sleep(2 * time.Second) // until both versions have answered
+	p.interrupt(t, time.Second, pause, 1)
+	done.Store(true)
+	clients.Wait()
+	r, _ := w.store.Get("status", "rollout/desk")
+	if strings.Contains(string(r.Data), "reverted") {
+		t.Errorf("state %s", r.Data)
+	}
+}
