fix(relay): judge no upstream by an attempt that failed while the router was late

Cause: the timer of an attempt's response counted time in which the router was stopped, so that requests were repeated whose answers waited to be read; and an attempt that failed without an error status counted as its upstream's failure, also if the router was late, so that a good version was reverted.

Change: the timer counts time in which the process ran; an attempt that ends without an error status while the process is 0.1 s late or more says nothing of its upstream.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -228,6 +228,7 @@
 	Meter    *meter.Meter
 	Memory   *quota.MemoryLimit
 	Now      clock.Func
+	Late     *late.Meter
 	Log      zerolog.Logger
 	Gossip   *gossip.Exchanger
 }
@@ -235,7 +236,7 @@
 func newRelay(p relayParts) *relay.Relay {
 	return relay.New(relay.Options{
 		Syncer: p.Syncer, Links: p.Links, Codec: p.Codec, Balancer: p.Balancer, Probe: p.Probe, Notices: p.Notices, Crashes: p.Crashes, Poison: p.Poison, Pins: p.Pins, Canary: p.Canary, Presence: p.Presence,
-		Budget: p.Budget, Meter: p.Meter, Memory: p.Memory, Now: p.Now, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values, Size: p.Gossip.RouterCount,
+		Budget: p.Budget, Meter: p.Meter, Memory: p.Memory, Now: p.Now, Lateness: p.Late.Lateness, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values, Size: p.Gossip.RouterCount,
 	})
 }
 
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -110,7 +110,9 @@
 	Budget *budget.Budget
 	Meter  *meter.Meter
 	Now    clock.Func
-	Log    zerolog.Logger
+	// Lateness is that of this process.
+	Lateness clock.Lateness
+	Log      zerolog.Logger
 	// Domain is the failure domain of this instance.
 	Domain ident.DomainID
 	// Values are what 1,000 weighted tokens of a correct response are worth, indexed by the
@@ -232,8 +234,10 @@
 	// verdict tracks whether the upstream survives the request.
 	verdict *crash.Attempt
 	// responseTimer ends the attempt if its response doesn't begin in time and the request can be
-	// retried elsewhere.
-	responseTimer *time.Timer
+	// retried elsewhere. Time in which this process didn't run doesn't count.
+	responseTimer *clock.Timer
+	// status is that of the response; 0 before its headers.
+	status int
 	// serviceSize is the number of the service's upstreams.
 	serviceSize int
 	// nominal is the predicted time until the response for an upstream of usual speed.
@@ -263,10 +267,20 @@
 	o.Probe.ConnectionLost(o.upstream)
 }
 
+// lateLevel is the lateness of this process from which an attempt that fails without an error status says nothing of its
+// upstream: the answer may have come in time.
+const lateLevel = 100 * time.Millisecond
+
 // finish releases the attempt and records whether its upstream served it well. It must be
 // called once, unless release is called instead.
 func (o *attempt) finish(ok bool) {
 	o.release()
+	if !ok && o.status < http.StatusInternalServerError && o.Lateness() >= lateLevel {
+		if o.trial {
+			o.recordTrial(false)
+		}
+		return
+	}
 	o.Balancer.RecordOutcome(o.upstream.ID, ok, o.serviceSize, time.Now())
 	if o.trial {
 		o.recordTrial(ok)
@@ -308,7 +322,7 @@
 	cancelAttempt := t.cancelForRetry(u, cancel)
 	o.progress = t.Probe.Start(u, t.Route.MaxPause, cancelAttempt, began)
 	o.verdict = t.Crashes.Start(u.Incarnation(), t.prompt, cancel)
-	o.responseTimer = time.AfterFunc(max(t.Route.Objective, minAttemptTime), func() {
+	o.responseTimer = clock.AfterFunc(max(t.Route.Objective, minAttemptTime), func() {
 		if cancelAttempt != nil {
 			cancelAttempt(errLate)
 		}
@@ -363,11 +377,14 @@
 			if context.Cause(ctx) == nil {
 				o.connectionLost()
 			}
-			o.placement.TimedOut(time.Now())
+			if o.Lateness() < lateLevel {
+				o.placement.TimedOut(time.Now())
+			}
 			o.finish(false)
 		}
 		return unknown{err: err}
 	}
+	o.status = a.Status
 	o.headersReceived()
 	o.recordNotices(a)
 	if a.Meta.HasLoad {
