--- a/router/boot/late_overload_test.go
+++ b/router/boot/late_overload_test.go
@@ -210,7 +210,14 @@
 
 // Guards against a router past its capacity that serves a small part of what it could, refuses too late to be of use, or
 // holds requests on past their time-out.
-func TestGoodputPastCapacity(t *testing.T) {
+func TestGoodputPastCapacity(t *testing.T) { checkGoodput(t, 1, 2) }
+
+// Guards against the same at four times the capacity.
+func TestGoodputFarPastCapacity(t *testing.T) { checkGoodput(t, 4) }
+
+// checkGoodput offers a router multiples of its best rate.
+func checkGoodput(t *testing.T, multiples ...int) {
+	t.Helper()
 	const (
 		period  = 50 * time.Millisecond
 		runs    = 2 * time.Millisecond
@@ -232,7 +239,7 @@
 	best := l.bestRate(t, 300*time.Millisecond)
 	t.Logf("best rate %d/s", best)
 	rate := best
-	for _, k := range []int{1, 2, 4} {
+	for _, k := range multiples {
 		const offered = time.Second
 		r := l.offer(k*rate, offered)
 		t.Logf("%d times: %s", k, r)
