test: wait until a router has stopped before requests are sent to it

Cause: SIGSTOP takes effect some time after it was sent. TestNothingSentThatCameTooLate sent its first request at once.

Evidence: in one whole run of router/boot (load 24) 1 of 64 requests reached an upstream. Its attempt took 262 ms, the whole of the stop of 250 ms: it was read before the process stopped. The others had waited 256 ms or more.

Change: the tests wait until all threads of the process are stopped. The check and its bound stay as they were.

Figures: cd router && go test -race -count=3 -run 'TestTimeoutCounts|TestNothingSent' ./boot passes.

--- a/router/boot/late_arrival_test.go
+++ b/router/boot/late_arrival_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -12,14 +14,31 @@
 	"tarragonvalve.example/standin/server"
 )
 
-// signal sends signals to a process.
-func (p *process) signal(t *testing.T, ss ...syscall.Signal) {
+// signal sends a signal to a process. It returns once all threads have stopped if that is SIGSTOP.
+func (p *process) signal(t *testing.T, s syscall.Signal) {
 	t.Helper()
-	for _, s := range ss {
-		if err := p.Process.Signal(s); err != nil {
-			t.Fatal(err)
+	if err := p.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+	for s == syscall.SIGSTOP && !p.isStopped(t) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// isStopped reports whether all threads of a process are stopped by a signal.
+func (p *process) isStopped(t *testing.T) bool {
+	t.Helper()
+	paths, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.Process.Pid))
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("threads of the router: %v, %v", paths, err)
+	}
+	for _, path := range paths {
+		b, err := os.ReadFile(path)
+		if _, state, ok := strings.Cut(string(b), ") "); err == nil && (!ok || state[0] != 'T') {
+			return false
 		}
 	}
+	return true
 }
 
 // Guards against a route's time-out that counts from when a router which had no processor time noticed the request.
