fix(front): cut no request before the last sixth of a short grace period

Cause: a shutdown counts from the heartbeat before the latest one, up to 0.1 s before its signal, so that it takes requests for long enough in no case; its end counted from there too, and cut requests up to 0.1 s before the last sixth of grace periods of up to 4 s, in which the users' rule LOST permits it.

Change: the drain lasts until the last sixth of the grace period has begun, also if the signal came at the latest moment that the heartbeat of a process on time leaves open.

--- a/router/front/gate.go
+++ b/router/front/gate.go
@@ -39,6 +39,8 @@
 type shutdown struct {
 	// began is the reading of the gate's clock, grace the grace period in force.
 	began, grace time.Duration
+	// latest is how long after began the signal came at most, in a process that ran on time.
+	latest time.Duration
 }
 
 // NewGate returns a gate. m measures by the clock now. revokeWithin returns the time within which a revoked key must stop
@@ -64,11 +66,12 @@
 // shutdown counts from when it was last seen to run before the latest time, which may itself have been just after the
 // signal.
 func (g *Gate) Stop() {
-	began := g.now()
+	now := g.now()
+	began := now
 	if t, ok := g.lateness.RanBefore(); ok {
 		began = min(began, t)
 	}
-	g.stop.CompareAndSwap(nil, &shutdown{began: began, grace: g.gracePeriod()})
+	g.stop.CompareAndSwap(nil, &shutdown{began: began, grace: g.gracePeriod(), latest: min(now-began, 2*late.Interval)})
 }
 
 // Stopping reports whether the shutdown has begun.
@@ -85,11 +88,15 @@
 	return g.now() - s.began, true
 }
 
-// drainTime returns how long after the start of the shutdown the requests in progress may go on. Settings that
-// change afterwards don't count, as SIGKILL follows by those at SIGTERM.
+// drainTime returns how long after the start of the shutdown the requests in progress may go on: until the last sixth of
+// the grace period has begun in any case, also if the signal came later than the start. Settings that change afterwards
+// don't count, as SIGKILL follows by those at SIGTERM.
 func (g *Gate) drainTime() time.Duration {
-	t := g.grace()
-	return t - min(stopMargin, time.Duration(float64(t)*stopMarginFraction))
+	s := g.stop.Load()
+	if s == nil {
+		return 0
+	}
+	return max(s.grace-stopMargin, s.grace-time.Duration(float64(s.grace)*stopMarginFraction)+s.latest)
 }
 
 // grace returns the grace period of the shutdown, or 0 before it.
--- a/router/front/gate_test.go
+++ b/router/front/gate_test.go
@@ -57,3 +57,30 @@
 		})
 	}
 }
+
+// Guards against requests that are cut before the last sixth of the grace period, as the shutdown counts from a heartbeat
+// before its signal.
+func TestCutsAfterLatestSignal(t *testing.T) {
+	const ms = time.Millisecond
+	for name, grace := range map[string]time.Duration{"2 s": 2 * time.Second, "3 s": 3 * time.Second, "4 s": 4 * time.Second, "8 s": 8 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Second
+			clock := func() time.Duration { return now }
+			m := late.New(clock, zerolog.Nop())
+			g := NewGate(nil, clock, m, nil, func() time.Duration { return grace })
+			m.Beat(0)
+			now += late.Interval
+			m.Beat(0)
+			now += 49 * ms
+			g.Stop()
+			signalled := now
+			now = signalled + time.Duration(float64(grace)*(1-stopMarginFraction)) - ms
+			if past, _ := g.stoppedFor(); past > g.drainTime() {
+				t.Errorf("the drain is over %s after the signal", now-signalled)
+			}
+			if g.drainTime() >= grace {
+				t.Errorf("the drain takes %s of %s", g.drainTime(), grace)
+			}
+		})
+	}
+}
