--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -26,6 +28,10 @@
 	routerCount    = 3
 	plainUpstreams = 3
 	modelUpstreams = 3
+	// roomySlots is the number of requests that an upstream of a roomy world takes at once, roomyConnections that of
+	// the connections that a service allows there.
+	roomySlots       = 1000
+	roomyConnections = 4000
 	// routeTimeout is the timeout of a route.
 	routeTimeout = 3 * time.Second
 	// revokeTime is the time within which a revoked key must stop working, as in the settings.
@@ -74,6 +80,9 @@
 	// done receives the result of cmd.
 	done chan error
 	log  *tail
+	// watch gets the output too if it isn't nil. env is added to the environment.
+	watch io.Writer
+	env   []string
 }
 
 // tail is a writer that keeps the last output of a process. It is safe for concurrent use.
@@ -107,7 +116,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cmd = exec.Command(routerPath, "--config", r.path)
-	r.cmd.Stdout, r.cmd.Stderr = r.log, r.log
+	r.cmd.Env = append(os.Environ(), r.env...)
+	var out io.Writer = r.log
+	if r.watch != nil {
+		out = io.MultiWriter(r.log, r.watch)
+	}
+	r.cmd.Stdout, r.cmd.Stderr = out, out
 	if err := r.cmd.Start(); err != nil {
 		return err
 	}
@@ -179,6 +193,12 @@
 	// direct lets routers connect to upstreams without a link, which would end a connection that was reset as if it
 	// had been closed.
 	direct bool
+	// readTimeout is the timeout of look-ups, 0 for routeTimeout. roomy lets each upstream take many requests at once.
+	readTimeout time.Duration
+	roomy       bool
+	// watch gets the output of all routers if it isn't nil. env is added to their environment.
+	watch io.Writer
+	env   []string
 	// extra are routes beyond read, order and chat, each with a service of its own.
 	extra []extraRoute
 }
@@ -236,7 +256,7 @@
 		shares = append(shares, freeAddress(t))
 	}
 	for i := range routerCount {
-		r := &router{name: fmt.Sprintf("r%d", i), clients: freeAddress(t), admin: freeAddress(t), log: &tail{}}
+		r := &router{name: fmt.Sprintf("r%d", i), clients: freeAddress(t), admin: freeAddress(t), log: &tail{}, watch: x.watch, env: x.env}
 		r.store = links.New(t, "store-"+r.name, s.Listener.Addr().String())
 		r.path = filepath.Join(t.TempDir(), r.name+".ini")
 		text := fmt.Sprintf("[router]\ninstance = %s\ndomain = a\nclients = %s\nadmin = %s\nshare = %s\nseeds = %s, %s\nmemory-mb = %d\n[store]\naddress = %s\n[bounds]\ngrace-s = %g\nrevoke-ms = %d\nretry-slack = 100\n",
@@ -285,12 +305,22 @@
 // register writes an upstream's entry to the store.
 func (w *cluster) register(u *upstream, state string) {
 	w.t.Helper()
-	address := u.link.Addr()
-	if w.direct {
-		address = u.Address()
+	w.registerVersion(u, state, "v1")
+}
+
+// registerVersion is register for an upstream of a version.
+func (w *cluster) registerVersion(u *upstream, state, version string) {
+	w.t.Helper()
+	slots := 32
+	if w.roomy {
+		slots = roomySlots
+	}
+	address := u.Address()
+	if !w.direct {
+		address = u.link.Addr()
 	}
 	err := w.store.PutJSON("servers", u.Name, map[string]any{
-		"service": u.service, "address": address, "zone": "a", "version": "v1", "slots": 32, "state": state, "born": 1,
+		"service": u.service, "address": address, "zone": "a", "version": version, "slots": slots, "state": state, "born": 1,
 	})
 	if err != nil {
 		w.t.Fatal(err)
@@ -312,12 +342,16 @@
 		accounts = append(accounts, map[string]any{"name": "of-" + k, "api_keys": []string{k}})
 	}
 	routes := []any{
-		route("read", "idempotent", "desk", routeTimeout), route("order", "non_idempotent", "desk", w.orderTimeout),
+		route("read", "idempotent", "desk", cmp.Or(w.readTimeout, routeTimeout)), route("order", "non_idempotent", "desk", w.orderTimeout),
 		route("chat", "streaming", "llm", w.streamTimeout),
 	}
+	connections := 400
+	if w.roomy {
+		connections = roomyConnections
+	}
 	services := []any{
-		map[string]any{"name": "desk", "max_connections": 400},
-		map[string]any{"name": "llm", "max_connections": 400, "runtime": map[string]any{"model_list": []any{}}},
+		map[string]any{"name": "desk", "max_connections": connections},
+		map[string]any{"name": "llm", "max_connections": connections, "runtime": map[string]any{"model_list": []any{}}},
 	}
 	for _, x := range w.extra {
 		routes = append(routes, route(x.name, x.kind, x.service, routeTimeout))
