test(soak): give a router a slow link

TestFullLinkSeeds puts one of three routers behind a link that its connections to clients and upstreams share, and slows it to 0.4 to 1.25 MB/s in spells, with answers of 8 kB at 0.6 to 3 times its capacity. The faults beside that and the checks are those of TestLateSeeds. As all routers reach upstreams by the same addresses, only that router gets requests. standin/shaper can change its rate.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -199,6 +199,8 @@
 	// watch gets the output of all routers if it isn't nil. env is added to their environment.
 	watch io.Writer
 	env   []string
+	// via returns the address at which routers reach an upstream's address, if it isn't nil.
+	via func(address string) (string, error)
 	// extra are routes beyond read, order and chat, each with a service of its own.
 	extra []extraRoute
 }
@@ -319,6 +321,12 @@
 	if !w.direct {
 		address = u.link.Addr()
 	}
+	if w.via != nil {
+		var err error
+		if address, err = w.via(address); err != nil {
+			w.t.Fatal(err)
+		}
+	}
 	err := w.store.PutJSON("servers", u.Name, map[string]any{
 		"service": u.service, "address": address, "zone": "a", "version": version, "slots": slots, "state": state, "born": 1,
 	})
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -4,7 +4,7 @@
 //
 // TestSeeds injects all kinds of faults at once. TestPlannedSeeds does planned work only, so that no request may be
 // lost, and TestEdgeSeeds sends streams near the time up to which a stopping router may take and cut them.
-// TestLateSeeds gives a router little processor time in spells.
+// TestLateSeeds gives a router little processor time in spells, TestFullLinkSeeds a slow link.
 // TestCrashSeeds has parts of prompts crash model servers, and TestEndlessSeeds has servers send without end.
 //
 // A short run with fixed seeds is part of the tests. For longer ones:
--- a/soak/late_client_test.go
+++ b/soak/late_client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -79,8 +80,8 @@
 	}
 }
 
-// offer sends requests to router i at its rate until end is closed, and returns when all have ended.
-func (p *lateRun) offer(i int, r *router, end <-chan struct{}) {
+// offer sends requests to router i, at an address, at its rate until end is closed, and returns when all have ended.
+func (p *lateRun) offer(i int, address string, end <-chan struct{}) {
 	random := rand.New(rand.NewPCG(p.seed, uint64(400+i)))
 	var x idle
 	var g sync.WaitGroup
@@ -101,39 +102,42 @@
 			patience = time.Duration(100+random.IntN(1300)) * time.Millisecond
 		}
 		id := fmt.Sprintf("%d-%d-%d", p.seed, i, n)
-		g.Go(func() { p.send(&x, r, id, kind, key, patience) })
+		f := &fate{router: p.routers[i].name, kind: kind}
+		g.Go(func() {
+			c := x.take()
+			if c == nil {
+				k, err := net.DialTimeout("tcp", address, time.Second)
+				if err != nil {
+					return
+				}
+				c = &lateClient{Conn: k, reader: bufio.NewReader(k)}
+			}
+			if p.send(c, f, id, key, patience) {
+				x.put(c)
+				return
+			}
+			c.Close()
+		})
 	}
 }
 
-// send sends a request and records what becomes of it.
-func (p *lateRun) send(x *idle, r *router, id, kind, key string, patience time.Duration) {
-	c := x.take()
-	if c == nil {
-		k, err := net.DialTimeout("tcp", r.clients, time.Second)
-		if err != nil {
-			return
-		}
-		c = &lateClient{Conn: k, reader: bufio.NewReader(k)}
-	}
-	f := &fate{router: r.name, kind: kind, kept: c.used > 0, sent: time.Now()}
+// send sends a request, records what becomes of it and reports whether the connection can take another one.
+func (p *lateRun) send(c *lateClient, f *fate, id, key string, patience time.Duration) bool {
+	f.kept, f.sent = c.used > 0, time.Now()
 	c.used++
-	p.checker.recordSend(id, kind, key, r.name)
+	p.checker.recordSend(id, f.kind, key, f.router)
 	p.mu.Lock()
 	p.fates[id] = f
 	p.mu.Unlock()
 	_ = c.SetDeadline(f.sent.Add(patience))
 	method, body := http.MethodPost, "body of "+id
-	if kind == "read" {
+	if f.kind == "read" {
 		method, body = http.MethodGet, ""
 	}
 	// A failure shows when the response is read.
 	fmt.Fprintf(c, "%s /%s/1 HTTP/1.1\r\nHost: shop.example\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
-		method, kind, id, lateDeadline.Milliseconds(), key, len(body), body)
-	if p.receive(c, id, f) {
-		x.put(c)
-		return
-	}
-	c.Close()
+		method, f.kind, id, lateDeadline.Milliseconds(), key, len(body), body)
+	return p.receive(c, id, f)
 }
 
 // receive reads the answer to a request and reports whether the connection can take another one.
@@ -152,7 +156,11 @@
 		p.recordEnd(f, c, err)
 		return false
 	}
-	p.checker.recordResponse(id, a.StatusCode, string(b), false, a.Header.Get("Tarragonvalve-Server-Signature"))
+	text := string(b)
+	if a.StatusCode == http.StatusOK && f.kind != "chat" && p.size > 0 && len(text) == p.size {
+		text = strings.TrimRight(text, " ")
+	}
+	p.checker.recordResponse(id, a.StatusCode, text, false, a.Header.Get("Tarragonvalve-Server-Signature"))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f.ended, f.whole = time.Now(), true
--- a/soak/late_test.go
+++ b/soak/late_test.go
@@ -13,6 +13,7 @@
 
 	"tarragonvalve.example/proof/proc"
 	"tarragonvalve.example/standin/server"
+	"tarragonvalve.example/standin/shaper"
 )
 
 const (
@@ -32,12 +33,20 @@
 	// stabilityWindow is the users' time after an impairment in which the rules with bounds don't hold for a machine.
 	stabilityWindow = 3 * time.Second
 	lateGrace       = 4 * time.Second
+	// minLink and maxLink bound the rate of a slow link, fastLink is that of others, in bytes a second. linkAnswer is the
+	// length of an answer over a slow link in bytes.
+	minLink    = 400_000
+	maxLink    = 1_250_000
+	fastLink   = 100_000_000
+	linkAnswer = 8000
 )
 
-// spell is a time in which the slow router gets little processor time.
+// spell is a time in which the slow router gets little processor time, or little of its link.
 type spell struct {
-	// on is how long it runs of each slice.
+	// on is how long it runs of each slice, 0 for all the while.
 	on time.Duration
+	// link is the rate of its link, in bytes a second, 0 for a fast one.
+	link int
 	// rate is that of its requests, per second.
 	rate int
 	// stop is how long it is stopped in the pause before the spell, 0 for not at all. term is when it gets SIGTERM in
@@ -47,7 +56,7 @@
 }
 
 func (s *spell) String() string {
-	return fmt.Sprintf("%s of each %s, %d requests a second, stopped for %s before, SIGTERM after %s", s.on, slice, s.rate, s.stop, s.term)
+	return fmt.Sprintf("%s of each %s, a link of %d bytes a second, %d requests a second, stopped for %s before, SIGTERM after %s", s.on, slice, s.link, s.rate, s.stop, s.term)
 }
 
 // newSpell draws a spell, of which most are past the router's capacity.
@@ -64,11 +73,25 @@
 	return s
 }
 
+// newLinkSpell draws a spell with a slow link, of which most are past its capacity.
+func newLinkSpell(r *rand.Rand) *spell {
+	s := newSpell(r)
+	s.on, s.link = 0, minLink+r.IntN(maxLink-minLink)
+	load := []float64{0.6, 1.5, 1.5, 2, 3}[r.IntN(5)]
+	s.rate = int(load * float64(s.link) / linkAnswer)
+	return s
+}
+
 // lateRun is a run in which one router, the first, gets little time in spells. It is safe for concurrent use.
 type lateRun struct {
 	*cluster
 	judge *judge
 	pulse pulse
+	// size is the length of plain answers in bytes, 0 for that of their text.
+	size int
+	// link is that of the slow router, or nil. If there is one, only the slow router gets requests, as all routers reach
+	// upstreams by the same addresses.
+	link *shaper.Link
 
 	mu    sync.Mutex
 	fates map[string]*fate
@@ -89,7 +112,20 @@
 	for _, s := range proc.Seeds(t, "SOAK_SEEDS", 1) {
 		t.Run(fmt.Sprint(s), func(t *testing.T) {
 			t.Parallel()
-			runLate(t, s, lateSpells(t))
+			p := &lateRun{}
+			p.play(t, s, newSpell)
+		})
+	}
+}
+
+// Guards against the same by a router whose link to clients and upstreams is slow.
+func TestFullLinkSeeds(t *testing.T) {
+	for _, s := range proc.Seeds(t, "SOAK_SEEDS", 1) {
+		t.Run(fmt.Sprint(s), func(t *testing.T) {
+			t.Parallel()
+			p := &lateRun{size: linkAnswer, link: shaper.New(fastLink)}
+			t.Cleanup(p.link.Close)
+			p.play(t, s, newLinkSpell)
 		})
 	}
 }
@@ -103,34 +139,39 @@
 	return max(1, int(faultDuration(t)/(spellPause+spellTime)))
 }
 
-func runLate(t *testing.T, seed uint64, spells int) {
+// play does a run with spells that draw returns.
+func (p *lateRun) play(t *testing.T, seed uint64, draw func(*rand.Rand) *spell) {
 	l := newChecker(seed)
-	p := &lateRun{judge: &judge{}, fates: map[string]*fate{}, rate: usualRate, disturbed: map[string][]span{}, unplanned: map[string][]span{}, terms: map[string][]time.Time{}}
-	p.cluster = newClusterIn(t, world{
+	p.judge, p.rate, p.fates = &judge{}, usualRate, map[string]*fate{}
+	p.disturbed, p.unplanned, p.terms = map[string][]span{}, map[string][]span{}, map[string][]time.Time{}
+	x := world{
 		checker: l, script: p.script(l), grace: lateGrace, orderTimeout: lateTimeout, streamTimeout: lateTimeout, readTimeout: lateTimeout,
 		direct: true, roomy: true, watch: p.judge, env: []string{"GOMAXPROCS=1"},
-	})
+	}
+	if p.link != nil {
+		x.via = p.link.FromProcess
+	}
+	p.cluster = newClusterIn(t, x)
 	p.seed = seed
 	p.await("routers ready", time.Minute, p.allReady)
 	end := make(chan struct{})
 	var g sync.WaitGroup
 	g.Go(func() { p.pulse.run(end) })
-	for i, r := range p.routers {
-		g.Go(func() { p.offer(i, r, end) })
-	}
-	p.rollOut("desk", time.Duration(spells)*(spellPause+spellTime))
-	var ss []*spell
+	p.load(&g, end)
 	random := rand.New(rand.NewPCG(seed, 13))
-	for range spells {
-		ss = append(ss, newSpell(random))
+	var ss []*spell
+	for range lateSpells(t) {
+		ss = append(ss, draw(random))
 	}
+	d := time.Duration(len(ss)) * (spellPause + spellTime)
+	p.rollOut("desk", d)
 	operated := make(chan struct{})
 	go func() {
 		defer close(operated)
-		p.operate(rand.New(rand.NewPCG(seed, 14)), time.Now().Add(time.Duration(spells)*(spellPause+spellTime)))
+		p.operate(rand.New(rand.NewPCG(seed, 14)), time.Now().Add(d))
 	}()
 	for _, s := range ss {
-		p.play(s)
+		p.spell(s)
 	}
 	<-operated
 	p.await("routers ready after the faults", recoveryTime, p.allReady)
@@ -140,6 +181,23 @@
 	l.report(t)
 }
 
+// load starts the clients, which send requests until end is closed.
+func (p *lateRun) load(g *sync.WaitGroup, end <-chan struct{}) {
+	for i, r := range p.routers {
+		address := r.clients
+		if p.link != nil {
+			if i > 0 {
+				return
+			}
+			var err error
+			if address, err = p.link.ToProcess(r.clients); err != nil {
+				p.t.Fatal(err)
+			}
+		}
+		g.Go(func() { p.offer(i, address, end) })
+	}
+}
+
 // script is the behavior of the servers, which are sound all the while.
 func (p *lateRun) script(l *checker) func(service string) func(server.Request) server.Reply {
 	return func(service string) func(server.Request) server.Reply {
@@ -155,7 +213,9 @@
 			if service == "llm" {
 				return server.Events{Count: eventCount, Pause: 15 * time.Millisecond, Confidence: -1}
 			}
-			return server.Delayed{Answer: server.Answer{Status: http.StatusOK, Body: "answer to " + r.ID(), Confidence: -1}, Delay: lateDeskWork}
+			body := "answer to " + r.ID()
+			body += strings.Repeat(" ", max(p.size-len(body), 0))
+			return server.Delayed{Answer: server.Answer{Status: http.StatusOK, Body: body, Confidence: -1}, Delay: lateDeskWork}
 		}
 	}
 }
@@ -175,8 +235,8 @@
 	}
 }
 
-// play plays a spell at the slow router.
-func (p *lateRun) play(s *spell) {
+// spell plays a spell at the slow router.
+func (p *lateRun) spell(s *spell) {
 	r := p.routers[0]
 	time.Sleep(spellPause)
 	if s.stop > 0 {
@@ -192,7 +252,13 @@
 			p.terminate(r)
 		})
 	}
-	for s.to = s.from; s.to.Sub(s.from) < spellTime; s.to = time.Now() {
+	if s.link > 0 {
+		p.link.SetRate(s.link)
+		time.Sleep(spellTime)
+		p.link.SetRate(fastLink)
+		s.to = time.Now()
+	}
+	for s.to = time.Now(); s.to.Sub(s.from) < spellTime; s.to = time.Now() {
 		if r.signal(syscall.SIGSTOP) == nil {
 			time.Sleep(slice - s.on)
 			if err := r.signal(syscall.SIGCONT); err != nil {
