--- a/soak/late_check_test.go
+++ b/soak/late_check_test.go
@@ -88,6 +88,15 @@
 	}
 }
 
+// longest returns the longest time between two beats that was over maxLateness, or 0.
+func (x *pulse) longest() time.Duration {
+	var d time.Duration
+	for _, s := range x.late {
+		d = max(d, s.to.Sub(s.from))
+	}
+	return d
+}
+
 // overlaps reports whether one of ss overlaps the time between two moments.
 func overlaps(ss []span, from, to time.Time) bool {
 	return slices.ContainsFunc(ss, func(s span) bool { return from.Before(s.to) && to.After(s.from) })
@@ -129,7 +138,7 @@
 	for _, s := range ss {
 		p.logGoodput(s)
 	}
-	p.t.Logf("the test process was late %d times", len(p.pulse.late))
+	p.t.Logf("the test process was late %d times, by up to %s", len(p.pulse.late), p.pulse.longest())
 	for _, l := range p.judge.first() {
 		p.checker.addViolation("judgement of what was sound: %s", l)
 	}
