fix(front): refuse by overload only in the handler

Cause: a form of refusal that answered whole requests in the connection's read. net/http reads a byte ahead while a handler runs, to notice the client's departure; if the client's next request began to arrive then, its first byte stayed with net/http while the rest was answered 503, and it became the begin of the request after that. Connections whose requests were all refused so were closed as idle after 15 s, and long prompts were refused like others.

Requests are refused at the begin of their handling, by their wait in a standing queue.

--- a/router/admit/admit.go
+++ b/router/admit/admit.go
@@ -49,12 +49,12 @@
 
 // Takes reports whether a request that has waited for a time may go on. In a standing queue those that have waited long
 // are refused, so that the others are answered in time. preferred are requests whose work is costly to repeat elsewhere.
-// full states that there is no room for a further one.
-func Takes(standing, full bool, waited time.Duration, preferred bool) bool {
+func Takes(standing bool, waited time.Duration, preferred bool) bool {
+	limit := target
 	if preferred {
-		return !standing || waited <= preferredTarget
+		limit = preferredTarget
 	}
-	return !full && (!standing || waited <= target)
+	return !standing || waited <= limit
 }
 
 // InTime reports whether a request can still be answered in time. left is its time left, fastest the shortest time that
--- a/router/front/clientconn.go
+++ b/router/front/clientconn.go
@@ -55,25 +55,12 @@
 
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		shed := false
-		if err == nil && c.beginsRequest(n) {
-			shed, err = c.ends.shedder.sheds(c.Conn, b[:n], c.arrival.read, c.arrival.delay)
-		}
-		if !shed {
-			return c.record(n, err)
-		}
-		if err != nil {
-			return c.record(0, err)
-		}
-	}
-}
-
-// record records the result of a read, and returns it.
-func (c *clientConn) record(n int, err error) (int, error) {
+	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if n > 0 {
+		c.arrived()
+	}
 	c.unhandled += n
 	c.readErr = err
 	if c.clientEnd == nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
@@ -82,21 +69,14 @@
 	return n, err
 }
 
-// beginsRequest records when n bytes that have just been read could have been, and reports whether they are the first of
-// a request.
-func (c *clientConn) beginsRequest(n int) bool {
+// arrived records when the bytes that have just been read could have been. c.mu must be held.
+func (c *clientConn) arrived() {
 	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if n == 0 {
-		return false
-	}
 	if c.exchange == nil && c.unhandled == 0 {
 		c.arrival.begin(now, c.ends.arrivals.delay(c))
-		return true
+		return
 	}
 	c.arrival.more(now)
-	return false
 }
 
 // Write implements net.Conn.
@@ -176,7 +156,8 @@
 	c.exchange = x
 	x.conn = c
 	if c.unhandled > 0 {
-		x.arrived, x.waited = c.arrival.first, c.arrival.waited(x.arrived)
+		x.waited = c.arrival.waited(x.arrived)
+		x.arrived = c.arrival.first
 	}
 	c.unhandled = 0
 	c.closedIdle = false
--- a/router/front/ends.go
+++ b/router/front/ends.go
@@ -31,7 +31,6 @@
 	log       zerolog.Logger
 	stacks    panics.Stacks
 	arrivals  arrivals
-	shedder   shedder
 	// closed is true once all connections are closed at the end of the process.
 	closed atomic.Bool
 }
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -81,14 +81,6 @@
 	m := h.codec.ParseRequest(q.Header)
 	j := &relay.Job{Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: x.arrived}
 	s := newStatusWriter(w)
-	s.begun = func() {
-		h.gate.overload.answered(time.Now(), time.Since(began), s.status >= http.StatusInternalServerError)
-	}
-	defer func() {
-		if s.begun != nil {
-			h.gate.overload.answered(time.Now(), time.Since(began), true)
-		}
-	}()
 	reservation := h.memory.NewReservation()
 	defer reservation.Free()
 	err := h.serve(q.Context(), s, q, x, j, reservation)
@@ -110,8 +102,6 @@
 type statusWriter struct {
 	http.ResponseWriter
 	status int
-	// begun is called when the answer begins, unless it is nil.
-	begun func()
 }
 
 // newStatusWriter returns w if it records the status already, as it does for requests of a Server.
@@ -122,25 +112,16 @@
 	return &statusWriter{ResponseWriter: w}
 }
 
-// begin records the status of an answer that begins.
-func (w *statusWriter) begin(status int) {
-	w.status = status
-	if w.begun != nil {
-		w.begun()
-		w.begun = nil
-	}
-}
-
 // WriteHeader implements http.ResponseWriter.
 func (w *statusWriter) WriteHeader(status int) {
-	w.begin(status)
+	w.status = status
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements io.Writer. A first write without a status implies the status 200.
 func (w *statusWriter) Write(b []byte) (int, error) {
 	if w.status == 0 {
-		w.begin(http.StatusOK)
+		w.status = http.StatusOK
 	}
 	return w.ResponseWriter.Write(b)
 }
--- a/router/front/overload.go
+++ b/router/front/overload.go
@@ -30,40 +30,20 @@
 	mu    sync.Mutex
 	queue admit.Queue
 	pause admit.Pause
-	flow  admit.Flow
-	// open is the number of requests that were taken and whose answers have yet to begin.
-	open int
 	// refused is the number of refusals, unlogged that of those since logged, the time of the latest log line on them.
 	refused, unlogged int
 	logged            time.Time
 }
 
-// takes records that a request reached its handler after a wait, and reports whether it is taken; then answered must
-// follow. isPreferred reports whether it is preferred.
-func (o *overload) takes(now time.Time, waited, lateness time.Duration, isPreferred func() bool) bool {
+// takes records that a request reached its handler after a wait, and reports whether it is taken. isPreferred reports
+// whether it is preferred.
+func (o *overload) takes(now time.Time, waited time.Duration, isPreferred func() bool) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.queue.Add(now, waited)
 	standing := o.queue.Standing(now)
 	o.pause.Update(now, standing, rand.Float64()) //nolint:gosec // spreads pauses, guards no secret
-	o.flow.Update(now, standing, lateness)
-	if !admit.Takes(standing, o.flow.Full(now, o.open), waited, false) {
-		if !admit.Takes(standing, false, waited, isPreferred()) {
-			return false
-		}
-	}
-	o.open++
-	return true
-}
-
-// answered records that the answer of a request began, or that it ended without one, took after it was taken.
-func (o *overload) answered(now time.Time, took time.Duration, fails bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.open--
-	if !fails {
-		o.flow.Answered(now, took)
-	}
+	return admit.Takes(standing, waited, false) || admit.Takes(standing, waited, isPreferred())
 }
 
 // paused reports whether the instance asks for no new connections as its queue has stood for long.
@@ -105,7 +85,7 @@
 // cheap, as it happens past capacity: before the request is looked at, and without a log line.
 func (h *Handler) refuseQueued(w http.ResponseWriter, q *http.Request, x *exchange) bool {
 	now := time.Now()
-	if h.gate.overload.takes(now, x.waited, h.gate.lateness.Lateness(), func() bool { return preferred(h.codec.ParseRequest(q.Header)) }) {
+	if h.gate.overload.takes(now, x.waited, func() bool { return preferred(h.codec.ParseRequest(q.Header)) }) {
 		return false
 	}
 	if q.Body != http.NoBody {
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -51,8 +51,6 @@
 	Syncer   *mirror.Syncer
 	// Refused is called for each connection that is closed because too many are open.
 	Refused func()
-	// Shed is called for each request that is refused by overload before it is read, with how long it had waited.
-	Shed func(waited time.Duration)
 	// Ended is called for each connection that ends without a complete answer.
 	Ended func(ending.Cause)
 	// RequestID returns the id in a request's headers.
@@ -72,7 +70,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	base, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	ends := &endReporter{gate: s.Gate, count: s.Ended, requestID: s.RequestID, log: s.Log, arrivals: arrivals{overdue: s.Gate.lateness.Overdue}, shedder: shedder{gate: s.Gate, refused: s.Shed}}
+	ends := &endReporter{gate: s.Gate, count: s.Ended, requestID: s.RequestID, log: s.Log, arrivals: arrivals{overdue: s.Gate.lateness.Overdue}}
 	h := &http.Server{
 		BaseContext: func(net.Listener) context.Context { return base },
 		Handler:     ends.handler(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -100,7 +100,14 @@
 		Namespace: namespace, Name: "request_wait_seconds", Help: "Time in seconds for which whole requests waited before their handling began.", Buckets: waitBuckets,
 	})
 	m.overloaded = m.requests.WithLabelValues(noRoute, string(refuse.Overloaded))
-	m.registry.MustRegister(m.waits, m.trials, m.ended, m.requests, m.latency, m.attempts, m.denied, m.escalated, m.resumed, m.exceeded, m.refused,
+	m.registry.MustRegister(m.waits, m.trials, m.ended, m.requests, m.latency, m.attempts, m.denied, m.escalated, m.resumed, m.exceeded, m.refused)
+	m.registry.MustRegister(r.collectors()...)
+	return m
+}
+
+// collectors returns the metrics that read r.
+func (r Readings) collectors() []prometheus.Collector {
+	return []prometheus.Collector{
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "configuration_age_seconds", Help: "Largest possible age of the configuration in seconds; -1 before one was read.",
 		}, r.ConfigurationAge),
@@ -134,8 +141,7 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: namespace, Name: "link_full_total", Help: "Times at which the link has become full.",
 		}, r.FullEpisodes),
-	)
-	return m
+	}
 }
 
 // noRoute is the kind of a request without a route.
