fix(relay): report times of answers less the process's own lateness

Cause: the times by which a version counts as slow included waits of the router itself of up to 0.1 s, below the level from which they are ignored; a router that runs for 3 to 8 ms of each 50 has them all the time, and a good version was reverted as slow if the old one had been measured before.

--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -133,7 +133,12 @@
 
 // reportFirstResponse reports the time until the attempt's response started.
 func (o *attempt) reportFirstResponse() {
-	o.reportTiming(canary.FirstResponse, float64(time.Since(o.began))/float64(max(o.nominal, time.Millisecond)))
+	o.reportTiming(canary.FirstResponse, float64(o.takenSince(o.began))/float64(max(o.nominal, time.Millisecond)))
+}
+
+// takenSince returns the time since t, less what the lateness of this process may have added to it.
+func (o *attempt) takenSince(t time.Time) time.Duration {
+	return max(time.Since(t)-o.Lateness(), 0)
 }
 
 // isNew reports whether u has the version that an order rolls out.
