--- a/router/front/front.go
+++ b/router/front/front.go
@@ -41,8 +41,8 @@
 	// response. Without this limit, a client that doesn't read would keep the response's
 	// memory and, for a stream, its upstream occupied indefinitely.
 	writeMargin = time.Second
-	// retryStopping is the Retry-After of an instance that is shutting down. It can be short, as
-	// the retry uses a new connection, which goes to another instance.
+	// retryStopping is the Retry-After of an instance that is shutting down, or has too little processor time. It can be
+	// short, as the retry uses a new connection, which goes to another instance.
 	retryStopping = 50 * time.Millisecond
 )
 
