refactor(late): compute the time in which a process ran unseen in one place

Cause: the boot packages of entry and agent had the same clock and the same function for the time since the process was last seen to run, and the router's gate the same arithmetic.

Change: late.Monotonic and Meter.Unseen, which takes the place of RanBefore. Behaviour is the same.

Checked by: go test -race of router/front, core/late, entry/boot and agent/entry; no test changed but one that made its own copy of the clock.

--- a/agent/boot/build.go
+++ b/agent/boot/build.go
@@ -48,7 +48,6 @@
 		func() *setup.Settings { return s },
 		func() zerolog.Logger { return l },
 		newListeners,
-		newClock,
 		newLateness,
 		newRing,
 		newPanics,
@@ -172,24 +171,8 @@
 	})
 }
 
-// newClock returns the clock of the meter, which is monotonic.
-func newClock() late.Clock {
-	start := time.Now()
-	// The meter takes 0 for no reading.
-	return func() time.Duration { return time.Since(start) + 1 }
-}
-
-func newLateness(n late.Clock, l zerolog.Logger) *late.Meter {
-	return late.New(n, logger.Part(l, "lateness"))
-}
-
-// unseen returns the time since the process was last seen to run before an event that it notices now.
-func unseen(m *late.Meter, now late.Clock) time.Duration {
-	t, ok := m.RanBefore()
-	if !ok {
-		return 0
-	}
-	return max(now()-t, 0)
+func newLateness(l zerolog.Logger) *late.Meter {
+	return late.New(late.Monotonic(), logger.Part(l, "lateness"))
 }
 
 func newRing(s *setup.Settings) *event.Ring {
@@ -365,7 +348,7 @@
 	return entry.NewServer(o)
 }
 
-func newListener(s *setup.Settings, p *listeners, v *entry.Server, st *entry.Status, n *spread.Replica, h *sched.Scheduler, c *calls.Executor, k *claim.Store, r *event.Ring, m *panics.Reporter, w *late.Meter, now late.Clock, l zerolog.Logger) (*entry.Listener, error) {
+func newListener(s *setup.Settings, p *listeners, v *entry.Server, st *entry.Status, n *spread.Replica, h *sched.Scheduler, c *calls.Executor, k *claim.Store, r *event.Ring, m *panics.Reporter, w *late.Meter, l zerolog.Logger) (*entry.Listener, error) {
 	o := entry.ListenerOptions{
 		Listener:     p.entries,
 		Server:       v,
@@ -377,7 +360,7 @@
 		Panics:       m,
 		Log:          logger.Part(l, "entries"),
 		Now:          time.Now,
-		Unseen:       func() time.Duration { return unseen(w, now) },
+		Unseen:       w.Unseen,
 	}
 	if c != nil {
 		o.PendingClaims = func() int { return k.Stats().Queued }
--- a/core/late/late.go
+++ b/core/late/late.go
@@ -28,9 +28,15 @@
 	waitsMetric = "/sched/latencies:seconds"
 )
 
-// Clock returns the time since an arbitrary fixed start.
+// Clock returns the time since an arbitrary fixed start; it is more than 0.
 type Clock func() time.Duration
 
+// Monotonic returns a clock that starts now and stands still while the machine is suspended.
+func Monotonic() Clock {
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) + 1 }
+}
+
 // Meter measures the lateness of the process. It is safe for concurrent use.
 type Meter struct {
 	now Clock
@@ -109,11 +115,14 @@
 	return max(now-b-Interval, 0)
 }
 
-// RanBefore returns the reading of the clock at the heartbeat before the latest one, or false before there were two. The
-// latest may itself have come just after an event that the process has yet to notice.
-func (m *Meter) RanBefore() (time.Duration, bool) {
+// Unseen returns for how long at most the process has not noticed an event that it notices now: the time since the
+// heartbeat before the latest one, as that may itself have come just after the event. It is 0 before there were two.
+func (m *Meter) Unseen() time.Duration {
 	b := time.Duration(m.beatBefore.Load())
-	return b, b > 0
+	if b == 0 {
+		return 0
+	}
+	return max(m.now()-b, 0)
 }
 
 // Episodes returns how often the process has begun to be late.
--- a/core/late/late_test.go
+++ b/core/late/late_test.go
@@ -70,8 +70,7 @@
 
 // Guards against a meter that doesn't notice that its process was stopped by the system.
 func TestStoppedProcess(t *testing.T) {
-	start := time.Now()
-	m := late.New(func() time.Duration { return time.Since(start) + 1 }, zerolog.Nop())
+	m := late.New(late.Monotonic(), zerolog.Nop())
 	go m.Run(t.Context())
 	time.Sleep(4 * late.Interval)
 	stop := "kill -STOP $PPID; sleep 0.6; kill -CONT $PPID"
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -55,7 +55,6 @@
 		func() zerolog.Logger { return l },
 		newListeners,
 		newCertificates,
-		newClock,
 		newLateness,
 		newRing,
 		newPanics,
--- a/router/front/gate.go
+++ b/router/front/gate.go
@@ -66,12 +66,8 @@
 // shutdown counts from when it was last seen to run before the latest time, which may itself have been just after the
 // signal.
 func (g *Gate) Stop() {
-	now := g.now()
-	began := now
-	if t, ok := g.lateness.RanBefore(); ok {
-		began = min(began, t)
-	}
-	g.stop.CompareAndSwap(nil, &shutdown{began: began, grace: g.gracePeriod(), latest: min(now-began, 2*late.Interval)})
+	unseen := g.lateness.Unseen()
+	g.stop.CompareAndSwap(nil, &shutdown{began: g.now() - unseen, grace: g.gracePeriod(), latest: min(unseen, 2*late.Interval)})
 }
 
 // Stopping reports whether the shutdown has begun.
