refactor(late): keep one level, one type and one rule of lateness

Cause: the lateness from which a process counts as late stood in six places, the type of a function that returns it in two and its check for nil in five, and entries and agents computed the time that a late process leaves a request by the same constants.

An attempt's end states its condition once. Behaviour is the same; the words of the refusals too.

Checked by: go test -race of core/late, agent, entry and router without boot, unchanged tests.

--- a/agent/engine/cache.go
+++ b/agent/engine/cache.go
@@ -109,7 +109,7 @@
 func (c *PrefixTracker) readEvents(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	w := newWatchdog(cacheIdleTimeout, c.client.options.late, cancel)
+	w := newWatchdog(cacheIdleTimeout, c.client.options.Late, cancel)
 	defer w.stop()
 	res, err := c.client.send(ctx, http.MethodGet, "/kv-events?after="+strconv.FormatUint(c.lastSequence(), 10), nil, "")
 	if err != nil {
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -20,6 +20,7 @@
 	"tarragonvalve.example/agent/excess"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/inlet"
+	"tarragonvalve.example/core/late"
 )
 
 // Options configures a Client.
@@ -36,16 +37,8 @@
 	// none. Streams are reported by their reader, which knows the request.
 	Excess *excess.Reporter
 	// Late returns how late the work of this process runs. What the engine sent while the process did not run is read
-	// before the engine counts as silent. Nil means that it is always on time.
-	Late func() time.Duration
-}
-
-// late returns how late the work of this process runs.
-func (o *Options) late() time.Duration {
-	if o.Late == nil {
-		return 0
-	}
-	return o.Late()
+	// before the engine counts as silent.
+	Late late.Func
 }
 
 // Default returns the options for the engine at a base URL. The idle timeout allows for
@@ -260,7 +253,7 @@
 
 func (c *Client) open(ctx context.Context, method, path string, body []byte, id string, from uint64) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := newWatchdog(c.options.IdleTimeout, c.options.late, cancel)
+	w := newWatchdog(c.options.IdleTimeout, c.options.Late, cancel)
 	res, err := c.send(ctx, method, path, body, id)
 	if err != nil {
 		w.stop()
--- a/agent/engine/report.go
+++ b/agent/engine/report.go
@@ -155,7 +155,7 @@
 func (m *Monitor) poll(ctx context.Context) {
 	old := m.Report()
 	l, loaded, err := m.read(ctx)
-	if errors.Is(err, context.DeadlineExceeded) && m.client.options.late() > 0 {
+	if errors.Is(err, context.DeadlineExceeded) && m.client.options.Late.Lateness() > 0 {
 		l, loaded, err = m.read(ctx)
 	}
 	n := Report{Load: old.Load}
--- a/agent/engine/stream.go
+++ b/agent/engine/stream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"tarragonvalve.example/core/inlet"
+	"tarragonvalve.example/core/late"
 )
 
 // Chunk is one event of a stream. Tokens is the number of output tokens in Text, and
@@ -253,7 +254,7 @@
 // watchdog cancels a request when no byte arrives within the idle timeout.
 type watchdog struct {
 	limit time.Duration
-	late  func() time.Duration
+	late  late.Func
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -262,7 +263,7 @@
 	cause    error
 }
 
-func newWatchdog(limit time.Duration, late func() time.Duration, cancel context.CancelCauseFunc) *watchdog {
+func newWatchdog(limit time.Duration, late late.Func, cancel context.CancelCauseFunc) *watchdog {
 	w := &watchdog{limit: limit, late: late}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -284,7 +285,7 @@
 func (w *watchdog) extend() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	d := min(w.late(), w.limit)
+	d := min(w.late.Lateness(), w.limit)
 	if w.extended || d <= 0 {
 		return false
 	}
--- a/agent/entry/server.go
+++ b/agent/entry/server.go
@@ -12,6 +12,7 @@
 	"tarragonvalve.example/agent/stream"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/wire"
@@ -63,8 +64,8 @@
 	Replica  Merger
 	Receipts Acker
 	Ring     *event.Ring
-	// Late returns how late the work of this process runs. Nil means that it is always on time.
-	Late func() time.Duration
+	// Late returns how late the work of this process runs.
+	Late late.Func
 }
 
 // Server implements wire.AgentServer.
@@ -141,7 +142,7 @@
 	if s.options.Runner == nil {
 		return w.Send(refusal(q, refuse.New(refuse.ModelUnknown, refuse.NotRun, "run attempt: this upstream is a plain service")))
 	}
-	left, ref := timeLeft(q.GetTimeoutMs(), s.late())
+	left, ref := s.timeLeft(q.GetTimeoutMs())
 	if ref != nil {
 		return w.Send(refusal(q, ref))
 	}
@@ -248,7 +249,7 @@
 		r := refuse.New(refuse.ServiceUnknown, refuse.NotRun, "call service: this upstream is a model engine")
 		return &wire.CallReply{Body: &wire.CallReply_Refusal{Refusal: refuse.ToWire(r)}, Status: s.options.Status.Now()}, nil
 	}
-	left, ref := timeLeft(q.GetTimeoutMs(), s.late())
+	left, ref := s.timeLeft(q.GetTimeoutMs())
 	if ref != nil {
 		return &wire.CallReply{Body: &wire.CallReply_Refusal{Refusal: refuse.ToWire(ref)}, Status: s.options.Status.Now()}, nil
 	}
--- a/core/late/late.go
+++ b/core/late/late.go
@@ -17,8 +17,8 @@
 	Interval = 50 * time.Millisecond
 	// window is how long the largest lateness counts.
 	window = 250 * time.Millisecond
-	// enterLevel and leaveLevel are the latenesses at which the process counts as late, and no longer does.
-	enterLevel = 100 * time.Millisecond
+	// Level is the lateness from which on the process counts as late, and leaveLevel that at which it no longer does.
+	Level      = 100 * time.Millisecond
 	leaveLevel = 50 * time.Millisecond
 	// waitQuantile is the quantile of the waits for a processor that counts as their length.
 	waitQuantile = 0.9
@@ -85,7 +85,7 @@
 	m.lateness.Store(int64(level))
 	m.beatBefore.Store(m.beat.Swap(int64(now)))
 	switch {
-	case m.since == 0 && level >= enterLevel:
+	case m.since == 0 && level >= Level:
 		m.since = now
 		m.episodes.Add(1)
 		m.log.Warn().Dur("lateness", level).Msg("work runs late")
--- a/entry/agents/agents.go
+++ b/entry/agents/agents.go
@@ -21,6 +21,7 @@
 
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/core/wire"
 )
@@ -60,16 +61,8 @@
 	// Dialer replaces the network dialer, for tests.
 	Dialer func(ctx context.Context, addr string) (net.Conn, error)
 	// Late returns how late the work of this process runs. What agents sent while the process did not run is read before
-	// they count as silent. Nil means that it is always on time.
-	Late func() time.Duration
-}
-
-// late returns how late the work of this process runs.
-func (o *Options) late() time.Duration {
-	if o.Late == nil {
-		return 0
-	}
-	return o.Late()
+	// they count as silent.
+	Late late.Func
 }
 
 // Set holds the links of this entry. It is safe for concurrent use. Readers get an
--- a/entry/agents/link.go
+++ b/entry/agents/link.go
@@ -106,7 +106,7 @@
 	if s == nil || l.leaving.Load() || l.pingFailed.Load() {
 		return false
 	}
-	return !s.Status.GetDraining() && now.Sub(s.At) < statusTimeout+l.o.late()
+	return !s.Status.GetDraining() && now.Sub(s.At) < statusTimeout+l.o.Late.Lateness()
 }
 
 // Fresh reports whether a status arrived so recently that the connection counts as working.
@@ -118,7 +118,7 @@
 // alive reports whether a status arrived within statusTimeout.
 func (l *Link) alive(now time.Time) bool {
 	s := l.latest.Load()
-	return s != nil && now.Sub(s.At) < statusTimeout+l.o.late()
+	return s != nil && now.Sub(s.At) < statusTimeout+l.o.Late.Lateness()
 }
 
 func (l *Link) address() string {
@@ -264,7 +264,7 @@
 		return
 	}
 	err = l.sendPing(ctx, c)
-	if status.Code(err) == codes.DeadlineExceeded && l.o.late() > 0 {
+	if status.Code(err) == codes.DeadlineExceeded && l.o.Late.Lateness() > 0 {
 		err = l.sendPing(ctx, c)
 	}
 	if err == nil {
@@ -311,7 +311,7 @@
 func (l *Link) watchOnce(ctx context.Context, c *Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silent := newSilence(statusTimeout, l.o.late, cancel)
+	silent := newSilence(statusTimeout, l.o.Late, cancel)
 	defer silent.stop()
 	own := l.o.Control.State()
 	s, err := c.Agent.Watch(ctx, &wire.WatchRequest{Entry: string(l.o.Instance), State: own})
--- a/entry/agents/silence.go
+++ b/entry/agents/silence.go
@@ -3,12 +3,14 @@
 import (
 	"sync"
 	"time"
+
+	"tarragonvalve.example/core/late"
 )
 
 // silence ends a stream on which nothing arrives for a while.
 type silence struct {
 	limit time.Duration
-	late  func() time.Duration
+	late  late.Func
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -17,7 +19,7 @@
 }
 
 // newSilence calls end when nothing has arrived for limit.
-func newSilence(limit time.Duration, late func() time.Duration, end func()) *silence {
+func newSilence(limit time.Duration, late late.Func, end func()) *silence {
 	s := &silence{limit: limit, late: late}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -34,7 +36,7 @@
 func (s *silence) extend() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := min(s.late(), s.limit)
+	d := min(s.late.Lateness(), s.limit)
 	if s.extended || d <= 0 {
 		return false
 	}
--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -20,6 +20,7 @@
 	"tarragonvalve.example/core/envdoc"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/panics"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/core/spread"
@@ -91,8 +92,8 @@
 	MaxOpen int
 	// MaxTokens is the largest max_tokens of a request.
 	MaxTokens int
-	// Late returns how late the work of this process runs. Nil means that it is always on time.
-	Late func() time.Duration
+	// Late returns how late the work of this process runs.
+	Late late.Func
 }
 
 // API is the HTTP API for callers. It is safe for concurrent use.
--- a/entry/relay/attempt.go
+++ b/entry/relay/attempt.go
@@ -264,7 +264,7 @@
 		case <-ctx.Done():
 			return stopped{err: ctx.Err()}
 		case <-t.C:
-			if d := min(a.r.o.late(), frameTimeout); d > 0 && !extended {
+			if d := min(a.r.o.Late.Lateness(), frameTimeout); d > 0 && !extended {
 				extended = true
 				t.Reset(d)
 				continue
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -15,6 +15,7 @@
 	"tarragonvalve.example/core/envdoc"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/ledger"
 	"tarragonvalve.example/core/spread"
 	"tarragonvalve.example/core/token"
@@ -158,16 +159,8 @@
 	// rated. It must not block.
 	Sample func(s Sample)
 	// Late returns how late the work of this process runs. What agents sent while the process did not run is read before
-	// their streams count as silent. Nil means that it is always on time.
-	Late func() time.Duration
-}
-
-// late returns how late the work of this process runs.
-func (o *Options) late() time.Duration {
-	if o.Late == nil {
-		return 0
-	}
-	return o.Late()
+	// their streams count as silent.
+	Late late.Func
 }
 
 // Counters holds the metrics of requests and frames.
--- a/router/canary/monitor.go
+++ b/router/canary/monitor.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/entry/guard"
-	"tarragonvalve.example/router/clock"
 )
 
 const (
@@ -36,9 +36,7 @@
 	// restart.
 	minFailures    = 6
 	minFailureRate = 0.3
-	// lateLevel is the lateness of this process from which times of answers say more of it than of upstreams.
-	lateLevel = 100 * time.Millisecond
-	// lateSpan is how long times are ignored from such lateness on, as they may include it. In lateRest from then on they
+	// lateSpan is how long times are ignored once the process is late, as they say more of it then than of upstreams. In lateRest from then on they
 	// aren't ignored again: a process that is late most of the time still has to find a slow version, and its lateness
 	// shows in the times of both versions.
 	lateSpan = 2 * time.Second
@@ -81,7 +79,7 @@
 // Monitor judges new versions by the responses that this instance saw. It is safe for
 // concurrent use.
 type Monitor struct {
-	lateness clock.Lateness
+	lateness late.Func
 
 	mu sync.Mutex
 	// lateAt is when times were last begun to be ignored; zero if they never were.
@@ -111,7 +109,7 @@
 }
 
 // NewMonitor returns a monitor without observations in a process that is d late.
-func NewMonitor(d clock.Lateness) *Monitor {
+func NewMonitor(d late.Func) *Monitor {
 	return &Monitor{lateness: d, services: map[ident.ServiceID]*serviceState{}}
 }
 
@@ -151,7 +149,7 @@
 // late reports whether times are ignored at now, as the process has been late. The caller holds the lock.
 func (w *Monitor) late(now time.Time) bool {
 	l := w.lateness()
-	if l >= lateLevel && (w.lateAt.IsZero() || now.Sub(w.lateAt) >= lateRest) {
+	if l >= late.Level && (w.lateAt.IsZero() || now.Sub(w.lateAt) >= lateRest) {
 		w.lateAt = now
 	}
 	return l >= stoppedLevel || (!w.lateAt.IsZero() && now.Sub(w.lateAt) < lateSpan)
--- a/router/clock/work.go
+++ b/router/clock/work.go
@@ -15,9 +15,6 @@
 	maxSteps = 5
 )
 
-// Lateness returns how much later than it could the process notices events.
-type Lateness func() time.Duration
-
 // Work is a clock that advances in steps, and only while the process runs on time: time in which the process was stopped
 // or had no processor doesn't count. Judgements of others by elapsed time are made by it, as what others sent meanwhile
 // hasn't been read. Use NewWork. It is not safe for concurrent use.
--- a/router/crash/crash.go
+++ b/router/crash/crash.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/ident"
-	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/router/fleet"
 )
 
@@ -54,7 +54,7 @@
 // It is safe for concurrent use.
 type Monitor struct {
 	observer Observer
-	lateness clock.Lateness
+	lateness late.Func
 	log      zerolog.Logger
 
 	mu        sync.Mutex
@@ -86,7 +86,7 @@
 }
 
 // New returns a monitor that reports to o in a process that is d late.
-func New(o Observer, d clock.Lateness, l zerolog.Logger) *Monitor {
+func New(o Observer, d late.Func, l zerolog.Logger) *Monitor {
 	return &Monitor{observer: o, lateness: d, log: l, upstreams: map[fleet.Incarnation]*upstream{}}
 }
 
--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/pacer"
@@ -22,11 +23,9 @@
 	exchangeTimeout = 500 * time.Millisecond
 	// failedPeerPause is how long a peer isn't asked after a failure.
 	failedPeerPause = 3 * time.Second
-	// lateLevel is the lateness of this router's work from which exchanges leave the processor to requests, and latePause
-	// is the least time between two exchanges of a router with it, or with a router that is that late, from then on. A
-	// notice that an upstream leaves passes two exchanges, and the upstream serves for 2 s more; a backlog is used for
-	// place.BacklogTTL.
-	lateLevel = 100 * time.Millisecond
+	// latePause is the least time between two exchanges of a router that is late, or with one, which leaves the processor
+	// to requests. A notice that an upstream leaves passes two exchanges, and the upstream serves for 2 s more; a backlog
+	// is used for place.BacklogTTL.
 	latePause = 450 * time.Millisecond
 )
 
@@ -84,7 +83,7 @@
 	ranking ranking
 	log     zerolog.Logger
 	// lateness returns how late this router's work runs.
-	lateness func() time.Duration
+	lateness late.Func
 }
 
 // peerState is a peer with the state of the exchange with it.
@@ -99,7 +98,7 @@
 // New returns an exchanger. name identifies this router; peers are in the order of
 // preference.
 func New(name string, b SampleStore, t NoticeSet, c CrashSet, e PinSet, peers []Peer, l zerolog.Logger) *Exchanger {
-	n := &Exchanger{name: name, store: b, notices: t, crashes: c, pins: e, samples: NewSampleLog(), totals: NewTotals(), log: l, lateness: func() time.Duration { return 0 }}
+	n := &Exchanger{name: name, store: b, notices: t, crashes: c, pins: e, samples: NewSampleLog(), totals: NewTotals(), log: l}
 	n.ranking.startedAt = time.Now()
 	for _, p := range peers {
 		n.peers = append(n.peers, &peerState{Peer: p})
@@ -114,11 +113,11 @@
 
 // SetLateness makes this router exchange less often while its work runs late, as f returns. It must be called before Run
 // and HandleMessage.
-func (n *Exchanger) SetLateness(f func() time.Duration) { n.lateness = f }
+func (n *Exchanger) SetLateness(f late.Func) { n.lateness = f }
 
 // pause returns the time until the next exchange for which at least p is due.
 func (n *Exchanger) pause(p time.Duration) time.Duration {
-	if n.lateness() >= lateLevel {
+	if n.lateness.Lateness() >= late.Level {
 		return max(p, latePause)
 	}
 	return max(p, minPause)
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/router/budget"
 	"tarragonvalve.example/router/call"
@@ -111,7 +112,7 @@
 	Meter  *meter.Meter
 	Now    clock.Func
 	// Lateness is that of this process.
-	Lateness clock.Lateness
+	Lateness late.Func
 	Log      zerolog.Logger
 	// Domain is the failure domain of this instance.
 	Domain ident.DomainID
@@ -267,25 +268,19 @@
 	o.Probe.ConnectionLost(o.upstream)
 }
 
-// lateLevel is the lateness of this process from which an attempt that fails without an error status says nothing of its
-// upstream: the answer may have come in time.
-const lateLevel = 100 * time.Millisecond
-
 // finish releases the attempt and records whether its upstream served it well. It must be
 // called once, unless release is called instead.
 func (o *attempt) finish(ok bool) {
 	o.release()
-	if !ok && o.status < http.StatusInternalServerError && o.Lateness() >= lateLevel {
-		if o.trial {
-			o.recordTrial(false)
-		}
-		return
+	// An attempt that failed without an error status says nothing of its upstream while this process is late: the answer
+	// may have come in time.
+	if ok || o.status >= http.StatusInternalServerError || o.Lateness() < late.Level {
+		o.Balancer.RecordOutcome(o.upstream.ID, ok, o.serviceSize, time.Now())
+		o.reportResult(o.upstream, !ok)
 	}
-	o.Balancer.RecordOutcome(o.upstream.ID, ok, o.serviceSize, time.Now())
 	if o.trial {
 		o.recordTrial(ok)
 	}
-	o.reportResult(o.upstream, !ok)
 }
 
 // release ends the attempt without a verdict on the upstream, such as when the client leaves.
@@ -377,7 +372,7 @@
 			if context.Cause(ctx) == nil {
 				o.connectionLost()
 			}
-			if o.Lateness() < lateLevel {
+			if o.Lateness() < late.Level {
 				o.placement.TimedOut(time.Now())
 			}
 			o.finish(false)
