refactor(late): wait for silent peers in one type

Cause: the agent's watchdog of engines and the entry's wait for statuses of agents were the same timer, extended once by the lateness of the process.

Change: late.Silence serves both; the watchdog embeds it and keeps its cause. The relay's wait for frames selects on its timer together with the frames and stays as it is, since a timer that calls a function could end a stream whose frame is read at the same moment.

--- a/agent/engine/cache.go
+++ b/agent/engine/cache.go
@@ -110,7 +110,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w := newWatchdog(cacheIdleTimeout, c.client.options.Late, cancel)
-	defer w.stop()
+	defer w.Stop()
 	res, err := c.client.send(ctx, http.MethodGet, "/kv-events?after="+strconv.FormatUint(c.lastSequence(), 10), nil, "")
 	if err != nil {
 		return err
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -256,13 +256,13 @@
 	w := newWatchdog(c.options.IdleTimeout, c.options.Late, cancel)
 	res, err := c.send(ctx, method, path, body, id)
 	if err != nil {
-		w.stop()
+		w.Stop()
 		cancel(nil)
 		return nil, err
 	}
 	if res.StatusCode != http.StatusOK {
 		defer cancel(nil)
-		defer w.stop()
+		defer w.Stop()
 		defer res.Body.Close()
 		return nil, newStatusError(res)
 	}
--- a/agent/engine/stream.go
+++ b/agent/engine/stream.go
@@ -87,7 +87,7 @@
 // Close closes the connection. Before the end of the stream this also cancels the attempt,
 // unless it is resumed within the grace period of the engine.
 func (s *Stream) Close() {
-	s.watchdog.stop()
+	s.watchdog.Stop()
 	s.cancel(nil)
 	s.body.Close()
 }
@@ -253,24 +253,15 @@
 
 // watchdog cancels a request when no byte arrives within the idle timeout.
 type watchdog struct {
-	limit time.Duration
-	late  late.Func
+	*late.Silence
 
 	mu    sync.Mutex
-	timer *time.Timer
-	// extended is true once the timeout was extended, until the next byte.
-	extended bool
-	cause    error
+	cause error
 }
 
-func newWatchdog(limit time.Duration, late late.Func, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{limit: limit, late: late}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(limit, func() {
-		if w.extend() {
-			return
-		}
+func newWatchdog(limit time.Duration, f late.Func, cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{}
+	w.Silence = late.NewSilence(limit, f, func() {
 		e := &IdleTimeoutError{Timeout: limit}
 		w.mu.Lock()
 		w.cause = e
@@ -280,35 +271,6 @@
 	return w
 }
 
-// extend extends the timeout once by the lateness of the process, in which what has arrived meanwhile is read. It reports
-// false if the process is on time or the timeout was extended before.
-func (w *watchdog) extend() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	d := min(w.late.Lateness(), w.limit)
-	if w.extended || d <= 0 {
-		return false
-	}
-	w.extended = true
-	w.timer.Reset(d)
-	return true
-}
-
-func (w *watchdog) reset() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.extended = false
-	w.timer.Reset(w.limit)
-}
-
-func (w *watchdog) stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	// A call of extend that runs now must not start the timer again.
-	w.extended = true
-	w.timer.Stop()
-}
-
 func (w *watchdog) err() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -324,7 +286,7 @@
 func (r *watchdogReader) Read(b []byte) (int, error) {
 	n, err := r.reader.Read(b)
 	if n > 0 {
-		r.watchdog.reset()
+		r.watchdog.Reset()
 	}
 	return n, err
 }
--- a/entry/agents/link.go
+++ b/entry/agents/link.go
@@ -11,6 +11,7 @@
 
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/wire"
 	"tarragonvalve.example/entry/score"
 )
@@ -311,8 +312,8 @@
 func (l *Link) watchOnce(ctx context.Context, c *Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silent := newSilence(statusTimeout, l.o.Late, cancel)
-	defer silent.stop()
+	silent := late.NewSilence(statusTimeout, l.o.Late, cancel)
+	defer silent.Stop()
 	own := l.o.Control.State()
 	s, err := c.Agent.Watch(ctx, &wire.WatchRequest{Entry: string(l.o.Instance), State: own})
 	if err != nil {
@@ -323,7 +324,7 @@
 		if err != nil {
 			return
 		}
-		silent.reset()
+		silent.Reset()
 		u, e := m.GetUpstream(), m.GetState().GetEnvironment()
 		if (u != "" && u != string(l.upstream)) || (e != "" && e != own.GetEnvironment()) {
 			// The address now belongs to another agent, possibly of another
--- a/entry/agents/run_test.go
+++ b/entry/agents/run_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -68,26 +67,3 @@
 		}
 	}
 }
-
-// Guards against a silent stream that is never ended because the process runs late all the time, and against one that is
-// ended before what arrived while the process was stopped is read.
-func TestSilenceWhileLate(t *testing.T) {
-	for name, c := range map[string]struct{ late, want time.Duration }{
-		"on time":       {0, 3 * time.Second},
-		"always late":   {time.Second, 4 * time.Second},
-		"very long ago": {time.Hour, 6 * time.Second},
-	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				at := time.Now()
-				ended := make(chan struct{})
-				s := newSilence(3*time.Second, func() time.Duration { return c.late }, func() { close(ended) })
-				defer s.stop()
-				<-ended
-				if took := time.Since(at); took != c.want {
-					t.Errorf("ended after %s, want %s", took, c.want)
-				}
-			})
-		})
-	}
-}
