refactor(sock): ask the kernel about a connection in one place

Cause: three packages read tcp_info by themselves (the time since data arrived, the bytes acknowledged, the end of a handshake), and uplink had a clock type of its own beside clock.Func.

Change: sock.Info serves all three, and tells by its error whether the kernel doesn't say or the connection is closed; uplink uses clock.Func. Behaviour is the same.

Checked by: go test -race of router's sock, dial, uplink, front, share, link and probe.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -280,7 +280,7 @@
 const bytesPerMegabit = 125_000
 
 func newUplink(s *setup.Settings, now clock.Func, l zerolog.Logger) *uplink.Meter {
-	return uplink.New(uplink.Clock(now), s.LinkMbps*bytesPerMegabit, l)
+	return uplink.New(now, s.LinkMbps*bytesPerMegabit, l)
 }
 
 func newGate(v *setup.Live, n *mirror.Syncer, now clock.Func, m *late.Meter) *front.Gate {
--- a/router/dial/dial.go
+++ b/router/dial/dial.go
@@ -8,9 +8,8 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/router/sock"
 )
 
 // established is the state of a connection in tcp_info after the handshake.
@@ -48,8 +47,6 @@
 
 // isEstablished reports whether the kernel has completed the handshake of a connection that isn't closed.
 func isEstablished(c syscall.RawConn) bool {
-	var i *unix.TCPInfo
-	var infoErr error
-	err := c.Control(func(fd uintptr) { i, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	return err == nil && infoErr == nil && i.State == established
+	i, err := sock.Info(c)
+	return err == nil && i.State == established
 }
--- a/router/sock/sock.go
+++ b/router/sock/sock.go
@@ -49,16 +49,27 @@
 // SinceData returns the time since the kernel received the latest data of a TCP connection, read or not, in the
 // resolution of its timer (1 to 10 ms). 0 means less than that, or that this kernel doesn't tell.
 func SinceData(c syscall.Conn) (time.Duration, error) {
-	var d time.Duration
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	i, err := Info(raw)
+	if err != nil {
+		return 0, err
+	}
+	return time.Duration(i.Last_data_recv) * time.Millisecond, nil
+}
+
+// Info returns what the kernel knows of a TCP connection. The error is a syscall.Errno if it doesn't tell; another one
+// means that the connection is closed.
+func Info(c syscall.RawConn) (*unix.TCPInfo, error) {
+	var i *unix.TCPInfo
 	var infoErr error
-	err := control(c, func(fd int) {
-		var i *unix.TCPInfo
-		if i, infoErr = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); infoErr == nil {
-			d = time.Duration(i.Last_data_recv) * time.Millisecond
-		}
+	err := c.Control(func(fd uintptr) {
+		i, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
-	return d, infoErr
+	return i, infoErr
 }
--- a/router/uplink/meter.go
+++ b/router/uplink/meter.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
 
+	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/sock"
 )
 
@@ -20,12 +22,9 @@
 	leaveLevel = 50 * time.Millisecond
 )
 
-// Clock returns the time since an arbitrary fixed start.
-type Clock func() time.Duration
-
 // Meter measures what the link of this process holds back. It is safe for concurrent use.
 type Meter struct {
-	now Clock
+	now clock.Func
 	log zerolog.Logger
 	// stated is the rate of the link in the settings, in bytes a second; 0 means unknown.
 	stated float64
@@ -48,7 +47,7 @@
 
 // New returns a meter that reads the clock n. rate is that of the link in bytes a second; 0 means unknown. It measures
 // while Run runs.
-func New(n Clock, rate float64, l zerolog.Logger) *Meter {
+func New(n clock.Func, rate float64, l zerolog.Logger) *Meter {
 	m := &Meter{now: n, log: l, wake: make(chan struct{}, 1), stated: rate, link: link{stated: rate}}
 	m.state.Store(&State{})
 	return m
@@ -156,15 +155,15 @@
 	if err != nil {
 		return r, false
 	}
-	var i *unix.TCPInfo
-	var infoErr error
-	if err := raw.Control(func(fd uintptr) { i, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil {
-		return r, false
-	}
-	if infoErr != nil {
+	i, err := sock.Info(raw)
+	var untold syscall.Errno
+	switch {
+	case errors.As(err, &untold):
 		// Not all systems tell. A write in progress then counts as acknowledged in part.
 		r.acked -= r.queued
 		return r, true
+	case err != nil:
+		return r, false
 	}
 	r.acked = int64(i.Bytes_acked)
 	r.rtt = time.Duration(i.Min_rtt) * time.Microsecond
