--- a/proof/late_test.go
+++ b/proof/late_test.go
@@ -70,6 +70,18 @@
 
 // metric returns the value of a metric of an entry.
 func metric(t *testing.T, e *fleet.Entry, name string) string {
+	t.Helper()
+	for l := range strings.Lines(metrics(t, e)) {
+		if v, ok := strings.CutPrefix(l, "tarragonvalve_entry_"+name+" "); ok {
+			return strings.TrimSpace(v)
+		}
+	}
+	t.Fatalf("no metric %s", name)
+	return ""
+}
+
+// metrics returns the metrics of an entry.
+func metrics(t *testing.T, e *fleet.Entry) string {
 	t.Helper()
 	p, err := http.Get("http://" + e.Addr.Admin + "/metrics")
 	if err != nil {
@@ -80,13 +92,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for l := range strings.Lines(string(b)) {
-		if v, ok := strings.CutPrefix(l, "tarragonvalve_entry_"+name+" "); ok {
-			return strings.TrimSpace(v)
-		}
-	}
-	t.Fatalf("no metric %s", name)
-	return ""
+	return string(b)
 }
 
 // silentResumes returns how many streams entries have opened again because no frame arrived.
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -285,17 +285,9 @@
 	}
 	r := f.Client(e, fleet.Alpha).Chat(ctx, q)
 	checkEndLine(t, e, "request="+string(r.Request), "client-gone")
-	p, err := http.Get("http://" + e.Addr.Admin + "/metrics")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer p.Body.Close()
-	b, err := io.ReadAll(p.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
+	m := metrics(t, e)
 	for _, want := range []string{"upstream_broke_off_total 1", "client_gone_total 1", "drain_ended_total 0", "handler_panic_total 0"} {
-		if !strings.Contains(string(b), "\ntarragonvalve_entry_incomplete_answers_"+want+"\n") {
+		if !strings.Contains(m, "\ntarragonvalve_entry_incomplete_answers_"+want+"\n") {
 			t.Errorf("the metrics have no %s", want)
 		}
 	}
--- a/router/boot/cost_test.go
+++ b/router/boot/cost_test.go
@@ -15,7 +15,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -25,6 +24,7 @@
 	"tarragonvalve.example/router/mirror"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/share"
+	"tarragonvalve.example/standin/pause"
 	"tarragonvalve.example/standin/ports"
 	"tarragonvalve.example/standin/tables"
 )
@@ -285,23 +285,6 @@
 	wait.Wait()
 }
 
-// throttle lets the router run for 10 ms of each 50 ms until ctx ends.
-func (w *costSite) throttle(ctx context.Context) {
-	const runs, period = 10 * time.Millisecond, 50 * time.Millisecond
-	for ctx.Err() == nil {
-		if err := w.process.Process.Signal(syscall.SIGSTOP); err != nil {
-			w.b.Error(err)
-			return
-		}
-		time.Sleep(period - runs)
-		if err := w.process.Process.Signal(syscall.SIGCONT); err != nil {
-			w.b.Error(err)
-			return
-		}
-		time.Sleep(runs)
-	}
-}
-
 // listen exchanges samples with the router and watches its topics, like a peer without requests of its own, until
 // ctx ends. It counts the exchanges and reads.
 func (w *costSite) listen(ctx context.Context, name, address string, exchanges, reads *atomic.Int64) {
@@ -357,12 +340,11 @@
 			b.Run("stream-late", func(b *testing.B) {
 				w := newCostSite(b)
 				w.start("r1", "", processors)
-				ctx, stop := context.WithCancel(b.Context())
-				var wait sync.WaitGroup
-				wait.Go(func() { w.throttle(ctx) })
+				end := pause.Throttle(w.process.Process, 10*time.Millisecond, 50*time.Millisecond)
 				w.measure("op", func() { w.send(24, 50*time.Millisecond, "POST", "/chat/1", 12_000, prompt) })
-				stop()
-				wait.Wait()
+				if err := end(); err != nil {
+					b.Error(err)
+				}
 			})
 			// Of these, an operation is a second.
 			b.Run("idle", func(b *testing.B) {
--- a/router/boot/late_overload_test.go
+++ b/router/boot/late_overload_test.go
@@ -10,10 +10,10 @@
 	"path/filepath"
 	"slices"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
+	"tarragonvalve.example/standin/pause"
 	"tarragonvalve.example/standin/server"
 )
 
@@ -184,30 +184,6 @@
 	return p
 }
 
-// throttled lets a process run for a part of each period until the returned function is called.
-func (p *process) throttled(runs, period time.Duration) (end func()) {
-	stop, done := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(done)
-		for {
-			select {
-			case <-stop:
-				return
-			default:
-			}
-			if p.Process.Signal(syscall.SIGSTOP) != nil {
-				return
-			}
-			time.Sleep(period - runs)
-			if p.Process.Signal(syscall.SIGCONT) != nil {
-				return
-			}
-			time.Sleep(runs)
-		}
-	}()
-	return func() { close(stop); <-done }
-}
-
 // Guards against a router past its capacity that serves a small part of what it could, refuses too late to be of use, or
 // holds requests on past their time-out.
 func TestGoodputPastCapacity(t *testing.T) { checkGoodput(t, 1, 2) }
@@ -234,7 +210,7 @@
 	w.eventually("readiness", w.ready)
 	time.Sleep(500 * time.Millisecond) // until all upstreams are listed
 	l := &loader{address: w.clients}
-	end := p.throttled(runs, period)
+	end := pause.Throttle(p.Process, runs, period)
 	defer end()
 	best := l.bestRate(t, 300*time.Millisecond)
 	t.Logf("best rate %d/s", best)
--- a/router/boot/lost_drain_test.go
+++ b/router/boot/lost_drain_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"tarragonvalve.example/standin/pause"
 	"tarragonvalve.example/standin/server"
 )
 
@@ -114,7 +115,10 @@
 				}
 				const margin = 600 * time.Millisecond // the drain ends that long before the grace period
 				time.Sleep(time.Duration(c.grace)*time.Second - margin - 500*time.Millisecond)
-				p.throttle(t, c.runs, period, 1100*time.Millisecond)
+				end := pause.Throttle(p.Process, c.runs, period)
+				time.Sleep(1100 * time.Millisecond)
+				// An error means that the router has ended, as its stop does.
+				end()
 			}, ss...)
 			if err := p.Wait(); err != nil {
 				t.Errorf("the router ended: %v", err)
@@ -145,18 +149,3 @@
 	})
 	return p
 }
-
-// throttle lets a process run for a part of each period, for a time, as one does that shares its processor.
-func (p *process) throttle(t *testing.T, runs, period, d time.Duration) {
-	t.Helper()
-	for end := time.Now().Add(d); time.Now().Before(end); {
-		if p.Process.Signal(syscall.SIGSTOP) != nil {
-			return
-		}
-		time.Sleep(period - runs)
-		if p.Process.Signal(syscall.SIGCONT) != nil {
-			return
-		}
-		time.Sleep(runs)
-	}
-}
--- a/router/dial/dial_test.go
+++ b/router/dial/dial_test.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"net"
-	"os/exec"
 	"syscall"
 	"testing"
 	"time"
+
+	"tarragonvalve.example/standin/pause"
 )
 
 // Guards against a connection that counts as failed though the kernel has it, in a process that reads that late, and
@@ -49,7 +50,7 @@
 	}
 	defer l.Close()
 	d := net.Dialer{Control: func(_, _ string, _ syscall.RawConn) error {
-		return exec.Command("sh", "-c", "kill -STOP $PPID; sleep 0.2; kill -CONT $PPID").Run()
+		return pause.Self(200 * time.Millisecond)
 	}}
 	for range 20 {
 		ctx, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
--- a/router/link/late_test.go
+++ b/router/link/late_test.go
@@ -5,12 +5,13 @@
 	"errors"
 	"fmt"
 	"net"
-	"os/exec"
 	"syscall"
 	"testing"
+	"time"
 
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/standin/pause"
 )
 
 // Guards against the set-up of a connection that counts as failed because this process was stopped meanwhile.
@@ -20,11 +21,11 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	for _, pause := range []string{"0.3", "1", "5"} {
-		t.Run(pause+" s", func(t *testing.T) {
+	for _, d := range []time.Duration{300 * time.Millisecond, time.Second, 5 * time.Second} {
+		t.Run(d.String(), func(t *testing.T) {
 			p := New(nil)
 			p.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
-				return exec.Command("sh", "-c", "kill -STOP $PPID; sleep "+pause+"; kill -CONT $PPID").Run()
+				return pause.Self(d)
 			}
 			c, err := p.acquire(context.Background(), &Request{Address: l.Addr().String(), ID: call.ID("a")})
 			if err != nil {
--- a/router/mirror/late_test.go
+++ b/router/mirror/late_test.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
-	"os/exec"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"tarragonvalve.example/standin/pause"
 )
 
 // Guards against a peer, or the store, that counts as unavailable because this process was stopped while it waited for the
 // answer: all routers that stop for a moment would turn to the store at once.
 func TestReadWhileStopped(t *testing.T) {
-	// respond stops the process for the given seconds, and returns when the process has had time to read an answer.
-	respond := func(ctx context.Context, pause string) (ReadResult, error) {
-		if err := exec.Command("sh", "-c", "kill -STOP $PPID; sleep "+pause+"; kill -CONT $PPID").Run(); err != nil {
+	// respond stops the process for d, and returns when the process has had time to read an answer.
+	respond := func(ctx context.Context, d time.Duration) (ReadResult, error) {
+		if err := pause.Self(d); err != nil {
 			return ReadResult{}, err
 		}
 		select {
@@ -24,11 +25,11 @@
 			return ReadResult{Revision: 1}, nil
 		}
 	}
-	for _, pause := range []string{"0.5", "2"} {
-		t.Run(pause+" s", func(t *testing.T) {
+	for _, d := range []time.Duration{500 * time.Millisecond, 2 * time.Second} {
+		t.Run(d.String(), func(t *testing.T) {
 			s := &fakeStore{
 				snapshot: func(Topic) (ReadResult, error) { return ReadResult{}, nil },
-				watch:    func(ctx context.Context, _ Topic, _ Revision) (ReadResult, error) { return respond(ctx, pause) },
+				watch:    func(ctx context.Context, _ Topic, _ Revision) (ReadResult, error) { return respond(ctx, d) },
 			}
 			start := time.Now()
 			n := New(s, nil, func() time.Duration { return time.Since(start) }, zerolog.Nop())
--- a/router/probe/late_test.go
+++ b/router/probe/late_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net"
-	"os/exec"
 	"slices"
 	"syscall"
 	"testing"
@@ -14,6 +13,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/fleet"
+	"tarragonvalve.example/standin/pause"
 )
 
 // Guards against an upstream that counts as silent because this process was stopped during its check.
@@ -24,10 +24,10 @@
 	}
 	defer l.Close()
 	defer func() { dialer.Control = nil }()
-	for _, pause := range []string{"0.3", "1", "5"} {
-		t.Run(pause+" s", func(t *testing.T) {
+	for _, d := range []time.Duration{300 * time.Millisecond, time.Second, 5 * time.Second} {
+		t.Run(d.String(), func(t *testing.T) {
 			dialer.Control = func(_, _ string, _ syscall.RawConn) error {
-				return exec.Command("sh", "-c", "kill -STOP $PPID; sleep "+pause+"; kill -CONT $PPID").Run()
+				return pause.Self(d)
 			}
 			if err := dial(t.Context(), l.Addr().String()); err != nil {
 				t.Fatal(err)
