--- a/entry/agents/link.go
+++ b/entry/agents/link.go
@@ -99,8 +99,8 @@
 func (l *Link) Replaced() uint64 { return l.replaced.Load() }
 
 // Usable reports whether the agent may get new work: it has sent a status within
-// statusTimeout, not counting time in which this process could not read it, its last ping did not fail, and it is not leaving. An agent that
-// reports that it drains is not usable, even if the instance list, which lags, does
+// statusTimeout, not counting time in which this process could not read it, its last ping did
+// not fail, and it is not leaving. An agent that reports that it drains is not usable, even if the instance list, which lags, does
 // not have it as leaving yet.
 func (l *Link) Usable(now time.Time) bool {
 	s := l.latest.Load()
--- a/entry/setup/setup.go
+++ b/entry/setup/setup.go
@@ -45,7 +45,8 @@
 	AdminAddr   string
 	LogLevel    string
 	// DrainNotice is the time that a draining entry stays open, so that load balancers
-	// notice that it is leaving: two health checks a second apart, and a second of margin. DrainLimit bounds the time for open requests to end.
+	// notice that it is leaving: two health checks a second apart, and a second of margin.
+	// DrainLimit bounds the time for open requests to end.
 	DrainNotice time.Duration
 	DrainLimit  time.Duration
 	// IsolationLimit is the time without contact to the table or any peer after which
--- a/router/canary/monitor.go
+++ b/router/canary/monitor.go
@@ -36,9 +36,9 @@
 	// restart.
 	minFailures    = 6
 	minFailureRate = 0.3
-	// lateSpan is how long times are ignored once the process is late, as they say more of it then than of upstreams. In lateRest from then on they
-	// aren't ignored again: a process that is late most of the time still has to find a slow version, and its lateness
-	// shows in the times of both versions.
+	// lateSpan is how long times are ignored once the process is late, as they say more of it then than of upstreams. In
+	// lateRest from then on they aren't ignored again: a process that is late most of the time still has to find a slow
+	// version, and its lateness shows in the times of both versions.
 	lateSpan = 2 * time.Second
 	lateRest = 10 * time.Second
 	// stoppedLevel is the lateness from which times are always ignored: most of the process's time is missing.
--- a/router/uplink/control.go
+++ b/router/uplink/control.go
@@ -23,7 +23,8 @@
 // Without either nothing is bounded.
 func (m *Meter) Control() *Control { return &Control{meter: m} }
 
-// Sent records that n bytes are sent, or with a negative number that they aren't, and returns for how long messages should pause for it.
+// Sent records that n bytes are sent, or with a negative number that they aren't, and returns for how long messages should
+// pause for it.
 func (c *Control) Sent(n int) time.Duration {
 	rate := c.meter.controlRate()
 	c.mu.Lock()
