fix(late): count a signal from before a stop after several heartbeats

Its log: lateness of 999 ms was noticed, then the drain began with an unseen time of 2.6 ms.

Cause: the meter took the heartbeat before the latest one as the last sign of running before an event. The ticker of a process that runs again fires at once and then at its next regular time, which may be any time up to 50 ms later; if both come before the signal's goroutine runs, the heartbeat before the latest one lies after the stop.

The meter now keeps the heartbeats of the last 50 ms and takes the latest one that is at least that old. On time that is 50 to 100 ms, as before.

--- a/core/late/late.go
+++ b/core/late/late.go
@@ -6,6 +6,7 @@
 	"context"
 	"math"
 	"runtime/metrics"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,10 +42,11 @@
 type Meter struct {
 	now Clock
 	log zerolog.Logger
-	// beat is the reading of the clock at the latest heartbeat, beatBefore that at the one before; 0 before them.
-	beat, beatBefore atomic.Int64
-	lateness         atomic.Int64
-	episodes         atomic.Int64
+	// beat is the reading of the clock at the latest heartbeat, 0 before it.
+	beat     atomic.Int64
+	lateness atomic.Int64
+	episodes atomic.Int64
+	seen     seen
 	// history and since belong to the goroutine of Run.
 	history history
 	waits   waits
@@ -83,7 +85,8 @@
 	level := m.history.add(now, late)
 	// In this order, so that Lateness sees either the overdue heartbeat or what it led to.
 	m.lateness.Store(int64(level))
-	m.beatBefore.Store(m.beat.Swap(int64(now)))
+	m.beat.Store(int64(now))
+	m.seen.add(now)
 	switch {
 	case m.since == 0 && level >= Level:
 		m.since = now
@@ -115,19 +118,48 @@
 	return max(now-b-Interval, 0)
 }
 
-// Unseen returns for how long at most the process has not noticed an event that it notices now: the time since the
-// heartbeat before the latest one, as that may itself have come just after the event. It is 0 before there were two.
+// Unseen returns for how long at most the process has not noticed an event that it notices now: the time since the latest
+// heartbeat that is at least Interval old. Younger ones may have come after the event, as a process that runs again after a
+// stop has some before all its goroutines have run. It is 0 before the first heartbeat.
 func (m *Meter) Unseen() time.Duration {
-	b := time.Duration(m.beatBefore.Load())
-	if b == 0 {
-		return 0
-	}
-	return max(m.now()-b, 0)
+	return m.seen.since(m.now())
 }
 
 // Episodes returns how often the process has begun to be late.
 func (m *Meter) Episodes() int64 { return m.episodes.Load() }
 
+// seen holds the heartbeats of the last Interval and the one before them, the newest last.
+type seen struct {
+	mu    sync.Mutex
+	beats []time.Duration
+}
+
+// add adds a heartbeat.
+func (s *seen) add(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prune(now)
+	s.beats = append(s.beats, now)
+}
+
+// since returns the time since the oldest heartbeat that is held.
+func (s *seen) since(now time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.prune(now)
+	if len(s.beats) == 0 {
+		return 0
+	}
+	return max(now-s.beats[0], 0)
+}
+
+// prune removes the heartbeats before the latest one that is at least Interval old.
+func (s *seen) prune(now time.Duration) {
+	for len(s.beats) > 1 && now-s.beats[1] >= Interval {
+		s.beats = s.beats[1:]
+	}
+}
+
 // history holds the largest latenesses of the last window, the newest last; each is larger than those after it.
 type history []reading
 
--- a/core/late/late_test.go
+++ b/core/late/late_test.go
@@ -69,6 +69,42 @@
 	}
 }
 
+// Guards against a stopped process that counts a signal from after it runs again, because it had heartbeats before it
+// noticed the signal.
+func TestUnseen(t *testing.T) {
+	tests := map[string]struct {
+		beats []time.Duration
+		// since is the time since the last heartbeat.
+		since time.Duration
+		want  time.Duration
+	}{
+		"just started":                 {nil, 20 * ms, 20 * ms},
+		"on time":                      {[]time.Duration{50 * ms, 50 * ms, 50 * ms}, 20 * ms, 70 * ms},
+		"just after a heartbeat":       {[]time.Duration{50 * ms, 50 * ms}, 0, 50 * ms},
+		"stopped":                      {[]time.Duration{50 * ms}, 1000 * ms, 1000 * ms},
+		"a heartbeat after the stop":   {[]time.Duration{50 * ms, 1000 * ms}, 2 * ms, 1002 * ms},
+		"two heartbeats after it":      {[]time.Duration{50 * ms, 1000 * ms, 1 * ms}, 2 * ms, 1003 * ms},
+		"several heartbeats after it":  {[]time.Duration{50 * ms, 1000 * ms, 1 * ms, 9 * ms, 10 * ms}, 2 * ms, 1022 * ms},
+		"a while after the stop":       {[]time.Duration{50 * ms, 1000 * ms, 30 * ms, 50 * ms}, 10 * ms, 60 * ms},
+		"stopped again after a moment": {[]time.Duration{50 * ms, 1000 * ms, 1 * ms, 500 * ms, 1 * ms}, 2 * ms, 503 * ms},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Second
+			m := late.New(func() time.Duration { return now }, zerolog.Nop())
+			m.Beat(0)
+			for _, d := range c.beats {
+				now += d
+				m.Beat(0)
+			}
+			now += c.since
+			if got := m.Unseen(); got != c.want {
+				t.Errorf("unseen for %s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a meter that doesn't notice that its process was stopped by the system.
 func TestStoppedProcess(t *testing.T) {
 	m := late.New(late.Monotonic(), zerolog.Nop())
