fix(gossip): count exchanges with peers in time in which the router runs

Callers of a router that was stopped, or had no processor, for over half a second got answers by stale knowledge for 3 s more: the router took the peer of the exchange in progress for failed and used neither its backlog nor its notices.

Cause: the time-out of an exchange counted by the wall clock, the class of docs/incidents/late-process.md. It now counts time in which the process runs, as those of dials and answers do.

TestStoppedDuringExchange fails before (1 exchange within 2 s of a stop of 1 s) and passes three times of three now, with the race detector.

--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/late"
+	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/pacer"
@@ -18,7 +19,7 @@
 )
 
 const (
-	// exchangeTimeout bounds one exchange; information that arrives later is of little
+	// exchangeTimeout bounds one exchange, in time in which this router runs; information that arrives later is of little
 	// use.
 	exchangeTimeout = 500 * time.Millisecond
 	// failedPeerPause is how long a peer isn't asked after a failure.
@@ -158,7 +159,7 @@
 
 // exchange exchanges samples with one peer and returns the time until the next round.
 func (n *Exchanger) exchange(ctx context.Context, c *peerState, now time.Time) time.Duration {
-	ctx, stop := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, stop := clock.WithTimeout(ctx, exchangeTimeout)
 	defer stop()
 	for _, o := range n.peers {
 		if o != c {
@@ -174,7 +175,7 @@
 	})
 	if err != nil {
 		c.failedAt = now
-		n.log.Info().Err(err).Str("peer", c.Address()).Msg("samples not exchanged, peer paused")
+		n.log.Info().Err(clock.TimeoutOr(ctx, err)).Str("peer", c.Address()).Msg("samples not exchanged, peer paused")
 		return minPause
 	}
 	if !c.failedAt.IsZero() {
--- a/router/gossip/late_test.go
+++ b/router/gossip/late_test.go
@@ -15,6 +15,7 @@
 	"tarragonvalve.example/router/pins"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/poison"
+	"tarragonvalve.example/standin/pause"
 )
 
 // counted counts the exchanges with a router.
@@ -30,6 +31,52 @@
 	return c.HandleMessage(m), nil
 }
 
+// stopping is a peer during whose first exchange the process is stopped.
+type stopping struct {
+	*gossip.Exchanger
+	exchanges atomic.Int64
+	// stop is called during the first exchange.
+	stop func() error
+	err  atomic.Value
+}
+
+func (p *stopping) Address() string { return "peer" }
+
+func (p *stopping) Exchange(ctx context.Context, m gossip.Message) (gossip.Reply, error) {
+	if p.exchanges.Add(1) == 1 {
+		if err := p.stop(); err != nil {
+			p.err.Store(err)
+		}
+		// The reply has arrived meanwhile, but isn't read yet.
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err := ctx.Err(); err != nil {
+		return gossip.Reply{}, err
+	}
+	return p.HandleMessage(m), nil
+}
+
+// Guards against a router that was stopped during an exchange, takes its peer for failed and uses neither its backlog nor
+// its notices for seconds.
+func TestStoppedDuringExchange(t *testing.T) {
+	quiet := zerolog.New(io.Discard)
+	newExchanger := func(name string, ps ...gossip.Peer) *gossip.Exchanger {
+		return gossip.New(name, place.New("a"), notice.New(), poison.New(quiet), pins.New(), ps, quiet)
+	}
+	p := &stopping{Exchanger: newExchanger("peer"), stop: func() error { return pause.Self(time.Second) }}
+	ctx, stop := context.WithTimeout(t.Context(), 3*time.Second)
+	defer stop()
+	if err := newExchanger("member", p).Run(ctx); err != nil {
+		t.Error(err)
+	}
+	if err := p.err.Load(); err != nil {
+		t.Fatal(err)
+	}
+	if n := p.exchanges.Load(); n < 2 {
+		t.Errorf("%d exchange within 2 s of a stop", n)
+	}
+}
+
 // Guards against exchanges that take the same part of the processor whether or not requests wait for it, and against
 // ones that stay rare, or are so rare that a backlog expires between two.
 func TestLateRoutersExchangeLess(t *testing.T) {
