refactor(clock): move to core

Entries and agents judge others by elapsed time as the router does, and need the same clock. No change of behaviour: the package is moved, its imports follow.

--- a/router/clock/work_test.go
+++ b/core/clock/work_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/core/clock"
 )
 
 const ms = time.Millisecond
--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/late"
@@ -28,7 +29,6 @@
 	"tarragonvalve.example/router/budget"
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/canary"
-	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/crash"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/front"
--- a/router/dial/dial.go
+++ b/router/dial/dial.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/router/sock"
 )
 
--- a/router/front/clientconn_test.go
+++ b/router/front/clientconn_test.go
@@ -13,10 +13,10 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/core/refuse"
-	"tarragonvalve.example/router/clock"
 )
 
 // scriptedConn is a connection whose reads fail with errs, one after the other.
--- a/router/front/gate.go
+++ b/router/front/gate.go
@@ -4,9 +4,9 @@
 	"sync/atomic"
 	"time"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/drain"
 	"tarragonvalve.example/core/late"
-	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/mirror"
 )
 
--- a/router/front/gate_test.go
+++ b/router/front/gate_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/late"
-	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/mirror"
 )
 
--- a/router/front/server_test.go
+++ b/router/front/server_test.go
@@ -17,10 +17,10 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/ending"
 	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/router/call"
-	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/mirror"
 )
 
--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/late"
-	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/pacer"
--- a/router/link/late_test.go
+++ b/router/link/late_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/router/call"
-	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/standin/pause"
 )
 
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -11,8 +11,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/router/canary"
-	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/poison"
 )
 
--- a/router/mirror/peer.go
+++ b/router/mirror/peer.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/core/clock"
 )
 
 const (
--- a/router/poison/poison.go
+++ b/router/poison/poison.go
@@ -14,8 +14,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/serve"
-	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/crash"
 	"tarragonvalve.example/router/fleet"
 )
--- a/router/poison/stop_test.go
+++ b/router/poison/stop_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/ident"
-	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/crash"
 	"tarragonvalve.example/router/fleet"
 )
--- a/router/probe/late_test.go
+++ b/router/probe/late_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/ident"
-	"tarragonvalve.example/router/clock"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/standin/pause"
 )
--- a/router/probe/probe.go
+++ b/router/probe/probe.go
@@ -14,9 +14,9 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/serve"
-	"tarragonvalve.example/router/clock"
 	connect "tarragonvalve.example/router/dial"
 	"tarragonvalve.example/router/fleet"
 )
--- a/router/uplink/meter.go
+++ b/router/uplink/meter.go
@@ -10,7 +10,7 @@
 
 	"github.com/rs/zerolog"
 
-	"tarragonvalve.example/router/clock"
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/router/sock"
 )
 
