--- a/router/boot/late_overload_test.go
+++ b/router/boot/late_overload_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +54,8 @@
 // loader offers requests at a rate, on kept connections as long as there are any.
 type loader struct {
 	address string
+	// ids counts the requests.
+	ids atomic.Int64
 
 	mu   sync.Mutex
 	idle []*keptConn
@@ -98,7 +101,7 @@
 
 // request sends a look-up and records what became of it.
 func (l *loader) request() {
-	const text = "GET /look/1 HTTP/1.1\r\nHost: shop.example\r\nTarragonvalve-Deadline-Ms: 3000\r\nAuthorization: Bearer key-1\r\n\r\n"
+	text := fmt.Sprintf("GET /look/1 HTTP/1.1\r\nHost: shop.example\r\nTarragonvalve-Attempt-Id: overload-%d\r\nTarragonvalve-Deadline-Ms: 3000\r\nAuthorization: Bearer key-1\r\n\r\n", l.ids.Add(1))
 	sent := time.Now()
 	status, keep := 0, false
 	k, err := l.conn()
