perf(front): refuse by overload before a connection is served

Past capacity most requests come on new connections, as those of requests without an answer in time are closed. Each was accepted, got the goroutines and buffers of net/http and was parsed before its handler refused it: callers waited for up to 2 s for a refusal, and the time was missing for those that could be served.

While a queue stands, the accept loop looks at the bytes of a new connection: a whole request without a body that has waited for too long is answered there, and a connection whose client has left is closed. What has a body, more bytes or preferred headers goes on to the server, with its bytes.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -297,7 +297,7 @@
 		m.AddEndCause(string(x))
 	}
 	return &front.Server{
-		Listener: k.Listener(i), Handler: h, Gate: g, Syncer: n, Refused: m.ConnectionRefused, Log: l,
+		Listener: k.Listener(i), Handler: h, Gate: g, Syncer: n, Refused: m.ConnectionRefused, Log: l, Refuse: h.RefuseAccepted,
 		Ended:     func(x ending.Cause) { m.ConnectionEnded(string(x)) },
 		RequestID: func(h http.Header) call.ID { return c.ParseRequest(h).ID },
 	}, nil
--- a/router/front/clientconn.go
+++ b/router/front/clientconn.go
@@ -18,15 +18,25 @@
 	net.Listener
 
 	ends *endReporter
+	// refuse refuses the first request of a connection and closes it, or returns the bytes that it has read; nil refuses
+	// none.
+	refuse func(net.Conn) (head []byte, refused bool)
 }
 
 // Accept implements net.Listener.
 func (l *observedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.refuse == nil {
+			return &clientConn{Conn: c, ends: l.ends}, nil
+		}
+		if head, refused := l.refuse(c); !refused {
+			return &clientConn{Conn: c, ends: l.ends, head: head}, nil
+		}
 	}
-	return &clientConn{Conn: c, ends: l.ends}, nil
 }
 
 // clientConn is a client's connection that reports how it ended, if that was without a complete answer.
@@ -34,6 +44,9 @@
 	net.Conn
 
 	ends *endReporter
+	// head holds bytes that were read before the connection was served and are still to be returned by Read, which is not
+	// called concurrently.
+	head []byte
 
 	mu sync.Mutex
 	// exchange is the request in progress and its answer; nil between requests.
@@ -55,7 +68,7 @@
 
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -69,6 +82,16 @@
 	return n, err
 }
 
+// read returns the bytes that were read before, or else reads from the connection.
+func (c *clientConn) read(b []byte) (int, error) {
+	if len(c.head) == 0 {
+		return c.Conn.Read(b)
+	}
+	n := copy(b, c.head)
+	c.head = c.head[n:]
+	return n, nil
+}
+
 // arrived records when the bytes that have just been read could have been. c.mu must be held.
 func (c *clientConn) arrived() {
 	now := time.Now()
--- a/router/front/overload.go
+++ b/router/front/overload.go
@@ -46,6 +46,28 @@
 	return admit.Takes(standing, waited, false) || admit.Takes(standing, waited, isPreferred())
 }
 
+// standing reports whether requests that have waited are refused.
+func (o *overload) standing(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.queue.Standing(now)
+}
+
+// refuses reports whether a request is refused in a standing queue after a wait.
+func (*overload) refuses(waited time.Duration, isPreferred bool) bool {
+	return !admit.Takes(true, waited, isPreferred)
+}
+
+// refusedAccepted records a refusal of a request that did not reach its handler. It returns the number of refusals to log now, or 0.
+func (o *overload) refusedAccepted(now time.Time, waited time.Duration) (logged int) {
+	o.mu.Lock()
+	o.queue.Add(now, waited)
+	o.pause.Update(now, o.queue.Standing(now), rand.Float64()) //nolint:gosec // spreads pauses, guards no secret
+	o.mu.Unlock()
+	logged, _ = o.refusal(now)
+	return logged
+}
+
 // paused reports whether the instance asks for no new connections as its queue has stood for long.
 func (o *overload) paused(now time.Time) bool {
 	o.mu.Lock()
@@ -103,11 +125,16 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 	w.Write(overloadBody)
 	x.end(q.Context(), errOverloaded)
-	h.meter.RefusedByOverload(x.waited)
+	h.recordOverload(x.waited, logged)
+	return true
+}
+
+// recordOverload counts a refusal by overload, and logs as many as are logged now.
+func (h *Handler) recordOverload(waited time.Duration, logged int) {
+	h.meter.RefusedByOverload(waited)
 	if logged > 0 {
-		h.log.Warn().Int("requests", logged).Dur("waited", x.waited).Dur("lateness", h.gate.lateness.Lateness()).Msg("requests refused by overload")
+		h.log.Warn().Int("requests", logged).Dur("waited", waited).Dur("lateness", h.gate.lateness.Lateness()).Msg("requests refused by overload")
 	}
-	return true
 }
 
 // preferred reports whether a request is refused only after others: its work was begun elsewhere, or is costly to repeat.
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -53,6 +53,9 @@
 	Refused func()
 	// Ended is called for each connection that ends without a complete answer.
 	Ended func(ending.Cause)
+	// Refuse refuses the first request of a connection and closes it, or returns the bytes that it has read. Nil refuses
+	// none.
+	Refuse func(net.Conn) (head []byte, refused bool)
 	// RequestID returns the id in a request's headers.
 	RequestID func(http.Header) call.ID
 	Log       zerolog.Logger
@@ -81,7 +84,7 @@
 		return err
 	}
 	served := make(chan error, 1)
-	go func() { served <- h.Serve(&observedListener{Listener: l, ends: ends}) }()
+	go func() { served <- h.Serve(&observedListener{Listener: l, ends: ends, refuse: s.Refuse}) }()
 	t := time.NewTicker(idleCheckInterval)
 	defer t.Stop()
 	for {
--- a/router/sock/sock.go
+++ b/router/sock/sock.go
@@ -24,6 +24,19 @@
 	return max(n, 0), peekErr
 }
 
+// Read reads what waits to be read from a connection. It doesn't block, as Peek.
+func Read(c syscall.Conn, b []byte) (int, error) {
+	var n int
+	var readErr error
+	err := control(c, func(fd int) {
+		n, _, readErr = syscall.Recvfrom(fd, b, syscall.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return 0, err
+	}
+	return max(n, 0), readErr
+}
+
 // Unacknowledged returns the number of sent bytes that the peer has not acknowledged, the end of the connection included.
 func Unacknowledged(c syscall.Conn) (int, error) {
 	var n int
