fix(plain): count the silence of a service in time in which the agent runs

Callers of a plain service saw upstream-failed with an unknown outcome after their agent had been stopped, although the answer had arrived. For a call that may run only once that is final: its claim stays dispatched, and the key can't be used again.

The idle timeout was a timer of the wall clock. After a stop past its end it fired before what had arrived meanwhile was read. It counts by clock.Timer now, as the router's judgements do (decision 0015). late.Silence, which streams of engines use, was considered: it extends a wait once by the lateness, so a second stop within the same wait is judged again.

TestSilentAfterStop guards the other side: a service that stays silent is given up within twice the timeout.

--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -21,7 +21,7 @@
 	// BaseURL is the service's URL without a path.
 	BaseURL     string
 	DialTimeout time.Duration
-	// IdleTimeout bounds the time in which no byte arrives from the service.
+	// IdleTimeout bounds the time in which this process runs and no byte arrives from the service.
 	IdleTimeout time.Duration
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes int64
@@ -171,12 +171,6 @@
 	return c.read(ctx, res, timer)
 }
 
-// startIdleTimer returns a timer that cancels the call after the idle timeout.
-func (c *Client) startIdleTimer(cancel context.CancelCauseFunc) *time.Timer {
-	e := &IdleTimeoutError{Timeout: c.options.IdleTimeout}
-	return time.AfterFunc(c.options.IdleTimeout, func() { cancel(e) })
-}
-
 func (c *Client) request(ctx context.Context, k Call) (*http.Request, error) {
 	if !strings.HasPrefix(k.Path, "/") {
 		return nil, fmt.Errorf("make request: path %q does not start with a slash", k.Path)
@@ -197,8 +191,8 @@
 	return req, nil
 }
 
-func (c *Client) read(ctx context.Context, res *http.Response, t *time.Timer) (*Result, error) {
-	r := &progressReader{reader: res.Body, onProgress: func() { t.Reset(c.options.IdleTimeout) }}
+func (c *Client) read(ctx context.Context, res *http.Response, t *idleTimer) (*Result, error) {
+	r := &progressReader{reader: res.Body, onProgress: t.Reset}
 	b, err := c.readBody(ctx, r, t)
 	var l *inlet.TooLongError
 	if errors.As(err, &l) {
@@ -212,7 +206,7 @@
 
 // readBody reads a body. One longer than maxShort waits for its place among maxLong; the
 // service is not read meanwhile, so the idle timer stops.
-func (c *Client) readBody(ctx context.Context, r io.Reader, t *time.Timer) ([]byte, error) {
+func (c *Client) readBody(ctx context.Context, r io.Reader, t *idleTimer) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(r, maxShort)) //nolint:forbidigo // bounded
 	if err != nil {
 		return nil, err
@@ -227,7 +221,7 @@
 		return nil, context.Cause(ctx)
 	}
 	defer func() { <-c.long }()
-	t.Reset(c.options.IdleTimeout)
+	t.Reset()
 	return inlet.ReadAll(io.MultiReader(bytes.NewReader(b), r), c.options.BaseURL, c.options.MaxAnswerBytes)
 }
 
