fix(plain): count the time to connect to a service in which the agent runs

A call whose agent was stopped while it connected was refused as upstream-failed, not-run, though the service was up: the entry spends a retry on it, and a service with one agent refuses the caller.

The dial timeout, of net.Dialer and of Connect, was of the wall clock. It counts by clock.Timer now. The dialer keeps its own timeout, since net.Dialer divides it among the addresses of a name; when it expires before the agent has run for that long, the agent dials again. The deadline of the call still ends the dial by the wall clock.

TestDialOfSilentService guards the other side: a service that doesn't accept connections is given up within twice the timeout, with a *clock.TimeoutError, and at the deadline of the call.

--- a/agent/plain/conn.go
+++ b/agent/plain/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/url"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/inlet"
 )
 
@@ -27,9 +28,9 @@
 	if err != nil {
 		return nil, &NotRunError{Err: err}
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.options.DialTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, c.options.DialTimeout)
 	defer cancel()
-	n, err := c.dialer.DialContext(ctx, "tcp", u.Host)
+	n, err := c.dial(ctx, "tcp", u.Host)
 	if err != nil {
 		return nil, &NotRunError{Err: err}
 	}
@@ -39,7 +40,7 @@
 	t := tls.Client(n, &tls.Config{ServerName: u.Hostname(), MinVersion: tls.VersionTLS12})
 	if err := t.HandshakeContext(ctx); err != nil {
 		n.Close()
-		return nil, &NotRunError{Err: err}
+		return nil, &NotRunError{Err: clock.TimeoutOr(ctx, err)}
 	}
 	return &Conn{client: c, conn: t}, nil
 }
--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -19,7 +19,8 @@
 // Options configures a Client.
 type Options struct {
 	// BaseURL is the service's URL without a path.
-	BaseURL     string
+	BaseURL string
+	// DialTimeout bounds the time in which this process runs and connects to the service.
 	DialTimeout time.Duration
 	// IdleTimeout bounds the time in which this process runs and no byte arrives from the service.
 	IdleTimeout time.Duration
@@ -132,9 +133,10 @@
 // New returns a client. Close it after use.
 func New(o Options) *Client {
 	d := &net.Dialer{Timeout: o.DialTimeout}
-	return &Client{options: o, dialer: d, long: make(chan struct{}, maxLong), http: &http.Client{
+	c := &Client{options: o, dialer: d, long: make(chan struct{}, maxLong)}
+	c.http = &http.Client{
 		Transport: &http.Transport{ //nolint:forbidigo // heads are bounded
-			DialContext:            d.DialContext,
+			DialContext:            c.dial,
 			MaxIdleConnsPerHost:    maxIdleConns,
 			IdleConnTimeout:        30 * time.Second,
 			DisableCompression:     true,
@@ -142,7 +144,8 @@
 		},
 		// Following a redirect would send the call a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}
+	return c
 }
 
 // Close closes idle connections.
