fix(engine): count the time of short calls in which the agent runs

An agent that was stopped twice while it read reports said that its engine was unreachable and had no models: it reported not ready, and entries sent its work elsewhere or refused it until the next report. An order or a cancel that was under way in one stop failed as well: of the order the outcome was unknown, though the engine had answered.

The call timeout was a deadline of the wall clock. The monitor asked once more if the agent was late, which made up for one stop; the others did not. All count by clock.WithTimeout now, and the repeat is gone: it has no case left. The deadline of the caller still ends a call by the wall clock. The entry waits 2 s for an order, so with the default report-limit, also 2 s, the change shows only for smaller limits.

TestCallOfSilentEngine and the end of the other test guard the other side: a silent engine is given up within twice the timeout.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"tarragonvalve.example/agent/excess"
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/core/late"
@@ -31,7 +32,8 @@
 	DialTimeout time.Duration
 	// IdleTimeout bounds the time in which no byte arrives from the engine.
 	IdleTimeout time.Duration
-	// CallTimeout bounds each short call: reports, orders and the cancelling of streams.
+	// CallTimeout bounds the time in which this process runs and waits for each short call: reports, orders and the cancelling
+	// of streams.
 	CallTimeout time.Duration
 	// Excess reports the engine's reports and cache events that exceed a bound; nil reports
 	// none. Streams are reported by their reader, which knows the request.
@@ -242,7 +244,7 @@
 // engine cancels it only when its grace period for resumes is over. Cancel does not check
 // the response status.
 func (c *Client) Cancel(ctx context.Context, id string) error {
-	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
 	res, err := c.send(ctx, http.MethodDelete, "/v1/streams/"+url.PathEscape(id), nil, id)
 	if err != nil {
--- a/agent/engine/order.go
+++ b/agent/engine/order.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+
+	"tarragonvalve.example/core/clock"
 )
 
 // Order tells an engine to load or unload a version, load an adapter or change its role.
@@ -21,7 +23,7 @@
 // Order sends an order. If the engine checks fencing tokens and refuses an old one, it
 // returns a *StatusError with status 409.
 func (c *Client) Order(ctx context.Context, o Order) error {
-	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
 	body, err := json.Marshal(o)
 	if err != nil {
--- a/agent/engine/report.go
+++ b/agent/engine/report.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -11,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/inlet"
 )
@@ -39,7 +39,7 @@
 
 // getJSON sends a GET request and decodes the JSON response into out.
 func (c *Client) getJSON(ctx context.Context, path string, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
 	res, err := c.send(ctx, http.MethodGet, path, nil, "")
 	if err != nil {
@@ -51,7 +51,7 @@
 	}
 	b, err := inlet.ReadAll(res.Body, c.options.BaseURL, maxReport)
 	if err != nil {
-		return &BrokenError{Op: "read " + path, Err: err}
+		return &BrokenError{Op: "read " + path, Err: clock.TimeoutOr(ctx, err)}
 	}
 	if err := json.Unmarshal(b, out); err != nil {
 		return &BrokenError{Op: "read " + path, Err: err}
@@ -151,13 +151,10 @@
 }
 
 // poll reads the reports. For an engine that does not answer, it keeps the last load but
-// reports no loaded versions. If the process did not run as the answer came, it asks once more.
+// reports no loaded versions.
 func (m *Monitor) poll(ctx context.Context) {
 	old := m.Report()
 	l, loaded, err := m.read(ctx)
-	if errors.Is(err, context.DeadlineExceeded) && m.client.options.Late.Lateness() > 0 {
-		l, loaded, err = m.read(ctx)
-	}
 	n := Report{Load: old.Load}
 	if err == nil {
 		n.Load, n.Loaded = l, loaded
