fix(engine): count the time to connect to an engine in which the agent runs

An attempt or order whose agent was stopped while it connected to its engine was refused as upstream-failed, not-run, and a report failed, though the engine was up. Of an attempt the entry spends a retry on it; a load that was refused is ordered again only after 5 minutes (loadTimeout of the entry's copies).

The dial timeout was a timer of the wall clock in net.Dialer. It counts by clock.WithTimeout now. As for plain services, the dialer keeps its own timeout, which it divides among the addresses of a name; when it expires before the agent has run for that long, the agent dials again. Deadlines of callers don't reach the dial, before or now: http.Transport detaches it.

TestDialOfSilentEngine guards the other side: an engine that doesn't accept connections is given up within twice the timeout, and the failure still proves that nothing was sent.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -28,7 +28,7 @@
 type Options struct {
 	// BaseURL is the engine's URL without a path.
 	BaseURL string
-	// DialTimeout bounds the establishment of a connection.
+	// DialTimeout bounds the time in which this process runs and establishes a connection.
 	DialTimeout time.Duration
 	// IdleTimeout bounds the time in which no byte arrives from the engine.
 	IdleTimeout time.Duration
@@ -58,6 +58,7 @@
 type Client struct {
 	options Options
 	http    *http.Client
+	dialer  *net.Dialer
 }
 
 // maxIdleConns lets the connections of all slots of an engine be reused.
@@ -65,15 +66,16 @@
 
 // New returns a client. Close it after use.
 func New(o Options) *Client {
-	d := &net.Dialer{Timeout: o.DialTimeout}
+	c := &Client{options: o, dialer: &net.Dialer{Timeout: o.DialTimeout}}
 	t := &http.Transport{ //nolint:forbidigo // heads are bounded
-		DialContext:            d.DialContext,
+		DialContext:            c.dial,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        30 * time.Second,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: inlet.MaxHeadBytes,
 	}
-	return &Client{options: o, http: &http.Client{Transport: t, CheckRedirect: noRedirect}} //nolint:forbidigo // the field, not the type
+	c.http = &http.Client{Transport: t, CheckRedirect: noRedirect} //nolint:forbidigo // the field, not the type
+	return c
 }
 
 // noRedirect returns redirects as responses, so that a request reaches only the engine for
