fix(fence): count the read of a token in time in which the agent runs

The first order of a lease after a restart of the agent was refused as table-unavailable if the agent was stopped while it read the highest token, though the table had answered. An entry orders a refused load again only after 5 minutes (loadTimeout).

The read timeout, and that of the table's client within it, were of the wall clock. The guard counts its own by clock.WithTimeout now, and reads again if the client gives up before that. Other failures are returned at once, as before. The deadline of the sender (2 s) still ends the read by the wall clock, so the change helps after stops of 1 to 2 s. A token that is read later is not older, so the check is as strict.

--- a/agent/fence/fence.go
+++ b/agent/fence/fence.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"strconv"
 	"sync"
 	"time"
 
 	"tarragonvalve.example/agent/engine"
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/event"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/refuse"
@@ -32,7 +34,7 @@
 	// ChecksFencing reports whether the engine refuses old tokens itself.
 	ChecksFencing func() bool
 	Ring          *event.Ring
-	// ReadTimeout bounds the read of the highest token from the table.
+	// ReadTimeout bounds the time in which this process runs and reads the highest token from the table.
 	ReadTimeout time.Duration
 }
 
@@ -102,9 +104,7 @@
 	highest, found := g.highest[o.Lease]
 	g.mu.Unlock()
 	if !found {
-		c, cancel := context.WithTimeout(ctx, g.options.ReadTimeout)
-		defer cancel()
-		h, err := g.options.Tokens(c, o.Lease)
+		h, err := g.read(ctx, o.Lease)
 		if err != nil {
 			return refuse.New(refuse.TableUnavailable, refuse.NotRun, "order engine: read the highest token of lease %q: %v", o.Lease, err)
 		}
@@ -118,6 +118,23 @@
 	return nil
 }
 
+// read reads the highest token of a lease from the table. The table's client counts time in which this process did not run; if
+// it gives up before this process has run for the read timeout, the guard reads again.
+func (g *Guard) read(ctx context.Context, lease string) (ident.FencingToken, error) {
+	// A client that knows the deadline of ctx may report it before ctx has ended, and would be called again at once.
+	c, cancel := clock.WithTimeout(context.WithoutCancel(ctx), g.options.ReadTimeout)
+	defer cancel()
+	defer context.AfterFunc(ctx, cancel)()
+	for {
+		t, err := g.options.Tokens(c, lease)
+		var n net.Error
+		if err != nil && c.Err() == nil && errors.As(err, &n) && n.Timeout() {
+			continue
+		}
+		return t, err
+	}
+}
+
 func (g *Guard) setHighest(lease string, t ident.FencingToken) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
