--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"tarragonvalve.example/agent/excess"
+	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/core/late"
@@ -27,11 +28,12 @@
 type Options struct {
 	// BaseURL is the engine's URL without a path.
 	BaseURL string
-	// DialTimeout bounds the establishment of a connection.
+	// DialTimeout bounds the time in which this process runs and establishes a connection.
 	DialTimeout time.Duration
 	// IdleTimeout bounds the time in which no byte arrives from the engine.
 	IdleTimeout time.Duration
-	// CallTimeout bounds each short call: reports, orders and the cancelling of streams.
+	// CallTimeout bounds the time in which this process runs and waits for each short call: reports, orders and the cancelling
+	// of streams.
 	CallTimeout time.Duration
 	// Excess reports the engine's reports and cache events that exceed a bound; nil reports
 	// none. Streams are reported by their reader, which knows the request.
@@ -56,6 +58,7 @@
 type Client struct {
 	options Options
 	http    *http.Client
+	dialer  *net.Dialer
 }
 
 // maxIdleConns lets the connections of all slots of an engine be reused.
@@ -63,15 +66,16 @@
 
 // New returns a client. Close it after use.
 func New(o Options) *Client {
-	d := &net.Dialer{Timeout: o.DialTimeout}
+	c := &Client{options: o, dialer: &net.Dialer{Timeout: o.DialTimeout}}
 	t := &http.Transport{ //nolint:forbidigo // heads are bounded
-		DialContext:            d.DialContext,
+		DialContext:            c.dial,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        30 * time.Second,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: inlet.MaxHeadBytes,
 	}
-	return &Client{options: o, http: &http.Client{Transport: t, CheckRedirect: noRedirect}} //nolint:forbidigo // the field, not the type
+	c.http = &http.Client{Transport: t, CheckRedirect: noRedirect} //nolint:forbidigo // the field, not the type
+	return c
 }
 
 // noRedirect returns redirects as responses, so that a request reaches only the engine for
@@ -242,7 +246,7 @@
 // engine cancels it only when its grace period for resumes is over. Cancel does not check
 // the response status.
 func (c *Client) Cancel(ctx context.Context, id string) error {
-	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	ctx, cancel := clock.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
 	res, err := c.send(ctx, http.MethodDelete, "/v1/streams/"+url.PathEscape(id), nil, id)
 	if err != nil {
