--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -92,7 +92,7 @@
 	MaxOpen int
 	// MaxTokens is the largest max_tokens of a request.
 	MaxTokens int
-	// Late returns how late the work of this process runs.
+	// Late returns how long at most requests that begin now have waited for this process.
 	Late late.Func
 }
 
