--- a/core/late/func.go
+++ b/core/late/func.go
@@ -54,20 +54,7 @@
 }
 
 // Run measures until ctx ends. It always returns nil.
-func (a *Arrivals) Run(ctx context.Context) error {
-	t := time.NewTicker(Interval)
-	defer t.Stop()
-	a.waits.read()
-	a.Beat(0)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			a.Beat(a.waits.read())
-		}
-	}
-}
+func (a *Arrivals) Run(ctx context.Context) error { return a.run(ctx, a.Beat) }
 
 // Beat records a heartbeat as Meter.Beat does.
 func (a *Arrivals) Beat(wait time.Duration) {
--- a/core/late/late.go
+++ b/core/late/late.go
@@ -62,17 +62,20 @@
 func (m *Meter) Name() string { return "lateness" }
 
 // Run measures until ctx ends. It always returns nil.
-func (m *Meter) Run(ctx context.Context) error {
+func (m *Meter) Run(ctx context.Context) error { return m.run(ctx, m.Beat) }
+
+// run calls beat, which records a heartbeat, each Interval until ctx ends.
+func (m *Meter) run(ctx context.Context, beat func(wait time.Duration)) error {
 	t := time.NewTicker(Interval)
 	defer t.Stop()
 	m.waits.read()
-	m.Beat(0)
+	beat(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			m.Beat(m.waits.read())
+			beat(m.waits.read())
 		}
 	}
 }
