test(soak): keep the whole output of routers in SOAK_LOGS

A failed run prints the last 8 to 32 KB of each router's output, which is some two seconds of a late router. With a directory in SOAK_LOGS each router's whole output is kept there.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -80,9 +80,9 @@
 	// done receives the result of cmd.
 	done chan error
 	log  *tail
-	// watch gets the output too if it isn't nil. env is added to the environment.
-	watch io.Writer
-	env   []string
+	// outputs get the output. env is added to the environment.
+	outputs []io.Writer
+	env     []string
 }
 
 // tail is a writer that keeps the last output of a process. It is safe for concurrent use.
@@ -117,10 +117,7 @@
 	defer r.mu.Unlock()
 	r.cmd = exec.Command(routerPath, "--config", r.path)
 	r.cmd.Env = append(os.Environ(), r.env...)
-	var out io.Writer = r.log
-	if r.watch != nil {
-		out = io.MultiWriter(r.log, r.watch)
-	}
+	out := io.MultiWriter(r.outputs...)
 	r.cmd.Stdout, r.cmd.Stderr = out, out
 	if err := r.cmd.Start(); err != nil {
 		return err
@@ -258,7 +255,8 @@
 		shares = append(shares, freeAddress(t))
 	}
 	for i := range routerCount {
-		r := &router{name: fmt.Sprintf("r%d", i), clients: freeAddress(t), admin: freeAddress(t), log: &tail{}, watch: x.watch, env: x.env}
+		r := &router{name: fmt.Sprintf("r%d", i), clients: freeAddress(t), admin: freeAddress(t), log: &tail{}, env: x.env}
+		r.outputs = outputsOf(t, r, x.watch)
 		r.store = links.New(t, "store-"+r.name, s.Listener.Addr().String())
 		r.path = filepath.Join(t.TempDir(), r.name+".ini")
 		text := fmt.Sprintf("[router]\ninstance = %s\ndomain = a\nclients = %s\nadmin = %s\nshare = %s\nseeds = %s, %s\nmemory-mb = %d\n[store]\naddress = %s\n[bounds]\ngrace-s = %g\nrevoke-ms = %d\nretry-slack = 100\n",
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -10,4 +10,6 @@
 // A short run with fixed seeds is part of the tests. For longer ones:
 //
 //	SOAK_SEEDS=100-149 SOAK_TIME=12s go test -run TestSeeds -timeout 30m ./...
+//
+// SOAK_LOGS names a directory that gets the whole output of each router; a failed run prints only the end.
 package soak
