fix(canary): compare what is read late with what was read late

Cause: for 2 s of each 10 s times are ignored, and afterwards count, as the lateness shows in the times of both versions. That doesn't hold once the old version gets no more requests, nor between two spells.

Times that are read late are now compared only with ones of the old version that were read late up to 1 s before, each as noticed; times within 2 s after lateness are ignored. Tallies for others hold times read on time only.

"late all the time" of TestTimesOfLateProcess had the old version's answers read on time, which is the false verdict itself; now they are read late too, and the slow version must be found by the same answers as before. Its former input is the case "late after the old answers" and must not be found bad. That case, "late without old answers", TestTimesBetweenLateness and TestTimesOfVaryingLateness fail before ("found bad: true, want false", "found bad: slow: 4 of 4 times against 0 of 70" twice; the last one run without the field Noticed, which is new). All cases of routers on time are as they were.

--- a/router/canary/monitor.go
+++ b/router/canary/monitor.go
@@ -19,15 +19,6 @@
 	// good version is falsely found to have turned bad. A version's good responses must
 	// not hide that it fails from some time on.
 	lateFalseAlarmRate = 0.0005
-	// slowFactor is how many times the median of the old version's times makes a time slow: the
-	// caches of new upstreams are cold, and upstreams differ in speed.
-	slowFactor = 2
-	// minFirstResponse is the least multiple of the predicted time that counts as a time until a
-	// response: below it connections and scheduling decide, not the version.
-	minFirstResponse = 0.05
-	// timingWindow is the number of times that are compared. It is small, so that a burst of
-	// requests, which slows both versions down, shows in both.
-	timingWindow = 100
 	// minEvidence is the evidence from which a version is bad. Its inverse bounds the probability
 	// that a good one is found bad.
 	minEvidence = 500
@@ -36,13 +27,6 @@
 	// restart.
 	minFailures    = 6
 	minFailureRate = 0.3
-	// lateSpan is how long times are ignored once the process is late, as they say more of it then than of upstreams. In
-	// lateRest from then on they aren't ignored again: a process that is late most of the time still has to find a slow
-	// version, and its lateness shows in the times of both versions.
-	lateSpan = 2 * time.Second
-	lateRest = 10 * time.Second
-	// stoppedLevel is the lateness from which times are always ignored: most of the process's time is missing.
-	stoppedLevel = 250 * time.Millisecond
 )
 
 // Response describes one response of an upstream.
@@ -53,38 +37,15 @@
 	Failed bool
 }
 
-// Measure is a kind of time that is compared between versions.
-type Measure int
-
-// Both measures hardly depend on the size of a request.
-const (
-	// FirstResponse is the time until a response started, as a multiple of the time that was
-	// predicted for an upstream of usual speed.
-	FirstResponse Measure = iota
-	// EventInterval is the mean time, in seconds, between the first events of a stream.
-	EventInterval
-
-	measureCount
-)
-
-// Timing is a time of a response.
-type Timing struct {
-	Service ident.ServiceID
-	// New is true for responses of the version that is being rolled out.
-	New     bool
-	Measure Measure
-	Value   float64
-}
-
 // Monitor judges new versions by the responses that this instance saw. It is safe for
 // concurrent use.
 type Monitor struct {
 	lateness late.Func
 
 	mu sync.Mutex
-	// lateAt is when times were last begun to be ignored; zero if they never were.
-	lateAt   time.Time
-	services map[ident.ServiceID]*serviceState
+	// lateAt is when times were last begun to be ignored, seenLate when the process was last late; zero if it never was.
+	lateAt, seenLate time.Time
+	services         map[ident.ServiceID]*serviceState
 }
 
 // serviceState holds the observations of one service.
@@ -100,10 +61,10 @@
 	responses int
 	failed    int
 	verdict   string
-	// medians are those of the old version's times, by measure. oldTimings and newTimings count
-	// the slow ones of both versions, which are those above slowFactor times the median.
-	medians                [measureCount]guard.Quantile
-	oldTimings, newTimings guard.Counts
+	// onTime are the times that were measured on time, whileLate those while the process was late, without a gap of lateGap
+	// in those of the old version. oldLateAt is when the latest of these was added.
+	onTime, whileLate *timings
+	oldLateAt         time.Time
 	// shared is what all instances together observed.
 	shared *sharedState
 }
@@ -139,54 +100,6 @@
 	}
 }
 
-// CheckLateness looks whether the process is late. It is called a few times a second during roll-outs.
-func (w *Monitor) CheckLateness(now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.late(now)
-}
-
-// late reports whether times are ignored at now, as the process has been late. The caller holds the lock.
-func (w *Monitor) late(now time.Time) bool {
-	l := w.lateness()
-	if l >= late.Level && (w.lateAt.IsZero() || now.Sub(w.lateAt) >= lateRest) {
-		w.lateAt = now
-	}
-	return l >= stoppedLevel || (!w.lateAt.IsZero() && now.Sub(w.lateAt) < lateSpan)
-}
-
-// ObserveTiming adds a time of a response that was noticed just now, unless the process has been late. order is the
-// revision of the service's order; it is 0 without a roll-out.
-func (w *Monitor) ObserveTiming(t Timing, order uint64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.late(time.Now()) {
-		return
-	}
-	s := w.stateOf(t.Service)
-	if t.Measure == FirstResponse {
-		t.Value = max(t.Value, minFirstResponse)
-	}
-	m := &s.medians[t.Measure]
-	median := m.Value()
-	slow := t.Value > slowFactor*median
-	if !t.New {
-		m.Observe(t.Value)
-		if median > 0 {
-			s.oldTimings = s.oldTimings.Add(slow, timingWindow)
-		}
-		return
-	}
-	s.reset(order)
-	if median == 0 {
-		return
-	}
-	s.newTimings = s.newTimings.Add(slow, timingWindow)
-	if s.verdict == "" && guard.Excess(guard.SignalLatency, s.newTimings, s.oldTimings) >= minEvidence {
-		s.verdict = fmt.Sprintf("slow: %.0f of %.0f times against %.0f of %.0f", s.newTimings.Bad, s.newTimings.All, s.oldTimings.Bad, s.oldTimings.All)
-	}
-}
-
 // Verdict returns why this instance found the version of an order bad; it is empty if it
 // didn't.
 func (w *Monitor) Verdict(s ident.ServiceID, order uint64) string {
@@ -199,8 +112,8 @@
 	return x.verdict
 }
 
-// Tally returns what this instance counted for the version of an order. Its field Instance is
-// empty.
+// Tally returns what this instance counted for the version of an order, without the times that it measured late. Its field
+// Instance is empty.
 func (w *Monitor) Tally(s ident.ServiceID, order uint64) Tally {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -210,7 +123,7 @@
 		return t
 	}
 	t.Responses, t.Failed = x.responses, x.failed
-	t.Slowness, t.SlownessBefore = slowness(x.newTimings), slowness(x.oldTimings)
+	t.Slowness, t.SlownessBefore = slowness(x.onTime.after), slowness(x.onTime.before)
 	return t
 }
 
@@ -239,10 +152,7 @@
 func (w *Monitor) stateOf(s ident.ServiceID) *serviceState {
 	x := w.services[s]
 	if x == nil {
-		x = &serviceState{reference: guard.NewReference()}
-		for i := range x.medians {
-			x.medians[i] = guard.NewQuantile(0.5)
-		}
+		x = &serviceState{reference: guard.NewReference(), onTime: newTimings(), whileLate: newTimings()}
 		w.services[s] = x
 	}
 	return x
@@ -257,6 +167,6 @@
 	s.guard = guard.New(falseAlarmProbability)
 	s.detector = guard.NewDetector(lateFalseAlarmRate)
 	s.responses, s.failed, s.verdict = 0, 0, ""
-	s.newTimings = guard.Counts{}
+	s.onTime.after, s.whileLate.after = guard.Counts{}, guard.Counts{}
 	s.shared = newSharedState()
 }
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -125,15 +125,18 @@
 	t.Canary.Observe(canary.Response{Service: t.service, New: isNew(o, u), Failed: failed}, o.Origin)
 }
 
-// reportTiming reports a time of the attempt's response to the canary analysis.
-func (o *attempt) reportTiming(m canary.Measure, value float64) {
+// reportTiming reports the time since t, a time of the attempt's response, as a multiple of unit to the canary analysis.
+func (o *attempt) reportTiming(m canary.Measure, t time.Time, unit time.Duration) {
 	x := o.Syncer.View().Orders[o.service]
-	o.Canary.ObserveTiming(canary.Timing{Service: o.service, New: isNew(x, o.upstream), Measure: m, Value: value}, x.Origin)
+	o.Canary.ObserveTiming(canary.Timing{
+		Service: o.service, New: isNew(x, o.upstream), Measure: m,
+		Value: o.takenSince(t).Seconds() / unit.Seconds(), Noticed: time.Since(t).Seconds() / unit.Seconds(),
+	}, x.Origin)
 }
 
 // reportFirstResponse reports the time until the attempt's response started.
 func (o *attempt) reportFirstResponse() {
-	o.reportTiming(canary.FirstResponse, float64(o.takenSince(o.began))/float64(max(o.nominal, time.Millisecond)))
+	o.reportTiming(canary.FirstResponse, o.began, max(o.nominal, time.Millisecond))
 }
 
 // takenSince returns the time since t, less what the lateness of this process may have added to it.
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -333,6 +333,6 @@
 	case 1:
 		p.first = time.Now()
 	case pacedEvents:
-		p.reportTiming(canary.EventInterval, p.takenSince(p.first).Seconds()/(pacedEvents-1))
+		p.reportTiming(canary.EventInterval, p.first, (pacedEvents-1)*time.Second)
 	}
 }
