fix(place): don't share times that a late router measured

Cause: each router puts the times of its answers into the samples for all, also if it was late, without the deduction of its own judgement.

A router that has been late within 2 s keeps the times for its own choice of upstreams and shares none; outcomes and loads are shared as before. Requests that time out while it is late don't count as slow by the same rule, instead of by the lateness of the moment.

Open: a sample still counts by its mean as a whole; counting slow answers one by one needs a field in the exchange between routers.

--- a/router/canary/timing.go
+++ b/router/canary/timing.go
@@ -141,6 +141,14 @@
 	return !t.IsZero() && now.Sub(t) < lateSpan
 }
 
+// MeasuresLate reports whether this process has been late at now, so that the times that it measures say nothing of
+// upstreams to others.
+func (w *Monitor) MeasuresLate(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.checkLateness(now) != onTime
+}
+
 // timingsFor returns the times that one which is measured at now is compared with. Those of a late process are compared only
 // with others that it measured late, without a gap.
 func (s *serviceState) timingsFor(t Timing, l lateness, now time.Time) *timings {
--- a/router/place/attempt.go
+++ b/router/place/attempt.go
@@ -29,13 +29,23 @@
 
 // ResponseStarted records that the response started, and updates the upstream's slowdown.
 func (a *Attempt) ResponseStarted(now time.Time) {
+	a.responseStarted(now, true)
+}
+
+// ResponseStartedLate is ResponseStarted in a process that may have noticed the response late. Other instances don't get
+// the time, which says more of this process than of the upstream.
+func (a *Attempt) ResponseStartedLate(now time.Time) {
+	a.responseStarted(now, false)
+}
+
+func (a *Attempt) responseStarted(now time.Time, share bool) {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	if !a.pending {
 		return
 	}
 	a.clearPending()
-	a.observeDelay(now)
+	a.observeDelay(now, share)
 }
 
 // PromptProcessed records that the upstream has the prompt's shared prefix cached now.
@@ -56,13 +66,17 @@
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	if a.pending {
-		a.observeDelay(now)
+		a.observeDelay(now, true)
 	}
 }
 
-func (a *Attempt) observeDelay(now time.Time) {
+// observeDelay updates the upstream's slowdown, and that at other instances if share is true.
+func (a *Attempt) observeDelay(now time.Time, share bool) {
 	p := logSlowdown(now.Sub(a.began), a.choice.Nominal)
 	a.load.slowdown.add(p, 1, now)
+	if !share {
+		return
+	}
 	a.balancer.addSample(Sample{Upstream: a.choice.Upstream.ID, Responses: 1, LogSlowdown: p, At: now})
 }
 
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -249,6 +249,10 @@
 func (o *attempt) headersReceived() {
 	now := time.Now()
 	o.progress.HeadReceived(now)
+	if o.Canary.MeasuresLate(now) {
+		o.placement.ResponseStartedLate(now)
+		return
+	}
 	o.placement.ResponseStarted(now)
 }
 
@@ -372,8 +376,8 @@
 			if context.Cause(ctx) == nil {
 				o.connectionLost()
 			}
-			if o.Lateness() < late.Level {
-				o.placement.TimedOut(time.Now())
+			if now := time.Now(); !o.Canary.MeasuresLate(now) {
+				o.placement.TimedOut(now)
 			}
 			o.finish(false)
 		}
