refactor(front): record waits in one place

The record of a request that was refused at the accept repeated that of one which reached its handler. No change of behaviour; TestRefuseAccepted and TestOverloadTakes pass.

--- a/router/front/accept.go
+++ b/router/front/accept.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"tarragonvalve.example/router/admit"
 	"tarragonvalve.example/router/sock"
 )
 
@@ -25,8 +26,8 @@
 	http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable), overloadHeader["Content-Length"][0],
 	overloadHeader["Content-Type"][0], overloadHeader["Retry-After"][0], overloadBody)
 
-// RefuseAccepted refuses the first request of a connection that has just been accepted, if it would be refused by
-// refuseQueued, and closes the connection. That takes a small part of what serving the connection does, and most requests
+// RefuseAccepted refuses the first request of a connection that has just been accepted, if a queue stands and the request has
+// waited too long, and closes the connection. That takes a small part of what serving the connection does, and most requests
 // past capacity come on new connections. Requests with a body or with more bytes after them are left to the server. It
 // returns the bytes that it has read of a connection which it doesn't refuse, and whether it refused.
 func (h *Handler) RefuseAccepted(c net.Conn) (head []byte, refused bool) {
@@ -36,7 +37,7 @@
 		return nil, false
 	}
 	waited, err := sock.SinceData(o)
-	if err != nil || !h.gate.overload.refuses(waited, false) {
+	if err != nil || admit.Takes(true, waited, false) {
 		return nil, false
 	}
 	buffer := acceptedHeads.Get().(*[maxAcceptedHead]byte)
@@ -53,7 +54,8 @@
 	if n == 0 {
 		return nil, true // the client has left
 	}
-	logged := h.gate.overload.refusedAccepted(now, waited)
+	h.gate.overload.record(now, waited)
+	logged, _ := h.gate.overload.refusal(now)
 	// An error means that the client has left.
 	c.Write([]byte(overloadAnswer)) //nolint:errcheck,gosec // see above
 	h.recordOverload(waited, logged)
@@ -67,5 +69,5 @@
 	if err != nil || q.Body != http.NoBody || r.Buffered() > 0 {
 		return false
 	}
-	return h.gate.overload.refuses(waited, preferred(h.codec.ParseRequest(q.Header)))
+	return !admit.Takes(true, waited, preferred(h.codec.ParseRequest(q.Header)))
 }
--- a/router/front/overload.go
+++ b/router/front/overload.go
@@ -38,12 +38,18 @@
 // takes records that a request reached its handler after a wait, and reports whether it is taken. isPreferred reports
 // whether it is preferred.
 func (o *overload) takes(now time.Time, waited time.Duration, isPreferred func() bool) bool {
+	standing := o.record(now, waited)
+	return admit.Takes(standing, waited, false) || admit.Takes(standing, waited, isPreferred())
+}
+
+// record records how long a request waited, and reports whether a queue stands.
+func (o *overload) record(now time.Time, waited time.Duration) (standing bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.queue.Add(now, waited)
-	standing := o.queue.Standing(now)
+	standing = o.queue.Standing(now)
 	o.pause.Update(now, standing, rand.Float64()) //nolint:gosec // spreads pauses, guards no secret
-	return admit.Takes(standing, waited, false) || admit.Takes(standing, waited, isPreferred())
+	return standing
 }
 
 // standing reports whether requests that have waited are refused.
@@ -53,21 +59,6 @@
 	return o.queue.Standing(now)
 }
 
-// refuses reports whether a request is refused in a standing queue after a wait.
-func (*overload) refuses(waited time.Duration, isPreferred bool) bool {
-	return !admit.Takes(true, waited, isPreferred)
-}
-
-// refusedAccepted records a refusal of a request that did not reach its handler. It returns the number of refusals to log now, or 0.
-func (o *overload) refusedAccepted(now time.Time, waited time.Duration) (logged int) {
-	o.mu.Lock()
-	o.queue.Add(now, waited)
-	o.pause.Update(now, o.queue.Standing(now), rand.Float64()) //nolint:gosec // spreads pauses, guards no secret
-	o.mu.Unlock()
-	logged, _ = o.refusal(now)
-	return logged
-}
-
 // paused reports whether the instance asks for no new connections as its queue has stood for long.
 func (o *overload) paused(now time.Time) bool {
 	o.mu.Lock()
