test: reserve the ports of test processes from each other

What was seen: router/boot's TestAnswerBeforeReset/stopping and others failed once beside other test processes, some with requests or bodies of another process's test. Clients of TestStopDuringStart and others dial a router's address while no router listens there.

Cause: Free remembered only the addresses of its own process, while several test processes choose from the same range, and found a port free that the other's router was about to listen on, or will when it is back.

That this was the cause of each of the failures was not shown: their logs are gone.

--- a/standin/ports/ports.go
+++ b/standin/ports/ports.go
@@ -14,33 +14,65 @@
 	// selection and the start of the process.
 	firstPort = 12_000
 	portCount = 20_000
-	// maxAttempts bounds the number of ports that Free tries.
-	maxAttempts = 100
+	// blockSize is the number of ports that a process reserves at once. It costs one open
+	// listener for each block.
+	blockSize  = 50
+	blockCount = portCount / blockSize
 )
 
-// FullError reports that Free found no free port in maxAttempts attempts.
+// FullError reports that Free found no free port.
 type FullError struct{}
 
 func (*FullError) Error() string {
-	return fmt.Sprintf("find a port: none of %d tried from %d to %d is free", maxAttempts, firstPort, firstPort+portCount-1)
+	return fmt.Sprintf("find a port: all %d from %d on are in use or reserved", portCount, firstPort)
 }
 
-// handedOut holds the addresses returned so far. None is returned again, because a killed
+// reserved holds what this process has reserved. No port is returned twice, because a killed
 // process needs its own address when it restarts.
-var handedOut sync.Map
+var reserved struct {
+	sync.Mutex
+	// locks listen on the first port of each block until the process ends, so that no other
+	// process reserves the block. Without a reference they would be closed by the garbage collector.
+	locks []net.Listener
+	// next and end bound the ports of the latest block that were not returned yet.
+	next, end int
+}
 
-// Free returns a loopback address on which no process listens and that was not returned
-// before in this process. Its error is a *FullError.
+// Free returns a loopback address on which no process listens and that no process has got from
+// Free before, except one that has ended. Its error is a *FullError.
 func Free() (string, error) {
-	for range maxAttempts {
-		a := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
-		if _, used := handedOut.LoadOrStore(a, true); used {
-			continue
+	r := &reserved
+	r.Lock()
+	defer r.Unlock()
+	for {
+		for r.next < r.end {
+			a := address(r.next)
+			r.next++
+			if l, err := net.Listen("tcp", a); err == nil {
+				l.Close()
+				return a, nil
+			}
 		}
-		if l, err := net.Listen("tcp", a); err == nil {
-			l.Close()
-			return a, nil
+		if !reserveBlock() {
+			return "", &FullError{}
 		}
 	}
-	return "", &FullError{}
+}
+
+// reserveBlock reserves another block and reports whether it found one. The caller holds the lock.
+func reserveBlock() bool {
+	// At random, as blocks of a process that has ended may still be called by others.
+	for _, b := range rand.Perm(blockCount) {
+		first := firstPort + b*blockSize
+		if l, err := net.Listen("tcp", address(first)); err == nil {
+			reserved.locks = append(reserved.locks, l)
+			reserved.next, reserved.end = first+1, first+blockSize
+			return true
+		}
+	}
+	return false
+}
+
+func address(port int) string {
+	return fmt.Sprintf("127.0.0.1:%d", port)
 }
