test: give the address of a stand-in server to no later one

What was seen: tests of router/boot found requests of other tests at their upstreams, on busy machines.

Cause: the kernel chose the ports of stand-in servers and gave those of closed ones out again, within a process and between processes. Routers go on calling a crashed or closed upstream until it leaves the store, and as most tests name their servers s1, s2, ..., the check of the expected instance does not refuse these requests.

Servers and the forwarders of router/boot take their address from package ports, which returns none twice. That this was the cause of each failure was not shown: their logs are gone.

--- a/router/boot/lost_listener_test.go
+++ b/router/boot/lost_listener_test.go
@@ -20,10 +20,10 @@
 	tasks sync.WaitGroup
 }
 
-// forward starts a forwarder to s.
+// forward starts a forwarder to s, on an address that no other test gets when it is closed.
 func forward(t *testing.T, s *server.Server) *forwarder {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", freeAddress(t))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tarragonvalve.example/standin/flood"
+	"tarragonvalve.example/standin/ports"
 )
 
 // Reply is what a server does with a request: one of the types below.
@@ -185,10 +186,15 @@
 	crashed      chan struct{}
 }
 
-// New starts a server on a loopback port chosen by the kernel. script selects the reply to
+// New starts a server on a loopback address that no other server gets: the kernel would choose the
+// port of a closed one again, to which routers may still send requests. script selects the reply to
 // each request; it is called once per request, before the body is read.
 func New(name string, script func(r Request) Reply) (*Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := ports.Free()
+	if err != nil {
+		return nil, fmt.Errorf("listen for server %s: %w", name, err)
+	}
+	l, err := net.Listen("tcp", a)
 	if err != nil {
 		return nil, fmt.Errorf("listen for server %s: %w", name, err)
 	}
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -62,3 +62,24 @@
 		})
 	}
 }
+
+// Guards against an address that a later server gets, while routers still send requests to the former
+// one: test servers mostly have the same few names, so these requests run at the server of another test.
+func TestAddressesUsedOnce(t *testing.T) {
+	t.Parallel()
+	// servers is so many that about 20 of them get the port of an earlier one if the kernel chooses it.
+	const servers = 500
+	seen := map[string]bool{}
+	for range servers {
+		s, err := server.New("s1", func(server.Request) server.Reply { return server.Hang{} })
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := s.Address()
+		s.Close()
+		if seen[a] {
+			t.Errorf("%s belonged to an earlier server", a)
+		}
+		seen[a] = true
+	}
+}
