test(router): fill a connection on a slow machine, too

TestConnectionEnds/client_doesn't_read failed once or more on a busy machine (load 13, once in two runs beside four busy loops and two test processes): "cause:deadline-passed ... idle:8.75", want write-deadline.

Cause: the stand-in slept 1 ms before each event of 32 kB, which took 8.75 ms on that machine, so that in the client's 700 ms fewer bytes were sent than the buffers of both connections take. No write was blocked when the time was over, and deadline-passed was right.

The stand-in sends without pauses now: what is sent depends on processor time only.

--- a/router/boot/ends_test.go
+++ b/router/boot/ends_test.go
@@ -84,9 +84,10 @@
 	case "long":
 		return server.Events{Count: 900, Pause: 100 * time.Millisecond}
 	case "large":
+		// Without pauses, so that the buffers of the connections are full within a client's time on a slow machine, too.
 		return server.Endless{
 			Head: strings.ReplaceAll(receiptHeaders, "ID", r.ID()) + "Content-Type: text/event-stream\r\n\r\n",
-			Unit: "data: " + strings.Repeat("x", 32_000) + "\n\n", Pause: time.Millisecond,
+			Unit: "data: " + strings.Repeat("x", 32_000) + "\n\n",
 		}
 	case "hang":
 		return server.Hang{}
