test(router): print why requests are refused in TestStatedLimit

"streams: 21 of 861 requests refused although the other server takes them" was seen three times on busy machines, without the reasons.

The check is unchanged; its error lists the refusals by message.

--- a/router/boot/limit_test.go
+++ b/router/boot/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -80,7 +81,7 @@
 			for _, w := range ws {
 				w.awaitUpstreams(n)
 			}
-			served, refused := sendSteadily(ws, limitGrace+2*limitWindow, c.method, c.path)
+			served, refusals := sendSteadily(ws, limitGrace+2*limitWindow, c.method, c.path)
 			qs := limited.Requests()
 			if len(qs) == 0 || served == 0 {
 				t.Fatalf("%d requests at the limited server, %d served", len(qs), served)
@@ -89,21 +90,26 @@
 			if most := mostInWindow(qs, qs[0].At.Add(limitGrace)); most > allowed {
 				t.Errorf("%d requests within %s, allowed %d", most, limitWindow, allowed)
 			}
+			refused := 0
+			for _, n := range refusals {
+				refused += n
+			}
 			if c.other != nil && !c.second && refused > 0 {
-				t.Errorf("%d of %d requests refused although the other server takes them", refused, served+refused)
+				t.Errorf("%d of %d requests refused although the other server takes them: %v", refused, served+refused, refusals)
 			}
 		})
 	}
 }
 
 // sendSteadily sends requests through all routers for d and returns how many were answered with
-// success and how many were refused as not run. It ends the test's run if another result comes.
-func sendSteadily(ws []*harness, d time.Duration, method, path string) (served, refused int) {
+// success and how many were refused as not run, by the message. It logs other results.
+func sendSteadily(ws []*harness, d time.Duration, method, path string) (served int, refusals map[string]int) {
 	const pause = 40 * time.Millisecond
 	ctx, stop := context.WithTimeout(context.Background(), d)
 	defer stop()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
+	refusals = map[string]int{}
 	for _, w := range ws {
 		wg.Go(func() {
 			tick := time.NewTicker(pause)
@@ -122,7 +128,7 @@
 					case a.err == nil && a.status < 500:
 						served++
 					case a.status == 503:
-						refused++
+						refusals[a.message()]++
 					default:
 						fmt.Fprintf(w.logs, "test: %s got %d %s %v\n", a.id, a.status, a.body, a.err)
 					}
@@ -131,7 +137,20 @@
 		})
 	}
 	wg.Wait()
-	return served, refused
+	return served, refusals
+}
+
+// message returns the message of a refusal, or the body if it is no refusal.
+func (r response) message() string {
+	var e struct {
+		Error struct {
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if json.Unmarshal([]byte(r.body), &e) != nil {
+		return r.body
+	}
+	return e.Error.Message
 }
 
 // All servers of a service limit their requests, and each has room for some. Guards against requests
