test: keep the listener of a port that was chosen

Cause: since a stand-in server looked whether its port was free by a listener, closed that and listened again. A process that the test starts at that moment holds a copy of the first listener until it executes its program. ports.Listen returns the listener itself.

--- a/router/boot/lost_listener_test.go
+++ b/router/boot/lost_listener_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"tarragonvalve.example/standin/ports"
 	"tarragonvalve.example/standin/server"
 )
 
@@ -23,7 +24,7 @@
 // forward starts a forwarder to s, on an address that no other test gets when it is closed.
 func forward(t *testing.T, s *server.Server) *forwarder {
 	t.Helper()
-	l, err := net.Listen("tcp", freeAddress(t))
+	l, err := ports.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/ports/ports.go
+++ b/standin/ports/ports.go
@@ -39,8 +39,18 @@
 }
 
 // Free returns a loopback address on which no process listens and that no process has got from
-// Free before, except one that has ended. Its error is a *FullError.
+// Free or Listen before, except one that has ended. Its error is a *FullError. A process that is
+// being started may hold the address for a moment longer.
 func Free() (string, error) {
+	l, err := Listen()
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// Listen returns a listener on an address as that of Free.
+func Listen() (net.Listener, error) {
 	r := &reserved
 	r.Lock()
 	defer r.Unlock()
@@ -49,12 +59,11 @@
 			a := address(r.next)
 			r.next++
 			if l, err := net.Listen("tcp", a); err == nil {
-				l.Close()
-				return a, nil
+				return l, nil
 			}
 		}
 		if !reserveBlock() {
-			return "", &FullError{}
+			return nil, &FullError{}
 		}
 	}
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -190,11 +190,7 @@
 // port of a closed one again, to which routers may still send requests. script selects the reply to
 // each request; it is called once per request, before the body is read.
 func New(name string, script func(r Request) Reply) (*Server, error) {
-	a, err := ports.Free()
-	if err != nil {
-		return nil, fmt.Errorf("listen for server %s: %w", name, err)
-	}
-	l, err := net.Listen("tcp", a)
+	l, err := ports.Listen()
 	if err != nil {
 		return nil, fmt.Errorf("listen for server %s: %w", name, err)
 	}
--- a/standin/server/server_test.go
+++ b/standin/server/server_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
+	"sync"
 	"testing"
 
 	"tarragonvalve.example/standin/server"
@@ -83,3 +86,32 @@
 		seen[a] = true
 	}
 }
+
+// Guards against a server that can't listen as a process which is being started still holds the address that was looked at.
+func TestListensBesideStarts(t *testing.T) {
+	t.Parallel()
+	const servers = 500
+	ctx, stop := context.WithCancel(t.Context())
+	var starts sync.WaitGroup
+	t.Cleanup(func() {
+		stop()
+		starts.Wait()
+	})
+	for range 4 {
+		starts.Go(func() {
+			for ctx.Err() == nil {
+				if err := exec.CommandContext(ctx, "true").Run(); err != nil && ctx.Err() == nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	for range servers {
+		s, err := server.New("s1", func(server.Request) server.Reply { return server.Hang{} })
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+	}
+}
