refactor(late): let the meter tell how long requests have waited

late.Arrivals was a Meter with a second Beat and Run around the first, only to keep what a heartbeat saw before the meter changed it. The meter itself now keeps the latest stop and has Waited; the type, its place among the components and the callback of the loop are gone. No change of behaviour: TestWaited, TestRequestAfterStop and TestRequestsAfterStop pass with their assertions as they were.

--- a/core/late/late.go
+++ b/core/late/late.go
@@ -46,9 +46,12 @@
 	beat     atomic.Int64
 	lateness atomic.Int64
 	episodes atomic.Int64
+	// stopOver is true if the process has run on time since its latest stop, and was not late before it.
+	stopOver atomic.Bool
 	seen     seen
-	// history and since belong to the goroutine of Run.
+	// history, stop, waits and since belong to the goroutine of Run.
 	history history
+	stop    stop
 	waits   waits
 	since   time.Duration
 }
@@ -62,20 +65,17 @@
 func (m *Meter) Name() string { return "lateness" }
 
 // Run measures until ctx ends. It always returns nil.
-func (m *Meter) Run(ctx context.Context) error { return m.run(ctx, m.Beat) }
-
-// run calls beat, which records a heartbeat, each Interval until ctx ends.
-func (m *Meter) run(ctx context.Context, beat func(wait time.Duration)) error {
+func (m *Meter) Run(ctx context.Context) error {
 	t := time.NewTicker(Interval)
 	defer t.Stop()
 	m.waits.read()
-	beat(0)
+	m.Beat(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			beat(m.waits.read())
+			m.Beat(m.waits.read())
 		}
 	}
 }
@@ -84,9 +84,10 @@
 // Interval; calls must not overlap.
 func (m *Meter) Beat(wait time.Duration) {
 	now := m.now()
-	late := max(m.overdue(now), wait)
-	level := m.history.add(now, late)
-	// In this order, so that Lateness sees either the overdue heartbeat or what it led to.
+	overdue := m.overdue(now)
+	level := m.history.add(now, max(overdue, wait))
+	// In this order, so that Lateness and Waited see either the overdue heartbeat or what it led to.
+	m.stopOver.Store(m.stop.add(now, overdue, wait))
 	m.lateness.Store(int64(level))
 	m.beat.Store(int64(now))
 	m.seen.add(now)
@@ -107,6 +108,15 @@
 	return max(o, time.Duration(m.lateness.Load()))
 }
 
+// Waited returns how long at most a request that begins now has waited for the process, as well as it can tell. What begins
+// after a single stop that is over is on time, while Lateness lasts for a window.
+func (m *Meter) Waited() time.Duration {
+	if m.stopOver.Load() {
+		return m.Overdue()
+	}
+	return m.Lateness()
+}
+
 // Overdue returns by how much the next heartbeat is overdue. What the process notices now may have happened that much
 // earlier. It is 0 before the first heartbeat.
 func (m *Meter) Overdue() time.Duration {
--- a/core/late/arrivals_test.go
+++ b/core/late/stop_test.go
@@ -38,7 +38,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			now := time.Second
-			a := late.NewArrivals(late.New(func() time.Duration { return now }, zerolog.Nop()))
+			a := late.New(func() time.Duration { return now }, zerolog.Nop())
 			a.Beat(0)
 			for _, b := range c.beats {
 				now += b.after
@@ -59,7 +59,7 @@
 		timeout = 1500 * ms
 		stops   = 5
 	)
-	a := late.NewArrivals(late.New(late.Monotonic(), zerolog.Nop()))
+	a := late.New(late.Monotonic(), zerolog.Nop())
 	go a.Run(t.Context())
 	for range stops {
 		// The process is on time before the stop.
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -56,7 +56,6 @@
 		newListeners,
 		newCertificates,
 		newLateness,
-		late.NewArrivals,
 		newRing,
 		newPanics,
 		newTable,
@@ -108,7 +107,7 @@
 	dig.In
 
 	Listeners    *listeners
-	Arrivals     *late.Arrivals
+	Lateness     *late.Meter
 	Replica      *spread.Replica
 	Claims       *claim.Store
 	Policy       *policy.Controller
@@ -131,7 +130,7 @@
 // steps returns the steps in the order of their start.
 func (p components) steps() []serve.Component {
 	return []serve.Component{
-		p.Arrivals,
+		p.Lateness,
 		p.Replica,
 		p.Claims,
 		p.Policy,
@@ -440,7 +439,7 @@
 	return &peerServer{listener: p.peers, server: g}
 }
 
-func newCallerAPI(s *setup.Settings, n *spread.Replica, r *relay.Relay, d *calls.Executor, p *policy.Controller, h *readiness, e *event.Ring, m *panics.Reporter, w *late.Arrivals, l zerolog.Logger) *caller.API {
+func newCallerAPI(s *setup.Settings, n *spread.Replica, r *relay.Relay, d *calls.Executor, p *policy.Controller, h *readiness, e *event.Ring, m *panics.Reporter, w *late.Meter, l zerolog.Logger) *caller.API {
 	return caller.New(caller.Options{
 		Admits:         h.admits,
 		StoppedFor:     h.stoppedFor,
--- a/entry/boot/late_test.go
+++ b/entry/boot/late_test.go
@@ -24,7 +24,7 @@
 		t.Fatal(err)
 	}
 	now := time.Second
-	a := late.NewArrivals(late.New(func() time.Duration { return now }, zerolog.Nop()))
+	a := late.New(func() time.Duration { return now }, zerolog.Nop())
 	p := &readiness{now: time.Now, unseen: func() time.Duration { return 0 }}
 	api := newCallerAPI(s, spread.New(spread.Options{Instance: "entry-1"}), nil, nil, nil, p, nil, nil, a, zerolog.Nop())
 	code := func() refuse.Code {
