--- a/router/front/accept_test.go
+++ b/router/front/accept_test.go
@@ -64,7 +64,7 @@
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
-			client, accepted := acceptedPair(t)
+			client, accepted := connect(t)
 			if _, err := io.WriteString(client, c.sent); err != nil {
 				t.Fatal(err)
 			}
@@ -90,24 +90,6 @@
 	}
 }
 
-// acceptedPair returns both ends of a connection; accepted is that of the server.
-func acceptedPair(t *testing.T) (client, accepted net.Conn) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	if client, err = net.Dial("tcp", l.Addr().String()); err != nil {
-		t.Fatal(err)
-	}
-	if accepted, err = l.Accept(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { client.Close(); accepted.Close() })
-	return client, accepted
-}
-
 // checkUnchanged checks that the server reads what the client sent, and that the client gets nothing before.
 func checkUnchanged(t *testing.T, client net.Conn, accepted net.Conn, sent string) {
 	t.Helper()
