refactor(dial): dial from agents in one place

plain and engine each had the loop that dials until the process has run for the time-out, in two forms; it is agent/dial.Dialer now. The context that ends with its parent but has no deadline stood three times (router/dial, plain, fence) and is clock.WithoutDeadline. No change of behaviour: the tests of stops in plain, engine, fence, router/dial, link and probe pass with -race and their assertions as they were.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -17,6 +17,7 @@
 	"strings"
 	"time"
 
+	"tarragonvalve.example/agent/dial"
 	"tarragonvalve.example/agent/excess"
 	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/ident"
@@ -58,7 +59,7 @@
 type Client struct {
 	options Options
 	http    *http.Client
-	dialer  *net.Dialer
+	dialer  *dial.Dialer
 }
 
 // maxIdleConns lets the connections of all slots of an engine be reused.
@@ -66,9 +67,9 @@
 
 // New returns a client. Close it after use.
 func New(o Options) *Client {
-	c := &Client{options: o, dialer: &net.Dialer{Timeout: o.DialTimeout}}
+	c := &Client{options: o, dialer: dial.New(o.DialTimeout)}
 	t := &http.Transport{ //nolint:forbidigo // heads are bounded
-		DialContext:            c.dial,
+		DialContext:            c.dialer.DialContext,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        30 * time.Second,
 		DisableCompression:     true,
--- a/agent/fence/fence.go
+++ b/agent/fence/fence.go
@@ -121,10 +121,10 @@
 // read reads the highest token of a lease from the table. The table's client counts time in which this process did not run; if
 // it gives up before this process has run for the read timeout, the guard reads again.
 func (g *Guard) read(ctx context.Context, lease string) (ident.FencingToken, error) {
-	// A client that knows the deadline of ctx may report it before ctx has ended, and would be called again at once.
-	c, cancel := clock.WithTimeout(context.WithoutCancel(ctx), g.options.ReadTimeout)
+	inner, stop := clock.WithoutDeadline(ctx)
+	defer stop(nil)
+	c, cancel := clock.WithTimeout(inner, g.options.ReadTimeout)
 	defer cancel()
-	defer context.AfterFunc(ctx, cancel)()
 	for {
 		t, err := g.options.Tokens(c, lease)
 		var n net.Error
--- a/agent/plain/conn.go
+++ b/agent/plain/conn.go
@@ -30,7 +30,7 @@
 	}
 	ctx, cancel := clock.WithTimeout(ctx, c.options.DialTimeout)
 	defer cancel()
-	n, err := c.dial(ctx, "tcp", u.Host)
+	n, err := c.dialer.DialContext(ctx, "tcp", u.Host)
 	if err != nil {
 		return nil, &NotRunError{Err: err}
 	}
--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"tarragonvalve.example/agent/dial"
 	"tarragonvalve.example/core/inlet"
 )
 
@@ -113,7 +114,7 @@
 type Client struct {
 	options Options
 	http    *http.Client
-	dialer  *net.Dialer
+	dialer  *dial.Dialer
 	// long is a semaphore for maxLong.
 	long chan struct{}
 }
@@ -132,11 +133,10 @@
 
 // New returns a client. Close it after use.
 func New(o Options) *Client {
-	d := &net.Dialer{Timeout: o.DialTimeout}
-	c := &Client{options: o, dialer: d, long: make(chan struct{}, maxLong)}
+	c := &Client{options: o, dialer: dial.New(o.DialTimeout), long: make(chan struct{}, maxLong)}
 	c.http = &http.Client{
 		Transport: &http.Transport{ //nolint:forbidigo // heads are bounded
-			DialContext:            c.dial,
+			DialContext:            c.dialer.DialContext,
 			MaxIdleConnsPerHost:    maxIdleConns,
 			IdleConnTimeout:        30 * time.Second,
 			DisableCompression:     true,
--- a/core/clock/work.go
+++ b/core/clock/work.go
@@ -79,6 +79,17 @@
 	}
 }
 
+// WithoutDeadline returns a context that ends with ctx and by its cause, or by cancel, and has no deadline. Callees that know
+// a deadline may report it before ctx has ended.
+func WithoutDeadline(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	c, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
+	return c, func(cause error) {
+		stop()
+		cancel(cause)
+	}
+}
+
 // TimeoutOr returns the *TimeoutError that ended a context of WithTimeout, or else err. Callees return context.Canceled for
 // it.
 func TimeoutOr(ctx context.Context, err error) error {
--- a/router/dial/dial.go
+++ b/router/dial/dial.go
@@ -28,10 +28,9 @@
 		}
 		return control(network, address, c)
 	}
-	// A net.Dialer that knows the deadline of ctx may report it before ctx has ended, as a failure of the peer.
-	inner, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	// A deadline that is reported before ctx has ended would count as a failure of the peer.
+	inner, cancel := clock.WithoutDeadline(ctx)
 	defer cancel(nil)
-	defer context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })()
 	t := clock.AfterFunc(limit, func() {
 		if c := raw.Load(); c == nil || !isEstablished(*c) {
 			cancel(&clock.TimeoutError{After: limit})
