feat(poison): log what is held against suspected parts

The logs named a part only once it was quarantined, so they couldn't tell a part whose crashes another quarantine explains from one with too few.

--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -43,17 +43,11 @@
 	if len(e.suspects) == 0 {
 		return verdict{}, false
 	}
-	var active []Quarantine
-	for _, q := range qs {
-		if q = e.withoutHarmless(q); q.active(now) && len(q.Parts) > 0 {
-			active = append(active, q)
-		}
-	}
-	cs := e.candidates(active, now)
-	countAlone(cs)
+	active := e.activeOf(qs, now)
+	cs := e.judged(active, now)
 	all, r := crashed(cs), rivalsOf(cs)
 	for _, c := range cs {
-		if !c.settled || !c.guilty(remembered(qs, c.part)) || float64(len(c.upstreams)) < explainedShare*float64(all) || r.explain(c) {
+		if c.lacks(remembered(qs, c.part), all, r) != lacksNothing {
 			continue
 		}
 		q := Quarantine{At: c.last}
@@ -72,6 +66,40 @@
 	return verdict{}, false
 }
 
+// activeOf returns the quarantines in force of all, without the parts that have proved to be harmless.
+func (e *evidence) activeOf(qs []Quarantine, now time.Time) []Quarantine {
+	var active []Quarantine
+	for _, q := range qs {
+		if q = e.withoutHarmless(q); q.active(now) && len(q.Parts) > 0 {
+			active = append(active, q)
+		}
+	}
+	return active
+}
+
+// judged returns the candidates with all that a judgement on them needs.
+func (e *evidence) judged(active []Quarantine, now time.Time) []candidate {
+	cs := e.candidates(active, now)
+	countAlone(cs)
+	return cs
+}
+
+// lacks returns why a candidate isn't guilty, of all upstreams that crashed. again is true if it was quarantined before.
+func (c candidate) lacks(again bool, all int, r rivals) lack {
+	switch {
+	case !c.settled:
+		return lacksTime
+	case !c.guilty(again):
+		return lacksCrashes
+	case float64(len(c.upstreams)) < explainedShare*float64(all):
+		return lacksShare
+	case r.explain(c):
+		return lacksRival
+	default:
+		return lacksNothing
+	}
+}
+
 // candidates returns the suspected parts, the most suspected ones first.
 func (e *evidence) candidates(active []Quarantine, now time.Time) []candidate {
 	var cs []candidate
--- a/router/poison/poison.go
+++ b/router/poison/poison.go
@@ -82,6 +82,8 @@
 	refuted map[Key]time.Time
 	// trialAt is when this router began its latest trial, or tried to.
 	trialAt time.Time
+	// logged is the evidence against suspected parts as it was logged last.
+	logged map[crash.Part]progress
 	// inForce are the quarantines in force, without the parts that have proved to be harmless.
 	inForce atomic.Pointer[[]Quarantine]
 }
@@ -217,6 +219,7 @@
 	// Evidence that doesn't change leads to no other decision once it has settled.
 	if r.judgedAt.Sub(r.evidence.changedAt) <= r.evidence.judgeDelay()+judgeStep {
 		r.judge(now)
+		r.logProgress(now)
 	}
 	r.judgedAt = now
 	return r.publish(now)
