fix(poison): count a repeated request's crashes against its parts

Cause: each request with the part was sent again by its client and by routers, crashed three upstreams, and was quarantined by its content. From then on that quarantine explained its crashes, so they no longer counted against the part. The next request with the part needed three crashes of its own, and left the part with none as well. Class of fault: one explanation removes the evidence for another that it doesn't exclude.

A quarantine of content now leaves the crashes of its own request with that request's parts unless they are known, and explains those under other requests as before. The suspicion of a content therefore names its request; it takes no more room in messages. As repeats make few requests of many crashes, five crashes under two requests are as telling as three under three. One request alone still accuses no part.

--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -24,6 +24,9 @@
 	crashes, begun int
 	// alone counts only upstreams at which no other part was in progress that isn't known.
 	alone int
+	// repeated is true if enough upstreams crashed, although the requests are few as they were repeated: under requests
+	// that had begun, or with no other part in progress that isn't known.
+	repeated bool
 	// upstreams are the upstreams that crashed, inProgress is the number of requests at them.
 	upstreams  map[fleet.Incarnation]struct{}
 	inProgress int
@@ -112,7 +115,7 @@
 			if at.After(now) || now.Sub(at) > evidenceTTL || !at.After(e.survived[p]) {
 				continue
 			}
-			if (!s.Began && e.known(p, at)) || explained(s, xs) {
+			if (!s.Began && e.known(p, at)) || explained(s, c.known, xs) {
 				continue
 			}
 			all[k] = struct{}{}
@@ -127,7 +130,8 @@
 		if len(all) == 0 {
 			continue
 		}
-		c.crashes, c.begun, c.requests = countCrashes(all), countCrashes(begun), all
+		c.crashes, c.begun, c.requests = countCrashes(p, all), countCrashes(p, begun), all
+		c.repeated = crashedByRepeats(begun)
 		if c.begun >= begunCrashes {
 			c.requests = begun
 		}
@@ -149,11 +153,11 @@
 	case again:
 		return c.begun > 0
 	default:
-		return c.begun >= begunCrashes || c.alone >= begunCrashes || c.crashes >= waitingCrashes
+		return c.begun >= begunCrashes || c.repeated || c.alone >= begunCrashes || c.crashes >= waitingCrashes
 	}
 }
 
-// countAlone sets alone for the candidates: a request that waits is as telling as one whose answer had begun if all
+// countAlone sets alone, and repeated, for the candidates: a request that waits is as telling as one whose answer had begun if all
 // others at the upstream have parts that were survived.
 func countAlone(cs []candidate) {
 	unknown := map[fleet.Incarnation]int{}
@@ -175,7 +179,8 @@
 				left[k] = struct{}{}
 			}
 		}
-		cs[i].alone = countCrashes(left)
+		cs[i].alone = countCrashes(c.part, left)
+		cs[i].repeated = c.repeated || crashedByRepeats(left)
 	}
 }
 
@@ -218,7 +223,7 @@
 			left[k] = struct{}{}
 		}
 	}
-	return countCrashes(left) < knownCrashes
+	return countCrashes(c.part, left) < knownCrashes
 }
 
 // recurs reports whether a candidate that isn't known was in progress at crashes more often than by chance:
@@ -235,6 +240,8 @@
 	Quarantine
 	// waiting are those that explain the crashes under requests that had not begun, begun those that explain others.
 	waiting, begun map[fleet.Incarnation]struct{}
+	// own are the requests of a quarantine of content.
+	own map[crashKey]Suspicion
 }
 
 // explainers returns what the quarantines explain of the crashes up to now.
@@ -250,6 +257,9 @@
 			}
 			x.waiting, x.begun = intersect(x.waiting, waiting), intersect(x.begun, begun)
 		}
+		if c := e.suspects[q.Parts[0]]; c != nil && q.Parts[0].IsContent() {
+			x.own = c.suspicions
+		}
 		xs = append(xs, x)
 	}
 	return xs
@@ -268,12 +278,16 @@
 
 // explained reports whether a quarantine without the suspicion's part explains the crash at least as
 // well: requests with its parts were in progress too. Content doesn't explain that of other requests:
-// if two came together each time, either may be the cause.
-func explained(s Suspicion, xs []explainer) bool {
+// if two came together each time, either may be the cause. Nor does it explain that of its own request's
+// parts, unless they are known: the request may crash upstreams by one of them.
+func explained(s Suspicion, known bool, xs []explainer) bool {
 	return slices.ContainsFunc(xs, func(x explainer) bool {
 		if (s.Part.IsContent() && x.Parts[0].IsContent()) || slices.Contains(x.Parts, s.Part) {
 			return false
 		}
+		if _, ok := x.own[crashKey{upstream: s.Upstream, request: s.Request}]; ok && !known {
+			return false
+		}
 		us := x.waiting
 		if s.Began {
 			us = x.begun
@@ -283,13 +297,28 @@
 	})
 }
 
-// countCrashes returns the number of different upstreams, or of different requests if that is less.
-func countCrashes(ks map[crashKey]struct{}) int {
+// countCrashes returns the number of different upstreams that crashed under a part, or of different requests if that is
+// less. Each crash under the same content counts, be it by a repeat of one request or by another one.
+func countCrashes(p crash.Part, ks map[crashKey]struct{}) int {
+	us := len(upstreamsOf(ks))
+	if p.IsContent() {
+		return us
+	}
+	return min(us, len(requestsOf(ks)))
+}
+
+// crashedByRepeats reports whether enough upstreams crashed under more than one request.
+func crashedByRepeats(ks map[crashKey]struct{}) bool {
+	return len(requestsOf(ks)) >= repeatedRequests && len(upstreamsOf(ks)) >= repeatedUpstreams
+}
+
+// requestsOf returns the different requests.
+func requestsOf(ks map[crashKey]struct{}) map[crash.RequestHash]struct{} {
 	rs := map[crash.RequestHash]struct{}{}
 	for k := range ks {
 		rs[k.request] = struct{}{}
 	}
-	return min(len(upstreamsOf(ks)), len(rs))
+	return rs
 }
 
 // upstreamsOf returns the upstreams that crashed under requests.
--- a/router/poison/evidence.go
+++ b/router/poison/evidence.go
@@ -18,6 +18,10 @@
 	// waitingCrashes is the same if upstreams crash before they begin to answer, under several parts that aren't
 	// known: then all requests in progress are suspects.
 	waitingCrashes = 5
+	// repeatedRequests and repeatedUpstreams are the numbers of requests and of upstreams that show the same if the
+	// requests are repeated: one alone may crash upstreams by its content. After the fifth crash under a part the
+	// users allow three more requests with it.
+	repeatedRequests, repeatedUpstreams = 2, 5
 	// knownCrashes is the number of crashes in a row that are needed for a part that upstreams
 	// survived within evidenceTTL: a part that many prompts share is often in progress at a crash.
 	knownCrashes = 6
--- a/router/poison/judge.go
+++ b/router/poison/judge.go
@@ -148,7 +148,7 @@
 				begun[k] = struct{}{}
 			}
 		}
-		c := candidate{part: p, crashes: countCrashes(all), begun: countCrashes(begun), alone: countCrashes(all)}
+		c := candidate{part: p, crashes: countCrashes(p, all), begun: countCrashes(p, begun), alone: countCrashes(p, all), repeated: crashedByRepeats(all)}
 		return c.guilty(false)
 	})
 }
--- a/router/poison/poison.go
+++ b/router/poison/poison.go
@@ -11,13 +11,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/clock"
 	"tarragonvalve.example/core/serve"
 	"tarragonvalve.example/router/crash"
-	"tarragonvalve.example/router/fleet"
 )
 
 const (
@@ -103,16 +101,10 @@
 		for _, p := range s.Parts {
 			r.evidence.suspect(Suspicion{Part: p, Upstream: x.Upstream, Request: s.Request, Began: s.Began, At: now}, now)
 		}
-		r.evidence.suspect(Suspicion{Part: s.Content, Upstream: x.Upstream, Request: contentRequest(x.Upstream), Began: s.Began, At: now}, now)
+		r.evidence.suspect(Suspicion{Part: s.Content, Upstream: x.Upstream, Request: s.Request, Began: s.Began, At: now}, now)
 	}
 }
 
-// contentRequest stands for the request in a suspicion of content: each crash under the same content
-// counts, be it by a repeat of one request or by another one.
-func contentRequest(i fleet.Incarnation) crash.RequestHash {
-	return crash.RequestHash(xxhash.Sum64String(string(i.ID)) + uint64(i.StartedMs))
-}
-
 // Survived implements crash.Observer. Survivals of content count only if it is suspected: it is of use
 // for nothing else, and there is much of it.
 func (r *Registry) Survived(p crash.Prompt, began time.Time) {
--- a/router/poison/report.go
+++ b/router/poison/report.go
@@ -62,6 +62,10 @@
 	chosen := map[crashKey]struct{}{}
 	ps := e.recent(now, forwardTTL)
 	for _, p := range ps {
+		// Content is in progress once at an upstream, and says nothing of the requests to choose.
+		if p.IsContent() {
+			continue
+		}
 		for _, k := range e.suspects[p].sample() {
 			chosen[k] = struct{}{}
 		}
@@ -72,7 +76,7 @@
 			to = later
 		}
 		for k, s := range x.suspicions {
-			if _, ok := chosen[k]; ok && now.Sub(s.At) <= forwardTTL {
+			if _, ok := chosen[k]; (ok || p.IsContent()) && now.Sub(s.At) <= forwardTTL {
 				s.At = e.crashedAt[k.upstream]
 				to[k] = append(to[k], s)
 			}
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -38,6 +38,8 @@
 	down                time.Duration
 	// firsts and seconds are the numbers of first and second parts of sound prompts.
 	firsts, seconds int
+	// repeats is how often a client sends a crashing request again that failed, each time to the next router.
+	repeats int
 }
 
 func newCrashWorld(r *rand.Rand) crashWorld {
@@ -61,6 +63,22 @@
 	}, 20*time.Second)
 }
 
+// Clients repeat requests that hold a part which crashes model servers, while others send new ones with it. Guards
+// against a part that goes on crashing servers since a verdict on one request takes its crashes from the part.
+func TestCrashPartHiddenByRepeats(t *testing.T) {
+	for name, x := range map[string]crashWorld{
+		"after the head": {gap: 2100 * time.Millisecond, crash: server.Crash{Head: true, Delay: 80 * time.Millisecond}, firsts: 1, seconds: 20},
+		"without a head": {gap: 2100 * time.Millisecond, crash: server.Crash{Delay: 60 * time.Millisecond}, firsts: 3, seconds: 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x.servers, x.guilty, x.repeats = 9, 1, 2
+			x.soundGap, x.calm, x.down = 50*time.Millisecond, 2*time.Second, 1500*time.Millisecond
+			runCrashes(t, x, 20*time.Second)
+		})
+	}
+}
+
 // crashRun is a run in which parts of prompts crash model servers. It is safe for concurrent use.
 type crashRun struct {
 	crashWorld
@@ -115,7 +133,7 @@
 	})
 	time.Sleep(x.calm)
 	for n := 0; time.Since(began) < x.calm+d; n++ {
-		g.Go(func() { p.send(n, fmt.Sprintf("a%d:40,%s:30,d%x:30", n%x.firsts, guiltyPart(n%x.guilty), 2*n)) })
+		g.Go(func() { p.sendGuilty(n) })
 		time.Sleep(x.gap)
 	}
 	end := time.Now()
@@ -178,16 +196,27 @@
 	return server.Events{Count: 20, Pause: 30 * time.Millisecond, Confidence: -1}
 }
 
+// sendGuilty sends a crashing request, and again while it fails.
+func (p *crashRun) sendGuilty(n int) {
+	x := fmt.Sprintf("a%d:40,%s:30,d%x:30", n%p.firsts, guiltyPart(n%p.guilty), 2*n)
+	for i := range p.repeats + 1 {
+		if p.send(n+i, fmt.Sprint(x, "/", i), x) {
+			return
+		}
+	}
+}
+
 func (p *crashRun) sendSound(n int) {
 	at := time.Now()
-	ok := p.send(n, fmt.Sprintf("a%d:40,c%d:30,d%x:30", n%p.firsts, n%p.seconds, 2*n+1))
+	x := fmt.Sprintf("a%d:40,c%d:30,d%x:30", n%p.firsts, n%p.seconds, 2*n+1)
+	ok := p.send(n, x, x)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sound = append(p.sound, soundRequest{at: at, served: ok})
 }
 
-// send sends a prompt to the n-th router and reports whether it is served.
-func (p *crashRun) send(n int, prefix string) bool {
+// send sends an attempt with a prompt to the n-th router and reports whether it is served.
+func (p *crashRun) send(n int, attempt, prefix string) bool {
 	q, err := http.NewRequest(http.MethodPost, "http://"+p.routers[n%len(p.routers)].clients+"/chat/1", strings.NewReader(prefix))
 	if err != nil {
 		p.t.Error(err)
@@ -195,7 +224,7 @@
 	}
 	q.Host = "shop.example"
 	for k, v := range map[string]string{
-		"Tarragonvalve-Attempt-Id": prefix, "Tarragonvalve-Deadline-Ms": "6000", "Authorization": "Bearer key-a",
+		"Tarragonvalve-Attempt-Id": attempt, "Tarragonvalve-Deadline-Ms": "6000", "Authorization": "Bearer key-a",
 		"Tarragonvalve-Model-Name": "m", "Tarragonvalve-Token-Usage": "100,480", "Tarragonvalve-Prompt-Prefix": prefix,
 	} {
 		q.Header.Set(k, v)
