fix(routes): let nobody in by an empty key

A request without a key ran under an account if the configuration gives that account the empty text as a key: the lookup of a missing key found it.

--- a/router/routes/routes.go
+++ b/router/routes/routes.go
@@ -134,7 +134,10 @@
 	for i := range d.Accounts {
 		a := &d.Accounts[i]
 		for _, k := range a.Keys {
-			d.byKey[k] = a
+			// A request without a key has the empty one.
+			if k != "" {
+				d.byKey[k] = a
+			}
 		}
 	}
 	return d
