fix(poison): keep crashes with a request's parts beside other repeats

Contents that came together may each be the cause, so none of them now explains the crashes of a request whose own content is quarantined. They explain those of other requests as before.

"beside sound requests that are repeated too" of TestPartHiddenByRepeatedRequests failed before.

--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -278,14 +278,16 @@
 
 // explained reports whether a quarantine without the suspicion's part explains the crash at least as
 // well: requests with its parts were in progress too. Content doesn't explain that of other requests:
-// if two came together each time, either may be the cause. Nor does it explain that of its own request's
-// parts, unless they are known: the request may crash upstreams by one of them.
+// if two came together each time, either may be the cause. Nor does it explain that of the parts of a
+// request whose content is quarantined, unless they are known: one of them may be the cause, and the other
+// contents may have come with it by chance.
 func explained(s Suspicion, known bool, xs []explainer) bool {
+	own := !known && slices.ContainsFunc(xs, func(x explainer) bool {
+		_, ok := x.own[crashKey{upstream: s.Upstream, request: s.Request}]
+		return ok
+	})
 	return slices.ContainsFunc(xs, func(x explainer) bool {
-		if (s.Part.IsContent() && x.Parts[0].IsContent()) || slices.Contains(x.Parts, s.Part) {
-			return false
-		}
-		if _, ok := x.own[crashKey{upstream: s.Upstream, request: s.Request}]; ok && !known {
+		if ((s.Part.IsContent() || own) && x.Parts[0].IsContent()) || slices.Contains(x.Parts, s.Part) {
 			return false
 		}
 		us := x.waiting
--- a/router/poison/repeated_test.go
+++ b/router/poison/repeated_test.go
@@ -54,6 +54,17 @@
 			}
 			s.survive("a", "b")
 		}, [][]string{{"a", "x"}, {"c", "x"}}, [][]string{{"a", "b"}, {"a"}}},
+		"beside sound requests that are repeated too": {func(s *scene) {
+			s.survive("a", "b")
+			for range 3 {
+				x, y, z := s.begun("a", "x"), s.begun("a", "b"), s.begun("a", "b")
+				for range 3 {
+					s.crash(x, y, z)
+				}
+				s.survive("a", "b")
+				s.wait(settled)
+			}
+		}, [][]string{{"a", "x"}, {"c", "x"}}, [][]string{{"a", "b"}, {"a"}}},
 		"one request alone": {func(s *scene) {
 			s.survive("a", "b")
 			s.repeat(6, s.begun("a", "x"), "a", "b")
