--- a/router/poison/progress.go
+++ b/router/poison/progress.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,17 +42,16 @@
 // logProgress logs the evidence against suspected parts that has changed since it was logged. The caller holds the lock.
 func (r *Registry) logProgress(now time.Time) {
 	active := r.evidence.activeOf(r.quarantines, now)
+	ps := r.evidence.suspected(active, now)
+	if len(ps) == 0 {
+		r.logged = nil
+		return
+	}
 	next := map[crash.Part]progress{}
 	cs := r.evidence.judged(active, now)
 	all, rivals := crashed(cs), rivalsOf(cs)
-	for p := range r.evidence.suspects {
-		if p.IsContent() || len(next) == maxLoggedParts || r.evidence.known(p, now) || slices.ContainsFunc(active, func(q Quarantine) bool { return slices.Contains(q.Parts, p) }) {
-			continue
-		}
+	for _, p := range ps {
 		x := r.evidence.progressOf(p, now)
-		if x.crashes < loggedCrashes {
-			continue
-		}
 		x.lacks, x.explained = lacksCrashes, x.crashes
 		if i := slices.IndexFunc(cs, func(c candidate) bool { return c.part == p }); i >= 0 {
 			x.lacks, x.explained = cs[i].lacks(remembered(r.quarantines, p), all, rivals), x.crashes-len(cs[i].upstreams)
@@ -64,6 +65,23 @@
 	r.logged = next
 }
 
+// suspected returns the parts whose evidence is logged, those with the most crashes first.
+func (e *evidence) suspected(active []Quarantine, now time.Time) []crash.Part {
+	crashes := map[crash.Part]int{}
+	for p := range e.suspects {
+		if p.IsContent() || e.known(p, now) || slices.ContainsFunc(active, func(q Quarantine) bool { return slices.Contains(q.Parts, p) }) {
+			continue
+		}
+		if n := e.progressOf(p, now).crashes; n >= loggedCrashes {
+			crashes[p] = n
+		}
+	}
+	ps := slices.SortedFunc(maps.Keys(crashes), func(a, b crash.Part) int {
+		return cmp.Or(cmp.Compare(crashes[b], crashes[a]), cmp.Compare(a, b))
+	})
+	return ps[:min(len(ps), maxLoggedParts)]
+}
+
 // progressOf counts the crashes under a part since it was survived last, whatever explains them.
 func (e *evidence) progressOf(p crash.Part, now time.Time) progress {
 	us, rs := map[fleet.Incarnation]struct{}{}, map[crash.RequestHash]struct{}{}
--- a/router/poison/repeated_test.go
+++ b/router/poison/repeated_test.go
@@ -65,6 +65,17 @@
 				s.wait(settled)
 			}
 		}, [][]string{{"a", "x"}, {"c", "x"}}, [][]string{{"a", "b"}, {"a"}}},
+		"pairs at the same upstreams": {func(s *scene) {
+			s.survive("a", "b")
+			for range 4 {
+				p, q := s.begun("a", "x"), s.begun("a", "x")
+				for range 3 {
+					s.crash(p, q, s.begun("a", "b"))
+				}
+				s.survive("a", "b")
+				s.wait(settled)
+			}
+		}, [][]string{{"a", "x"}, {"c", "x"}}, [][]string{{"a", "b"}, {"a"}}},
 		"one request alone": {func(s *scene) {
 			s.survive("a", "b")
 			s.repeat(6, s.begun("a", "x"), "a", "b")
@@ -143,3 +154,41 @@
 		t.Error("the other router refuses a sound part")
 	}
 }
+
+// Guards against a verdict on repeated requests after fewer crashes than the users count, and none after as many.
+func TestCrashesOfRepeatedRequests(t *testing.T) {
+	for n, want := range map[int]bool{1: false, 2: true} {
+		s := newScene()
+		s.survive("a", "b")
+		for _, k := range []int{3, n} {
+			s.repeat(k, s.begun("a", "y"), "a", "b")
+			s.survive("a", "b")
+			s.wait(1100 * time.Millisecond)
+		}
+		if s.refuses("c", "y") != want {
+			t.Errorf("%d crashes under two requests: refused %v", 3+n, !want)
+		}
+	}
+}
+
+// Guards against a verdict on repeated requests that a late report of a survival doesn't withdraw.
+func TestLateReportOfRepeatedRequests(t *testing.T) {
+	const each, arrives = 100 * time.Millisecond, 200 * time.Millisecond
+	s := newScene()
+	s.survive("a", "b")
+	p, q := s.begun("a", "y"), s.begun("a", "y")
+	var rs []lateReport
+	for i, x := range []crash.Suspect{p, p, p, q, q} {
+		rs = append(rs, lateReport{s.crashAt(time.Duration(i)*each, x), arrives})
+	}
+	late := s.survivedAt(-5*time.Second, "y")
+	s.receive(rs, 2500*time.Millisecond)
+	if !s.refuses("c", "y") {
+		t.Error("not refused before the late report")
+	}
+	s.Merge(late, s.now)
+	s.receive(nil, 2*time.Second)
+	if s.refuses("c", "y") {
+		t.Error("refused after the late report")
+	}
+}
