feat(place): count what a long prompt costs the streams beside it

Placement predicted what an upstream costs the request, not what the request costs the streams there. Each request that runs at an engine now adds the time of the new prompt to the engine's cost, without an eighth of the pause that the routes allow. Prompts of 200 ms and more are compared at all of up to 128 upstreams, so that both versions of a roll-out fit. Another upstream is asked to continue a stream after three such pauses instead of one, as the stream is late by then in any case.

--- a/router/place/place.go
+++ b/router/place/place.go
@@ -47,12 +47,13 @@
 	// in 0.2 s went to one idle upstream of 42.
 	fullScanLimit = 16
 	// longPromptWork is the work, in ms, from which all are compared beyond fullScanLimit too. Such
-	// requests are rare, delay those queued behind them, and need the least loaded upstream.
-	longPromptWork = 400.0
+	// requests are rare, delay those queued behind them and the streams beside them, and need the upstream with the
+	// least of both.
+	longPromptWork = 200.0
 	// longPromptScanLimit is the largest number of upstreams for which longPromptWork applies. With
 	// more, so many instances send long prompts at a time that they choose the same upstreams: of
 	// 1,304 such prompts 57 % waited 0.5 s longer than predicted, of other prompts 17 %.
-	longPromptScanLimit = 64
+	longPromptScanLimit = 128
 	// localDraws and remoteDraws are the numbers of randomly drawn upstreams, of the own failure
 	// domain and of others, that are compared instead; maxDraws bounds the tries to find them.
 	localDraws  = 3
@@ -83,6 +84,8 @@
 	Engine bool
 	// PlainWork is the nominal work, in ms, of a request to a plain service.
 	PlainWork float64
+	// StreamPause is the longest pause between events that streams of the service bear; 0 if it isn't known.
+	StreamPause time.Duration
 }
 
 // work returns the nominal work, in ms, until the first token, or for a plain service until the
@@ -339,15 +342,17 @@
 		c.Cost += crossDomainCost + crossDomainCostPerKB*float64(q.Bytes)/1024
 	}
 	c.Cost += price
+	if l != nil {
+		c.Cost += l.streamDelay(q, s*c.work, now)
+	}
 	return c
 }
 
 // queueWork returns the nominal work, in ms, ahead of a new request, with that of other instances.
 func (l *upstreamLoad) queueWork(u *fleet.Upstream, q *Query, others Backlog, now time.Time) float64 {
 	pending := l.pendingCount + others.Attempts
-	running, waiting := l.inFlight-l.pendingCount, 0
+	running, waiting := l.running(now), 0
 	if now.Sub(l.reportedAt) < loadReportTTL {
-		running = max(running, l.reported.Running)
 		waiting = max(l.reported.Waiting-pending, 0)
 	}
 	if q.Engine {
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -165,7 +165,8 @@
 	q := place.Query{
 		Domain: t.Domain, Accept: t.upstreamFilter(v), Exclude: t.excluded,
 		CopyRate: s.CopyRate, Input: t.Meta.Input, TokenTime: tokenTime(s, model), Engine: s.Engine, PlainWork: plainWorkMs,
-		Bytes: len(t.Body) + int(t.Meta.OutputHint)*bytesPerToken + plainBytes,
+		StreamPause: t.Document.StreamPause(t.service),
+		Bytes:       len(t.Body) + int(t.Meta.OutputHint)*bytesPerToken + plainBytes,
 	}
 	if n := len(t.Meta.Prefix); n > 1 {
 		q.PrefixKey = string(model) + "/" + t.Meta.Prefix[n-2].ID
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -46,6 +46,10 @@
 	// Without it, 60 instead of 4 payments through 23 instances were late, as they
 	// waited for connections.
 	overcommit = 3
+	// lostPauses is how many times the longest pause that a route allows a stream must pause until another
+	// upstream is asked to go on. The stream is late already, and the other one would process its prompt again and
+	// delay its own streams; clients give up after eight such pauses.
+	lostPauses = 3
 )
 
 // Job is one admitted request with the results of its admission.
@@ -319,7 +323,7 @@
 	}
 	o := &attempt{request: t, upstream: u, began: began, placement: t.Balancer.Start(c, began), serviceSize: c.ServiceSize, nominal: c.Nominal}
 	cancelAttempt := t.cancelForRetry(u, cancel)
-	o.progress = t.Probe.Start(u, t.Route.MaxPause, cancelAttempt, began)
+	o.progress = t.Probe.Start(u, lostPauses*t.Route.MaxPause, cancelAttempt, began)
 	o.verdict = t.Crashes.Start(u.Incarnation(), t.prompt, cancel)
 	o.responseTimer = clock.AfterFunc(max(t.Route.Objective, minAttemptTime), func() {
 		if cancelAttempt != nil {
--- a/router/routes/routes.go
+++ b/router/routes/routes.go
@@ -121,14 +121,21 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Account
+	pauses map[ident.ServiceID]time.Duration
 }
 
 // Index builds the indexes that Match and Account use, and returns the document.
 func (d *Document) Index() *Document {
 	d.byHost = make(map[string][]*Route)
+	d.pauses = make(map[ident.ServiceID]time.Duration)
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		d.byHost[r.Host] = append(d.byHost[r.Host], r)
+		for _, w := range r.Services {
+			if p := d.pauses[w.Service]; r.MaxPause > 0 && (p == 0 || r.MaxPause < p) {
+				d.pauses[w.Service] = r.MaxPause
+			}
+		}
 	}
 	d.byKey = make(map[string]*Account)
 	for i := range d.Accounts {
@@ -143,6 +150,9 @@
 	return d
 }
 
+// StreamPause returns the longest pause between events that all routes to a service bear, or 0 if none states it.
+func (d *Document) StreamPause(s ident.ServiceID) time.Duration { return d.pauses[s] }
+
 // Match returns the route of the host whose prefix is the longest one that path begins with.
 func (d *Document) Match(host, path string) (*Route, bool) {
 	var best *Route
