refactor(envdoc): move checks against the version in force here

Cause: the configuration check is to find what entries would refuse by the validator that they run. Two rules, the environment's name and halts-cleared-at, are in entry/admin, which the command can't use without a running entry.

Change: Document.CheckName and Document.CheckCleared return the problems that entry/admin made itself, word for word; entry/admin calls them.

--- a/core/envdoc/check.go
+++ b/core/envdoc/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
 	"tarragonvalve.example/core/ident"
@@ -183,6 +184,33 @@
 	return append(slices.Clone(c[i:]), c[:i]...)
 }
 
+// CheckName returns a problem if the document is that of another environment, which would
+// replace all accounts and models if it were accepted by mistake.
+func (d *Document) CheckName(environment string) []Problem {
+	if d.Name == environment {
+		return nil
+	}
+	return []Problem{{Section: "environment", Key: "name", Value: d.Name, Fault: "the document of another environment", Allowed: environment}}
+}
+
+// CheckCleared returns a problem for each halts-cleared-at above the latest generation, since
+// it would clear halts that don't exist yet.
+func (d *Document) CheckCleared(latest ident.Generation) []Problem {
+	var ps []Problem
+	for _, r := range d.VersionRefs() {
+		if n := d.Versions[r].HaltsClearedAt; n > latest {
+			ps = append(ps, Problem{
+				Section: "version " + r.String(),
+				Key:     "halts-cleared-at",
+				Value:   strconv.FormatUint(uint64(n), 10),
+				Fault:   "would void halts that are not made yet",
+				Allowed: fmt.Sprintf("at most %d, the latest generation", latest),
+			})
+		}
+	}
+	return ps
+}
+
 // VersionRefs returns the versions of the document, sorted by model and version.
 func (d *Document) VersionRefs() []ident.VersionRef {
 	return sortedRefs(d.Versions)
--- a/entry/admin/document.go
+++ b/entry/admin/document.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"strconv"
 
 	"tarragonvalve.example/core/accept"
@@ -69,8 +68,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if d.Name != a.o.Environment {
-		return nil, documentProblems(inidoc.Problem{Section: "environment", Key: "name", Value: d.Name, Fault: "the document of another environment", Allowed: a.o.Environment})
+	if err := documentProblems(d.CheckName(a.o.Environment)...); err != nil {
+		return nil, err
 	}
 	return d, nil
 }
@@ -144,20 +143,7 @@
 	return refuse.New(refuse.OutcomeUnknown, refuse.Unknown, "record the trial: %v", err)
 }
 
-// checkCleared refuses a document whose halts-cleared-at is above the latest
-// generation, since it would clear halts that don't exist yet.
+// checkCleared refuses a document whose halts-cleared-at is above the latest generation.
 func checkCleared(d *envdoc.Document, latest ident.Generation) error {
-	var ps []inidoc.Problem
-	for _, r := range d.VersionRefs() {
-		if n := d.Versions[r].HaltsClearedAt; n > latest {
-			ps = append(ps, inidoc.Problem{
-				Section: "version " + r.String(),
-				Key:     "halts-cleared-at",
-				Value:   strconv.FormatUint(uint64(n), 10),
-				Fault:   "would void halts that are not made yet",
-				Allowed: fmt.Sprintf("at most %d, the latest generation", latest),
-			})
-		}
-	}
-	return documentProblems(ps...)
+	return documentProblems(d.CheckCleared(latest)...)
 }
