feat(check): check a configuration without a server

Cause: validate needs an entry and checks environment documents only. Routes that never match, limits that contradict each other and what a configuration changes were seen only once it was in force.

Change: tarragonvalve check FILE [--against FILE|URL] reads environment documents and the routers' configuration, at most 1 MiB. Faults come from envdoc.Parse and rows.DecodeConfig, as at entries and routers; the package check adds findings with stable ids, and decides nothing. At most 1,000 findings are kept, all are counted, names are truncated, keys of callers are never printed. Exit codes 0, 1 and 2. The module now requires platform, which decodes the routers' configuration; check knows only core and router/routes.

Evidence: cd tarragonvalve && go test -race ./... passes; TestFindings has every id, with its line and text, and none for the unchanged examples.

--- a/tarragonvalve/text/text.go
+++ b/tarragonvalve/text/text.go
@@ -14,6 +14,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/inidoc"
 	"tarragonvalve.example/core/opsapi"
+	"tarragonvalve.example/tarragonvalve/check"
 )
 
 const (
@@ -52,6 +53,21 @@
 	return t.UTC().Format(secondsLayout)
 }
 
+// Check prints the findings of a check, one a line, and their numbers.
+func Check(w io.Writer, r *check.Report) {
+	for _, f := range r.Findings {
+		fmt.Fprintln(w, f)
+	}
+	if r.Omitted > 0 {
+		fmt.Fprintf(w, "%d more finding(s) are not shown\n", r.Omitted)
+	}
+	fmt.Fprintf(w, "%s: %d error(s), %d warning(s)", r.File, r.Errors, r.Warnings)
+	if r.Against != "" {
+		fmt.Fprintf(w, ", %d difference(s) from %s", r.Differences, r.Against)
+	}
+	fmt.Fprintln(w)
+}
+
 // Refusal prints a refusal with its problems, the generation accepted instead, the
 // latest generation and the time after which to retry, as far as it has them.
 func Refusal(w io.Writer, e opsapi.Error) {
--- a/tarragonvalve/verbs/args.go
+++ b/tarragonvalve/verbs/args.go
@@ -25,7 +25,8 @@
 	JSON        bool          `arg:"--json" help:"print JSON instead of text"`
 
 	Document *documentArgs     `arg:"subcommand:document" help:"print the document in force, or that of a generation"`
-	Validate *documentFileArgs `arg:"subcommand:validate" help:"check a document"`
+	Check    *checkArgs        `arg:"subcommand:check" help:"check a document or a routers' configuration without an entry"`
+	Validate *documentFileArgs `arg:"subcommand:validate" help:"check a document at an entry; check needs none"`
 	Diff     *documentFileArgs `arg:"subcommand:diff" help:"compare a document with the latest generation"`
 	Trial    *documentFileArgs `arg:"subcommand:trial" help:"take recorded decisions again under a document and record its digest as tried"`
 	Promote  *promoteArgs      `arg:"subcommand:promote" help:"make a tried document the next generation"`
@@ -55,6 +56,7 @@
   3  unknown: the change may or may not have taken effect (see history), or
      a generation is not known to be in force everywhere
   4  unreachable: no entry could be reached, nothing was changed
+check has its own: 0 no finding or differences alone, 1 findings, 2 can't run.
 
 The operator key is read from the environment variable
 TARRAGONVALVE_OPERATOR_KEY or from --key-file.`
@@ -64,6 +66,12 @@
 	File string `arg:"positional,required" placeholder:"FILE" help:"the document; - for standard input"`
 }
 
+type checkArgs struct {
+	File    string `arg:"positional,required" placeholder:"FILE" help:"an environment document, or the routers' configuration as JSON; - for standard input"`
+	Against string `arg:"--against" placeholder:"FILE|URL" help:"the version in force: a file, or the URL of an entry's administration port (documents) or of the store (routers)"`
+	Output  string `arg:"--output" default:"text" placeholder:"text|json" help:"the form of the findings"`
+}
+
 type documentArgs struct {
 	Generation uint64 `arg:"--generation" placeholder:"N" help:"print the document of this generation"`
 }
--- a/tarragonvalve/verbs/run.go
+++ b/tarragonvalve/verbs/run.go
@@ -71,6 +71,9 @@
 	if c.Trace != nil {
 		return c.exit(c.trace())
 	}
+	if c.Check != nil {
+		return c.exit(c.check(ctx))
+	}
 	if err := c.configureClient(); err != nil {
 		return c.exit(err)
 	}
@@ -95,11 +98,19 @@
 // maxTimeout is the longest deadline that the API accepts.
 const maxTimeout = time.Minute
 
-// configureClient checks the common options and creates the client of the API.
-func (c *command) configureClient() error {
+// checkTimeout checks the option --timeout.
+func (c *command) checkTimeout() error {
 	if c.Timeout < time.Second || c.Timeout > maxTimeout {
 		return &usageError{message: fmt.Sprintf("--timeout must be from 1s to %s", maxTimeout)}
 	}
+	return nil
+}
+
+// configureClient checks the common options and creates the client of the API.
+func (c *command) configureClient() error {
+	if err := c.checkTimeout(); err != nil {
+		return err
+	}
 	if c.KeyFile != "" {
 		b, err := os.ReadFile(c.KeyFile)
 		if err != nil {
