feat(mirror): evacuate failure domains by rows of the store

Cause: an operator could not take a failure domain out of use. Rows evacuate/ZONE of the table op were left out by the decoder.

The mirror keeps the evacuated domains beside the entries, and the view lists the upstreams there as draining, so that all that honours draining honours evacuations and nothing is left when they end. The placement isn't given these upstreams, so that no prompt is copied from them. A row that a restored store lacks stays in force for doubtTime, also at a router that starts meanwhile: peers pass it on under its position of the era before.

Conclusion: evacuations take effect on all paths and end without a trace.

--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -50,6 +50,8 @@
 	Instances func() float64
 	// LimitedUpstreams is the number of upstreams that limit their requests.
 	LimitedUpstreams func() float64
+	// EvacuatedDomains is the number of evacuated failure domains.
+	EvacuatedDomains func() float64
 	// Quarantined is the number of sets of prompt parts that are refused.
 	Quarantined func() float64
 	// IgnoredRows is the number of rows of the store that could not be decoded.
@@ -120,6 +122,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "limited_upstreams", Help: "Upstreams that limit the requests per second that they take from all routers.",
 		}, r.LimitedUpstreams),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "evacuated_domains", Help: "Failure domains to whose upstreams nothing is sent, as an operator evacuates them.",
+		}, r.EvacuatedDomains),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "quarantined_prompts", Help: "Sets of prompt parts that crash upstreams, so that requests with them are refused.",
 		}, r.Quarantined),
--- a/router/mirror/doubt.go
+++ b/router/mirror/doubt.go
@@ -7,10 +7,12 @@
 	"tarragonvalve.example/router/fleet"
 )
 
-// doubtKey names what a doubted change is about: an upstream or the roll-out order of a service.
+// doubtKey names what a doubted change is about: an upstream, the roll-out order of a service, or the
+// evacuation of a failure domain.
 type doubtKey struct {
 	upstream ident.UpstreamID
 	order    ident.ServiceID
+	domain   ident.DomainID
 }
 
 // doubt is a change that contradicts newer knowledge. It counts if the store still holds it at until.
@@ -43,6 +45,8 @@
 	case RolloutOrdered:
 		o, ok := s.orders[c.Order.Service]
 		return doubtKey{order: c.Order.Service}, ok && !sameContent(o, c.Order)
+	case EvacuationStarted:
+		return doubtKey{domain: c.Domain}, s.isEndedEvacuation(c)
 	default:
 		return doubtKey{}, false
 	}
--- a/router/mirror/logchange.go
+++ b/router/mirror/logchange.go
@@ -1,5 +1,25 @@
 package mirror
 
+import (
+	"slices"
+
+	"tarragonvalve.example/core/ident"
+)
+
+// logEvacuations logs the evacuations that have begun or ended between two views.
+func (n *Syncer) logEvacuations(before, after []ident.DomainID) {
+	for _, d := range after {
+		if !slices.Contains(before, d) {
+			n.log.Warn().Str("evacuated", string(d)).Msg("evacuation of a failure domain began, nothing more is sent to its upstreams")
+		}
+	}
+	for _, d := range before {
+		if !slices.Contains(after, d) {
+			n.log.Warn().Str("evacuated", string(d)).Msg("evacuation of a failure domain ended")
+		}
+	}
+}
+
 // logChange logs a change of the view.
 func (n *Syncer) logChange(c Change) {
 	switch c := c.(type) {
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -82,6 +82,8 @@
 	afterOutage bool
 	// restored is true for the first content of a new era of the store.
 	restored bool
+	// era is that of the content.
+	era Era
 	// partial is true if the changes are not all that was read.
 	partial bool
 }
@@ -235,11 +237,17 @@
 	if u.snapshot && u.topic == TopicUpstreams {
 		changed = s.reset(u.changes, now)
 	}
+	if u.snapshot && u.topic == TopicOrders {
+		changed = s.resetEvacuations(u, now)
+	}
 	if u.topic == TopicProgress && !u.partial && !s.progressRead {
 		s.progressRead = true
 		changed = true
 	}
-	changes := u.changes
+	changes, kept := u.withoutKept()
+	for _, c := range kept {
+		changed = s.keepEvacuation(c, now) || changed
+	}
 	if u.restored {
 		changed = true
 		changes = s.withoutDoubted(changes, now)
@@ -248,6 +256,7 @@
 		}
 	}
 	for _, c := range changes {
+		c = s.bounded(c)
 		if _, ok := c.(InvalidRecord); ok {
 			n.ignored.Add(1)
 			n.logChange(c)
@@ -266,7 +275,8 @@
 
 // publish replaces the view and wakes those that wait for a change.
 func (n *Syncer) publish(s *storeState) {
-	n.view.Store(s.view())
+	v := s.view()
+	n.logEvacuations(n.view.Swap(v).Evacuated, v.Evacuated)
 	next := make(chan struct{})
 	close(*n.changed.Swap(&next))
 }
@@ -348,9 +358,10 @@
 	restored := f.after != 0 && p.Revision.Era() > f.after.Era()
 	if restored && f.topic == TopicOrders {
 		f.logs[f.topic].keepDocuments(&p, f.store)
+		f.logs[f.topic].keepEvacuations(p, f.store, asOf)
 	}
 	f.logs[f.topic].add(p, asOf)
-	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), asOf: asOf, snapshot: p.Snapshot, afterOutage: f.storeLost, restored: restored}
+	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), asOf: asOf, era: p.Revision.Era(), snapshot: p.Snapshot, afterOutage: f.storeLost, restored: restored}
 	if restored {
 		f.log.Warn().Str("dependency", "store").Stringer("topic", f.topic).Uint32("era", uint32(p.Revision.Era())).
 			Uint64("version", p.Revision.Version()).Uint64("known", f.after.Version()).Msg("the store came back from an older copy")
--- a/router/mirror/recordlog.go
+++ b/router/mirror/recordlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -31,6 +32,14 @@
 	asOf      time.Duration // local time as of which the rows are current
 	synced    bool
 	changed   chan struct{}
+	// kept holds, by key, the rows of evacuations that the store lost as it came back from a copy.
+	kept map[string]keptRow
+}
+
+// keptRow is a row that snapshots for peers still hold until a local time.
+type keptRow struct {
+	Record
+	until time.Duration
 }
 
 // add adds the result of a read that is current as of a local time.
@@ -49,7 +58,14 @@
 		// Revisions of different eras are not positions in one history.
 		l.compacted = p.Revision
 	}
+	maps.DeleteFunc(l.kept, func(_ string, k keptRow) bool { return asOf >= k.until })
 	for _, r := range p.Records {
+		if r.Revision.Era() < p.Revision.Era() {
+			// A row that a peer keeps: the store doesn't hold it.
+			l.keep(r, asOf)
+			continue
+		}
+		delete(l.kept, r.Key)
 		if l.rows[r.Key].Removed {
 			l.removed--
 		}
@@ -95,6 +111,38 @@
 	}
 }
 
+// keepEvacuations keeps the evacuations that the first snapshot of an era lacks for doubtTime: a peer that
+// starts must not use the upstreams there before the operator could write again what the copy lacks. A kept
+// row has the position of its old era, by which a peer tells it from the store's.
+func (l *recordLog) keepEvacuations(p ReadResult, d Decoder, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := make(map[string]bool, len(p.Records))
+	for _, r := range p.Records {
+		held[r.Key] = true
+	}
+	for k, r := range l.rows {
+		if r.Removed || held[k] {
+			continue
+		}
+		for _, c := range d.Decode(TopicOrders, []Record{r}) {
+			if _, ok := c.(EvacuationStarted); ok {
+				l.keep(r, now)
+			}
+		}
+	}
+}
+
+// keep keeps a row for doubtTime. The caller holds the lock.
+func (l *recordLog) keep(r Record, now time.Duration) {
+	if l.kept == nil {
+		l.kept = map[string]keptRow{}
+	}
+	if _, ok := l.kept[r.Key]; ok || len(l.kept) < maxEvacuated {
+		l.kept[r.Key] = keptRow{Record: r, until: now + doubtTime}
+	}
+}
+
 // generation returns the generation of the configuration in a record, or false if it holds none.
 func generation(d Decoder, r Record) (ident.Generation, bool) {
 	for _, c := range d.Decode(TopicOrders, []Record{r}) {
@@ -149,6 +197,11 @@
 			p.Records = append(p.Records, r)
 		}
 	}
+	if snapshot {
+		for _, k := range l.kept {
+			p.Records = append(p.Records, k.Record)
+		}
+	}
 	if l.changed == nil {
 		l.changed = make(chan struct{})
 	}
--- a/router/mirror/state.go
+++ b/router/mirror/state.go
@@ -42,6 +42,9 @@
 	Orders     map[ident.ServiceID]canary.Order
 	Progress   map[ident.ServiceID]ProgressChanged
 	Tallies    []canary.Tally
+	// Evacuated are the evacuated failure domains in the order of their names. The upstreams there are
+	// listed as draining.
+	Evacuated []ident.DomainID
 	// Trials are the trials of quarantines.
 	Trials TrialsChanged
 	// ProgressRead is true once the progress of roll-outs was read.
@@ -88,6 +91,7 @@
 	doubted map[doubtKey]doubt
 	// former holds the revisions that the order of a service had before restores.
 	former map[ident.ServiceID][]uint64
+	evacuations
 	// graceEnd is the time until which vanished upstreams are kept after an outage.
 	graceEnd time.Duration
 	// ordersAsOf is the local time as of which the configuration and the orders are current; it is
@@ -106,6 +110,8 @@
 		ended:     map[fleet.Incarnation]time.Duration{},
 		doubted:   map[doubtKey]doubt{},
 		former:    map[ident.ServiceID][]uint64{},
+
+		evacuations: newEvacuations(),
 	}
 }
 
@@ -151,6 +157,10 @@
 		delete(s.missing, c.Upstream.ID)
 	case UpstreamRemoved:
 		return s.removeUpstream(c.ID, now)
+	case EvacuationStarted:
+		return s.startEvacuation(c)
+	case EvacuationEnded:
+		return s.endEvacuation(c.Domain, now)
 	case InvalidRecord:
 		return false
 	}
@@ -214,6 +224,7 @@
 		}
 	}
 	maps.DeleteFunc(s.ended, func(_ fleet.Incarnation, at time.Duration) bool { return now-at > endedTTL })
+	changed = s.expireEvacuations(now) || changed
 	return s.applyDoubted(now) || changed
 }
 
@@ -221,7 +232,7 @@
 func (s *storeState) view() *View {
 	us := make(map[ident.UpstreamID]*fleet.Upstream, len(s.upstreams))
 	for id, u := range s.upstreams {
-		us[id] = u
+		us[id] = s.listed(u)
 	}
 	os := make(map[ident.ServiceID]canary.Order, len(s.orders))
 	for id, o := range s.orders {
@@ -234,7 +245,7 @@
 	s.complete = s.complete || (s.document != nil && s.upstreamsRead && (s.progressRead || len(s.orders) == 0))
 	v := &View{
 		Complete: s.complete, Document: s.document, ordersAsOf: s.ordersAsOf, ordersRead: s.ordersRead, Fleet: fleet.New(us), Orders: os, Progress: ps,
-		Trials: s.trials, UpstreamsRead: s.upstreamsRead, ProgressRead: s.progressRead,
+		Trials: s.trials, Evacuated: s.evacuatedDomains(), UpstreamsRead: s.upstreamsRead, ProgressRead: s.progressRead,
 	}
 	for _, t := range s.tallies {
 		v.Tallies = append(v.Tallies, t)
--- a/router/mirror/types.go
+++ b/router/mirror/types.go
@@ -99,21 +99,33 @@
 		Trials   poison.Trials
 		Revision Revision
 	}
-	// InvalidRecord reports a row that can't be decoded, and why.
+	// EvacuationStarted names a failure domain to whose upstreams nothing more is sent. Revision is that
+	// of the row. One of an era before that of the read is passed on by a peer whose store lost the row.
+	EvacuationStarted struct {
+		Domain   ident.DomainID
+		Revision Revision
+	}
+	// EvacuationEnded names a failure domain whose evacuation was removed.
+	EvacuationEnded struct{ Domain ident.DomainID }
+	// InvalidRecord reports a row that can't be decoded, and why. Domain is set if the row is about the
+	// evacuation of a failure domain, which then stays as it was.
 	InvalidRecord struct {
 		Key    string
 		Reason string
+		Domain ident.DomainID
 	}
 )
 
-func (DocumentChanged) change() {}
-func (RolloutOrdered) change()  {}
-func (UpstreamChanged) change() {}
-func (UpstreamRemoved) change() {}
-func (ProgressChanged) change() {}
-func (TallyChanged) change()    {}
-func (TrialsChanged) change()   {}
-func (InvalidRecord) change()   {}
+func (DocumentChanged) change()   {}
+func (RolloutOrdered) change()    {}
+func (UpstreamChanged) change()   {}
+func (UpstreamRemoved) change()   {}
+func (ProgressChanged) change()   {}
+func (TallyChanged) change()      {}
+func (TrialsChanged) change()     {}
+func (EvacuationStarted) change() {}
+func (EvacuationEnded) change()   {}
+func (InvalidRecord) change()     {}
 
 // Record is a row with its data as encoded by the store. Only a Decoder reads the data.
 type Record struct {
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -154,6 +155,22 @@
 	return t.Document.Services[t.service].Engine
 }
 
+// candidates returns the service's upstreams without those in evacuated failure domains, from which nothing
+// is copied either.
+func (t *request) candidates(v *mirror.View) []*fleet.Upstream {
+	us := v.Fleet.Service(t.service)
+	if len(v.Evacuated) == 0 {
+		return us
+	}
+	out := make([]*fleet.Upstream, 0, len(us))
+	for _, u := range us {
+		if !slices.Contains(v.Evacuated, u.Domain) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // query describes the request to the placement. An empty model stands for the one that the
 // client named. The prompt's last part belongs to the request or its session alone, so
 // only the parts before it count as shared.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -298,7 +298,7 @@
 // pick chooses an upstream to serve the request by a model. It returns false if none is eligible.
 func (t *request) pick(model ident.ModelID) (place.Choice, bool) {
 	v := t.Syncer.View()
-	return t.Balancer.Pick(v.Fleet.Service(t.service), t.query(v, model), time.Now())
+	return t.Balancer.Pick(t.candidates(v), t.query(v, model), time.Now())
 }
 
 // send picks an upstream and sends the request to it once. The caller must finish or release
