feat(notice): hold requests to cold upstreams to a rate of all routers

Cause: upstreams that are cold crash well above a small rate. Their entries say so, and the decoder left it out.

Change: cold_remaining_ms of an entry and cold_per_s of its service become part of the list of upstreams (ColdUntil, ColdRate). Requests to a cold upstream take a permit, again right before the send, by slots of which each router keeps its part of the bound by itself: with 29 routers and 20 a second one slot each 1.45 s, usable for 0.4 s. The number of routers comes from the exchange of samples as a bound that is never below it: none for the first 4 s of a place, then the largest of the last hour. TakePermit and Paced take the upstream in place of its incarnation; the tests of limits follow.

Conclusion: the bound holds for any clocks and ranks as long as no router underestimates the number.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -262,6 +262,7 @@
 		Open:             func() float64 { return float64(g.InFlight()) },
 		Instances:        func() float64 { return float64(o.RouterCount()) },
 		LimitedUpstreams: func() float64 { return float64(t.LimitedCount()) },
+		ColdUpstreams:    func() float64 { return float64(n.View().ColdCount(time.Now())) },
 		EvacuatedDomains: func() float64 { return float64(len(n.View().Evacuated)) },
 		Quarantined:      func() float64 { return float64(q.Count()) },
 		IgnoredRows:      func() float64 { return float64(n.IgnoredRows()) },
--- a/router/boot/share.go
+++ b/router/boot/share.go
@@ -64,6 +64,9 @@
 	}
 	x := gossip.New(s.Instance, b, t, q, e, ps, l)
 	x.SetLateness(w.Lateness)
+	if len(s.Seeds) > 1 {
+		x.ExpectOthers()
+	}
 	return x
 }
 
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -2,7 +2,10 @@
 package fleet
 
 import (
+	"time"
+
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/call"
 )
 
 // Version is the software version of an upstream.
@@ -24,6 +27,16 @@
 	// StartedMs is the start time in Unix milliseconds, or 0 if it is unknown. Another value
 	// under the same id is a new incarnation.
 	StartedMs int64
+	// ColdUntil is the time until which the upstream tolerates only ColdRate; zero if it isn't cold.
+	ColdUntil time.Time
+	// ColdRate is the rate of requests from all instances together that the upstream tolerates while it is
+	// cold; 0 means no limit.
+	ColdRate call.Rate
+}
+
+// Cold reports whether the upstream limits its requests at now because it is cold.
+func (u *Upstream) Cold(now time.Time) bool {
+	return u.ColdRate > 0 && now.Before(u.ColdUntil)
 }
 
 // Incarnation identifies one start of an upstream, which may restart under the same id.
--- a/router/gossip/exchange.go
+++ b/router/gossip/exchange.go
@@ -104,6 +104,7 @@
 	for _, p := range peers {
 		n.peers = append(n.peers, &peerState{Peer: p})
 	}
+	n.ranking.root = len(peers) == 0
 	if len(peers) > 0 {
 		// Until a peer numbers this router, and with peers of an earlier version, which don't.
 		n.ranking.rank = int(xxhash.Sum64String(name) % unnumberedRanks)
@@ -116,6 +117,10 @@
 // and HandleMessage.
 func (n *Exchanger) SetLateness(f late.Func) { n.lateness = f }
 
+// ExpectOthers tells that the deployment has other routers. One that has no peer, and that none exchanges with, may be
+// cut off, and counts with minRouters of them where a share must not be too large. It must be called before Run.
+func (n *Exchanger) ExpectOthers() { n.ranking.leastBound = minRouters }
+
 // pause returns the time until the next exchange for which at least p is due.
 func (n *Exchanger) pause(p time.Duration) time.Duration {
 	if n.lateness.Lateness() >= late.Level {
--- a/router/gossip/limit_test.go
+++ b/router/gossip/limit_test.go
@@ -82,7 +82,7 @@
 	var slots []time.Time
 	for n, o := range rs {
 		o.RecordLimit(i, notice.Limit{Rate: rate, At: now}, now)
-		p, ok := o.TakePermit(i, time.Minute, now)
+		p, ok := o.TakePermit(&fleet.Upstream{ID: i.ID, StartedMs: i.StartedMs}, time.Minute, now)
 		if !ok {
 			t.Fatalf("router %d gets no permit", n)
 		}
@@ -140,7 +140,7 @@
 			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 				// The seed itself doesn't count: it restarts.
 				for _, o := range r.registries[1:] {
-					if _, ok := o.TakePermit(i, 0, time.Now()); ok {
+					if _, ok := o.TakePermit(&fleet.Upstream{ID: i.ID, StartedMs: i.StartedMs}, 0, time.Now()); ok {
 						sent = append(sent, time.Now())
 					}
 				}
@@ -195,7 +195,7 @@
 			o.RecordLimit(i, notice.Limit{Rate: rate, At: now}, now)
 			sent := 0
 			for end := now.Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-				if _, ok := o.TakePermit(i, 0, time.Now()); ok {
+				if _, ok := o.TakePermit(&fleet.Upstream{ID: i.ID, StartedMs: i.StartedMs}, 0, time.Now()); ok {
 					sent++
 				}
 			}
@@ -210,3 +210,66 @@
 		}
 	})
 }
+
+// The first seed restarts, a router starts, and the seeds lose each other for minutes, so that those behind each count only
+// their side. Guards against routers that together send a cold upstream more than it tolerates in a second.
+func TestColdDuringRestart(t *testing.T) {
+	const (
+		size = 29
+		rate = 20.0
+		// The users' rule.
+		allowed = 1.5*rate + 5
+	)
+	u := &fleet.Upstream{ID: "u0", StartedMs: 1, ColdRate: rate, ColdUntil: time.Now().Add(1000 * time.Hour)}
+	withRouters(t, size, func(r *routers) {
+		var sent []time.Time
+		started := r.registries
+		spend := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				for _, o := range started {
+					if _, ok := o.TakePermit(u, 0, time.Now()); ok {
+						sent = append(sent, time.Now())
+					}
+				}
+			}
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan error, 2)
+		run := func(name string, peers []gossip.Peer) *gossip.Exchanger {
+			o := notice.New()
+			x := gossip.New(name, place.New("a"), o, poison.New(zerolog.New(io.Discard)), pins.New(), peers, zerolog.New(io.Discard))
+			x.ExpectOthers()
+			started = append(slices.Clone(started), o)
+			go func() { done <- x.Run(ctx) }()
+			return x
+		}
+		spend(10 * time.Second)
+		settled := len(sent)
+		r.seeds[0].failing.Store(true)
+		spend(2 * time.Second)
+		started = slices.Clone(started)[1:]
+		r.seeds[0].replace(run("r0", nil))
+		r.seeds[0].failing.Store(false)
+		spend(20 * time.Second)
+		run("late", []gossip.Peer{r.seeds[0]})
+		spend(20 * time.Second)
+		r.seeds[0].failing.Store(true)
+		spend(3 * time.Minute)
+		stop()
+		for range 2 {
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		}
+		for k, at := range sent {
+			end, _ := slices.BinarySearchFunc(sent, at.Add(time.Second), time.Time.Compare)
+			if float64(end-k) > allowed {
+				t.Errorf("%d requests in a second, allowed %.0f", end-k, allowed)
+				break
+			}
+		}
+		if settled < int(rate*3) {
+			t.Errorf("%d requests in the first 10 s", settled)
+		}
+	})
+}
--- a/router/gossip/rank.go
+++ b/router/gossip/rank.go
@@ -18,6 +18,9 @@
 	// failedPeerPause, those that asked it before its restart ask it again.
 	startupTime = failedPeerPause + time.Second
 	minRouters  = 10
+	// boundTTL is how long the largest number of routers bounds them. Routers that are cut off from each other count
+	// only those on their side, and would together use a rate twice.
+	boundTTL = time.Hour
 )
 
 // ranking is a router's place among all routers. Each router numbers those that exchange with it,
@@ -32,6 +35,14 @@
 	// within placeTTL, at sizeAt.
 	stated, size       int
 	numberedAt, sizeAt time.Time
+	// root is true if the router has no peer, so that it numbers itself. leastBound is the least number of routers
+	// that it then counts with while it knows no other; 0 means none.
+	root       bool
+	leastBound int
+	// bound is the largest number of routers within boundTTL, found at boundAt; 0 until one is known.
+	// firstNumbered is when a peer first stated a place.
+	bound                  int
+	boundAt, firstNumbered time.Time
 }
 
 // set takes over a place that a peer stated.
@@ -39,6 +50,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.rank, p.stated, p.numberedAt = s.Rank, s.Size, now
+	if p.firstNumbered.IsZero() {
+		p.firstNumbered = now
+	}
 	if s.Size >= p.size || now.Sub(p.sizeAt) > placeTTL {
 		p.size, p.sizeAt = s.Size, now
 	}
@@ -49,7 +63,32 @@
 func (p *ranking) ownShare(count int, now time.Time) pacer.Share {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return pacer.Share{Rank: p.rank, Size: p.number(p.size, count, now)}
+	size := p.number(p.size, count, now)
+	return pacer.Share{Rank: p.rank, Size: size, Bound: p.updateBound(size, now)}
+}
+
+// updateBound returns the number of routers that there are at most, given the present number; 0 if it isn't known.
+// The caller holds the lock.
+func (p *ranking) updateBound(size int, now time.Time) int {
+	if p.root && size <= 1 {
+		size = max(size, p.leastBound)
+	}
+	switch known := p.known(now); {
+	case !known && p.bound == 0:
+		return 0
+	case size >= p.bound || (known && now.Sub(p.boundAt) > boundTTL):
+		p.bound, p.boundAt = size, now
+	}
+	return p.bound
+}
+
+// known reports whether the number of routers is known: a peer states it, and its router has had startupTime to count
+// those that started together with it. The caller holds the lock.
+func (p *ranking) known(now time.Time) bool {
+	if p.root {
+		return now.Sub(p.startedAt) > startupTime
+	}
+	return !p.firstNumbered.IsZero() && now.Sub(p.firstNumbered) > startupTime && now.Sub(p.numberedAt) <= placeTTL
 }
 
 // statedShare returns the place from which this router numbers others, with the newest number of
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -50,6 +50,8 @@
 	Instances func() float64
 	// LimitedUpstreams is the number of upstreams that limit their requests.
 	LimitedUpstreams func() float64
+	// ColdUpstreams is the number of upstreams that limit their requests because they are cold.
+	ColdUpstreams func() float64
 	// EvacuatedDomains is the number of evacuated failure domains.
 	EvacuatedDomains func() float64
 	// Quarantined is the number of sets of prompt parts that are refused.
@@ -122,6 +124,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "limited_upstreams", Help: "Upstreams that limit the requests per second that they take from all routers.",
 		}, r.LimitedUpstreams),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "cold_upstreams", Help: "Upstreams that take few requests per second from all routers because they are cold.",
+		}, r.ColdUpstreams),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "evacuated_domains", Help: "Failure domains to whose upstreams nothing is sent, as an operator evacuates them.",
 		}, r.EvacuatedDomains),
--- a/router/mirror/doubt.go
+++ b/router/mirror/doubt.go
@@ -24,11 +24,11 @@
 // withoutDoubted returns the changes of the first snapshot after a restore without those that
 // contradict what was known before. They are kept until the store has had time to learn what the copy
 // lacks.
-func (s *storeState) withoutDoubted(cs []Change, now time.Duration) []Change {
+func (s *storeState) withoutDoubted(cs []Change, now time.Duration, readAt time.Time) []Change {
 	out := make([]Change, 0, len(cs))
 	for _, c := range cs {
 		if k, ok := s.contradiction(c); ok {
-			s.doubted[k] = doubt{change: c, until: now + doubtTime}
+			s.doubted[k] = doubt{change: s.withCold(c, readAt), until: now + doubtTime}
 			continue
 		}
 		out = append(out, c)
--- a/router/mirror/evacuate.go
+++ b/router/mirror/evacuate.go
@@ -148,13 +148,17 @@
 	return slices.Sorted(maps.Keys(s.evacuated))
 }
 
-// listed returns an upstream as the view lists it: as draining if its failure domain is evacuated. The state
-// keeps the entry as it is, so that the upstream serves again after the evacuation.
+// listed returns an upstream as the view lists it: as draining if its failure domain is evacuated, and with the
+// rate of its service if it is cold. The state keeps the entry as it is, so that the upstream serves again after the
+// evacuation.
 func (s *storeState) listed(u *fleet.Upstream) *fleet.Upstream {
-	if _, ok := s.evacuated[u.Domain]; !ok || u.Draining {
+	_, evacuated := s.evacuated[u.Domain]
+	rate := s.coldRate(u)
+	if (!evacuated || u.Draining) && rate == u.ColdRate {
 		return u
 	}
 	x := *u
-	x.Draining = true
+	x.Draining = u.Draining || evacuated
+	x.ColdRate = rate
 	return &x
 }
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/clock"
+	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/poison"
 )
@@ -84,6 +85,8 @@
 	restored bool
 	// era is that of the content.
 	era Era
+	// readAt is when the content was received.
+	readAt time.Time
 	// partial is true if the changes are not all that was read.
 	partial bool
 }
@@ -206,6 +209,7 @@
 	s := newStoreState()
 	tick := time.NewTicker(outageGrace / 4)
 	defer tick.Stop()
+	cold := map[ident.UpstreamID]bool{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -223,6 +227,7 @@
 				n.publishAge(s)
 			}
 		}
+		n.logCold(cold, time.Now())
 	}
 }
 
@@ -250,20 +255,23 @@
 	}
 	if u.restored {
 		changed = true
-		changes = s.withoutDoubted(changes, now)
+		changes = s.withoutDoubted(changes, now, u.readAt)
 		if u.topic == TopicProgress {
 			s.markLost(changes)
 		}
 	}
 	for _, c := range changes {
-		c = s.bounded(c)
+		c = s.withCold(s.bounded(c), u.readAt)
+		repeated := s.onlyColdChanged(c)
 		if _, ok := c.(InvalidRecord); ok {
 			n.ignored.Add(1)
 			n.logChange(c)
 		}
 		if s.apply(c, now) {
 			changed = true
-			n.logChange(c)
+			if !repeated {
+				n.logChange(c)
+			}
 		}
 	}
 	return changed
@@ -361,7 +369,7 @@
 		f.logs[f.topic].keepEvacuations(p, f.store, asOf)
 	}
 	f.logs[f.topic].add(p, asOf)
-	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), asOf: asOf, era: p.Revision.Era(), snapshot: p.Snapshot, afterOutage: f.storeLost, restored: restored}
+	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), asOf: asOf, era: p.Revision.Era(), readAt: time.Now(), snapshot: p.Snapshot, afterOutage: f.storeLost, restored: restored}
 	if restored {
 		f.log.Warn().Str("dependency", "store").Stringer("topic", f.topic).Uint32("era", uint32(p.Revision.Era())).
 			Uint64("version", p.Revision.Version()).Uint64("known", f.after.Version()).Msg("the store came back from an older copy")
--- a/router/mirror/types.go
+++ b/router/mirror/types.go
@@ -81,7 +81,12 @@
 	// RolloutOrdered carries an operator's order to move a service to another version.
 	RolloutOrdered struct{ Order canary.Order }
 	// UpstreamChanged carries a new or changed upstream.
-	UpstreamChanged struct{ Upstream *fleet.Upstream }
+	UpstreamChanged struct {
+		Upstream *fleet.Upstream
+		// ColdRemaining is how much longer the upstream is cold, as of when its entry was written; 0 if it
+		// isn't.
+		ColdRemaining time.Duration
+	}
 	// UpstreamRemoved names an upstream whose entry was removed.
 	UpstreamRemoved struct{ ID ident.UpstreamID }
 	// ProgressChanged carries the progress of a roll-out with the revision of its row.
--- a/router/notice/limit.go
+++ b/router/notice/limit.go
@@ -52,16 +52,43 @@
 // SetShare sets this instance's share of the limits.
 func (b *Registry) SetShare(s pacer.Share) { b.share.Store(&s) }
 
-// slots returns this instance's slots at an incarnation with record m.
-func (b *Registry) slots(i fleet.Incarnation, m record) pacer.Slots {
-	return pacer.New(m.limit.Rate, *b.share.Load(), i.ID)
+// next returns the time of this instance's first slot at an upstream with record m that is usable at now or later, and
+// how long it is usable. It returns false if the instance has no slot, as the number of instances that share the rate of a
+// cold upstream isn't known. The upstream must be paced.
+func (b *Registry) next(u *fleet.Upstream, m record, now time.Time) (at time.Time, ttl time.Duration, ok bool) {
+	share := *b.share.Load()
+	if !u.Cold(now) {
+		s := pacer.New(m.limit.Rate, share, u.ID)
+		return s.Next(m.taken, now), s.TTL(), true
+	}
+	r := u.ColdRate
+	if m.limit.inForce() {
+		r = min(r, m.limit.Rate)
+	}
+	s, ok := pacer.NewCold(r, share, u.ID)
+	if !ok {
+		return time.Time{}, 0, false
+	}
+	return s.Next(m.taken, now), s.TTL(), true
 }
 
+// paced reports whether requests to an upstream with record m need permits at now.
+func paced(u *fleet.Upstream, m record, now time.Time) bool {
+	return m.limit.inForce() || u.Cold(now)
+}
+
+// unknownShareWait is the time after which to ask again for a slot at a cold upstream while the number of instances isn't
+// known. It becomes a client's Retry-After, and another instance may have a slot at once.
+const unknownShareWait = time.Second
+
 // Permit allows one request to an incarnation. The zero value allows none.
 type Permit struct {
 	Upstream fleet.Incarnation
 	// From and Until bound the time in which the request may be sent.
 	From, Until time.Time
+	// Cold is true if the upstream was cold when the permit was taken. Other permits don't allow requests to cold
+	// upstreams, which take fewer.
+	Cold bool
 }
 
 // Allows reports whether the permit allows a request to an incarnation at now.
@@ -69,30 +96,43 @@
 	return p.Upstream == i && !now.Before(p.From) && !now.After(p.Until)
 }
 
-// TakePermit returns a permit for a request to an incarnation, usable from now on or at most wait
-// later. It returns false if this instance's share of the limit is used up until then. Without a
-// limit no permit is needed, and it returns the zero value and true.
-func (b *Registry) TakePermit(i fleet.Incarnation, wait time.Duration, now time.Time) (Permit, bool) {
-	if !b.HasLimit(i) {
+// AllowsUpstream reports whether the permit allows a request to an upstream at now.
+func (p Permit) AllowsUpstream(u *fleet.Upstream, now time.Time) bool {
+	return p.Allows(u.Incarnation(), now) && (p.Cold || !u.Cold(now))
+}
+
+// TakePermit returns a permit for a request to an upstream, usable from now on or at most wait
+// later. It returns false if this instance's share of the limit is used up until then, or isn't known
+// and the upstream is cold. If the upstream has no limit and isn't cold no permit is needed, and it returns
+// the zero value and true.
+func (b *Registry) TakePermit(u *fleet.Upstream, wait time.Duration, now time.Time) (Permit, bool) {
+	if !b.Paced(u, now) {
 		return Permit{}, true
 	}
 	var p Permit
-	ok := true
-	b.update(i, now, func(m *record) bool {
-		if !m.limit.inForce() {
+	needed := true
+	taken := b.update(u.Incarnation(), now, func(m *record) bool {
+		if needed = paced(u, *m, now); !needed {
 			return false
 		}
-		s := b.slots(i, *m)
-		next := s.Next(m.taken, now)
-		if next.Sub(now) > wait {
-			ok = false
+		next, ttl, ok := b.next(u, *m, now)
+		if !ok || next.Sub(now) > wait {
 			return false
 		}
 		m.taken = next
-		p = Permit{Upstream: i, From: next, Until: next.Add(s.TTL())}
+		p = Permit{Upstream: u.Incarnation(), From: next, Until: next.Add(ttl), Cold: u.Cold(now)}
 		return true
 	})
-	return p, ok
+	if !taken {
+		// A permit that can't be recorded is none: the slot would be used again.
+		return Permit{}, !needed
+	}
+	return p, true
+}
+
+// Paced reports whether requests to an upstream need permits at now: it has a limit in force, or is cold.
+func (b *Registry) Paced(u *fleet.Upstream, now time.Time) bool {
+	return paced(u, (*b.records.Load())[u.Incarnation()], now)
 }
 
 // HasLimit reports whether an incarnation has a limit in force.
--- a/router/notice/limit_test.go
+++ b/router/notice/limit_test.go
@@ -51,10 +51,11 @@
 // for another incarnation.
 func TestPermitAllows(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
-	u := upstream("u", 1).Incarnation()
+	v := upstream("u", 1)
+	u := v.Incarnation()
 	b := notice.New()
 	b.RecordLimit(u, notice.Limit{Rate: 0.5, At: now}, now)
-	p, ok := b.TakePermit(u, time.Minute, now)
+	p, ok := b.TakePermit(v, time.Minute, now)
 	if !ok {
 		t.Fatal("no permit within a minute at a request in two seconds")
 	}
--- a/router/notice/notice.go
+++ b/router/notice/notice.go
@@ -40,7 +40,7 @@
 	Leaving struct{}
 	// Paused upstreams want no requests from this instance until a given time.
 	Paused struct{ Until time.Time }
-	// Limited upstreams limit their requests, and this instance has used its share until a given time.
+	// Limited upstreams limit their requests or are cold, and this instance has used its share until a given time.
 	Limited struct{ Until time.Time }
 )
 
@@ -58,7 +58,7 @@
 	pausedUntil time.Time
 	// limit is the newest statement of the incarnation about its rate of requests.
 	limit Limit
-	// taken is the slot of the limit that this instance used last.
+	// taken is the slot that this instance used last, under a limit or while the upstream was cold.
 	taken time.Time
 }
 
@@ -70,7 +70,7 @@
 
 // expired reports whether the record no longer has a notice that counts.
 func (m record) expired(now time.Time) bool {
-	return !m.leaving(now, leavingTTL) && !now.Before(m.pausedUntil) && m.limit.expired(now)
+	return !m.leaving(now, leavingTTL) && !now.Before(m.pausedUntil) && m.limit.expired(now) && now.Sub(m.taken) > limitTTL
 }
 
 // Registry holds the notices of all upstreams. A notice applies to one incarnation: it
@@ -99,8 +99,12 @@
 		return Leaving{}
 	case now.Before(m.pausedUntil):
 		return Paused{Until: m.pausedUntil}
-	case m.limit.inForce():
-		if next := b.slots(u.Incarnation(), m).Next(m.taken, now); next.After(now) {
+	case paced(u, m, now):
+		next, _, ok := b.next(u, m, now)
+		if !ok {
+			return Limited{Until: now.Add(unknownShareWait)}
+		}
+		if next.After(now) {
 			return Limited{Until: next}
 		}
 		return Available{}
--- a/router/relay/notice.go
+++ b/router/relay/notice.go
@@ -58,7 +58,7 @@
 	case notice.Available:
 		return true
 	case notice.Limited:
-		return t.permit.Allows(u.Incarnation(), now)
+		return t.permit.AllowsUpstream(u, now)
 	default:
 		return false
 	}
@@ -98,7 +98,7 @@
 	case notice.Paused:
 		return &UnavailableError{Upstream: u.ID, Reason: "it wants no requests for " + s.Until.Sub(now).String()}
 	}
-	return t.usePermit(u, now)
+	return t.usePermit(x, now)
 }
 
 const (
--- a/router/relay/permit.go
+++ b/router/relay/permit.go
@@ -13,14 +13,14 @@
 
 const (
 	// permitWaitShare is the part of a route's objective that a request may wait until an upstream
-	// that limits its requests takes it, so that it can still be answered within the objective.
+	// that limits its requests or is cold takes it, so that it can still be answered within the objective.
 	permitWaitShare = 0.25
 	// maxChoices bounds how often an upstream is chosen for one attempt: of requests that come at
 	// once, all but one lose the permit of the upstream that suits them best.
 	maxChoices = 16
 )
 
-// choose picks an upstream for an attempt and takes a permit if that upstream limits its requests.
+// choose picks an upstream for an attempt and takes a permit if that upstream limits its requests or is cold.
 // If all eligible upstreams do and the permits are used up, it waits for the next one. It returns
 // false if there is none, or none soon enough.
 func (t *request) choose(ctx context.Context, model ident.ModelID) (place.Choice, bool) {
@@ -43,26 +43,25 @@
 // takePermit reports whether u takes a request now, and keeps the permit for it.
 func (t *request) takePermit(u *fleet.Upstream) bool {
 	now := time.Now()
-	if t.permit.Allows(u.Incarnation(), now) {
+	if t.permit.AllowsUpstream(u, now) {
 		return true
 	}
-	p, ok := t.Notices.TakePermit(u.Incarnation(), 0, now)
+	p, ok := t.Notices.TakePermit(u, 0, now)
 	if ok {
 		t.permit = p
 	}
 	return ok
 }
 
-// usePermit uses the permit for a request to u up. It takes one if u has stated a limit since it
+// usePermit uses the permit for a request to u up. It takes one if u has stated a limit or become cold since it
 // was chosen or the permit has run out, and returns an *UnavailableError if there is none.
 func (t *request) usePermit(u *fleet.Upstream, now time.Time) error {
 	p := t.permit
 	t.permit = notice.Permit{}
-	i := u.Incarnation()
-	if p.Allows(i, now) {
+	if p.AllowsUpstream(u, now) {
 		return nil
 	}
-	if _, ok := t.Notices.TakePermit(i, 0, now); ok {
+	if _, ok := t.Notices.TakePermit(u, 0, now); ok {
 		return nil
 	}
 	return &UnavailableError{Upstream: u.ID, Reason: "its limit of requests is used up"}
@@ -88,7 +87,7 @@
 	if first == nil {
 		return false
 	}
-	p, ok := t.Notices.TakePermit(first.Incarnation(), wait, now)
+	p, ok := t.Notices.TakePermit(first, wait, now)
 	if !ok {
 		return false
 	}
--- a/router/relay/retry.go
+++ b/router/relay/retry.go
@@ -120,13 +120,13 @@
 		if _, ok := t.Notices.Availability(x, now).(notice.Available); !ok {
 			continue
 		}
-		if !t.Notices.HasLimit(x.Incarnation()) {
+		if !t.Notices.Paced(x, now) {
 			return notice.Permit{}, true
 		}
 		limited = append(limited, x)
 	}
 	for _, x := range limited {
-		if p, ok := t.Notices.TakePermit(x.Incarnation(), 0, now); ok {
+		if p, ok := t.Notices.TakePermit(x, 0, now); ok {
 			return p, true
 		}
 	}
--- a/router/routes/routes.go
+++ b/router/routes/routes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/call"
 )
 
 // ID is the name of a route.
@@ -90,6 +91,9 @@
 	// CopyRate is the number of cached prompt tokens per ms that one upstream can copy from
 	// another; 0 if they can't copy.
 	CopyRate float64
+	// ColdRate is the rate of requests from all instances together that a cold upstream tolerates; 0 means
+	// no limit.
+	ColdRate call.Rate
 }
 
 // Limits bound what a client may send and how long its connection may be idle.
