--- a/router/mirror/doubt.go
+++ b/router/mirror/doubt.go
@@ -7,10 +7,12 @@
 	"tarragonvalve.example/router/fleet"
 )
 
-// doubtKey names what a doubted change is about: an upstream or the roll-out order of a service.
+// doubtKey names what a doubted change is about: an upstream, the roll-out order of a service, or the
+// evacuation of a failure domain.
 type doubtKey struct {
 	upstream ident.UpstreamID
 	order    ident.ServiceID
+	domain   ident.DomainID
 }
 
 // doubt is a change that contradicts newer knowledge. It counts if the store still holds it at until.
@@ -22,11 +24,11 @@
 // withoutDoubted returns the changes of the first snapshot after a restore without those that
 // contradict what was known before. They are kept until the store has had time to learn what the copy
 // lacks.
-func (s *storeState) withoutDoubted(cs []Change, now time.Duration) []Change {
+func (s *storeState) withoutDoubted(cs []Change, now time.Duration, readAt time.Time) []Change {
 	out := make([]Change, 0, len(cs))
 	for _, c := range cs {
 		if k, ok := s.contradiction(c); ok {
-			s.doubted[k] = doubt{change: c, until: now + doubtTime}
+			s.doubted[k] = doubt{change: s.withCold(c, readAt), until: now + doubtTime}
 			continue
 		}
 		out = append(out, c)
@@ -43,6 +45,8 @@
 	case RolloutOrdered:
 		o, ok := s.orders[c.Order.Service]
 		return doubtKey{order: c.Order.Service}, ok && !sameContent(o, c.Order)
+	case EvacuationStarted:
+		return doubtKey{domain: c.Domain}, s.isEndedEvacuation(c)
 	default:
 		return doubtKey{}, false
 	}
--- a/router/mirror/mirror.go
+++ b/router/mirror/mirror.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"tarragonvalve.example/core/clock"
+	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/canary"
 	"tarragonvalve.example/router/poison"
 )
@@ -82,6 +83,10 @@
 	afterOutage bool
 	// restored is true for the first content of a new era of the store.
 	restored bool
+	// era is that of the content.
+	era Era
+	// readAt is when the content was received.
+	readAt time.Time
 	// partial is true if the changes are not all that was read.
 	partial bool
 }
@@ -204,6 +209,7 @@
 	s := newStoreState()
 	tick := time.NewTicker(outageGrace / 4)
 	defer tick.Stop()
+	cold := map[ident.UpstreamID]bool{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -221,6 +227,7 @@
 				n.publishAge(s)
 			}
 		}
+		n.logCold(cold, time.Now())
 	}
 }
 
@@ -235,26 +242,36 @@
 	if u.snapshot && u.topic == TopicUpstreams {
 		changed = s.reset(u.changes, now)
 	}
+	if u.snapshot && u.topic == TopicOrders {
+		changed = s.resetEvacuations(u, now)
+	}
 	if u.topic == TopicProgress && !u.partial && !s.progressRead {
 		s.progressRead = true
 		changed = true
 	}
-	changes := u.changes
+	changes, kept := u.withoutKept()
+	for _, c := range kept {
+		changed = s.keepEvacuation(c, now) || changed
+	}
 	if u.restored {
 		changed = true
-		changes = s.withoutDoubted(changes, now)
+		changes = s.withoutDoubted(changes, now, u.readAt)
 		if u.topic == TopicProgress {
 			s.markLost(changes)
 		}
 	}
 	for _, c := range changes {
+		c = s.withCold(s.bounded(c), u.readAt)
+		repeated := s.onlyColdChanged(c)
 		if _, ok := c.(InvalidRecord); ok {
 			n.ignored.Add(1)
 			n.logChange(c)
 		}
 		if s.apply(c, now) {
 			changed = true
-			n.logChange(c)
+			if !repeated {
+				n.logChange(c)
+			}
 		}
 	}
 	return changed
@@ -266,7 +283,8 @@
 
 // publish replaces the view and wakes those that wait for a change.
 func (n *Syncer) publish(s *storeState) {
-	n.view.Store(s.view())
+	v := s.view()
+	n.logEvacuations(n.view.Swap(v).Evacuated, v.Evacuated)
 	next := make(chan struct{})
 	close(*n.changed.Swap(&next))
 }
@@ -348,9 +366,10 @@
 	restored := f.after != 0 && p.Revision.Era() > f.after.Era()
 	if restored && f.topic == TopicOrders {
 		f.logs[f.topic].keepDocuments(&p, f.store)
+		f.logs[f.topic].keepEvacuations(p, f.store, asOf)
 	}
 	f.logs[f.topic].add(p, asOf)
-	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), asOf: asOf, snapshot: p.Snapshot, afterOutage: f.storeLost, restored: restored}
+	u := update{topic: f.topic, changes: f.store.Decode(f.topic, p.Records), asOf: asOf, era: p.Revision.Era(), readAt: time.Now(), snapshot: p.Snapshot, afterOutage: f.storeLost, restored: restored}
 	if restored {
 		f.log.Warn().Str("dependency", "store").Stringer("topic", f.topic).Uint32("era", uint32(p.Revision.Era())).
 			Uint64("version", p.Revision.Version()).Uint64("known", f.after.Version()).Msg("the store came back from an older copy")
--- a/router/mirror/types.go
+++ b/router/mirror/types.go
@@ -81,7 +81,12 @@
 	// RolloutOrdered carries an operator's order to move a service to another version.
 	RolloutOrdered struct{ Order canary.Order }
 	// UpstreamChanged carries a new or changed upstream.
-	UpstreamChanged struct{ Upstream *fleet.Upstream }
+	UpstreamChanged struct {
+		Upstream *fleet.Upstream
+		// ColdRemaining is how much longer the upstream is cold, as of when its entry was written; 0 if it
+		// isn't.
+		ColdRemaining time.Duration
+	}
 	// UpstreamRemoved names an upstream whose entry was removed.
 	UpstreamRemoved struct{ ID ident.UpstreamID }
 	// ProgressChanged carries the progress of a roll-out with the revision of its row.
@@ -99,21 +104,33 @@
 		Trials   poison.Trials
 		Revision Revision
 	}
-	// InvalidRecord reports a row that can't be decoded, and why.
+	// EvacuationStarted names a failure domain to whose upstreams nothing more is sent. Revision is that
+	// of the row. One of an era before that of the read is passed on by a peer whose store lost the row.
+	EvacuationStarted struct {
+		Domain   ident.DomainID
+		Revision Revision
+	}
+	// EvacuationEnded names a failure domain whose evacuation was removed.
+	EvacuationEnded struct{ Domain ident.DomainID }
+	// InvalidRecord reports a row that can't be decoded, and why. Domain is set if the row is about the
+	// evacuation of a failure domain, which then stays as it was.
 	InvalidRecord struct {
 		Key    string
 		Reason string
+		Domain ident.DomainID
 	}
 )
 
-func (DocumentChanged) change() {}
-func (RolloutOrdered) change()  {}
-func (UpstreamChanged) change() {}
-func (UpstreamRemoved) change() {}
-func (ProgressChanged) change() {}
-func (TallyChanged) change()    {}
-func (TrialsChanged) change()   {}
-func (InvalidRecord) change()   {}
+func (DocumentChanged) change()   {}
+func (RolloutOrdered) change()    {}
+func (UpstreamChanged) change()   {}
+func (UpstreamRemoved) change()   {}
+func (ProgressChanged) change()   {}
+func (TallyChanged) change()      {}
+func (TrialsChanged) change()     {}
+func (EvacuationStarted) change() {}
+func (EvacuationEnded) change()   {}
+func (InvalidRecord) change()     {}
 
 // Record is a row with its data as encoded by the store. Only a Decoder reads the data.
 type Record struct {
