feat(speed): learn the speed of upstreams from responses

Change: router/speed learns per service and model the time per prompt token and per step, per upstream a factor and the running requests from which steps get slower. Nothing decides by it yet. Conclusion: the placement can be built on Registry.Estimate.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -45,6 +45,7 @@
 	"tarragonvalve.example/router/relay"
 	"tarragonvalve.example/router/setup"
 	"tarragonvalve.example/router/share"
+	"tarragonvalve.example/router/speed"
 	"tarragonvalve.example/router/stager"
 	"tarragonvalve.example/router/uplink"
 )
@@ -122,6 +123,7 @@
 		func() *place.Balancer { return place.New(s.Domain) },
 		notice.New,
 		poison.New,
+		speed.NewRegistry,
 		pins.New,
 		newCrashes,
 		newMemory,
@@ -145,11 +147,11 @@
 		}
 	}
 	var steps []serve.Component
-	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, q *poison.Registry, e *pins.Registry, n *mirror.Syncer, p *link.Pool, w *late.Meter, k *uplink.Meter, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
+	err := c.Invoke(func(v *setup.Live, b *place.Balancer, t *notice.Registry, r *crash.Monitor, q *poison.Registry, d *speed.Registry, e *pins.Registry, n *mirror.Syncer, p *link.Pool, w *late.Meter, k *uplink.Meter, m *stager.Controller, u *probe.Monitor, g *gossip.Exchanger, h *share.Server, a *admin, f *front.Server) {
 		p.Track(k.Track)
 		steps = []serve.Component{
 			w, k, v, n, p, m, u, g,
-			&cleaner{balancer: b, notices: t, crashes: r, poison: q, syncer: n},
+			&cleaner{balancer: b, notices: t, crashes: r, poison: q, speeds: d, syncer: n},
 			&poison.Component{Registry: q, Attempts: r},
 			&pins.Component{Registry: e, Syncer: n},
 			a,
@@ -221,6 +223,7 @@
 	Notices  *notice.Registry
 	Crashes  *crash.Monitor
 	Poison   *poison.Registry
+	Speed    *speed.Registry
 	Pins     *pins.Registry
 	Canary   *canary.Monitor
 	Presence *canary.Presence
@@ -235,7 +238,7 @@
 
 func newRelay(p relayParts) *relay.Relay {
 	return relay.New(relay.Options{
-		Syncer: p.Syncer, Links: p.Links, Codec: p.Codec, Balancer: p.Balancer, Probe: p.Probe, Notices: p.Notices, Crashes: p.Crashes, Poison: p.Poison, Pins: p.Pins, Canary: p.Canary, Presence: p.Presence,
+		Syncer: p.Syncer, Links: p.Links, Codec: p.Codec, Balancer: p.Balancer, Probe: p.Probe, Notices: p.Notices, Crashes: p.Crashes, Poison: p.Poison, Speed: p.Speed, Pins: p.Pins, Canary: p.Canary, Presence: p.Presence,
 		Budget: p.Budget, Meter: p.Meter, Memory: p.Memory, Now: p.Now, Lateness: p.Late.Lateness, Log: p.Log, Domain: p.Settings.Domain, Values: p.Settings.Values, Size: p.Gossip.RouterCount,
 	})
 }
--- a/router/boot/cleaner.go
+++ b/router/boot/cleaner.go
@@ -10,6 +10,7 @@
 	"tarragonvalve.example/router/notice"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/poison"
+	"tarragonvalve.example/router/speed"
 )
 
 // cleanInterval is how often the cleaner runs.
@@ -23,6 +24,7 @@
 	notices  *notice.Registry
 	crashes  *crash.Monitor
 	poison   *poison.Registry
+	speeds   *speed.Registry
 	syncer   *mirror.Syncer
 }
 
@@ -33,7 +35,9 @@
 func (c *cleaner) Run(ctx context.Context) error {
 	return serve.Every(ctx, cleanInterval, func(context.Context) {
 		now := time.Now()
-		c.balancer.UpdateUpstreams(c.syncer.View().Fleet, now)
+		l := c.syncer.View().Fleet
+		c.balancer.UpdateUpstreams(l, now)
+		c.speeds.UpdateUpstreams(l)
 		c.notices.Expire(now)
 		c.crashes.Expire(now)
 		c.poison.Expire(now)
--- a/router/call/call.go
+++ b/router/call/call.go
@@ -70,6 +70,8 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes there at present as a percentage of the usual time; 0 means unstated.
+	Pace int
 }
 
 // Rate is a number of requests per second.
--- a/router/place/attempt.go
+++ b/router/place/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/speed"
 )
 
 // Start records that an attempt is sent to the chosen upstream.
@@ -11,10 +12,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.loadOf(c.Upstream.ID)
+	ahead, running := b.workAhead(l, now)
 	l.inFlight++
 	l.pending += c.work
 	l.pendingCount++
-	return &Attempt{balancer: b, load: l, choice: c, began: now, pending: true}
+	return &Attempt{balancer: b, load: l, choice: c, began: now, pending: true, ahead: ahead, running: running}
 }
 
 // Attempt is an attempt in progress.
@@ -25,6 +27,39 @@
 	began    time.Time
 	pending  bool
 	ended    bool
+	// ahead is the nominal work, in ms, of the requests without a response at the upstream when the attempt was sent, and
+	// running the number of running ones.
+	ahead   float64
+	running int
+}
+
+// workAhead returns the nominal work, in ms, of the requests at an upstream that have no response yet, sent by any instance,
+// and the number of running ones.
+func (b *Balancer) workAhead(l *upstreamLoad, now time.Time) (work float64, running int) {
+	work, pending := l.pending, l.pendingCount
+	if now.Sub(b.remoteAt) <= BacklogTTL {
+		work += l.others.Work
+		pending += l.others.Attempts
+	}
+	running = l.inFlight - l.pendingCount
+	if now.Sub(l.reportedAt) < loadReportTTL {
+		running = max(running, l.reported.Running)
+		work += float64(max(l.reported.Waiting-pending, 0)) * waitingWork
+	}
+	return work, running
+}
+
+// PromptObservation returns what was known of the upstream's queue when the attempt was sent, for the first event of its
+// response. factor is the model's time per token relative to the reference model, 0 counts as 1. It returns false
+// if the time says nothing of the upstream's speed, as a part of the prompt was to be copied from another one.
+func (a *Attempt) PromptObservation(factor float64, now time.Time) (speed.PromptObservation, bool) {
+	if a.choice.CopySource != nil {
+		return speed.PromptObservation{}, false
+	}
+	if factor <= 0 {
+		factor = 1
+	}
+	return speed.PromptObservation{Took: now.Sub(a.began), Ahead: a.ahead * prefillTokensPerMs / factor, Running: a.running}, true
 }
 
 // ResponseStarted records that the response started, and updates the upstream's slowdown.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -31,6 +31,7 @@
 	"tarragonvalve.example/router/probe"
 	"tarragonvalve.example/router/quota"
 	"tarragonvalve.example/router/routes"
+	"tarragonvalve.example/router/speed"
 )
 
 const (
@@ -110,7 +111,9 @@
 	// Budget limits retries.
 	Budget *budget.Budget
 	Meter  *meter.Meter
-	Now    clock.Func
+	// Speed learns how fast the upstreams of engine services are.
+	Speed *speed.Registry
+	Now   clock.Func
 	// Lateness is that of this process.
 	Lateness late.Func
 	Log      zerolog.Logger
@@ -243,6 +246,12 @@
 	serviceSize int
 	// nominal is the predicted time until the response for an upstream of usual speed.
 	nominal time.Duration
+	// target, promptTokens, resumes and waitingThen describe the attempt for the observations of its upstream's speed;
+	// waitingThen is the number of requests that waited there when the response's headers were sent.
+	target       speed.Target
+	promptTokens ident.Tokens
+	resumes      bool
+	waitingThen  int
 }
 
 // headersReceived records the arrival of the response's headers.
@@ -317,7 +326,10 @@
 	if t.Meta.Session != "" {
 		t.Pins.Served(t.service, t.session(), u.Version, began)
 	}
-	o := &attempt{request: t, upstream: u, began: began, placement: t.Balancer.Start(c, began), serviceSize: c.ServiceSize, nominal: c.Nominal}
+	o := &attempt{
+		request: t, upstream: u, began: began, placement: t.Balancer.Start(c, began), serviceSize: c.ServiceSize, nominal: c.Nominal,
+		target: t.speedTarget(c, model), promptTokens: t.promptTokens(c), resumes: s.Resumes,
+	}
 	cancelAttempt := t.cancelForRetry(u, cancel)
 	o.progress = t.Probe.Start(u, t.Route.MaxPause, cancelAttempt, began)
 	o.verdict = t.Crashes.Start(u.Incarnation(), t.prompt, cancel)
@@ -387,7 +399,10 @@
 	o.headersReceived()
 	o.recordNotices(a)
 	if a.Meta.HasLoad {
-		o.placement.LoadReported(a.Meta.Load, time.Now())
+		now := time.Now()
+		o.placement.LoadReported(a.Meta.Load, now)
+		o.Speed.Reported(o.upstream.ID, a.Meta.Load, now)
+		o.waitingThen = a.Meta.Load.Waiting
 	}
 	if a.Meta.NotRun {
 		o.verdict.Received(time.Now())
--- /dev/null
+++ b/router/relay/speed.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/core/late"
+	"tarragonvalve.example/router/events"
+	"tarragonvalve.example/router/place"
+	"tarragonvalve.example/router/speed"
+)
+
+// speedTarget returns the upstream and the model of an attempt for the observations of its speed. It is empty for a plain
+// service.
+func (t *request) speedTarget(c place.Choice, model ident.ModelID) speed.Target {
+	if !t.isEngine() {
+		return speed.Target{}
+	}
+	if model == "" {
+		model = t.Meta.Model
+	}
+	s := t.Document.Services[t.service]
+	return speed.Target{Service: t.service, Upstream: c.Upstream.ID, Model: model, Factor: tokenTime(s, model), Slots: c.Upstream.Slots}
+}
+
+// promptTokens returns the number of prompt tokens that the chosen upstream has to process.
+func (t *request) promptTokens(c place.Choice) ident.Tokens {
+	n := t.Meta.Input
+	if p := t.Meta.Prefix; c.CacheHit && len(p) > 1 {
+		for _, x := range p[:len(p)-1] {
+			n -= x.Tokens
+		}
+	}
+	return max(n, 0)
+}
+
+// intervals measures the times of an attempt's events for the speed of its upstream. What arrives while this
+// process is late is left out, as it may have come earlier.
+type intervals struct {
+	began  bool
+	last   time.Time
+	lastID uint64
+	// tokens came since last in events that were followed by others at once.
+	tokens int
+}
+
+// eventReceived records an event. more is true if further ones have arrived, whose times are unknown: the interval then
+// ends with the last of them.
+func (i *intervals) eventReceived(o *attempt, e events.Event, more bool) {
+	if o.target.Upstream == "" {
+		return
+	}
+	now := time.Now()
+	if !i.began {
+		i.began, i.last, i.lastID = true, now, e.ID
+		o.observePrompt(now)
+		return
+	}
+	// Ids that rise by more than one count tokens. Of an event without one, a step is assumed.
+	n := 1
+	if e.HasID && e.ID > i.lastID {
+		n = int(min(e.ID-i.lastID, speed.MaxEventTokens+1))
+		i.lastID = e.ID
+	}
+	i.tokens += n
+	if more {
+		return
+	}
+	if o.Lateness() < late.Level {
+		o.Speed.Step(o.target, speed.StepObservation{Took: now.Sub(i.last), Tokens: i.tokens}, now)
+	}
+	i.last, i.tokens = now, 0
+}
+
+// observePrompt records the first event of an attempt. A continued stream is left out: how much of it the upstream has
+// cached is unknown.
+func (o *attempt) observePrompt(now time.Time) {
+	x, ok := o.placement.PromptObservation(o.target.Factor, now)
+	if !ok || o.resumes || o.Lateness() >= late.Level {
+		return
+	}
+	x.Tokens, x.Waiting = o.promptTokens, o.waitingThen
+	o.Speed.Prompt(o.target, x, now)
+}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -206,9 +206,11 @@
 			if !e.CommentOnly {
 				a.responseTimer.Stop()
 				a.eventReceived()
-				pace.eventReceived()
 			}
 			more := r.Ready()
+			if !e.CommentOnly {
+				pace.eventReceived(e, more)
+			}
 			err = t.succession.forward(f, func() error { return f.forward(t, a, e, more) })
 		}
 	}
@@ -319,15 +321,17 @@
 // shows before its streams end.
 const pacedEvents = 3
 
-// pacing measures the interval between the first events of a stream.
+// pacing measures the interval between the first events of a stream, and those of all for the upstream's speed.
 type pacing struct {
 	*attempt
-	count int
-	first time.Time
+	count     int
+	first     time.Time
+	intervals intervals
 }
 
-// eventReceived records an event and reports the mean interval after pacedEvents.
-func (p *pacing) eventReceived() {
+// eventReceived records an event and reports the mean interval after pacedEvents. more is true if further events have arrived.
+func (p *pacing) eventReceived(e events.Event, more bool) {
+	p.intervals.eventReceived(p.attempt, e, more)
 	p.count++
 	switch p.count {
 	case 1:
--- a/router/relay/successor.go
+++ b/router/relay/successor.go
@@ -230,7 +230,7 @@
 	t.Meter.StreamResumed()
 	t.Log.Info().Str("request", string(t.Meta.ID)).Str("upstream", string(x.upstream.ID)).Uint64("after", x.after).Msg("another upstream continues a stream that paused")
 	pace := pacing{attempt: x.attempt}
-	pace.eventReceived()
+	pace.eventReceived(x.first, false)
 	err := t.succession.forward(c, func() error { return c.forward(t, x.answered, x.first, false) })
 	return t.forwardEvents(x.ctx, c, x.answered, x.reader, pace, err)
 }
--- /dev/null
+++ b/router/speed/registry.go
@@ -0,0 +1,218 @@
+package speed
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/fleet"
+)
+
+const (
+	// staleAfter is the time without an observation after which an upstream is due for a trial. It is below evidenceTime,
+	// so that the evidence of a slow upstream is renewed before it is lost.
+	staleAfter = 6 * time.Second
+)
+
+// Registry holds what is known of the upstreams of all services. It is safe for concurrent use.
+type Registry struct {
+	mu       sync.Mutex
+	services map[ident.ServiceID]*service
+	// serviceOf is the service of each listed upstream.
+	serviceOf map[ident.UpstreamID]ident.ServiceID
+	count     int // number of upstreams in all services
+	stats     Stats
+}
+
+// Stats counts what a registry has taken.
+type Stats struct {
+	// Observations were counted, Skipped could not be: queued behind too much, or without a reported load.
+	Observations, Skipped uint64
+	// Upstreams is the number of upstreams of which anything is known, Stale how many of them are due for a trial, and
+	// Slow how many take at least 1.25 times as long as the median of their service.
+	Upstreams, Stale, Slow int
+}
+
+// slowFactor is the factor from which an upstream counts as slow in Stats.
+const slowFactor = 1.25
+
+// NewRegistry returns a registry without observations.
+func NewRegistry() *Registry {
+	return &Registry{services: map[ident.ServiceID]*service{}, serviceOf: map[ident.UpstreamID]ident.ServiceID{}}
+}
+
+// Prompt records the first event of a response.
+func (r *Registry) Prompt(t Target, o PromptObservation, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(t.Service)
+	if s == nil {
+		r.stats.Skipped++
+		return
+	}
+	n := len(s.upstreams)
+	r.taken(s.observePrompt(&t, &o, now.UnixNano(), r.count < MaxUpstreams))
+	r.count += len(s.upstreams) - n
+}
+
+// Step records an event of a stream.
+func (r *Registry) Step(t Target, o StepObservation, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(t.Service)
+	if s == nil {
+		r.stats.Skipped++
+		return
+	}
+	n := len(s.upstreams)
+	r.taken(s.observeStep(&t, &o, now.UnixNano(), r.count < MaxUpstreams))
+	r.count += len(s.upstreams) - n
+}
+
+func (r *Registry) taken(ok bool) {
+	if ok {
+		r.stats.Observations++
+	} else {
+		r.stats.Skipped++
+	}
+}
+
+// Reported records the load that an upstream reported at a time. Upstreams that are not listed are ignored.
+func (r *Registry) Reported(id ident.UpstreamID, l call.Load, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if u := r.upstream(id); u != nil {
+		u.report(l, at.UnixNano())
+	}
+}
+
+// Estimate returns what is expected of a target.
+func (r *Registry) Estimate(t Target, now time.Time) Estimate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(t.Service)
+	if s == nil {
+		s = newService()
+	}
+	return s.estimate(&t, now.UnixNano())
+}
+
+// Stale appends to ids the upstreams of a service of which nothing has been observed for some time, the longest first, so that
+// the placement may send each of them a request as a trial. Those with a trial that began a short time ago are left out.
+func (r *Registry) Stale(id ident.ServiceID, ids []ident.UpstreamID, now time.Time) []ident.UpstreamID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[id]
+	if s == nil {
+		return ids
+	}
+	from := len(ids)
+	for x, u := range s.upstreams {
+		if u.stale(now.UnixNano()) {
+			ids = append(ids, x)
+		}
+	}
+	slices.SortFunc(ids[from:], func(a, b ident.UpstreamID) int {
+		if c := cmp.Compare(s.upstreams[a].observedAt, s.upstreams[b].observedAt); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return ids
+}
+
+// StartTrial records that a request is sent to an upstream as a trial.
+func (r *Registry) StartTrial(id ident.UpstreamID, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if u := r.upstream(id); u != nil {
+		u.trialAt = now.UnixNano()
+	}
+}
+
+func (u *upstream) stale(now int64) bool {
+	return now-max(u.observedAt, u.trialAt) >= int64(staleAfter)
+}
+
+// UpdateUpstreams takes the list of upstreams and drops what is known of others. Listed ones without observations are kept as
+// such, so that they are due for a trial.
+func (r *Registry) UpdateUpstreams(l *fleet.List) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := l.All()
+	clear(r.serviceOf)
+	for id, s := range r.services {
+		for u := range s.upstreams {
+			if x := listed[u]; x == nil || x.Service != id {
+				delete(s.upstreams, u)
+				r.count--
+			}
+		}
+		if len(s.upstreams) == 0 {
+			delete(r.services, id)
+		}
+	}
+	for id, x := range listed {
+		s := r.service(x.Service)
+		if s == nil {
+			continue
+		}
+		u := s.upstreams[id]
+		if u == nil {
+			if r.count >= MaxUpstreams {
+				continue
+			}
+			u = &upstream{}
+			s.upstreams[id] = u
+			r.count++
+		}
+		if x.Slots > 0 {
+			u.slots = min(x.Slots, maxSlots)
+		}
+		r.serviceOf[id] = x.Service
+	}
+}
+
+// Stats returns the counts.
+func (r *Registry) Stats(now time.Time) Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x := r.stats
+	x.Upstreams = r.count
+	for _, s := range r.services {
+		s.refresh(now.UnixNano())
+		for _, u := range s.upstreams {
+			if u.stale(now.UnixNano()) {
+				x.Stale++
+			}
+			if u.factor >= slowLog {
+				x.Slow++
+			}
+		}
+	}
+	return x
+}
+
+// slowLog is the logarithm of slowFactor.
+const slowLog = 0.2231
+
+// service returns the state of a service; nil if there are too many.
+func (r *Registry) service(id ident.ServiceID) *service {
+	s := r.services[id]
+	if s == nil && len(r.services) < maxServices {
+		s = newService()
+		r.services[id] = s
+	}
+	return s
+}
+
+// upstream returns the state of a listed or observed upstream, or nil.
+func (r *Registry) upstream(id ident.UpstreamID) *upstream {
+	if s := r.services[r.serviceOf[id]]; s != nil {
+		return s.upstreams[id]
+	}
+	return nil
+}
--- /dev/null
+++ b/router/speed/service.go
@@ -0,0 +1,467 @@
+package speed
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"tarragonvalve.example/core/ident"
+	"tarragonvalve.example/router/call"
+)
+
+const (
+	// refreshInterval is how often the levels of the service are calculated from its upstreams.
+	refreshInterval = 500 * time.Millisecond
+	// priorWeight is the weight of a prior against observations.
+	priorWeight = 1.0
+	// levelCap bounds the weight of one upstream in the service's median, so that busy ones don't decide it alone.
+	levelCap = 8.0
+	// factorShrink and ownShrink are the weights with which an upstream's factor is drawn to 1, and its own times to those
+	// that follow from its factor.
+	factorShrink = 2.0
+	ownShrink    = 6.0
+	// stepWeight is the weight of an interval between two events: those of one stream are alike.
+	stepWeight = 0.25
+	// minEvidence is the weight from which a mean is used at all.
+	minEvidence = 0.2
+	// minShare is the least part of the predicted time that a quantity must make up for an observation to count for it.
+	minShare = 0.1
+	// maxAheadShare is the largest part of the predicted time that may have been spent behind other prompts. With more, the
+	// error of the predicted queue exceeds the request's own time.
+	maxAheadShare = 0.6
+	// loadTTL is how long a reported number of running requests is used.
+	loadTTL = 2 * time.Second
+	// PaceTTL is how long a reported pace is used; it changes many times a second.
+	PaceTTL = 400 * time.Millisecond
+	// pacePrior is the weight of the usual pace, 1, against reports.
+	pacePrior = 4.0
+	// minPace and maxPace bound a reported pace, as a factor.
+	minPace, maxPace = 0.1, 20.0
+)
+
+// service is the state of a service. It is a pure function of observations and times, without a lock.
+type service struct {
+	upstreams map[ident.UpstreamID]*upstream
+	models    map[ident.ModelID]*model
+	// idle and running are the logarithms of these delays in ms.
+	idle, running mean
+	refreshed     int64
+	scratch       []point
+}
+
+// model is what the upstreams of a service have in common for one model.
+type model struct {
+	id     ident.ModelID
+	factor float64
+	// prompt is the level of the logarithm of ms per prompt token, steps of ms per step; seen tells which steps have evidence.
+	prompt     float64
+	promptSeen bool
+	steps      [bands]float64
+	seen       [bands]bool
+}
+
+// upstream is the state of one upstream.
+type upstream struct {
+	cells []cell
+	slots int
+	// running and reportedAt are from the last report, usualPace is the mean of the logarithms of reported paces.
+	running    int
+	reportedAt int64
+	pace       float64
+	usualPace  mean
+	// factor is the logarithm of the factor.
+	factor     float64
+	observedAt int64
+	trialAt    int64
+}
+
+// cell holds the observations of one model at one upstream.
+type cell struct {
+	model  *model
+	prompt mean
+	steps  [bands]mean
+	knee   int // first band from which steps are markedly slower; bands if there is none
+	// unshared holds the observations of this instance since the last exchange, the first of which was made at since.
+	unshared observed
+	since    int64
+	latest   int64
+}
+
+// observed are sums of observations.
+type observed struct {
+	prompt, idle, running sum
+	steps                 [bands]sum
+}
+
+func newService() *service {
+	return &service{upstreams: map[ident.UpstreamID]*upstream{}, models: map[ident.ModelID]*model{}}
+}
+
+// cell returns the cell of a target; nil if the bound is reached and there is none.
+func (s *service) cell(t *Target, room bool) (*upstream, *cell) {
+	u := s.upstreams[t.Upstream]
+	if u == nil {
+		if !room {
+			return nil, nil
+		}
+		u = &upstream{}
+		s.upstreams[t.Upstream] = u
+	}
+	if t.Slots > 0 {
+		u.slots = min(t.Slots, maxSlots)
+	}
+	for i := range u.cells {
+		if u.cells[i].model.id == t.Model {
+			return u, &u.cells[i]
+		}
+	}
+	m := s.model(t)
+	if m == nil {
+		return u, nil
+	}
+	u.cells = append(u.cells, cell{model: m, knee: bands})
+	return u, &u.cells[len(u.cells)-1]
+}
+
+// model returns the level of a target's model; nil if there are too many models.
+func (s *service) model(t *Target) *model {
+	if m := s.models[t.Model]; m != nil {
+		return m
+	}
+	if len(s.models) >= maxModels {
+		return nil
+	}
+	m := &model{id: t.Model, factor: factorOf(t.Factor)}
+	s.models[t.Model] = m
+	s.level(m, t.Slots, 0)
+	return m
+}
+
+// observePrompt takes the first event of a response. The time is explained by the delay of an idle upstream, that of the
+// running requests, the prompts ahead and the own prompt. What differs from the prediction is attributed to each
+// quantity by its part of the prediction: short prompts show the delay, long ones the rate, and a request behind
+// a long queue shows neither.
+func (s *service) observePrompt(t *Target, o *PromptObservation, now int64, room bool) bool {
+	s.refresh(now)
+	u, c := s.cell(t, room)
+	if c == nil {
+		return false
+	}
+	took := o.Took.Seconds() * 1000
+	if !(took > 0) || o.Tokens < 0 || !(o.Ahead >= 0) || math.IsInf(o.Ahead, 0) {
+		return false
+	}
+	u.observedAt = max(u.observedAt, now)
+	if o.Waiting > 0 {
+		// The request may have waited behind others of which the prediction doesn't know.
+		return false
+	}
+	pace := u.relativePace(now)
+	perToken := math.Exp(u.promptLog(c, now))
+	idle, run := s.idleMs(), s.runningMs()*float64(min(max(o.Running, 0), maxSlots))
+	own, ahead := float64(o.Tokens)*perToken*pace, o.Ahead*perToken*pace
+	all := idle + run + own + ahead
+	if ahead > maxAheadShare*all {
+		return false
+	}
+	r := min(max(math.Log(took/all), -maxResidual), maxResidual)
+	i, n, w := idle/all, run/all, own/all
+	// norm makes the changes of all quantities together explain the difference, as far as it is not that of the queue.
+	norm := i*i + n*n + w*w
+	if w >= minShare {
+		x := u.promptLog(c, now) + r*w/norm
+		x = min(max(x, -math.Log(MaxPromptRate)), -math.Log(MinPromptRate))
+		x = c.prompt.add(x, w*w, now)
+		c.note(now)
+		c.unshared.prompt.add(x, w*w)
+	}
+	if i >= minShare {
+		x := clampLog(idle*math.Exp(r*i/norm), MinIdle, MaxIdle)
+		x = s.idle.add(x, i*i, now)
+		c.note(now)
+		c.unshared.idle.add(x, i*i)
+	}
+	if n >= minShare {
+		x := clampLog(s.runningMs()*math.Exp(r*n/norm), MinRunning, MaxRunning)
+		x = s.running.add(x, n*n, now)
+		c.note(now)
+		c.unshared.running.add(x, n*n)
+	}
+	return true
+}
+
+// maxResidual bounds how far one observation may be from the prediction, as a logarithm: a factor of 7.4.
+const maxResidual = 2.0
+
+// observeStep takes the interval between two events.
+func (s *service) observeStep(t *Target, o *StepObservation, now int64, room bool) bool {
+	s.refresh(now)
+	u, c := s.cell(t, room)
+	if c == nil {
+		return false
+	}
+	took := o.Took.Seconds() * 1000
+	if !(took > 0) || o.Tokens <= 0 || o.Tokens > MaxEventTokens {
+		return false
+	}
+	n := o.Running
+	if n <= 0 {
+		if u.reportedAt == 0 || now-u.reportedAt > int64(loadTTL) {
+			return false
+		}
+		n = u.running
+	}
+	u.observedAt = max(u.observedAt, now)
+	b := band(n, u.slots)
+	x := clampLog(took/float64(o.Tokens)/u.relativePace(now), MinStep, MaxStep)
+	x = c.steps[b].add(x, stepWeight, now)
+	c.note(now)
+	c.unshared.steps[b].add(x, stepWeight)
+	return true
+}
+
+// note records that the cell has something to share.
+func (c *cell) note(now int64) {
+	if c.since == 0 {
+		c.since = now
+	}
+	c.latest = max(c.latest, now)
+}
+
+// report takes the load that an upstream reported.
+func (u *upstream) report(l call.Load, at int64) {
+	if at < u.reportedAt {
+		return
+	}
+	u.running, u.reportedAt = min(max(l.Running, 0), maxSlots), at
+	if l.Slots > 0 {
+		u.slots = min(l.Slots, maxSlots)
+	}
+	u.pace = 0
+	if l.Pace > 0 {
+		u.pace = clampLog(float64(l.Pace)/100, minPace, maxPace)
+		u.usualPace.add(u.pace, 1, at)
+	}
+}
+
+// relativePace returns how many times longer than usual at this upstream work takes, as it reported; 1 without a fresh report.
+// It is relative to what the upstream usually reports: one that always reports 180 is slow, not disturbed.
+func (u *upstream) relativePace(now int64) float64 {
+	if u.usualPace.weight == 0 || u.reportedAt == 0 || now-u.reportedAt > int64(PaceTTL) {
+		return 1
+	}
+	w := u.usualPace.weightAt(now)
+	return math.Exp(u.pace - u.usualPace.value*w/(w+pacePrior))
+}
+
+// promptLog returns the logarithm of ms per prompt token.
+func (u *upstream) promptLog(c *cell, now int64) float64 {
+	x := c.model.prompt + u.factor
+	w := c.prompt.weightAt(now)
+	x += (c.prompt.value - x) * w / (w + ownShrink)
+	return min(max(x, -math.Log(MaxPromptRate)), -math.Log(MinPromptRate))
+}
+
+// stepLog returns the logarithm of ms per step in a band.
+func (u *upstream) stepLog(c *cell, b int, now int64) float64 {
+	x := c.model.steps[b] + u.factor
+	w := c.steps[b].weightAt(now)
+	x += (c.steps[b].value - x) * w / (w + ownShrink)
+	return min(max(x, math.Log(MinStep)), math.Log(MaxStep))
+}
+
+func (s *service) idleMs() float64 {
+	return withPrior(&s.idle, priorIdle)
+}
+
+func (s *service) runningMs() float64 {
+	return withPrior(&s.running, priorRunning)
+}
+
+// withPrior returns the exponential of a mean that a prior of weight priorWeight is part of. Its evidence doesn't age: the
+// latest is better than the prior.
+func withPrior(m *mean, prior float64) float64 {
+	p := math.Log(prior)
+	return math.Exp(p + (m.value-p)*m.weight/(m.weight+priorWeight))
+}
+
+// point is an observation of one upstream, with its weight, of which a median is taken.
+type point struct{ value, weight float64 }
+
+// refresh calculates the levels of the service, and the factors and knees of its upstreams.
+func (s *service) refresh(now int64) {
+	if s.refreshed != 0 && now-s.refreshed < int64(refreshInterval) && now >= s.refreshed {
+		return
+	}
+	s.refreshed = now
+	slots := 0
+	for _, u := range s.upstreams {
+		slots = max(slots, u.slots)
+	}
+	for _, m := range s.models {
+		s.level(m, slots, now)
+	}
+	for _, u := range s.upstreams {
+		u.update(now)
+	}
+}
+
+// level calculates what the upstreams have in common for a model: the median, so that some slow upstreams don't change what
+// is usual, while a change of more than half of them does.
+func (s *service) level(m *model, slots int, now int64) {
+	shift := s.shift(m, now)
+	prior := math.Log(m.factor/priorPromptRate) + shift
+	var ok bool
+	m.prompt, ok = s.median(m, now, prior, func(c *cell) *mean { return &c.prompt })
+	m.promptSeen = ok
+	near := math.NaN()
+	for b := range bands {
+		p := priorStepLog(b, slots, m.factor)
+		m.steps[b], m.seen[b] = s.median(m, now, p+shift, func(c *cell) *mean { return &c.steps[b] })
+		if m.seen[b] {
+			near = m.steps[b] - p
+		} else if !math.IsNaN(near) {
+			m.steps[b] = p + near
+		}
+	}
+	near = math.NaN()
+	for b := bands - 1; b >= 0; b-- {
+		p := priorStepLog(b, slots, m.factor)
+		if m.seen[b] {
+			near = m.steps[b] - p
+		} else if !math.IsNaN(near) && !slices.Contains(m.seen[:b], true) {
+			m.steps[b] = p + near
+		}
+	}
+}
+
+// shift returns how far the prompts of other models of the service are from their priors, which is the best prior of a model
+// without observations.
+func (s *service) shift(m *model, _ int64) float64 {
+	n, x := 0.0, 0.0
+	for _, o := range s.models {
+		if o != m && o.promptSeen {
+			x += o.prompt - math.Log(o.factor/priorPromptRate)
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return x / n
+}
+
+// median returns the weighted median of a mean over the upstreams, with a prior, and whether any has evidence.
+func (s *service) median(m *model, now int64, prior float64, of func(c *cell) *mean) (float64, bool) {
+	s.scratch = append(s.scratch[:0], point{prior, 0})
+	all := 0.0
+	for _, u := range s.upstreams {
+		for i := range u.cells {
+			c := &u.cells[i]
+			if c.model != m {
+				continue
+			}
+			x := of(c)
+			if w := min(x.weightAt(now), levelCap); w >= minEvidence {
+				s.scratch = append(s.scratch, point{x.value, w})
+				all += w
+			}
+		}
+	}
+	if all == 0 {
+		return prior, false
+	}
+	v := weightedMedian(s.scratch[1:], all)
+	return prior + (v-prior)*all/(all+priorWeight), true
+}
+
+// weightedMedian returns the median of points whose weights sum up to all, interpolated between neighbours.
+func weightedMedian(ps []point, all float64) float64 {
+	slices.SortFunc(ps, func(a, b point) int {
+		switch {
+		case a.value < b.value:
+			return -1
+		case a.value > b.value:
+			return 1
+		}
+		return 0
+	})
+	sum := 0.0
+	for i, p := range ps {
+		center := sum + p.weight/2
+		if center >= all/2 {
+			if i == 0 {
+				return p.value
+			}
+			q := ps[i-1]
+			before := sum - q.weight/2
+			return q.value + (p.value-q.value)*(all/2-before)/(center-before)
+		}
+		sum += p.weight
+	}
+	return ps[len(ps)-1].value
+}
+
+// update calculates the upstream's factor and knees.
+func (u *upstream) update(now int64) {
+	n, x := 0.0, 0.0
+	for i := range u.cells {
+		c := &u.cells[i]
+		if w := c.prompt.weightAt(now); c.model.promptSeen && w > 0 {
+			n += w
+			x += w * (c.prompt.value - c.model.prompt)
+		}
+		// Steps beyond the knee say how full the upstream is.
+		for b := range c.knee {
+			if w := c.steps[b].weightAt(now); c.model.seen[b] && w > 0 {
+				n += w
+				x += w * (c.steps[b].value - c.model.steps[b])
+			}
+		}
+	}
+	u.factor = min(max(x/(n+factorShrink), math.Log(MinFactor)), math.Log(MaxFactor))
+	for i := range u.cells {
+		u.cells[i].knee = u.kneeBand(&u.cells[i], now)
+	}
+}
+
+// estimate returns what is expected of a target.
+func (s *service) estimate(t *Target, now int64) Estimate {
+	s.refresh(now)
+	u := s.upstreams[t.Upstream]
+	if u == nil {
+		u = &upstream{slots: t.Slots}
+	}
+	var c *cell
+	for i := range u.cells {
+		if u.cells[i].model.id == t.Model {
+			c = &u.cells[i]
+		}
+	}
+	if c == nil {
+		m := s.models[t.Model]
+		if m == nil {
+			m = &model{id: t.Model, factor: factorOf(t.Factor)}
+			s.level(m, u.slots, now)
+		}
+		c = &cell{model: m, knee: bands}
+		c.knee = u.kneeBand(c, now)
+	}
+	e := Estimate{
+		PromptRate: math.Exp(-u.promptLog(c, now)), Idle: s.idleMs(), Running: s.runningMs(), Factor: math.Exp(u.factor),
+		Pace: u.relativePace(now), slots: u.slots, Confidence: Confidence{Age: -1},
+	}
+	for b := range bands {
+		e.steps[b] = math.Exp(u.stepLog(c, b, now))
+		e.Confidence.Observations += c.steps[b].weightAt(now)
+	}
+	e.Confidence.Observations += c.prompt.weightAt(now)
+	if u.observedAt != 0 {
+		e.Confidence.Age = time.Duration(max(now-u.observedAt, 0))
+	}
+	e.Knee = u.slots
+	if c.knee < bands && u.slots > 0 {
+		e.Knee = max(c.knee*u.slots/bands, 1)
+	}
+	return e
+}
