feat(speed): exchange the observed speeds between routers

Cause: one router has too little traffic to tell the upstreams apart in seconds. Change: samples carry summaries, identified by origin and sequence so that each counts once in any order; levels and factors are fitted alternately; outliers are clipped; metrics slow_upstreams, untried_upstreams, speed_observations_total and speed_skipped_total. The model of a knee uses the upstream's own bands. Evidence: go test ./speed ./share; the property test of bounds found an endless loop on a large sequence, an overflow of running requests and one of ages, all fixed. Conclusion: Registry.Estimate can be used with the traffic of all routers.

--- a/router/boot/boot.go
+++ b/router/boot/boot.go
@@ -252,7 +252,7 @@
 }
 
 // newMeter returns metrics that read the state of the other components when they are scraped.
-func newMeter(n *mirror.Syncer, g *front.Gate, o *gossip.Exchanger, t *notice.Registry, q *poison.Registry, w *late.Meter, k *uplink.Meter) *meter.Meter {
+func newMeter(n *mirror.Syncer, g *front.Gate, o *gossip.Exchanger, t *notice.Registry, q *poison.Registry, d *speed.Registry, w *late.Meter, k *uplink.Meter) *meter.Meter {
 	age := func() float64 {
 		a, ok := n.ConfigAge()
 		if !ok {
@@ -272,6 +272,11 @@
 		LinkBacklog:      func() float64 { return float64(k.State().Backlog()) },
 		LinkDelay:        func() float64 { return k.State().Delay().Seconds() },
 		FullEpisodes:     func() float64 { return float64(k.Episodes()) },
+
+		SlowUpstreams:     func() float64 { return float64(d.Stats(time.Now()).Slow) },
+		UntriedUpstreams:  func() float64 { return float64(d.Stats(time.Now()).Stale) },
+		SpeedObservations: func() float64 { return float64(d.Stats(time.Now()).Observations) },
+		SpeedSkipped:      func() float64 { return float64(d.Stats(time.Now()).Skipped) },
 	})
 }
 
--- a/router/boot/share.go
+++ b/router/boot/share.go
@@ -20,6 +20,7 @@
 	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/setup"
 	"tarragonvalve.example/router/share"
+	"tarragonvalve.example/router/speed"
 )
 
 // newPeerClients returns clients for the peers that this instance asks for the store's
@@ -67,28 +68,60 @@
 	return x
 }
 
-// judgedSamples passes the samples of this instance and of others to the canary analysis.
+// judgedSamples passes the samples of this instance and of others to the canary analysis, and exchanges what is observed of
+// the speed of upstreams with them.
 type judgedSamples struct {
 	*place.Balancer
+	speeds  *speed.Registry
+	domain  ident.DomainID
 	monitor *canary.Monitor
 	syncer  *mirror.Syncer
 }
 
-func newJudgedSamples(b *place.Balancer, w *canary.Monitor, n *mirror.Syncer) judgedSamples {
-	return judgedSamples{Balancer: b, monitor: w, syncer: n}
+func newJudgedSamples(s *setup.Settings, b *place.Balancer, d *speed.Registry, w *canary.Monitor, n *mirror.Syncer) judgedSamples {
+	return judgedSamples{Balancer: b, speeds: d, domain: s.Domain, monitor: w, syncer: n}
 }
 
 // DrainSamples implements gossip.SampleStore.
 func (j judgedSamples) DrainSamples() []place.Sample {
 	ss := j.Balancer.DrainSamples()
-	j.judge(ss, time.Now())
-	return ss
+	now := time.Now()
+	j.judge(ss, now)
+	return j.withSpeeds(ss, now)
 }
 
 // MergeSamples implements gossip.SampleStore.
 func (j judgedSamples) MergeSamples(ss []place.Sample, now time.Time) {
 	j.Balancer.MergeSamples(ss, now)
 	j.judge(ss, now)
+	for _, s := range ss {
+		if s.HasLoad {
+			j.speeds.Reported(s.Upstream, s.Load, s.At)
+		}
+		j.speeds.MergeSummaries(s.Upstream, s.Speed, now)
+	}
+}
+
+// withSpeeds adds the summaries that are due to the samples of their upstreams.
+func (j judgedSamples) withSpeeds(ss []place.Sample, now time.Time) []place.Sample {
+	due := j.speeds.DrainSummaries(now)
+	if len(due) == 0 {
+		return ss
+	}
+	at := make(map[ident.UpstreamID]int, len(ss))
+	for i, s := range ss {
+		at[s.Upstream] = i
+	}
+	for _, x := range due {
+		i, ok := at[x.Upstream]
+		if !ok {
+			i = len(ss)
+			at[x.Upstream] = i
+			ss = append(ss, place.Sample{Upstream: x.Upstream, Domain: j.domain, At: now})
+		}
+		ss[i].Speed = append(ss[i].Speed, x.Summary)
+	}
+	return ss
 }
 
 // judge passes on the samples of services with a roll-out in progress.
--- a/router/meter/meter.go
+++ b/router/meter/meter.go
@@ -59,6 +59,10 @@
 	// LinkBacklog is the number of bytes that wait for the link, LinkDelay how long they make a message wait, in seconds,
 	// and FullEpisodes how often the link has become full.
 	LinkBacklog, LinkDelay, FullEpisodes func() float64
+	// SlowUpstreams and UntriedUpstreams are the numbers of upstreams that take markedly longer than the median of their service,
+	// and of those of which nothing has been observed for some time. SpeedObservations and SpeedSkipped count observations of
+	// the speed of upstreams that were used and that could not be.
+	SlowUpstreams, UntriedUpstreams, SpeedObservations, SpeedSkipped func() float64
 }
 
 // New returns metrics at zero that read r.
@@ -141,6 +145,18 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: namespace, Name: "link_full_total", Help: "Times at which the link has become full.",
 		}, r.FullEpisodes),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "slow_upstreams", Help: "Upstreams of engine services that take at least 1.25 times as long as the median of their service.",
+		}, r.SlowUpstreams),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "untried_upstreams", Help: "Upstreams of which no router has observed the speed for 6 s.",
+		}, r.UntriedUpstreams),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "speed_observations_total", Help: "First events and intervals between events from which the speed of upstreams was learned.",
+		}, r.SpeedObservations),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "speed_skipped_total", Help: "First events and intervals that say nothing of the speed of upstreams, such as those of requests behind a long queue.",
+		}, r.SpeedSkipped),
 	}
 }
 
--- a/router/place/sample.go
+++ b/router/place/sample.go
@@ -6,6 +6,7 @@
 
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/router/call"
+	"tarragonvalve.example/router/speed"
 )
 
 // Sample aggregates observations of one upstream.
@@ -26,6 +27,8 @@
 	// clients in some failure domains.
 	Successes, Failures int
 	Domain              ident.DomainID
+	// Speed holds what instances observed of the upstream's speed.
+	Speed []speed.Summary
 	// At is the time of the newest observation.
 	At time.Time
 }
@@ -44,6 +47,7 @@
 	if !o.HasLoad {
 		o.Load, o.HasLoad = s.Load, s.HasLoad
 	}
+	o.Speed = speed.MergeSummaries(s.Speed, o.Speed)
 	if len(s.Prefixes) > 0 {
 		all := slices.Concat(s.Prefixes, o.Prefixes)
 		o.Prefixes = all[max(len(all)-maxSamplePrefixes, 0):]
--- a/router/relay/speed.go
+++ b/router/relay/speed.go
@@ -28,10 +28,10 @@
 	n := t.Meta.Input
 	if p := t.Meta.Prefix; c.CacheHit && len(p) > 1 {
 		for _, x := range p[:len(p)-1] {
-			n -= x.Tokens
+			n -= min(x.Tokens, n)
 		}
 	}
-	return max(n, 0)
+	return n
 }
 
 // intervals measures the times of an attempt's events for the speed of its upstream. What arrives while this
--- a/router/share/exchange.go
+++ b/router/share/exchange.go
@@ -95,8 +95,9 @@
 		for _, p := range s.Prefixes {
 			m.Prefixes = append(m.Prefixes, uint64(p))
 		}
+		m.Speed = encodeSpeed(s.Speed, now)
 		if s.HasLoad {
-			m.Load = &Load{Running: uint32(s.Load.Running), Waiting: uint32(s.Load.Waiting), Slots: uint32(s.Load.Slots)}
+			m.Load = &Load{Running: uint32(s.Load.Running), Waiting: uint32(s.Load.Waiting), Slots: uint32(s.Load.Slots), Pace: uint32(s.Load.Pace)}
 		}
 		out = append(out, m)
 	}
@@ -114,9 +115,10 @@
 		for _, p := range m.GetPrefixes() {
 			s.Prefixes = append(s.Prefixes, place.Prefix(p))
 		}
+		s.Speed = decodeSpeed(m.GetSpeed(), now)
 		if l := m.GetLoad(); l != nil {
 			s.HasLoad = true
-			s.Load = call.Load{Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Slots: int(l.GetSlots())}
+			s.Load = call.Load{Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), Slots: int(l.GetSlots()), Pace: int(l.GetPace())}
 		}
 		out = append(out, s)
 	}
--- a/router/speed/knee.go
+++ b/router/speed/knee.go
@@ -6,30 +6,47 @@
 	// kneeRise is how much longer than the line through the steps below it a step must take to be markedly slower. Steps
 	// get longer with each running request anyway, which the line contains.
 	kneeRise = 1.3
-	// kneeEvidence is the weight that a band needs to be compared: 8 intervals.
+	// kneeEvidence is the weight that an upstream's band needs to be compared, 8 intervals, and kneeAbove the weight that those
+	// from the knee on need together, so that one stream in a disturbed period makes no knee.
 	kneeEvidence = 2.0
-	// maxGrowth bounds the relative growth of a step with each running request that counts as usual.
-	maxGrowth = 0.05
+	kneeAbove    = 6.0
+	// ownBands is the number of bands with evidence from which an upstream's knee is found from these alone. With fewer, those
+	// of the other upstreams of the service stand for the rest.
+	ownBands = 4
+	// maxGrowth bounds the relative growth of a step with each running request that counts as usual: a step that takes twice
+	// as long with 50. A steeper line would take the knee for the usual growth.
+	maxGrowth = 0.02
 )
 
-// kneeBand returns the first band from which steps are markedly slower than the line through those below, or bands. A band in
-// which the upstream has no evidence is taken from the other upstreams of the service.
+// curve holds the times of a step by band with their weights; a weight of 0 means unknown.
+type curve struct {
+	times, weights [bands]float64
+	slots          int
+}
+
+// kneeBand returns the first band from which steps are markedly slower than the line through those below, or bands.
 func (u *upstream) kneeBand(c *cell, now int64) int {
-	var ys [bands]float64
-	var known [bands]bool
+	own := curve{slots: u.slots}
+	n := 0
 	for b := range bands {
-		if c.model.seen[b] || c.steps[b].weightAt(now) >= kneeEvidence {
-			known[b] = true
-			ys[b] = math.Exp(u.stepLog(c, b, now))
+		if w := c.steps[b].weightAt(now); w >= kneeEvidence {
+			own.times[b], own.weights[b] = math.Exp(c.steps[b].value), w
+			n++
+		}
+	}
+	if n < ownBands {
+		for b := range bands {
+			if own.weights[b] == 0 && c.model.seen[b] {
+				own.times[b], own.weights[b] = math.Exp(c.model.steps[b]+u.factor), kneeAbove
+			}
 		}
 	}
 	for k := 1; k < bands; k++ {
-		if !known[k] {
+		if own.weights[k] == 0 {
 			continue
 		}
-		l, ok := fitLine(ys[:k], known[:k], u.slots)
-		if ok && l.below(ys[:], known[:], k, u.slots) {
-			return k
+		if l, ok := own.fitLine(k); ok && own.above(l, k) {
+			return (own.lastBelow(k) + 1 + k) / 2
 		}
 	}
 	return bands
@@ -38,12 +55,19 @@
 // line is the time of a step by the number of running requests.
 type line struct{ base, slope float64 }
 
-// fitLine returns the line through the known bands; false if fewer than two are known.
-func fitLine(ys []float64, known []bool, slots int) (line, bool) {
+// lastBelow returns the last known band below k. Between it and k the knee may be anywhere.
+func (c *curve) lastBelow(k int) int {
+	for k--; k > 0 && c.weights[k] == 0; k-- {
+	}
+	return k
+}
+
+// fitLine returns the line through the known bands below k; false if fewer than two are known.
+func (c *curve) fitLine(k int) (line, bool) {
 	var n, sx, sy, sxx, sxy float64
-	for b, y := range ys {
-		if known[b] {
-			x := middle(b, slots)
+	for b := range k {
+		if c.weights[b] > 0 {
+			x, y := middle(b, c.slots), c.times[b]
 			n++
 			sx += x
 			sy += y
@@ -59,12 +83,14 @@
 	return line{base: (sy - slope*sx) / n, slope: slope}, true
 }
 
-// below reports whether all known bands from k on are markedly above the line.
-func (l line) below(ys []float64, known []bool, k, slots int) bool {
+// above reports whether all known bands from k on are markedly above the line, with enough evidence.
+func (c *curve) above(l line, k int) bool {
+	all := 0.0
 	for b := k; b < bands; b++ {
-		if known[b] && ys[b] < kneeRise*(l.base+l.slope*middle(b, slots)) {
+		if c.weights[b] > 0 && c.times[b] < kneeRise*(l.base+l.slope*middle(b, c.slots)) {
 			return false
 		}
+		all += c.weights[b]
 	}
-	return true
+	return all >= kneeAbove
 }
--- a/router/speed/registry.go
+++ b/router/speed/registry.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -24,13 +26,18 @@
 	// serviceOf is the service of each listed upstream.
 	serviceOf map[ident.UpstreamID]ident.ServiceID
 	count     int // number of upstreams in all services
-	stats     Stats
+	// origin and sequence identify the next summary of this instance.
+	origin, sequence uint64
+	seen             seenSet
+	stats            Stats
 }
 
 // Stats counts what a registry has taken.
 type Stats struct {
 	// Observations were counted, Skipped could not be: queued behind too much, or without a reported load.
 	Observations, Skipped uint64
+	// Merged is the number of summaries of other instances that were added.
+	Merged uint64
 	// Upstreams is the number of upstreams of which anything is known, Stale how many of them are due for a trial, and
 	// Slow how many take at least 1.25 times as long as the median of their service.
 	Upstreams, Stale, Slow int
@@ -41,7 +48,7 @@
 
 // NewRegistry returns a registry without observations.
 func NewRegistry() *Registry {
-	return &Registry{services: map[ident.ServiceID]*service{}, serviceOf: map[ident.UpstreamID]ident.ServiceID{}}
+	return &Registry{services: map[ident.ServiceID]*service{}, serviceOf: map[ident.UpstreamID]ident.ServiceID{}, origin: rand.Uint64(), seen: seenSet{}}
 }
 
 // Prompt records the first event of a response.
@@ -116,10 +123,7 @@
 		}
 	}
 	slices.SortFunc(ids[from:], func(a, b ident.UpstreamID) int {
-		if c := cmp.Compare(s.upstreams[a].observedAt, s.upstreams[b].observedAt); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
+		return cmp.Or(cmp.Compare(s.upstreams[a].tried(), s.upstreams[b].tried()), cmp.Compare(a, b))
 	})
 	return ids
 }
@@ -134,9 +138,12 @@
 }
 
 func (u *upstream) stale(now int64) bool {
-	return now-max(u.observedAt, u.trialAt) >= int64(staleAfter)
+	return now-u.tried() >= int64(staleAfter)
 }
 
+// tried returns the time of the latest observation or trial.
+func (u *upstream) tried() int64 { return max(u.observedAt, u.trialAt) }
+
 // UpdateUpstreams takes the list of upstreams and drops what is known of others. Listed ones without observations are kept as
 // such, so that they are due for a trial.
 func (r *Registry) UpdateUpstreams(l *fleet.List) {
@@ -188,7 +195,7 @@
 			if u.stale(now.UnixNano()) {
 				x.Stale++
 			}
-			if u.factor >= slowLog {
+			if u.factor >= math.Log(slowFactor) {
 				x.Slow++
 			}
 		}
@@ -196,9 +203,6 @@
 	return x
 }
 
-// slowLog is the logarithm of slowFactor.
-const slowLog = 0.2231
-
 // service returns the state of a service; nil if there are too many.
 func (r *Registry) service(id ident.ServiceID) *service {
 	s := r.services[id]
--- a/router/speed/service.go
+++ b/router/speed/service.go
@@ -16,14 +16,19 @@
 	priorWeight = 1.0
 	// levelCap bounds the weight of one upstream in the service's median, so that busy ones don't decide it alone.
 	levelCap = 8.0
-	// factorShrink and ownShrink are the weights with which an upstream's factor is drawn to 1, and its own times to those
-	// that follow from its factor.
-	factorShrink = 2.0
-	ownShrink    = 6.0
+	// factorShrink, ownShrink and ownStepShrink are the weights with which an upstream's factor is drawn to 1, and its own
+	// times of prompts and steps to those that follow from its factor. Some upstreams get slower earlier than others, which
+	// the factor doesn't contain, so few intervals of an upstream outweigh it.
+	factorShrink  = 1.0
+	ownShrink     = 6.0
+	ownStepShrink = 2.0
 	// stepWeight is the weight of an interval between two events: those of one stream are alike.
 	stepWeight = 0.25
 	// minEvidence is the weight from which a mean is used at all.
 	minEvidence = 0.2
+	// minBandEvidence is the weight of all upstreams together from which the steps in a band are known: 16 intervals. Those of
+	// one stream don't suffice.
+	minBandEvidence = 4.0
 	// minShare is the least part of the predicted time that a quantity must make up for an observation to count for it.
 	minShare = 0.1
 	// maxAheadShare is the largest part of the predicted time that may have been spent behind other prompts. With more, the
@@ -33,16 +38,16 @@
 	loadTTL = 2 * time.Second
 	// PaceTTL is how long a reported pace is used; it changes many times a second.
 	PaceTTL = 400 * time.Millisecond
-	// pacePrior is the weight of the usual pace, 1, against reports.
-	pacePrior = 4.0
-	// minPace and maxPace bound a reported pace, as a factor.
-	minPace, maxPace = 0.1, 20.0
+	// pacePrior is the weight of the usual pace, 1, against reports of paceWeight each: 40 reports. Those of one disturbed
+	// period, 20 at a busy upstream, mustn't make it usual.
+	pacePrior  = 4.0
+	paceWeight = 0.1
 )
 
 // service is the state of a service. It is a pure function of observations and times, without a lock.
 type service struct {
 	upstreams map[ident.UpstreamID]*upstream
-	models    map[ident.ModelID]*model
+	models    []*model
 	// idle and running are the logarithms of these delays in ms.
 	idle, running mean
 	refreshed     int64
@@ -69,10 +74,10 @@
 	reportedAt int64
 	pace       float64
 	usualPace  mean
-	// factor is the logarithm of the factor.
-	factor     float64
-	observedAt int64
-	trialAt    int64
+	// factor is the logarithm of the factor, evidence the weight of the observations in it.
+	factor, evidence float64
+	observedAt       int64
+	trialAt          int64
 }
 
 // cell holds the observations of one model at one upstream.
@@ -85,16 +90,17 @@
 	unshared observed
 	since    int64
 	latest   int64
+	weight   float64 // of the observations that are not shared
 }
 
 // observed are sums of observations.
 type observed struct {
-	prompt, idle, running sum
-	steps                 [bands]sum
+	prompt, idle, running Mean
+	steps                 [bands]Mean
 }
 
 func newService() *service {
-	return &service{upstreams: map[ident.UpstreamID]*upstream{}, models: map[ident.ModelID]*model{}}
+	return &service{upstreams: map[ident.UpstreamID]*upstream{}}
 }
 
 // cell returns the cell of a target; nil if the bound is reached and there is none.
@@ -125,18 +131,28 @@
 
 // model returns the level of a target's model; nil if there are too many models.
 func (s *service) model(t *Target) *model {
-	if m := s.models[t.Model]; m != nil {
+	if m := s.known(t.Model); m != nil {
 		return m
 	}
 	if len(s.models) >= maxModels {
 		return nil
 	}
 	m := &model{id: t.Model, factor: factorOf(t.Factor)}
-	s.models[t.Model] = m
+	s.models = append(s.models, m)
 	s.level(m, t.Slots, 0)
 	return m
 }
 
+// known returns the level of a model, or nil.
+func (s *service) known(id ident.ModelID) *model {
+	for _, m := range s.models {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
 // observePrompt takes the first event of a response. The time is explained by the delay of an idle upstream, that of the
 // running requests, the prompts ahead and the own prompt. What differs from the prediction is attributed to each
 // quantity by its part of the prediction: short prompts show the delay, long ones the rate, and a request behind
@@ -148,7 +164,7 @@
 		return false
 	}
 	took := o.Took.Seconds() * 1000
-	if !(took > 0) || o.Tokens < 0 || !(o.Ahead >= 0) || math.IsInf(o.Ahead, 0) {
+	if !(took > 0) || !(o.Ahead >= 0) || math.IsInf(o.Ahead, 0) {
 		return false
 	}
 	u.observedAt = max(u.observedAt, now)
@@ -157,9 +173,10 @@
 		return false
 	}
 	pace := u.relativePace(now)
-	perToken := math.Exp(u.promptLog(c, now))
-	idle, run := s.idleMs(), s.runningMs()*float64(min(max(o.Running, 0), maxSlots))
-	own, ahead := float64(o.Tokens)*perToken*pace, o.Ahead*perToken*pace
+	tokenLog, idleLog, runningLog := u.promptLog(c, now), withPrior(&s.idle, idleLimits), withPrior(&s.running, runningLimits)
+	perToken := math.Exp(tokenLog) * pace
+	idle, run := math.Exp(idleLog), math.Exp(runningLog)*float64(min(max(o.Running, 0), maxSlots))
+	own, ahead := float64(o.Tokens)*perToken, o.Ahead*perToken
 	all := idle + run + own + ahead
 	if ahead > maxAheadShare*all {
 		return false
@@ -169,23 +186,19 @@
 	// norm makes the changes of all quantities together explain the difference, as far as it is not that of the queue.
 	norm := i*i + n*n + w*w
 	if w >= minShare {
-		x := u.promptLog(c, now) + r*w/norm
-		x = min(max(x, -math.Log(MaxPromptRate)), -math.Log(MinPromptRate))
-		x = c.prompt.add(x, w*w, now)
-		c.note(now)
+		x := c.prompt.add(tokenLimits.clamp(tokenLog+r*w/norm), w*w, now, promptClip)
 		c.unshared.prompt.add(x, w*w)
+		c.note(w*w, now)
 	}
 	if i >= minShare {
-		x := clampLog(idle*math.Exp(r*i/norm), MinIdle, MaxIdle)
-		x = s.idle.add(x, i*i, now)
-		c.note(now)
+		x := s.idle.add(idleLimits.clamp(idleLog+r*i/norm), i*i, now, promptClip)
 		c.unshared.idle.add(x, i*i)
+		c.note(0, now)
 	}
 	if n >= minShare {
-		x := clampLog(s.runningMs()*math.Exp(r*n/norm), MinRunning, MaxRunning)
-		x = s.running.add(x, n*n, now)
-		c.note(now)
+		x := s.running.add(runningLimits.clamp(runningLog+r*n/norm), n*n, now, promptClip)
 		c.unshared.running.add(x, n*n)
+		c.note(0, now)
 	}
 	return true
 }
@@ -213,15 +226,16 @@
 	}
 	u.observedAt = max(u.observedAt, now)
 	b := band(n, u.slots)
-	x := clampLog(took/float64(o.Tokens)/u.relativePace(now), MinStep, MaxStep)
-	x = c.steps[b].add(x, stepWeight, now)
-	c.note(now)
+	x := stepLimits.clamp(math.Log(took / float64(o.Tokens) / u.relativePace(now)))
+	x = c.steps[b].add(x, stepWeight, now, stepClip)
+	c.note(stepWeight, now)
 	c.unshared.steps[b].add(x, stepWeight)
 	return true
 }
 
-// note records that the cell has something to share.
-func (c *cell) note(now int64) {
+// note records that the cell has observations of a weight to share.
+func (c *cell) note(weight float64, now int64) {
+	c.weight += weight
 	if c.since == 0 {
 		c.since = now
 	}
@@ -239,8 +253,8 @@
 	}
 	u.pace = 0
 	if l.Pace > 0 {
-		u.pace = clampLog(float64(l.Pace)/100, minPace, maxPace)
-		u.usualPace.add(u.pace, 1, at)
+		u.pace = paceLimits.clamp(math.Log(float64(l.Pace) / 100))
+		u.usualPace.add(u.pace, paceWeight, 0, paceClip)
 	}
 }
 
@@ -250,8 +264,8 @@
 	if u.usualPace.weight == 0 || u.reportedAt == 0 || now-u.reportedAt > int64(PaceTTL) {
 		return 1
 	}
-	w := u.usualPace.weightAt(now)
-	return math.Exp(u.pace - u.usualPace.value*w/(w+pacePrior))
+	w := u.usualPace.weight
+	return math.Exp(paceLimits.clamp(u.pace - u.usualPace.value*w/(w+pacePrior)))
 }
 
 // promptLog returns the logarithm of ms per prompt token.
@@ -259,36 +273,28 @@
 	x := c.model.prompt + u.factor
 	w := c.prompt.weightAt(now)
 	x += (c.prompt.value - x) * w / (w + ownShrink)
-	return min(max(x, -math.Log(MaxPromptRate)), -math.Log(MinPromptRate))
+	return tokenLimits.clamp(x)
 }
 
 // stepLog returns the logarithm of ms per step in a band.
 func (u *upstream) stepLog(c *cell, b int, now int64) float64 {
 	x := c.model.steps[b] + u.factor
 	w := c.steps[b].weightAt(now)
-	x += (c.steps[b].value - x) * w / (w + ownShrink)
-	return min(max(x, math.Log(MinStep)), math.Log(MaxStep))
-}
-
-func (s *service) idleMs() float64 {
-	return withPrior(&s.idle, priorIdle)
-}
-
-func (s *service) runningMs() float64 {
-	return withPrior(&s.running, priorRunning)
+	x += (c.steps[b].value - x) * w / (w + ownStepShrink)
+	return stepLimits.clamp(x)
 }
 
-// withPrior returns the exponential of a mean that a prior of weight priorWeight is part of. Its evidence doesn't age: the
-// latest is better than the prior.
-func withPrior(m *mean, prior float64) float64 {
-	p := math.Log(prior)
-	return math.Exp(p + (m.value-p)*m.weight/(m.weight+priorWeight))
+// withPrior returns a mean that a prior of weight priorWeight is part of. Its evidence doesn't age: the latest is better than
+// the prior.
+func withPrior(m *mean, l limits) float64 {
+	return l.clamp(l.prior + (m.value-l.prior)*m.weight/(m.weight+priorWeight))
 }
 
 // point is an observation of one upstream, with its weight, of which a median is taken.
 type point struct{ value, weight float64 }
 
-// refresh calculates the levels of the service, and the factors and knees of its upstreams.
+// refresh calculates the levels of the service from the factors of its upstreams, and then their factors from the levels. Further
+// rounds of this fit follow in the next ones.
 func (s *service) refresh(now int64) {
 	if s.refreshed != 0 && now-s.refreshed < int64(refreshInterval) && now >= s.refreshed {
 		return
@@ -302,22 +308,51 @@
 		s.level(m, slots, now)
 	}
 	for _, u := range s.upstreams {
-		u.update(now)
+		u.updateFactor(now)
+	}
+	s.center()
+	for _, u := range s.upstreams {
+		for i := range u.cells {
+			u.cells[i].knee = u.kneeBand(&u.cells[i], now)
+		}
 	}
 }
 
-// level calculates what the upstreams have in common for a model: the median, so that some slow upstreams don't change what
-// is usual, while a change of more than half of them does.
+// center makes the median of the factors 1, as a common factor of all upstreams is the level's.
+func (s *service) center() {
+	s.scratch = s.scratch[:0]
+	all := 0.0
+	for _, u := range s.upstreams {
+		if u.evidence >= minEvidence {
+			w := min(u.evidence, levelCap)
+			s.scratch = append(s.scratch, point{u.factor, w})
+			all += w
+		}
+	}
+	if all == 0 {
+		return
+	}
+	m := weightedMedian(s.scratch, all)
+	for _, u := range s.upstreams {
+		if u.evidence > 0 {
+			u.factor = factorLimits.clamp(u.factor - m*u.evidence/(u.evidence+factorShrink))
+		}
+	}
+}
+
+// level calculates what the upstreams have in common for a model: the median without their factors, so that some slow
+// upstreams don't change what is usual, while a change of more than half of them does. The factors are left out, as slow
+// upstreams may be the only ones that run a number of requests.
 func (s *service) level(m *model, slots int, now int64) {
 	shift := s.shift(m, now)
 	prior := math.Log(m.factor/priorPromptRate) + shift
 	var ok bool
-	m.prompt, ok = s.median(m, now, prior, func(c *cell) *mean { return &c.prompt })
+	m.prompt, ok = s.median(m, now, prior, minEvidence, func(c *cell) *mean { return &c.prompt })
 	m.promptSeen = ok
 	near := math.NaN()
 	for b := range bands {
 		p := priorStepLog(b, slots, m.factor)
-		m.steps[b], m.seen[b] = s.median(m, now, p+shift, func(c *cell) *mean { return &c.steps[b] })
+		m.steps[b], m.seen[b] = s.median(m, now, p+shift, minBandEvidence, func(c *cell) *mean { return &c.steps[b] })
 		if m.seen[b] {
 			near = m.steps[b] - p
 		} else if !math.IsNaN(near) {
@@ -352,7 +387,7 @@
 }
 
 // median returns the weighted median of a mean over the upstreams, with a prior, and whether any has evidence.
-func (s *service) median(m *model, now int64, prior float64, of func(c *cell) *mean) (float64, bool) {
+func (s *service) median(m *model, now int64, prior, enough float64, of func(c *cell) *mean) (float64, bool) {
 	s.scratch = append(s.scratch[:0], point{prior, 0})
 	all := 0.0
 	for _, u := range s.upstreams {
@@ -363,12 +398,12 @@
 			}
 			x := of(c)
 			if w := min(x.weightAt(now), levelCap); w >= minEvidence {
-				s.scratch = append(s.scratch, point{x.value, w})
+				s.scratch = append(s.scratch, point{x.value - u.factor, w})
 				all += w
 			}
 		}
 	}
-	if all == 0 {
+	if all < enough {
 		return prior, false
 	}
 	v := weightedMedian(s.scratch[1:], all)
@@ -402,27 +437,38 @@
 	return ps[len(ps)-1].value
 }
 
-// update calculates the upstream's factor and knees.
-func (u *upstream) update(now int64) {
+// updateFactor calculates the upstream's factor from the levels.
+func (u *upstream) updateFactor(now int64) {
 	n, x := 0.0, 0.0
 	for i := range u.cells {
 		c := &u.cells[i]
-		if w := c.prompt.weightAt(now); c.model.promptSeen && w > 0 {
+		if w := u.factorWeight(&c.prompt, now); c.model.promptSeen && w > 0 {
 			n += w
 			x += w * (c.prompt.value - c.model.prompt)
 		}
 		// Steps beyond the knee say how full the upstream is.
 		for b := range c.knee {
-			if w := c.steps[b].weightAt(now); c.model.seen[b] && w > 0 {
+			if w := u.factorWeight(&c.steps[b], now); c.model.seen[b] && w > 0 {
 				n += w
 				x += w * (c.steps[b].value - c.model.steps[b])
 			}
 		}
 	}
-	u.factor = min(max(x/(n+factorShrink), math.Log(MinFactor)), math.Log(MaxFactor))
-	for i := range u.cells {
-		u.cells[i].knee = u.kneeBand(&u.cells[i], now)
+	u.evidence = n
+	u.factor = factorLimits.clamp(x / (n + factorShrink))
+}
+
+// supersededTime is the time constant with which a mean loses weight in the factor while others of the upstream get observations.
+// Without it a recovered upstream that gets a trial every 6 s counts by its many older means.
+const supersededTime = 4 * time.Second
+
+// factorWeight returns the weight of a mean in the factor.
+func (u *upstream) factorWeight(m *mean, now int64) float64 {
+	w := m.weightAt(now)
+	if w == 0 {
+		return 0
 	}
+	return w * math.Exp(-float64(max(u.observedAt-m.at, 0))/float64(supersededTime))
 }
 
 // estimate returns what is expected of a target.
@@ -430,7 +476,7 @@
 	s.refresh(now)
 	u := s.upstreams[t.Upstream]
 	if u == nil {
-		u = &upstream{slots: t.Slots}
+		u = &upstream{slots: min(max(t.Slots, 0), maxSlots)}
 	}
 	var c *cell
 	for i := range u.cells {
@@ -439,7 +485,7 @@
 		}
 	}
 	if c == nil {
-		m := s.models[t.Model]
+		m := s.known(t.Model)
 		if m == nil {
 			m = &model{id: t.Model, factor: factorOf(t.Factor)}
 			s.level(m, u.slots, now)
@@ -448,7 +494,7 @@
 		c.knee = u.kneeBand(c, now)
 	}
 	e := Estimate{
-		PromptRate: math.Exp(-u.promptLog(c, now)), Idle: s.idleMs(), Running: s.runningMs(), Factor: math.Exp(u.factor),
+		PromptRate: math.Exp(-u.promptLog(c, now)), Idle: math.Exp(withPrior(&s.idle, idleLimits)), Running: math.Exp(withPrior(&s.running, runningLimits)), Factor: math.Exp(u.factor),
 		Pace: u.relativePace(now), slots: u.slots, Confidence: Confidence{Age: -1},
 	}
 	for b := range bands {
--- a/router/speed/speed.go
+++ b/router/speed/speed.go
@@ -26,14 +26,22 @@
 // Bounds of what is observed and estimated. They are wide: an observation outside them is a fault of the measurement.
 const (
 	// MinPromptRate and MaxPromptRate are in prompt tokens per ms.
-	MinPromptRate, MaxPromptRate = 0.5, 5000.0
+	MinPromptRate = 0.5
+	MaxPromptRate = 5000.0
 	// MinStep and MaxStep are the time of a step in ms.
-	MinStep, MaxStep = 0.1, 1000.0
+	MinStep = 0.1
+	MaxStep = 1000.0
 	// MinFactor and MaxFactor bound an upstream's factor.
-	MinFactor, MaxFactor = 0.2, 10.0
+	MinFactor = 0.2
+	MaxFactor = 10.0
+	// MinPace and MaxPace bound a reported pace relative to the usual one.
+	MinPace = 0.1
+	MaxPace = 20.0
 	// MinIdle, MaxIdle, MinRunning and MaxRunning are delays in ms.
-	MinIdle, MaxIdle       = 0.5, 1000.0
-	MinRunning, MaxRunning = 0.02, 50.0
+	MinIdle    = 0.5
+	MaxIdle    = 1000.0
+	MinRunning = 0.02
+	MaxRunning = 50.0
 	// MaxEventTokens bounds the tokens of one interval. Larger numbers are ids that don't count tokens.
 	MaxEventTokens = 64
 	// maxSlots bounds the slots that an upstream may report.
@@ -135,7 +143,7 @@
 	if slots <= 0 {
 		slots = usualSlots
 	}
-	return min(max(n-1, 0)*bands/slots, bands-1)
+	return min(min(max(n-1, 0), slots)*bands/slots, bands-1)
 }
 
 // position returns n as a fractional band, such that the middle of band i is at i.
