--- a/router/speed/registry.go
+++ b/router/speed/registry.go
@@ -192,7 +192,8 @@
 	for _, s := range r.services {
 		s.refresh(now.UnixNano())
 		for _, u := range s.upstreams {
-			if u.stale(now.UnixNano()) {
+			// The speed of plain services isn't observed; they have no models.
+			if len(s.models) > 0 && u.stale(now.UnixNano()) {
 				x.Stale++
 			}
 			if u.factor >= math.Log(slowFactor) {
