fix(front): bound heads before they are parsed, and who waits for a request

Callers saw: a router out of memory, and the work of all its callers gone, as clients sent heads of thousands of short lines, or without an end.

Cause: net/http parses a head while it arrives, and a parsed line of 5 bytes takes some 90. The only bounds were 64 KiB and 10 s for each connection, and half of the descriptors; the configuration's max_header_bytes and header_timeout_ms were not read. 300 heads of 60,000 bytes took 297 of 306 MB of the heap in net/textproto.readMIMEHeader. Empty lines were not the cause: net/http refused the first one, so that a request after one was not served.

Change: a client's connection reads a head within bounds that stand before its first byte: max_header_bytes (empty lines included) and header_timeout_ms from its first byte, 64 KiB and 10 s where the configuration has none; up to 16 bytes of empty lines are skipped. Before read bytes are passed to net/http, the cost of the parsed head beyond 48 KiB is reserved from an eighth of the memory; a head for which there is none has the oldest such head of a connection without an earlier request closed, and waits otherwise. Whole heads of requests in progress have another eighth, beyond which a request is refused (503, not run) and its headers are dropped. Connections that never sent a whole head have three quarters of clients' descriptors and a quarter of the memory at 16 KiB each; beyond it the one that waits longest is closed. A connection whose head has been read whole is never closed for that. Refusals: 431, 408 and 503 with Retry-After and ran not-run, 400 for too many empty lines. net/http's own second answer after such a refusal is dropped.

Conclusion: what connections hold before their request is whole is bounded by the memory and the descriptors, whatever their number.

--- a/core/ending/ending.go
+++ b/core/ending/ending.go
@@ -30,6 +30,8 @@
 	ProtocolError Cause = "protocol-error"
 	// HeaderTimeout means that the client did not send the headers of its request in time.
 	HeaderTimeout Cause = "header-timeout"
+	// TooManyWaiting means that the connection was closed because too many wait for the headers of their requests.
+	TooManyWaiting Cause = "too-many-waiting"
 	// Idle means that a connection was closed on which no request arrived.
 	Idle Cause = "idle"
 )
@@ -41,7 +43,7 @@
 
 // OfConnections returns the causes for which a connection may end without an answer, those of answers included.
 func OfConnections() []Cause {
-	return append(OfAnswers(), ClosedWhileIdle, ServerClosed, ProtocolError, HeaderTimeout, Idle)
+	return append(OfAnswers(), ClosedWhileIdle, ServerClosed, ProtocolError, HeaderTimeout, TooManyWaiting, Idle)
 }
 
 // Level returns the level of the log lines of a cause. What clients bring about is no warning.
--- a/router/front/accept_test.go
+++ b/router/front/accept_test.go
@@ -82,7 +82,7 @@
 			}
 			switch {
 			case !refused:
-				checkUnchanged(t, client, &clientConn{Conn: accepted, head: head, ends: &endReporter{arrivals: arrivals{overdue: func() time.Duration { return 0 }}}}, c.sent)
+				checkUnchanged(t, client, &clientConn{Conn: accepted, head: head, ends: boundedReporter(&endReporter{arrivals: arrivals{overdue: func() time.Duration { return 0 }}})}, c.sent)
 			case !c.left:
 				checkRefused(t, client)
 			}
--- a/router/front/clientconn.go
+++ b/router/front/clientconn.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tarragonvalve.example/core/ending"
@@ -31,14 +32,24 @@
 			return nil, err
 		}
 		if l.refuse == nil {
-			return &clientConn{Conn: c, ends: l.ends}, nil
+			return l.ends.accepted(c, nil), nil
 		}
 		if head, refused := l.refuse(c); !refused {
-			return &clientConn{Conn: c, ends: l.ends, head: head}, nil
+			return l.ends.accepted(c, head), nil
 		}
 	}
 }
 
+// accepted returns the connection c, of which head has been read, and has another one closed if too many wait for their
+// first request.
+func (r *endReporter) accepted(c net.Conn, head []byte) *clientConn {
+	x := &clientConn{Conn: c, ends: r, head: head, reading: headRead{complete: true}}
+	if o := r.waiting.add(x); o != nil {
+		o.evict()
+	}
+	return x
+}
+
 // clientConn is a client's connection that reports how it ended, if that was without a complete answer.
 type clientConn struct {
 	net.Conn
@@ -62,13 +73,22 @@
 	clientEnd error
 	// status is that of an answer that net/http wrote by itself; 0 means none.
 	status int
+	// reading is the state of the head that is being read, waiter what its bytes have reserved.
+	reading headRead
+	waiter  waiter
+	// refused is true once a head was refused, after which nothing more is read or sent.
+	refused atomic.Bool
+	// gaveWay is true if the connection was closed as too many wait for their requests.
+	gaveWay bool
+	// headCost is what the headers of the request in progress take in memory, in bytes.
+	headCost int64
 	// closedIdle is true from when on the connection is closed as idle, unless a request had been read.
 	closedIdle bool
 }
 
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := c.read(b)
+	n, err := c.readPart(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -82,6 +102,24 @@
 	return n, err
 }
 
+// readPart reads bytes of a head, or else of a body.
+func (c *clientConn) readPart(b []byte) (int, error) {
+	if c.readsHead() {
+		return c.readHead(b)
+	}
+	n, err := c.read(b)
+	c.reading.seen(b[:n])
+	return n, err
+}
+
+// readsHead reports whether a head is being read. From its end on net/http reads one byte at a time to detect that the
+// client has left, already before the handler begins.
+func (c *clientConn) readsHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.exchange == nil && !c.reading.ended
+}
+
 // read returns the bytes that were read before, or else reads from the connection.
 func (c *clientConn) read(b []byte) (int, error) {
 	if len(c.head) == 0 {
@@ -102,8 +140,11 @@
 	c.arrival.more(now)
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. After a head that was refused it drops what net/http answers to the rest of it.
 func (c *clientConn) Write(b []byte) (int, error) {
+	if c.refused.Load() {
+		return len(b), nil
+	}
 	n, err := c.Conn.Write(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -131,6 +172,7 @@
 // what it has not sent yet. The close first waits until the client has received the answer if that may happen. An
 // answer that is cut, and that the end of its connection would make look complete, is reset.
 func (c *clientConn) Close() error {
+	defer c.ends.waiting.end(c)
 	o, ok := tcpConn(c)
 	if ok && c.endsInAnswer() && o.SetLinger(0) == nil {
 		return c.Conn.Close()
@@ -176,6 +218,7 @@
 func (c *clientConn) begin(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	x.headRefused = !c.ends.waiting.begin(c, c.headCost)
 	c.exchange = x
 	x.conn = c
 	if c.unhandled > 0 {
@@ -200,14 +243,33 @@
 	c.closedIdle = true
 }
 
+// headComplete ends the bounds of a head that has been read whole, before net/http reads on to detect that the client has
+// left. The connection no longer has to give way to others.
+func (c *clientConn) headComplete() {
+	c.ends.waiting.whole(c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading.ended = true
+	c.endHead()
+}
+
 // stateChanged reports the end of the request in progress, and that of the connection, if it was not proper. It
 // must be called by the server's ConnState hook.
 func (c *clientConn) stateChanged(s http.ConnState) {
+	if s == http.StateActive {
+		c.headComplete()
+		return
+	}
 	if s != http.StateIdle && s != http.StateClosed {
 		return
 	}
+	c.ends.waiting.end(c)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s == http.StateIdle {
+		c.reading.ended = false
+		c.endHead()
+	}
 	endAnswer(c, c.exchange)
 	switch x := c.exchange; {
 	case x != nil:
@@ -243,6 +305,8 @@
 		return end{cause: ending.ClientGone, err: c.clientEnd}, true
 	case c.status >= http.StatusBadRequest:
 		return end{cause: ending.ProtocolError, status: c.status}, true
+	case c.gaveWay:
+		return end{cause: ending.TooManyWaiting}, true
 	case c.closedIdle && begun:
 		return end{cause: ending.ClosedWhileIdle}, true
 	case begun && errors.Is(c.readErr, os.ErrDeadlineExceeded):
--- a/router/front/clientconn_test.go
+++ b/router/front/clientconn_test.go
@@ -50,7 +50,7 @@
 		t.Run(name, func(t *testing.T) {
 			var got []ending.Cause
 			g := NewGate(nil, clock.Boot, late.New(late.Clock(clock.Boot), zerolog.Nop()), nil, func() time.Duration { return time.Second })
-			r := &endReporter{gate: g, count: func(x ending.Cause) { got = append(got, x) }, log: zerolog.Nop()}
+			r := boundedReporter(&endReporter{gate: g, count: func(x ending.Cause) { got = append(got, x) }, log: zerolog.Nop()})
 			o := &clientConn{Conn: &scriptedConn{errs: c.errs}, ends: r}
 			x := &exchange{}
 			o.begin(x)
--- a/router/front/ends.go
+++ b/router/front/ends.go
@@ -31,6 +31,9 @@
 	log       zerolog.Logger
 	stacks    panics.Stacks
 	arrivals  arrivals
+	// waiting bounds the connections that have sent no whole head, headLimits returns the bounds of a head.
+	waiting    *waiting
+	headLimits func() headLimits
 	// closed is true once all connections are closed at the end of the process.
 	closed atomic.Bool
 }
--- a/router/front/exchange.go
+++ b/router/front/exchange.go
@@ -33,6 +33,8 @@
 	arrived time.Time
 	// waited is how long the request waited for this process before it reached the handler.
 	waited time.Duration
+	// headRefused is true if there is no memory for the request's headers.
+	headRefused bool
 	// closeDelimited is true if an answer without a length ends with its connection (HTTP/1.0).
 	closeDelimited bool
 	// sending is true once the request was about to be sent to an upstream.
--- a/router/front/front.go
+++ b/router/front/front.go
@@ -78,6 +78,10 @@
 	if h.gate.Stopping() || !h.gate.Fresh(h.syncer.View()) {
 		w.Header().Set("Connection", "close")
 	}
+	if x.headRefused {
+		h.refuseHead(w, q, x)
+		return
+	}
 	m := h.codec.ParseRequest(q.Header)
 	j := &relay.Job{Meta: m, Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: x.arrived}
 	s := newStatusWriter(w)
@@ -98,6 +102,22 @@
 	}
 }
 
+// refuseHead refuses a request for whose headers there is no memory. It drops them and doesn't wait for the body: net/http
+// keeps the request until the rest of a body has arrived.
+func (h *Handler) refuseHead(w http.ResponseWriter, q *http.Request, x *exchange) {
+	began := time.Now()
+	w.Header().Set("Connection", "close")
+	err := refuse.New(refuse.Overloaded, refuse.NotRun, "the headers of requests in progress take the memory that they may").WithRetryAfter(retryStale)
+	m := h.codec.ParseRequest(q.Header)
+	q.Header, x.header = nil, nil
+	s := newStatusWriter(w)
+	// An error means that the connection is closed.
+	setDeadlines(http.NewResponseController(w), began.Add(-defaultTimeout), defaultTimeout) //nolint:errcheck,gosec // see above
+	writeRefusal(s, err)
+	x.end(q.Context(), err)
+	h.logRequest(&relay.Job{}, m, ended{status: s.status, err: err, took: time.Since(began), waited: x.waited})
+}
+
 // statusWriter records the status of a response.
 type statusWriter struct {
 	http.ResponseWriter
--- a/router/front/limit.go
+++ b/router/front/limit.go
@@ -31,7 +31,7 @@
 // limitConnections limits the open connections of a listener to clientDescriptorShare of the
 // process's file descriptors. refused is called for each connection closed at the limit, failed for each failed
 // accept.
-func limitConnections(l net.Listener, refused func(), failed func(error)) (net.Listener, error) {
+func limitConnections(l net.Listener, refused func(), failed func(error)) (*limitedListener, error) {
 	var r unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil {
 		return nil, err
--- a/router/front/serve.go
+++ b/router/front/serve.go
@@ -21,10 +21,13 @@
 	defaultIdleTimeout = 15 * time.Second
 	// idleCheckInterval is how often connections are checked for the idle timeout.
 	idleCheckInterval = time.Second
-	// headerTimeout bounds the time in which a client sends a request's headers.
+	// headerTimeout bounds the time in which a client sends a request's headers, from their first byte, if the
+	// configuration sets none.
 	headerTimeout = 10 * time.Second
-	// maxHeaderBytes bounds the size of a request's headers, in bytes.
+	// maxHeaderBytes bounds the size of a request's headers, in bytes, if the configuration sets none.
 	maxHeaderBytes = 64 << 10
+	// maxConfiguredHeader is the largest such size that a configuration can set.
+	maxConfiguredHeader = 1 << 20
 	// keepOpen is how long the listener and idle connections stay open during a shutdown.
 	// A load balancer stops sending after two failed health checks, a second apart, and
 	// clients that reuse a connection get a response that tells them to close it.
@@ -73,16 +76,20 @@
 func (s *Server) Run(ctx context.Context) error {
 	base, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	ends := &endReporter{gate: s.Gate, count: s.Ended, requestID: s.RequestID, log: s.Log, arrivals: arrivals{overdue: s.Gate.lateness.Overdue}}
-	h := &http.Server{
-		BaseContext: func(net.Listener) context.Context { return base },
-		Handler:     ends.handler(s.Handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: logger.ErrorLog(s.Log, "clients' HTTP server reported an error"),
-	}
 	l, err := limitConnections(s.Listener, s.Refused, logger.WarnFunc(s.Log, "connection not accepted"))
 	if err != nil {
 		return err
 	}
+	ends := &endReporter{
+		gate: s.Gate, count: s.Ended, requestID: s.RequestID, log: s.Log, arrivals: arrivals{overdue: s.Gate.lateness.Overdue},
+		waiting: newWaiting(l.limit), headLimits: s.headLimits,
+	}
+	// clientConn bounds the time and the bytes of heads.
+	h := &http.Server{ //nolint:gosec // see above
+		BaseContext: func(net.Listener) context.Context { return base },
+		Handler:     ends.handler(s.Handler), MaxHeaderBytes: maxConfiguredHeader,
+		ConnState: s.conns.track, ConnContext: withConn, ErrorLog: logger.ErrorLog(s.Log, "clients' HTTP server reported an error"),
+	}
 	served := make(chan error, 1)
 	go func() { served <- h.Serve(&observedListener{Listener: l, ends: ends, refuse: s.Refuse}) }()
 	t := time.NewTicker(idleCheckInterval)
@@ -194,3 +201,19 @@
 	}
 	return d.Limits.IdleTimeout
 }
+
+// headLimits returns the bounds of a request's headers.
+func (s *Server) headLimits() headLimits {
+	l := headLimits{bytes: maxHeaderBytes, time: headerTimeout}
+	d := s.Syncer.View().Document
+	if d == nil {
+		return l
+	}
+	if d.Limits.MaxHeader > 0 {
+		l.bytes = int(min(d.Limits.MaxHeader, maxConfiguredHeader))
+	}
+	if d.Limits.HeaderTimeout > 0 {
+		l.time = d.Limits.HeaderTimeout
+	}
+	return l
+}
--- a/router/routes/routes.go
+++ b/router/routes/routes.go
@@ -96,6 +96,10 @@
 type Limits struct {
 	// MaxBody is the largest length of a request body in bytes; 0 means unset.
 	MaxBody int64
+	// MaxHeader is the largest length of a request's headers in bytes, HeaderTimeout the time from their first byte in
+	// which they must arrive; 0 means unset.
+	MaxHeader     int64
+	HeaderTimeout time.Duration
 	// IdleTimeout is the idle timeout of a connection; 0 means unset.
 	IdleTimeout time.Duration
 }
