--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -131,11 +131,11 @@
 
 // crowdRouter is a router process with the limits of a small machine.
 type crowdRouter struct {
-	// clients and admin are its addresses.
-	clients, admin string
-	cmd            *exec.Cmd
-	ended          chan struct{}
-	log            *tail
+	// clients, admin and share are its addresses.
+	clients, admin, share string
+	cmd                   *exec.Cmd
+	ended                 chan struct{}
+	log                   *tail
 	// files is the largest number of open files that was seen.
 	files atomic.Int64
 }
@@ -170,10 +170,10 @@
 			t.Fatal(err)
 		}
 	}
-	r := &crowdRouter{clients: freeAddress(t), admin: freeAddress(t), log: &tail{}, ended: make(chan struct{})}
-	share, path := freeAddress(t), filepath.Join(t.TempDir(), "r.ini")
+	r := &crowdRouter{clients: freeAddress(t), admin: freeAddress(t), share: freeAddress(t), log: &tail{}, ended: make(chan struct{})}
+	path := filepath.Join(t.TempDir(), "r.ini")
 	text := fmt.Sprintf("[router]\ninstance = r0\ndomain = a\nclients = %s\nadmin = %s\nshare = %s\nseeds = %s\nmemory-mb = %d\nprofiles = yes\n[store]\naddress = %s\n[bounds]\ngrace-s = 4\nretry-slack = 100\n",
-		r.clients, r.admin, share, share, crowdMemoryMB, s.Listener.Addr())
+		r.clients, r.admin, r.share, r.share, crowdMemoryMB, s.Listener.Addr())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -267,11 +267,17 @@
 func checkCrowd(t *testing.T, c crowdClient) {
 	t.Helper()
 	r := startCrowdRouter(t)
+	checkCrowdAt(t, c, r, r.clients)
+}
+
+// checkCrowdAt is checkCrowd for an address of a running router.
+func checkCrowdAt(t *testing.T, c crowdClient, r *crowdRouter, address string) {
+	t.Helper()
 	done := make(chan struct{})
 	var tasks sync.WaitGroup
 	tasks.Go(func() { r.watchFiles(done) })
 	for range crowdClients {
-		tasks.Go(func() { c.run(r.clients, done) })
+		tasks.Go(func() { c.run(address, done) })
 	}
 	time.Sleep(crowdTime)
 	close(done)
@@ -353,3 +359,15 @@
 func TestCrowdSilent(t *testing.T) {
 	checkCrowd(t, crowdClient{})
 }
+
+// Guards against the same because of heads without an end at the address for readiness and metrics.
+func TestCrowdAtAdmin(t *testing.T) {
+	r := startCrowdRouter(t)
+	checkCrowdAt(t, crowdClient{first: crowdStart, unit: shortLines(1 << 20)}, r, r.admin)
+}
+
+// Guards against the same because of bytes without an end at the address for other routers, which speak HTTP/2.
+func TestCrowdAtShare(t *testing.T) {
+	r := startCrowdRouter(t)
+	checkCrowdAt(t, crowdClient{first: crowdStart, unit: shortLines(1 << 20)}, r, r.share)
+}
