fix(front): reserve memory of heads without a race with a pipelined request

Cause: a read for a pipelined request's successor looked at a reservation without the lock, while the handler's begin could change it.

Change: the look is under the lock; heads that need no reservation take none. TestHeadTimeDuringRequest guards the path: time of a head over, or bytes of a further head, while a request is served.

--- a/router/front/headread_test.go
+++ b/router/front/headread_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"tarragonvalve.example/core/ending"
 )
 
@@ -183,3 +186,81 @@
 	}
 	s.await("cause", string(ending.TooManyWaiting))
 }
+
+// Guards against a refusal that is written into the answer of a request in progress, or a cancelled request, because the
+// time of a head ends, or bytes of a further head arrive, while the request is served.
+func TestHeadTimeDuringRequest(t *testing.T) {
+	t.Parallel()
+	const get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	tests := map[string][]string{
+		"nothing more":        {get},
+		"part of a next head": {get, "GE"},
+		"pipelined":           {get + get, "G"},
+		"pipelined in parts":  {get + "GET / HTTP/1.1\r\n", "Host: a\r\n\r\n" + get, "G"},
+	}
+	for name, parts := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			client, accepted := connect(t)
+			r := boundedReporter(&endReporter{log: zerolog.Nop(), arrivals: arrivals{overdue: func() time.Duration { return 0 }}, gate: &Gate{}})
+			r.headLimits = func() headLimits { return headLimits{bytes: maxHeaderBytes, time: 100 * time.Millisecond} }
+			var conns connections
+			h := &http.Server{ConnState: conns.track, ConnContext: withConn, ReadHeaderTimeout: time.Minute, Handler: r.handler(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+				select {
+				case <-q.Context().Done():
+					t.Error("the request was cancelled")
+				case <-time.After(300 * time.Millisecond):
+				}
+				w.Write([]byte("fine"))
+			}))}
+			t.Cleanup(func() { h.Close() })
+			l := &oneConnection{accept: make(chan net.Conn, 1), closed: make(chan struct{})}
+			l.accept <- r.accepted(accepted, nil)
+			go h.Serve(l)
+			all := strings.Join(parts, "")
+			for _, p := range parts {
+				if _, err := io.WriteString(client, p); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			b := bufio.NewReader(client)
+			client.SetReadDeadline(time.Now().Add(10 * time.Second))
+			for range strings.Count(all, "\r\n\r\n") {
+				a, err := http.ReadResponse(b, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if got, err := io.ReadAll(a.Body); err != nil || a.StatusCode != http.StatusOK || string(got) != "fine" {
+					t.Errorf("got %d %q %v", a.StatusCode, got, err)
+				}
+				a.Body.Close()
+			}
+		})
+	}
+}
+
+// oneConnection is a listener that accepts one connection.
+type oneConnection struct {
+	accept chan net.Conn
+	closed chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *oneConnection) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener. It must be called once; http.Server does so.
+func (l *oneConnection) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *oneConnection) Addr() net.Addr { return &net.TCPAddr{} }
--- a/router/front/waiting.go
+++ b/router/front/waiting.go
@@ -99,12 +99,16 @@
 // read reserves memory for a head that is being read and will have cost so far. If there is none, it returns false and a
 // connection that has to give way, which may be c; nil if there is none, and c has to wait.
 func (w *waiting) read(c *clientConn, cost int64) (bool, *clientConn) {
-	more := beyond(cost) - c.waiter.reading // only c's own reads change it here
-	if more <= 0 {
+	// Most heads need no reservation, and so no lock.
+	if beyond(cost) == 0 {
 		return true, nil
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	more := beyond(cost) - c.waiter.reading
+	if more <= 0 {
+		return true, nil
+	}
 	if w.reading+more <= w.bytes {
 		w.reading += more
 		c.waiter.reading += more
