feat(place): predict delays by what upstreams were observed to do

Operators set no weights: servers of one service differ in speed, and the placement assumed 92 prompt tokens a ms at each, and that a slow upstream that got no requests for some seconds is fast again.

Predictions use the prompt rate of the service as router/speed learns it, the slowdown of an upstream returns to its learned factor without new responses, and work beyond the knee counts as longer by as much as steps are. The list of upstreams for trials had no use and is gone: one that isn't observed returns to the usual speed, and so gets requests.

TestLostBesideChange/limits_lowered set max_header_bytes to 100 and wanted 413, as routers ignored that limit. They read it now; the case is split into one with the limit of bodies, 413 as before, and one with both, 431.

--- a/router/boot/lost_steady_test.go
+++ b/router/boot/lost_steady_test.go
@@ -105,8 +105,11 @@
 		"timeout lengthened": {next(usual(60_000), same), "200"},
 		"kinds changed":      {next([]map[string]any{route("order", "idempotent", "desk"), route("read", "non_idempotent", "desk"), route("chat", "idempotent", "llm")}, same), "200"},
 		"limits lowered": {next(usual(10_000), func(d map[string]any) {
-			d["limits"] = map[string]any{"max_header_bytes": 100, "max_body_bytes": 1, "idle_timeout_ms": 1}
+			d["limits"] = map[string]any{"max_body_bytes": 1, "idle_timeout_ms": 1}
 		}), "413 body-too-large not-run"},
+		"limit of heads lowered": {next(usual(10_000), func(d map[string]any) {
+			d["limits"] = map[string]any{"max_header_bytes": 100, "max_body_bytes": 1, "idle_timeout_ms": 1}
+		}), "431 bad-request not-run"},
 		"configuration removed": {func(w *harness) { w.store.Delete("op", "config") }, "200"},
 		"upstreams drain":       {entry("draining"), "503 no-upstream not-run"},
 		"upstreams gone":        {entry(""), "503 no-upstream not-run"},
--- a/router/place/attempt.go
+++ b/router/place/attempt.go
@@ -41,25 +41,20 @@
 		work += l.others.Work
 		pending += l.others.Attempts
 	}
-	running = l.inFlight - l.pendingCount
 	if now.Sub(l.reportedAt) < loadReportTTL {
-		running = max(running, l.reported.Running)
 		work += float64(max(l.reported.Waiting-pending, 0)) * waitingWork
 	}
-	return work, running
+	return work, l.running(now)
 }
 
 // PromptObservation returns what was known of the upstream's queue when the attempt was sent, for the first event of its
-// response. factor is the model's time per token relative to the reference model, 0 counts as 1. It returns false
-// if the time says nothing of the upstream's speed, as a part of the prompt was to be copied from another one.
-func (a *Attempt) PromptObservation(factor float64, now time.Time) (speed.PromptObservation, bool) {
+// response. It returns false if the time says nothing of the upstream's speed, as a part of the prompt was to be copied
+// from another one.
+func (a *Attempt) PromptObservation(now time.Time) (speed.PromptObservation, bool) {
 	if a.choice.CopySource != nil {
 		return speed.PromptObservation{}, false
 	}
-	if factor <= 0 {
-		factor = 1
-	}
-	return speed.PromptObservation{Took: now.Sub(a.began), Ahead: a.ahead * prefillTokensPerMs / factor, Running: a.running}, true
+	return speed.PromptObservation{Took: now.Sub(a.began), Ahead: a.ahead * a.choice.promptRate, Running: a.running}, true
 }
 
 // ResponseStarted records that the response started, and updates the upstream's slowdown.
--- a/router/place/place.go
+++ b/router/place/place.go
@@ -40,7 +40,8 @@
 	// globalOwnerWork is the work, in ms, that a cached prefix must save to have one owner across
 	// all failure domains. A prefix that saves less has one owner in each domain.
 	globalOwnerWork = 60.0
-	// prefillTokensPerMs is the number of prompt tokens that the reference model processes per ms.
+	// prefillTokensPerMs is the number of prompt tokens that the reference model processes per ms at upstreams of which
+	// nothing is known.
 	prefillTokensPerMs = 92.0
 	// fullScanLimit is the largest number of upstreams of a service that are all compared. With
 	// more, instances with equally old information would all choose the same upstream: 40 requests
@@ -84,6 +85,11 @@
 	Engine bool
 	// PlainWork is the nominal work, in ms, of a request to a plain service.
 	PlainWork float64
+	// PromptRate is the number of prompt tokens of the model that an upstream of the service usually processes per ms; 0 if
+	// nothing is known of it.
+	PromptRate float64
+	// Speed returns how fast an upstream is with a number of running requests; nil if nothing is known of it.
+	Speed func(u *fleet.Upstream, running int) Speed
 	// StreamPause is the longest pause between events that streams of the service bear; 0 if it isn't known.
 	StreamPause time.Duration
 }
@@ -98,7 +104,7 @@
 	if hit {
 		n -= float64(q.Cached)
 	}
-	return max(n, 0) / prefillTokensPerMs * q.tokenTime()
+	return max(n, 0) / q.promptRate()
 }
 
 // copyWork returns the work, in ms, of copying the shared prefix from another upstream. The second
@@ -113,7 +119,7 @@
 
 // savedWork returns the work, in ms, that an upstream saves if it has the shared prefix cached.
 func (q *Query) savedWork() float64 {
-	return float64(q.Cached) / prefillTokensPerMs * q.tokenTime()
+	return float64(q.Cached) / q.promptRate()
 }
 
 func (q *Query) tokenTime() float64 {
@@ -147,6 +153,8 @@
 	prefix Prefix
 	// work is the request's own part, in ms, of the nominal delay.
 	work float64
+	// promptRate is the number of prompt tokens per ms on which the prediction is based.
+	promptRate float64
 }
 
 // upstreamLoad is the load and the slowdown of one upstream as observed and reported.
@@ -310,7 +318,7 @@
 // predict returns the choice of an upstream with its predicted delay and cost.
 func (b *Balancer) predict(u *fleet.Upstream, q *Query, k *prefixLocation, now time.Time) Choice {
 	hit := k.likelyCached(u)
-	c := Choice{Upstream: u, CacheHit: hit, prefix: k.prefix, work: q.work(hit)}
+	c := Choice{Upstream: u, CacheHit: hit, prefix: k.prefix, work: q.work(hit), promptRate: q.promptRate()}
 	price := 0.0
 	if !hit && k.prefix != 0 {
 		price = missCostPerToken * float64(q.Cached)
@@ -322,10 +330,11 @@
 		}
 	}
 	l := b.loads[u.ID]
-	s := 1.0
+	speed := q.speed(u, l, now)
+	s := speed.Factor * speed.Crowding
 	queue := 0.0
 	if l != nil {
-		s = l.slowdown.value(now)
+		s = l.slowdown.valueFrom(speed.Factor, now) * speed.Crowding
 		c.Unresponsive = l.unresponsive
 		o := l.others
 		if now.Sub(b.remoteAt) > BacklogTTL {
--- a/router/place/slowdown.go
+++ b/router/place/slowdown.go
@@ -24,11 +24,16 @@
 }
 
 // value returns the slowdown at a time.
-func (s *slowdown) value(now time.Time) float64 {
+func (s *slowdown) value(now time.Time) float64 { return s.valueFrom(1, now) }
+
+// valueFrom returns the slowdown at a time of an upstream at which work usually takes factor times as long as at others. An
+// estimate without new observations returns to that.
+func (s *slowdown) valueFrom(factor float64, now time.Time) float64 {
 	if s.at.IsZero() {
-		return 1
+		return factor
 	}
-	return math.Exp(s.logFactor * math.Exp(-now.Sub(s.at).Seconds()/slowdownDecay.Seconds()))
+	usual := math.Log(factor)
+	return math.Exp(usual + (s.logFactor-usual)*math.Exp(-now.Sub(s.at).Seconds()/slowdownDecay.Seconds()))
 }
 
 // logSlowdown returns the natural logarithm of the time of a response divided by its
--- a/router/place/streams_test.go
+++ b/router/place/streams_test.go
@@ -42,7 +42,7 @@
 		},
 		"short prompt stays in its failure domain": {place.Query{Domain: "a", Engine: true, Input: short}, []int{3, 0, 0}, nil, 0, "u0"},
 		"short prompt after a long one":            {place.Query{Domain: "a", Engine: true, Input: short}, []int{0, 2, 2}, nil, 1, "u1"},
-		"small model": {place.Query{Domain: "a", Engine: true, Input: 6000, TokenTime: 0.1}, []int{3, 0, 0}, nil, 0, "u0"},
+		"small model":                              {place.Query{Domain: "a", Engine: true, Input: 6000, TokenTime: 0.1}, []int{3, 0, 0}, nil, 0, "u0"},
 		"streams that bear long pauses": {
 			place.Query{Domain: "a", Engine: true, Input: 12_000, StreamPause: 20 * time.Second}, []int{2, 0, 0}, nil, 0, "u0",
 		},
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -185,6 +185,9 @@
 		StreamPause: t.Document.StreamPause(t.service),
 		Bytes:       len(t.Body) + int(t.Meta.OutputHint)*bytesPerToken + plainBytes,
 	}
+	if s.Engine {
+		t.setSpeeds(&q, model)
+	}
 	if n := len(t.Meta.Prefix); n > 1 {
 		q.PrefixKey = string(model) + "/" + t.Meta.Prefix[n-2].ID
 		for _, p := range t.Meta.Prefix[:n-1] {
--- a/router/relay/speed.go
+++ b/router/relay/speed.go
@@ -6,6 +6,7 @@
 	"tarragonvalve.example/core/ident"
 	"tarragonvalve.example/core/late"
 	"tarragonvalve.example/router/events"
+	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/place"
 	"tarragonvalve.example/router/speed"
 )
@@ -23,6 +24,22 @@
 	return speed.Target{Service: t.service, Upstream: c.Upstream.ID, Model: model, Factor: tokenTime(s, model), Slots: c.Upstream.Slots}
 }
 
+// setSpeeds sets what is known of the speed of an engine service's upstreams.
+func (t *request) setSpeeds(q *place.Query, model ident.ModelID) {
+	now := time.Now()
+	x := speed.Target{Service: t.service, Model: model, Factor: q.TokenTime}
+	q.PromptRate = t.Speed.Estimate(x, now).PromptRate
+	q.Speed = func(u *fleet.Upstream, running int) place.Speed {
+		x.Upstream, x.Slots = u.ID, u.Slots
+		e := t.Speed.Estimate(x, now)
+		s := place.Speed{Factor: e.Factor, Crowding: 1}
+		if k := e.Knee; k > 0 && running >= k {
+			s.Crowding = max(e.Step(running+1)/e.Step(k), 1)
+		}
+		return s
+	}
+}
+
 // promptTokens returns the number of prompt tokens that the chosen upstream has to process.
 func (t *request) promptTokens(c place.Choice) ident.Tokens {
 	n := t.Meta.Input
@@ -75,7 +92,7 @@
 // observePrompt records the first event of an attempt. A continued stream is left out: how much of it the upstream has
 // cached is unknown.
 func (o *attempt) observePrompt(now time.Time) {
-	x, ok := o.placement.PromptObservation(o.target.Factor, now)
+	x, ok := o.placement.PromptObservation(now)
 	if !ok || o.resumes || o.Lateness() >= late.Level {
 		return
 	}
--- a/router/speed/registry.go
+++ b/router/speed/registry.go
@@ -1,10 +1,8 @@
 package speed
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,8 +12,8 @@
 )
 
 const (
-	// staleAfter is the time without an observation after which an upstream is due for a trial. It is below evidenceTime,
-	// so that the evidence of a slow upstream is renewed before it is lost.
+	// staleAfter is the time without an observation after which an upstream counts as not observed. It is below
+	// evidenceTime, in which it returns to what is usual for its service.
 	staleAfter = 6 * time.Second
 )
 
@@ -38,7 +36,7 @@
 	Observations, Skipped uint64
 	// Merged is the number of summaries of other instances that were added.
 	Merged uint64
-	// Upstreams is the number of upstreams of which anything is known, Stale how many of them are due for a trial, and
+	// Upstreams is the number of upstreams of which anything is known, Stale of how many of them nothing was observed for staleAfter, and
 	// Slow how many take at least 1.25 times as long as the median of their service.
 	Upstreams, Stale, Slow int
 }
@@ -107,45 +105,13 @@
 	return s.estimate(&t, now.UnixNano())
 }
 
-// Stale appends to ids the upstreams of a service of which nothing has been observed for some time, the longest first, so that
-// the placement may send each of them a request as a trial. Those with a trial that began a short time ago are left out.
-func (r *Registry) Stale(id ident.ServiceID, ids []ident.UpstreamID, now time.Time) []ident.UpstreamID {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.services[id]
-	if s == nil {
-		return ids
-	}
-	from := len(ids)
-	for x, u := range s.upstreams {
-		if u.stale(now.UnixNano()) {
-			ids = append(ids, x)
-		}
-	}
-	slices.SortFunc(ids[from:], func(a, b ident.UpstreamID) int {
-		return cmp.Or(cmp.Compare(s.upstreams[a].tried(), s.upstreams[b].tried()), cmp.Compare(a, b))
-	})
-	return ids
-}
-
-// StartTrial records that a request is sent to an upstream as a trial.
-func (r *Registry) StartTrial(id ident.UpstreamID, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if u := r.upstream(id); u != nil {
-		u.trialAt = now.UnixNano()
-	}
-}
-
+// stale reports whether nothing was observed of the upstream for staleAfter.
 func (u *upstream) stale(now int64) bool {
-	return now-u.tried() >= int64(staleAfter)
+	return now-u.observedAt >= int64(staleAfter)
 }
 
-// tried returns the time of the latest observation or trial.
-func (u *upstream) tried() int64 { return max(u.observedAt, u.trialAt) }
-
-// UpdateUpstreams takes the list of upstreams and drops what is known of others. Listed ones without observations are kept as
-// such, so that they are due for a trial.
+// UpdateUpstreams takes the list of upstreams and drops what is known of others. Listed ones without observations are kept, so that
+// Stats counts them.
 func (r *Registry) UpdateUpstreams(l *fleet.List) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/router/speed/service.go
+++ b/router/speed/service.go
@@ -77,7 +77,6 @@
 	// factor is the logarithm of the factor, evidence the weight of the observations in it.
 	factor, evidence float64
 	observedAt       int64
-	trialAt          int64
 }
 
 // cell holds the observations of one model at one upstream.
