fix(poison): leave crashes that a quarantine explains out of the share

Found in review: with five parts that crash upstreams in turn, each request sent three times, 30 requests with four of them were sent later than 3 s after the fifth crash.

Crashes at which an active quarantine's requests were in progress don't count any more, but for the part's own. TestPartAfterExplainedCrashes failed before: five crashes under five requests, after fifteen that quarantines of content explain, were too few.

--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -48,7 +48,7 @@
 	}
 	active := e.activeOf(qs, now)
 	cs := e.judged(active, now)
-	all, r := crashed(cs), rivalsOf(cs)
+	all, r := e.unexplained(cs, active, now), rivalsOf(cs)
 	for _, c := range cs {
 		if c.lacks(remembered(qs, c.part), all, r) != lacksNothing {
 			continue
@@ -87,14 +87,15 @@
 	return cs
 }
 
-// lacks returns why a candidate isn't guilty, of all upstreams that crashed. again is true if it was quarantined before.
-func (c candidate) lacks(again bool, all int, r rivals) lack {
+// lacks returns why a candidate isn't guilty of the crashes that no quarantine explains, all, and of its own. again is true
+// if it was quarantined before.
+func (c candidate) lacks(again bool, all map[fleet.Incarnation]struct{}, r rivals) lack {
 	switch {
 	case !c.settled:
 		return lacksTime
 	case !c.guilty(again):
 		return lacksCrashes
-	case float64(len(c.upstreams)) < explainedShare*float64(all):
+	case float64(len(c.upstreams)) < explainedShare*float64(c.among(all)):
 		return lacksShare
 	case r.explain(c):
 		return lacksRival
@@ -103,6 +104,17 @@
 	}
 }
 
+// among returns the number of the candidate's upstreams and of others.
+func (c candidate) among(others map[fleet.Incarnation]struct{}) int {
+	n := len(others)
+	for u := range c.upstreams {
+		if _, ok := others[u]; !ok {
+			n++
+		}
+	}
+	return n
+}
+
 // candidates returns the suspected parts, the most suspected ones first.
 func (e *evidence) candidates(active []Quarantine, now time.Time) []candidate {
 	var cs []candidate
@@ -332,13 +344,18 @@
 	return us
 }
 
-// crashed returns the number of all upstreams whose crashes no quarantine explains.
-func crashed(cs []candidate) int {
+// unexplained returns the upstreams that crashed under candidates and whose crash no quarantine explains.
+func (e *evidence) unexplained(cs []candidate, active []Quarantine, now time.Time) map[fleet.Incarnation]struct{} {
 	us := map[fleet.Incarnation]struct{}{}
 	for _, c := range cs {
 		maps.Copy(us, c.upstreams)
 	}
-	return len(us)
+	for _, x := range e.explainers(active, now) {
+		for u := range x.begun {
+			delete(us, u)
+		}
+	}
+	return us
 }
 
 // includes reports whether all requests of another candidate held this one's part too.
--- a/router/poison/progress.go
+++ b/router/poison/progress.go
@@ -49,7 +49,7 @@
 	}
 	next := map[crash.Part]progress{}
 	cs := r.evidence.judged(active, now)
-	all, rivals := crashed(cs), rivalsOf(cs)
+	all, rivals := r.evidence.unexplained(cs, active, now), rivalsOf(cs)
 	for _, p := range ps {
 		x := r.evidence.progressOf(p, now)
 		x.lacks, x.explained = lacksCrashes, x.crashes
