fix(speed): bound the summaries that routers relay

Cause: each of 29 routers sent some 30 summaries a second, and those that relay samples send each to all 28 others, 24,000 a second together.

A router now sends 2,000 a second, divided by the square of the number of routers: 31 with 8 of them, 2.4 with 29, 0.2 with 103. What isn't sent goes on to be gathered. TestSummariesOfManyInstances is new.

--- a/router/boot/share.go
+++ b/router/boot/share.go
@@ -76,13 +76,14 @@
 type judgedSamples struct {
 	*place.Balancer
 	speeds  *speed.Registry
+	notices *notice.Registry
 	domain  ident.DomainID
 	monitor *canary.Monitor
 	syncer  *mirror.Syncer
 }
 
-func newJudgedSamples(s *setup.Settings, b *place.Balancer, d *speed.Registry, w *canary.Monitor, n *mirror.Syncer) judgedSamples {
-	return judgedSamples{Balancer: b, speeds: d, domain: s.Domain, monitor: w, syncer: n}
+func newJudgedSamples(s *setup.Settings, b *place.Balancer, d *speed.Registry, t *notice.Registry, w *canary.Monitor, n *mirror.Syncer) judgedSamples {
+	return judgedSamples{Balancer: b, speeds: d, notices: t, domain: s.Domain, monitor: w, syncer: n}
 }
 
 // DrainSamples implements gossip.SampleStore.
@@ -107,6 +108,7 @@
 
 // withSpeeds adds the summaries that are due to the samples of their upstreams.
 func (j judgedSamples) withSpeeds(ss []place.Sample, now time.Time) []place.Sample {
+	j.speeds.SetInstances(j.notices.Share().Size)
 	due := j.speeds.DrainSummaries(now)
 	if len(due) == 0 {
 		return ss
--- a/router/notice/limit.go
+++ b/router/notice/limit.go
@@ -52,6 +52,9 @@
 // SetShare sets this instance's share of the limits.
 func (b *Registry) SetShare(s pacer.Share) { b.share.Store(&s) }
 
+// Share returns this instance's share of the limits.
+func (b *Registry) Share() pacer.Share { return *b.share.Load() }
+
 // next returns the time of this instance's first slot at an upstream with record m that is usable at now or later, and
 // how long it is usable. It returns false if the instance has no slot, as the number of instances that share the rate of a
 // cold upstream isn't known. The upstream must be paced.
--- a/router/speed/registry.go
+++ b/router/speed/registry.go
@@ -26,8 +26,12 @@
 	count     int // number of upstreams in all services
 	// origin and sequence identify the next summary of this instance.
 	origin, sequence uint64
-	seen             seenSet
-	stats            Stats
+	// instances is the number of those that exchange summaries, drained how many more may be drained, as of drainedAt.
+	instances int
+	drained   float64
+	drainedAt int64
+	seen      seenSet
+	stats     Stats
 }
 
 // Stats counts what a registry has taken.
--- a/router/speed/summary.go
+++ b/router/speed/summary.go
@@ -12,6 +12,9 @@
 const (
 	// MaxSummaries bounds the summaries of one upstream in a message. Those that are left out are evidence lost, nothing more.
 	MaxSummaries = 32
+	// relayedRate is the number of summaries a second that an instance which relays samples may send to all others together:
+	// each summary goes to each instance. With 29 instances that sent 30 a second each, relaying took a third of a core.
+	relayedRate = 2000.0
 	// maxDrained bounds the summaries of one DrainSummaries; the rest follow in the next.
 	maxDrained = 256
 	// shareWeight is the weight of observations from which they are shared at once, shareInterval how long others wait for more
@@ -81,11 +84,12 @@
 func (r *Registry) DrainSummaries(now time.Time) []UpstreamSummary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	most := r.drainable(now.UnixNano())
 	var out []UpstreamSummary
 	for _, s := range r.services {
 		for id, u := range s.upstreams {
 			for i := range u.cells {
-				if c := &u.cells[i]; len(out) < maxDrained && c.due(now.UnixNano()) {
+				if c := &u.cells[i]; len(out) < most && c.due(now.UnixNano()) {
 					r.sequence++
 					x := c.drain()
 					x.Origin, x.Sequence = r.origin, r.sequence
@@ -94,9 +98,30 @@
 			}
 		}
 	}
+	r.drained -= float64(len(out))
 	return out
 }
 
+// SetInstances sets the number of instances that exchange summaries.
+func (r *Registry) SetInstances(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.instances = n
+}
+
+// drainable returns how many summaries may be drained now, so that those of all instances stay within relayedRate.
+func (r *Registry) drainable(now int64) int {
+	if r.instances <= 1 {
+		return maxDrained
+	}
+	rate := relayedRate / float64(r.instances*r.instances)
+	if r.drainedAt != 0 {
+		r.drained = min(r.drained+rate*float64(now-r.drainedAt)/float64(time.Second), max(rate, 1))
+	}
+	r.drainedAt = now
+	return int(r.drained)
+}
+
 func (c *cell) due(now int64) bool {
 	return c.since != 0 && (now-c.since >= int64(shareInterval) || c.weight >= shareWeight)
 }
--- a/router/speed/summary_test.go
+++ b/router/speed/summary_test.go
@@ -331,3 +331,23 @@
 		r.Estimate(ts[i%len(ts)], now)
 	}
 }
+
+// Load: 29 and 103 instances observe all upstreams of a large service. Guards against an instance that relays samples and
+// spends its processor time on summaries, as each of them goes to each instance.
+func TestSummariesOfManyInstances(t *testing.T) {
+	const length, relayed = 60 * time.Second, 2000.0
+	for _, n := range []int{8, 29, 103} {
+		s := newSite(5, 53)
+		r := speed.NewRegistry()
+		r.UpdateUpstreams(s.list(s.n))
+		r.SetInstances(n)
+		now, drained := start, 0
+		for range int(length / time.Second) {
+			now = s.run(r, now, time.Second, 200, s.n)
+			drained += len(r.DrainSummaries(now))
+		}
+		if got := float64(drained*n*n) / length.Seconds(); got > 1.1*relayed || drained == 0 {
+			t.Errorf("%d instances: %d summaries, %.0f relayed a second, want at most %.0f", n, drained, got, relayed)
+		}
+	}
+}
