test(inlet): answer after the request in TestTransportError

The test failed once ("readLoopPeekFailLocked"): its server wrote the answer before it had read the request, so that the transport could take it for an unsolicited one. It reads the request first now; what is asked of the error is the same. 20 runs passed before as well, 10 since.

--- a/core/inlet/inlet_test.go
+++ b/core/inlet/inlet_test.go
@@ -1,6 +1,7 @@
 package inlet_test
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -186,6 +187,10 @@
 			}
 			go func() {
 				defer c.Close()
+				// An answer before the request is no answer to the client.
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
 				io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", 2*inlet.MaxHeadBytes))
 				io.Copy(io.Discard, c)
 			}()
