fix(admin): bound connections without a request at operators' addresses

300 connections that hold heads of header lines without end took 288 MiB of the router's 120 and 604 descriptors at its administration address, 388 of 128 MiB at an agent's, and 384 at an entry's (TestCrowdAt*, listed in KNOWN-RED.txt).

At these addresses a connection that has sent no whole request gives way to newer ones beyond 32: operators and health checks open a few at a time and send their request at once. Heads at the router's are at most 16 KiB instead of 1 MB.

--- a/agent/health/health.go
+++ b/agent/health/health.go
@@ -60,6 +60,7 @@
 		Handler:           s.options.Panics.Handler(s.Handler()),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    inlet.MaxHeadBytes,
+		ConnState:         inlet.NewWaiting(inlet.MaxWaiting).Track,
 		ErrorLog:          logger.ErrorLog(s.options.Log, "the HTTP server reports an error"),
 	}
 	failed := make(chan error, 1)
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -478,7 +478,7 @@
 func newAdminServer(p *listeners, h http.Handler, c *certificates, m *panics.Reporter, l zerolog.Logger) *adminServer {
 	l = logger.Part(l, "admin")
 	v := newHTTPServer(m.Handler(h), c, l)
-	return &adminServer{httpServer: httpServer{listener: p.admin, server: v, tls: c.source != nil}, log: l}
+	return &adminServer{httpServer: httpServer{listener: p.admin, server: v, tls: c.source != nil, waiting: inlet.NewWaiting(inlet.MaxWaiting)}, log: l}
 }
 
 // newHTTPServer returns a server with the limits of all HTTP servers of an entry.
--- a/entry/boot/http.go
+++ b/entry/boot/http.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"tarragonvalve.example/core/inlet"
 )
 
 const (
@@ -25,6 +27,8 @@
 	tls bool
 
 	unused unusedConns
+	// waiting bounds the connections without a whole request; nil bounds none.
+	waiting *inlet.Waiting
 	// served is closed when the server accepts no connections any more; err is then why.
 	served chan struct{}
 	err    error
@@ -32,7 +36,7 @@
 
 // start serves in a goroutine.
 func (s *httpServer) start() {
-	s.server.ConnState = s.unused.track
+	s.server.ConnState = s.track
 	s.served = make(chan struct{})
 	go func() {
 		defer close(s.served)
@@ -40,6 +44,14 @@
 	}()
 }
 
+// track records the state of a connection.
+func (s *httpServer) track(c net.Conn, st http.ConnState) {
+	s.unused.track(c, st)
+	if s.waiting != nil {
+		s.waiting.Track(c, st)
+	}
+}
+
 func (s *httpServer) serve() error {
 	if s.tls {
 		return s.server.ServeTLS(s.listener, "", "")
--- a/router/boot/admin.go
+++ b/router/boot/admin.go
@@ -10,14 +10,19 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
 
+	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/router/front"
 	"tarragonvalve.example/router/meter"
 	"tarragonvalve.example/router/poison"
 	"tarragonvalve.example/router/setup"
 )
 
-// headerTimeout bounds the time in which a request's headers must arrive.
-const headerTimeout = 2 * time.Second
+const (
+	// headerTimeout bounds the time in which a request's headers must arrive.
+	headerTimeout = 2 * time.Second
+	// maxAdminHead bounds the head of a request, in bytes.
+	maxAdminHead = 16 << 10
+)
 
 // admin serves readiness at /readyz, metrics at /metrics and, to its own machine, /quarantines and, if
 // the settings say so, profiles at /debug/pprof/. It is a serve.Component.
@@ -45,7 +50,8 @@
 	if s.Profiles {
 		profileRoutes(m)
 	}
-	return &admin{listener: i, server: &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout}}, nil
+	v := &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxAdminHead, ConnState: inlet.NewWaiting(inlet.MaxWaiting).Track}
+	return &admin{listener: i, server: v}, nil
 }
 
 // Name implements serve.Component.
