--- a/router/place/place.go
+++ b/router/place/place.go
@@ -90,7 +90,7 @@
 	PromptRate float64
 	// Speed returns how fast an upstream is with a number of running requests; nil if nothing is known of it.
 	Speed func(u *fleet.Upstream, running int) Speed
-	// StreamPause is the longest pause between events that streams of the service bear; 0 if it isn't known.
+	// StreamPause is the longest pause between events that streams of the service bear; 0 if the cost for them doesn't count.
 	StreamPause time.Duration
 }
 
--- a/router/place/speed_test.go
+++ b/router/place/speed_test.go
@@ -29,7 +29,7 @@
 			return place.Speed{Factor: 1, Crowding: 1}
 		}
 	}
-	long := place.Query{Domain: "a", Engine: true, Input: 24_000}
+	long := place.Query{Domain: "a", Engine: true, Input: 24_000, StreamPause: 1200 * time.Millisecond}
 	tests := map[string]struct {
 		input int
 		// rate is the learned prompt rate, in tokens per ms.
--- a/router/place/streams.go
+++ b/router/place/streams.go
@@ -7,14 +7,12 @@
 	// without a cost: an engine processes a prompt in chunks between the tokens of the streams beside it, and several
 	// prompts and its neighbors' work add up to a pause.
 	toleratedShare = 1.0 / 8
-	// usualPause is the longest pause that streams of a service bear if its routes don't state it.
-	usualPause = 1200 * time.Millisecond
 )
 
-// streamDelay returns the cost, in ms, of the delay that the processing of a prompt brings to the streams at an engine:
+// streamDelay returns, if the query says how long streams may pause, the cost, in ms, of the delay that the processing of a prompt brings to the streams at an engine:
 // each of them waits as long as the work takes. work is in ms.
 func (l *upstreamLoad) streamDelay(q *Query, work float64, now time.Time) float64 {
-	if !q.Engine {
+	if !q.Engine || q.StreamPause <= 0 {
 		return 0
 	}
 	return float64(l.running(now)) * max(work-q.toleratedWork(), 0)
@@ -22,11 +20,7 @@
 
 // toleratedWork is the work, in ms, of a prompt that streams beside it don't notice.
 func (q *Query) toleratedWork() float64 {
-	p := q.StreamPause
-	if p <= 0 {
-		p = usualPause
-	}
-	return toleratedShare * float64(p) / float64(time.Millisecond)
+	return toleratedShare * float64(q.StreamPause) / float64(time.Millisecond)
 }
 
 // running returns the number of requests whose response has begun.
--- a/router/place/streams_test.go
+++ b/router/place/streams_test.go
@@ -72,6 +72,9 @@
 					a.End()
 				}
 			}
+			if c.query.StreamPause == 0 {
+				c.query.StreamPause = 1200 * time.Millisecond
+			}
 			x, ok := b.Pick(us, c.query, now.Add(50*time.Millisecond))
 			if !ok || x.Upstream.ID != c.want {
 				t.Errorf("got %v, want %s", x.Upstream, c.want)
--- a/router/relay/query.go
+++ b/router/relay/query.go
@@ -182,8 +182,7 @@
 	q := place.Query{
 		Domain: t.Domain, Accept: t.upstreamFilter(v), Exclude: t.excluded,
 		CopyRate: s.CopyRate, Input: t.Meta.Input, TokenTime: tokenTime(s, model), Engine: s.Engine, PlainWork: plainWorkMs,
-		StreamPause: t.Document.StreamPause(t.service),
-		Bytes:       len(t.Body) + int(t.Meta.OutputHint)*bytesPerToken + plainBytes,
+		Bytes: len(t.Body) + int(t.Meta.OutputHint)*bytesPerToken + plainBytes,
 	}
 	if s.Engine {
 		t.setSpeeds(&q, model)
--- a/router/relay/speed.go
+++ b/router/relay/speed.go
@@ -24,9 +24,14 @@
 	return speed.Target{Service: t.service, Upstream: c.Upstream.ID, Model: model, Factor: tokenTime(s, model), Slots: c.Upstream.Slots}
 }
 
-// setSpeeds sets what is known of the speed of an engine service's upstreams.
+// setSpeeds sets what is known of the speed of an engine service's upstreams, and how long its streams may pause, if the
+// upstreams state that they share their machines. Others are as fast as each other, and bear the prompts that they get.
 func (t *request) setSpeeds(q *place.Query, model ident.ModelID) {
 	now := time.Now()
+	if !t.Speed.Uneven(t.service, now) {
+		return
+	}
+	q.StreamPause = t.Document.StreamPause(t.service)
 	x := speed.Target{Service: t.service, Model: model, Factor: q.TokenTime}
 	q.PromptRate = t.Speed.Estimate(x, now).PromptRate
 	q.Speed = func(u *fleet.Upstream, running int) place.Speed {
--- a/router/speed/registry.go
+++ b/router/speed/registry.go
@@ -15,6 +15,8 @@
 	// staleAfter is the time without an observation after which an upstream counts as not observed. It is below
 	// evidenceTime, in which it returns to what is usual for its service.
 	staleAfter = 6 * time.Second
+	// unevenTTL is how long a service counts as uneven after an upstream stated a pace.
+	unevenTTL = time.Minute
 )
 
 // Registry holds what is known of the upstreams of all services. It is safe for concurrent use.
@@ -94,10 +96,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if u := r.upstream(id); u != nil {
+		if l.Pace > 0 {
+			r.services[r.serviceOf[id]].pacedAt = at
+		}
 		u.report(l, at.UnixNano())
 	}
 }
 
+// Uneven reports whether upstreams of a service have lately stated a pace: they share their machines with others, so that
+// their speed differs and varies.
+func (r *Registry) Uneven(id ident.ServiceID, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[id]
+	return s != nil && !s.pacedAt.IsZero() && now.Sub(s.pacedAt) <= unevenTTL
+}
+
 // Estimate returns what is expected of a target.
 func (r *Registry) Estimate(t Target, now time.Time) Estimate {
 	r.mu.Lock()
--- a/router/speed/service.go
+++ b/router/speed/service.go
@@ -46,6 +46,8 @@
 
 // service is the state of a service. It is a pure function of observations and times, without a lock.
 type service struct {
+	// pacedAt is when an upstream stated a pace last.
+	pacedAt   time.Time
 	upstreams map[ident.UpstreamID]*upstream
 	models    []*model
 	// idle and running are the logarithms of these delays in ms.
--- a/router/speed/speed_test.go
+++ b/router/speed/speed_test.go
@@ -459,3 +459,19 @@
 		t.Errorf("%d upstreams without an observation 10 s later, want 4", got)
 	}
 }
+
+// Guards against a service whose upstreams state no pace and which is served by estimates of their speed all the same, and
+// against one that is for good after its upstreams stated one once.
+func TestUneven(t *testing.T) {
+	s := newSite(3, 2)
+	r := speed.NewRegistry()
+	r.UpdateUpstreams(s.list(s.n))
+	r.Reported("u0", call.Load{Running: 3, Slots: 48}, start)
+	if r.Uneven("llm", start) {
+		t.Error("uneven without a pace")
+	}
+	r.Reported("u1", call.Load{Running: 3, Slots: 48, Pace: 100}, start)
+	if !r.Uneven("llm", start.Add(30*time.Second)) || r.Uneven("llm", start.Add(2*time.Minute)) {
+		t.Error("not uneven after a pace, or still two minutes later")
+	}
+}
