refactor(place): calculate the work ahead in one place

The work ahead of a request at an engine, the age of the others' backlog and the requests that wait there were calculated twice: for the prediction, and for what is observed of the upstream's speed. Both call workAhead now. A line of the doc comment of streamDelay that was too long is wrapped.

--- a/router/place/attempt.go
+++ b/router/place/attempt.go
@@ -12,11 +12,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.loadOf(c.Upstream.ID)
-	ahead, running := b.workAhead(l, now)
+	a := &Attempt{balancer: b, load: l, choice: c, began: now, pending: true, ahead: l.workAhead(b.othersAt(l, now), now), running: l.running(now)}
 	l.inFlight++
 	l.pending += c.work
 	l.pendingCount++
-	return &Attempt{balancer: b, load: l, choice: c, began: now, pending: true, ahead: ahead, running: running}
+	return a
 }
 
 // Attempt is an attempt in progress.
@@ -33,20 +33,6 @@
 	running int
 }
 
-// workAhead returns the nominal work, in ms, of the requests at an upstream that have no response yet, sent by any instance,
-// and the number of running ones.
-func (b *Balancer) workAhead(l *upstreamLoad, now time.Time) (work float64, running int) {
-	work, pending := l.pending, l.pendingCount
-	if now.Sub(b.remoteAt) <= BacklogTTL {
-		work += l.others.Work
-		pending += l.others.Attempts
-	}
-	if now.Sub(l.reportedAt) < loadReportTTL {
-		work += float64(max(l.reported.Waiting-pending, 0)) * waitingWork
-	}
-	return work, l.running(now)
-}
-
 // PromptObservation returns what was known of the upstream's queue when the attempt was sent, for the first event of its
 // response. It returns false if the time says nothing of the upstream's speed, as a part of the prompt was to be copied
 // from another one.
--- a/router/place/place.go
+++ b/router/place/place.go
@@ -336,11 +336,7 @@
 	if l != nil {
 		s = l.slowdown.valueFrom(speed.Factor, now) * speed.Crowding
 		c.Unresponsive = l.unresponsive
-		o := l.others
-		if now.Sub(b.remoteAt) > BacklogTTL {
-			o = Backlog{}
-		}
-		queue = l.queueWork(u, q, o, now)
+		queue = l.queueWork(u, q, b.othersAt(l, now), now)
 	}
 	nominal := idleDelay + queue + c.work
 	c.Nominal = time.Duration(nominal * float64(time.Millisecond))
@@ -359,15 +355,11 @@
 
 // queueWork returns the nominal work, in ms, ahead of a new request, with that of other instances.
 func (l *upstreamLoad) queueWork(u *fleet.Upstream, q *Query, others Backlog, now time.Time) float64 {
-	pending := l.pendingCount + others.Attempts
-	running, waiting := l.running(now), 0
-	if now.Sub(l.reportedAt) < loadReportTTL {
-		waiting = max(l.reported.Waiting-pending, 0)
-	}
+	running := l.running(now)
 	if q.Engine {
-		return l.pending + others.Work + float64(waiting)*waitingWork + float64(running)*runningDelay
+		return l.workAhead(others, now) + float64(running)*runningDelay
 	}
-	ahead := running + waiting + pending + 1 - u.Slots
+	ahead := running + l.waiting(others, now) + l.pendingCount + others.Attempts + 1 - u.Slots
 	if ahead <= 0 || u.Slots <= 0 {
 		return 0
 	}
--- a/router/place/streams.go
+++ b/router/place/streams.go
@@ -2,15 +2,13 @@
 
 import "time"
 
-const (
-	// toleratedShare is the part of the longest pause that streams bear which one more prompt may take
-	// without a cost: an engine processes a prompt in chunks between the tokens of the streams beside it, and several
-	// prompts and its neighbors' work add up to a pause.
-	toleratedShare = 1.0 / 8
-)
+// toleratedShare is the part of the longest pause that streams bear which one more prompt may take without a cost: an
+// engine processes a prompt in chunks between the tokens of the streams beside it, and several prompts and its neighbors'
+// work add up to a pause.
+const toleratedShare = 1.0 / 8
 
-// streamDelay returns, if the query says how long streams may pause, the cost, in ms, of the delay that the processing of a prompt brings to the streams at an engine:
-// each of them waits as long as the work takes. work is in ms.
+// streamDelay returns the cost, in ms, of the delay that the processing of a prompt brings to the streams at an engine, if the
+// query says how long they may pause: each of them waits as long as the work takes. work is in ms.
 func (l *upstreamLoad) streamDelay(q *Query, work float64, now time.Time) float64 {
 	if !q.Engine || q.StreamPause <= 0 {
 		return 0
@@ -22,12 +20,3 @@
 func (q *Query) toleratedWork() float64 {
 	return toleratedShare * float64(q.StreamPause) / float64(time.Millisecond)
 }
-
-// running returns the number of requests whose response has begun.
-func (l *upstreamLoad) running(now time.Time) int {
-	n := l.inFlight - l.pendingCount
-	if now.Sub(l.reportedAt) < loadReportTTL {
-		n = max(n, l.reported.Running)
-	}
-	return n
-}
