refactor(poison): weigh the evidence once for each judgement

What the quarantines explain was calculated twice for each judgement, once for the candidates and once for the share of crashes, and judging and the log of suspected parts each put the same four pieces together. weigh does it once, and lacks is a method of its result.

--- a/router/poison/decide.go
+++ b/router/poison/decide.go
@@ -47,10 +47,10 @@
 		return verdict{}, false
 	}
 	active := e.activeOf(qs, now)
-	cs := e.judged(active, now)
-	all, r := e.unexplained(cs, active, now), rivalsOf(cs)
+	w := e.weigh(active, now)
+	cs := w.candidates
 	for _, c := range cs {
-		if c.lacks(remembered(qs, c.part), all, r) != lacksNothing {
+		if w.lacks(c, remembered(qs, c.part)) != lacksNothing {
 			continue
 		}
 		q := Quarantine{At: c.last}
@@ -80,24 +80,33 @@
 	return active
 }
 
-// judged returns the candidates with all that a judgement on them needs.
-func (e *evidence) judged(active []Quarantine, now time.Time) []candidate {
-	cs := e.candidates(active, now)
+// weighed is the evidence at one time beside the quarantines in force.
+type weighed struct {
+	// candidates are the suspected parts, the most suspected ones first.
+	candidates []candidate
+	// unexplained are the upstreams whose crashes no quarantine explains.
+	unexplained map[fleet.Incarnation]struct{}
+	rivals      rivals
+}
+
+// weigh weighs the evidence beside the quarantines in force.
+func (e *evidence) weigh(active []Quarantine, now time.Time) weighed {
+	xs := e.explainers(active, now)
+	cs := e.candidates(xs, now)
 	countAlone(cs)
-	return cs
+	return weighed{candidates: cs, unexplained: unexplained(cs, xs), rivals: rivalsOf(cs)}
 }
 
-// lacks returns why a candidate isn't guilty of the crashes that no quarantine explains, all, and of its own. again is true
-// if it was quarantined before.
-func (c candidate) lacks(again bool, all map[fleet.Incarnation]struct{}, r rivals) lack {
+// lacks returns why a candidate isn't guilty. again is true if it was quarantined before.
+func (w weighed) lacks(c candidate, again bool) lack {
 	switch {
 	case !c.settled:
 		return lacksTime
 	case !c.guilty(again):
 		return lacksCrashes
-	case float64(len(c.upstreams)) < explainedShare*float64(c.among(all)):
+	case float64(len(c.upstreams)) < explainedShare*float64(c.among(w.unexplained)):
 		return lacksShare
-	case r.explain(c):
+	case w.rivals.explain(c):
 		return lacksRival
 	default:
 		return lacksNothing
@@ -116,9 +125,8 @@
 }
 
 // candidates returns the suspected parts, the most suspected ones first.
-func (e *evidence) candidates(active []Quarantine, now time.Time) []candidate {
+func (e *evidence) candidates(xs []explainer, now time.Time) []candidate {
 	var cs []candidate
-	xs := e.explainers(active, now)
 	for p, x := range e.suspects {
 		c := candidate{part: p, known: e.known(p, now)}
 		all, begun := map[crashKey]struct{}{}, map[crashKey]struct{}{}
@@ -169,8 +177,8 @@
 	}
 }
 
-// countAlone sets alone, and repeated, for the candidates: a request that waits is as telling as one whose answer had begun if all
-// others at the upstream have parts that were survived.
+// countAlone sets alone, and repeated, for the candidates: a request that waits is as telling as one whose answer had begun
+// if all others at the upstream have parts that were survived.
 func countAlone(cs []candidate) {
 	unknown := map[fleet.Incarnation]int{}
 	for _, c := range cs {
@@ -345,12 +353,12 @@
 }
 
 // unexplained returns the upstreams that crashed under candidates and whose crash no quarantine explains.
-func (e *evidence) unexplained(cs []candidate, active []Quarantine, now time.Time) map[fleet.Incarnation]struct{} {
+func unexplained(cs []candidate, xs []explainer) map[fleet.Incarnation]struct{} {
 	us := map[fleet.Incarnation]struct{}{}
 	for _, c := range cs {
 		maps.Copy(us, c.upstreams)
 	}
-	for _, x := range e.explainers(active, now) {
+	for _, x := range xs {
 		for u := range x.begun {
 			delete(us, u)
 		}
--- a/router/poison/progress.go
+++ b/router/poison/progress.go
@@ -48,13 +48,13 @@
 		return
 	}
 	next := map[crash.Part]progress{}
-	cs := r.evidence.judged(active, now)
-	all, rivals := r.evidence.unexplained(cs, active, now), rivalsOf(cs)
+	w := r.evidence.weigh(active, now)
 	for _, p := range ps {
 		x := r.evidence.progressOf(p, now)
 		x.lacks, x.explained = lacksCrashes, x.crashes
-		if i := slices.IndexFunc(cs, func(c candidate) bool { return c.part == p }); i >= 0 {
-			x.lacks, x.explained = cs[i].lacks(remembered(r.quarantines, p), all, rivals), x.crashes-len(cs[i].upstreams)
+		if i := slices.IndexFunc(w.candidates, func(c candidate) bool { return c.part == p }); i >= 0 {
+			c := w.candidates[i]
+			x.lacks, x.explained = w.lacks(c, remembered(r.quarantines, p)), x.crashes-len(c.upstreams)
 		}
 		next[p] = x
 		if r.logged[p] != x {
