fix(speed): don't count summaries of a lone instance against its share

A router that has just started takes itself for the only one and may share all that it has observed. Those summaries were taken off the share that it gets once it knows the others, 2.4 a second with 29: after 5 s alone it then shared nothing for the time that as many take, some 20 s and more.

Found in reading the change. They are taken off only beside others now. TestSummariesAfterStart fails before (no summary within 10 s) and passes; TestSummariesOfManyInstances, the bound for all, passes as it was.

--- a/router/speed/registry.go
+++ b/router/speed/registry.go
@@ -28,9 +28,10 @@
 	count     int // number of upstreams in all services
 	// origin and sequence identify the next summary of this instance.
 	origin, sequence uint64
-	// instances is the number of those that exchange summaries, drained how many more may be drained, as of drainedAt.
+	// instances is the number of those that exchange summaries, drainable how many may be drained beside others, as of
+	// drainedAt.
 	instances int
-	drained   float64
+	drainable float64
 	drainedAt int64
 	seen      seenSet
 	stats     Stats
--- a/router/speed/summary.go
+++ b/router/speed/summary.go
@@ -84,7 +84,7 @@
 func (r *Registry) DrainSummaries(now time.Time) []UpstreamSummary {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	most := r.drainable(now.UnixNano())
+	most := r.mostDrained(now.UnixNano())
 	var out []UpstreamSummary
 	for _, s := range r.services {
 		for id, u := range s.upstreams {
@@ -98,7 +98,9 @@
 			}
 		}
 	}
-	r.drained -= float64(len(out))
+	if r.instances > 1 {
+		r.drainable -= float64(len(out))
+	}
 	return out
 }
 
@@ -109,17 +111,17 @@
 	r.instances = n
 }
 
-// drainable returns how many summaries may be drained now, so that those of all instances stay within relayedRate.
-func (r *Registry) drainable(now int64) int {
+// mostDrained returns how many summaries may be drained now, so that those of all instances stay within relayedRate.
+func (r *Registry) mostDrained(now int64) int {
 	if r.instances <= 1 {
 		return maxDrained
 	}
 	rate := relayedRate / float64(r.instances*r.instances)
 	if r.drainedAt != 0 {
-		r.drained = min(r.drained+rate*float64(now-r.drainedAt)/float64(time.Second), max(rate, 1))
+		r.drainable = min(r.drainable+rate*float64(now-r.drainedAt)/float64(time.Second), max(rate, 1))
 	}
 	r.drainedAt = now
-	return int(r.drained)
+	return int(r.drainable)
 }
 
 func (c *cell) due(now int64) bool {
--- a/router/speed/summary_test.go
+++ b/router/speed/summary_test.go
@@ -351,3 +351,23 @@
 		}
 	}
 }
+
+// Guards against an instance that shares nothing for minutes since it took itself for the only one when it started.
+func TestSummariesAfterStart(t *testing.T) {
+	s := newSite(5, 53)
+	r := speed.NewRegistry()
+	r.UpdateUpstreams(s.list(s.n))
+	now := s.run(r, start, 5*time.Second, 200, s.n)
+	if n := len(r.DrainSummaries(now)); n < 20 {
+		t.Fatalf("%d summaries of the only instance, want one for most upstreams", n)
+	}
+	r.SetInstances(29)
+	drained := 0
+	for range 10 {
+		now = s.run(r, now, time.Second, 200, s.n)
+		drained += len(r.DrainSummaries(now))
+	}
+	if drained == 0 {
+		t.Error("no summary within 10 s beside 28 other instances")
+	}
+}
