--- a/router/speed/registry.go
+++ b/router/speed/registry.go
@@ -43,8 +43,8 @@
 	Observations, Skipped uint64
 	// Merged is the number of summaries of other instances that were added.
 	Merged uint64
-	// Upstreams is the number of upstreams of which anything is known, Stale of how many of them nothing was observed for staleAfter, and
-	// Slow how many take at least 1.25 times as long as the median of their service.
+	// Upstreams is the number of upstreams of which anything is known, Stale of how many of them nothing was observed for
+	// staleAfter, and Slow how many take at least 1.25 times as long as the median of their service.
 	Upstreams, Stale, Slow int
 }
 
@@ -58,20 +58,17 @@
 
 // Prompt records the first event of a response.
 func (r *Registry) Prompt(t Target, o PromptObservation, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.service(t.Service)
-	if s == nil {
-		r.stats.Skipped++
-		return
-	}
-	n := len(s.upstreams)
-	r.taken(s.observePrompt(&t, &o, now.UnixNano(), r.count < MaxUpstreams))
-	r.count += len(s.upstreams) - n
+	r.observe(&t, func(s *service, room bool) bool { return s.observePrompt(&t, &o, now.UnixNano(), room) })
 }
 
 // Step records an event of a stream.
 func (r *Registry) Step(t Target, o StepObservation, now time.Time) {
+	r.observe(&t, func(s *service, room bool) bool { return s.observeStep(&t, &o, now.UnixNano(), room) })
+}
+
+// observe records an observation of a target by f, which gets whether there is room for another upstream and reports whether
+// the observation counts.
+func (r *Registry) observe(t *Target, f func(s *service, room bool) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(t.Service)
@@ -80,16 +77,12 @@
 		return
 	}
 	n := len(s.upstreams)
-	r.taken(s.observeStep(&t, &o, now.UnixNano(), r.count < MaxUpstreams))
-	r.count += len(s.upstreams) - n
-}
-
-func (r *Registry) taken(ok bool) {
-	if ok {
+	if f(s, r.count < MaxUpstreams) {
 		r.stats.Observations++
 	} else {
 		r.stats.Skipped++
 	}
+	r.count += len(s.upstreams) - n
 }
 
 // Reported records the load that an upstream reported at a time. Upstreams that are not listed are ignored.
@@ -129,8 +122,8 @@
 	return now-u.observedAt >= int64(staleAfter)
 }
 
-// UpdateUpstreams takes the list of upstreams and drops what is known of others. Listed ones without observations are kept, so that
-// Stats counts them.
+// UpdateUpstreams takes the list of upstreams and drops what is known of others. Listed ones without observations are kept, so
+// that Stats counts them.
 func (r *Registry) UpdateUpstreams(l *fleet.List) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
