perf(relay): observe speeds only where they are used

The first responses of a service, until the first pace has been read, aren't observed either.

The target of an observation and that of an estimate were put together twice; speedTarget does it for both.

--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -253,7 +253,7 @@
 	}
 	o := &attempt{
 		request: t, upstream: u, began: began, placement: t.Balancer.Start(c, began), serviceSize: c.ServiceSize, nominal: c.Nominal,
-		target: t.speedTarget(c, model), promptTokens: t.promptTokens(c), resumes: s.Resumes,
+		target: t.observedTarget(u, model), promptTokens: t.promptTokens(c), resumes: s.Resumes,
 	}
 	cancelAttempt := t.cancelForRetry(u, cancel)
 	o.progress = t.Probe.Start(u, lostPauses*t.Route.MaxPause, cancelAttempt, began)
--- a/router/relay/speed.go
+++ b/router/relay/speed.go
@@ -11,17 +11,23 @@
 	"tarragonvalve.example/router/speed"
 )
 
-// speedTarget returns the upstream and the model of an attempt for the observations of its speed. It is empty for a plain
-// service.
-func (t *request) speedTarget(c place.Choice, model ident.ModelID) speed.Target {
-	if !t.isEngine() {
-		return speed.Target{}
-	}
+// speedTarget returns the service and the model of a request to an engine.
+func (t *request) speedTarget(model ident.ModelID) speed.Target {
 	if model == "" {
 		model = t.Meta.Model
 	}
-	s := t.Document.Services[t.service]
-	return speed.Target{Service: t.service, Upstream: c.Upstream.ID, Model: model, Factor: tokenTime(s, model), Slots: c.Upstream.Slots}
+	return speed.Target{Service: t.service, Model: model, Factor: tokenTime(t.Document.Services[t.service], model)}
+}
+
+// observedTarget returns what is observed of the speed of an attempt's upstream. It is empty unless the service's upstreams state
+// that they share their machines: estimates are used of these only.
+func (t *request) observedTarget(u *fleet.Upstream, model ident.ModelID) speed.Target {
+	if !t.isEngine() || !t.Speed.Uneven(t.service, time.Now()) {
+		return speed.Target{}
+	}
+	x := t.speedTarget(model)
+	x.Upstream, x.Slots = u.ID, u.Slots
+	return x
 }
 
 // setSpeeds sets what is known of the speed of an engine service's upstreams, and how long its streams may pause, if the
@@ -32,7 +38,7 @@
 		return
 	}
 	q.StreamPause = t.Document.StreamPause(t.service)
-	x := speed.Target{Service: t.service, Model: model, Factor: q.TokenTime}
+	x := t.speedTarget(model)
 	q.PromptRate = t.Speed.Estimate(x, now).PromptRate
 	q.Speed = func(u *fleet.Upstream, running int) place.Speed {
 		x.Upstream, x.Slots = u.ID, u.Slots
