refactor(routes): have one type for the lines of a configuration

The decoder's outline and the check each declared the lines of a configuration's entries, and the command and a test each copied one into the other. routes.Lines serves all; it belongs to the document that both know.

No change of behavior: go test ./rows, ./check and ./verbs pass, with the golden files as they are.

--- a/tarragonvalve/check/check_test.go
+++ b/tarragonvalve/check/check_test.go
@@ -54,12 +54,7 @@
 	if err != nil {
 		return nil, check.Invalid(name, rows.ErrorLine(b, err), err)
 	}
-	o := rows.OutlineOf(b)
-	l := check.Lines{Routes: o.Routes, Accounts: o.Accounts, Version: o.Version, Limits: o.Limits}
-	for _, s := range o.Services {
-		l.Services = append(l.Services, check.ServiceLine(s))
-	}
-	return check.NewRouting(name, d, l), nil
+	return check.NewRouting(name, d, rows.OutlineOf(b)), nil
 }
 
 func valid(t testing.TB, name, text string) check.Config {
--- a/tarragonvalve/check/routes.go
+++ b/tarragonvalve/check/routes.go
@@ -8,27 +8,11 @@
 	"tarragonvalve.example/router/routes"
 )
 
-// Lines holds the lines of the entries of a routers' configuration, in the order of the
-// text; 0 is unknown.
-type Lines struct {
-	Routes   []int
-	Services []ServiceLine
-	Accounts []int
-	Version  int
-	Limits   int
-}
-
-// ServiceLine is the line of a service. A document holds only the last service of a name.
-type ServiceLine struct {
-	ID   ident.ServiceID
-	Line int
-}
-
 // Routing is a configuration of routers.
 type Routing struct {
 	name     string
 	document *routes.Document
-	lines    Lines
+	lines    routes.Lines
 	// services holds the index of each service in the text, the last one of a name.
 	services map[ident.ServiceID]int
 	// byID holds the indexes of the accounts of each name.
@@ -36,7 +20,7 @@
 }
 
 // NewRouting returns a configuration that a decoder accepted. The document is indexed.
-func NewRouting(file string, d *routes.Document, l Lines) *Routing {
+func NewRouting(file string, d *routes.Document, l routes.Lines) *Routing {
 	r := &Routing{name: file, document: d, lines: l, services: map[ident.ServiceID]int{}, byID: map[ident.AccountID][]int{}}
 	for i := range d.Accounts {
 		r.byID[d.Accounts[i].ID] = append(r.byID[d.Accounts[i].ID], i)
--- a/tarragonvalve/verbs/check.go
+++ b/tarragonvalve/verbs/check.go
@@ -91,17 +91,7 @@
 	if err != nil {
 		return nil, check.Invalid(file, rows.ErrorLine(b, err), err)
 	}
-	return check.NewRouting(file, d, linesOf(b)), nil
-}
-
-// linesOf returns the lines of the entries of a routers' configuration.
-func linesOf(b []byte) check.Lines {
-	o := rows.OutlineOf(b)
-	l := check.Lines{Routes: o.Routes, Accounts: o.Accounts, Version: o.Version, Limits: o.Limits}
-	for _, s := range o.Services {
-		l.Services = append(l.Services, check.ServiceLine(s))
-	}
-	return l
+	return check.NewRouting(file, d, rows.OutlineOf(b)), nil
 }
 
 // inForce returns the version in force, from a file or from the URL of its source: an entry
