test(poison,front): check refusals and answers in one place

Three tables of histories checked with the same two loops what is refused and served, and two tests of heads read the answers on a connection by the same one.

--- a/router/front/headread_test.go
+++ b/router/front/headread_test.go
@@ -21,6 +21,22 @@
 	return r
 }
 
+// wantStatuses reads the answers on a connection, whole, and fails the test if they have other statuses.
+func wantStatuses(t *testing.T, c net.Conn, r *bufio.Reader, want []int) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	for _, w := range want {
+		a, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, a.Body); err != nil || a.StatusCode != w {
+			t.Errorf("got %d %v, want %d", a.StatusCode, err, w)
+		}
+		a.Body.Close()
+	}
+}
+
 // Guards against a request that is not served because a few empty lines come before it, and against one that is served
 // after more of them than are skipped.
 func TestEmptyLines(t *testing.T) {
@@ -61,17 +77,7 @@
 				}
 				time.Sleep(20 * time.Millisecond)
 			}
-			o.SetReadDeadline(time.Now().Add(10 * time.Second))
-			for _, w := range c.want {
-				a, err := http.ReadResponse(r, nil)
-				if err != nil {
-					t.Fatal(err)
-				}
-				if _, err := io.Copy(io.Discard, a.Body); err != nil || a.StatusCode != w {
-					t.Errorf("got %d %v, want %d", a.StatusCode, err, w)
-				}
-				a.Body.Close()
-			}
+			wantStatuses(t, o, r, c.want)
 		})
 	}
 }
@@ -103,17 +109,7 @@
 			o := s.dial("")
 			go io.WriteString(o, c.send) // fails if the head is refused
 			r := bufio.NewReader(o)
-			o.SetReadDeadline(time.Now().Add(10 * time.Second))
-			for _, w := range c.want {
-				a, err := http.ReadResponse(r, nil)
-				if err != nil {
-					t.Fatal(err)
-				}
-				if _, err := io.Copy(io.Discard, a.Body); err != nil || a.StatusCode != w {
-					t.Errorf("got %d %v, want %d", a.StatusCode, err, w)
-				}
-				a.Body.Close()
-			}
+			wantStatuses(t, o, r, c.want)
 		})
 	}
 }
--- a/router/poison/late_test.go
+++ b/router/poison/late_test.go
@@ -108,16 +108,7 @@
 				rs = append(rs, lateReport{r, late})
 			}
 			s.receive(rs, late+1200*time.Millisecond)
-			for _, ps := range c.refused {
-				if !s.refuses(ps...) {
-					t.Errorf("%v is served", ps)
-				}
-			}
-			for _, ps := range c.served {
-				if s.refuses(ps...) {
-					t.Errorf("%v is refused", ps)
-				}
-			}
+			s.checkRefusals(t, c.refused, c.served)
 		})
 	}
 }
--- a/router/poison/poison_test.go
+++ b/router/poison/poison_test.go
@@ -77,6 +77,22 @@
 	return s.Check(s.prompt(shared...), s.now) > 0
 }
 
+// checkRefusals fails the test if requests with parts that must be refused are served, or those that must be served are
+// refused.
+func (s *scene) checkRefusals(t *testing.T, refused, served [][]string) {
+	t.Helper()
+	for _, ps := range refused {
+		if !s.refuses(ps...) {
+			t.Errorf("%v is served", ps)
+		}
+	}
+	for _, ps := range served {
+		if s.refuses(ps...) {
+			t.Errorf("%v is refused", ps)
+		}
+	}
+}
+
 // Guards against sound requests that are refused since they were in progress at crashes, and against
 // a part that goes on crashing upstreams because other parts came with it.
 func TestDecisions(t *testing.T) {
@@ -244,16 +260,7 @@
 			s := newScene()
 			c.run(s)
 			s.wait(settled)
-			for _, ps := range c.refused {
-				if !s.refuses(ps...) {
-					t.Errorf("%v is served", ps)
-				}
-			}
-			for _, ps := range c.served {
-				if s.refuses(ps...) {
-					t.Errorf("%v is refused", ps)
-				}
-			}
+			s.checkRefusals(t, c.refused, c.served)
 		})
 	}
 }
--- a/router/poison/repeated_test.go
+++ b/router/poison/repeated_test.go
@@ -109,16 +109,7 @@
 			s := newScene()
 			c.run(s)
 			s.wait(settled)
-			for _, ps := range c.refused {
-				if !s.refuses(ps...) {
-					t.Errorf("%v is served", ps)
-				}
-			}
-			for _, ps := range c.served {
-				if s.refuses(ps...) {
-					t.Errorf("%v is refused", ps)
-				}
-			}
+			s.checkRefusals(t, c.refused, c.served)
 		})
 	}
 }
