--- a/router/notice/limit.go
+++ b/router/notice/limit.go
@@ -59,7 +59,7 @@
 // how long it is usable. It returns false if the instance has no slot, as the number of instances that share the rate of a
 // cold upstream isn't known. The upstream must be paced.
 func (b *Registry) next(u *fleet.Upstream, m record, now time.Time) (at time.Time, ttl time.Duration, ok bool) {
-	share := *b.share.Load()
+	share := b.Share()
 	if !u.Cold(now) {
 		s := pacer.New(m.limit.Rate, share, u.ID)
 		return s.Next(m.taken, now), s.TTL(), true
