--- /dev/null
+++ b/review/stage/poison.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+const poisonPart = "badc0de5"
+
+// sound returns a request whose prompt is like the poisoned ones but for the part that crashes servers.
+func sound() *request {
+	return prompt(fmt.Sprintf("%08x", 0x70000000+rand.IntN(6)))
+}
+
+// prompt returns a request with a part of its prompt beside parts that others share.
+func prompt(part string) *request {
+	return &request{
+		method: "POST", path: streams + "2f", deadline: 25 * time.Second, in: 1460, out: 24,
+		prefix: fmt.Sprintf("5c1e07a2:800,%s:410,%08x:250", part, rand.Uint32()), body: "{}",
+	}
+}
+
+// load sends sound requests at a rate until the time is over.
+func (g *stage) load(perSecond float64, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		if m, err := pick(g.machines); err == nil {
+			g.clients.send(m, "sound", sound())
+		}
+		time.Sleep(time.Duration((0.5 + rand.Float64()) / perSecond * float64(time.Second)))
+	}
+}
+
+// poisoned sends requests with the part that crashes servers, one each gap, until the time is over.
+func (g *stage) poisoned(gap, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(gap) {
+		if m, err := pick(g.machines); err == nil {
+			g.clients.send(m, "poisoned", prompt(poisonPart))
+		}
+	}
+}
+
+// afterFifth counts the requests with the part that reached servers, sent by machines in touch later than the stability
+// window after the fifth crash.
+func (g *stage) afterFifth() int {
+	g.farm.mu.Lock()
+	defer g.farm.mu.Unlock()
+	g.clients.mu.Lock()
+	defer g.clients.mu.Unlock()
+	if len(g.farm.crashes) < 5 {
+		g.record.say("only %d crashes", len(g.farm.crashes))
+		return 0
+	}
+	from := g.farm.crashes[4].Add(stability)
+	by := map[string]*sent{}
+	for _, x := range g.clients.sent {
+		by[x.id] = x
+	}
+	n := 0
+	for _, r := range g.farm.reached {
+		x := by[r.id]
+		if x == nil || x.label != "poisoned" || !r.at.After(from) || !x.machine.inTouch(r.at) {
+			continue
+		}
+		n++
+		g.record.add("counted: %s reached server %s at %.3f from %s", r.id, r.server, g.record.at(r.at), x.machine.name)
+	}
+	g.record.say("%d crashes, the fifth at %.1f s; %d requests with the part reached servers from machines in touch later than %s after it (3 are allowed)",
+		len(g.farm.crashes), g.record.at(g.farm.crashes[4]), n, stability)
+	return n
+}
+
+// summary says how the requests of a label ended.
+func (g *stage) summary(label string) {
+	g.clients.mu.Lock()
+	defer g.clients.mu.Unlock()
+	all, whole, cut := 0, 0, 0
+	status := map[int]int{}
+	for _, x := range g.clients.sent {
+		if x.label != label {
+			continue
+		}
+		all++
+		status[x.status]++
+		switch {
+		case x.status == 200 && x.complete:
+			whole++
+		case x.status == 200:
+			cut++
+		}
+	}
+	g.record.say("%s requests: %d sent, %d answered whole, %d cut, by status %v", label, all, whole, cut, status)
+}
+
+func init() {
+	cases["seeds"] = func(g *stage) (bool, error) { return g.playSeeds() }
+	cases["moved"] = func(g *stage) (bool, error) { return g.playMoved() }
+	cases["herd"] = func(g *stage) (bool, error) { return g.playHerd() }
+}
+
+// modelServers are those of the poison cases.
+func modelServers(service string, delay time.Duration) *kind {
+	return &kind{service: service, engine: true, slots: 64, token: 4 * time.Millisecond, eventTokens: 6, poison: poisonPart, poisonDelay: delay, down: 3 * time.Second}
+}
+
+// playSeeds has the three seeds lost for good before requests with a part come that crashes servers.
+func (g *stage) playSeeds() (bool, error) {
+	if _, err := g.engines(modelServers(serviceA, 60*time.Millisecond), 9); err != nil {
+		return false, err
+	}
+	g.store.put("op", "config", config(7, serviceA))
+	if err := g.startMachines(8); err != nil {
+		return false, err
+	}
+	const played = 60 * time.Second
+	go g.load(30, played)
+	time.Sleep(8 * time.Second)
+	if g.trouble {
+		for _, m := range g.machines[:3] {
+			g.record.add("machine %s is lost for good", m.name)
+			m.kill()
+		}
+	}
+	time.Sleep(6 * time.Second)
+	g.poisoned(time.Second, played-16*time.Second)
+	time.Sleep(2 * time.Second)
+	n := g.afterFifth()
+	g.summary("poisoned")
+	g.summary("sound")
+	return n > 3, nil
+}
+
+// playHerd kills all machines' processes at once after a part that crashes servers has been found.
+func (g *stage) playHerd() (bool, error) {
+	if _, err := g.engines(modelServers(serviceA, -1), 9); err != nil {
+		return false, err
+	}
+	g.store.put("op", "config", config(7, serviceA))
+	if err := g.startMachines(5); err != nil {
+		return false, err
+	}
+	const gap, played = 6 * time.Second, 80 * time.Second
+	go g.load(30, played)
+	time.Sleep(8 * time.Second)
+	go g.poisoned(gap, played-10*time.Second)
+	// Shortly after the fifth of these requests.
+	time.Sleep(4*gap + 500*time.Millisecond)
+	if g.trouble {
+		g.record.add("all processes are killed")
+		for _, m := range g.machines {
+			m.signal(9)
+		}
+		time.Sleep(time.Second)
+		for _, m := range g.machines {
+			if err := m.start(g.root); err != nil {
+				return false, err
+			}
+		}
+	}
+	time.Sleep(played - 8*time.Second - 4*gap)
+	n := g.afterFifth()
+	g.summary("poisoned")
+	g.summary("sound")
+	return n > 3, nil
+}
+
+// playMoved has the operator move the route to another model service after a part that crashes servers has been found.
+func (g *stage) playMoved() (bool, error) {
+	const gap, played = 3 * time.Second, 60 * time.Second
+	for _, x := range []string{serviceA, serviceB} {
+		if _, err := g.engines(modelServers(x, 60*time.Millisecond), 6); err != nil {
+			return false, err
+		}
+	}
+	g.store.put("op", "config", config(7, serviceA))
+	if err := g.startMachines(5); err != nil {
+		return false, err
+	}
+	go g.load(30, played)
+	time.Sleep(8 * time.Second)
+	go g.poisoned(gap, played-10*time.Second)
+	time.Sleep(22 * time.Second)
+	if g.trouble {
+		g.record.add("config 9 moves the route to service %s", serviceB)
+		g.store.put("op", "config", config(9, serviceB))
+	}
+	time.Sleep(played - 30*time.Second + 2*time.Second)
+	n := g.afterFifth()
+	g.summary("poisoned")
+	g.summary("sound")
+	return n > 3, nil
+}
