test(review): show a crashing request that comes in other sessions

The hash of a whole request takes in the last part of its prompt, which belongs to the request or its session alone.

--- a/review/stage/poison.go
+++ b/review/stage/poison.go
@@ -93,6 +93,8 @@
 }
 
 func init() {
+	cases["sessions"] = func(g *stage) (bool, error) { return g.playContent(true) }
+	cases["same"] = func(g *stage) (bool, error) { return g.playContent(false) }
 	cases["seeds"] = func(g *stage) (bool, error) { return g.playSeeds() }
 	cases["moved"] = func(g *stage) (bool, error) { return g.playMoved() }
 	cases["herd"] = func(g *stage) (bool, error) { return g.playHerd() }
@@ -190,3 +192,75 @@
 	g.summary("sound")
 	return n > 3, nil
 }
+
+// crashBody is the body of the request that crashes servers.
+const crashBody = `{"logo":"f81d4fae"}`
+
+// afterThird counts the requests with the label that reached servers, sent by machines in touch later than the stability
+// window after the third crash.
+func (g *stage) afterThird(label string) int {
+	g.farm.mu.Lock()
+	defer g.farm.mu.Unlock()
+	g.clients.mu.Lock()
+	defer g.clients.mu.Unlock()
+	if len(g.farm.crashes) < 3 {
+		g.record.say("only %d crashes", len(g.farm.crashes))
+		return 0
+	}
+	from := g.farm.crashes[2].Add(stability)
+	by := map[string]*sent{}
+	for _, x := range g.clients.sent {
+		by[x.id] = x
+	}
+	n := 0
+	for _, r := range g.farm.reached {
+		x := by[r.id]
+		if x == nil || x.label != label || !r.at.After(from) || !x.machine.inTouch(r.at) {
+			continue
+		}
+		n++
+		g.record.add("counted: %s reached server %s at %.3f from %s", r.id, r.server, g.record.at(r.at), x.machine.name)
+	}
+	g.record.say("%d crashes, the third at %.1f s; the request reached servers %d times from machines in touch later than %s after it (3 are allowed)",
+		len(g.farm.crashes), g.record.at(g.farm.crashes[2]), n, stability)
+	return n
+}
+
+// playContent has a caller send a request again and again that crashes each server that begins to run it.
+func (g *stage) playContent(sessions bool) (bool, error) {
+	k := modelServers(serviceA, 60*time.Millisecond)
+	k.poison = ""
+	if g.trouble {
+		k.poisonBody = crashBody
+	}
+	if _, err := g.engines(k, 9); err != nil {
+		return false, err
+	}
+	g.store.put("op", "config", config(7, serviceA))
+	if err := g.startMachines(5); err != nil {
+		return false, err
+	}
+	const gap, played = 3 * time.Second, 60 * time.Second
+	go g.load(30, played)
+	time.Sleep(8 * time.Second)
+	session := rand.Uint32()
+	for end := time.Now().Add(played - 10*time.Second); time.Now().Before(end); time.Sleep(gap) {
+		m, err := pick(g.machines)
+		if err != nil {
+			return false, err
+		}
+		if sessions {
+			session = rand.Uint32()
+		}
+		q := prompt("70000001")
+		q.prefix = fmt.Sprintf("5c1e07a2:800,70000001:410,%08x:250", session)
+		q.session = fmt.Sprintf("s%08x", session)
+		q.body = crashBody
+		g.clients.send(m, "crashing", q)
+	}
+	time.Sleep(2 * time.Second)
+	n := g.afterThird("crashing")
+	g.summary("crashing")
+	g.summary("sound")
+	return n > 3, nil
+}
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -36,6 +36,8 @@
 	// that long after the first bytes, or with a negative time before they leave.
 	poison      string
 	poisonDelay time.Duration
+	// poisonBody is the body of a request under which a server crashes as it begins to run it; empty for none.
+	poisonBody string
 	// down is how long a crashed server is down.
 	down time.Duration
 }
@@ -220,15 +222,14 @@
 			return
 		}
 		c.SetReadDeadline(time.Time{})
-		_ = b
-		if !s.answer(c, r, q, id) {
+		if !s.answer(c, r, q, string(b), id) {
 			return
 		}
 	}
 }
 
 // answer answers a request and reports whether the connection can be used again.
-func (s *server) answer(c net.Conn, r *bufio.Reader, q *http.Request, id string) bool {
+func (s *server) answer(c net.Conn, r *bufio.Reader, q *http.Request, body, id string) bool {
 	a := q.Header.Get("Tarragonvalve-Attempt-Id")
 	load := func() string {
 		s.mu.Lock()
@@ -291,7 +292,7 @@
 			return
 		}
 	}()
-	x := &work{server: s, conn: c, request: q, id: a, server0: id, gone: gone, end: time.NewTimer(time.Duration(ms) * time.Millisecond), load: load}
+	x := &work{server: s, conn: c, request: q, body: body, id: a, server0: id, gone: gone, end: time.NewTimer(time.Duration(ms) * time.Millisecond), load: load}
 	var ok bool
 	if s.engine {
 		ok = x.stream()
@@ -315,6 +316,7 @@
 	server      *server
 	conn        net.Conn
 	request     *http.Request
+	body        string
 	id, server0 string
 	gone        chan struct{}
 	end         *time.Timer
@@ -372,6 +374,11 @@
 // plain answers a request to a plain service.
 func (x *work) plain() bool {
 	x.begin()
+	if x.server.poisonBody != "" && x.body == x.server.poisonBody {
+		x.done("the server crashes")
+		x.server.crash(x.server0, x.id)
+		return false
+	}
 	if why := x.wait(x.server.work); why != "" {
 		x.done(why)
 		return false
@@ -394,6 +401,7 @@
 		return false
 	}
 	poisoned := x.server.poison != "" && strings.Contains(x.request.Header.Get("Tarragonvalve-Prompt-Prefix"), x.server.poison+":")
+	poisoned = poisoned || (x.server.poisonBody != "" && x.body == x.server.poisonBody)
 	// A request starts to run with its first token.
 	x.begin()
 	if poisoned && x.server.poisonDelay < 0 {
