--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -46,6 +46,8 @@
 	complete bool
 	events   int
 	err      error
+	// done is closed when the answer has ended.
+	done chan struct{}
 }
 
 // clients sends requests and keeps what became of them.
@@ -76,12 +78,13 @@
 
 // send sends a request to a machine on a new connection, and reads its answer in the background.
 func (c *clients) send(m *machine, label string, q *request) *sent {
-	x := &sent{id: fmt.Sprintf("%016x", rand.Uint64()), label: label, machine: m, at: time.Now()}
+	x := &sent{id: fmt.Sprintf("%016x", rand.Uint64()), label: label, machine: m, at: time.Now(), done: make(chan struct{})}
 	c.mu.Lock()
 	c.sent = append(c.sent, x)
 	c.mu.Unlock()
 	c.record.add("client sends %s (%s) to %s", x.id, label, m.name)
 	c.wait.Go(func() {
+		defer close(x.done)
 		c.exchange(x, q)
 		x.ended = time.Now()
 		c.record.add("client's %s (%s) at %s ends: status %d, complete %v, %d events, error %v", x.id, label, m.name, x.status, x.complete, x.events, x.err)
--- a/review/stage/poison.go
+++ b/review/stage/poison.go
@@ -93,6 +93,7 @@
 }
 
 func init() {
+	cases["known"] = func(g *stage) (bool, error) { return g.playKnown() }
 	cases["sessions"] = func(g *stage) (bool, error) { return g.playContent(true) }
 	cases["same"] = func(g *stage) (bool, error) { return g.playContent(false) }
 	cases["seeds"] = func(g *stage) (bool, error) { return g.playSeeds() }
@@ -264,3 +265,50 @@
 	g.summary("sound")
 	return n > 3, nil
 }
+
+// playKnown has a part crash servers that have served it until then. A client sends each request with it twice, as it
+// repeats one that failed.
+func (g *stage) playKnown() (bool, error) {
+	k := modelServers(serviceA, 60*time.Millisecond)
+	k.poison = ""
+	if _, err := g.engines(k, 9); err != nil {
+		return false, err
+	}
+	g.store.put("op", "config", config(7, serviceA))
+	if err := g.startMachines(5); err != nil {
+		return false, err
+	}
+	const gap, played = 3 * time.Second, 75 * time.Second
+	go g.load(30, played)
+	time.Sleep(8 * time.Second)
+	began := time.Now()
+	label := "sound"
+	for end := time.Now().Add(played - 10*time.Second); time.Now().Before(end); time.Sleep(gap) {
+		if label == "sound" && time.Since(began) > 10*time.Second {
+			label = "poisoned"
+			if g.trouble {
+				g.record.add("from now on the part crashes servers")
+				k.crashes.Store(true)
+			}
+		}
+		q := prompt(poisonPart)
+		g.clients.wait.Go(func() {
+			for range 2 {
+				m, err := pick(g.machines)
+				if err != nil {
+					return
+				}
+				x := g.clients.send(m, label, q)
+				<-x.done
+				if x.status == 200 && x.complete {
+					return
+				}
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	n := g.afterFifth()
+	g.summary("poisoned")
+	g.summary("sound")
+	return n > 3, nil
+}
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -36,6 +36,8 @@
 	// that long after the first bytes, or with a negative time before they leave.
 	poison      string
 	poisonDelay time.Duration
+	// crashes has servers crash under poisonPart from some time on.
+	crashes atomic.Bool
 	// poisonBody is the body of a request under which a server crashes as it begins to run it; empty for none.
 	poisonBody string
 	// down is how long a crashed server is down.
@@ -401,6 +403,7 @@
 		return false
 	}
 	poisoned := x.server.poison != "" && strings.Contains(x.request.Header.Get("Tarragonvalve-Prompt-Prefix"), x.server.poison+":")
+	poisoned = poisoned || (x.server.crashes.Load() && strings.Contains(x.request.Header.Get("Tarragonvalve-Prompt-Prefix"), poisonPart+":"))
 	poisoned = poisoned || (x.server.poisonBody != "" && x.body == x.server.poisonBody)
 	// A request starts to run with its first token.
 	x.begin()
