test(review): show sound work lost beside a known part that crashes servers

Crashes before the first byte don't count against a part that servers survived within the last minute.

It takes the place of the case with repeats, which review/stage still plays (repeats).

--- a/review/stage/poison.go
+++ b/review/stage/poison.go
@@ -93,7 +93,14 @@
 }
 
 func init() {
-	cases["known"] = func(g *stage) (bool, error) { return g.playKnown() }
+	cases["known"] = func(g *stage) (bool, error) {
+		lost, _, err := g.playKnown(known{delay: -1, gap: 150 * time.Millisecond, times: 1})
+		return lost, err
+	}
+	cases["repeats"] = func(g *stage) (bool, error) {
+		_, budget, err := g.playKnown(known{delay: 60 * time.Millisecond, gap: 3 * time.Second, times: 2})
+		return budget, err
+	}
 	cases["sessions"] = func(g *stage) (bool, error) { return g.playContent(true) }
 	cases["same"] = func(g *stage) (bool, error) { return g.playContent(false) }
 	cases["seeds"] = func(g *stage) (bool, error) { return g.playSeeds() }
@@ -266,24 +273,72 @@
 	return n > 3, nil
 }
 
-// playKnown has a part crash servers that have served it until then. A client sends each request with it twice, as it
-// repeats one that failed.
-func (g *stage) playKnown() (bool, error) {
-	k := modelServers(serviceA, 60*time.Millisecond)
+// begun returns which part of the sound requests began at their first attempt before the first crash, and which from twice
+// the stability window after the fifth crash on, while requests with the part still came.
+func (g *stage) begun(until time.Time) (before, late float64) {
+	g.farm.mu.Lock()
+	defer g.farm.mu.Unlock()
+	g.clients.mu.Lock()
+	defer g.clients.mu.Unlock()
+	if len(g.farm.crashes) < 5 {
+		return 1, 1
+	}
+	ran := map[string]bool{}
+	for _, r := range g.farm.runs {
+		ran[r.id] = true
+	}
+	first, from := g.farm.crashes[0], g.farm.crashes[4].Add(2*stability)
+	var all, began [2]int
+	for _, x := range g.clients.sent {
+		if x.label != "sound" || !x.machine.inTouch(x.at) {
+			continue
+		}
+		var i int
+		switch {
+		case x.at.Before(first.Add(-time.Second)):
+		case x.at.After(from) && x.at.Before(until):
+			i = 1
+		default:
+			continue
+		}
+		all[i]++
+		if ran[x.id] {
+			began[i]++
+		}
+	}
+	g.record.say("sound requests that began: %d of %d before the first crash, %d of %d from %s after the fifth crash on", began[0], all[0], began[1], all[1], 2*stability)
+	if min(all[0], all[1]) < 20 {
+		return 1, 1
+	}
+	return float64(began[0]) / float64(all[0]), float64(began[1]) / float64(all[1])
+}
+
+// known describes a part that crashes servers which have served it until then.
+type known struct {
+	// delay is the time from the first bytes of an answer to the crash; negative if none leave.
+	delay time.Duration
+	// gap is the time between two new requests, times how often a client sends one that fails.
+	gap   time.Duration
+	times int
+}
+
+// playKnown returns whether LOST was broken, and whether BUDGET was.
+func (g *stage) playKnown(x known) (lost, budget bool, err error) {
+	k := modelServers(serviceA, x.delay)
 	k.poison = ""
 	if _, err := g.engines(k, 9); err != nil {
-		return false, err
+		return false, false, err
 	}
 	g.store.put("op", "config", config(7, serviceA))
 	if err := g.startMachines(5); err != nil {
-		return false, err
+		return false, false, err
 	}
-	const gap, played = 3 * time.Second, 75 * time.Second
+	const played = 75 * time.Second
 	go g.load(30, played)
 	time.Sleep(8 * time.Second)
 	began := time.Now()
 	label := "sound"
-	for end := time.Now().Add(played - 10*time.Second); time.Now().Before(end); time.Sleep(gap) {
+	for end := began.Add(played - 15*time.Second); time.Now().Before(end); time.Sleep(x.gap) {
 		if label == "sound" && time.Since(began) > 10*time.Second {
 			label = "poisoned"
 			if g.trouble {
@@ -291,24 +346,26 @@
 				k.crashes.Store(true)
 			}
 		}
-		q := prompt(poisonPart)
+		q, of := prompt(poisonPart), label
 		g.clients.wait.Go(func() {
-			for range 2 {
+			for range x.times {
 				m, err := pick(g.machines)
 				if err != nil {
 					return
 				}
-				x := g.clients.send(m, label, q)
-				<-x.done
-				if x.status == 200 && x.complete {
+				s := g.clients.send(m, of, q)
+				<-s.done
+				if s.status == 200 && s.complete {
 					return
 				}
 			}
 		})
 	}
-	time.Sleep(2 * time.Second)
+	until := time.Now().Add(-3 * time.Second)
+	time.Sleep(3 * time.Second)
 	n := g.afterFifth()
+	before, late := g.begun(until)
 	g.summary("poisoned")
 	g.summary("sound")
-	return n > 3, nil
+	return late < before/2, n > 3, nil
 }
