--- a/review/stage/twice.go
+++ b/review/stage/twice.go
@@ -20,10 +20,10 @@
 // overlap is the time for which a server may go on with a request that another one has begun to go on with.
 const overlap = 400 * time.Millisecond
 
-// playTwice disturbs one of seven model servers while it streams.
+// playTwice disturbs one of eight model servers while it streams.
 func (g *stage) playTwice(disturb func(*server)) (bool, error) {
 	k := &kind{service: serviceA, engine: true, slots: 64, token: 100 * time.Millisecond, eventTokens: 6, down: 3 * time.Second}
-	ss, err := g.engines(k, 7)
+	ss, err := g.engines(k, 8)
 	if err != nil {
 		return false, err
 	}
