fix(inlet): tell a reset from the end of an answer without a length

Callers saw: a server answered a long upload with a 200 without a length, sent a part of its body and reset the connection; the client got the part as the whole answer.

Cause: the kernel reports a lost connection once, to whichever call comes first. While an upload is being written, the goroutine that writes it may get ECONNRESET; the next read then returns 0 bytes, as after a proper end, and an answer that ends with its connection looks complete. net/http's Transport has the same two goroutines.

Change: inlet.Conn keeps the error of a write. When a read finds the end of the connection, a write in progress is ended and its error, if it reports a loss, is the read's. EPIPE is what a write gets if the peer ended its sending side before the reset, so such answers stay whole.

--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -68,13 +68,8 @@
 // New returns a client. Close it after use.
 func New(o Options) *Client {
 	c := &Client{options: o, dialer: dial.New(o.DialTimeout)}
-	t := &http.Transport{ //nolint:forbidigo // heads are bounded
-		DialContext:            c.dialer.DialContext,
-		MaxIdleConnsPerHost:    maxIdleConns,
-		IdleConnTimeout:        30 * time.Second,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: inlet.MaxHeadBytes,
-	}
+	t := inlet.NewTransport(c.dialer.DialContext)
+	t.MaxIdleConnsPerHost, t.IdleConnTimeout, t.DisableCompression = maxIdleConns, 30*time.Second, true
 	c.http = &http.Client{Transport: t, CheckRedirect: noRedirect} //nolint:forbidigo // the field, not the type
 	return c
 }
--- a/agent/plain/conn.go
+++ b/agent/plain/conn.go
@@ -30,10 +30,11 @@
 	}
 	ctx, cancel := clock.WithTimeout(ctx, c.options.DialTimeout)
 	defer cancel()
-	n, err := c.dialer.DialContext(ctx, "tcp", u.Host)
+	d, err := c.dialer.DialContext(ctx, "tcp", u.Host)
 	if err != nil {
 		return nil, &NotRunError{Err: err}
 	}
+	n := inlet.NewConn(d)
 	if u.Scheme != "https" {
 		return &Conn{client: c, conn: n}, nil
 	}
--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -134,14 +134,10 @@
 // New returns a client. Close it after use.
 func New(o Options) *Client {
 	c := &Client{options: o, dialer: dial.New(o.DialTimeout), long: make(chan struct{}, maxLong)}
+	t := inlet.NewTransport(c.dialer.DialContext)
+	t.MaxIdleConnsPerHost, t.IdleConnTimeout, t.DisableCompression = maxIdleConns, 30*time.Second, true
 	c.http = &http.Client{
-		Transport: &http.Transport{ //nolint:forbidigo // heads are bounded
-			DialContext:            c.dialer.DialContext,
-			MaxIdleConnsPerHost:    maxIdleConns,
-			IdleConnTimeout:        30 * time.Second,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: inlet.MaxHeadBytes,
-		},
+		Transport: t, //nolint:forbidigo // the field, not the type
 		// Following a redirect would send the call a second time.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/core/inlet/inlet.go
+++ b/core/inlet/inlet.go
@@ -193,14 +193,3 @@
 	l.remaining -= int64(n)
 	return n, err
 }
-
-// NewTransport returns a transport with the settings of http.DefaultTransport and
-// MaxHeadBytes as the bound of heads.
-func NewTransport() *http.Transport {
-	t := &http.Transport{Proxy: http.ProxyFromEnvironment}
-	if d, ok := http.DefaultTransport.(*http.Transport); ok {
-		t = d.Clone()
-	}
-	t.MaxResponseHeaderBytes = MaxHeadBytes
-	return t
-}
--- a/core/inlet/inlet_test.go
+++ b/core/inlet/inlet_test.go
@@ -196,7 +196,7 @@
 			}()
 		}
 	}()
-	c := &http.Client{Transport: inlet.NewTransport()}
+	c := &http.Client{Transport: inlet.NewTransport(new(net.Dialer).DialContext)}
 	defer c.CloseIdleConnections()
 	res, err := c.Get("http://" + l.Addr().String())
 	if err == nil {
--- a/core/table/dynamo.go
+++ b/core/table/dynamo.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/rand"
-	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -87,18 +86,10 @@
 // connection would stay open and be shared by later calls.
 func transport(timeout time.Duration) http.RoundTripper {
 	d := net.Dialer{Timeout: timeout}
-	return &http.Transport{ //nolint:forbidigo // heads are bounded
-		Proxy:                 nil,
-		DialContext:           d.DialContext,
-		TLSNextProto:          map[string]func(string, *tls.Conn) http.RoundTripper{},
-		TLSHandshakeTimeout:   timeout,
-		ResponseHeaderTimeout: timeout,
-		MaxIdleConnsPerHost:   16,
-		MaxConnsPerHost:       64,
-		// The service's own headers take under 1 KiB.
-		MaxResponseHeaderBytes: inlet.MaxHeadBytes,
-		IdleConnTimeout:        30 * time.Second,
-	}
+	t := inlet.NewTransport(d.DialContext)
+	t.TLSHandshakeTimeout, t.ResponseHeaderTimeout, t.IdleConnTimeout = timeout, timeout, 30*time.Second
+	t.MaxIdleConnsPerHost, t.MaxConnsPerHost = 16, 64
+	return t
 }
 
 // maxAnswerBytes bounds an answer of the service: a page of a query, which the API limits to
--- a/entry/boot/build.go
+++ b/entry/boot/build.go
@@ -279,7 +279,7 @@
 	return roster.New(roster.Options{
 		URL:      s.Instances.URL,
 		Interval: s.Instances.Interval,
-		Client:   &http.Client{Transport: inlet.NewTransport()}, //nolint:forbidigo // the field, not the type
+		Client:   &http.Client{Transport: inlet.NewTransport(new(net.Dialer).DialContext)}, //nolint:forbidigo // the field, not the type
 		Static:   s.Instances.Static,
 		OnUpdate: func(is []roster.Instance) {
 			a.Update(targets(is))
--- a/entry/boot/ratings.go
+++ b/entry/boot/ratings.go
@@ -1,6 +1,7 @@
 package boot
 
 import (
+	"net"
 	"net/http"
 
 	"github.com/rs/zerolog"
@@ -27,7 +28,7 @@
 		URL:            s.Rating.URL,
 		ReportInterval: s.Rating.ReportInterval,
 		ReadInterval:   s.Rating.ReadInterval,
-		Client:         &http.Client{Transport: inlet.NewTransport()}, //nolint:forbidigo // the field, not the type
+		Client:         &http.Client{Transport: inlet.NewTransport(new(net.Dialer).DialContext)}, //nolint:forbidigo // the field, not the type
 		OnRating:       r.passRating,
 		Log:            logger.Part(l, "rating"),
 	})
--- /dev/null
+++ b/router/boot/broken_answer_test.go
@@ -0,0 +1,103 @@
+package boot
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"tarragonvalve.example/standin/server"
+)
+
+// uploadBytes is the length of an upload that is still being written when its answer ends: the
+// buffers of a loopback connection don't hold it.
+const uploadBytes = 4 << 20
+
+// uploads is the number of uploads of each kind.
+const uploads = 8
+
+// brokenDocument is the standard configuration with room for uploads.
+func brokenDocument() map[string]any {
+	d := standardDocument()
+	d["limits"] = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 8 << 20, "idle_timeout_ms": 15_000}
+	return d
+}
+
+// exchangeBytes sends an upload of n bytes and returns the status and the body that a client reads, and
+// whether the body is whole by its framing.
+func (w *harness) exchangeBytes(method, path string, n int) (status int, body string, whole bool) {
+	w.t.Helper()
+	c, err := net.Dial("tcp", w.clients)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		w.t.Fatal(err)
+	}
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: shop.example\r\nTarragonvalve-Attempt-Id: %s\r\nTarragonvalve-Deadline-Ms: 3000\r\nAuthorization: Bearer key-1\r\nContent-Length: %d\r\n\r\n",
+		method, path, nextID(), n)
+	go func() {
+		// A router that refuses the request may end the connection before it has read all.
+		_, _ = io.Copy(c, strings.NewReader(strings.Repeat("x", n)))
+	}()
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, "", false
+	}
+	b, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(b), err == nil && (a.ContentLength >= 0 || len(a.TransferEncoding) > 0)
+}
+
+// Guards against a part of an answer without a length that clients get as the whole answer, as its
+// connection was reset while the upload was still being written. Sound answers of that kind, early ones
+// too, must arrive whole.
+func TestAnswersWithoutLength(t *testing.T) {
+	t.Parallel()
+	const events = "id: 1\ndata: event 1\n\n"
+	w := startRouter(t, brokenDocument())
+	script := func(r server.Request) server.Reply {
+		var a server.Abrupt
+		_, name, _ := strings.Cut(strings.TrimPrefix(r.Target, "/"), "/")
+		kind, delay, _ := strings.Cut(name, "/")
+		a.End = map[string]server.End{"reset": server.ByReset, "end": server.ByEnd, "end-then-reset": server.ByEndThenReset}[kind]
+		if delay == "later" {
+			a.Delay = 50 * time.Millisecond
+		}
+		a.Text = strings.ReplaceAll(receiptHeaders, "ID", r.ID()) + "\r\npart of it"
+		if strings.HasPrefix(r.Target, "/chat/") {
+			a.Text = strings.ReplaceAll(receiptHeaders, "ID", r.ID()) + "Content-Type: text/event-stream\r\n\r\n" + events
+		}
+		return a
+	}
+	desk := w.server("desk", "s1", "v1", script)
+	w.server("llm", "s2", "v1", script)
+	w.awaitUpstreams(2)
+	for _, route := range []string{"/read/", "/order/", "/chat/"} {
+		for name, sound := range map[string]bool{"reset": false, "end": true, "end-then-reset": true} {
+			for _, delay := range []string{"", "/later"} {
+				for _, n := range []int{60_000, uploadBytes} {
+					t.Run(fmt.Sprint(route, name, delay, " ", n), func(t *testing.T) {
+						complete, before := 0, len(desk.Requests())
+						for range uploads {
+							status, body, whole := w.exchangeBytes("POST", route+name+delay, n)
+							if status == http.StatusOK && whole && (body == "part of it" || strings.Contains(body, events)) {
+								complete++
+							}
+						}
+						if want := map[bool]int{true: uploads}[sound]; complete != want {
+							t.Errorf("%d of %d answers were complete, want %d", complete, uploads, want)
+						}
+						if ran := len(desk.Requests()) - before; route == "/order/" && ran > uploads {
+							t.Errorf("%d orders ran %d times", uploads, ran)
+						}
+					})
+				}
+			}
+		}
+	}
+}
--- a/router/boot/command.go
+++ b/router/boot/command.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -84,7 +85,7 @@
 	if err != nil {
 		return fmt.Errorf("ask the router at %s: %w", address, err)
 	}
-	c := &http.Client{Transport: inlet.NewTransport()} //nolint:forbidigo // the field, not the type
+	c := &http.Client{Transport: inlet.NewTransport(new(net.Dialer).DialContext)} //nolint:forbidigo // the field, not the type
 	defer c.CloseIdleConnections()
 	a, err := c.Do(q)
 	if err != nil {
--- a/router/link/conn.go
+++ b/router/link/conn.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/router/call"
 	"tarragonvalve.example/router/quota"
 	"tarragonvalve.example/router/sock"
@@ -16,7 +17,7 @@
 
 // conn is one connection to an upstream. It is used by one goroutine at a time.
 type conn struct {
-	net.Conn
+	*inlet.Conn
 	// limiter bounds what r reads from the connection.
 	limiter *quota.Reader
 	r       *bufio.Reader
@@ -32,8 +33,9 @@
 
 // newConn wraps a connection to the upstream at address.
 func newConn(n net.Conn, address string) *conn {
-	b := quota.NewReader(n)
-	return &conn{Conn: n, limiter: b, r: bufio.NewReaderSize(b, readBuffer), address: address}
+	c := inlet.NewConn(n)
+	b := quota.NewReader(c)
+	return &conn{Conn: c, limiter: b, r: bufio.NewReaderSize(b, readBuffer), address: address}
 }
 
 // errExtraAnswer reports what begins as an answer on an idle connection. The id of an extra answer
@@ -51,7 +53,7 @@
 	if c.r.Buffered() > 0 {
 		return c.unexpected()
 	}
-	s, ok := c.Conn.(syscall.Conn)
+	s, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return nil
 	}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -121,6 +121,24 @@
 	// Early sends the response before it reads the request body, which it reads
 	// earlyBodyDelay later.
 	Early struct{ Answer }
+	// Abrupt sends a text as it is, after a delay and before it reads the request body, and ends the connection.
+	Abrupt struct {
+		Text  string
+		Delay time.Duration
+		End   End
+	}
+)
+
+// End is how a connection ends.
+type End int
+
+const (
+	// ByReset ends it without the request body being read.
+	ByReset End = iota
+	// ByEnd ends the sending side, and the connection once the request body has been read.
+	ByEnd
+	// ByEndThenReset ends the sending side, and then the connection without the request body being read.
+	ByEndThenReset
 )
 
 func (Answer) reply()      {}
@@ -143,6 +161,7 @@
 func (Mismatched) reply()  {}
 func (Encoded) reply()     {}
 func (Early) reply()       {}
+func (Abrupt) reply()      {}
 
 // Request is a request as the server read it.
 type Request struct {
@@ -151,7 +170,7 @@
 	Host   string
 	Header http.Header
 	// Body is empty when the script runs, which is before the body is read. It stays empty
-	// after an Early reply.
+	// after an Early or Abrupt reply.
 	Body string
 	// Connection is the number of the request's connection, counted from 1 per server.
 	Connection int
@@ -294,10 +313,12 @@
 		}
 		x := Request{Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Connection: n, At: time.Now()}
 		reply := s.chooseReply(x)
-		early, ok := reply.(Early)
-		if ok {
+		early, isEarly := reply.(Early)
+		if isEarly {
 			reply = early.Answer
-		} else {
+		}
+		_, isAbrupt := reply.(Abrupt)
+		if !isEarly && !isAbrupt {
 			b, err := io.ReadAll(q.Body)
 			if err != nil {
 				return
@@ -307,15 +328,42 @@
 		s.mu.Lock()
 		s.requests = append(s.requests, x)
 		s.mu.Unlock()
+		if a, ok := reply.(Abrupt); ok {
+			sendAbrupt(c, q.Body, a)
+			return
+		}
 		if !s.send(c, r, x, reply) {
 			return
 		}
-		if ok && !drainBody(q.Body) {
+		if isEarly && !drainBody(q.Body) {
 			return
 		}
 	}
 }
 
+// sendAbrupt carries out an Abrupt reply.
+func sendAbrupt(c net.Conn, body io.Reader, a Abrupt) {
+	time.Sleep(a.Delay)
+	t, ok := c.(*net.TCPConn)
+	if !ok || !write(c, a.Text) {
+		return
+	}
+	if a.End != ByReset && t.CloseWrite() != nil {
+		return
+	}
+	if a.End == ByEnd {
+		drainBody(body)
+		return
+	}
+	// Without a pause the reset could overtake the text within the client's process.
+	time.Sleep(abruptPause)
+	// The close of the connection, by the caller, resets it. An error means that it is closed already.
+	_ = t.SetLinger(0)
+}
+
+// abruptPause is the time from the text of an Abrupt reply to the reset.
+const abruptPause = 20 * time.Millisecond
+
 // earlyBodyDelay is the time from an early response until the request body is read.
 const earlyBodyDelay = 200 * time.Millisecond
 
--- a/tarragonvalve/client/client.go
+++ b/tarragonvalve/client/client.go
@@ -75,13 +75,8 @@
 			return nil, fmt.Errorf("address %q: unencrypted connections need --unencrypted", a)
 		}
 	}
-	t := &http.Transport{ //nolint:forbidigo // heads are bounded
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		TLSHandshakeTimeout:    dialTimeout,
-		DisableKeepAlives:      true,
-		ResponseHeaderTimeout:  o.Timeout + replyMargin,
-		MaxResponseHeaderBytes: inlet.MaxHeadBytes,
-	}
+	t := inlet.NewTransport((&net.Dialer{Timeout: dialTimeout}).DialContext)
+	t.TLSHandshakeTimeout, t.ResponseHeaderTimeout, t.DisableKeepAlives = dialTimeout, o.Timeout+replyMargin, true
 	if o.CAFile != "" {
 		p, err := loadCertPool(o.CAFile)
 		if err != nil {
