fix(inlet): refuse answers whose status line HTTP doesn't allow

Callers saw: an answer with the status 000, 099 or 600 to 999, of HTTP/0.9 or HTTP/2.0, with a control byte in its reason, or with a switch to a protocol that nobody asked for, as an answer. Routers took 000 and 101 for interim answers, so that a body which begins like an answer was passed on as one.

Cause: http.ReadResponse takes each three bytes that Atoi takes as a status, and any version; http.Transport has the same reader. Routers had a reader of their own, agents two, and all others http.Transport.

Change: one reader, inlet.ReadResponse, which checks the status line (RFC 9112, section 4; RFC 9110, section 15) and reads the body. The router's link and calls that run once use it directly. inlet.Transport gives http.Transport connections that read by it and pass on what a sound server would have sent; agents, entries, the table, the store and the commands have it. A failed answer ends its connection, and its request isn't repeated, also on a kept connection, where http.Transport repeats what fails before the first byte. Routers log `upstream sent a malformed answer`, agents `answer of the upstream is malformed`, and answers_exceeded_total counts both.

The bound of interim answers is that of the reader (16) on all ways, so tests of agents expect it where they expected the bound of the head; errors of the table name the peer by its URL, as the others do. inlet.TransportError, which recognized http.Transport's error for long heads by its text, is gone with that error: its test asks the transport for the typed error now.

Before, on, TestMalformedAnswers (router): status 600, HTTP/2.0, the reason, 000 and 101 before a whole answer reached clients as answers on plain routes, all but 600 on streams; a lone 000 or 099 ended with 502.

--- a/agent/engine/endless_test.go
+++ b/agent/engine/endless_test.go
@@ -135,9 +135,12 @@
 // Guards against a head without end that is kept in memory, and against its being reported
 // without the part.
 func TestEndlessHead(t *testing.T) {
-	for name, text := range map[string]string{
-		"header line":     "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 1<<20),
-		"interim answers": strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<16),
+	for name, a := range map[string]struct {
+		text string
+		part inlet.Part
+	}{
+		"header line":     {"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 1<<20), inlet.Head},
+		"interim answers": {strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<16), inlet.Interim},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newClient(t, func(w http.ResponseWriter, r *http.Request) {
@@ -148,14 +151,14 @@
 					return
 				}
 				defer n.Close()
-				io.WriteString(n, text)
+				io.WriteString(n, a.text)
 				io.Copy(io.Discard, n)
 			}, nil)
 			_, err := c.Start(t.Context(), request)
 			var b *engine.BrokenError
 			var l *inlet.TooLongError
-			if !errors.As(err, &b) || !errors.As(err, &l) || l.Part != inlet.Head {
-				t.Errorf("got %v, want a *BrokenError by a *TooLongError for the head", err)
+			if !errors.As(err, &b) || !errors.As(err, &l) || l.Part != a.part {
+				t.Errorf("got %v, want a *BrokenError by a *TooLongError for the %s", err, a.part)
 			}
 		})
 	}
--- a/agent/engine/engine.go
+++ b/agent/engine/engine.go
@@ -286,7 +286,7 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return nil, sendError(ctx, inlet.TransportError(err, c.options.BaseURL, inlet.MaxHeadBytes))
+		return nil, sendError(ctx, err)
 	}
 	return res, nil
 }
--- a/agent/excess/excess.go
+++ b/agent/excess/excess.go
@@ -1,5 +1,5 @@
 // Package excess counts and logs answers of upstreams that were abandoned because they
-// exceed a bound.
+// exceed a bound or are malformed.
 package excess
 
 import (
@@ -18,6 +18,9 @@
 // upstream can't fill the log.
 const lineInterval = time.Second
 
+// malformed stands, among the parts, for answers that HTTP doesn't allow.
+const malformed inlet.Part = "malformed"
+
 // Options configures a Reporter.
 type Options struct {
 	// Upstream is the upstream of the agent.
@@ -50,38 +53,54 @@
 		CounterVec: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "tarragonvalve_agent",
 			Name:      "answers_exceeded_total",
-			Help:      "Answers of the upstream abandoned because they exceed a bound, by part.",
+			Help:      "Answers of the upstream abandoned because they exceed a bound, by part, or are malformed.",
 		}, []string{"part"}),
 		options: o,
 		parts:   make(map[inlet.Part]*lineLimit),
 	}
-	for _, p := range inlet.Parts() {
+	for _, p := range append(inlet.Parts(), malformed) {
 		r.WithLabelValues(string(p))
 		r.parts[p] = &lineLimit{}
 	}
 	return r
 }
 
-// Report counts and logs err if it is an *inlet.TooLongError, and ignores other errors. id
-// is empty for an answer that belongs to no request.
+// Report counts and logs err if it is an *inlet.TooLongError or *inlet.MalformedError, and
+// ignores other errors. id is empty for an answer that belongs to no request.
 func (r *Reporter) Report(id ident.RequestID, err error) {
 	var l *inlet.TooLongError
-	if r == nil || !errors.As(err, &l) {
+	var m *inlet.MalformedError
+	if r == nil {
 		return
 	}
-	r.WithLabelValues(string(l.Part)).Inc()
-	omitted, ok := r.take(l.Part)
+	switch {
+	case errors.As(err, &l):
+		r.report(id, l.Part, "answer of the upstream exceeds a bound", func(e *zerolog.Event) *zerolog.Event {
+			return e.Str("part", string(l.Part)).Int64("limit", l.Limit).Str("peer", l.Peer)
+		})
+	case errors.As(err, &m):
+		r.report(id, malformed, "answer of the upstream is malformed", func(e *zerolog.Event) *zerolog.Event {
+			return e.Str("part", string(m.Part)).Str("reason", m.Reason).Str("peer", m.Peer)
+		})
+	}
+}
+
+// report counts an answer and logs it, with the fields that describe adds, unless a line for the same
+// label was just written.
+func (r *Reporter) report(id ident.RequestID, label inlet.Part, message string, describe func(*zerolog.Event) *zerolog.Event) {
+	r.WithLabelValues(string(label)).Inc()
+	omitted, ok := r.take(label)
 	if !ok {
 		return
 	}
-	e := r.options.Log.Warn().Str("part", string(l.Part)).Int64("limit", l.Limit).Str("peer", l.Peer).Str("upstream", string(r.options.Upstream))
+	e := describe(r.options.Log.Warn()).Str("upstream", string(r.options.Upstream))
 	if id != "" {
 		e = e.Str("request", string(id))
 	}
 	if omitted > 0 {
 		e = e.Int("left-out", omitted)
 	}
-	e.Msg("answer of the upstream exceeds a bound")
+	e.Msg(message)
 }
 
 // take reports whether a line for a part may be written, and the number of lines omitted
--- a/agent/excess/excess_test.go
+++ b/agent/excess/excess_test.go
@@ -44,6 +44,7 @@
 		r.Report("r1", head)
 	}
 	r.Report("", &inlet.TooLongError{Part: inlet.Event, Limit: 20, Peer: "http://127.0.0.1:1"})
+	r.Report("r2", fmt.Errorf("call the service: %w", &inlet.MalformedError{Part: inlet.Head, Reason: "status 000", Peer: "http://127.0.0.1:1"}))
 	r.Report("r2", errors.New("other"))
 	r.Report("r2", nil)
 	now = now.Add(time.Second)
@@ -51,13 +52,14 @@
 	want := []string{
 		`{"level":"warn","part":"head","limit":10,"peer":"http://127.0.0.1:1","upstream":"e1","request":"r1","message":"answer of the upstream exceeds a bound"}`,
 		`{"level":"warn","part":"event","limit":20,"peer":"http://127.0.0.1:1","upstream":"e1","message":"answer of the upstream exceeds a bound"}`,
+		`{"level":"warn","part":"head","reason":"status 000","peer":"http://127.0.0.1:1","upstream":"e1","request":"r2","message":"answer of the upstream is malformed"}`,
 		`{"level":"warn","part":"head","limit":10,"peer":"http://127.0.0.1:1","upstream":"e1","request":"r3","left-out":999,"message":"answer of the upstream exceeds a bound"}`,
 	}
 	if got := strings.TrimSpace(out.String()); got != strings.Join(want, "\n") {
 		t.Errorf("got lines\n%s\nwant\n%s", got, strings.Join(want, "\n"))
 	}
 	got := counts(t, r)
-	if got["head"] != 1001 || got["event"] != 1 || got["body"] != 0 || len(got) != len(inlet.Parts()) {
+	if got["head"] != 1001 || got["event"] != 1 || got["body"] != 0 || got["malformed"] != 1 || len(got) != len(inlet.Parts())+1 {
 		t.Errorf("got counts %v", got)
 	}
 	var none *excess.Reporter
--- a/agent/plain/broken_test.go
+++ b/agent/plain/broken_test.go
@@ -6,10 +6,14 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"tarragonvalve.example/agent/plain"
+	"tarragonvalve.example/core/inlet"
 )
 
 // resetService sends a part of an answer without a length after some bytes of each request, and resets
@@ -39,21 +43,17 @@
 	return "http://" + l.Addr().String()
 }
 
+// callKinds are the ways to make any call.
+var callKinds = map[string]func(context.Context, *plain.Client, plain.Call) (*plain.Result, error){
+	"once":       sendOnce,
+	"repeatable": func(ctx context.Context, p *plain.Client, k plain.Call) (*plain.Result, error) { return p.Do(ctx, k) },
+}
+
 // Guards against a part of an answer that counts as the whole one, as its connection was reset while the
 // call was still being written.
 func TestResetDuringUpload(t *testing.T) {
 	url := resetService(t)
-	for kind, do := range map[string]func(context.Context, *plain.Client, plain.Call) (*plain.Result, error){
-		"once": func(ctx context.Context, p *plain.Client, k plain.Call) (*plain.Result, error) {
-			n, err := p.Connect(ctx)
-			if err != nil {
-				return nil, err
-			}
-			defer n.Close()
-			return n.Do(ctx, k)
-		},
-		"repeatable": func(ctx context.Context, p *plain.Client, k plain.Call) (*plain.Result, error) { return p.Do(ctx, k) },
-	} {
+	for kind, do := range callKinds {
 		t.Run(kind, func(t *testing.T) {
 			p := plain.New(plain.Default(url))
 			defer p.Close()
@@ -67,3 +67,45 @@
 		})
 	}
 }
+
+// Guards against a malformed answer that counts as an answer, or whose call is repeated or counts as not
+// run. The call that may be repeated is sent on a connection that carried a sound answer.
+func TestMalformedAnswers(t *testing.T) {
+	for name, text := range map[string]string{
+		"status 000": "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nfine",
+	} {
+		for kind, do := range callKinds {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				var calls atomic.Int64
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/sound" {
+						io.WriteString(w, "fine")
+						return
+					}
+					calls.Add(1)
+					n, _, err := w.(http.Hijacker).Hijack()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					io.WriteString(n, text)
+					n.Close()
+				}))
+				defer s.Close()
+				p := plain.New(plain.Default(s.URL))
+				defer p.Close()
+				if r, err := do(t.Context(), p, plain.Call{Method: "GET", Path: "/sound"}); err != nil || string(r.Body) != "fine" {
+					t.Fatalf("sound answer: %+v, %v", r, err)
+				}
+				r, err := do(t.Context(), p, call)
+				var m *inlet.MalformedError
+				if errorKind(err) != "unknown" || !errors.As(err, &m) || m.Peer != s.URL {
+					t.Errorf("got %+v, %v, want an unknown outcome by a *MalformedError", r, err)
+				}
+				if n := calls.Load(); n != 1 {
+					t.Errorf("the service got the call %d times", n)
+				}
+			})
+		}
+	}
+}
--- a/agent/plain/conn.go
+++ b/agent/plain/conn.go
@@ -34,10 +34,10 @@
 	if err != nil {
 		return nil, &NotRunError{Err: err}
 	}
-	n := inlet.NewConn(d)
 	if u.Scheme != "https" {
-		return &Conn{client: c, conn: n}, nil
+		return &Conn{client: c, conn: inlet.NewConn(d)}, nil
 	}
+	n := inlet.NewConn(d)
 	t := tls.Client(n, &tls.Config{ServerName: u.Hostname(), MinVersion: tls.VersionTLS12})
 	if err := t.HandshakeContext(ctx); err != nil {
 		n.Close()
--- a/agent/plain/endless_test.go
+++ b/agent/plain/endless_test.go
@@ -77,7 +77,7 @@
 	const ok = "HTTP/1.1 200 OK\r\n"
 	for name, c := range map[string]struct {
 		start, text string
-		once        inlet.Part
+		part        inlet.Part
 	}{
 		"header line":     {ok + "X-Long: ", "x", inlet.Head},
 		"header lines":    {ok, "X-Many: y\r\n", inlet.Head},
@@ -98,13 +98,9 @@
 				runtime.ReadMemStats(&before)
 				r, err := do(ctx, p)
 				runtime.ReadMemStats(&after)
-				want := inlet.Head
-				if kind == "once" {
-					want = c.once
-				}
 				var l *inlet.TooLongError
-				if errorKind(err) != "unknown" || !errors.As(err, &l) || l.Part != want || !strings.HasPrefix(l.Peer, "http://127.0.0.1:") {
-					t.Errorf("got %+v, %v, want an unknown outcome by a *TooLongError for the %s", r, err, want)
+				if errorKind(err) != "unknown" || !errors.As(err, &l) || l.Part != c.part || !strings.HasPrefix(l.Peer, "http://127.0.0.1:") {
+					t.Errorf("got %+v, %v, want an unknown outcome by a *TooLongError for the %s", r, err, c.part)
 				}
 				if n := after.TotalAlloc - before.TotalAlloc; n > maxHeadMemory {
 					t.Errorf("the call allocated %d bytes, want at most %d", n, maxHeadMemory)
--- a/agent/plain/plain.go
+++ b/agent/plain/plain.go
@@ -164,7 +164,7 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return nil, classify(ctx, inlet.TransportError(err, c.options.BaseURL, inlet.MaxHeadBytes))
+		return nil, classify(ctx, err)
 	}
 	defer res.Body.Close()
 	return c.read(ctx, res, timer)
--- /dev/null
+++ b/core/inlet/answers.go
@@ -0,0 +1,155 @@
+package inlet
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// chunkBytes is the size, in bytes, of the chunks in which a body without a known length is passed on.
+const chunkBytes = 4 << 10
+
+// startedHead is passed on before the error of a head. The transport may repeat a request whose answer
+// fails before its first byte, but an answer to this one had begun.
+const startedHead = "HTTP/1.1 502 Bad Gateway\r\n"
+
+// answerConn is a connection of an http.Transport. It reads answers by Reader and passes them on as the
+// transport would receive them from a sound peer: the head anew, the body in chunks if the peer's is,
+// no interim answers and no trailer. After an answer that fails, all reads fail.
+type answerConn struct {
+	net.Conn
+
+	reader *Reader
+	// pending are bytes to be passed on.
+	pending []byte
+	// body is that of the answer in progress; nil between answers.
+	body io.Reader
+	// framing is how the body is passed on.
+	framing framing
+	// err is returned once pending is empty.
+	err error
+
+	mu sync.Mutex
+	// method and peer are those of the request in progress.
+	method, peer string
+}
+
+// framing is how the end of a body is marked.
+type framing int
+
+const (
+	byLength framing = iota
+	byChunks
+	byClose
+)
+
+func newAnswerConn(c net.Conn) *answerConn {
+	return &answerConn{Conn: c, reader: NewReader(c, c.RemoteAddr().String())}
+}
+
+// begin states the method and the peer's URL of the request that is written next.
+func (c *answerConn) begin(method, peer string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.method, c.peer = method, peer
+}
+
+// Read implements net.Conn.
+func (c *answerConn) Read(b []byte) (int, error) {
+	for len(c.pending) == 0 {
+		switch {
+		case c.err != nil:
+			return 0, c.err
+		case c.body == nil:
+			c.readHead()
+		case c.framing == byChunks:
+			c.readChunk()
+		default:
+			n, err := c.readBody(b)
+			if n > 0 || err != nil {
+				return n, err
+			}
+		}
+	}
+	n := copy(b, c.pending)
+	c.pending = c.pending[n:]
+	return n, nil
+}
+
+// readHead reads the head of the next answer into pending.
+func (c *answerConn) readHead() {
+	if _, err := c.reader.Peek(1); err != nil {
+		c.err = err
+		return
+	}
+	c.mu.Lock()
+	q := &http.Request{Method: c.method}
+	if c.peer != "" {
+		c.reader.peer = c.peer
+	}
+	c.mu.Unlock()
+	a, err := c.reader.Response(q, Default()) //nolint:bodyclose // the body is the rest of the connection
+	if err != nil {
+		c.pending, c.err = []byte(startedHead), err
+		return
+	}
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s\r\n", a.Proto, a.Status)
+	if len(a.TransferEncoding) > 0 {
+		b.WriteString("Transfer-Encoding: chunked\r\n")
+	}
+	if err := a.Header.Write(&b); err != nil {
+		c.err = err
+		return
+	}
+	b.WriteString("\r\n")
+	c.pending = b.Bytes()
+	switch {
+	case a.Body == http.NoBody:
+		return
+	case len(a.TransferEncoding) > 0:
+		c.framing = byChunks
+	case a.ContentLength >= 0:
+		c.framing = byLength
+	default:
+		c.framing = byClose
+	}
+	c.body = a.Body
+}
+
+// readChunk reads some bytes of the body into pending, as a chunk.
+func (c *answerConn) readChunk() {
+	var data [chunkBytes]byte
+	n, err := c.body.Read(data[:])
+	var b bytes.Buffer
+	if n > 0 {
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", n, data[:n])
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		b.WriteString("0\r\n\r\n")
+		c.body = nil
+	default:
+		c.err = err
+	}
+	c.pending = b.Bytes()
+}
+
+// readBody reads some bytes of the body. It may return none and no error.
+func (c *answerConn) readBody(b []byte) (int, error) {
+	n, err := c.body.Read(b)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF) && c.framing == byLength:
+		c.body = nil
+		return n, nil
+	default:
+		c.err = err
+		return n, err
+	}
+}
--- a/core/inlet/inlet.go
+++ b/core/inlet/inlet.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 )
 
 const (
@@ -83,24 +82,19 @@
 }
 
 // Response reads the head of the final answer to q and skips interim ones. It returns a
-// *TooLongError for a head that exceeds the bounds. Bytes that an earlier call read ahead
-// (at most 4 KiB) are not counted. The body is read without a bound; see ReadAll.
+// *TooLongError for a head that exceeds the bounds, and the errors of ReadResponse. Bytes that an
+// earlier call read ahead (at most 4 KiB) are not counted. The body is read without a bound; see ReadAll.
 func (r *Reader) Response(q *http.Request, b Bounds) (*http.Response, error) {
 	r.source.remaining = b.HeadBytes
 	defer func() { r.source.remaining = -1 }()
 	for n := 0; ; n++ {
-		a, err := http.ReadResponse(r.Reader, q) // source bounds the head
-		// A line that was cut by the bound can read as a complete or malformed one.
+		a, err := ReadResponse(r.Reader, q, r.peer)
 		if r.source.exceeded {
-			if err == nil {
-				a.Body.Close()
-			}
 			return nil, &TooLongError{Part: Head, Limit: b.HeadBytes, Peer: r.peer}
 		}
 		if err != nil || a.StatusCode >= http.StatusOK {
 			return a, err
 		}
-		a.Body.Close()
 		if n == b.Interim {
 			return nil, &TooLongError{Part: Interim, Limit: int64(b.Interim), Peer: r.peer}
 		}
@@ -133,19 +127,6 @@
 	return n, err
 }
 
-// transportHeadError is the part of the error of http.Transport for a head that exceeds
-// MaxResponseHeaderBytes. The error has no type.
-const transportHeadError = "server response headers exceeded"
-
-// TransportError returns a *TooLongError if err reports that an http.Transport abandoned a
-// head longer than its MaxResponseHeaderBytes, here limit. Otherwise it returns err.
-func TransportError(err error, peer string, limit int64) error {
-	if err != nil && strings.Contains(err.Error(), transportHeadError) {
-		return &TooLongError{Part: Head, Limit: limit, Peer: peer}
-	}
-	return err
-}
-
 // ReadAll reads a body to its end. It returns a *TooLongError if the body has more than
 // limit bytes, and errors of r.
 func ReadAll(r io.Reader, peer string, limit int64) ([]byte, error) {
--- a/core/inlet/inlet_test.go
+++ b/core/inlet/inlet_test.go
@@ -171,9 +171,9 @@
 	}
 }
 
-// Guards against a release of Go whose error for a head beyond MaxResponseHeaderBytes is no
-// longer recognized, and against other errors that are taken for it.
-func TestTransportError(t *testing.T) {
+// Guards against a transport that reads a head beyond its bound, and against an error for it without the
+// part and the peer.
+func TestTransportHeadBound(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -203,13 +203,7 @@
 		res.Body.Close()
 	}
 	var long *inlet.TooLongError
-	if err := inlet.TransportError(err, peer, inlet.MaxHeadBytes); !errors.As(err, &long) || long.Part != inlet.Head || long.Limit != inlet.MaxHeadBytes {
+	if !errors.As(err, &long) || long.Part != inlet.Head || long.Limit != inlet.MaxHeadBytes || long.Peer != "http://"+l.Addr().String() {
 		t.Errorf("got %v, want a *TooLongError for the head", err)
 	}
-	if err := inlet.TransportError(io.ErrUnexpectedEOF, peer, 1); !errors.Is(err, io.ErrUnexpectedEOF) {
-		t.Errorf("got %v for another error", err)
-	}
-	if err := inlet.TransportError(nil, peer, 1); err != nil {
-		t.Errorf("got %v for no error", err)
-	}
 }
--- a/core/table/dynamo.go
+++ b/core/table/dynamo.go
@@ -103,9 +103,9 @@
 func (t limitTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	p, err := t.next.RoundTrip(r)
 	if err != nil {
-		return nil, inlet.TransportError(err, r.URL.Host, inlet.MaxHeadBytes)
+		return nil, err
 	}
-	p.Body = inlet.LimitBody(p.Body, r.URL.Host, maxAnswerBytes)
+	p.Body = inlet.LimitBody(p.Body, r.URL.Scheme+"://"+r.URL.Host, maxAnswerBytes)
 	return p, nil
 }
 
--- a/core/table/endless_test.go
+++ b/core/table/endless_test.go
@@ -78,7 +78,7 @@
 				err := call()
 				runtime.ReadMemStats(&after)
 				var long *inlet.TooLongError
-				if !errors.As(err, &long) || long.Part != c.part || !strings.HasPrefix(long.Peer, "127.0.0.1:") || table.NotApplied(err) {
+				if !errors.As(err, &long) || long.Part != c.part || !strings.HasPrefix(long.Peer, "http://127.0.0.1:") || table.NotApplied(err) {
 					t.Errorf("%s: got %v, want an unknown outcome by a *TooLongError for the %s", op, err, c.part)
 				}
 				if n := after.TotalAlloc - before.TotalAlloc; n > maxAllocated {
--- a/router/boot/broken_answer_test.go
+++ b/router/boot/broken_answer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,3 +102,76 @@
 		}
 	}
 }
+
+// Guards against a malformed answer that a client gets as an answer, in whole or in part, that is said
+// not to have run, or whose order runs again.
+func TestMalformedAnswers(t *testing.T) {
+	t.Parallel()
+	const event = "id: 1\ndata: event 1\n\n"
+	fields, _ := strings.CutPrefix(receiptHeaders, "HTTP/1.1 200 OK\r\n")
+	heads := map[string]string{
+		"status-000":          "HTTP/1.1 000 OK\r\n" + fields,
+		"status-000-before":   "HTTP/1.1 000 OK\r\n\r\n" + receiptHeaders,
+		"status-099":          "HTTP/1.1 099 OK\r\n" + fields,
+		"status-600":          "HTTP/1.1 600 OK\r\n" + fields,
+		"version":             "HTTP/2.0 200 OK\r\n" + fields,
+		"reason":              "HTTP/1.1 200 O\x01K\r\n" + fields,
+		"switch-of-protocols": "HTTP/1.1 101 Switching Protocols\r\n\r\n" + receiptHeaders,
+		"no-trailer-end":      receiptHeaders + "Transfer-Encoding: chunked\r\n",
+	}
+	w := startRouter(t, brokenDocument())
+	// sound is true once the upstreams answer properly.
+	var sound atomic.Bool
+	script := func(r server.Request) server.Reply {
+		_, name, _ := strings.Cut(strings.TrimPrefix(r.Target, "/"), "/")
+		stream := strings.HasPrefix(r.Target, "/chat/")
+		if sound.Load() && stream {
+			return server.Events{Count: 1, Confidence: -1}
+		}
+		if sound.Load() {
+			return fine
+		}
+		head, body := strings.ReplaceAll(heads[name], "ID", r.ID()), "part of it"
+		if stream {
+			head, body = head+"Content-Type: text/event-stream\r\n", event
+		}
+		if strings.Contains(head, "chunked") {
+			body = fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body)
+			body += map[string]string{"blank-in-trailer": "X Y: z\r\n\r\n", "no-trailer-end": "X: y\r\n"}[name]
+			if name != "blank-in-trailer" && name != "no-trailer-end" {
+				body += "\r\n"
+			}
+		}
+		return server.Raw{Text: head + "\r\n" + body}
+	}
+	desk := w.server("desk", "s1", "v1", script)
+	w.server("llm", "s2", "v1", script)
+	w.awaitUpstreams(2)
+	for _, route := range []string{"/read/", "/order/", "/chat/"} {
+		for name := range heads {
+			before := len(desk.Requests())
+			status, body, whole := w.exchangeBytes("POST", route+name, 1)
+			if whole && (status < 500 || status > 599) {
+				t.Errorf("%s%s: got %d %q as a whole answer", route, name, status, body)
+			}
+			if whole && strings.Contains(body, `"ran":"not-run"`) {
+				t.Errorf("%s%s: got %d %s", route, name, status, body)
+			}
+			if n := len(desk.Requests()) - before; route == "/order/" && n != 1 {
+				t.Errorf("%s%s ran %d times", route, name, n)
+			}
+		}
+	}
+	if n := strings.Count(w.logs.String(), `"message":"upstream sent a malformed answer"`); n < 2*len(heads) {
+		t.Errorf("the log names %d malformed answers, want at least %d", n, 2*len(heads))
+	}
+	sound.Store(true)
+	w.eventually("sound answers afterwards", func() bool {
+		for _, path := range []string{"/read/1", "/order/1", "/chat/1"} {
+			if status, _, whole := w.exchangeBytes("POST", path, 1); status != http.StatusOK || !whole {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/router/link/send.go
+++ b/router/link/send.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/router/call"
 )
 
@@ -261,7 +262,7 @@
 	defer e.conn.limiter.ClearLimit()
 	for {
 		//nolint:bodyclose // the body is the rest of the connection, which Response.End closes or keeps
-		r, err := http.ReadResponse(e.conn.r, q)
+		r, err := inlet.ReadResponse(e.conn.r, q, e.conn.address)
 		if err != nil {
 			return nil, err
 		}
--- a/router/relay/limits.go
+++ b/router/relay/limits.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"tarragonvalve.example/core/inlet"
 	"tarragonvalve.example/core/refuse"
 	"tarragonvalve.example/router/fleet"
 	"tarragonvalve.example/router/link"
@@ -41,12 +42,17 @@
 		Msg("upstream sent bytes that belong to no answer, its connections are closed after one answer")
 }
 
-// recordLimit counts and logs an err that reports a response over a size or memory limit, or bytes
-// that belong to no answer; it ignores other errors.
+// malformedBound names, among the bounds of the metrics, answers that HTTP doesn't allow.
+const malformedBound = "malformed answer"
+
+// recordLimit counts and logs an err that reports a response over a size or memory limit, a malformed
+// one, or bytes that belong to no answer; it ignores other errors.
 func (t *request) recordLimit(err error, u *fleet.Upstream) {
 	var l *quota.TooLongError
 	var f *quota.MemoryLimitError
 	var x *link.ExcessError
+	var m *inlet.MalformedError
+	message := "answer given up at a bound"
 	switch {
 	case errors.As(err, &l):
 		t.Meter.LimitExceeded(l.What)
@@ -54,8 +60,11 @@
 		t.Meter.LimitExceeded("memory")
 	case errors.As(err, &x):
 		t.Meter.LimitExceeded(excessBound)
+	case errors.As(err, &m):
+		t.Meter.LimitExceeded(malformedBound)
+		message = "upstream sent a malformed answer"
 	default:
 		return
 	}
-	t.Log.Warn().Err(err).Str("request", string(t.Meta.ID)).Str("upstream", string(u.ID)).Msg("answer given up at a bound")
+	t.Log.Warn().Err(err).Str("request", string(t.Meta.ID)).Str("upstream", string(u.ID)).Msg(message)
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -96,8 +96,11 @@
 	// Flood sends a response in which one part goes on without end, within the sender's bounds. Its head has the
 	// headers that all responses have.
 	Flood struct{ flood.Sender }
-	// Raw sends a text as it is and closes the connection.
-	Raw struct{ Text string }
+	// Raw sends a text as it is and closes the connection unless it is to be kept.
+	Raw struct {
+		Text string
+		Keep bool
+	}
 	// Truncated closes the connection in the middle of the response body.
 	Truncated struct{}
 	// Reset closes the connection without a response.
@@ -411,8 +414,7 @@
 		s.sendEndless(c, x, a)
 		return false
 	case Raw:
-		write(c, a.Text)
-		return false
+		return write(c, a.Text) && a.Keep
 	case Truncated:
 		write(c, s.responseHead(x, http.StatusOK, -1)+"Content-Length: 100\r\n\r\nonly a part")
 		return false
--- a/tarragonvalve/client/client.go
+++ b/tarragonvalve/client/client.go
@@ -230,7 +230,7 @@
 	r.Header.Set("Tarragonvalve-Timeout-Ms", strconv.FormatInt(c.o.Timeout.Milliseconds(), 10))
 	p, err := c.http.Do(r)
 	if err != nil {
-		return out, wrote.Load(), inlet.TransportError(err, address, inlet.MaxHeadBytes)
+		return out, wrote.Load(), err
 	}
 	defer p.Body.Close()
 	b, err := inlet.ReadAll(p.Body, address, maxReplyBytes)
