fix(inlet): refuse answers with field lines that HTTP doesn't allow

Callers saw: a head whose field name holds a blank, passed on; and with a blank before the colon of Transfer-Encoding or Content-Length, a body that wasn't the server's: its chunk lines, or what followed the stated length.

Cause: net/textproto takes names with blanks, and such a name isn't that of the framing field, so the answer has no length. Heads of interim answers and trailers are read the same way.

Change: inlet.ReadResponse checks each field line of interim heads, of heads and of trailers: a name is a token, a value holds no control byte (RFC 9110, sections 5.1 and 5.5). A gateway may also remove a blank before the colon (RFC 9112, section 5.1), but other readers on the way may have framed the answer by it. Values that go on in the next line stay allowed (section 5.2).

--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -29,8 +29,11 @@
 func TestMalformedAnswers(t *testing.T) {
 	const events = "Content-Type: text/event-stream\r\n\r\n" + finishEvent + "\n" + doneEvent + "\n"
 	for name, text := range map[string]string{
-		"status 000":          "HTTP/1.1 000 OK\r\n" + events,
-		"status 000, refusal": "HTTP/1.1 000 Bad Request\r\nContent-Length: 0\r\n\r\n",
+		"status 000":             "HTTP/1.1 000 OK\r\n" + events,
+		"status 000, refusal":    "HTTP/1.1 000 Bad Request\r\nContent-Length: 0\r\n\r\n",
+		"blank in a name":        "HTTP/1.1 200 OK\r\nX Y: z\r\n" + events,
+		"control byte in a name": "HTTP/1.1 200 OK\r\nX\x01: z\r\n" + events,
+		"blank, refusal":         "HTTP/1.1 503 Busy\r\nX Y: z\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newClient(t, answerWith(t, text), nil)
--- a/agent/plain/broken_test.go
+++ b/agent/plain/broken_test.go
@@ -71,8 +71,14 @@
 // Guards against a malformed answer that counts as an answer, or whose call is repeated or counts as not
 // run. The call that may be repeated is sent on a connection that carried a sound answer.
 func TestMalformedAnswers(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
 	for name, text := range map[string]string{
-		"status 000": "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nfine",
+		"blank in a name":        ok + "X Y: z\r\nContent-Length: 4\r\n\r\nfine",
+		"blank before the colon": ok + "Content-Length : 2\r\n\r\nfine",
+		"control byte in a name": ok + "X\x01: z\r\nContent-Length: 4\r\n\r\nfine",
+		"blank in a 103":         "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nfine",
+		"blank in a trailer":     ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX Y: z\r\n\r\n",
+		"status 000":             "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nfine",
 	} {
 		for kind, do := range callKinds {
 			t.Run(name+", "+kind, func(t *testing.T) {
--- a/core/inlet/malformed.go
+++ b/core/inlet/malformed.go
@@ -62,3 +62,31 @@
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// fieldCheck checks the field lines of a head or a trailer in their order.
+type fieldCheck struct {
+	// started is true after the first line.
+	started bool
+}
+
+// line returns what is malformed in the next field line without its line break, or "". Values that go on
+// in the next line are allowed: RFC 9112, section 5.2, lets a gateway replace the line break by a space.
+func (f *fieldCheck) line(line []byte) string {
+	if f.started && (line[0] == ' ' || line[0] == '\t') {
+		if !httpguts.ValidHeaderFieldValue(string(line)) {
+			return "field value " + quote(line)
+		}
+		return ""
+	}
+	f.started = true
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	switch {
+	case !ok:
+		return "field line " + quote(line) + " has no colon"
+	case !httpguts.ValidHeaderFieldName(string(name)):
+		return "field name " + quote(name)
+	case !httpguts.ValidHeaderFieldValue(string(value)):
+		return "value of the field " + string(name)
+	}
+	return ""
+}
--- a/core/inlet/response.go
+++ b/core/inlet/response.go
@@ -17,7 +17,7 @@
 // http.ReadResponse it returns a *MalformedError for a head that RFC 9110 or 9112 doesn't allow, and so
 // does the body. The caller bounds the head by the source of r; a nil q stands for a GET.
 //
-// The body drops the trailer. Closing it does nothing, so the connection can be used again
+// The body checks and drops the trailer. Closing it does nothing, so the connection can be used again
 // only after io.EOF. An answer without a length ends with its connection, whose end must be truthful;
 // see Conn.
 func ReadResponse(r *bufio.Reader, q *http.Request, peer string) (*http.Response, error) {
@@ -40,6 +40,7 @@
 // (RFC 9112, section 2.2).
 func readHead(r *bufio.Reader, peer string) ([]byte, error) {
 	var head []byte
+	var f fieldCheck
 	for n := 0; ; n++ {
 		raw, err := readLine(r, math.MaxInt)
 		if err != nil {
@@ -53,6 +54,8 @@
 			reason = checkStatusLine(line)
 		case len(line) == 0:
 			return head, nil
+		default:
+			reason = f.line(line)
 		}
 		if reason != "" {
 			return nil, &MalformedError{Part: Head, Reason: reason, Peer: peer}
@@ -157,8 +160,10 @@
 	return n, err
 }
 
-// readTrailer reads the trailer up to the blank line and returns io.EOF, or an error if it is cut.
+// readTrailer reads the trailer up to the blank line and returns io.EOF, or an error if it is malformed
+// or cut.
 func (b *chunkedBody) readTrailer() error {
+	var f fieldCheck
 	for remaining := maxTrailerBytes; ; {
 		raw, err := readLine(b.source, remaining)
 		if errors.Is(err, errLongLine) {
@@ -168,8 +173,12 @@
 			return err
 		}
 		remaining -= len(raw)
-		if len(trimLine(raw)) == 0 {
+		line := trimLine(raw)
+		if len(line) == 0 {
 			return io.EOF
 		}
+		if reason := f.line(line); reason != "" {
+			return &MalformedError{Part: Body, Reason: "trailer: " + reason, Peer: b.peer}
+		}
 	}
 }
--- a/core/inlet/response_test.go
+++ b/core/inlet/response_test.go
@@ -41,6 +41,27 @@
 	"CR in the reason":             "HTTP/1.1 200 OK\rX: y\r\nContent-Length: 4\r\n\r\nfine",
 	"unasked switch of protocols":  "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + okHead + "Content-Length: 4\r\n\r\nfine",
 
+	"blank in a name":                okHead + "X Y: z\r\nContent-Length: 4\r\n\r\nfine",
+	"blank before the colon":         okHead + "Content-Length : 4\r\n\r\nfine",
+	"tab before the colon":           okHead + "Content-Length\t: 4\r\n\r\nfine",
+	"blank in the coding's name":     okHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+	"blank before the first name":    okHead + " X: y\r\nContent-Length: 4\r\n\r\nfine",
+	"control byte in a name":         okHead + "X\x01Y: z\r\nContent-Length: 4\r\n\r\nfine",
+	"NUL in a name":                  okHead + "X\x00: z\r\nContent-Length: 4\r\n\r\nfine",
+	"CR in a name":                   okHead + "X\rY: z\r\nContent-Length: 4\r\n\r\nfine",
+	"DEL in a name":                  okHead + "X\x7f: z\r\nContent-Length: 4\r\n\r\nfine",
+	"byte above 0x7f in a name":      okHead + "X\xe9: z\r\nContent-Length: 4\r\n\r\nfine",
+	"empty name":                     okHead + ": z\r\nContent-Length: 4\r\n\r\nfine",
+	"no colon":                       okHead + "X\r\nContent-Length: 4\r\n\r\nfine",
+	"NUL in a value":                 okHead + "X: \x00\r\nContent-Length: 4\r\n\r\nfine",
+	"CR in a value":                  okHead + "X: y\rContent-Length: 9\r\nContent-Length: 4\r\n\r\nfine",
+	"control byte in a further line": okHead + "X: y\r\n z\x01\r\nContent-Length: 4\r\n\r\nfine",
+	"blank in a name of a 103":       "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + okHead + "Content-Length: 4\r\n\r\nfine",
+
+	"blank in a name of the trailer": chunked + "0\r\nX Y: z\r\n\r\n",
+	"control byte in the trailer":    chunked + "0\r\nX: \x01\r\n\r\n",
+	"empty name in the trailer":      chunked + "0\r\n: z\r\n\r\n",
+
 	"two lengths":            okHead + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nfine",
 	"length with a sign":     okHead + "Content-Length: +4\r\n\r\nfine",
 	"empty length":           okHead + "Content-Length:\r\n\r\nfine",
@@ -130,7 +151,9 @@
 // Guards against an error that says neither what is malformed nor whose answer it is.
 func TestMalformedError(t *testing.T) {
 	for text, want := range map[string]inlet.MalformedError{
-		"HTTP/1.1 000 OK\r\n": {Part: inlet.Head, Reason: "status 000 is outside 100 to 599"},
+		okHead + "X Y: z\r\n":       {Part: inlet.Head, Reason: `field name "X Y"`},
+		chunked + "0\r\nX Y: z\r\n": {Part: inlet.Body, Reason: `trailer: field name "X Y"`},
+		"HTTP/1.1 000 OK\r\n":       {Part: inlet.Head, Reason: "status 000 is outside 100 to 599"},
 	} {
 		a, err := inlet.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil, peer)
 		if err == nil {
--- a/core/table/broken_test.go
+++ b/core/table/broken_test.go
@@ -16,6 +16,7 @@
 func TestBrokenAnswer(t *testing.T) {
 	for name, text := range map[string]string{
 		"status 000":         "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"blank in a name":    "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\n{}",
 		"refusal, malformed": "HTTP/1.1 400 Bad Request\r\nX Y: z\r\nContent-Length: 2\r\n\r\n{}",
 		"cut":                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}",
 		"no last chunk":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
--- a/entry/rating/broken_test.go
+++ b/entry/rating/broken_test.go
@@ -15,7 +15,8 @@
 // Guards against a report or a page of ratings that counts as taken by an answer that is malformed or cut.
 func TestBrokenAnswer(t *testing.T) {
 	for name, text := range map[string]string{
-		"status 000": "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"status 000":      "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"blank in a name": "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\n{}",
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/router/boot/broken_answer_test.go
+++ b/router/boot/broken_answer_test.go
@@ -110,14 +110,24 @@
 	const event = "id: 1\ndata: event 1\n\n"
 	fields, _ := strings.CutPrefix(receiptHeaders, "HTTP/1.1 200 OK\r\n")
 	heads := map[string]string{
-		"status-000":          "HTTP/1.1 000 OK\r\n" + fields,
-		"status-000-before":   "HTTP/1.1 000 OK\r\n\r\n" + receiptHeaders,
-		"status-099":          "HTTP/1.1 099 OK\r\n" + fields,
-		"status-600":          "HTTP/1.1 600 OK\r\n" + fields,
-		"version":             "HTTP/2.0 200 OK\r\n" + fields,
-		"reason":              "HTTP/1.1 200 O\x01K\r\n" + fields,
-		"switch-of-protocols": "HTTP/1.1 101 Switching Protocols\r\n\r\n" + receiptHeaders,
-		"no-trailer-end":      receiptHeaders + "Transfer-Encoding: chunked\r\n",
+		"status-000":             "HTTP/1.1 000 OK\r\n" + fields,
+		"status-000-before":      "HTTP/1.1 000 OK\r\n\r\n" + receiptHeaders,
+		"status-099":             "HTTP/1.1 099 OK\r\n" + fields,
+		"status-600":             "HTTP/1.1 600 OK\r\n" + fields,
+		"version":                "HTTP/2.0 200 OK\r\n" + fields,
+		"reason":                 "HTTP/1.1 200 O\x01K\r\n" + fields,
+		"blank-in-name":          receiptHeaders + "X Y: z\r\n",
+		"tab-in-name":            receiptHeaders + "X\tY: z\r\n",
+		"blank-before-colon":     receiptHeaders + "X : z\r\n",
+		"blank-before-length":    receiptHeaders + "Content-Length : 3\r\n",
+		"blank-in-coding":        receiptHeaders + "Transfer-Encoding : chunked\r\n",
+		"control-byte-in-name":   receiptHeaders + "X\x01: z\r\n",
+		"empty-name":             receiptHeaders + ": z\r\n",
+		"control-byte-in-value":  receiptHeaders + "X: \x01\r\n",
+		"blank-in-name-of-hints": "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + receiptHeaders,
+		"blank-in-trailer":       receiptHeaders + "Transfer-Encoding: chunked\r\n",
+		"switch-of-protocols":    "HTTP/1.1 101 Switching Protocols\r\n\r\n" + receiptHeaders,
+		"no-trailer-end":         receiptHeaders + "Transfer-Encoding: chunked\r\n",
 	}
 	w := startRouter(t, brokenDocument())
 	// sound is true once the upstreams answer properly.
--- a/router/link/malformed_test.go
+++ b/router/link/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"tarragonvalve.example/core/inlet"
@@ -14,9 +15,14 @@
 func TestMalformedAnswers(t *testing.T) {
 	const fields = "Tarragonvalve-Attempt-Id: a-1\r\nTarragonvalve-Server-Signature: r\r\n"
 	for name, text := range map[string]string{
-		"status 000":          "HTTP/1.1 000 OK\r\n" + fields + "Content-Length: 4\r\n\r\nfine",
-		"status 600":          "HTTP/1.1 600 OK\r\n" + fields + "Content-Length: 4\r\n\r\nfine",
-		"switch of protocols": "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\nfine",
+		"status 000":              "HTTP/1.1 000 OK\r\n" + fields + "Content-Length: 4\r\n\r\nfine",
+		"status 600":              "HTTP/1.1 600 OK\r\n" + fields + "Content-Length: 4\r\n\r\nfine",
+		"switch of protocols":     "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\nfine",
+		"blank in a name":         "HTTP/1.1 200 OK\r\n" + fields + "X Y: z\r\nContent-Length: 4\r\n\r\nfine",
+		"blank before the colon":  "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 4\r\n\r\nfine",
+		"control byte in a name":  "HTTP/1.1 200 OK\r\n" + fields + "X\x01Y: z\r\nContent-Length: 4\r\n\r\nfine",
+		"blank in a name, 103":    "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\nfine",
+		"blank in a trailer name": "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX Y: z\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, p := start(t, func(r server.Request) server.Reply {
@@ -39,6 +45,9 @@
 				if !errors.As(err, &m) || m.Peer != s.Address() || errors.As(err, &not) {
 					t.Errorf("got %q, %v, want a sent request and a *MalformedError", b, err)
 				}
+				if strings.Contains(name, "trailer") != (m != nil && m.Part == inlet.Body) {
+					t.Errorf("wrong part in %v", err)
+				}
 			}
 			rs := s.Requests()
 			if len(rs) != 3 || rs[1].Connection != 1 || rs[2].Connection != 2 {
