fix(inlet): refuse answers whose end readers may understand differently

Callers saw: the chunk lines of an answer of HTTP/1.0 with a transfer coding as its body; a whole answer where the head had both a length and a coding, where an interim answer stated a body, or where a 204 did.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0, Content-Length beside it, and both in heads that allow no body. A server or a gateway that honours the other one ends the answer elsewhere.

Change: these heads are malformed. RFC 9112 asks for it for HTTP/1.0 (section 6.1), and recommends it for both fields (section 6.3); servers must not send either in 1xx and 204 (RFC 9110, section 8.6; RFC 9112, section 6.1). A length of 0 there stays allowed, as does a length in a 304.

--- a/agent/plain/broken_test.go
+++ b/agent/plain/broken_test.go
@@ -78,6 +78,7 @@
 		"control byte in a name": ok + "X\x01: z\r\nContent-Length: 4\r\n\r\nfine",
 		"blank in a 103":         "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nfine",
 		"blank in a trailer":     ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX Y: z\r\n\r\n",
+		"coding and length":      ok + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
 		"status 000":             "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nfine",
 	} {
 		for kind, do := range callKinds {
--- a/core/inlet/malformed.go
+++ b/core/inlet/malformed.go
@@ -67,6 +67,8 @@
 type fieldCheck struct {
 	// started is true after the first line.
 	started bool
+	// coding and length are true once there was a Transfer-Encoding or Content-Length field.
+	coding, length bool
 }
 
 // line returns what is malformed in the next field line without its line break, or "". Values that go on
@@ -88,5 +90,7 @@
 	case !httpguts.ValidHeaderFieldValue(string(value)):
 		return "value of the field " + string(name)
 	}
+	f.coding = f.coding || strings.EqualFold(string(name), "Transfer-Encoding")
+	f.length = f.length || strings.EqualFold(string(name), "Content-Length")
 	return ""
 }
--- a/core/inlet/response.go
+++ b/core/inlet/response.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
 	"net/http/httputil"
+	"strings"
 )
 
 // maxTrailerBytes bounds the trailer of a body in chunks, in bytes, as net/http does.
@@ -24,7 +26,7 @@
 	if q == nil {
 		q = &http.Request{Method: http.MethodGet}
 	}
-	head, err := readHead(r, peer)
+	head, f, err := readHead(r, peer)
 	if err != nil {
 		return nil, err
 	}
@@ -32,19 +34,22 @@
 	if err != nil {
 		return nil, &MalformedError{Part: Head, Reason: err.Error(), Peer: peer}
 	}
+	if reason := checkFraming(a, f); reason != "" {
+		return nil, &MalformedError{Part: Head, Reason: reason, Peer: peer}
+	}
 	a.Body = newBody(r, q, a, peer)
 	return a, nil
 }
 
 // readHead reads a head with the blank line behind it. A line ends with LF, with or without CR before it
 // (RFC 9112, section 2.2).
-func readHead(r *bufio.Reader, peer string) ([]byte, error) {
+func readHead(r *bufio.Reader, peer string) ([]byte, fieldCheck, error) {
 	var head []byte
 	var f fieldCheck
 	for n := 0; ; n++ {
 		raw, err := readLine(r, math.MaxInt)
 		if err != nil {
-			return nil, err
+			return nil, f, err
 		}
 		head = append(head, raw...)
 		line := trimLine(raw)
@@ -53,12 +58,12 @@
 		case n == 0:
 			reason = checkStatusLine(line)
 		case len(line) == 0:
-			return head, nil
+			return head, f, nil
 		default:
 			reason = f.line(line)
 		}
 		if reason != "" {
-			return nil, &MalformedError{Part: Head, Reason: reason, Peer: peer}
+			return nil, f, &MalformedError{Part: Head, Reason: reason, Peer: peer}
 		}
 	}
 }
@@ -95,6 +100,23 @@
 	return bytes.TrimSuffix(bytes.TrimSuffix(b, []byte("\n")), []byte("\r"))
 }
 
+// checkFraming returns why readers may differ on where the answer ends (RFC 9112, sections 6.1 and 6.3),
+// or "".
+func checkFraming(a *http.Response, f fieldCheck) string {
+	switch {
+	case f.coding && !a.ProtoAtLeast(1, 1):
+		return "a transfer coding in an answer of " + a.Proto
+	case f.coding && f.length:
+		return "both a length and a transfer coding"
+	case a.StatusCode >= http.StatusOK && a.StatusCode != http.StatusNoContent:
+		return ""
+	case f.coding || strings.Trim(a.Header.Get("Content-Length"), "0") != "":
+		return fmt.Sprintf("a body in an answer with the status %d", a.StatusCode)
+	default:
+		return ""
+	}
+}
+
 // newBody returns the body of an answer whose head was read from r.
 func newBody(r *bufio.Reader, q *http.Request, a *http.Response, peer string) io.ReadCloser {
 	switch {
--- a/core/inlet/response_test.go
+++ b/core/inlet/response_test.go
@@ -62,6 +62,12 @@
 	"control byte in the trailer":    chunked + "0\r\nX: \x01\r\n\r\n",
 	"empty name in the trailer":      chunked + "0\r\n: z\r\n\r\n",
 
+	"coding and length":      okHead + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+	"coding in HTTP/1.0":     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+	"103 with a length":      "HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\n" + okHead + "Content-Length: 4\r\n\r\nfine",
+	"103 with a coding":      "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + okHead + "Content-Length: 4\r\n\r\nfine",
+	"204 with a length":      "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\nfine",
+	"204 with a coding":      "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
 	"two lengths":            okHead + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nfine",
 	"length with a sign":     okHead + "Content-Length: +4\r\n\r\nfine",
 	"empty length":           okHead + "Content-Length:\r\n\r\nfine",
--- a/router/boot/broken_answer_test.go
+++ b/router/boot/broken_answer_test.go
@@ -126,6 +126,9 @@
 		"control-byte-in-value":  receiptHeaders + "X: \x01\r\n",
 		"blank-in-name-of-hints": "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + receiptHeaders,
 		"blank-in-trailer":       receiptHeaders + "Transfer-Encoding: chunked\r\n",
+		"coding-and-length":      receiptHeaders + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+		"coding-in-1.0":          strings.Replace(receiptHeaders, "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\n",
+		"hints-with-a-body":      "HTTP/1.1 103 Early Hints\r\nContent-Length: 3\r\n\r\n" + receiptHeaders,
 		"switch-of-protocols":    "HTTP/1.1 101 Switching Protocols\r\n\r\n" + receiptHeaders,
 		"no-trailer-end":         receiptHeaders + "Transfer-Encoding: chunked\r\n",
 	}
--- a/router/link/malformed_test.go
+++ b/router/link/malformed_test.go
@@ -23,6 +23,7 @@
 		"control byte in a name":  "HTTP/1.1 200 OK\r\n" + fields + "X\x01Y: z\r\nContent-Length: 4\r\n\r\nfine",
 		"blank in a name, 103":    "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\nfine",
 		"blank in a trailer name": "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX Y: z\r\n\r\n",
+		"coding and length":       "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, p := start(t, func(r server.Request) server.Reply {
