fix(inlet): end answers without a length over TLS by the closure alert only

Callers saw (found by the search for the same cause, not reported): a part of an answer without a length as the whole one, if its connection over TLS ended without the peer's closure alert. Anyone on the path can end it so.

Cause: package tls returns io.EOF at such an end between two records.

Change: below TLS the end of a connection is an error of its own; io.EOF above is left for the alert (RFC 9112, section 9.8). Answers with a length or in chunks need none. Agents' services and all transports have it.

--- a/agent/plain/conn.go
+++ b/agent/plain/conn.go
@@ -37,7 +37,7 @@
 	if u.Scheme != "https" {
 		return &Conn{client: c, conn: inlet.NewConn(d)}, nil
 	}
-	n := inlet.NewConn(d)
+	n := inlet.NewSecuredConn(d)
 	t := tls.Client(n, &tls.Config{ServerName: u.Hostname(), MinVersion: tls.VersionTLS12})
 	if err := t.HandshakeContext(ctx); err != nil {
 		n.Close()
--- a/core/inlet/conn.go
+++ b/core/inlet/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -19,6 +20,9 @@
 type Conn struct {
 	net.Conn
 
+	// secured is true below TLS.
+	secured bool
+
 	// mu is held during writes.
 	mu sync.Mutex
 	// writeErr is the error of the first write that failed.
@@ -30,6 +34,17 @@
 	return &Conn{Conn: c}
 }
 
+// NewSecuredConn returns c, to be used by TLS, with truthful ends. Anyone on the path can end the
+// connection, so above TLS it ends with io.EOF only after the peer's closure alert (RFC 9112, section
+// 9.8).
+func NewSecuredConn(c net.Conn) *Conn {
+	return &Conn{Conn: c, secured: true}
+}
+
+// errNoAlert reports the end of a connection without a closure alert. Package tls would turn a plain
+// io.ErrUnexpectedEOF into io.EOF.
+var errNoAlert = fmt.Errorf("the connection ended without a closure alert: %w", io.ErrUnexpectedEOF)
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -47,7 +62,10 @@
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
 		if lost := c.lost(); lost != nil {
-			err = lost
+			return n, lost
+		}
+		if c.secured {
+			return n, errNoAlert
 		}
 	}
 	return n, err
--- a/core/inlet/transport.go
+++ b/core/inlet/transport.go
@@ -42,7 +42,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s, err := t.handshake(ctx, NewConn(c), address)
+		s, err := t.handshake(ctx, NewSecuredConn(c), address)
 		if err != nil {
 			c.Close()
 			return nil, err
