fix(engine,rating): take an order or a report for accepted by a whole answer only

Callers saw (found by the search for the same cause, not reported): an agent's order to its engine counted as accepted, and an entry's report to the rating service as taken, as soon as the head of the answer was there, although its body was cut.

Cause: the order's answer wasn't read, and the error of reading the report's was dropped.

Change: both are read to their end. A cut answer to an order is a *BrokenError, so its outcome is unknown; a report counts as failed and isn't sent again, as before with other failures.

Before, on, TestOrderCut and TestBrokenAnswer/cut (rating) got no error; both pass now.

--- a/agent/engine/broken_test.go
+++ b/agent/engine/broken_test.go
@@ -48,3 +48,13 @@
 		})
 	}
 }
+
+// Guards against an order that counts as accepted by an answer that is cut.
+func TestOrderCut(t *testing.T) {
+	c := newClient(t, answerWith(t, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart"), nil)
+	err := c.Order(t.Context(), engine.Order{Kind: "load"})
+	var b *engine.BrokenError
+	if !errors.As(err, &b) || engine.ProvenNotRun(err) {
+		t.Errorf("got %v, want a *BrokenError", err)
+	}
+}
--- a/agent/engine/order.go
+++ b/agent/engine/order.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"tarragonvalve.example/core/clock"
+	"tarragonvalve.example/core/inlet"
 )
 
 // Order tells an engine to load or unload a version, load an adapter or change its role.
@@ -37,5 +38,9 @@
 	if res.StatusCode >= 300 {
 		return newStatusError(res)
 	}
+	// Only a whole answer shows that the order was accepted.
+	if _, err := inlet.ReadAll(res.Body, c.options.BaseURL, maxReport); err != nil {
+		return &BrokenError{Op: "read the answer to an order", Err: clock.TimeoutOr(ctx, err)}
+	}
 	return nil
 }
--- a/entry/rating/broken_test.go
+++ b/entry/rating/broken_test.go
@@ -17,6 +17,7 @@
 	for name, text := range map[string]string{
 		"status 000":      "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
 		"blank in a name": "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\n{}",
+		"cut":             "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}",
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/entry/rating/rating.go
+++ b/entry/rating/rating.go
@@ -207,11 +207,11 @@
 		return err
 	}
 	defer p.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(p.Body, maxPageBytes))
+	_, err = io.Copy(io.Discard, io.LimitReader(p.Body, maxPageBytes))
 	if p.StatusCode/100 != 2 {
 		return &StatusError{Op: "report answer", Status: p.StatusCode}
 	}
-	return nil
+	return err
 }
 
 // readPage reads the next page of ratings. It returns the number of ratings and, when
