fix(inlet): don't report a write after the peer's end as a time-out

A read that finds the end of a connection ends a write in progress by its deadline, so the write failed with os.ErrDeadlineExceeded. Callers that ask an error whether it is a time-out would take it for one. It says now that the peer has ended the connection. TestConnEnds got the time-out before, in each run with a proper end.

--- a/core/inlet/conn.go
+++ b/core/inlet/conn.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -23,6 +24,9 @@
 	// secured is true below TLS.
 	secured bool
 
+	// ended is true once a read has found the end.
+	ended atomic.Bool
+
 	// mu is held during writes.
 	mu sync.Mutex
 	// writeErr is the error of the first write that failed.
@@ -45,11 +49,17 @@
 // io.ErrUnexpectedEOF into io.EOF.
 var errNoAlert = fmt.Errorf("the connection ended without a closure alert: %w", io.ErrUnexpectedEOF)
 
+// errEnded is the error of writes after the end.
+var errEnded = errors.New("the peer has ended the connection")
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(b)
+	if c.ended.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errEnded
+	}
 	if err != nil && c.writeErr == nil {
 		c.writeErr = err
 	}
@@ -74,13 +84,14 @@
 // lost returns the error of a write that was told of the connection's loss, or nil. It ends a write in
 // progress, which may have the report already.
 func (c *Conn) lost() error {
+	c.ended.Store(true)
 	if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
 		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// EPIPE is the loss of a connection whose peer had ended its sending side before.
-	if errors.Is(c.writeErr, os.ErrDeadlineExceeded) || errors.Is(c.writeErr, syscall.EPIPE) {
+	if errors.Is(c.writeErr, errEnded) || errors.Is(c.writeErr, syscall.EPIPE) {
 		return nil
 	}
 	return c.writeErr
--- a/core/inlet/conn_test.go
+++ b/core/inlet/conn_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -86,7 +87,9 @@
 						t.Errorf("the read returned %d, %v", m, err)
 					}
 					client.Close()
-					<-written
+					if err := <-written; c.whole && errors.Is(err, os.ErrDeadlineExceeded) {
+						t.Errorf("a write after the end failed with %v, which counts as a time-out", err)
+					}
 				}
 			})
 		}
