test(router): ask for a refusal with a malformed head as well

A server's statement that a request didn't run counts only in a sound answer: a 503 with Tarragonvalve-Not-Executed and a blank in a field name ends with an unknown outcome, and the order isn't sent again. Handled by the reader since the field lines are checked.

--- a/router/boot/broken_answer_test.go
+++ b/router/boot/broken_answer_test.go
@@ -125,6 +125,7 @@
 		"empty-name":             receiptHeaders + ": z\r\n",
 		"control-byte-in-value":  receiptHeaders + "X: \x01\r\n",
 		"blank-in-name-of-hints": "HTTP/1.1 103 Early Hints\r\nX Y: z\r\n\r\n" + receiptHeaders,
+		"rejection":              "HTTP/1.1 503 Rejected\r\nTarragonvalve-Attempt-Id: ID\r\nTarragonvalve-Not-Executed: 1\r\nX Y: z\r\n",
 		"blank-in-trailer":       receiptHeaders + "Transfer-Encoding: chunked\r\n",
 		"coding-and-length":      receiptHeaders + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
 		"coding-in-1.0":          strings.Replace(receiptHeaders, "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\n",
