fix(inlet): end trailers by CRLF alone

Cause: the new reader took a blank line of LF alone as the end of a trailer; net/http, which it replaced, refuses that, and its own reader of chunk lines does. Found by FuzzReadResponse, which compares both: answers that this reader takes are read by net/http with the same status and body.

--- a/core/inlet/response.go
+++ b/core/inlet/response.go
@@ -195,7 +195,10 @@
 			return err
 		}
 		remaining -= len(raw)
-		line := trimLine(raw)
+		line, ok := bytes.CutSuffix(raw, []byte("\r\n"))
+		if !ok {
+			return &MalformedError{Part: Body, Reason: "trailer: a line ends without CR", Peer: b.peer}
+		}
 		if len(line) == 0 {
 			return io.EOF
 		}
--- a/core/inlet/response_test.go
+++ b/core/inlet/response_test.go
@@ -60,6 +60,7 @@
 
 	"blank in a name of the trailer": chunked + "0\r\nX Y: z\r\n\r\n",
 	"control byte in the trailer":    chunked + "0\r\nX: \x01\r\n\r\n",
+	"trailer's end without CR":       chunked + "0\r\nX: y\r\n\n",
 	"empty name in the trailer":      chunked + "0\r\n: z\r\n\r\n",
 
 	"coding and length":      okHead + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
