fix(inlet): close connections on which bytes arrive without a request

Cause: answerConn waited for a whole status line before it passed anything on, so http.Transport didn't see a byte that a server sent after a whole answer, and used the connection again: the next request met the byte in its answer.

Change: bytes that arrive while no request is in progress are an error at once.

--- a/core/inlet/answers.go
+++ b/core/inlet/answers.go
@@ -34,6 +34,8 @@
 	err error
 
 	mu sync.Mutex
+	// waiting is true from the beginning of a request until the head of its answer.
+	waiting bool
 	// method and peer are those of the request in progress.
 	method, peer string
 }
@@ -55,7 +57,21 @@
 func (c *answerConn) begin(method, peer string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.method, c.peer = method, peer
+	c.waiting, c.method, c.peer = true, method, peer
+}
+
+// errExtra reports bytes on a connection without a request in progress.
+var errExtra = errors.New("bytes that belong to no answer")
+
+// request returns the request in progress, or nil.
+func (c *answerConn) request() *http.Request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting {
+		return nil
+	}
+	c.waiting, c.reader.peer = false, c.peer
+	return &http.Request{Method: c.method}
 }
 
 // Read implements net.Conn.
@@ -86,12 +102,12 @@
 		c.err = err
 		return
 	}
-	c.mu.Lock()
-	q := &http.Request{Method: c.method}
-	if c.peer != "" {
-		c.reader.peer = c.peer
+	q := c.request()
+	if q == nil {
+		// The transport closes the connection, so that no request meets the bytes.
+		c.err = errExtra
+		return
 	}
-	c.mu.Unlock()
 	a, err := c.reader.Response(q, Default()) //nolint:bodyclose // the body is the rest of the connection
 	if err != nil {
 		c.pending, c.err = []byte(startedHead), err
--- a/core/inlet/response_test.go
+++ b/core/inlet/response_test.go
@@ -298,3 +298,24 @@
 		t.Errorf("15 requests took %d connections, want 1", n)
 	}
 }
+
+// Guards against bytes after an answer that are kept for the next request on the connection.
+func TestTransportExtraBytes(t *testing.T) {
+	url, requests := rawServer(t, func(path string) (string, bool) {
+		return sound["length"] + map[string]string{"/extra": "x"}[path], true
+	})
+	c := &http.Client{Transport: inlet.NewTransport(new(net.Dialer).DialContext), Timeout: 10 * time.Second}
+	defer c.CloseIdleConnections()
+	for i, path := range []string{"/extra", "/next"} {
+		a, err := c.Post(url+path, "text/plain", strings.NewReader("x"))
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		b, err := io.ReadAll(a.Body)
+		a.Body.Close()
+		if n := requests.Load(); err != nil || string(b) != "fine" || n != int64(i+1) {
+			t.Errorf("%s: got %q, %v, after %d requests", path, b, err, n)
+		}
+		time.Sleep(50 * time.Millisecond) // until the transport has met the bytes
+	}
+}
