--- a/agent/plain/broken_test.go
+++ b/agent/plain/broken_test.go
@@ -16,9 +16,8 @@
 	"tarragonvalve.example/core/inlet"
 )
 
-// resetService sends a part of an answer without a length after some bytes of each request, and resets
-// the connection. It returns its URL.
-func resetService(t *testing.T) string {
+// earlyService sends a text after some bytes of each request, and ends the connection by end. It returns its URL.
+func earlyService(t *testing.T, text string, end func(*net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -33,9 +32,8 @@
 			}
 			go func() {
 				_, _ = c.Read(make([]byte, 4<<10))
-				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
-				time.Sleep(10 * time.Millisecond)
-				c.(*net.TCPConn).SetLinger(0)
+				io.WriteString(c, text)
+				end(c.(*net.TCPConn))
 				c.Close()
 			}()
 		}
@@ -52,7 +50,10 @@
 // Guards against a part of an answer that counts as the whole one, as its connection was reset while the
 // call was still being written.
 func TestResetDuringUpload(t *testing.T) {
-	url := resetService(t)
+	url := earlyService(t, "HTTP/1.1 200 OK\r\n\r\npart", func(c *net.TCPConn) {
+		time.Sleep(10 * time.Millisecond)
+		c.SetLinger(0)
+	})
 	for kind, do := range callKinds {
 		t.Run(kind, func(t *testing.T) {
 			p := plain.New(plain.Default(url))
@@ -68,6 +69,28 @@
 	}
 }
 
+// Guards against a sound answer without a length that counts as cut, as it ends before the call has been
+// written.
+func TestEarlyAnswer(t *testing.T) {
+	url := earlyService(t, "HTTP/1.1 200 OK\r\n\r\nwhole", func(c *net.TCPConn) {
+		c.CloseWrite()
+		time.Sleep(10 * time.Millisecond)
+		io.Copy(io.Discard, c)
+	})
+	for kind, do := range callKinds {
+		t.Run(kind, func(t *testing.T) {
+			p := plain.New(plain.Default(url))
+			defer p.Close()
+			for range 50 {
+				r, err := do(t.Context(), p, plain.Call{Method: "POST", Path: "/upload", Body: bytes.Repeat([]byte("x"), 4<<20)})
+				if err != nil || string(r.Body) != "whole" {
+					t.Fatalf("got %+v, %v", r, err)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a malformed answer that counts as an answer, or whose call is repeated or counts as not
 // run. The call that may be repeated is sent on a connection that carried a sound answer.
 func TestMalformedAnswers(t *testing.T) {
