--- a/core/inlet/answers.go
+++ b/core/inlet/answers.go
@@ -17,9 +17,9 @@
 // fails before its first byte, but an answer to this one had begun.
 const startedHead = "HTTP/1.1 502 Bad Gateway\r\n"
 
-// answerConn is a connection of an http.Transport. It reads answers by Reader and passes them on as the
-// transport would receive them from a sound peer: the head anew, the body in chunks if the peer's is,
-// no interim answers and no trailer. After an answer that fails, all reads fail.
+// answerConn is a connection of an http.Transport. It reads answers by Reader, which validates them, and
+// serializes them for the transport: the head, without interim answers before it, and the body, in
+// chunks if the peer's is, without a trailer. After an invalid answer all reads fail.
 type answerConn struct {
 	net.Conn
 
--- a/core/inlet/conn.go
+++ b/core/inlet/conn.go
@@ -13,11 +13,12 @@
 	"time"
 )
 
-// Conn is a client's connection that ends with io.EOF only if the peer has ended it.
+// Conn is a client's connection. Its Read returns io.EOF only if the peer closed its sending side, and
+// an error if the connection was reset or timed out.
 //
-// The kernel reports a lost connection once. If a write gets the report, reads see the same end as
-// after a proper one, and a part of an answer without a length looks whole. Conn has the read return
-// the write's error instead.
+// The kernel reports the loss of a connection once. If a concurrent write gets that error, reads return
+// io.EOF as after a proper close, and a truncated answer without a length looks complete. Conn returns
+// the write's error from the read instead.
 type Conn struct {
 	net.Conn
 
@@ -33,14 +34,14 @@
 	writeErr error
 }
 
-// NewConn returns c with truthful ends.
+// NewConn returns a Conn on c.
 func NewConn(c net.Conn) *Conn {
 	return &Conn{Conn: c}
 }
 
-// NewSecuredConn returns c, to be used by TLS, with truthful ends. Anyone on the path can end the
-// connection, so above TLS it ends with io.EOF only after the peer's closure alert (RFC 9112, section
-// 9.8).
+// NewSecuredConn returns a Conn on c for a TLS connection above it. Anyone on the path can close the
+// TCP connection, so reads of the TLS connection return io.EOF only after the peer's closure alert (RFC
+// 9112, section 9.8).
 func NewSecuredConn(c net.Conn) *Conn {
 	return &Conn{Conn: c, secured: true}
 }
@@ -66,8 +67,7 @@
 	return n, err
 }
 
-// Read implements net.Conn. After io.EOF no more can be written: the peer has sent all that it will
-// send, so it answers nothing.
+// Read implements net.Conn. After io.EOF writes fail: the peer sends no further answer.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) {
@@ -81,8 +81,8 @@
 	return n, err
 }
 
-// lost returns the error of a write that was told of the connection's loss, or nil. It ends a write in
-// progress, which may have the report already.
+// lost returns the error of a write that reports the loss of the connection, or nil. It interrupts a
+// write in progress, which may have got that error already.
 func (c *Conn) lost() error {
 	c.ended.Store(true)
 	if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
--- a/core/inlet/response.go
+++ b/core/inlet/response.go
@@ -19,9 +19,8 @@
 // http.ReadResponse it returns a *MalformedError for a head that RFC 9110 or 9112 doesn't allow, and so
 // does the body. The caller bounds the head by the source of r; a nil q stands for a GET.
 //
-// The body checks and drops the trailer. Closing it does nothing, so the connection can be used again
-// only after io.EOF. An answer without a length ends with its connection, whose end must be truthful;
-// see Conn.
+// The body checks and drops the trailer. Closing it does nothing, so the connection can be reused only
+// after io.EOF. An answer without a length ends with its connection, so r must read from a Conn.
 func ReadResponse(r *bufio.Reader, q *http.Request, peer string) (*http.Response, error) {
 	if q == nil {
 		q = &http.Request{Method: http.MethodGet}
