--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -124,24 +124,6 @@
 	// Early sends the response before it reads the request body, which it reads
 	// earlyBodyDelay later.
 	Early struct{ Answer }
-	// Abrupt sends a text as it is, after a delay and before it reads the request body, and ends the connection.
-	Abrupt struct {
-		Text  string
-		Delay time.Duration
-		End   End
-	}
-)
-
-// End is how a connection ends.
-type End int
-
-const (
-	// ByReset ends it without the request body being read.
-	ByReset End = iota
-	// ByEnd ends the sending side, and the connection once the request body has been read.
-	ByEnd
-	// ByEndThenReset ends the sending side, and then the connection without the request body being read.
-	ByEndThenReset
 )
 
 func (Answer) reply()      {}
@@ -164,7 +146,6 @@
 func (Mismatched) reply()  {}
 func (Encoded) reply()     {}
 func (Early) reply()       {}
-func (Abrupt) reply()      {}
 
 // Request is a request as the server read it.
 type Request struct {
@@ -320,7 +301,7 @@
 		if isEarly {
 			reply = early.Answer
 		}
-		_, isAbrupt := reply.(Abrupt)
+		abrupt, isAbrupt := reply.(Abrupt)
 		if !isEarly && !isAbrupt {
 			b, err := io.ReadAll(q.Body)
 			if err != nil {
@@ -331,8 +312,8 @@
 		s.mu.Lock()
 		s.requests = append(s.requests, x)
 		s.mu.Unlock()
-		if a, ok := reply.(Abrupt); ok {
-			sendAbrupt(c, q.Body, a)
+		if isAbrupt {
+			sendAbrupt(c, q.Body, abrupt)
 			return
 		}
 		if !s.send(c, r, x, reply) {
@@ -344,29 +325,6 @@
 	}
 }
 
-// sendAbrupt carries out an Abrupt reply.
-func sendAbrupt(c net.Conn, body io.Reader, a Abrupt) {
-	time.Sleep(a.Delay)
-	t, ok := c.(*net.TCPConn)
-	if !ok || !write(c, a.Text) {
-		return
-	}
-	if a.End != ByReset && t.CloseWrite() != nil {
-		return
-	}
-	if a.End == ByEnd {
-		drainBody(body)
-		return
-	}
-	// Without a pause the reset could overtake the text within the client's process.
-	time.Sleep(abruptPause)
-	// The close of the connection, by the caller, resets it. An error means that it is closed already.
-	_ = t.SetLinger(0)
-}
-
-// abruptPause is the time from the text of an Abrupt reply to the reset.
-const abruptPause = 20 * time.Millisecond
-
 // earlyBodyDelay is the time from an early response until the request body is read.
 const earlyBodyDelay = 200 * time.Millisecond
 
