perf(inlet): allocate the room of a usual head at once

Cause: the reader collects the lines of a head into a buffer that grew from nothing, on the way of each answer.

Change: room for 1 KiB, which holds the heads of the users' servers.

--- a/core/inlet/response.go
+++ b/core/inlet/response.go
@@ -12,6 +12,10 @@
 	"strings"
 )
 
+// usualHeadBytes is the room, in bytes, for a head that is allocated at once. Heads of the users' servers
+// take under 1 KiB.
+const usualHeadBytes = 1 << 10
+
 // maxTrailerBytes bounds the trailer of a body in chunks, in bytes, as net/http does.
 const maxTrailerBytes = 4 << 10
 
@@ -43,7 +47,7 @@
 // readHead reads a head with the blank line behind it. A line ends with LF, with or without CR before it
 // (RFC 9112, section 2.2).
 func readHead(r *bufio.Reader, peer string) ([]byte, fieldCheck, error) {
-	var head []byte
+	head := make([]byte, 0, usualHeadBytes)
 	var f fieldCheck
 	for n := 0; ; n++ {
 		raw, err := readLine(r, math.MaxInt)
