--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -214,6 +214,7 @@
 	s.mu.Lock()
 	if s.leaving {
 		h.Set("Connection", "close")
+		h.Set("Server-Leaving", "1")
 	}
 	if s.limit > 0 {
 		h.Set("Server-Limit", strconv.FormatFloat(s.limit, 'f', -1, 64))
