--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -5,4 +5,4 @@
 	echo "build deploy/system.toml and run review/build-3.sh first" >&2
 	exit 2
 fi
-exec target/review-3/lab -case forgotten -router target/router -record review/15/record.txt
+exec target/review-3/lab -case silent-peers -router target/router -record review/15/record.txt
